--- /dev/null
+++ b/internal/core/kind/kind_test.go
@@ -0,0 +1,51 @@
+package kind_test
+
+import (
+	"io"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"hickorypath/internal/core/kind"
+)
+
+func TestEveryKindHasAnAnswer(t *testing.T) {
+	for _, k := range kind.All() {
+		t.Run(string(k), func(t *testing.T) {
+			is := is.New(t)
+			a := k.Answer()
+			is.True(a.Status() >= 400)
+			is.True(a.Class() != "")
+			is.True(a.Ran() == kind.RanNo || a.Ran() == kind.RanMaybe || a.Ran() == kind.RanYes)
+		})
+	}
+}
+
+func TestFrom(t *testing.T) {
+	cases := []struct {
+		name string
+		err  error
+		want kind.Kind
+	}{
+		{"nil", nil, ""},
+		{"own", kind.New(kind.Rate, "full"), kind.Rate},
+		{"wrapped", errors.Wrap(kind.New(kind.Lost, "cut"), "attempt 1"), kind.Lost},
+		{"foreign", io.EOF, kind.Internal},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(kind.Of(c.err), c.want)
+		})
+	}
+}
+
+func TestWrapKeepsCause(t *testing.T) {
+	is := is.New(t)
+	err := kind.Wrap(io.ErrUnexpectedEOF, kind.Lost, "engine %s", "a1")
+	is.True(errors.Is(err, io.ErrUnexpectedEOF))
+	is.True(errors.Is(err, kind.New(kind.Lost, "")))
+	is.Equal(err.WithRan(kind.RanNo).Ran(), kind.RanNo)
+	is.Equal(err.Ran(), kind.RanMaybe)
+}
