--- /dev/null
+++ b/internal/platform/store/http.go
@@ -0,0 +1,126 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+
+	"hickorypath/internal/core/kind"
+)
+
+// pollSlack is how much earlier than the caller the service ends a watch call.
+const pollSlack = 500 * time.Millisecond
+
+// NewHTTP returns the backend of a service at a base URL.
+func NewHTTP(url string, client *http.Client) Backend {
+	h := &remote{url: url, client: client}
+	return Backend{
+		Get:    h.get,
+		Put:    h.put,
+		Delete: h.remove,
+		List:   h.list,
+		Watch:  h.watch,
+		Grant:  h.grant,
+		Renew: func(ctx context.Context, lease uint64) error {
+			_, err := h.call(ctx, "renew", Request{Lease: lease})
+			return err
+		},
+		Revoke: func(ctx context.Context, lease uint64) error {
+			_, err := h.call(ctx, "revoke", Request{Lease: lease})
+			return err
+		},
+	}
+}
+
+type remote struct {
+	url    string
+	client *http.Client
+}
+
+func (h *remote) get(ctx context.Context, key string) (Entry, error) {
+	r, err := h.call(ctx, "get", Request{Key: key})
+	if err != nil {
+		return Entry{}, err
+	}
+	if len(r.Items) != 1 {
+		return Entry{}, kind.New(kind.Unknown, "get: %d items in the answer", len(r.Items))
+	}
+	return r.Items[0].entry(), nil
+}
+
+func (h *remote) put(ctx context.Context, w Write) (uint64, error) {
+	r, err := h.call(ctx, "put", Request{
+		Key: w.Key, Value: w.Value, Mode: w.Cond.mode, At: w.Cond.revision, Lease: w.Lease,
+	})
+	return r.Revision, err
+}
+
+func (h *remote) remove(ctx context.Context, key string, cond Condition) error {
+	_, err := h.call(ctx, "delete", Request{Key: key, Mode: cond.mode, At: cond.revision})
+	return err
+}
+
+func (h *remote) list(ctx context.Context, prefix string) ([]Entry, uint64, error) {
+	r, err := h.call(ctx, "list", Request{Prefix: prefix})
+	return lo.Map(r.Items, func(i Item, _ int) Entry { return i.entry() }), r.Revision, err
+}
+
+func (h *remote) watch(ctx context.Context, prefix string, after uint64) ([]Event, uint64, error) {
+	wait := defaultPoll
+	if until, ok := ctx.Deadline(); ok {
+		wait = max(time.Until(until)-pollSlack, 0)
+	}
+	r, err := h.call(ctx, "watch", Request{Prefix: prefix, After: after, Wait: wait})
+	events := lo.Map(r.Items, func(i Item, _ int) Event { return NewEvent(i.entry(), i.Deleted) })
+	return events, r.Revision, err
+}
+
+func (h *remote) grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	r, err := h.call(ctx, "grant", Request{TTL: ttl})
+	return r.Lease, err
+}
+
+// call makes one call; an error after the request was sent has kind Unknown.
+func (h *remote) call(ctx context.Context, op string, body Request) (Reply, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return Reply{}, kind.Wrap(err, kind.Internal, "%s: request cannot be encoded", op)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.url+"/v1/"+op, bytes.NewReader(data))
+	if err != nil {
+		return Reply{}, kind.Wrap(err, kind.Internal, "%s: request cannot be made", op)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return Reply{}, kind.Wrap(err, sentKind(err), "%s: no answer", op)
+	}
+	defer resp.Body.Close()
+	return decode(op, resp)
+}
+
+func decode(op string, resp *http.Response) (Reply, error) {
+	var r Reply
+	if err := json.NewDecoder(resp.Body).Decode(&r); err != nil {
+		return Reply{}, kind.Wrap(err, kind.Unknown, "%s: answer of status %d cannot be read", op, resp.StatusCode)
+	}
+	if r.Kind != "" {
+		return Reply{}, kind.New(r.Kind, "%s: %s", op, r.Text)
+	}
+	return r, nil
+}
+
+// sentKind tells whether a request that failed may have been sent.
+func sentKind(err error) kind.Kind {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return kind.Store
+	}
+	return kind.Unknown
+}
--- /dev/null
+++ b/internal/platform/store/options.go
@@ -0,0 +1,83 @@
+package store
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hickorypath/internal/core/clock"
+)
+
+// Use names what a call serves; each has a budget of calls.
+type Use string
+
+// The uses of the store.
+const (
+	UseDocument Use = "document"
+	UseKey      Use = "key"
+	UseClaim    Use = "claim"
+	UseUsage    Use = "usage"
+	UseLease    Use = "lease"
+	UseOrder    Use = "order"
+	UseOther    Use = "other"
+)
+
+// Options are the settings of a Client. Clock is required; other zero values get defaults.
+type Options struct {
+	Clock   clock.Clock
+	Rand    *rand.Rand // jitter of the back-off
+	Log     *zap.Logger
+	Attempt time.Duration   // longest wait for one answer
+	Whole   time.Duration   // longest wait for a call with its retries
+	Poll    time.Duration   // longest wait of one watch call
+	Rate    float64         // calls per second of this process
+	Budgets map[Use]float64 // calls per second by use, in place of the defaults
+}
+
+const (
+	defaultAttempt = 500 * time.Millisecond
+	defaultWhole   = 3 * time.Second
+	defaultPoll    = 50 * time.Second
+	defaultRate    = 60
+	backoffBase    = 50 * time.Millisecond
+	backoffLimit   = 2 * time.Second
+	burstSeconds   = 2
+)
+
+// defaultBudgets sum up to the default rate, so that no use starves another.
+var defaultBudgets = map[Use]float64{
+	UseDocument: 6,
+	UseKey:      6,
+	UseClaim:    24,
+	UseUsage:    6,
+	UseLease:    10,
+	UseOrder:    4,
+	UseOther:    4,
+}
+
+func (o Options) filled() Options {
+	if o.Rand == nil {
+		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	o.Attempt = cmp.Or(o.Attempt, defaultAttempt)
+	o.Whole = cmp.Or(o.Whole, defaultWhole)
+	o.Poll = cmp.Or(o.Poll, defaultPoll)
+	o.Rate = cmp.Or(o.Rate, defaultRate)
+	return o
+}
+
+// budget returns the calls per second of a use.
+func (o Options) budget(u Use) float64 {
+	if b, ok := o.Budgets[u]; ok {
+		return b
+	}
+	if b, ok := defaultBudgets[u]; ok {
+		return b
+	}
+	return defaultBudgets[UseOther]
+}
