--- /dev/null
+++ b/internal/operator/document/check.go
@@ -0,0 +1,245 @@
+package document
+
+import (
+	"fmt"
+	"path"
+	"slices"
+	"strings"
+)
+
+// reservedPaths are served by the router itself.
+var reservedPaths = []string{"/v1/chat/completions", "/v1/models"}
+
+// check reports the faults that need more than one field to see.
+func check(r *reader, d *draft) {
+	checkUnique(r, "customer", d.customers, func(c *Customer) string { return c.name })
+	checkUnique(r, "class", d.classes, func(c *Class) string { return c.name })
+	checkUnique(r, "pool", d.pools, func(p *Pool) string { return p.name })
+	checkUnique(r, "route", d.routes, func(t *Route) string { return t.name })
+	checkClasses(r, d.classes)
+	for _, p := range d.pools {
+		checkPool(r, p)
+	}
+	names := newNames(d)
+	for _, e := range d.routes {
+		checkTarget(r, e, names)
+		checkNames(r, e, names)
+		checkUse(r, e, names)
+	}
+	checkOverlap(r, d.routes)
+}
+
+func checkUnique[T any](r *reader, what string, entries []*entry[T], nameOf func(*T) string) {
+	first := make(map[string]int, len(entries))
+	for _, e := range entries {
+		name := nameOf(&e.value)
+		if name == "" {
+			continue
+		}
+		at := e.placeOf("name", whole)
+		if prior, ok := first[name]; ok {
+			line, column := r.at.place(prior)
+			r.fault(at, "rename or remove one of the two", "%s %q is defined twice, first at %d:%d", what, name, line, column)
+			continue
+		}
+		first[name] = at
+	}
+}
+
+func checkClasses(r *reader, entries []*entry[Class]) {
+	sum := 0.0
+	for _, e := range entries {
+		checkClass(r, e)
+		sum += e.value.share
+		if sum > 1+1e-9 {
+			r.fault(e.placeOf("share", whole), "lower the shares so that their sum is at most 1", "the shares of all classes up to %q sum to %.4g", e.value.name, sum)
+			return
+		}
+	}
+}
+
+func checkClass(r *reader, e *entry[Class]) {
+	c := &e.value
+	if c.whole > 0 && c.first >= c.whole {
+		r.fault(e.placeOf("first", whole), "make first shorter than whole", "the target for the first token, %s, cannot be met within the whole answer, %s", short(c.first), short(c.whole))
+	}
+	if c.whole > 0 && c.gap >= c.whole {
+		r.fault(e.placeOf("gap", whole), "make gap shorter than whole", "the target between tokens, %s, cannot be met within the whole answer, %s", short(c.gap), short(c.whole))
+	}
+	if c.whole > 0 && e.has("wait") && c.wait >= c.whole {
+		r.fault(e.placeOf("wait", whole), "make wait shorter than whole", "a request that was queued for %s cannot end within the whole answer, %s", short(c.wait), short(c.whole))
+	}
+	if e.has("solid") && !c.cheap {
+		r.fault(e.placeOf("solid", whole), "set cheap to true, or remove solid", "class %q keeps a share on durable upstreams but may not run on any other", c.name)
+	}
+}
+
+func checkPool(r *reader, e *entry[Pool]) {
+	p := &e.value
+	if p.kind == Engine && !e.has("model") {
+		r.fault(e.offset, `add "model"`, "pool %q of engines names no model", p.name)
+	}
+	if p.kind == Service && e.has("model") {
+		r.fault(e.placeOf("model", whole), "remove it, or make the pool's kind engine", "pool %q of services cannot load a model", p.name)
+	}
+	if e.has("max") && p.min > p.max {
+		r.fault(e.placeOf("min", whole), "make min at most max", "pool %q keeps at least %d upstreams but orders at most %d", p.name, p.min, p.max)
+	}
+}
+
+// names holds what routes may refer to.
+type names struct {
+	customers map[string]bool
+	classes   map[string]*Class
+	pools     map[string]*Pool
+}
+
+func newNames(d *draft) *names {
+	n := &names{customers: map[string]bool{}, classes: map[string]*Class{}, pools: map[string]*Pool{}}
+	for _, e := range d.customers {
+		n.customers[e.value.name] = true
+	}
+	for _, e := range d.classes {
+		n.classes[e.value.name] = &e.value
+	}
+	for _, e := range d.pools {
+		n.pools[e.value.name] = &e.value
+	}
+	return n
+}
+
+// checkTarget reports faults of what a route serves: a model or a path.
+func checkTarget(r *reader, e *entry[Route], n *names) {
+	t := &e.value
+	switch {
+	case e.has("model") && e.has("path"):
+		r.fault(e.placeOf("path", whole), "keep one of the two", "route %q gives both a model and a path", t.name)
+	case !e.has("model") && !e.has("path"):
+		r.fault(e.offset, `add "model" or "path"`, "route %q gives neither a model nor a path", t.name)
+	}
+	if t.path != "" {
+		checkPath(r, e)
+	}
+	if e.has("methods") && !e.has("path") {
+		r.fault(e.placeOf("methods", whole), "remove it", "route %q of a model takes no methods", t.name)
+	}
+	p, ok := n.pools[t.pool]
+	if t.pool == "" {
+		return
+	}
+	if !ok {
+		r.fault(e.placeOf("pool", whole), "define the pool, or name another", "route %q names pool %q, which is not defined", t.name, t.pool)
+		return
+	}
+	if !e.has("model") || !e.has("path") {
+		checkPoolKind(r, e, p)
+	}
+}
+
+func checkPoolKind(r *reader, e *entry[Route], p *Pool) {
+	t := &e.value
+	if t.model != "" && p.kind == Service {
+		r.fault(e.placeOf("pool", whole), "name a pool of engines", "route %q serves a model, but pool %q is one of services", t.name, p.name)
+	}
+	if t.path != "" && p.kind == Engine {
+		r.fault(e.placeOf("pool", whole), "name a pool of services", "route %q serves a path, but pool %q is one of engines", t.name, p.name)
+	}
+	if t.model != "" && p.model != "" && t.model != p.model {
+		r.fault(e.placeOf("model", whole), fmt.Sprintf("write %q, or name another pool", p.model), "route %q serves model %q, but pool %q loads %q", t.name, t.model, p.name, p.model)
+	}
+}
+
+func checkPath(r *reader, e *entry[Route]) {
+	p := e.value.path
+	at := e.placeOf("path", whole)
+	if !strings.HasPrefix(p, "/") || strings.ContainsAny(p, "?#*{} ") || trimPath(path.Clean(p)) != trimPath(p) {
+		r.fault(at, `write an absolute path such as "/dues"`, "path %q cannot be served", p)
+		return
+	}
+	for _, reserved := range reservedPaths {
+		if trimPath(p) == reserved || strings.HasPrefix(p, reserved+"/") {
+			r.fault(at, "choose another path", "path %q is served by the router itself", p)
+		}
+	}
+}
+
+// checkNames reports names that are not defined.
+func checkNames(r *reader, e *entry[Route], n *names) {
+	t := &e.value
+	if _, ok := n.classes[t.class]; !ok && t.class != "" {
+		r.fault(e.placeOf("class", whole), "define the class, or name another", "route %q names class %q, which is not defined", t.name, t.class)
+	}
+	for i, c := range t.classes {
+		if _, ok := n.classes[c]; !ok {
+			r.fault(e.placeOf("classes", i), "define the class, or remove the name", "route %q names class %q, which is not defined", t.name, c)
+		}
+	}
+	for i, c := range t.customers {
+		if !n.customers[c] {
+			r.fault(e.placeOf("customers", i), "define the customer, or remove the name", "route %q names customer %q, which is not defined", t.name, c)
+		}
+	}
+}
+
+// checkUse reports rules of a route that contradict each other or its class.
+func checkUse(r *reader, e *entry[Route], n *names) {
+	t := &e.value
+	if t.open && len(t.customers) > 0 {
+		r.fault(e.placeOf("open", whole), "remove open or customers", "route %q is open to all and also kept to listed customers", t.name)
+	}
+	c, ok := n.classes[t.class]
+	if !ok {
+		return
+	}
+	if c.whole > 0 && e.has("timeout") && t.timeout < c.whole {
+		r.fault(e.placeOf("timeout", whole), fmt.Sprintf("make timeout at least %s", short(c.whole)), "route %q gives up after %s, before the target of class %q, %s", t.name, short(t.timeout), c.name, short(c.whole))
+	}
+	if c.first > 0 && e.has("timeout") && t.timeout < c.first {
+		r.fault(e.placeOf("timeout", whole), fmt.Sprintf("make timeout longer than %s", short(c.first)), "route %q gives up after %s, before the first token of class %q is due, %s", t.name, short(t.timeout), c.name, short(c.first))
+	}
+}
+
+// checkOverlap reports routes that another one makes unreachable.
+func checkOverlap(r *reader, entries []*entry[Route]) {
+	byTarget := make(map[string][]*entry[Route])
+	for _, e := range entries {
+		target := e.value.model
+		if target == "" {
+			target = trimPath(e.value.path)
+		}
+		if target == "" {
+			continue
+		}
+		for _, prior := range byTarget[target] {
+			if overlaps(&prior.value, &e.value) {
+				r.fault(e.offset, "remove one, or give them different customers or methods", "route %q never serves: route %q already takes %q for the same customers and methods", e.value.name, prior.value.name, target)
+				break
+			}
+		}
+		byTarget[target] = append(byTarget[target], e)
+	}
+}
+
+// overlaps tells whether a takes all that b would take.
+func overlaps(a, b *Route) bool {
+	return covers(a.methods, b.methods) && (a.open || (!b.open && covers(a.customers, b.customers)))
+}
+
+// covers tells whether the list a, where none listed means all, holds everything that b holds.
+func covers(a, b []string) bool {
+	if len(a) == 0 {
+		return true
+	}
+	if len(b) == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(b, func(s string) bool { return !slices.Contains(a, s) })
+}
+
+// trimPath removes the slash at the end of a path.
+func trimPath(p string) string {
+	if p == "/" {
+		return p
+	}
+	return strings.TrimSuffix(p, "/")
+}
--- /dev/null
+++ b/internal/operator/document/class.go
@@ -0,0 +1,72 @@
+package document
+
+import "time"
+
+// Class is a request class: a tier, its service-level targets and the upstreams that may run it.
+type Class struct {
+	name   string
+	tier   int
+	first  time.Duration
+	gap    time.Duration
+	whole  time.Duration
+	wait   time.Duration
+	share  float64
+	weight float64
+	cheap  bool
+	solid  float64
+	limit  Limit
+}
+
+// Name returns the name.
+func (c *Class) Name() string { return c.name }
+
+// Tier returns the tier; 0 is the highest.
+func (c *Class) Tier() int { return c.tier }
+
+// First returns the target for the time to the first token, zero when there is none.
+func (c *Class) First() time.Duration { return c.first }
+
+// Gap returns the target for the time between tokens, zero when there is none.
+func (c *Class) Gap() time.Duration { return c.gap }
+
+// Whole returns the target for the whole answer, zero when there is none.
+func (c *Class) Whole() time.Duration { return c.whole }
+
+// Wait returns the longest time that a request of the class may be queued.
+func (c *Class) Wait() time.Duration { return c.wait }
+
+// Share returns the share of each pool's capacity that the class never falls below while it has work.
+func (c *Class) Share() float64 { return c.share }
+
+// Weight returns the weight in fair queueing among the classes of one tier.
+func (c *Class) Weight() float64 { return c.weight }
+
+// Cheap tells whether reclaimable upstreams may run the class.
+func (c *Class) Cheap() bool { return c.cheap }
+
+// Solid returns the share of the class that is kept on durable upstreams; 1 for a class that is not cheap.
+func (c *Class) Solid() float64 {
+	if !c.cheap {
+		return 1
+	}
+	return c.solid
+}
+
+// Limit returns the limits over all customers of the class.
+func (c *Class) Limit() Limit { return c.limit }
+
+func newClass() Class { return Class{weight: defaultWeight, wait: defaultWait} }
+
+var classFields = []field[Class]{
+	{name: "name", need: true, read: name(func(c *Class) *string { return &c.name })},
+	{name: "tier", need: true, read: integer(func(c *Class) *int { return &c.tier }, 0, maxTier)},
+	{name: "first", read: duration(func(c *Class) *time.Duration { return &c.first }, time.Millisecond, time.Hour)},
+	{name: "gap", read: duration(func(c *Class) *time.Duration { return &c.gap }, time.Millisecond, time.Minute)},
+	{name: "whole", read: duration(func(c *Class) *time.Duration { return &c.whole }, time.Millisecond, 24*time.Hour)},
+	{name: "wait", read: duration(func(c *Class) *time.Duration { return &c.wait }, time.Millisecond, time.Hour)},
+	{name: "share", read: number(func(c *Class) *float64 { return &c.share }, 0, 1)},
+	{name: "weight", read: number(func(c *Class) *float64 { return &c.weight }, minWeight, maxWeight)},
+	{name: "cheap", read: flag(func(c *Class) *bool { return &c.cheap })},
+	{name: "solid", read: number(func(c *Class) *float64 { return &c.solid }, 0, 1)},
+	{name: "limit", read: object(func(c *Class) *Limit { return &c.limit }, limitFields)},
+}
--- /dev/null
+++ b/internal/operator/document/field.go
@@ -0,0 +1,197 @@
+package document
+
+import (
+	"fmt"
+	"net/http"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+// readFunc reads one field of a T.
+type readFunc[T any] = func(r *reader, e *entry[T], name string, v *hujson.Value)
+
+var namePattern = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]*$`)
+
+var methods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions,
+}
+
+// literal returns v when it is of the wanted JSON kind, else reports a fault.
+func literal(r *reader, v *hujson.Value, name string, kind hujson.Kind, want string) (hujson.Literal, bool) {
+	lit, ok := v.Value.(hujson.Literal)
+	if ok && lit.Kind() == kind {
+		return lit, true
+	}
+	r.fault(v.StartOffset, "write "+want, "%q must be %s, not %s", name, want, typeOf(v))
+	return nil, false
+}
+
+func number[T any](get func(*T) *float64, low, high float64) readFunc[T] {
+	return func(r *reader, e *entry[T], name string, v *hujson.Value) {
+		lit, ok := literal(r, v, name, '0', "a number")
+		if !ok {
+			return
+		}
+		n, err := strconv.ParseFloat(string(lit), 64)
+		if err != nil || n < low || n > high {
+			r.fault(v.StartOffset, fmt.Sprintf("give a number from %v to %v", low, high), "%q is out of range: %s", name, string(lit))
+			return
+		}
+		*get(&e.value) = n
+	}
+}
+
+func integer[T any](get func(*T) *int, low, high int) readFunc[T] {
+	return func(r *reader, e *entry[T], name string, v *hujson.Value) {
+		lit, ok := literal(r, v, name, '0', "a whole number")
+		if !ok {
+			return
+		}
+		n, err := strconv.Atoi(string(lit))
+		if err != nil || n < low || n > high {
+			r.fault(v.StartOffset, fmt.Sprintf("give a whole number from %d to %d", low, high), "%q is out of range: %s", name, string(lit))
+			return
+		}
+		*get(&e.value) = n
+	}
+}
+
+func duration[T any](get func(*T) *time.Duration, low, high time.Duration) readFunc[T] {
+	return func(r *reader, e *entry[T], name string, v *hujson.Value) {
+		lit, ok := literal(r, v, name, '"', `a duration such as "1.5s"`)
+		if !ok {
+			return
+		}
+		d, err := time.ParseDuration(lit.String())
+		if err != nil {
+			r.fault(v.StartOffset, `write a number with a unit, such as "33ms", "1.1s" or "10m"`, "%q is no duration: %s", name, string(lit))
+			return
+		}
+		if d < low || d > high {
+			r.fault(v.StartOffset, fmt.Sprintf("give a duration from %s to %s", short(low), short(high)), "%q is out of range: %s", name, string(lit))
+			return
+		}
+		*get(&e.value) = d
+	}
+}
+
+func flag[T any](get func(*T) *bool) readFunc[T] {
+	return func(r *reader, e *entry[T], name string, v *hujson.Value) {
+		lit, ok := v.Value.(hujson.Literal)
+		if !ok || (lit.Kind() != 't' && lit.Kind() != 'f') {
+			r.fault(v.StartOffset, "write true or false", "%q must be true or false, not %s", name, typeOf(v))
+			return
+		}
+		*get(&e.value) = lit.Bool()
+	}
+}
+
+func text[T any](get func(*T) *string) readFunc[T] {
+	return checked(get, func(s string) string {
+		if s == "" || len(s) > maxText {
+			return fmt.Sprintf("write 1 to %d characters", maxText)
+		}
+		return ""
+	})
+}
+
+func name[T any](get func(*T) *string) readFunc[T] { return checked(get, checkName) }
+
+func oneOf[T any](get func(*T) *string, options ...string) readFunc[T] {
+	return checked(get, func(s string) string {
+		if slices.Contains(options, s) {
+			return ""
+		}
+		return "write one of " + strings.Join(options, ", ")
+	})
+}
+
+// checked reads a string that check accepts; check returns the remedy for one that it does not.
+func checked[T any](get func(*T) *string, check func(string) string) readFunc[T] {
+	return func(r *reader, e *entry[T], name string, v *hujson.Value) {
+		lit, ok := literal(r, v, name, '"', "a string")
+		if !ok {
+			return
+		}
+		if remedy := check(lit.String()); remedy != "" {
+			r.fault(v.StartOffset, remedy, "%q cannot be %s", name, string(lit))
+			return
+		}
+		*get(&e.value) = lit.String()
+	}
+}
+
+// list reads an array of distinct strings that check accepts, and marks the place of each.
+func list[T any](get func(*T) *[]string, check func(string) string) readFunc[T] {
+	return func(r *reader, e *entry[T], name string, v *hujson.Value) {
+		arr, ok := v.Value.(*hujson.Array)
+		if !ok {
+			r.fault(v.StartOffset, "write an array of strings", "%q must be an array, not %s", name, typeOf(v))
+			return
+		}
+		var items []string
+		seen := make(map[string]bool, len(arr.Elements))
+		for i := range arr.Elements {
+			el := &arr.Elements[i]
+			lit, ok := literal(r, el, name, '"', "an array of strings")
+			if !ok {
+				continue
+			}
+			s := lit.String()
+			if remedy := check(s); remedy != "" {
+				r.fault(el.StartOffset, remedy, "%q cannot hold %s", name, string(lit))
+				continue
+			}
+			if seen[s] {
+				r.fault(el.StartOffset, "keep one of the two", "%q lists %s twice", name, string(lit))
+				continue
+			}
+			seen[s] = true
+			e.mark(name, len(items), el.StartOffset)
+			items = append(items, s)
+		}
+		*get(&e.value) = items
+	}
+}
+
+// object reads a nested object.
+func object[T, U any](get func(*T) *U, fields []field[U]) readFunc[T] {
+	return func(r *reader, e *entry[T], name string, v *hujson.Value) {
+		inner := entry[U]{value: *get(&e.value)}
+		if readObject(r, v, fmt.Sprintf("%q", name), fields, &inner) {
+			*get(&e.value) = inner.value
+		}
+	}
+}
+
+func checkName(s string) string {
+	if len(s) <= maxName && namePattern.MatchString(s) {
+		return ""
+	}
+	return fmt.Sprintf("write 1 to %d letters, digits, dots, dashes or underscores, the first a letter or digit", maxName)
+}
+
+func checkMethod(s string) string {
+	if slices.Contains(methods, s) {
+		return ""
+	}
+	return "write one of " + strings.Join(methods, ", ")
+}
+
+// short formats d without zero units at its end.
+func short(d time.Duration) string {
+	s := d.String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
+	return s
+}
--- /dev/null
+++ b/internal/operator/document/match.go
@@ -0,0 +1,106 @@
+package document
+
+import (
+	"slices"
+	"strings"
+
+	"hickorypath/internal/core/kind"
+)
+
+// RouteModel returns the route and class of a request for a model. The empty customer stands for a
+// caller without a key, the empty class for the route's own. The error is of kind NoModel, NoKey or Forbidden.
+func (d *Document) RouteModel(model, customer, class string) (*Route, *Class, error) {
+	routes := d.index.models[model]
+	if len(routes) == 0 {
+		return nil, nil, kind.New(kind.NoModel, "no route serves the model %q", model)
+	}
+	return d.admit(routes, customer, class)
+}
+
+// RoutePath returns the route and class of a request for a plain service. The route with the longest
+// matching path is chosen. The error is of kind NoRoute, Method, NoKey or Forbidden.
+func (d *Document) RoutePath(path, method, customer, class string) (*Route, *Class, error) {
+	routes := d.underPath(path)
+	if len(routes) == 0 {
+		return nil, nil, kind.New(kind.NoRoute, "no route serves the path")
+	}
+	var taking []*Route
+	for _, r := range routes {
+		if r.Takes(method) {
+			taking = append(taking, r)
+		}
+	}
+	if len(taking) == 0 {
+		return nil, nil, kind.New(kind.Method, "the path does not take %s", method)
+	}
+	return d.admit(taking, customer, class)
+}
+
+// Models returns the sorted names of the models that the customer may use.
+func (d *Document) Models(customer string) []string {
+	var models []string
+	for model, routes := range d.index.models {
+		if slices.ContainsFunc(routes, func(r *Route) bool { return d.admits(r, customer) }) {
+			models = append(models, model)
+		}
+	}
+	slices.Sort(models)
+	return models
+}
+
+// underPath returns the routes of the longest path that is path itself or a parent of it.
+func (d *Document) underPath(path string) []*Route {
+	if !strings.HasPrefix(path, "/") || hasDots(path) {
+		return nil
+	}
+	for at := trimPath(path); at != ""; at = at[:strings.LastIndexByte(at, '/')] {
+		if routes := d.index.paths[at]; len(routes) > 0 {
+			return routes
+		}
+	}
+	return d.index.paths["/"]
+}
+
+// hasDots tells whether a segment of the path is "." or "..".
+func hasDots(path string) bool {
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
+
+// admits tells whether the customer is defined and may use the route.
+func (d *Document) admits(r *Route, customer string) bool {
+	if r.open {
+		return true
+	}
+	_, known := d.index.customers[customer]
+	return known && r.Admits(customer)
+}
+
+// admit picks the first route that admits the customer, and the class.
+func (d *Document) admit(routes []*Route, customer, class string) (*Route, *Class, error) {
+	for _, r := range routes {
+		if !d.admits(r, customer) {
+			continue
+		}
+		c, err := d.pickClass(r, class)
+		return r, c, err
+	}
+	if customer == "" {
+		return nil, nil, kind.New(kind.NoKey, "the route needs a key")
+	}
+	return nil, nil, kind.New(kind.Forbidden, "the route is not for customer %q", customer)
+}
+
+func (d *Document) pickClass(r *Route, class string) (*Class, error) {
+	if class == "" || class == r.class {
+		return d.index.classes[r.class], nil
+	}
+	if !slices.Contains(r.classes, class) {
+		return nil, kind.New(kind.Forbidden, "route %q does not allow the class", r.name)
+	}
+	return d.index.classes[class], nil
+}
--- /dev/null
+++ b/internal/operator/document/parse.go
@@ -0,0 +1,98 @@
+package document
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strconv"
+
+	"github.com/tailscale/hujson"
+)
+
+// draft is a document whose objects were read and whose names are not yet checked.
+type draft struct {
+	customers []*entry[Customer]
+	classes   []*entry[Class]
+	pools     []*entry[Pool]
+	routes    []*entry[Route]
+}
+
+var draftFields = []field[draft]{
+	{name: "customers", need: true, read: func(r *reader, e *entry[draft], _ string, v *hujson.Value) {
+		e.value.customers = readList(r, v, "customer", customerFields, newCustomer)
+	}},
+	{name: "classes", need: true, read: func(r *reader, e *entry[draft], _ string, v *hujson.Value) {
+		e.value.classes = readList(r, v, "class", classFields, newClass)
+	}},
+	{name: "pools", need: true, read: func(r *reader, e *entry[draft], _ string, v *hujson.Value) {
+		e.value.pools = readList(r, v, "pool", poolFields, newPool)
+	}},
+	{name: "routes", need: true, read: func(r *reader, e *entry[draft], _ string, v *hujson.Value) {
+		e.value.routes = readList(r, v, "route", routeFields, newRoute)
+	}},
+}
+
+// Parse reads and checks a document; file names it in the places of faults.
+// The error, if any, is a *Faults that lists all of them.
+func Parse(data []byte, file string) (*Document, error) {
+	r := &reader{at: newLocator(file, data)}
+	root, err := hujson.Parse(data)
+	if err != nil {
+		return nil, &Faults{list: []Fault{syntaxFault(file, err)}}
+	}
+	e := &entry[draft]{}
+	if readObject(r, &root, "the document", draftFields, e) {
+		check(r, &e.value)
+	}
+	if len(r.faults) > 0 {
+		sortFaults(r.faults)
+		return nil, &Faults{list: r.faults}
+	}
+	return newDocument(data, &e.value), nil
+}
+
+func newDocument(data []byte, d *draft) *Document {
+	doc := &Document{
+		source:    slices.Clone(data),
+		digest:    DigestOf(data),
+		customers: values(d.customers),
+		classes:   values(d.classes),
+		pools:     values(d.pools),
+		routes:    values(d.routes),
+	}
+	for _, r := range doc.routes {
+		r.admitted = make(map[string]struct{}, len(r.customers))
+		for _, c := range r.customers {
+			r.admitted[c] = struct{}{}
+		}
+	}
+	doc.buildIndex()
+	return doc
+}
+
+// values copies the values out of their entries, so that the places can be freed.
+func values[T any](entries []*entry[T]) []*T {
+	block := make([]T, len(entries))
+	list := make([]*T, len(entries))
+	for i, e := range entries {
+		block[i] = e.value
+		list[i] = &block[i]
+	}
+	return list
+}
+
+// syntaxPlace finds the place in the text of a syntax error.
+var syntaxPlace = regexp.MustCompile(`line (\d+), column (\d+): (.*)$`)
+
+func syntaxFault(file string, err error) Fault {
+	f := Fault{file: file, line: 1, column: 1, text: err.Error()}
+	f.remedy = "correct the JSON here; faults after this place are found once it reads"
+	m := syntaxPlace.FindStringSubmatch(err.Error())
+	if m == nil {
+		return f
+	}
+	f.line, _ = strconv.Atoi(m[1])
+	f.column, _ = strconv.Atoi(m[2])
+	f.text = fmt.Sprintf("not JSON with comments: %s", m[3])
+	return f
+}
--- /dev/null
+++ b/internal/operator/document/reader.go
@@ -0,0 +1,180 @@
+package document
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// reader walks the syntax tree of a document and collects its faults.
+type reader struct {
+	at     *locator
+	faults []Fault
+}
+
+func (r *reader) fault(offset int, remedy, format string, args ...any) {
+	if len(r.faults) >= maxFaults {
+		return
+	}
+	r.faults = append(r.faults, r.at.fault(offset, fmt.Sprintf(format, args...), remedy))
+}
+
+// field says how one named field of an object is read.
+type field[T any] struct {
+	name string
+	need bool
+	read func(r *reader, e *entry[T], name string, v *hujson.Value)
+}
+
+// entry is an object that was read, with the places of its fields for later checks.
+type entry[T any] struct {
+	value  T
+	offset int
+	places []place
+}
+
+// place is the offset of a field's value, or of one element of a list.
+type place struct {
+	name   string
+	index  int
+	offset int
+}
+
+// whole is the index of a place that stands for the value of the field itself.
+const whole = -1
+
+func (e *entry[T]) mark(name string, index, offset int) {
+	e.places = append(e.places, place{name: name, index: index, offset: offset})
+}
+
+// has tells whether the field was given.
+func (e *entry[T]) has(name string) bool {
+	for _, p := range e.places {
+		if p.name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// placeOf returns the offset of the field, or that of the object when the field is left out.
+func (e *entry[T]) placeOf(name string, index int) int {
+	for _, p := range e.places {
+		if p.name == name && p.index == index {
+			return p.offset
+		}
+	}
+	return e.offset
+}
+
+// readObject reads v by the table of fields into e and reports unknown, duplicate and missing fields.
+func readObject[T any](r *reader, v *hujson.Value, what string, fields []field[T], e *entry[T]) bool {
+	e.offset = v.StartOffset
+	obj, ok := v.Value.(*hujson.Object)
+	if !ok {
+		r.fault(v.StartOffset, "write an object in braces", "%s must be an object, not %s", what, typeOf(v))
+		return false
+	}
+	seen := make(map[string]int, len(obj.Members))
+	for i := range obj.Members {
+		readMember(r, &obj.Members[i], what, fields, seen, e)
+	}
+	for _, f := range fields {
+		if _, ok := seen[f.name]; f.need && !ok {
+			r.fault(e.offset, fmt.Sprintf("add %q", f.name), "%s lacks the field %q", what, f.name)
+		}
+	}
+	return true
+}
+
+func readMember[T any](r *reader, m *hujson.ObjectMember, what string, fields []field[T], seen map[string]int, e *entry[T]) {
+	key := m.Name.Value.(hujson.Literal).String()
+	if first, ok := seen[key]; ok {
+		line, column := r.at.place(first)
+		r.fault(m.Name.StartOffset, "keep one of the two", "%s gives the field %q twice, first at %d:%d", what, key, line, column)
+		return
+	}
+	seen[key] = m.Name.StartOffset
+	for _, f := range fields {
+		if f.name != key {
+			continue
+		}
+		e.mark(key, whole, m.Value.StartOffset)
+		f.read(r, e, key, &m.Value)
+		return
+	}
+	r.fault(m.Name.StartOffset, remedyUnknown(key, fields), "%s has no field %q", what, key)
+}
+
+// readList reads an array of objects, each starting from the value that fresh returns.
+func readList[T any](r *reader, v *hujson.Value, what string, fields []field[T], fresh func() T) []*entry[T] {
+	arr, ok := v.Value.(*hujson.Array)
+	if !ok {
+		r.fault(v.StartOffset, "write an array in brackets", "the list of each %s must be an array, not %s", what, typeOf(v))
+		return nil
+	}
+	entries := make([]*entry[T], 0, len(arr.Elements))
+	for i := range arr.Elements {
+		e := &entry[T]{value: fresh()}
+		if readObject(r, &arr.Elements[i], what, fields, e) {
+			entries = append(entries, e)
+		}
+	}
+	return entries
+}
+
+func typeOf(v *hujson.Value) string {
+	switch v.Value.Kind() {
+	case '{':
+		return "an object"
+	case '[':
+		return "an array"
+	case '"':
+		return "a string"
+	case '0':
+		return "a number"
+	case 't', 'f':
+		return "a boolean"
+	}
+	return "null"
+}
+
+// maxDistance is the greatest edit distance at which a field's name is suggested.
+const maxDistance = 2
+
+func remedyUnknown[T any](key string, fields []field[T]) string {
+	names := make([]string, len(fields))
+	best, bestDistance := "", maxDistance+1
+	for i, f := range fields {
+		names[i] = f.name
+		if d := distance(strings.ToLower(key), f.name); d < bestDistance {
+			best, bestDistance = f.name, d
+		}
+	}
+	if best != "" {
+		return fmt.Sprintf("did you mean %q?", best)
+	}
+	return "remove it; the fields are " + strings.Join(names, ", ")
+}
+
+// distance returns the Levenshtein distance of a and b.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := diagonal
+			if a[i] != b[j] {
+				cost++
+			}
+			diagonal = row[j+1]
+			row[j+1] = min(cost, row[j]+1, row[j+1]+1)
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/internal/operator/document/route.go
@@ -0,0 +1,104 @@
+package document
+
+import (
+	"slices"
+	"time"
+)
+
+// Route leads requests for a model, or under a path, to a pool.
+type Route struct {
+	name      string
+	model     string
+	path      string
+	methods   []string
+	pool      string
+	class     string
+	classes   []string
+	customers []string
+	open      bool
+	repeat    bool
+	body      int
+	timeout   time.Duration
+	expiry    time.Duration
+
+	admitted map[string]struct{}
+}
+
+// Name returns the name.
+func (r *Route) Name() string { return r.name }
+
+// Model returns the model that the route serves, empty for a route of a plain service.
+func (r *Route) Model() string { return r.model }
+
+// Path returns the path prefix that the route serves, empty for a route of a model.
+func (r *Route) Path() string { return r.path }
+
+// Methods returns the methods that a path route takes; none listed means all.
+func (r *Route) Methods() []string { return r.methods }
+
+// Pool returns the name of the pool.
+func (r *Route) Pool() string { return r.pool }
+
+// Class returns the name of the class of requests that name none.
+func (r *Route) Class() string { return r.class }
+
+// Classes returns the names of the other classes that a request may pick.
+func (r *Route) Classes() []string { return r.classes }
+
+// Customers returns the names of the customers that may use the route; none listed means all.
+func (r *Route) Customers() []string { return r.customers }
+
+// Open tells whether the route answers without a key.
+func (r *Route) Open() bool { return r.open }
+
+// Repeat tells whether a request may be run more than once.
+func (r *Route) Repeat() bool { return r.repeat }
+
+// Body returns the greatest size of a request body in bytes.
+func (r *Route) Body() int { return r.body }
+
+// Timeout returns the time within which the whole answer must end.
+func (r *Route) Timeout() time.Duration { return r.timeout }
+
+// Expiry returns how long the claim of a non-repeatable request is kept.
+func (r *Route) Expiry() time.Duration { return r.expiry }
+
+// Admits tells whether the customer may use the route. The empty customer stands for a caller without a key.
+func (r *Route) Admits(customer string) bool {
+	if r.open {
+		return true
+	}
+	if customer == "" {
+		return false
+	}
+	if len(r.admitted) == 0 {
+		return true
+	}
+	_, ok := r.admitted[customer]
+	return ok
+}
+
+// Takes tells whether the route takes the method.
+func (r *Route) Takes(method string) bool {
+	return len(r.methods) == 0 || slices.Contains(r.methods, method)
+}
+
+func newRoute() Route {
+	return Route{repeat: true, body: defaultBody, timeout: defaultTimeout, expiry: defaultExpiry}
+}
+
+var routeFields = []field[Route]{
+	{name: "name", need: true, read: name(func(r *Route) *string { return &r.name })},
+	{name: "model", read: text(func(r *Route) *string { return &r.model })},
+	{name: "path", read: text(func(r *Route) *string { return &r.path })},
+	{name: "methods", read: list(func(r *Route) *[]string { return &r.methods }, checkMethod)},
+	{name: "pool", need: true, read: name(func(r *Route) *string { return &r.pool })},
+	{name: "class", need: true, read: name(func(r *Route) *string { return &r.class })},
+	{name: "classes", read: list(func(r *Route) *[]string { return &r.classes }, checkName)},
+	{name: "customers", read: list(func(r *Route) *[]string { return &r.customers }, checkName)},
+	{name: "open", read: flag(func(r *Route) *bool { return &r.open })},
+	{name: "repeat", read: flag(func(r *Route) *bool { return &r.repeat })},
+	{name: "body", read: integer(func(r *Route) *int { return &r.body }, 1, maxBody)},
+	{name: "timeout", read: duration(func(r *Route) *time.Duration { return &r.timeout }, time.Millisecond, 24*time.Hour)},
+	{name: "expiry", read: duration(func(r *Route) *time.Duration { return &r.expiry }, time.Minute, 30*24*time.Hour)},
+}
