--- a/internal/operator/key/key.go
+++ b/internal/operator/key/key.go
@@ -9,6 +9,7 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/hex"
+	"fmt"
 	"strings"
 	"time"
 
@@ -67,7 +68,7 @@
 // NewRecord returns the record of a clear key that was made elsewhere, such as a key of a sample.
 func NewRecord(clear, customer string, issued time.Time) (Record, error) {
 	id, ok := idOf(clear)
-	if !ok {
+	if _, valid := numberOf(id); !ok || !valid {
 		return Record{}, kind.New(kind.Invalid, "the key does not have the form of one that was issued")
 	}
 	return Record{id: id, hash: sha256.Sum256([]byte(clear)), customer: customer, issued: issued, version: 1}, nil
@@ -105,6 +106,30 @@
 	return clear[len(prefix) : secretAt-1], true
 }
 
+// number is an id as the table holds it.
+type number uint64
+
+// numberOf reads an id of 16 lower-case hexadecimal digits.
+func numberOf(id string) (number, bool) {
+	if len(id) != 2*idBytes {
+		return 0, false
+	}
+	var n number
+	for i := range len(id) {
+		switch c := id[i]; {
+		case '0' <= c && c <= '9':
+			n = n<<4 | number(c-'0')
+		case 'a' <= c && c <= 'f':
+			n = n<<4 | number(c-'a'+10)
+		default:
+			return 0, false
+		}
+	}
+	return n, true
+}
+
+func (n number) String() string { return fmt.Sprintf("%016x", uint64(n)) }
+
 // wire is the CBOR form of a Record. Times are in seconds since 1970.
 type wire struct {
 	ID        string `cbor:"1,keyasint"`
@@ -134,8 +159,8 @@
 	if err := cbor.Unmarshal(b, &w); err != nil {
 		return Record{}, kind.Wrap(err, kind.Peer, "key record cannot be read")
 	}
-	if len(w.Hash) != sha256.Size || w.ID == "" {
-		return Record{}, kind.New(kind.Peer, "key record lacks its id or hash")
+	if _, ok := numberOf(w.ID); !ok || len(w.Hash) != sha256.Size {
+		return Record{}, kind.New(kind.Peer, "key record has no valid id or hash")
 	}
 	r := Record{id: w.ID, customer: w.Customer, issued: time.Unix(w.Issued, 0).UTC(), version: w.Version}
 	copy(r.hash[:], w.Hash)
--- a/internal/operator/key/table.go
+++ b/internal/operator/key/table.go
@@ -11,11 +11,12 @@
 // Table holds the keys that a host knows. It is safe for concurrent use.
 type Table struct {
 	mu      sync.RWMutex
-	records map[string]*held
-	watches map[string]*watch
+	records map[number]held
+	watches map[number]*watch
+	names   map[string]string // one copy of each customer's name
 }
 
-// held is the part of a record that look-ups need, without the times' 48 bytes.
+// held is a record as the table holds it: without pointers but for the shared name, to spare cache misses.
 type held struct {
 	hash      Hash
 	customer  string
@@ -32,21 +33,28 @@
 
 // NewTable returns an empty Table.
 func NewTable() *Table {
-	return &Table{records: make(map[string]*held), watches: make(map[string]*watch)}
+	return &Table{
+		records: make(map[number]held),
+		watches: make(map[number]*watch),
+		names:   make(map[string]string),
+	}
 }
 
 // Lookup returns the customer and the id of a clear key. The error is of kind BadKey or Withdrawn.
 // The time that it takes does not depend on how much of a wrong secret is right.
 func (t *Table) Lookup(clear string) (customer, id string, err error) {
 	id, ok := idOf(clear)
-	if !ok {
+	n, valid := numberOf(id)
+	if !ok || !valid {
 		return "", "", kind.New(kind.BadKey, "the key is not known")
 	}
-	sum := sha256.Sum256([]byte(clear))
+	var text [clearSize]byte
+	copy(text[:], clear)
+	sum := sha256.Sum256(text[:])
 	t.mu.RLock()
-	h := t.records[id]
+	h, known := t.records[n]
 	t.mu.RUnlock()
-	if h == nil || subtle.ConstantTimeCompare(sum[:], h.hash[:]) != 1 {
+	if !known || subtle.ConstantTimeCompare(sum[:], h.hash[:]) != 1 {
 		return "", "", kind.New(kind.BadKey, "the key is not known")
 	}
 	if h.withdrawn != 0 {
@@ -57,36 +65,50 @@
 
 // Put takes a record in when its version is higher than that of the one held, and reports whether it did.
 func (t *Table) Put(rec Record) bool {
+	n, valid := numberOf(rec.id)
+	if !valid {
+		return false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if old := t.records[rec.id]; old != nil && old.version >= rec.version {
+	if t.records[n].version >= rec.version {
 		return false
 	}
-	t.records[rec.id] = newHeld(rec)
-	if w := t.watches[rec.id]; w != nil && !rec.withdrawn.IsZero() {
+	rec.customer = t.intern(rec.customer)
+	t.records[n] = newHeld(rec)
+	if w := t.watches[n]; w != nil && !rec.withdrawn.IsZero() {
 		close(w.gone)
-		delete(t.watches, rec.id)
+		delete(t.watches, n)
 	}
 	return true
 }
 
+func (t *Table) intern(name string) string {
+	if shared, ok := t.names[name]; ok {
+		return shared
+	}
+	t.names[name] = name
+	return name
+}
+
 // Get returns the record of that id.
 func (t *Table) Get(id string) (Record, bool) {
+	n, valid := numberOf(id)
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	h := t.records[id]
-	if h == nil {
+	h, known := t.records[n]
+	if !valid || !known {
 		return Record{}, false
 	}
-	return h.record(id), true
+	return h.record(n), true
 }
 
 // Range calls fn for each record, in no order, until fn returns false. fn must not call Put.
 func (t *Table) Range(fn func(Record) bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	for id, h := range t.records {
-		if !fn(h.record(id)) {
+	for n, h := range t.records {
+		if !fn(h.record(n)) {
 			return
 		}
 	}
@@ -102,27 +124,28 @@
 // Watch returns a channel that closes when the key is withdrawn, at once when it was already or is not
 // known. The caller calls stop when its call has ended.
 func (t *Table) Watch(id string) (gone <-chan struct{}, stop func()) {
+	n, valid := numberOf(id)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h := t.records[id]
-	if h == nil || h.withdrawn != 0 {
+	h, known := t.records[n]
+	if !valid || !known || h.withdrawn != 0 {
 		return closed, func() {}
 	}
-	w := t.watches[id]
+	w := t.watches[n]
 	if w == nil {
 		w = &watch{gone: make(chan struct{})}
-		t.watches[id] = w
+		t.watches[n] = w
 	}
 	w.users++
-	return w.gone, sync.OnceFunc(func() { t.unwatch(id, w) })
+	return w.gone, sync.OnceFunc(func() { t.unwatch(n, w) })
 }
 
-func (t *Table) unwatch(id string, w *watch) {
+func (t *Table) unwatch(n number, w *watch) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w.users--
-	if w.users == 0 && t.watches[id] == w {
-		delete(t.watches, id)
+	if w.users == 0 && t.watches[n] == w {
+		delete(t.watches, n)
 	}
 }
 
