--- a/internal/platform/store/client_test.go
+++ b/internal/platform/store/client_test.go
@@ -218,7 +218,10 @@
 	is.NoErr(c.Delete(ctx, "a/b c", store.At(next)))
 	is.True((<-events).Deleted())
 
+	cancel()
 	web.Close()
-	_, err = c.Put(ctx, "k", nil, store.Absent())
+	fresh := &http.Client{Transport: &http.Transport{}}
+	c = store.New(store.NewHTTP(web.URL, fresh), store.Options{Clock: clk, Whole: 100 * time.Millisecond})
+	_, err = c.Put(t.Context(), "k", nil, store.Absent())
 	is.Equal(kind.Of(err), kind.Store)
 }
