--- /dev/null
+++ b/internal/platform/lease/lease_test.go
@@ -0,0 +1,132 @@
+package lease_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/platform/lease"
+	"hickorypath/internal/platform/store"
+	standin "hickorypath/internal/standin/store"
+)
+
+const (
+	ttl    = 10 * time.Second
+	settle = 11 * time.Second
+	need   = 2 * time.Second
+)
+
+func start(t *testing.T, ctx context.Context, b store.Backend, c clock.Clock, holder string) *lease.Lease {
+	t.Helper()
+	l := lease.New(store.New(b, store.Options{Clock: c}), c, lease.Options{Name: "pool", Holder: holder, TTL: ttl})
+	go l.Run(ctx)
+	return l
+}
+
+func TestLeaseUnderFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		strike func(m *store.Memory, g *standin.Gate)
+		after  time.Duration // from the strike to the look
+		one    bool          // the first holder still holds
+		two    bool          // the second one does
+	}{
+		{"no fault", func(*store.Memory, *standin.Gate) {}, time.Minute, true, false},
+		{"short outage", func(m *store.Memory, _ *standin.Gate) { outage(m, 3*time.Second) }, time.Minute, true, false},
+		{"outage goes on", func(m *store.Memory, _ *standin.Gate) { m.Set(store.Faults{Down: true}) }, 10 * time.Second, false, false},
+		{"lost answers", func(m *store.Memory, _ *standin.Gate) { m.Set(store.Faults{Lose: 4}) }, 40 * time.Second, true, false},
+		{"slow answers", func(m *store.Memory, _ *standin.Gate) { m.Set(store.Faults{Slow: 400 * time.Millisecond}) }, time.Minute, true, false},
+		{"short pause", func(_ *store.Memory, g *standin.Gate) { g.Pause(4 * time.Second) }, time.Minute, true, false},
+		{"long pause", func(_ *store.Memory, g *standin.Gate) { g.Pause(time.Minute) }, 30 * time.Second, false, true},
+		{"cut off", func(_ *store.Memory, g *standin.Gate) { g.Cut(true) }, 30 * time.Second, false, true},
+		{"ended early", func(m *store.Memory, _ *standin.Gate) { m.Lapse() }, 12 * time.Second, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				clk := clock.NewWall()
+				m := store.NewMemory(clk)
+				g := standin.NewGate(nil)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				one := start(t, ctx, g.Backend(m.Backend()), clk, "one")
+				time.Sleep(time.Second)
+				two := start(t, ctx, m.Backend(), clk, "two")
+				_, err := one.Hold(need)
+				is.Equal(kind.Of(err), kind.Lapsed) // settling
+				time.Sleep(settle)
+				first, err := one.Hold(need)
+				is.NoErr(err)
+
+				c.strike(m, g)
+				time.Sleep(c.after)
+				is.Equal(first.Valid(need) == nil, c.one)
+				second, err := two.Hold(need)
+				is.Equal(err == nil, c.two)
+				is.True(!c.two || second.Fence() > first.Fence())
+				cancel()
+				time.Sleep(2 * time.Minute) // until a paused holder has run to its end
+			})
+		})
+	}
+}
+
+func outage(m *store.Memory, d time.Duration) {
+	m.Set(store.Faults{Down: true})
+	time.AfterFunc(d, func() { m.Set(store.Faults{}) })
+}
+
+func TestReleaseLetsTheNextOneIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clk := clock.NewWall()
+		m := store.NewMemory(clk)
+		ctx, cancel := context.WithCancel(t.Context())
+		one := start(t, ctx, m.Backend(), clk, "one")
+		time.Sleep(settle + time.Second)
+		token, err := one.Hold(need)
+		is.NoErr(err)
+		cancel()
+		synctest.Wait()
+		is.Equal(kind.Of(token.Valid(0)), kind.Lapsed)
+		is.Equal(one.State(), "closed")
+		_, _, ok := m.Read("lease/pool")
+		is.True(!ok)
+	})
+}
+
+func TestSendChecksAtEachWrite(t *testing.T) {
+	cases := []struct {
+		name string
+		err  error
+		want kind.Kind
+		hits int
+	}{
+		{"held", nil, "", 1},
+		{"lapsed before the write", kind.New(kind.Lapsed, "paused"), kind.Lapsed, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			hits := 0
+			srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { hits++ }))
+			defer srv.Close()
+			req, err := http.NewRequest(http.MethodPost, srv.URL, http.NoBody)
+			is.NoErr(err)
+			resp, err := lease.Send(req, time.Second, func() error { return c.err })
+			is.Equal(kind.Of(err), c.want)
+			if err == nil {
+				resp.Body.Close()
+			}
+			is.Equal(hits, c.hits)
+		})
+	}
+}
