--- /dev/null
+++ b/internal/platform/usage/sink.go
@@ -0,0 +1,66 @@
+package usage
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/platform/lease"
+)
+
+// Report is the usage of one window as the platform's interface takes it.
+type Report struct {
+	ID     string    `json:"id"`
+	Window int64     `json:"window"`
+	Start  time.Time `json:"start"`
+	End    time.Time `json:"end"`
+	Fence  uint64    `json:"fence"`
+	Rows   []Row     `json:"rows"`
+}
+
+// Sink is the platform's interface for usage reports. Report calls check directly before the last
+// write and gives up on its error.
+type Sink struct {
+	Report func(ctx context.Context, r Report, check func() error) error
+}
+
+// NewHTTP returns the Sink at a base URL: `PUT /reports/ID`.
+func NewHTTP(url string, timeout time.Duration) Sink {
+	return Sink{Report: func(ctx context.Context, r Report, check func() error) error {
+		data, err := json.Marshal(r)
+		if err != nil {
+			return kind.Wrap(err, kind.Internal, "report cannot be encoded")
+		}
+		req, err := http.NewRequestWithContext(ctx, http.MethodPut, url+"/reports/"+r.ID, bytes.NewReader(data))
+		if err != nil {
+			return kind.Wrap(err, kind.Internal, "report cannot be sent")
+		}
+		req.Header.Set("Content-Type", "application/json")
+		resp, err := lease.Send(req, timeout, check)
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		return sinkError(resp)
+	}}
+}
+
+// sinkError maps the answer of the interface to an error.
+func sinkError(resp *http.Response) error {
+	if resp.StatusCode < http.StatusMultipleChoices {
+		return nil
+	}
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
+	switch resp.StatusCode {
+	case http.StatusPreconditionFailed:
+		return kind.New(kind.Fenced, "report refused: %s", text)
+	case http.StatusConflict:
+		return kind.New(kind.Conflict, "reported before with other figures: %s", text)
+	default:
+		return kind.New(kind.Refused, "report refused with status %d: %s", resp.StatusCode, text)
+	}
+}
--- /dev/null
+++ b/internal/platform/usage/world_test.go
@@ -0,0 +1,163 @@
+package usage_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/platform/lease"
+	"hickorypath/internal/platform/store"
+	"hickorypath/internal/platform/usage"
+	standin "hickorypath/internal/standin/store"
+	sinkstandin "hickorypath/internal/standin/usage"
+)
+
+const (
+	windowLength = time.Minute
+	leaseTTL     = 15 * time.Second
+)
+
+// world is a store, a sink for reports and some hosts, in virtual time.
+type world struct {
+	clock     clock.Clock
+	memory    *store.Memory
+	sink      *sinkstandin.Sink
+	rand      *rand.Rand
+	hosts     []*host
+	starts    int
+	delivered map[string]int // output tokens by customer
+	unfenced  []string       // reports accepted from a reporter whose lease had ended
+	strict    bool           // look at the lease key when a report arrives
+}
+
+type host struct {
+	world    *world
+	name     string
+	gate     *standin.Gate
+	client   *store.Client
+	recorder *usage.Recorder
+	reporter *usage.Reporter
+	cancel   context.CancelFunc
+}
+
+func newWorld(seed uint64) *world {
+	clk := clock.NewWall()
+	return &world{
+		clock:     clk,
+		memory:    store.NewMemory(clk),
+		sink:      sinkstandin.New(),
+		rand:      rand.New(rand.NewPCG(seed, 1)),
+		delivered: map[string]int{},
+	}
+}
+
+// start adds a host.
+func (w *world) start(t *testing.T, pauses map[int]time.Duration) *host {
+	w.starts++
+	h := &host{world: w, name: fmt.Sprintf("h%d", w.starts), gate: standin.NewGate(pauses)}
+	ctx, cancel := context.WithCancel(t.Context())
+	h.cancel = cancel
+	h.client = store.New(h.gate.Backend(w.memory.Backend()), store.Options{
+		Clock: w.clock, Rand: rand.New(rand.NewPCG(w.rand.Uint64(), 2)),
+	})
+	h.recorder = usage.New(h.client, w.clock, usage.Options{Host: h.name, Incarnation: "1", Window: windowLength})
+	l := lease.New(h.client, w.clock, lease.Options{Name: "usage", Holder: h.name, TTL: leaseTTL})
+	sink := usage.Sink{Report: h.report}
+	h.reporter = usage.NewReporter(h.client, w.clock, l, sink, usage.ReporterOptions{Window: windowLength})
+	go h.recorder.Run(ctx)
+	go l.Run(ctx)
+	go h.reporter.Run(ctx)
+	w.hosts = append(w.hosts, h)
+	return h
+}
+
+// report is the network between a reporter and the sink.
+func (h *host) report(ctx context.Context, r usage.Report, check func() error) error {
+	h.gate.Pass()
+	if err := check(); err != nil {
+		return err
+	}
+	time.Sleep(time.Duration(h.world.rand.Int64N(int64(2 * time.Second))))
+	lost, err := h.world.accept(r)
+	h.gate.Pass()
+	if lost || ctx.Err() != nil {
+		return kind.New(kind.Lost, "no answer")
+	}
+	return err
+}
+
+func (w *world) accept(r usage.Report) (bool, error) {
+	_, fence, ok := w.memory.Read("lease/usage")
+	lost, err := w.sink.Accept(r)
+	if err == nil && w.strict && (!ok || fence != r.Fence) {
+		w.unfenced = append(w.unfenced, fmt.Sprintf("%s fence %d, lease at %d", r.ID, r.Fence, fence))
+	}
+	return lost, err
+}
+
+func (w *world) deliver(h *host, customer string, tokens int) {
+	w.delivered[customer] += tokens
+	h.recorder.Add(usage.Record{Customer: customer, Class: "c", Route: "r", Model: "m", Output: tokens})
+}
+
+// leave shuts a host down; what it cannot commit goes to peers.
+func (w *world) leave(t *testing.T, i int, copies int) {
+	h := w.hosts[i]
+	w.hosts = append(w.hosts[:i], w.hosts[i+1:]...)
+	h.cancel()
+	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+	defer cancel()
+	if err := h.recorder.Flush(ctx); err == nil {
+		return
+	}
+	data := h.recorder.Export()
+	for c := range copies {
+		peer := w.hosts[(i+c)%len(w.hosts)]
+		if err := peer.recorder.Import(data); data != nil && err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// heal ends all faults and waits until every window is reported.
+func (w *world) heal() {
+	w.memory.Set(store.Faults{})
+	w.sink.Set(sinkstandin.Faults{})
+	for _, h := range w.hosts {
+		h.gate.Cut(false)
+	}
+	time.Sleep(6 * windowLength)
+}
+
+func (w *world) stop() {
+	for _, h := range w.hosts {
+		h.cancel()
+	}
+	time.Sleep(10 * windowLength)
+}
+
+// verify returns what is wrong with the reports.
+func (w *world) verify() error {
+	if wrong := w.sink.Wrong(); len(wrong) > 0 {
+		return fmt.Errorf("wrong reports: %v", wrong)
+	}
+	if len(w.unfenced) > 0 {
+		return fmt.Errorf("reports from a lapsed holder: %v", w.unfenced)
+	}
+	billed := map[string]int{}
+	for _, r := range w.sink.Reports() {
+		for _, row := range r.Rows {
+			billed[row.Customer] += row.Output
+		}
+	}
+	for customer, want := range w.delivered {
+		if billed[customer] != want {
+			return fmt.Errorf("customer %s: billed %d, delivered %d", customer, billed[customer], want)
+		}
+	}
+	return nil
+}
