--- a/internal/operator/document/field.go
+++ b/internal/operator/document/field.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/tailscale/hujson"
 )
@@ -32,6 +33,17 @@
 	return nil, false
 }
 
+// stringOf returns the value of a string literal. Text without escapes is sliced, which spares the cost of a
+// JSON decoder for nearly all names of a large document.
+func stringOf(lit hujson.Literal) string {
+	for _, c := range lit {
+		if c == '\\' || c >= utf8.RuneSelf {
+			return lit.String()
+		}
+	}
+	return string(lit[1 : len(lit)-1])
+}
+
 func number[T any](get func(*T) *float64, low, high float64) readFunc[T] {
 	return func(r *reader, e *entry[T], name string, v *hujson.Value) {
 		lit, ok := literal(r, v, name, '0', "a number")
@@ -68,7 +80,7 @@
 		if !ok {
 			return
 		}
-		d, err := time.ParseDuration(lit.String())
+		d, err := time.ParseDuration(stringOf(lit))
 		if err != nil {
 			r.fault(v.StartOffset, `write a number with a unit, such as "33ms", "1.1s" or "10m"`, "%q is no duration: %s", name, string(lit))
 			return
@@ -119,11 +131,12 @@
 		if !ok {
 			return
 		}
-		if remedy := check(lit.String()); remedy != "" {
+		value := stringOf(lit)
+		if remedy := check(value); remedy != "" {
 			r.fault(v.StartOffset, remedy, "%q cannot be %s", name, string(lit))
 			return
 		}
-		*get(&e.value) = lit.String()
+		*get(&e.value) = value
 	}
 }
 
@@ -143,7 +156,7 @@
 			if !ok {
 				continue
 			}
-			s := lit.String()
+			s := stringOf(lit)
 			if remedy := check(s); remedy != "" {
 				r.fault(el.StartOffset, remedy, "%q cannot hold %s", name, string(lit))
 				continue
--- a/internal/operator/document/reader.go
+++ b/internal/operator/document/reader.go
@@ -76,6 +76,7 @@
 		r.fault(v.StartOffset, "write an object in braces", "%s must be an object, not %s", what, typeOf(v))
 		return false
 	}
+	e.places = make([]place, 0, len(obj.Members))
 	seen := make(map[string]int, len(obj.Members))
 	for i := range obj.Members {
 		readMember(r, &obj.Members[i], what, fields, seen, e)
@@ -89,7 +90,7 @@
 }
 
 func readMember[T any](r *reader, m *hujson.ObjectMember, what string, fields []field[T], seen map[string]int, e *entry[T]) {
-	key := m.Name.Value.(hujson.Literal).String()
+	key := stringOf(m.Name.Value.(hujson.Literal))
 	if first, ok := seen[key]; ok {
 		line, column := r.at.place(first)
 		r.fault(m.Name.StartOffset, "keep one of the two", "%s gives the field %q twice, first at %d:%d", what, key, line, column)
--- a/internal/operator/key/key.go
+++ b/internal/operator/key/key.go
@@ -77,7 +77,7 @@
 // IssueTo returns the record as issued to a customer.
 func (r Record) IssueTo(customer string, now time.Time) Record {
 	r.customer = customer
-	r.issued = now.UTC()
+	r.issued = now.UTC().Truncate(time.Second)
 	return r
 }
 
@@ -86,7 +86,7 @@
 	if !r.withdrawn.IsZero() {
 		return r
 	}
-	r.withdrawn = now.UTC()
+	r.withdrawn = now.UTC().Truncate(time.Second)
 	r.version++
 	return r
 }
--- /dev/null
+++ b/internal/operator/vault/fake_test.go
@@ -0,0 +1,139 @@
+package vault_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/operator/vault"
+)
+
+// fake is a key-value store in memory with the faults that a test switches on.
+type fake struct {
+	mu       sync.Mutex
+	values   map[string]vault.Entry
+	revision uint64
+	calls    int
+	bytes    int // written
+	reads    int
+
+	down   bool                                                 // every call fails
+	lose   func(key string) bool                                // the write takes effect, its answer is lost
+	drop   func(key string) bool                                // the write takes no effect, its answer is lost
+	before func(f *fake, key string, value []byte, base uint64) // runs before a swap, outside the lock
+}
+
+func newFake() *fake { return &fake{values: map[string]vault.Entry{}} }
+
+func (f *fake) store() vault.Store {
+	return vault.Store{Get: f.get, Put: f.put, Swap: f.swap, List: f.list}
+}
+
+func (f *fake) get(_ context.Context, key string) (vault.Entry, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	f.reads++
+	if f.down {
+		return vault.Entry{}, kind.New(kind.Store, "down")
+	}
+	e, ok := f.values[key]
+	if !ok {
+		return e, kind.New(kind.Missing, "%s", key)
+	}
+	return e, nil
+}
+
+func (f *fake) put(_ context.Context, key string, value []byte) error {
+	return f.write(key, value, nil)
+}
+
+func (f *fake) swap(_ context.Context, key string, value []byte, base uint64) error {
+	if hook := f.before; hook != nil {
+		f.before = nil
+		hook(f, key, value, base)
+	}
+	return f.write(key, value, &base)
+}
+
+func (f *fake) write(key string, value []byte, base *uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	if f.down {
+		return kind.New(kind.Store, "down")
+	}
+	if f.drop != nil && f.drop(key) {
+		return kind.New(kind.Unknown, "no answer")
+	}
+	if base != nil && f.values[key].Revision != *base {
+		return kind.New(kind.Conflict, "%s moved", key)
+	}
+	f.revision++
+	f.bytes += len(value)
+	f.values[key] = vault.Entry{Key: key, Value: value, Revision: f.revision}
+	if f.lose != nil && f.lose(key) {
+		return kind.New(kind.Unknown, "no answer")
+	}
+	return nil
+}
+
+func (f *fake) list(_ context.Context, prefix string) ([]vault.Entry, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	if f.down {
+		return nil, kind.New(kind.Store, "down")
+	}
+	var found []vault.Entry
+	for k, e := range f.values {
+		if strings.HasPrefix(k, prefix) {
+			found = append(found, e)
+		}
+	}
+	return found, nil
+}
+
+func (f *fake) largest() int {
+	size := 0
+	for _, e := range f.values {
+		size = max(size, len(e.Value))
+	}
+	return size
+}
+
+var epoch = time.Date(2026, 3, 1, 9, 0, 0, 0, time.UTC)
+
+func newVault(f *fake) *vault.Vault {
+	var n byte
+	return vault.New(vault.Options{
+		Store: f.store(),
+		Now:   func() time.Time { return epoch },
+		Rand: func(b []byte) {
+			n++
+			b[len(b)-1] = n
+		},
+	})
+}
+
+func source(n int) []byte {
+	return []byte(fmt.Sprintf(`{"customers":[{"name":"c%d"}],"classes":[],"pools":[],"routes":[]}`, n))
+}
+
+// large returns the source text of a document of n customers; the one numbered changed has another weight.
+func large(n, changed int) []byte {
+	var b strings.Builder
+	b.WriteString("{\n\"customers\": [\n")
+	for i := range n {
+		weight := 1
+		if i == changed {
+			weight = 7
+		}
+		fmt.Fprintf(&b, "  {\"name\": \"customer-%05d\", \"weight\": %d, \"limit\": {\"rate\": %d, \"tokens\": 600000, \"open\": 40}},\n", i, weight, 10+i%40)
+	}
+	b.WriteString("],\n\"classes\": [], \"pools\": [], \"routes\": []}\n")
+	return []byte(b.String())
+}
--- /dev/null
+++ b/internal/operator/vault/history.go
@@ -0,0 +1,112 @@
+package vault
+
+import (
+	"context"
+	"slices"
+
+	"hickorypath/internal/core/kind"
+)
+
+const (
+	pageSize  = 64           // revisions in one page of the history
+	maxRecent = 2 * pageSize // revisions in the root
+)
+
+// archive moves the oldest page of a full list to a value of its own. The page holds only accepted
+// revisions, so each writer that gets here writes the same bytes.
+func (v *Vault) archive(ctx context.Context, recent []Revision) ([]Revision, error) {
+	if len(recent) < maxRecent {
+		return slices.Clone(recent), nil
+	}
+	page := recent[0].number / pageSize
+	n := 0
+	for n < len(recent) && recent[n].number/pageSize == page {
+		n++
+	}
+	if err := v.store.Put(ctx, pageKey(page), encodeRevisions(recent[:n])); err != nil {
+		return nil, err
+	}
+	return slices.Clone(recent[n:]), nil
+}
+
+// History returns up to limit revisions, the newest first, that are older than before; 0 stands for all.
+func (v *Vault) History(ctx context.Context, before uint64, limit int) ([]Revision, error) {
+	r, err := v.readRoot(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var found []Revision
+	list := r.recent
+	for len(list) > 0 && len(found) < limit {
+		for i := len(list) - 1; i >= 0 && len(found) < limit; i-- {
+			if before == 0 || list[i].number < before {
+				found = append(found, list[i])
+			}
+		}
+		oldest := list[0].number
+		if oldest <= 1 {
+			break
+		}
+		if before > 0 && before < oldest {
+			oldest = before
+		}
+		if list, err = v.readPage(ctx, (oldest-1)/pageSize); err != nil {
+			return nil, err
+		}
+	}
+	return found, nil
+}
+
+func (v *Vault) readPage(ctx context.Context, page uint64) ([]Revision, error) {
+	e, err := v.store.Get(ctx, pageKey(page))
+	if err != nil {
+		return nil, err
+	}
+	return decodeRevisions(e.Value)
+}
+
+// Find returns the newest revision of that digest. The error is of kind Missing when there is none.
+func (v *Vault) Find(ctx context.Context, digest string) (Revision, error) {
+	for before := uint64(0); ; {
+		list, err := v.History(ctx, before, pageSize)
+		if err != nil {
+			return Revision{}, err
+		}
+		for _, r := range list {
+			if r.digest == digest {
+				return r, nil
+			}
+		}
+		if len(list) == 0 || list[len(list)-1].number == 1 {
+			return Revision{}, kind.New(kind.Missing, "no revision has the digest %s", digest)
+		}
+		before = list[len(list)-1].number
+	}
+}
+
+// The states of a change.
+const (
+	Applied = "applied" // the change made a revision
+	Refused = "refused" // another change made the revision that it would have made
+	Open    = "open"    // not seen so far; it may still take effect until another revision is accepted
+)
+
+// Outcome tells what became of a change. The revision is the one that the change made, or the one that
+// was accepted in its place.
+func (v *Vault) Outcome(ctx context.Context, change string) (string, Revision, error) {
+	number, err := numberOf(change)
+	if err != nil {
+		return "", Revision{}, err
+	}
+	list, err := v.History(ctx, number+1, 1)
+	if err != nil {
+		return "", Revision{}, err
+	}
+	if len(list) == 0 || list[0].number < number {
+		return Open, Revision{}, nil
+	}
+	if list[0].change == change {
+		return Applied, list[0], nil
+	}
+	return Refused, list[0], nil
+}
--- /dev/null
+++ b/internal/operator/vault/read.go
@@ -0,0 +1,127 @@
+package vault
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+
+	"golang.org/x/sync/errgroup"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/operator/document"
+)
+
+// readers bounds the chunks that are read at once.
+const readers = 8
+
+// readRoot returns the root; an absent one is empty.
+func (v *Vault) readRoot(ctx context.Context) (root, error) {
+	e, err := v.store.Get(ctx, RootKey)
+	if isKind(err, kind.Missing) {
+		return root{}, nil
+	}
+	if err != nil {
+		return root{}, err
+	}
+	list, err := decodeRevisions(e.Value)
+	return root{recent: list, at: e.Revision}, err
+}
+
+// Current returns the newest revision; its number is 0 when no document was accepted yet.
+func (v *Vault) Current(ctx context.Context) (Revision, error) {
+	r, err := v.readRoot(ctx)
+	return r.current(), err
+}
+
+// Load returns the source text of the newest revision. The error is of kind Missing when there is none.
+func (v *Vault) Load(ctx context.Context) ([]byte, Revision, error) {
+	rev, err := v.Current(ctx)
+	if err != nil {
+		return nil, Revision{}, err
+	}
+	if rev.number == 0 {
+		return nil, Revision{}, kind.New(kind.Missing, "no document was accepted yet")
+	}
+	source, err := v.Source(ctx, rev)
+	return source, rev, err
+}
+
+// Source returns the source text of a revision.
+func (v *Vault) Source(ctx context.Context, rev Revision) ([]byte, error) {
+	hashes, err := v.readManifest(ctx, rev)
+	if err != nil {
+		return nil, err
+	}
+	chunks := make([]Chunk, len(hashes))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(readers)
+	for i, h := range hashes {
+		group.Go(func() error {
+			data, err := v.readChunk(ctx, h)
+			chunks[i] = Chunk{hash: h, data: data}
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	v.remember(chunks)
+	source := join(chunks, rev.size)
+	if document.DigestOf(source) != rev.digest {
+		return nil, kind.New(kind.Internal, "the chunks of %s do not have its digest", rev)
+	}
+	return source, nil
+}
+
+func join(chunks []Chunk, size int) []byte {
+	var b bytes.Buffer
+	b.Grow(size)
+	for _, c := range chunks {
+		b.Write(c.data)
+	}
+	return b.Bytes()
+}
+
+func (v *Vault) readManifest(ctx context.Context, rev Revision) ([]Hash, error) {
+	if rev.number == 0 {
+		return nil, nil
+	}
+	data, err := v.readChunk(ctx, rev.manifest)
+	if err != nil {
+		return nil, err
+	}
+	return decodeManifest(data)
+}
+
+// readChunk returns a chunk from memory or from the store, and checks its hash.
+func (v *Vault) readChunk(ctx context.Context, h Hash) ([]byte, error) {
+	v.mu.Lock()
+	data, ok := v.chunks[h]
+	v.mu.Unlock()
+	if ok {
+		return data, nil
+	}
+	e, err := v.store.Get(ctx, chunkKey(h))
+	if err != nil {
+		return nil, err
+	}
+	if newChunk(e.Value).hash != h {
+		return nil, kind.New(kind.Internal, "the chunk %s holds other bytes", h)
+	}
+	return e.Value, nil
+}
+
+// remember keeps the chunks of one document in memory and drops those of the last.
+func (v *Vault) remember(chunks []Chunk) {
+	kept := make(map[Hash][]byte, len(chunks))
+	for _, c := range chunks {
+		kept[c.hash] = c.data
+	}
+	v.mu.Lock()
+	v.chunks = kept
+	v.mu.Unlock()
+}
+
+func chunkKey(h Hash) string { return chunkPrefix + h.String() }
+
+func pageKey(page uint64) string { return fmt.Sprintf("%s%08d", pagePrefix, page) }
--- /dev/null
+++ b/internal/operator/vault/shard.go
@@ -0,0 +1,188 @@
+package vault
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/operator/key"
+)
+
+const (
+	shardDigits = 2 // leading digits of a key's id that name its shard: 256 shards
+	shardTries  = 8 // tries of a change that meets changes of other keys in its shard
+)
+
+func shardKey(id string) (string, error) {
+	if len(id) <= shardDigits {
+		return "", kind.New(kind.Missing, "no key has the id %q", id)
+	}
+	return ShardPrefix + id[:shardDigits], nil
+}
+
+// Issue makes a new key for a customer. The clear key is returned only here. When the outcome is not
+// known the error is of kind Unknown and the record names the key, which Key tells of.
+func (v *Vault) Issue(ctx context.Context, customer string) (clear string, rec key.Record, err error) {
+	clear, rec = key.Generate()
+	rec = rec.IssueTo(customer, v.now())
+	rec, err = v.changeKey(ctx, rec.ID(), func(key.Record, bool) (key.Record, error) { return rec, nil })
+	return clear, rec, err
+}
+
+// Withdraw withdraws a key. The error is of kind Missing when no key has the id.
+func (v *Vault) Withdraw(ctx context.Context, id string) (key.Record, error) {
+	return v.changeKey(ctx, id, func(old key.Record, ok bool) (key.Record, error) {
+		if !ok {
+			return old, kind.New(kind.Missing, "no key has the id %q", id)
+		}
+		return old.Withdraw(v.now()), nil
+	})
+}
+
+// changeKey changes one record of a shard until the change meets no other.
+func (v *Vault) changeKey(ctx context.Context, id string, change func(old key.Record, ok bool) (key.Record, error)) (key.Record, error) {
+	var (
+		rec key.Record
+		err error
+	)
+	for range shardTries {
+		var shard shard
+		if shard, err = v.readShard(ctx, id); err != nil {
+			return rec, err
+		}
+		old, ok := shard.find(id)
+		if rec, err = change(old, ok); err != nil {
+			return rec, err
+		}
+		if ok && old == rec {
+			return rec, nil
+		}
+		err = v.store.Swap(ctx, shard.key, shard.with(rec), shard.at)
+		if isKind(err, kind.Unknown) {
+			err = v.resolveKey(ctx, rec, shard, err)
+		}
+		if !isKind(err, kind.Conflict) {
+			return rec, err
+		}
+	}
+	return rec, kind.Wrap(err, kind.Store, "the shard of key %s changes too often; the key was not changed", id)
+}
+
+// resolveKey finds out what became of a write of rec: nil, Conflict when it was not done, or Unknown.
+func (v *Vault) resolveKey(ctx context.Context, rec key.Record, before shard, cause error) error {
+	now, err := v.readShard(ctx, rec.ID())
+	if err != nil {
+		return unknownKey(rec, cause)
+	}
+	if found, ok := now.find(rec.ID()); ok && found.Hash() == rec.Hash() && found.Version() >= rec.Version() {
+		return nil
+	}
+	if now.at != before.at {
+		return kind.New(kind.Conflict, "the shard changed")
+	}
+	return unknownKey(rec, cause)
+}
+
+func unknownKey(rec key.Record, cause error) error {
+	return kind.Wrap(cause, kind.Unknown, "the outcome for key %s is not known; ask for the key by that id", rec.ID())
+}
+
+// Key returns the record of a key as the store holds it. The error is of kind Missing when there is none.
+func (v *Vault) Key(ctx context.Context, id string) (key.Record, error) {
+	shard, err := v.readShard(ctx, id)
+	if err != nil {
+		return key.Record{}, err
+	}
+	rec, ok := shard.find(id)
+	if !ok {
+		return key.Record{}, kind.New(kind.Missing, "no key has the id %q", id)
+	}
+	return rec, nil
+}
+
+// Keys returns all records.
+func (v *Vault) Keys(ctx context.Context) ([]key.Record, error) {
+	entries, err := v.store.List(ctx, ShardPrefix)
+	if err != nil {
+		return nil, err
+	}
+	var all []key.Record
+	for _, e := range entries {
+		records, err := DecodeShard(e.Value)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, records...)
+	}
+	return all, nil
+}
+
+// shard is one value of keys, sorted by id.
+type shard struct {
+	key     string
+	records []key.Record
+	at      uint64
+}
+
+func (v *Vault) readShard(ctx context.Context, id string) (shard, error) {
+	name, err := shardKey(id)
+	if err != nil {
+		return shard{}, err
+	}
+	e, err := v.store.Get(ctx, name)
+	if isKind(err, kind.Missing) {
+		return shard{key: name}, nil
+	}
+	if err != nil {
+		return shard{}, err
+	}
+	records, err := DecodeShard(e.Value)
+	return shard{key: name, records: records, at: e.Revision}, err
+}
+
+func (s shard) search(id string) (int, bool) {
+	return slices.BinarySearchFunc(s.records, id, func(r key.Record, id string) int { return strings.Compare(r.ID(), id) })
+}
+
+func (s shard) find(id string) (key.Record, bool) {
+	i, ok := s.search(id)
+	if !ok {
+		return key.Record{}, false
+	}
+	return s.records[i], true
+}
+
+// with returns the value of the shard with rec in place.
+func (s shard) with(rec key.Record) []byte {
+	records := slices.Clone(s.records)
+	i, ok := s.search(rec.ID())
+	if ok {
+		records[i] = rec
+	} else {
+		records = slices.Insert(records, i, rec)
+	}
+	raw := make([]cbor.RawMessage, len(records))
+	for i, r := range records {
+		raw[i] = r.Encode()
+	}
+	return encode(raw)
+}
+
+// DecodeShard returns the records of a value under ShardPrefix.
+func DecodeShard(value []byte) ([]key.Record, error) {
+	var raw []cbor.RawMessage
+	if err := cbor.Unmarshal(value, &raw); err != nil {
+		return nil, kind.Wrap(err, kind.Peer, "a shard of keys cannot be read")
+	}
+	records := make([]key.Record, len(raw))
+	for i, b := range raw {
+		var err error
+		if records[i], err = key.Decode(b); err != nil {
+			return nil, err
+		}
+	}
+	return records, nil
+}
--- /dev/null
+++ b/internal/operator/vault/size_test.go
@@ -0,0 +1,106 @@
+package vault_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/operator/document"
+	"hickorypath/internal/operator/key"
+	"hickorypath/internal/operator/vault"
+)
+
+// Sizes of two years from now.
+const (
+	customers = 29_000
+	keys      = 90_000
+	maxValue  = 1 << 20 // bytes of one value of the store
+)
+
+func TestDeltaAtFullSize(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	v := newVault(f)
+	first := large(customers, -1)
+	_, err := v.Put(ctx, vault.Change{Source: first, Operator: "maria"})
+	is.NoErr(err)
+	whole := f.bytes
+	reader := newVault(f)
+	_, _, err = reader.Load(ctx)
+	is.NoErr(err)
+	cold := f.reads
+
+	f.bytes, f.calls, f.reads = 0, 0, 0
+	_, err = v.Put(ctx, vault.Change{Base: 1, Source: large(customers, customers/2), Operator: "maria"})
+	is.NoErr(err)
+	writes, written := f.calls, f.bytes
+	f.reads = 0
+	_, _, err = reader.Load(ctx)
+	is.NoErr(err)
+	t.Logf("document %d B in %d chunks; first write %d B, cold read %d calls; one customer changed: %d calls, %d B written, %d reads by a host; largest value %d B",
+		len(first), len(vault.Split(first)), whole, cold, writes, written, f.reads, f.largest())
+	is.True(f.largest() < maxValue)
+	is.True(written < len(first)/20) // one change writes a small part
+	is.True(f.reads <= 6)
+}
+
+func TestShardsAtFullSize(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	v := newVault(f)
+	fillShards(f)
+	all, err := v.Keys(ctx)
+	is.NoErr(err)
+	is.Equal(len(all), keys)
+	f.bytes, f.calls = 0, 0
+	_, err = v.Withdraw(ctx, all[0].ID())
+	is.NoErr(err)
+	t.Logf("%d keys: largest shard %d B; one withdrawal: %d calls, %d B written", keys, f.largest(), f.calls, f.bytes)
+	is.True(f.largest() < maxValue/4)
+	is.Equal(f.calls, 2)
+}
+
+// fillShards writes keys without the cost of one write for each.
+func fillShards(f *fake) {
+	records := make([]key.Record, keys)
+	for i := range records {
+		_, rec := key.Generate()
+		records[i] = rec.IssueTo(fmt.Sprintf("customer-%05d", i%customers), epoch)
+	}
+	slices.SortFunc(records, func(a, b key.Record) int { return strings.Compare(a.ID(), b.ID()) })
+	shards := map[string][][]byte{}
+	for _, rec := range records {
+		shards[rec.ID()[:2]] = append(shards[rec.ID()[:2]], rec.Encode())
+	}
+	for name, records := range shards {
+		value := binary.BigEndian.AppendUint16([]byte{0x99}, uint16(len(records))) // CBOR array header
+		for _, r := range records {
+			value = append(value, r...)
+		}
+		_ = f.put(ctx, vault.ShardPrefix+name, value)
+	}
+}
+
+// BenchmarkParse measures the check of a document of 29,000 customers.
+func BenchmarkParse(b *testing.B) {
+	data := large(customers, -1)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := document.Parse(data, "large"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkSplit measures the cutting of a document of 29,000 customers.
+func BenchmarkSplit(b *testing.B) {
+	data := large(customers, -1)
+	b.SetBytes(int64(len(data)))
+	for b.Loop() {
+		vault.Split(data)
+	}
+}
--- /dev/null
+++ b/internal/operator/vault/vault_test.go
@@ -0,0 +1,301 @@
+package vault_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/operator/document"
+	"hickorypath/internal/operator/key"
+	"hickorypath/internal/operator/vault"
+)
+
+var ctx = context.Background()
+
+func isRoot(key string) bool { return key == vault.RootKey }
+
+func TestPutAndLoad(t *testing.T) {
+	is := is.New(t)
+	v := newVault(newFake())
+	_, _, err := v.Load(ctx)
+	is.Equal(kind.Of(err), kind.Missing)
+	rev, err := v.Put(ctx, vault.Change{Source: source(1), Operator: "maria"})
+	is.NoErr(err)
+	is.Equal(rev.Number(), uint64(1))
+	got, rev, err := v.Load(ctx)
+	is.NoErr(err)
+	is.Equal(string(got), string(source(1)))
+	same, err := v.Put(ctx, vault.Change{Base: 1, Source: source(1), Operator: "jon"})
+	is.NoErr(err)
+	is.Equal(same, rev) // a change of nothing makes no revision
+}
+
+func TestTwoOperatorsRace(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	v := newVault(f)
+	_, err := v.Put(ctx, vault.Change{Source: source(1), Operator: "maria"})
+	is.NoErr(err)
+	f.before = func(*fake, string, []byte, uint64) {
+		_, err := v.Put(ctx, vault.Change{Base: 1, Source: source(2), Operator: "maria"})
+		is.NoErr(err)
+	}
+	_, err = v.Put(ctx, vault.Change{Base: 1, Source: source(3), Operator: "jon"})
+	is.Equal(kind.Of(err), kind.Conflict)
+	for _, part := range []string{"revision 2 by maria", "by jon", "from revision 1"} {
+		is.True(strings.Contains(err.Error(), part)) // the conflict names both sides
+	}
+	got, _, err := v.Load(ctx)
+	is.NoErr(err)
+	is.Equal(string(got), string(source(2)))
+}
+
+func TestAnswerLost(t *testing.T) {
+	cases := []struct {
+		name   string
+		fault  func(f *fake)
+		want   kind.Kind // of Put
+		then   func(f *fake)
+		state  string // of Outcome afterwards
+		number uint64
+	}{
+		{"after taking effect", func(f *fake) { f.lose = isRoot }, "", nil, vault.Applied, 2},
+		{"before taking effect", func(f *fake) { f.drop = isRoot }, kind.Unknown, nil, vault.Open, 0},
+		{
+			"after taking effect, then the store is down",
+			func(f *fake) { f.lose = func(k string) bool { f.down = isRoot(k); return f.down } },
+			kind.Unknown, nil, vault.Applied, 2,
+		},
+		{
+			"before taking effect, then another change is made",
+			func(f *fake) { f.drop = isRoot }, kind.Unknown,
+			func(f *fake) {
+				_, _ = newVault(f).Put(ctx, vault.Change{Base: 1, Source: source(9), Operator: "jon"})
+			},
+			vault.Refused, 2,
+		},
+		{"chunk", func(f *fake) { f.drop = func(k string) bool { return !isRoot(k) } }, kind.Store, nil, vault.Open, 0},
+		{"down", func(f *fake) { f.down = true }, kind.Store, nil, "", 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFake()
+			v := newVault(f)
+			_, err := v.Put(ctx, vault.Change{Source: source(1), Operator: "maria"})
+			is.NoErr(err)
+			c.fault(f)
+			rev, err := v.Put(ctx, vault.Change{Base: 1, Source: source(2), Operator: "maria"})
+			is.Equal(kind.Of(err), c.want)
+			f.down, f.lose, f.drop = false, nil, nil
+			if c.then != nil {
+				c.then(f)
+			}
+			if c.state == "" {
+				return
+			}
+			is.True(rev.Change() != "") // the answer names the change
+			state, made, err := v.Outcome(ctx, rev.Change())
+			is.NoErr(err)
+			is.Equal(state, c.state)
+			is.Equal(made.Number(), c.number)
+		})
+	}
+}
+
+func TestResendOfUnknownChange(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	v := newVault(f)
+	f.drop = isRoot
+	rev, err := v.Put(ctx, vault.Change{Source: source(1), Operator: "maria"})
+	is.Equal(kind.Of(err), kind.Unknown)
+	f.drop = nil
+	again := vault.Change{Source: source(1), Operator: "maria", ID: rev.Change()}
+	first, err := v.Put(ctx, again)
+	is.NoErr(err)
+	second, err := v.Put(ctx, again)
+	is.NoErr(err)
+	is.Equal(first, second) // the same change makes one revision
+	is.Equal(first.Change(), rev.Change())
+}
+
+func TestHistoryOverPages(t *testing.T) {
+	is := is.New(t)
+	v := newVault(newFake())
+	const revisions = 300
+	for i := range revisions {
+		_, err := v.Put(ctx, vault.Change{Base: uint64(i), Source: source(i), Operator: "maria"})
+		is.NoErr(err)
+	}
+	all, err := v.History(ctx, 0, 1000)
+	is.NoErr(err)
+	is.Equal(len(all), revisions)
+	for i, r := range all {
+		is.Equal(r.Number(), uint64(revisions-i))
+	}
+	some, err := v.History(ctx, 71, 10)
+	is.NoErr(err)
+	is.Equal(some[0].Number(), uint64(70))
+	is.Equal(len(some), 10)
+	old, err := v.Find(ctx, document.DigestOf(source(3)))
+	is.NoErr(err)
+	is.Equal(old.Number(), uint64(4))
+	text, err := v.Source(ctx, old)
+	is.NoErr(err)
+	is.Equal(string(text), string(source(3)))
+	_, err = v.Find(ctx, document.DigestOf([]byte("none")))
+	is.Equal(kind.Of(err), kind.Missing)
+	state, _, err := v.Outcome(ctx, all[290].Change())
+	is.NoErr(err)
+	is.Equal(state, vault.Applied)
+}
+
+func TestSplitJoins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.SliceOfN(rapid.Byte(), 0, 300).Draw(t, "seed")
+		data := bytes.Repeat(seed, rapid.IntRange(0, 500).Draw(t, "repeat"))
+		var joined []byte
+		for _, c := range vault.Split(data) {
+			joined = append(joined, c.Data()...)
+			if len(c.Data()) > 64<<10 {
+				t.Fatalf("a chunk of %d bytes", len(c.Data()))
+			}
+		}
+		if !bytes.Equal(joined, data) {
+			t.Fatal("the chunks do not join to the data")
+		}
+	})
+}
+
+// Operators race at random with answers lost before and after taking effect: revisions stay dense,
+// each holds what its operator sent, and no change that was refused is in the history.
+func TestRacesProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFake()
+		v := newVault(f)
+		applied := map[string]bool{}
+		refused := map[string]bool{}
+		bases := []uint64{0, 0, 0}
+		for i := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			who := rapid.IntRange(0, len(bases)-1).Draw(t, "who")
+			fault := rapid.IntRange(0, 3).Draw(t, "fault")
+			f.lose, f.drop = nil, nil
+			switch fault {
+			case 1:
+				f.lose = isRoot
+			case 2:
+				f.drop = isRoot
+			}
+			rev, err := v.Put(ctx, vault.Change{Base: bases[who], Source: source(i), Operator: "o"})
+			switch kind.Of(err) {
+			case "":
+				applied[rev.Change()] = true
+				bases[who] = rev.Number()
+			case kind.Conflict:
+				refused[rev.Change()] = true
+				now, _ := v.Current(ctx)
+				bases[who] = now.Number()
+			case kind.Unknown:
+			default:
+				t.Fatalf("unexpected: %v", err)
+			}
+		}
+		list, err := v.History(ctx, 0, 100)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, r := range list {
+			if r.Number() != uint64(len(list)-i) || refused[r.Change()] {
+				t.Fatalf("history holds %s at %d", r, i)
+			}
+			delete(applied, r.Change())
+		}
+		if len(applied) > 0 {
+			t.Fatalf("accepted changes are missing: %v", applied)
+		}
+	})
+}
+
+func TestKeys(t *testing.T) {
+	is := is.New(t)
+	v := newVault(newFake())
+	clear, rec, err := v.Issue(ctx, "laredo")
+	is.NoErr(err)
+	_, other, err := v.Issue(ctx, "santona")
+	is.NoErr(err)
+	gone, err := v.Withdraw(ctx, rec.ID())
+	is.NoErr(err)
+	again, err := v.Withdraw(ctx, rec.ID())
+	is.NoErr(err)
+	is.Equal(gone, again) // a second withdrawal changes nothing
+	_, err = v.Withdraw(ctx, "ffffffffffffffff")
+	is.Equal(kind.Of(err), kind.Missing)
+	_, err = v.Key(ctx, "f")
+	is.Equal(kind.Of(err), kind.Missing)
+
+	all, err := v.Keys(ctx)
+	is.NoErr(err)
+	is.Equal(len(all), 2)
+	table := key.NewTable()
+	for _, r := range all {
+		table.Put(r)
+	}
+	_, _, err = table.Lookup(clear)
+	is.Equal(kind.Of(err), kind.Withdrawn)
+	found, err := v.Key(ctx, other.ID())
+	is.NoErr(err)
+	is.Equal(found, other)
+}
+
+func TestKeyAnswerLost(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(f *fake)
+		want  kind.Kind
+		found kind.Kind // of Key afterwards
+	}{
+		{"after taking effect", func(f *fake) { f.lose = func(string) bool { return true } }, "", ""},
+		{"before taking effect", func(f *fake) { f.drop = func(string) bool { return true } }, kind.Unknown, kind.Missing},
+		{
+			"after taking effect, then the store is down",
+			func(f *fake) { f.lose = func(string) bool { f.down = true; return true } }, kind.Unknown, "",
+		},
+		{"down", func(f *fake) { f.down = true }, kind.Store, kind.Missing},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFake()
+			v := newVault(f)
+			c.fault(f)
+			_, rec, err := v.Issue(ctx, "laredo")
+			is.Equal(kind.Of(err), c.want)
+			f.down, f.lose, f.drop = false, nil, nil
+			_, err = v.Key(ctx, rec.ID())
+			is.Equal(kind.Of(err), c.found)
+		})
+	}
+}
+
+func TestKeysOfOneShardRace(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	v := newVault(f)
+	_, first, err := v.Issue(ctx, "laredo")
+	is.NoErr(err)
+	f.before = func(f *fake, key string, _ []byte, _ uint64) {
+		e := f.values[key] // another operator writes the shard in between
+		is.NoErr(f.put(ctx, key, e.Value))
+	}
+	_, err = v.Withdraw(ctx, first.ID())
+	is.NoErr(err)
+	rec, err := v.Key(ctx, first.ID())
+	is.NoErr(err)
+	is.True(!rec.Withdrawn().IsZero())
+}
