--- a/internal/operator/vault/chunk.go
+++ b/internal/operator/vault/chunk.go
@@ -1,9 +1,10 @@
 package vault
 
 import (
+	"bytes"
 	"crypto/sha256"
-	"encoding/binary"
 	"encoding/hex"
+	"math"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -14,8 +15,8 @@
 // Sizes of chunks in bytes. The boundaries follow the content, so that an insertion changes few chunks.
 const (
 	minChunk  = 4 << 10
-	meanChunk = 16 << 10
-	maxChunk  = 64 << 10
+	meanChunk = 28 << 10 // beyond the least size
+	maxChunk  = 256 << 10
 )
 
 // Hash is the SHA-256 of a chunk.
@@ -49,32 +50,35 @@
 	return chunks
 }
 
-// cut returns the size of the first chunk of data.
+// cut returns the size of the first chunk of data. A chunk ends behind a line whose hash falls below a
+// threshold that grows with the line's length, so that chunks have the mean size whatever the lines' lengths.
 func cut(data []byte) int {
-	if len(data) <= minChunk {
-		return len(data)
-	}
-	end := min(len(data), maxChunk)
-	var rolling uint64
-	for i := minChunk; i < end; i++ {
-		rolling = rolling<<1 + gear[data[i]]
-		if rolling&boundaryMask == 0 {
-			return i + 1
+	size := 0
+	for size < len(data) {
+		line := firstLine(data[size:])
+		if size+len(line) > maxChunk {
+			return max(size, min(maxChunk, len(data)))
+		}
+		size += len(line)
+		if size >= minChunk && xxhash.Sum64(line) < threshold(len(line)) {
+			return size
 		}
 	}
-	return end
+	return size
 }
 
-// boundaryMask has the high bits of a rolling hash, which depend on the last 64 bytes.
-const boundaryMask = uint64(meanChunk-1) << (64 - 14)
-
-// gear holds one random number for each byte, the same on every host.
-var gear = func() (table [256]uint64) {
-	for i := range table {
-		table[i] = xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, uint64(i)))
+// firstLine returns the bytes up to and with the first line feed.
+func firstLine(data []byte) []byte {
+	if i := bytes.IndexByte(data, '\n'); i >= 0 {
+		return data[:i+1]
 	}
-	return table
-}()
+	return data
+}
+
+// threshold returns the hash below which a line of n bytes ends a chunk.
+func threshold(n int) uint64 {
+	return math.MaxUint64 / meanChunk * uint64(min(n, meanChunk))
+}
 
 // newManifest returns the chunk that lists the chunks of a document.
 func newManifest(chunks []Chunk) Chunk {
--- /dev/null
+++ b/internal/operator/vault/client.go
@@ -0,0 +1,53 @@
+package vault
+
+import (
+	"context"
+	"strings"
+
+	"hickorypath/internal/platform/store"
+)
+
+// NewStore returns the Store over a client of the platform. Each key is charged to the budget of its use.
+func NewStore(c *store.Client) Store {
+	documents, keys := c.For(store.UseDocument), c.For(store.UseKey)
+	pick := func(key string) *store.Client {
+		if strings.HasPrefix(key, ShardPrefix) {
+			return keys
+		}
+		return documents
+	}
+	return Store{
+		Get: func(ctx context.Context, key string) (Entry, error) {
+			e, err := pick(key).Get(ctx, key)
+			return newEntry(e), err
+		},
+		Put: func(ctx context.Context, key string, value []byte) error {
+			_, err := pick(key).Put(ctx, key, value, store.Any())
+			return err
+		},
+		Swap: func(ctx context.Context, key string, value []byte, revision uint64) error {
+			_, err := pick(key).Put(ctx, key, value, conditionAt(revision))
+			return err
+		},
+		List: func(ctx context.Context, prefix string) ([]Entry, error) {
+			list, _, err := pick(prefix).List(ctx, prefix)
+			entries := make([]Entry, len(list))
+			for i, e := range list {
+				entries[i] = newEntry(e)
+			}
+			return entries, err
+		},
+	}
+}
+
+func newEntry(e store.Entry) Entry {
+	return Entry{Key: e.Key(), Value: e.Value(), Revision: e.Revision()}
+}
+
+// conditionAt returns the condition of a swap; revision 0 stands for an absent key.
+func conditionAt(revision uint64) store.Condition {
+	if revision == 0 {
+		return store.Absent()
+	}
+	return store.At(revision)
+}
