Add upstream clients, stand-ins, routing, retries and suspects in first form

The caller path and the pool core need the upstream side: clients of engines and plain services, stand-ins to test against, and the pure decisions on where a request goes and what follows a failure.

--- /dev/null
+++ b/internal/policy/health/health.go
@@ -0,0 +1,191 @@
+// Package health judges the upstreams of one pool: crashes, stragglers and slow return. It is pure:
+// the present time is passed in.
+package health
+
+import "time"
+
+// Config holds the limits of a Pool; zero values get defaults.
+type Config struct {
+	Outlier float64       // slowness relative to the pool from which an upstream is ejected
+	Cap     float64       // largest share of the pool ejected for slowness at one time
+	Eject   time.Duration // first ejection; each further one in a row lasts twice as long
+	Longest time.Duration // longest ejection
+	Ramp    time.Duration // slow return: time from one request at a time to all slots
+	Stale   time.Duration // age from which a load report is ignored
+}
+
+// Defaults of Config.
+const (
+	defaultOutlier = 2.5
+	defaultCap     = 0.34
+	defaultEject   = 5 * time.Second
+	defaultLongest = 60 * time.Second
+	defaultRamp    = 10 * time.Second
+	defaultStale   = 15 * time.Second
+)
+
+func (c Config) withDefaults() Config {
+	if c.Outlier == 0 {
+		c.Outlier = defaultOutlier
+	}
+	if c.Cap == 0 {
+		c.Cap = defaultCap
+	}
+	if c.Eject == 0 {
+		c.Eject = defaultEject
+	}
+	if c.Longest == 0 {
+		c.Longest = defaultLongest
+	}
+	if c.Ramp == 0 {
+		c.Ramp = defaultRamp
+	}
+	if c.Stale == 0 {
+		c.Stale = defaultStale
+	}
+	return c
+}
+
+// Pool judges upstreams by comparison with each other.
+type Pool struct {
+	config  Config
+	members int
+	ejected int // for slowness
+}
+
+// New returns an empty Pool.
+func New(c Config) *Pool {
+	return &Pool{config: c.withDefaults()}
+}
+
+// Stale returns the age from which a load report is ignored.
+func (p *Pool) Stale() time.Duration { return p.config.Stale }
+
+// Ejected returns how many upstreams are ejected for slowness.
+func (p *Pool) Ejected() int { return p.ejected }
+
+// State is the health of one upstream.
+type State struct {
+	until   time.Time // end of the ejection
+	back    time.Time // begin of the slow return; zero when there is none
+	times   int       // ejections in a row
+	slow    bool      // the ejection is for slowness
+	out     bool
+	trial   bool // the next result decides whether the ejection is repeated
+	samples int
+	ratio   float64 // smoothed slowness, 1 being the pool's usual
+}
+
+// Join adds an upstream to the pool.
+func (p *Pool) Join() *State {
+	p.members++
+	return &State{ratio: 1}
+}
+
+// Leave removes an upstream from the pool.
+func (p *Pool) Leave(s *State) {
+	p.members--
+	p.release(s)
+}
+
+func (p *Pool) release(s *State) {
+	if s.out && s.slow {
+		p.ejected--
+	}
+	s.out = false
+}
+
+const (
+	ratioShare = 0.25 // the newest sample's share in the smoothed ratio
+	ratioMax   = 20   // bound on one sample, so that a single freeze is forgotten soon
+	minSamples = 4    // samples before an upstream can be ejected for slowness
+)
+
+// Observe adds a sample of slowness: an observed latency over the one expected of the pool.
+func (p *Pool) Observe(now time.Time, s *State, ratio float64) {
+	ratio = min(max(ratio, 0), ratioMax)
+	s.samples++
+	if s.trial && ratio < p.config.Outlier {
+		s.ratio = ratio
+	}
+	s.ratio += ratioShare * (ratio - s.ratio)
+	switch {
+	case s.out:
+	case s.trial && ratio >= p.config.Outlier:
+		p.eject(now, s, true)
+	case s.trial:
+		s.trial = false
+	case s.samples >= minSamples && s.ratio >= p.config.Outlier:
+		p.eject(now, s, true)
+	}
+}
+
+// Crash ejects an upstream that lost its connections or refuses them. The cap does not hold here: an
+// upstream that does not answer serves nobody.
+func (p *Pool) Crash(now time.Time, s *State) {
+	if s.out && !s.slow && now.Before(s.until) {
+		return
+	}
+	p.release(s)
+	p.eject(now, s, false)
+}
+
+func (p *Pool) eject(now time.Time, s *State, slow bool) {
+	if slow && !p.mayEject() {
+		return
+	}
+	length := min(p.config.Eject<<min(s.times, maxDoublings), p.config.Longest)
+	s.times++
+	s.until = now.Add(length)
+	s.back = time.Time{}
+	s.out, s.slow, s.trial = true, slow, false
+	if slow {
+		p.ejected++
+	}
+}
+
+const maxDoublings = 8
+
+// mayEject reports whether one more ejection for slowness stays within the cap. A pool of two or
+// more may always eject one.
+func (p *Pool) mayEject() bool {
+	allowed := int(p.config.Cap * float64(p.members))
+	if allowed == 0 && p.members > 1 {
+		allowed = 1
+	}
+	return p.ejected < allowed
+}
+
+// Weight returns the share of its slots that an upstream may use: 0 while ejected, rising to 1 during
+// slow return. It is exactly 1 for a healthy upstream.
+func (p *Pool) Weight(now time.Time, s *State) float64 {
+	if s.out {
+		if now.Before(s.until) {
+			return 0
+		}
+		p.release(s)
+		s.back, s.trial = now, true
+	}
+	if s.back.IsZero() {
+		return 1
+	}
+	if s.trial {
+		return minWeight
+	}
+	passed := now.Sub(s.back)
+	if passed >= p.config.Ramp {
+		s.back = time.Time{}
+		s.times = 0
+		return 1
+	}
+	return max(minWeight, float64(passed)/float64(p.config.Ramp))
+}
+
+// minWeight lets a single request through to an upstream on trial.
+const minWeight = 0.01
+
+// Ratio returns the smoothed slowness, 1 being the pool's usual.
+func (s *State) Ratio() float64 { return s.ratio }
+
+// Settled reports whether the weight is 1 and stays so until the next event.
+func (s *State) Settled() bool { return !s.out && s.back.IsZero() }
--- /dev/null
+++ b/internal/policy/retry/retry.go
@@ -0,0 +1,188 @@
+// Package retry decides what follows a failed attempt: retry, resume or stop, and when a second
+// attempt may run beside the first. It is pure: the present time is passed in.
+// See docs/design/retries.md.
+package retry
+
+import (
+	"time"
+
+	"hickorypath/internal/core/kind"
+)
+
+// Action is what to do after a failed attempt.
+type Action string
+
+// The actions.
+const (
+	Retry  Action = "retry"  // run the request again from the start
+	Resume Action = "resume" // run it again from the offset already received
+	Stop   Action = "stop"   // give the caller its final answer
+)
+
+// Attempt describes a request and the attempt that failed.
+type Attempt struct {
+	Err      error     // why the attempt failed
+	Ran      kind.Ran  // whether any attempt so far ran
+	Repeat   bool      // the request may run more than once
+	Stream   bool      // the answer can resume from an offset
+	Tokens   int       // output tokens received so far
+	Count    int       // attempts so far
+	Deadline time.Time // of the whole request; zero when there is none
+	Expected time.Duration
+}
+
+// Verdict is the decision on a failed attempt.
+type Verdict struct {
+	Action Action
+	Kind   kind.Kind // of the final answer, when the action is Stop
+	Ran    kind.Ran  // for the final answer
+	Delay  time.Duration
+	Avoid  bool // not on the same upstream
+}
+
+// Config holds the limits of a Budget; zero values get defaults.
+type Config struct {
+	Share    float64       // retries allowed for each request, over time
+	Burst    float64       // retries allowed at once
+	Attempts int           // attempts of one request at most
+	Delay    time.Duration // before the second retry; grows with each further one
+	Hedge    float64       // hedges allowed for each request, over time
+}
+
+const (
+	defaultShare    = 0.1
+	defaultBurst    = 20
+	defaultAttempts = 4
+	defaultDelay    = 20 * time.Millisecond
+	defaultHedge    = 0.02
+	maxDelay        = 500 * time.Millisecond
+)
+
+func (c Config) withDefaults() Config {
+	if c.Share == 0 {
+		c.Share = defaultShare
+	}
+	if c.Burst == 0 {
+		c.Burst = defaultBurst
+	}
+	if c.Attempts == 0 {
+		c.Attempts = defaultAttempts
+	}
+	if c.Delay == 0 {
+		c.Delay = defaultDelay
+	}
+	if c.Hedge == 0 {
+		c.Hedge = defaultHedge
+	}
+	return c
+}
+
+// Budget bounds the retries of a pool to a share of its requests, so that retries do not multiply an
+// overload. It is not safe for concurrent use.
+type Budget struct {
+	config  Config
+	retries float64
+	hedges  float64
+}
+
+// New returns a Budget that starts full.
+func New(c Config) *Budget {
+	c = c.withDefaults()
+	return &Budget{config: c, retries: c.Burst, hedges: 1}
+}
+
+// Request notes a new request; each one earns its share of retries.
+func (b *Budget) Request() {
+	b.retries = min(b.retries+b.config.Share, b.config.Burst)
+	b.hedges = min(b.hedges+b.config.Hedge, max(1, b.config.Burst*b.config.Hedge/b.config.Share))
+}
+
+// Next decides what follows a failed attempt.
+func (b *Budget) Next(now time.Time, a Attempt) Verdict {
+	ran := worse(a.Ran, kind.From(a.Err).Ran())
+	k := kind.Of(a.Err)
+	stop := Verdict{Action: Stop, Kind: k, Ran: ran}
+	if !mayRunAgain(k, ran, a) || a.Count >= b.config.Attempts {
+		return stop
+	}
+	delay := b.delay(a)
+	if !a.Deadline.IsZero() && now.Add(delay+a.Expected).After(a.Deadline) {
+		return stop
+	}
+	if !isFree(k, ran) {
+		if b.retries < 1 {
+			return stop
+		}
+		b.retries--
+	}
+	action := Retry
+	if a.Tokens > 0 {
+		action = Resume
+	}
+	return Verdict{Action: action, Ran: ran, Delay: delay, Avoid: k != kind.Silent}
+}
+
+// mayRunAgain reports whether another attempt is allowed and can help.
+func mayRunAgain(k kind.Kind, ran kind.Ran, a Attempt) bool {
+	switch k {
+	case kind.Unavailable, kind.Rejected, kind.Lost, kind.Failed, kind.Silent, kind.Crossed:
+	default:
+		return false
+	}
+	if ran != kind.RanNo && !a.Repeat {
+		return false
+	}
+	return a.Tokens == 0 || a.Stream
+}
+
+// isFree reports whether a retry adds no load: the upstream never took the request.
+func isFree(k kind.Kind, ran kind.Ran) bool {
+	return k == kind.Unavailable && ran == kind.RanNo
+}
+
+func (b *Budget) delay(a Attempt) time.Duration {
+	if a.Count < 2 {
+		return 0
+	}
+	return min(b.config.Delay<<(a.Count-2), maxDelay)
+}
+
+// worse returns the stronger of two statements on whether a request ran.
+func worse(a, b kind.Ran) kind.Ran {
+	rank := map[kind.Ran]int{kind.RanNo: 0, "": 0, kind.RanMaybe: 1, kind.RanYes: 2}
+	if rank[a] > rank[b] {
+		return a
+	}
+	if b == "" {
+		return kind.RanNo
+	}
+	return b
+}
+
+// Slack describes a running attempt without its first token.
+type Slack struct {
+	Repeat   bool
+	Waited   time.Duration // since the attempt was sent
+	Usual    time.Duration // 95th percentile of the time to first token
+	Expected time.Duration // until the first token of a second attempt
+	Deadline time.Time     // for the first token
+	Free     int           // slots free for this host
+	Queued   int           // requests that wait for a slot
+	Hedged   bool          // a second attempt runs already
+}
+
+// Hedge reports whether a second attempt may start beside the first: the request may be repeated,
+// the first attempt is later than usual, the second can still be in time, and no queued request wants
+// the slot.
+func (b *Budget) Hedge(now time.Time, s Slack) bool {
+	switch {
+	case !s.Repeat, s.Hedged, s.Queued > 0, s.Free < 2, s.Waited <= s.Usual:
+		return false
+	case !s.Deadline.IsZero() && now.Add(s.Expected).After(s.Deadline):
+		return false
+	case b.hedges < 1:
+		return false
+	}
+	b.hedges--
+	return true
+}
--- /dev/null
+++ b/internal/policy/route/pick.go
@@ -0,0 +1,142 @@
+package route
+
+import (
+	"slices"
+	"time"
+)
+
+// Candidates that a choice looks at.
+const (
+	smallPool   = 16 // a pool up to this size is looked at whole
+	nearSamples = 5
+	farSamples  = 2
+	homes       = 2 // members that the first prefix block points to
+)
+
+// choice is a choice in progress.
+type choice struct {
+	table *Table
+	now   time.Time
+	work  *Work
+	match []affine
+	best  *member
+	cost  float64
+}
+
+// Pick returns the upstream with the least expected time among a few candidates; ok is false when
+// none may take the work now.
+func (t *Table) Pick(now time.Time, w Work) (id string, ok bool) {
+	t.advance(now)
+	c := choice{table: t, now: now, work: &w, match: t.prefixes.match(w.Prefix)}
+	if t.openCount(w.Cheap) <= smallPool {
+		c.all()
+	} else {
+		c.few()
+	}
+	if c.best == nil {
+		c.all()
+	}
+	if c.best == nil {
+		return "", false
+	}
+	return c.best.id, true
+}
+
+func (t *Table) openCount(cheap bool) int {
+	n := len(t.open[groupNear]) + len(t.open[groupFar])
+	if cheap {
+		n += len(t.open[groupNearCheap]) + len(t.open[groupFarCheap])
+	}
+	return n
+}
+
+func (c *choice) few() {
+	for _, a := range c.match {
+		if m := c.table.members[a.member]; m != nil {
+			c.consider(m)
+		}
+	}
+	c.sample(groupNear, nearSamples)
+	c.sample(groupFar, farSamples)
+	if c.work.Cheap {
+		c.sample(groupNearCheap, nearSamples)
+		c.sample(groupFarCheap, farSamples)
+	}
+	c.home()
+}
+
+// sample considers n members of a group's open list that stand at random places.
+func (c *choice) sample(group, n int) {
+	list := c.table.open[group]
+	if len(list) <= n {
+		for _, index := range list {
+			c.consider(c.table.members[index])
+		}
+		return
+	}
+	for range n {
+		at := c.table.rand.Uint64() % uint64(len(list))
+		c.consider(c.table.members[list[at]])
+	}
+}
+
+// home considers the members to which the first prefix block points, so that all hosts send a new
+// prefix the same way.
+func (c *choice) home() {
+	if len(c.work.Prefix) == 0 {
+		return
+	}
+	members := c.table.members
+	at := c.work.Prefix[0]
+	for range homes {
+		if m := members[at%uint64(len(members))]; m != nil {
+			c.consider(m)
+		}
+		at = at*0x9e3779b97f4a7c15 + 1
+	}
+}
+
+// all considers every member that has a free slot.
+func (c *choice) all() {
+	for g, list := range c.table.open {
+		if g >= groupNearCheap && !c.work.Cheap {
+			break
+		}
+		for _, index := range list {
+			c.consider(c.table.members[index])
+		}
+	}
+}
+
+func (c *choice) consider(m *member) {
+	if m.place < 0 || !c.allows(m) {
+		return
+	}
+	cost := c.table.cost(c.now, m, c.work, c.blocks(m))
+	if c.best == nil || cost < c.cost {
+		c.best, c.cost = m, cost
+	}
+}
+
+func (c *choice) allows(m *member) bool {
+	w := c.work
+	switch {
+	case m.reclaimable && !w.Cheap:
+		return false
+	case w.Lone && m.suspects > 0:
+		return false
+	case w.Suspect && m.lone > 0:
+		return false
+	}
+	return !slices.Contains(w.Exclude, m.id)
+}
+
+// blocks returns how many leading blocks of the work's prefix m holds.
+func (c *choice) blocks(m *member) int {
+	for _, a := range c.match {
+		if int(a.member) == m.index {
+			return a.blocks
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/policy/route/share.go
@@ -0,0 +1,189 @@
+package route
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Host is one of the hosts that share the upstreams.
+type Host struct {
+	ID     string
+	Zone   string
+	Demand float64 // requests running and queued for this pool
+}
+
+// counts are another host's running requests by upstream.
+type counts struct {
+	at time.Time
+	by map[*member]int
+}
+
+const (
+	nearFactor    = 4   // a host near an upstream gets this many times the share of a far one
+	idleDemand    = 0.5 // demand of an idle host, so that its first requests find a slot
+	peerExpiry    = 2 * time.Second
+	refreshPeriod = 50 * time.Millisecond
+)
+
+// Share sets the hosts among which the slots of the upstreams are divided, by demand and nearness.
+// All hosts that know the same demands come to shares that add up to the slots.
+func (t *Table) Share(now time.Time, hosts []Host) {
+	t.hosts = slices.Clone(hosts)
+	slices.SortFunc(t.hosts, func(a, b Host) int { return cmp.Compare(a.ID, b.ID) })
+	t.reshare(now)
+}
+
+// Peer takes another host's running requests by upstream.
+func (t *Table) Peer(now time.Time, host string, running map[string]int) {
+	t.forgetPeer(host)
+	c := &counts{at: now, by: make(map[*member]int, len(running))}
+	for id, n := range running {
+		if m := t.byID[id]; m != nil && n > 0 {
+			c.by[m] = n
+			m.peers += n
+			t.relimit(now, m)
+		}
+	}
+	t.peers[host] = c
+}
+
+func (t *Table) forgetPeer(host string) {
+	old := t.peers[host]
+	if old == nil {
+		return
+	}
+	for m, n := range old.by {
+		m.peers -= n
+	}
+	delete(t.peers, host)
+}
+
+// Running returns this host's running requests by upstream, as Peer takes them.
+func (t *Table) Running() map[string]int {
+	all := map[string]int{}
+	for _, r := range t.requests {
+		all[r.member.id]++
+	}
+	return all
+}
+
+// reshare computes this host's share of each upstream's slots.
+func (t *Table) reshare(now time.Time) {
+	total := 0
+	for _, m := range t.members {
+		if m == nil {
+			continue
+		}
+		m.share = t.shareOf(m)
+		total += m.share
+		t.relimit(now, m)
+	}
+	if total == 0 {
+		t.grantOne(now)
+	}
+}
+
+// shareOf divides the slots of m by cumulative rounding: the hosts stand in an order that differs for
+// each upstream, and each gets the slots between the rounded sums before and after it.
+func (t *Table) shareOf(m *member) int {
+	if len(t.hosts) < 2 {
+		return m.slots
+	}
+	start := int(xxhash.Sum64String(m.id) % uint64(len(t.hosts)))
+	total := 0.0
+	for i := range t.hosts {
+		total += weight(&t.hosts[i], m)
+	}
+	sum, offset := 0.0, float64(xxhash.Sum64String(m.id+"/")%1024)/1024
+	for i := range t.hosts {
+		h := &t.hosts[(start+i)%len(t.hosts)]
+		before := math.Floor(sum/total*float64(m.slots) + offset)
+		sum += weight(h, m)
+		if h.ID == t.config.Host {
+			return int(math.Floor(sum/total*float64(m.slots)+offset) - before)
+		}
+	}
+	return 0
+}
+
+func weight(h *Host, m *member) float64 {
+	w := max(h.Demand, idleDemand)
+	if h.Zone == m.zone {
+		return w * nearFactor
+	}
+	return w
+}
+
+// grantOne gives a host without any share one slot, so that a small pool serves many hosts.
+func (t *Table) grantOne(now time.Time) {
+	var best *member
+	var top uint64
+	for _, m := range t.members {
+		if m == nil || m.leaving {
+			continue
+		}
+		if h := xxhash.Sum64String(t.config.Host + "/" + m.id); best == nil || h > top {
+			best, top = m, h
+		}
+	}
+	if best != nil {
+		best.share = 1
+		t.relimit(now, best)
+	}
+}
+
+// relimit computes how many requests this host may run on m: its share, and its part of what the
+// other hosts leave free, scaled by health.
+func (t *Table) relimit(now time.Time, m *member) {
+	limit := m.share
+	if n := len(t.hosts); n > 1 {
+		limit = max(limit, m.own+(m.slots-m.own-m.peers)/n)
+	}
+	if w := t.health.Weight(now, m.health); w < 1 {
+		limit = int(math.Ceil(w * float64(limit)))
+	}
+	if m.leaving {
+		limit = 0
+	}
+	t.free -= m.freeSlots()
+	m.limit = limit
+	t.free += m.freeSlots()
+	t.settle(m)
+}
+
+// checkHealth follows a change of the member's health.
+func (t *Table) checkHealth(now time.Time, m *member) {
+	t.relimit(now, m)
+	if m.health.Settled() || slices.Contains(t.unsettle, m) {
+		return
+	}
+	t.unsettle = append(t.unsettle, m)
+}
+
+// advance follows what changes with time alone: slow return, and hosts that fell silent.
+func (t *Table) advance(now time.Time) {
+	if now.Before(t.refresh) {
+		return
+	}
+	t.refresh = now.Add(refreshPeriod)
+	kept := t.unsettle[:0]
+	for _, m := range t.unsettle {
+		if t.byID[m.id] != m {
+			continue
+		}
+		t.relimit(now, m)
+		if !m.health.Settled() {
+			kept = append(kept, m)
+		}
+	}
+	t.unsettle = kept
+	for host, c := range t.peers {
+		if now.Sub(c.at) > peerExpiry {
+			t.forgetPeer(host)
+		}
+	}
+}
--- /dev/null
+++ b/internal/policy/suspect/suspect.go
@@ -0,0 +1,43 @@
+// Package suspect finds the requests that crash the upstreams that run them, and quarantines them. It
+// is pure: the present time is passed in. See docs/design/suspects.md.
+package suspect
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Print identifies requests that are the same: customer, route and body.
+type Print uint64
+
+// Fingerprint returns the Print of a request. The body is hashed as it came.
+func Fingerprint(customer, route string, body []byte) Print {
+	var d xxhash.Digest
+	d.Reset()
+	part := func(b []byte) {
+		var length [8]byte
+		binary.LittleEndian.PutUint64(length[:], uint64(len(b)))
+		_, _ = d.Write(length[:])
+		_, _ = d.Write(b)
+	}
+	part([]byte(customer))
+	part([]byte(route))
+	part(body)
+	return Print(d.Sum64())
+}
+
+// Quarantine is the verdict on a request that crashed an upstream while it was the only suspect there.
+// It is spread to all hosts.
+type Quarantine struct {
+	Print Print     `cbor:"print"`
+	Until time.Time `cbor:"until"`
+}
+
+// Suspicion tells the other hosts of a request that ran on an upstream when it crashed.
+type Suspicion struct {
+	Print   Print     `cbor:"print"`
+	Crashes int       `cbor:"crashes"`
+	Until   time.Time `cbor:"until"`
+}
--- /dev/null
+++ b/internal/standin/pipe/pipe.go
@@ -0,0 +1,109 @@
+// Package pipe is a network in memory, so that HTTP clients and servers can meet in virtual time.
+package pipe
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+)
+
+// Net is a set of listeners by address.
+type Net struct {
+	mu        sync.Mutex
+	listeners map[string]*Listener
+	last      atomic.Int64
+}
+
+// New returns an empty Net.
+func New() *Net {
+	return &Net{listeners: map[string]*Listener{}}
+}
+
+// Listener accepts the connections that are dialed to its address.
+type Listener struct {
+	net    *Net
+	addr   address
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+// Listen returns a listener at addr.
+func (n *Net) Listen(addr string) *Listener {
+	l := &Listener{net: n, addr: address(addr), conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[addr] = l
+	return l
+}
+
+// Serve answers connections to addr with handler until the returned function is called.
+func (n *Net) Serve(addr string, handler http.Handler) (stop func()) {
+	l := n.Listen(addr)
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(l) }()
+	return func() { _ = server.Close() }
+}
+
+// Dial connects to the listener at addr; its form suits http.Transport.DialContext.
+func (n *Net) Dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[addr]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, &net.OpError{Op: "dial", Net: "pipe", Addr: address(addr), Err: syscall.ECONNREFUSED}
+	}
+	near, far := net.Pipe()
+	id := address(fmt.Sprintf("pipe:%d", n.last.Add(1)))
+	select {
+	case l.conns <- &conn{Conn: far, local: l.addr, remote: id}:
+		return &conn{Conn: near, local: id, remote: l.addr}, nil
+	case <-l.closed:
+		return nil, &net.OpError{Op: "dial", Net: "pipe", Addr: address(addr), Err: syscall.ECONNREFUSED}
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.net.mu.Lock()
+		defer l.net.mu.Unlock()
+		if l.net.listeners[string(l.addr)] == l {
+			delete(l.net.listeners, string(l.addr))
+		}
+	})
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *Listener) Addr() net.Addr { return l.addr }
+
+type address string
+
+func (address) Network() string  { return "pipe" }
+func (a address) String() string { return string(a) }
+
+type conn struct {
+	net.Conn
+	local, remote address
+}
+
+func (c *conn) LocalAddr() net.Addr  { return c.local }
+func (c *conn) RemoteAddr() net.Addr { return c.remote }
--- /dev/null
+++ b/internal/upstream/engine/control.go
@@ -0,0 +1,107 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/route"
+)
+
+// report is the answer to GET /load.
+type report struct {
+	Running int     `json:"running"`
+	Waiting int     `json:"waiting"`
+	KV      float64 `json:"kv"`
+	Age     int     `json:"age"`    // milliseconds since the figures were taken
+	Offset  *int    `json:"offset"` // tokens produced for the attempt that was asked for
+}
+
+// Events are the changes of an engine's prefix cache after a position.
+type Events struct {
+	Next    int      `json:"next"`    // position to ask from the next time
+	Gap     bool     `json:"gap"`     // some changes were lost
+	Added   []uint64 `json:"added"`   // blocks now in the cache
+	Removed []uint64 `json:"removed"` // blocks no longer in the cache
+}
+
+// maxReport bounds the answer to a control call.
+const maxReport = 4 << 20
+
+// Load asks an engine for its load.
+func (c *Client) Load(ctx context.Context, addr string) (route.Load, error) {
+	var r report
+	if err := c.get(ctx, c.pooled, addr, "/load", &r); err != nil {
+		return route.Load{}, err
+	}
+	at := c.options.Clock.Now().Add(-time.Duration(r.Age) * time.Millisecond)
+	return route.Load{Running: r.Running, Waiting: r.Waiting, KV: r.KV, At: at}, nil
+}
+
+// Events asks an engine for the changes of its prefix cache after a position.
+func (c *Client) Events(ctx context.Context, addr string, after int) (Events, error) {
+	var e Events
+	err := c.get(ctx, c.pooled, addr, "/events?after="+strconv.Itoa(after), &e)
+	return e, err
+}
+
+// Cancel asks an engine on a new connection to end an attempt.
+func (c *Client) Cancel(ctx context.Context, addr, attempt string) error {
+	target := "http://" + addr + "/cancel?id=" + url.QueryEscape(attempt)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, nil)
+	if err != nil {
+		return kind.Wrap(err, kind.Internal, "cancel at engine %s", addr)
+	}
+	return c.control(req, c.fresh, addr, nil)
+}
+
+// probe asks on a new connection how far an attempt has come; known is false when the engine does
+// not know the attempt.
+func (c *Client) probe(ctx context.Context, addr, attempt string) (offset int, known bool, err error) {
+	c.counts.probes.Add(1)
+	var r report
+	if err := c.get(ctx, c.fresh, addr, "/load?id="+url.QueryEscape(attempt), &r); err != nil {
+		return 0, false, err
+	}
+	if r.Offset == nil {
+		return 0, false, nil
+	}
+	return *r.Offset, true, nil
+}
+
+func (c *Client) get(ctx context.Context, t *http.Transport, addr, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.options.Probe)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
+	if err != nil {
+		return kind.Wrap(err, kind.Internal, "call of engine %s", addr)
+	}
+	return c.control(req, t, addr, into)
+}
+
+func (c *Client) control(req *http.Request, t *http.Transport, addr string, into any) error {
+	res, err := t.RoundTrip(req)
+	if err != nil {
+		return kind.Wrap(err, kind.Unavailable, "engine %s does not answer %s", addr, req.URL.Path)
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxReport))
+	if err != nil {
+		return kind.Wrap(err, kind.Unavailable, "engine %s cut off %s", addr, req.URL.Path)
+	}
+	if res.StatusCode >= http.StatusBadRequest {
+		return kind.New(kind.Failed, "engine %s answered %s with %d", addr, req.URL.Path, res.StatusCode)
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return kind.Wrap(err, kind.Failed, "engine %s: %s cannot be read", addr, req.URL.Path)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/upstream/engine/silence.go
@@ -0,0 +1,111 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"hickorypath/internal/core/kind"
+)
+
+// startWatch arms the timer that looks after a quiet stream.
+func (s *Stream) startWatch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.backoff = 1
+	s.timer = time.AfterFunc(s.patience(), s.watch)
+}
+
+func (s *Stream) stopWatch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer != nil {
+		s.timer.Stop()
+		s.timer = nil
+	}
+}
+
+// rearm sets the timer again unless the watch was stopped.
+func (s *Stream) rearm(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer != nil {
+		s.timer.Reset(d)
+	}
+}
+
+// patience returns the quiet time that the engine's history still explains.
+func (s *Stream) patience() time.Duration {
+	o := s.client.options
+	if s.Offset() == s.call.Offset {
+		return max(o.First, s.client.history.firstLimit(s.addr)) * s.backoff
+	}
+	return max(o.Quiet, s.client.history.gapLimit(s.addr)) * s.backoff
+}
+
+// watch runs in the timer's goroutine: it lets an active stream be, and probes a quiet one.
+func (s *Stream) watch() {
+	last := s.last.Load()
+	quiet := s.quiet(last)
+	if left := s.patience() - quiet; left > 0 {
+		s.doubt = false
+		s.rearm(left)
+		return
+	}
+	at, known, err := s.client.probe(s.ctx, s.addr, s.call.Attempt)
+	if s.last.Load() != last || s.ctx.Err() != nil {
+		s.backoff, s.doubt = 1, false
+		s.rearm(s.patience())
+		return
+	}
+	verdict := s.judge(at, known, err)
+	switch {
+	case verdict != nil && !s.doubt:
+		s.doubt = true
+		s.rearm(grace)
+		return
+	case verdict != nil:
+		s.condemn(verdict)
+		return
+	}
+	s.backoff *= backoffFactor
+	s.rearm(max(s.patience()-s.quiet(last), s.client.options.Probe))
+}
+
+const (
+	backoffFactor = 2
+	grace         = 50 * time.Millisecond // for events that were under way during the first probe
+)
+
+func (s *Stream) quiet(last int64) time.Duration {
+	return s.client.options.Clock.Boot() - time.Duration(last)
+}
+
+// judge decides on a quiet stream from the answer to a probe; nil lets it go on.
+func (s *Stream) judge(at int, known bool, err error) *kind.Error {
+	quiet := s.quiet(s.last.Load()).Round(time.Millisecond)
+	switch {
+	case err != nil && s.backoff == 1:
+		return nil
+	case err != nil:
+		return kind.Wrap(err, kind.Lost, "engine %s answers neither the stream nor probes", s.addr)
+	case !known:
+		return kind.New(kind.Silent, "engine %s answers on a new connection, the stream is quiet for %s", s.addr, quiet)
+	case at > s.Offset():
+		return kind.New(kind.Silent, "engine %s is at offset %d, the stream is quiet at %d", s.addr, at, s.Offset())
+	case quiet >= s.client.options.Stall && s.Offset() > s.call.Offset:
+		return kind.New(kind.Silent, "engine %s has stalled for %s", s.addr, quiet)
+	}
+	return nil
+}
+
+// condemn ends the stream: the read in progress fails, and Next returns the verdict.
+func (s *Stream) condemn(verdict *kind.Error) {
+	s.verdict.CompareAndSwap(nil, verdict)
+	s.client.counts.silent.Add(1)
+	s.cancel()
+	if verdict.Kind() == kind.Silent {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(s.parent), s.client.options.Probe)
+		defer cancel()
+		_ = s.client.Cancel(ctx, s.addr, s.call.Attempt)
+	}
+}
--- /dev/null
+++ b/internal/upstream/wire/conn.go
@@ -0,0 +1,115 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"net/http/httptrace"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Dial opens a connection; it has the form of net.Dialer.DialContext.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Times after which the kernel gives up on a peer that does not answer.
+const (
+	dialTimeout   = 2 * time.Second
+	keepIdle      = 5 * time.Second
+	keepInterval  = 2 * time.Second
+	keepCount     = 3
+	unackedExpiry = 10 * time.Second
+)
+
+// NewDial returns a Dial over TCP with keep-alive probes and a bound on unacknowledged data.
+func NewDial() Dial {
+	d := net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepIdle, Interval: keepInterval, Count: keepCount,
+		},
+		Control: setUserTimeout,
+	}
+	return d.DialContext
+}
+
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedExpiry.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// Conn counts the bytes that were handed to the connection.
+type Conn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+// Counted returns a Dial whose connections are of type *Conn.
+func Counted(dial Dial) Dial {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &Conn{Conn: c}, nil
+	}
+}
+
+// Write counts before it writes, so that the count is never below what the peer may have read.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.written.Add(int64(len(b)))
+	return c.Conn.Write(b)
+}
+
+// Written returns the number of bytes handed to the connection so far.
+func (c *Conn) Written() int64 { return c.written.Load() }
+
+// Account tells whether a request may have reached its upstream.
+type Account struct {
+	conn   atomic.Pointer[Conn]
+	before atomic.Int64
+	odd    atomic.Bool // the connection does not count
+}
+
+// Trace returns a context under which net/http reports the request's connection to a.
+func (a *Account) Trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.got})
+}
+
+func (a *Account) got(info httptrace.GotConnInfo) {
+	c, ok := counted(info.Conn)
+	if !ok {
+		a.odd.Store(true)
+		return
+	}
+	if a.Sent() {
+		a.odd.Store(true)
+	}
+	a.before.Store(c.Written())
+	a.conn.Store(c)
+}
+
+func counted(c net.Conn) (*Conn, bool) {
+	if inner, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = inner.NetConn()
+	}
+	own, ok := c.(*Conn)
+	return own, ok
+}
+
+// Sent reports whether any byte of the request may have left.
+func (a *Account) Sent() bool {
+	if a.odd.Load() {
+		return true
+	}
+	c := a.conn.Load()
+	return c != nil && c.Written() > a.before.Load()
+}
