Connect hosts over QUIC and spread versioned records

Hosts need each other's documents, keys and load without a service of their own. Add the list of hosts, QUIC connections under mutual TLS, heartbeats over a sparse overlay, and records that only rise.

--- /dev/null
+++ b/internal/host/node/core.go
@@ -0,0 +1,129 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"hickorypath/internal/host/member"
+	"hickorypath/internal/host/spread"
+	"hickorypath/internal/platform/roster"
+)
+
+// coreOptions are the dependencies of a core.
+type coreOptions struct {
+	id       string
+	now      func() time.Time
+	send     func(to, addr string, p Packet)
+	reset    func(id string) // opens the connection to a host anew
+	revision func() uint64
+}
+
+// core ties membership and records together without I/O, so that tests can run many in virtual time.
+type core struct {
+	coreOptions
+	spread *spread.Spread
+
+	mu      sync.Mutex
+	table   *member.Table
+	todo    []spread.Record // own records to publish once the lock is free
+	shareAt time.Time
+}
+
+func newCore(opts coreOptions, config member.Config, records spread.Config) *core {
+	n := &core{coreOptions: opts}
+	config.Publish = func(id string, version uint64, value []byte, expires time.Time) {
+		n.todo = append(n.todo, spread.NewRecord(spread.Member, id, version, value, expires))
+	}
+	n.table = member.New(config)
+	n.spread = spread.New(spread.NewTable(records), n.now, n.sendSpread)
+	n.spread.Watch(spread.Member, n.merge)
+	return n
+}
+
+func (c *core) merge(r spread.Record) {
+	c.mu.Lock()
+	c.table.Merge(c.now(), r.Key(), r.Version(), r.Value())
+	c.mu.Unlock()
+}
+
+func (c *core) receive(p Packet) {
+	if p.Beat != nil {
+		c.mu.Lock()
+		c.table.SetRevision(c.revision(), c.spread.Sum())
+		answers := c.table.Receive(c.now(), *p.Beat)
+		c.mu.Unlock()
+		c.sendBeats(answers)
+	}
+	if p.Spread != nil {
+		c.spread.Receive(p.From, *p.Spread)
+	}
+	if p.Beat != nil && p.Beat.Sum != 0 {
+		c.spread.Compare(p.From, p.Beat.Sum)
+	}
+	c.publish()
+}
+
+func (c *core) tick() {
+	now := c.now()
+	c.mu.Lock()
+	c.table.SetRevision(c.revision(), c.spread.Sum())
+	beats := c.table.Tick(now)
+	links := c.table.Links(now)
+	silent := c.table.Silent()
+	share := !now.Before(c.shareAt)
+	if share {
+		c.shareAt = now.Add(shareEvery(c.table.Len()))
+	}
+	c.mu.Unlock()
+	for _, id := range silent {
+		c.reset(id)
+	}
+	c.sendBeats(beats)
+	c.spread.Tick(links, share)
+	c.publish()
+}
+
+func (c *core) list(hosts []roster.Host) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.List(hosts)
+}
+
+func (c *core) members() []member.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Members(c.now())
+}
+
+func (c *core) leave() {
+	c.mu.Lock()
+	beats := c.table.Leave(c.now())
+	c.mu.Unlock()
+	c.sendBeats(beats)
+	c.publish()
+}
+
+func (c *core) publish() {
+	c.mu.Lock()
+	todo := c.todo
+	c.todo = nil
+	c.mu.Unlock()
+	for _, r := range todo {
+		c.spread.Put(r.Topic(), r.Key(), r.Version(), r.Value(), r.Expires())
+	}
+}
+
+func (c *core) sendBeats(beats []member.Send) {
+	for _, s := range beats {
+		c.send(s.To, s.Addr, Packet{From: c.id, Beat: &s.Beat})
+	}
+}
+
+func (c *core) sendSpread(out []spread.Send) {
+	for _, s := range out {
+		c.mu.Lock()
+		addr := c.table.Addr(s.To)
+		c.mu.Unlock()
+		c.send(s.To, addr, Packet{From: c.id, Spread: &s.Message})
+	}
+}
--- /dev/null
+++ b/internal/host/node/node_test.go
@@ -0,0 +1,68 @@
+package node_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/host/node"
+	"hickorypath/internal/host/peer"
+	"hickorypath/internal/host/spread"
+	"hickorypath/internal/platform/roster"
+)
+
+// TestNodesOverLoopback runs three nodes on real sockets until a record put on one is on all.
+func TestNodesOverLoopback(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	config, err := peer.NewTLSSecret("a secret of more than 16 bytes")
+	is.NoErr(err)
+	hosts := make([]roster.Host, 0, 3)
+	list := func(context.Context) ([]roster.Host, error) { return hosts, nil }
+	nodes := make([]*node.Node, 0, 3)
+	for _, id := range []string{"h1", "h2", "h3"} {
+		n, err := node.New(node.Options{
+			ID: id, Zone: "zone-" + id, Addr: "127.0.0.1:0", TLS: config, Roster: list,
+			Clock: clock.NewSystem(), Log: zap.NewNop(),
+		})
+		is.NoErr(err)
+		nodes = append(nodes, n)
+		hosts = append(hosts, roster.New(id, "zone-"+id, n.Addr(), roster.Live))
+	}
+	for _, n := range nodes {
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = n.Run(ctx)
+		}()
+		defer func() { <-done }()
+	}
+	defer cancel()
+	large := make([]byte, 200_000)
+	for i := range large {
+		large[i] = byte(i * i >> 8)
+	}
+	nodes[0].Spread().Put(spread.Key, "k1", 1, []byte("value"), time.Time{})
+	nodes[0].Spread().Put(spread.Document, "", 7, large, time.Time{})
+	for _, n := range nodes {
+		for _, topic := range []string{spread.Key, spread.Document} {
+			got := make(chan spread.Record, 1)
+			stop := n.Spread().Watch(topic, func(r spread.Record) {
+				select {
+				case got <- r:
+				default:
+				}
+			})
+			r := <-got
+			stop()
+			if topic == spread.Document {
+				is.Equal(r.Value(), large)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/host/node/packet.go
@@ -0,0 +1,42 @@
+package node
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/host/member"
+	"hickorypath/internal/host/spread"
+)
+
+// Packet is one message between hosts.
+type Packet struct {
+	From   string          `cbor:"1,keyasint"`
+	Beat   *member.Beat    `cbor:"2,keyasint,omitempty"`
+	Spread *spread.Message `cbor:"3,keyasint,omitempty"`
+}
+
+func encode(p Packet) []byte {
+	data, err := cbor.Marshal(p)
+	if err != nil {
+		panic("node: a packet cannot be encoded: " + err.Error())
+	}
+	return data
+}
+
+func decode(data []byte) (Packet, error) {
+	var p Packet
+	if err := cbor.Unmarshal(data, &p); err != nil {
+		return Packet{}, kind.Wrap(err, kind.Peer, "packet")
+	}
+	if p.From == "" || p.Beat != nil && p.Beat.ID != p.From {
+		return Packet{}, kind.New(kind.Peer, "packet without its sender")
+	}
+	return p, nil
+}
+
+// isReliable reports whether a packet must travel on a stream: parts of an exchange of digests, which
+// nothing repeats before the next heartbeat.
+func (p Packet) isReliable() bool {
+	m := p.Spread
+	return m != nil && len(m.Sums)+len(m.Rows)+len(m.Want)+len(m.Need)+len(m.Chunks) > 0
+}
--- /dev/null
+++ b/internal/host/spread/message.go
@@ -0,0 +1,62 @@
+package spread
+
+import "encoding/binary"
+
+// Wire is a record as it travels. Value holds the bytes, or Refs and Levels tell how to assemble
+// them from chunks.
+type Wire struct {
+	Topic   string `cbor:"1,keyasint"`
+	Key     string `cbor:"2,keyasint"`
+	Version uint64 `cbor:"3,keyasint"`
+	Value   []byte `cbor:"4,keyasint,omitempty"`
+	Expires int64  `cbor:"5,keyasint,omitempty"`
+	Refs    []byte `cbor:"6,keyasint,omitempty"`
+	Levels  int    `cbor:"7,keyasint,omitempty"`
+}
+
+// Message is what one host's table sends to another's. All parts are optional.
+type Message struct {
+	Push   []Wire   `cbor:"1,keyasint,omitempty"` // new records, to be acknowledged
+	Ack    []byte   `cbor:"2,keyasint,omitempty"` // heads of records that arrived
+	Sums   []byte   `cbor:"3,keyasint,omitempty"` // digest of each bucket
+	Rows   []byte   `cbor:"4,keyasint,omitempty"` // buckets that Heads covers
+	Heads  []byte   `cbor:"5,keyasint,omitempty"` // all heads in Rows
+	Want   []byte   `cbor:"6,keyasint,omitempty"` // hashes of records to push
+	Need   []byte   `cbor:"7,keyasint,omitempty"` // references of chunks to send
+	Chunks [][]byte `cbor:"8,keyasint,omitempty"`
+	Soft   []Wire   `cbor:"9,keyasint,omitempty"` // soft records, not acknowledged
+}
+
+// Send is a message and the host that it goes to.
+type Send struct {
+	To      string
+	Message Message
+}
+
+const (
+	headSize = 16 // bytes: hash and version
+	hashSize = 8
+)
+
+type head struct{ hash, version uint64 }
+
+func appendHead(b []byte, h head) []byte {
+	b = binary.LittleEndian.AppendUint64(b, h.hash)
+	return binary.LittleEndian.AppendUint64(b, h.version)
+}
+
+func heads(b []byte) []head {
+	all := make([]head, 0, len(b)/headSize)
+	for ; len(b) >= headSize; b = b[headSize:] {
+		all = append(all, head{binary.LittleEndian.Uint64(b), binary.LittleEndian.Uint64(b[hashSize:])})
+	}
+	return all
+}
+
+func hashes(b []byte) []uint64 {
+	all := make([]uint64, 0, len(b)/hashSize)
+	for ; len(b) >= hashSize; b = b[hashSize:] {
+		all = append(all, binary.LittleEndian.Uint64(b))
+	}
+	return all
+}
