--- /dev/null
+++ b/internal/policy/route/bench_test.go
@@ -0,0 +1,86 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hickorypath/internal/policy/route"
+)
+
+// pool returns n upstreams in zones of equal size.
+func pool(n, zones, slots int) []route.Upstream {
+	list := make([]route.Upstream, n)
+	for i := range list {
+		list[i] = route.NewUpstream(fmt.Sprintf("u%04d", i), fmt.Sprintf("z%d", i%zones), slots, i%5 == 4)
+	}
+	return list
+}
+
+// prompts returns prompts that share prefixes of a number of blocks.
+func prompts(n, blocks int) [][]uint64 {
+	all := make([][]uint64, n)
+	for i := range all {
+		all[i] = make([]uint64, blocks)
+		for j := range all[i] {
+			all[i][j] = uint64(i*1000+j)*0x9e3779b97f4a7c15 + 1
+		}
+	}
+	return all
+}
+
+// BenchmarkDecision runs the whole life of requests through a table: choice, start, first token, gap,
+// end. The bound of docs/design/routing.md is 10 us for a choice among 1,300 upstreams.
+func BenchmarkDecision(b *testing.B) {
+	sizes := []int{9, 130, 1300, 13000}
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			table := route.New(route.Config{Host: "h0", Zone: "z0", Seed: 1})
+			table.Set(start, pool(n, 15, 16))
+			shared := prompts(512, 16)
+			now := start
+			inFlight := make([]string, max(8, min(4*n, 4096)))
+			b.ReportAllocs()
+			i := uint64(0)
+			for b.Loop() {
+				now = now.Add(200 * time.Microsecond)
+				at := int(i) % len(inFlight)
+				if id := inFlight[at]; id != "" {
+					table.First(now, id, 150*time.Millisecond)
+					table.Gap(now, id, 30*time.Millisecond)
+					table.Finish(now, id, i-uint64(len(inFlight)), route.Result{})
+				}
+				w := route.Work{Cheap: i%2 == 0, Prefix: shared[i%512], Tokens: 1024}
+				id, ok := table.Pick(now, w)
+				if ok {
+					table.Start(now, id, i, w)
+				}
+				inFlight[at] = id
+				i++
+			}
+		})
+	}
+}
+
+// BenchmarkPick measures the choice alone.
+func BenchmarkPick(b *testing.B) {
+	for _, prefix := range []int{0, 16, 128} {
+		b.Run(fmt.Sprintf("upstreams=1300/blocks=%d", prefix), func(b *testing.B) {
+			table := route.New(route.Config{Host: "h0", Zone: "z0", Seed: 1})
+			table.Set(start, pool(1300, 15, 16))
+			shared := prompts(512, prefix)
+			for i := range 5000 {
+				w := route.Work{Cheap: true, Prefix: shared[i%512], Tokens: 1024}
+				if id, ok := table.Pick(start, w); ok {
+					table.Start(start, id, uint64(i), w)
+				}
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				i++
+				table.Pick(start, route.Work{Cheap: true, Prefix: shared[i%512], Tokens: 1024})
+			}
+		})
+	}
+}
--- a/internal/policy/route/prefixes.go
+++ b/internal/policy/route/prefixes.go
@@ -1,5 +1,7 @@
 package route
 
+import "sort"
+
 // holders are the members whose cache holds a block, the latest first; noMember fills the rest.
 type holders [maxHolders]uint16
 
@@ -96,24 +98,34 @@
 	p.old = nil
 }
 
-// match finds the members that hold the longest leading parts of prefix.
+// match finds the members that hold the longest leading parts of prefix. It looks up a number of
+// blocks that grows with the logarithm of the prefix only.
 func (p *prefixes) match(prefix []uint64) []affine {
 	p.found = 0
-	for i, block := range prefix {
-		h, ok := p.get(block)
-		if !ok {
-			break
-		}
-		for _, m := range h {
-			if m == noMember {
-				break
-			}
-			p.note(m, i+1)
-		}
+	known := sort.Search(len(prefix), func(i int) bool {
+		_, ok := p.get(prefix[i])
+		return !ok
+	})
+	for step := 1; step < known; step *= 2 {
+		p.noteAll(prefix, step)
+	}
+	if known > 0 {
+		p.noteAll(prefix, known)
 	}
 	return p.affinity[:p.found]
 }
 
+// noteAll notes the holders of the block that ends a leading part.
+func (p *prefixes) noteAll(prefix []uint64, blocks int) {
+	h, _ := p.get(prefix[blocks-1])
+	for _, m := range h {
+		if m == noMember {
+			return
+		}
+		p.note(m, blocks)
+	}
+}
+
 // note records that a member holds a number of leading blocks. A block's hash covers all before it,
 // so a holder of a later block is taken to hold the earlier ones.
 func (p *prefixes) note(member uint16, blocks int) {
--- a/internal/standin/engine/chat.go
+++ b/internal/standin/engine/chat.go
@@ -100,6 +100,10 @@
 	}
 	run := &run{engine: e, req: req, answer: a, completion: c, w: w, r: r}
 	run.serve()
+	if e.isSilent(r.RemoteAddr) {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // record notes the request and returns it with the one before.
--- a/internal/upstream/engine/history.go
+++ b/internal/upstream/engine/history.go
@@ -47,7 +47,7 @@
 
 func (g *gaps) add(d time.Duration, tokens int) {
 	if g.first == 0 {
-		g.first = d
+		g.first = max(d, 1)
 		return
 	}
 	g.sum += d
--- a/internal/upstream/engine/stream.go
+++ b/internal/upstream/engine/stream.go
@@ -111,8 +111,13 @@
 func (s *Stream) note(e Event) {
 	now := int64(s.client.options.Clock.Boot())
 	before := s.last.Swap(now)
-	if e.Tokens > 0 {
-		s.gaps.add(time.Duration(now-before), e.Tokens)
+	if e.Tokens == 0 {
+		return
+	}
+	first := s.gaps.first == 0
+	s.gaps.add(time.Duration(now-before), e.Tokens)
+	if first {
+		s.rearm(s.client.options.Quiet)
 	}
 }
 
--- a/internal/upstream/service/client_test.go
+++ b/internal/upstream/service/client_test.go
@@ -30,10 +30,10 @@
 		b := &bench{I: is.New(t), ctx: t.Context(), net: pipe.New(), service: standin.New()}
 		stop := b.net.Serve(addr, b.service.Handler())
 		b.client = service.New(service.Options{Dial: b.net.Dial})
+		defer synctest.Wait()
+		defer stop()
+		defer b.client.Close()
 		f(b)
-		b.client.Close()
-		stop()
-		synctest.Wait()
 	})
 }
 
