Add the decision core of a pool with its virtual-time model

Admission, tier order, weighted fairness with floors and the sharing of slots among hosts are composed as pure functions of events and their time.

--- /dev/null
+++ b/internal/policy/admit/gate.go
@@ -0,0 +1,161 @@
+// Package admit decides whether a request may wait, and which tiers are held back.
+//
+// A Gate estimates how long a request would wait and remembers which tiers are being shed, here and
+// on other hosts. While a tier is shed anywhere, every lower tier is held back.
+package admit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// holdTime is how long lower tiers stay held back after a tier was shed.
+	holdTime = time.Second
+	// paceDecay is the weight of one finished request in the pace.
+	paceDecay = 0.02
+	// startPace is the seconds that a slot takes for one cost unit before any request has finished.
+	startPace = 0.03
+	// startSpell is the time that a request occupies a slot before any request has finished.
+	startSpell = 5 * time.Second
+	// minLeft is the least share of service that is assumed to be left by higher tiers.
+	minLeft = 0.05
+	// minRetry and maxRetry bound the advice that refused callers get.
+	minRetry = time.Second
+	maxRetry = time.Minute
+)
+
+// None is the tier number that stands for no tier.
+const None = -1
+
+// Gate is the admission state of one pool on one host. It is not safe for concurrent use.
+type Gate struct {
+	shed  []time.Time // last time that each tier was shed on this host
+	peers map[string]mark
+	rates []Rate
+	pace  float64
+	spell time.Duration // mean time that a request occupies a slot
+	since time.Time     // start of the present run of holding back
+	until time.Time
+}
+
+// mark is the highest tier that another host sheds.
+type mark struct {
+	tier int
+	at   time.Time
+}
+
+// New returns a Gate for tiers 0 to tiers-1.
+func New(tiers int) *Gate {
+	return &Gate{
+		shed:  make([]time.Time, tiers),
+		peers: make(map[string]mark),
+		rates: make([]Rate, tiers),
+		pace:  startPace,
+		spell: startSpell,
+	}
+}
+
+// Arrive counts a request that asks for service in a tier, refused or not.
+func (g *Gate) Arrive(now time.Time, tier int, cost float64) {
+	g.rates[tier].Add(now, cost)
+}
+
+// Done learns the pace from a request that occupied a slot for d.
+func (g *Gate) Done(cost float64, d time.Duration) {
+	if cost <= 0 || d <= 0 {
+		return
+	}
+	g.pace += paceDecay * (d.Seconds()/cost - g.pace)
+	g.spell += time.Duration(paceDecay * float64(d-g.spell))
+}
+
+// Turn returns the mean time until the next of slots busy slots comes free.
+func (g *Gate) Turn(slots int) time.Duration {
+	return g.spell / time.Duration(max(1, slots))
+}
+
+// Pace returns the seconds that one slot takes for one cost unit.
+func (g *Gate) Pace() float64 { return g.pace }
+
+// Offered returns the slots that the arrivals of a tier would keep busy.
+func (g *Gate) Offered(now time.Time, tier int) float64 {
+	return g.rates[tier].PerSecond(now) * g.pace
+}
+
+// Wait estimates how long a request of a tier waits behind ahead cost units, with slots slots.
+func (g *Gate) Wait(now time.Time, tier int, ahead, slots float64) time.Duration {
+	if ahead <= 0 {
+		return 0
+	}
+	left := slots * minLeft
+	free := slots
+	for t := 0; t < tier; t++ {
+		free -= g.Offered(now, t)
+	}
+	left = math.Max(left, free)
+	if left <= 0 {
+		return maxRetry
+	}
+	return seconds(math.Min(ahead*g.pace/left, maxRetry.Seconds()))
+}
+
+// Shed records that a request of a tier was shed on this host.
+func (g *Gate) Shed(now time.Time, tier int) { g.shed[tier] = now }
+
+// Shedding returns the highest tier that this host sheds, or None.
+func (g *Gate) Shedding(now time.Time) int {
+	for t, at := range g.shed {
+		if !at.IsZero() && now.Sub(at) < holdTime {
+			return t
+		}
+	}
+	return None
+}
+
+// Peer records the highest tier that another host sheds, or None.
+func (g *Gate) Peer(now time.Time, host string, tier int) {
+	if tier == None {
+		delete(g.peers, host)
+		return
+	}
+	g.peers[host] = mark{tier: tier, at: now}
+}
+
+// Held returns the highest tier that is shed on any host, or None. Every lower tier is held back.
+func (g *Gate) Held(now time.Time) int {
+	held := g.Shedding(now)
+	for _, m := range g.peers {
+		if now.Sub(m.at) < holdTime && (held == None || m.tier < held) {
+			held = m.tier
+		}
+	}
+	if held != None {
+		g.extend(now)
+	}
+	return held
+}
+
+// extend prolongs the present run of holding back, or begins one.
+func (g *Gate) extend(now time.Time) {
+	if now.After(g.until) {
+		g.since = now
+	}
+	g.until = now.Add(holdTime)
+}
+
+// Retry turns an estimated wait and the wait that the class accepts into advice for a refused
+// caller: the time after which the wait would be acceptable.
+func (g *Gate) Retry(wait, limit time.Duration) time.Duration {
+	return clamp(wait - limit)
+}
+
+// RetryHeld returns the advice for a caller whose tier is held back. Overload that has lasted for
+// some time is expected to last as long again.
+func (g *Gate) RetryHeld(now time.Time) time.Duration {
+	return clamp(now.Sub(g.since))
+}
+
+func clamp(d time.Duration) time.Duration { return min(max(d, minRetry), maxRetry) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/policy/length/length.go
@@ -0,0 +1,152 @@
+// Package length learns how many output tokens the requests of a customer and class produce.
+//
+// Output lengths are modelled as log-normal. Each customer and class has a decayed mean and variance
+// of the logarithm, drawn towards those of the class while the customer has few samples.
+package length
+
+import (
+	"container/list"
+	"math"
+)
+
+const (
+	// defaultCapacity bounds the customers that are remembered, least recently seen first out.
+	defaultCapacity = 65536
+	// decay is the weight that one new sample takes in a full estimate.
+	decay = 0.02
+	// priorSamples is how many samples of a customer weigh as much as its class.
+	priorSamples = 8
+	// startMean and startDeviation describe the logarithm of lengths before any sample.
+	startMean      = 5.0
+	startDeviation = 1.0
+	minVariance    = 0.01
+)
+
+// Model predicts output lengths. It is not safe for concurrent use.
+type Model struct {
+	capacity int
+	classes  map[string]*estimate
+	flows    map[flowKey]*list.Element
+	recent   *list.List
+}
+
+type flowKey struct{ customer, class string }
+
+type flow struct {
+	key flowKey
+	estimate
+}
+
+// estimate is a decayed mean and variance of ln(length).
+type estimate struct {
+	count    float64
+	mean     float64
+	variance float64
+}
+
+// New returns a Model that remembers at most capacity pairs of customer and class; zero means a
+// default.
+func New(capacity int) *Model {
+	if capacity <= 0 {
+		capacity = defaultCapacity
+	}
+	return &Model{
+		capacity: capacity,
+		classes:  make(map[string]*estimate),
+		flows:    make(map[flowKey]*list.Element),
+		recent:   list.New(),
+	}
+}
+
+// Observe records the true length of a finished output.
+func (m *Model) Observe(customer, class string, tokens int) {
+	x := math.Log(math.Max(1, float64(tokens)))
+	m.class(class).add(x)
+	m.flow(customer, class).add(x)
+}
+
+// Mean returns the expected output length of a new request, at most limit when limit is positive.
+func (m *Model) Mean(customer, class string, limit int) float64 {
+	mu, variance := m.blend(customer, class)
+	return capped(math.Exp(mu+variance/2), limit)
+}
+
+// Remaining returns the expected number of further tokens of an output that has seen tokens so far.
+func (m *Model) Remaining(customer, class string, seen, limit int) float64 {
+	if seen <= 0 {
+		return m.Mean(customer, class, limit)
+	}
+	mu, variance := m.blend(customer, class)
+	total := meanAbove(mu, math.Sqrt(variance), float64(seen))
+	return math.Max(1, capped(total, limit)-float64(seen))
+}
+
+// Len returns the number of pairs of customer and class that are remembered.
+func (m *Model) Len() int { return m.recent.Len() }
+
+func (m *Model) class(name string) *estimate {
+	e, ok := m.classes[name]
+	if !ok {
+		e = &estimate{mean: startMean, variance: startDeviation * startDeviation}
+		m.classes[name] = e
+	}
+	return e
+}
+
+func (m *Model) flow(customer, class string) *flow {
+	key := flowKey{customer, class}
+	if el, ok := m.flows[key]; ok {
+		m.recent.MoveToFront(el)
+		return el.Value.(*flow)
+	}
+	if m.recent.Len() >= m.capacity {
+		oldest := m.recent.Back()
+		delete(m.flows, oldest.Value.(*flow).key)
+		m.recent.Remove(oldest)
+	}
+	f := &flow{key: key}
+	m.flows[key] = m.recent.PushFront(f)
+	return f
+}
+
+// blend mixes the estimates of the customer and of its class by the customer's number of samples.
+func (m *Model) blend(customer, class string) (mean, variance float64) {
+	prior := m.class(class)
+	el, ok := m.flows[flowKey{customer, class}]
+	if !ok {
+		return prior.mean, math.Max(minVariance, prior.variance)
+	}
+	f := el.Value.(*flow)
+	w := f.count / (f.count + priorSamples)
+	mean = w*f.mean + (1-w)*prior.mean
+	variance = w*f.variance + (1-w)*prior.variance
+	return mean, math.Max(minVariance, variance)
+}
+
+func (e *estimate) add(x float64) {
+	e.count++
+	rate := math.Max(decay, 1/e.count)
+	d := x - e.mean
+	e.mean += rate * d
+	e.variance = (1 - rate) * (e.variance + rate*d*d)
+}
+
+// meanAbove returns E[L | L > n] for a log-normal L.
+func meanAbove(mu, sigma, n float64) float64 {
+	z := (math.Log(n) - mu) / sigma
+	tail := normalTail(z)
+	if tail < 1e-9 {
+		return n * (1 + sigma/math.Max(1, z))
+	}
+	return math.Exp(mu+sigma*sigma/2) * normalTail(z-sigma) / tail
+}
+
+// normalTail returns the probability that a standard normal variable exceeds z.
+func normalTail(z float64) float64 { return math.Erfc(z/math.Sqrt2) / 2 }
+
+func capped(x float64, limit int) float64 {
+	if limit > 0 {
+		return math.Min(x, float64(limit))
+	}
+	return x
+}
--- /dev/null
+++ b/internal/policy/model/overload_test.go
@@ -0,0 +1,67 @@
+package model
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/policy/pool"
+)
+
+// capacity is the requests a second that engines of 32 slots serve with a mean output of 200 tokens.
+func capacity(engines int) float64 { return float64(engines) * 5.2 }
+
+// sevenTiers are classes t0 to t6, one per tier.
+func sevenTiers() []pool.Class {
+	classes := make([]pool.Class, 7)
+	for i := range classes {
+		classes[i] = pool.Class{
+			Name: fmt.Sprintf("t%d", i), Tier: i, First: 1100 * time.Millisecond,
+			Gap: 33 * time.Millisecond, Wait: 2 * time.Second, Share: 0.01, Cheap: true,
+		}
+	}
+	return classes
+}
+
+// mixed offers load requests a second over the classes and ten customers, a few of them large.
+func mixed(classes []pool.Class, load float64) []stream {
+	weights := []float64{6, 4, 3, 1, 1, 1, 1, 1, 1, 1}
+	streams := []stream(nil)
+	for _, c := range classes {
+		for i, weight := range weights {
+			streams = append(streams, stream{
+				class: c.Name, customer: fmt.Sprintf("c%d", i), rate: load * weight / 20 / float64(len(classes)),
+				mean: 200, sigma: 0.8, prompt: 300, patience: 10 * time.Second,
+			})
+		}
+	}
+	return streams
+}
+
+// overloaded runs factor times the capacity for 60 s against 9 engines and 7 hosts.
+func overloaded(seed uint64, factor float64, classes []pool.Class, decide func(string, uint64) decider) *stats {
+	w := newWorld(seed, classes, newEngines(9, 3, 32))
+	w.addHosts(7, decide)
+	w.play(60*time.Second, mixed(classes, factor*capacity(9))...)
+	w.run(60 * time.Second)
+	return w.stats
+}
+
+func TestOverload(t *testing.T) {
+	classes := sevenTiers()
+	t.Log("fifo, round robin:", overloaded(1, 2, classes, withBaseline(roundRobin)))
+	t.Log("least in flight:  ", overloaded(1, 2, classes, withBaseline(leastInFlight)))
+	s := overloaded(1, 2, classes, withPool(classes, nil))
+	t.Log("pool:             ", s)
+	t.Logf("shed while a lower tier was queued %d, lower started while a higher was shed %d, floor tokens %.2f%%",
+		s.behind, s.overtaken, 100*float64(s.floored)/float64(s.tokens))
+	is := is.New(t)
+	is.Equal(s.behind, 0)
+	is.Equal(s.overtaken, 0)
+	is.True(s.classes["t0"].attainment() >= 0.99)
+	for _, c := range classes {
+		is.True(s.classes[c.Name].completed > 0)
+	}
+}
--- /dev/null
+++ b/internal/policy/model/stats_test.go
@@ -0,0 +1,230 @@
+package model
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/pool"
+)
+
+// window is how long after a shed on one host every host must know of it.
+const window = exchange + latency + tick
+
+// memory is how long a shed tier counts as being shed.
+const memory = time.Second
+
+// tally counts the requests of one class or customer.
+type tally struct {
+	offered, attained, completed, refused, left, floor int
+	slowFirst, slowGap int // completed, but missed a target
+	tokens                                             int
+}
+
+func (t *tally) attainment() float64 {
+	if t.offered == 0 {
+		return 1
+	}
+	return float64(t.attained) / float64(t.offered)
+}
+
+type stats struct {
+	world     *world
+	classes   map[string]*tally
+	customers map[string]*tally
+	firsts    []time.Duration
+	byClass   map[string][]time.Duration
+	tokens    int // produced
+	wasted    int // of them, those that no caller got as part of a whole answer
+	sheds     map[int][]time.Duration
+	behind    int // sheds after which a lower tier still waited when all hosts knew
+	overtaken int // lower requests started, outside their floor, while a higher tier was shed
+	floored   int // tokens asked by requests started on a floor
+	from      time.Duration
+	to        time.Duration
+}
+
+func newStats(w *world) *stats {
+	return &stats{
+		world: w, classes: make(map[string]*tally), customers: make(map[string]*tally),
+		byClass: make(map[string][]time.Duration), sheds: make(map[int][]time.Duration),
+		to: 1 << 62,
+	}
+}
+
+func (s *stats) counts(j *job) bool { return j.arrived >= s.from && j.arrived < s.to }
+
+func (s *stats) each(j *job, fn func(*tally)) {
+	if !s.counts(j) {
+		return
+	}
+	fn(lookup(s.classes, j.Class))
+	fn(lookup(s.customers, j.Customer))
+}
+
+func lookup(m map[string]*tally, name string) *tally {
+	t, ok := m[name]
+	if !ok {
+		t = &tally{}
+		m[name] = t
+	}
+	return t
+}
+
+func (s *stats) offered(j *job) { s.each(j, func(t *tally) { t.offered++ }) }
+
+func (s *stats) first(j *job) {
+	if s.counts(j) {
+		s.firsts = append(s.firsts, j.first-j.arrived)
+		s.byClass[j.Class] = append(s.byClass[j.Class], j.first-j.arrived)
+	}
+}
+
+func (s *stats) completed(j *job) {
+	s.tokens += j.emitted
+	ok := s.attained(j)
+	c := s.world.classes[j.Class]
+	s.each(j, func(t *tally) {
+		if c.First > 0 && j.first-j.arrived > c.First {
+			t.slowFirst++
+		}
+		if c.Gap > 0 && j.output > 1 && (j.last-j.first)/time.Duration(j.output-1) > c.Gap {
+			t.slowGap++
+		}
+		t.completed++
+		t.tokens += j.output
+		if ok {
+			t.attained++
+		}
+	})
+}
+
+func (s *stats) attained(j *job) bool {
+	c := s.world.classes[j.Class]
+	if c.First > 0 && j.first-j.arrived > c.First {
+		return false
+	}
+	if c.Gap > 0 && j.output > 1 && (j.last-j.first)/time.Duration(j.output-1) > c.Gap {
+		return false
+	}
+	return c.Whole == 0 || s.world.now-j.arrived <= c.Whole
+}
+
+func (s *stats) left(j *job) {
+	s.tokens += j.emitted
+	s.wasted += j.emitted
+	s.each(j, func(t *tally) { t.left++ })
+}
+
+func (s *stats) refused(j *job, d pool.Decision) {
+	s.tokens += j.emitted
+	s.wasted += j.emitted
+	s.each(j, func(t *tally) { t.refused++ })
+	if d.Kind != kind.Overload {
+		return
+	}
+	w := s.world
+	tier := w.classes[j.Class].Tier
+	s.sheds[tier] = append(s.sheds[tier], w.now)
+	w.after(window, func() { s.lookBehind(tier) })
+}
+
+// lookBehind counts a lower tier that waits, otherwise than on its floor, although every host has
+// had the time to learn that tier is shed.
+func (s *stats) lookBehind(tier int) {
+	w := s.world
+	for _, other := range w.jobs {
+		if other.queued && w.classes[other.Class].Tier > tier && w.now-other.arrived > window {
+			s.behind++
+			return
+		}
+	}
+}
+
+func (s *stats) started(j *job, d pool.Decision) {
+	if j.tries > 0 {
+		return
+	}
+	if d.Floor {
+		s.floored += j.output
+		s.each(j, func(t *tally) { t.floor++ })
+		return
+	}
+	if s.isShedding(s.world.classes[j.Class].Tier) {
+		s.overtaken++
+	}
+}
+
+// isShedding reports whether a tier above tier was shed long enough ago to be known everywhere.
+func (s *stats) isShedding(tier int) bool {
+	now := s.world.now
+	for t, times := range s.sheds {
+		if t >= tier {
+			continue
+		}
+		i := sort.Search(len(times), func(i int) bool { return times[i] > now-memory })
+		if i < len(times) && times[i] < now-window {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *stats) goodTokens() (n int) {
+	for _, t := range s.classes {
+		n += t.tokens
+	}
+	return n
+}
+
+func (s *stats) goodput() (n int) {
+	for _, t := range s.classes {
+		n += t.attained
+	}
+	return n
+}
+
+func (s *stats) worst(except ...string) (name string, a float64) {
+	a = 2
+	for n, t := range s.customers {
+		if !strings.Contains(strings.Join(except, " "), n) && t.attainment() < a {
+			name, a = n, t.attainment()
+		}
+	}
+	return name, a
+}
+
+func (s *stats) wastedPart() float64 {
+	if s.tokens == 0 {
+		return 0
+	}
+	return float64(s.wasted) / float64(s.tokens)
+}
+
+// quantile returns the q-quantile of d.
+func quantile(d []time.Duration, q float64) time.Duration {
+	if len(d) == 0 {
+		return 0
+	}
+	sorted := append([]time.Duration(nil), d...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i] < sorted[j] })
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
+
+func (s *stats) String() string {
+	names := make([]string, 0, len(s.classes))
+	for n := range s.classes {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	var b strings.Builder
+	for _, n := range names {
+		t := s.classes[n]
+		fmt.Fprintf(&b, "%s %.1f%% of %d (done %d, floor %d, late %d, gap %d); ", n, 100*t.attainment(), t.offered, t.completed, t.floor, t.slowFirst, t.slowGap)
+	}
+	fmt.Fprintf(&b, "attained %d, tokens %d, wasted %.2f%%, first p50 %v p99 %v", s.goodput(), s.tokens, 100*s.wastedPart(),
+		quantile(s.firsts, 0.5).Round(time.Millisecond), quantile(s.firsts, 0.99).Round(time.Millisecond))
+	return b.String()
+}
--- /dev/null
+++ b/internal/policy/model/world_test.go
@@ -0,0 +1,297 @@
+// Package model measures the policy packages in virtual time: one pool, several hosts, and engines
+// that batch continuously.
+package model
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"hickorypath/internal/policy/pool"
+	"hickorypath/internal/policy/route"
+)
+
+const (
+	exchange = 200 * time.Millisecond // between summaries of one host
+	latency  = 2 * time.Millisecond   // between hosts
+	tick     = 25 * time.Millisecond
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// event is something that happens at a time; equal times keep their order of creation.
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].seq < h[j].seq)
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// decider is a host's policy: the pool, or one of the baselines.
+type decider struct {
+	arrive    func(time.Time, pool.Request) []pool.Decision
+	token     func(time.Time, uint64, int)
+	finish    func(time.Time, uint64, pool.Result) []pool.Decision
+	cancel    func(time.Time, uint64) []pool.Decision
+	tick      func(time.Time) []pool.Decision
+	upstreams func(time.Time, []route.Upstream) []pool.Decision
+	report    func(time.Time, string, route.Load)
+	cached    func(time.Time, string, []uint64, []uint64, bool)
+	peer      func(time.Time, string, pool.Summary)
+	summary   func(time.Time) pool.Summary
+}
+
+type host struct {
+	id string
+	decider
+}
+
+// world is one run.
+type world struct {
+	now     time.Duration
+	queue   events
+	seq     int
+	rand    *rand.Rand
+	hosts   []*host
+	engines []*engine
+	classes map[string]pool.Class
+	jobs    map[uint64]*job
+	stats   *stats
+	until   time.Duration
+
+	reportEvery, reportLag time.Duration
+	cacheLag               time.Duration
+	cacheLoss              float64
+	skew                   func(j *job) int // host of a request, nil for any
+}
+
+// job is one request of a caller.
+type job struct {
+	pool.Request
+	host     int
+	output   int // true length
+	arrived  time.Duration
+	started  time.Duration
+	first    time.Duration // time of the first token, zero before
+	last     time.Duration
+	emitted  int
+	prefill  int // prompt tokens that still have to be computed
+	tries    int
+	resumed  int // tokens of earlier runs
+	engine   *engine
+	queued   bool
+	finished bool
+	patience time.Duration
+}
+
+func newWorld(seed uint64, classes []pool.Class, engines []*engine) *world {
+	w := &world{
+		rand:        rand.New(rand.NewPCG(seed, 1)),
+		engines:     engines,
+		classes:     make(map[string]pool.Class),
+		jobs:        make(map[uint64]*job),
+		reportEvery: time.Second,
+		reportLag:   500 * time.Millisecond,
+		cacheLag:    300 * time.Millisecond,
+	}
+	for _, c := range classes {
+		w.classes[c.Name] = c
+	}
+	for _, e := range engines {
+		e.world = w
+	}
+	w.stats = newStats(w)
+	return w
+}
+
+func (w *world) time() time.Time { return epoch.Add(w.now) }
+
+func (w *world) at(d time.Duration, run func()) {
+	w.seq++
+	heap.Push(&w.queue, event{at: d, seq: w.seq, run: run})
+}
+
+func (w *world) after(d time.Duration, run func()) { w.at(w.now+d, run) }
+
+// every runs fn until the run ends.
+func (w *world) every(first, period time.Duration, fn func()) {
+	var again func()
+	again = func() {
+		fn()
+		if w.now+period <= w.until {
+			w.after(period, again)
+		}
+	}
+	w.at(first, again)
+}
+
+func (w *world) addHosts(n int, decide func(id string, seed uint64) decider) {
+	for i := range n {
+		id := string(rune('a' + i))
+		w.hosts = append(w.hosts, &host{id: id, decider: decide(id, uint64(i+1))})
+	}
+}
+
+// run lets the world go on until d of virtual time and until all engines are idle.
+func (w *world) run(d time.Duration) {
+	w.until = d + 20*time.Second
+	w.announce()
+	for i, h := range w.hosts {
+		shift := time.Duration(i) * exchange / time.Duration(len(w.hosts))
+		w.every(shift, exchange, func() { w.share(h) })
+		w.every(time.Duration(i)*time.Millisecond, tick, func() { w.apply(h, h.tick(w.time())) })
+	}
+	for i, e := range w.engines {
+		w.every(time.Duration(i)*10*time.Millisecond, w.reportEvery, func() { w.report(e) })
+	}
+	for len(w.queue) > 0 {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.run()
+	}
+}
+
+// announce tells all hosts the set of upstreams.
+func (w *world) announce() {
+	ups := make([]route.Upstream, 0, len(w.engines))
+	for _, e := range w.engines {
+		if !e.dead {
+			ups = append(ups, route.NewUpstream(e.id, e.zone, e.slots, e.cheap).WithLeaving(e.leaving))
+		}
+	}
+	for _, h := range w.hosts {
+		w.apply(h, h.upstreams(w.time(), ups))
+	}
+}
+
+func (w *world) share(from *host) {
+	s := from.summary(w.time())
+	w.after(latency, func() {
+		for _, h := range w.hosts {
+			if h != from {
+				h.peer(w.time(), from.id, s)
+			}
+		}
+	})
+}
+
+func (w *world) report(e *engine) {
+	if e.dead {
+		return
+	}
+	l := route.Load{Running: len(e.running), Waiting: len(e.waiting), KV: float64(len(e.running)) / float64(e.slots), At: w.time()}
+	w.after(w.reportLag, func() {
+		for _, h := range w.hosts {
+			h.report(w.time(), e.id, l)
+		}
+	})
+}
+
+// arrive brings a request to a host.
+func (w *world) arrive(j *job) {
+	j.arrived = w.now
+	j.host = w.rand.IntN(len(w.hosts))
+	if w.skew != nil {
+		j.host = w.skew(j)
+	}
+	w.jobs[j.ID] = j
+	w.stats.offered(j)
+	w.submit(j)
+	if j.patience > 0 {
+		w.after(j.patience, func() { w.leave(j) })
+	}
+}
+
+func (w *world) submit(j *job) {
+	if j.finished {
+		return
+	}
+	j.queued = true
+	h := w.hosts[j.host]
+	w.apply(h, h.arrive(w.time(), j.Request))
+}
+
+// leave lets a caller go away that has waited too long for the first token.
+func (w *world) leave(j *job) {
+	if j.finished || j.first > 0 {
+		return
+	}
+	j.finished = true
+	w.stats.left(j)
+	if j.engine != nil {
+		j.engine.remove(j)
+	}
+	h := w.hosts[j.host]
+	w.apply(h, h.cancel(w.time(), j.ID))
+}
+
+func (w *world) apply(h *host, decisions []pool.Decision) {
+	for _, d := range decisions {
+		j := w.jobs[d.ID]
+		switch d.Action {
+		case pool.Start:
+			w.stats.started(j, d)
+			j.queued = false
+			j.started = w.now
+			w.engine(d.Upstream).accept(j)
+		case pool.Refuse:
+			w.stats.refused(j, d)
+			j.queued, j.finished = false, true
+			delete(w.jobs, j.ID)
+		}
+	}
+}
+
+func (w *world) engine(id string) *engine {
+	for _, e := range w.engines {
+		if e.id == id {
+			return e
+		}
+	}
+	panic("no engine " + id)
+}
+
+// done ends a run on an engine.
+func (w *world) done(j *job, crashed bool) {
+	h := w.hosts[j.host]
+	r := pool.Result{Output: j.emitted, Crashed: crashed, Failed: crashed}
+	if j.emitted > 1 {
+		r.Gap = (j.last - j.first) / time.Duration(j.emitted-1)
+	}
+	if j.emitted > 0 && j.resumed == 0 {
+		r.First = j.first - j.started
+	}
+	next := h.finish(w.time(), j.ID, r)
+	if !crashed {
+		j.finished = true
+		w.stats.completed(j)
+		delete(w.jobs, j.ID)
+	}
+	w.apply(h, next)
+	if crashed {
+		w.retry(j)
+	}
+}
+
+// retry resumes a request whose engine went away from the tokens that it has.
+func (w *world) retry(j *job) {
+	j.tries++
+	j.engine = nil
+	j.resumed = j.emitted
+	j.Again = true
+	w.submit(j)
+}
--- /dev/null
+++ b/internal/policy/pool/arrive.go
@@ -0,0 +1,165 @@
+package pool
+
+import (
+	"time"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/admit"
+)
+
+// Arrive decides about a new request. The first decision is the request's own; those that follow
+// concern other requests.
+func (p *Pool) Arrive(now time.Time, r Request) []Decision {
+	k, ok := p.classes[r.Class]
+	if !ok {
+		return []Decision{{ID: r.ID, Action: Refuse, Kind: kind.Internal}}
+	}
+	c := p.newCall(now, r, k)
+	p.gate.Arrive(now, k.Tier, c.item.Cost)
+	p.durable.Add(now, c.item.Cost*k.durablePart())
+	p.out = append(p.out, Decision{ID: r.ID, Action: Wait})
+	if p.admit(now, c) {
+		p.enqueue(c)
+		p.dispatch(now)
+	}
+	p.own(r.ID)
+	return p.flush()
+}
+
+// own moves the final decision about id, when there is one, to the front.
+func (p *Pool) own(id uint64) {
+	for i := 1; i < len(p.out); i++ {
+		if p.out[i].ID == id {
+			p.out[0] = p.out[i]
+			p.out = append(p.out[:i], p.out[i+1:]...)
+			return
+		}
+	}
+}
+
+func (p *Pool) newCall(now time.Time, r Request, k *class) *call {
+	c := &call{Request: r, class: k, arrived: now, index: -1}
+	c.charged = p.expected(r)
+	c.item.ID = r.ID
+	c.item.Customer = r.Customer
+	c.item.Class = r.Class
+	c.item.Weight = r.Weight
+	c.item.Cost = c.charged + promptCost*float64(r.Prompt)
+	c.expires = now.Add(k.Wait)
+	if !r.Deadline.IsZero() && r.Deadline.Before(c.expires) {
+		c.expires = r.Deadline
+	}
+	return c
+}
+
+func (p *Pool) expected(r Request) float64 {
+	if p.expect != nil {
+		return p.expect(r)
+	}
+	return p.length.Mean(r.Customer, r.Class, r.Max)
+}
+
+// admit refuses a request that could not start in time and reports whether it may wait.
+func (p *Pool) admit(now time.Time, c *call) bool {
+	tier := c.class.Tier
+	floor := p.queue.Want(c.Class, c.item.Cost)
+	if c.Again {
+		return true
+	}
+	if p.slots == 0 {
+		p.refuse(c, kind.Unavailable, 0)
+		return false
+	}
+	if held := p.gate.Held(now); held != admit.None && held < tier {
+		if !floor {
+			p.gate.Shed(now, tier)
+			p.refuse(c, kind.Overload, p.spread(p.gate.RetryHeld(now)))
+		}
+		c.item.Late = floor
+		return floor
+	}
+	wait := p.wait(now, c)
+	if p.isHopeless(now, c, wait) {
+		p.refuse(c, kind.Deadline, p.spread(p.gate.Retry(wait, 0)))
+		return false
+	}
+	if limit := p.patience(c.class); wait > limit && !floor {
+		p.overload(now, tier)
+		p.refuse(c, kind.Overload, p.spread(p.gate.Retry(wait, limit)))
+		return false
+	}
+	return true
+}
+
+// wait estimates how long the call would wait for a slot.
+func (p *Pool) wait(now time.Time, c *call) time.Duration {
+	if p.total < p.limit && p.queue.Len() == 0 {
+		return 0
+	}
+	ahead := p.queue.Ahead(c.Class, c.Customer)
+	return p.gate.Turn(p.limit) + p.gate.Wait(now, c.class.Tier, ahead, float64(p.limit))
+}
+
+// patience is the estimated wait beyond which a call of class k is refused.
+func (p *Pool) patience(k *class) time.Duration {
+	if k.First <= 0 {
+		return k.Wait
+	}
+	slack := time.Duration(firstSlack * float64(k.First-p.first))
+	return min(k.Wait, max(slack, k.First/8))
+}
+
+// isHopeless reports whether the answer would come after the caller's deadline.
+func (p *Pool) isHopeless(now time.Time, c *call, wait time.Duration) bool {
+	if c.Deadline.IsZero() {
+		return false
+	}
+	run := time.Duration(c.charged * p.gate.Pace() * float64(time.Second))
+	return now.Add(wait + p.first + run).After(c.Deadline)
+}
+
+// overload records that a tier is shed and sheds every lower one that waits.
+func (p *Pool) overload(now time.Time, tier int) {
+	p.gate.Shed(now, tier)
+	p.shedBelow(now, tier)
+}
+
+// shedBelow refuses the waiting requests of all tiers below tier, except those on their floor.
+func (p *Pool) shedBelow(now time.Time, tier int) {
+	var late []*call
+	for level := p.queue.Tiers() - 1; level > tier; level-- {
+		for p.queue.Depth(level) > 0 {
+			c := p.calls[p.queue.Last(level).ID]
+			if c.item.Late {
+				p.queue.Remove(&c.item)
+				late = append(late, c)
+				continue
+			}
+			p.drop(c)
+			p.gate.Shed(now, level)
+			p.refuse(c, kind.Overload, p.spread(p.gate.RetryHeld(now)))
+		}
+	}
+	for _, c := range late {
+		p.queue.Push(&c.item)
+	}
+}
+
+func (p *Pool) refuse(c *call, k kind.Kind, retry time.Duration) {
+	if retry == 0 {
+		retry = k.Answer().RetryAfter()
+	}
+	p.out = append(p.out, Decision{ID: c.ID, Action: Refuse, Kind: k, Retry: retry})
+}
+
+// spread lengthens advice by up to a half, so that refused callers do not return together.
+func (p *Pool) spread(d time.Duration) time.Duration {
+	return d + time.Duration(p.rand.Float64()*float64(d)/2)
+}
+
+func (k *class) durablePart() float64 {
+	if !k.Cheap {
+		return 1
+	}
+	return k.Solid
+}
--- /dev/null
+++ b/internal/policy/pool/peer.go
@@ -0,0 +1,153 @@
+package pool
+
+import (
+	"math"
+	"time"
+
+	"hickorypath/internal/policy/admit"
+)
+
+// Summary is what a host tells the others about one pool, several times a second.
+type Summary struct {
+	Queued  []int          `cbor:"q"` // by tier
+	Running []int          `cbor:"r"` // by tier
+	Weight  []float64      `cbor:"w"` // weight of the waiting customers, by tier
+	Shed    int            `cbor:"s"` // highest tier that is shed, -1 for none
+	Counts  map[string]int `cbor:"u"` // running by upstream
+	Offered []float64      `cbor:"o"` // slots that the arrivals would keep busy, by tier
+	Durable float64        `cbor:"d"` // of them, slots that must be durable
+}
+
+type peer struct {
+	Summary
+	at time.Time
+}
+
+// TierDepth is the number of requests of one tier on this host.
+type TierDepth struct {
+	Tier    int
+	Queued  int
+	Running int
+}
+
+// Demand is what all known hosts together ask of the pool.
+type Demand struct {
+	Slots   float64   // slots that the arrivals would keep busy, refused ones included
+	Durable float64   // of them, slots that must be on durable upstreams
+	Tiers   []float64 // Slots by tier
+	Queued  int
+	Running int
+}
+
+// Summary returns this host's summary.
+func (p *Pool) Summary(now time.Time) Summary {
+	s := Summary{
+		Queued:  make([]int, p.queue.Tiers()),
+		Running: append([]int(nil), p.running...),
+		Weight:  make([]float64, p.queue.Tiers()),
+		Shed:    p.gate.Shedding(now),
+		Counts:  make(map[string]int, len(p.counts)),
+		Offered: make([]float64, p.queue.Tiers()),
+		Durable: p.durable.PerSecond(now) * p.gate.Pace(),
+	}
+	for t := range s.Queued {
+		s.Queued[t] = p.queue.Depth(t)
+		s.Weight[t] = p.queue.Active(t)
+		s.Offered[t] = p.gate.Offered(now, t)
+	}
+	for id, n := range p.counts {
+		s.Counts[id] = n
+	}
+	return s
+}
+
+// Peer takes the summary of another host.
+func (p *Pool) Peer(now time.Time, host string, s Summary) {
+	if host == p.host {
+		return
+	}
+	p.peers[host] = peer{Summary: s, at: now}
+	p.gate.Peer(now, host, s.Shed)
+	p.table.Peer(now, host, s.Counts)
+}
+
+// Depth returns the number of requests by tier.
+func (p *Pool) Depth() []TierDepth {
+	depths := make([]TierDepth, p.queue.Tiers())
+	for t := range depths {
+		depths[t] = TierDepth{Tier: t, Queued: p.queue.Depth(t), Running: p.running[t]}
+	}
+	return depths
+}
+
+// Want returns the demand on the pool, from this host's arrivals and the summaries of the others.
+func (p *Pool) Want(now time.Time) Demand {
+	d := Demand{Tiers: make([]float64, p.queue.Tiers())}
+	d.add(p.Summary(now))
+	for _, peer := range p.peers {
+		if now.Sub(peer.at) <= peerTime {
+			d.add(peer.Summary)
+		}
+	}
+	return d
+}
+
+func (d *Demand) add(s Summary) {
+	d.Durable += s.Durable
+	for t := range min(len(s.Offered), len(d.Tiers)) {
+		d.Tiers[t] += s.Offered[t]
+		d.Slots += s.Offered[t]
+	}
+	for _, n := range s.Queued {
+		d.Queued += n
+	}
+	for _, n := range s.Running {
+		d.Running += n
+	}
+}
+
+// split recomputes this host's part of the slots.
+func (p *Pool) split(now time.Time) {
+	loads := make([]admit.Load, 0, len(p.peers)+1)
+	own := admit.Load{Host: p.host, Want: make([]float64, p.queue.Tiers()), Weight: make([]float64, p.queue.Tiers())}
+	for t := range own.Want {
+		own.Want[t] = p.gate.Offered(now, t)
+		own.Weight[t] = p.queue.Active(t)
+	}
+	loads = append(loads, own)
+	for host, peer := range p.peers {
+		if now.Sub(peer.at) > peerTime {
+			p.forget(now, host)
+			continue
+		}
+		loads = append(loads, peer.load(host))
+	}
+	p.limit = admit.Split(p.slots, loads, p.host)
+	p.reserve(now)
+}
+
+// reserve computes how many free slots each tier leaves for the arrivals of higher ones, which
+// vary by the square root of the slots that they occupy on average.
+func (p *Pool) reserve(now time.Time) {
+	higher := 0.0
+	for t := range p.spare {
+		n := math.Ceil(spareFactor * math.Sqrt(higher))
+		p.spare[t] = int(math.Min(n, maxSpare*float64(p.limit)))
+		higher += p.gate.Offered(now, t)
+	}
+}
+
+// forget drops a host that has sent no summary for some time.
+func (p *Pool) forget(now time.Time, host string) {
+	delete(p.peers, host)
+	p.gate.Peer(now, host, admit.None)
+	p.table.Peer(now, host, nil)
+}
+
+func (s Summary) load(host string) admit.Load {
+	want := make([]float64, min(len(s.Queued), len(s.Running)))
+	for t := range want {
+		want[t] = s.Offered[t]
+	}
+	return admit.Load{Host: host, Want: want, Weight: s.Weight}
+}
--- /dev/null
+++ b/internal/policy/pool/pool.go
@@ -0,0 +1,174 @@
+// Package pool composes the policies of one pool of upstreams on one host: admission, queueing,
+// routing and the sharing of slots with other hosts.
+//
+// A Pool is pure: it takes events with their time and returns decisions. It does no I/O, starts no
+// goroutine and reads no clock. It is not safe for concurrent use.
+package pool
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"hickorypath/internal/policy/admit"
+	"hickorypath/internal/policy/length"
+	"hickorypath/internal/policy/queue"
+	"hickorypath/internal/policy/route"
+)
+
+const (
+	// minFloor is the share of service that every class gets at least.
+	minFloor = 0.005
+	// defaultWait is the longest queueing of a class that names none.
+	defaultWait = 5 * time.Second
+	// promptCost is the cost of a prompt token in output tokens.
+	promptCost = 0.05
+	// firstDecay is the weight of one sample in the mean time to the first token.
+	firstDecay = 0.05
+	// firstSlack is the part of a first-token target that queueing may use up, beside the time that
+	// an upstream takes to produce the token.
+	firstSlack = 0.7
+	// spareFactor scales the slots that are left free for the arrivals of higher tiers.
+	spareFactor = 0.6
+	// maxSpare is the largest part of the slots that is left free.
+	maxSpare = 0.25
+	// peerTime is how long the summary of another host counts.
+	peerTime = 3 * time.Second
+)
+
+// Class is one request class as the pool sees it.
+type Class struct {
+	Name   string
+	Tier   int           // 0 is served first
+	First  time.Duration // target for the first token, zero for none
+	Gap    time.Duration // target between tokens, zero for none
+	Whole  time.Duration // target for the whole answer, zero for none
+	Wait   time.Duration // longest queueing
+	Share  float64       // floor of service
+	Weight float64       // weight inside the tier
+	Cheap  bool          // may run on reclaimable upstreams
+	Solid  float64       // share kept on durable upstreams
+}
+
+// Config configures a Pool.
+type Config struct {
+	Host    string
+	Zone    string
+	Classes []Class
+	Seed    uint64
+	Expect  func(Request) float64 // expected output tokens; nil learns them
+}
+
+// Pool is the decision core of one pool on one host.
+type Pool struct {
+	host    string
+	classes map[string]*class
+	queue   *queue.Queue
+	gate    *admit.Gate
+	length  *length.Model
+	table   *route.Table
+	rand    *rand.Rand
+	expect  func(Request) float64
+	durable admit.Rate // cost that must run on durable upstreams
+
+	calls   map[uint64]*call
+	expiry  expiryHeap
+	aside   []*call // requests with placement constraints that no upstream meets now
+	running []int   // by tier
+	total   int
+	counts  map[string]int // running by upstream
+
+	slots int // of all upstreams
+	limit int // of slots, the part for this host
+	spare []int // by tier, free slots that are kept for higher tiers
+	first time.Duration
+	peers map[string]peer
+
+	round     uint64
+	isAllowed func(class string, floor bool) bool
+	out       []Decision
+}
+
+type class struct {
+	Class
+	running int
+	solid   int // of running, those on durable upstreams
+	blocked uint64
+}
+
+// New returns a Pool without upstreams.
+func New(conf Config) *Pool {
+	p := &Pool{
+		host:    conf.Host,
+		classes: make(map[string]*class),
+		length:  length.New(0),
+		table:   route.New(route.Config{Zone: conf.Zone, Seed: conf.Seed}),
+		rand:    rand.New(rand.NewPCG(conf.Seed, conf.Seed)),
+		expect:  conf.Expect,
+		calls:   make(map[uint64]*call),
+		counts:  make(map[string]int),
+		peers:   make(map[string]peer),
+	}
+	queued := make([]queue.Class, 0, len(conf.Classes))
+	for _, c := range conf.Classes {
+		p.classes[c.Name] = newClass(c)
+		queued = append(queued, queue.Class{Name: c.Name, Tier: c.Tier, Weight: c.Weight, Floor: max(c.Share, minFloor)})
+	}
+	p.queue = queue.New(queued)
+	p.gate = admit.New(p.queue.Tiers())
+	p.running = make([]int, p.queue.Tiers())
+	p.spare = make([]int, p.queue.Tiers())
+	p.isAllowed = p.allows
+	return p
+}
+
+// allows reports whether a class may start a request in this round of dispatch.
+func (p *Pool) allows(name string, floor bool) bool {
+	k := p.classes[name]
+	if k.blocked == p.round {
+		return false
+	}
+	return floor || p.total+p.spare[k.Tier] < p.limit
+}
+
+func newClass(c Class) *class {
+	if c.Wait <= 0 {
+		c.Wait = defaultWait
+	}
+	return &class{Class: c}
+}
+
+// Upstreams replaces the set of upstreams and starts what can run on new ones.
+func (p *Pool) Upstreams(now time.Time, ups []route.Upstream) []Decision {
+	p.table.Set(now, ups)
+	p.slots = 0
+	for _, u := range ups {
+		if !u.Leaving() {
+			p.slots += u.Slots()
+		}
+	}
+	p.split(now)
+	p.dispatch(now)
+	return p.flush()
+}
+
+// Report takes an upstream's own report of its load.
+func (p *Pool) Report(now time.Time, upstream string, l route.Load) {
+	p.table.Report(now, upstream, l)
+}
+
+// Cached takes an upstream's events about its prefix cache; gap tells that events were lost.
+func (p *Pool) Cached(now time.Time, upstream string, added, removed []uint64, gap bool) {
+	p.table.Cached(now, upstream, added, removed, gap)
+}
+
+// Limit returns how many requests this host may run now.
+func (p *Pool) Limit() int { return p.limit }
+
+// Running returns how many requests this host runs.
+func (p *Pool) Running() int { return p.total }
+
+func (p *Pool) flush() []Decision {
+	out := p.out
+	p.out = nil
+	return out
+}
--- /dev/null
+++ b/internal/policy/pool/request.go
@@ -0,0 +1,86 @@
+package pool
+
+import (
+	"time"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/queue"
+	"hickorypath/internal/policy/route"
+)
+
+// Request asks for one answer.
+type Request struct {
+	ID       uint64
+	Customer string
+	Class    string
+	Weight   float64   // weight of the customer, 1 when zero
+	Prompt   int       // estimated tokens
+	Max      int       // most output tokens, zero when unknown
+	Prefix   []uint64  // hashes of the prompt's prefix blocks, salted per customer
+	Deadline time.Time // after which an answer is of no use, zero for none
+	Exclude  []string  // upstreams that must not run it
+	Lone     bool      // run it only where no other suspect runs
+	Suspect  bool      // ran on an upstream that crashed
+	Again    bool      // a retry or resume of a request that was started before
+}
+
+// Action is what to do with a request.
+type Action int
+
+// The actions.
+const (
+	Wait   Action = iota // the request is queued; a later decision names its fate
+	Start                // run the request on Decision.Upstream
+	Refuse               // answer the caller with Decision.Kind
+)
+
+// Decision is the fate of one request.
+type Decision struct {
+	ID       uint64
+	Action   Action
+	Upstream string
+	Kind     kind.Kind
+	Retry    time.Duration // advice to a refused caller
+	Floor    bool          // started on the floor of its class
+}
+
+// Result tells how a run ended.
+type Result struct {
+	Output  int // output tokens
+	Failed  bool
+	Crashed bool
+	First   time.Duration // from start to first token, zero when there was none
+	Gap     time.Duration // mean time between tokens, zero when unknown
+}
+
+// call is a request that waits or runs.
+type call struct {
+	Request
+	item     queue.Item
+	class    *class
+	arrived  time.Time
+	expires  time.Time
+	started  time.Time
+	upstream string
+	solid    bool
+	charged  float64 // output tokens charged so far
+	emitted  int
+	index    int // in the expiry heap, -1 when absent
+}
+
+func (c *call) isRunning() bool { return c.upstream != "" }
+
+// work describes the call to the routing table. Cheap is set where the class allows it.
+func (c *call) work(cheap bool) route.Work {
+	return route.Work{
+		Cheap:   cheap,
+		Prefix:  c.Prefix,
+		Tokens:  c.Prompt,
+		Exclude: c.Exclude,
+		Lone:    c.Lone,
+		Suspect: c.Suspect,
+	}
+}
+
+// isPicky reports whether the call has placement constraints that others of its class have not.
+func (c *call) isPicky() bool { return len(c.Exclude) > 0 || c.Lone }
--- /dev/null
+++ b/internal/policy/queue/queue.go
@@ -0,0 +1,296 @@
+// Package queue orders waiting requests: tiers first, then weighted fair queueing over classes and,
+// inside a class, over customers.
+//
+// Service is charged in cost units (tokens). A charge is an estimate when a request starts and is
+// corrected when its true length is known. Each class also has a floor, a share of the service that
+// it gets even while higher tiers are backlogged.
+package queue
+
+import "math"
+
+// Class is the configuration of one class.
+type Class struct {
+	Name   string
+	Tier   int
+	Weight float64 // share inside its tier, 1 when zero
+	Floor  float64 // share of all service that the class gets whatever the tiers above it ask for
+}
+
+// Item is one waiting request.
+type Item struct {
+	ID       uint64
+	Customer string
+	Class    string
+	Weight   float64 // weight of the customer, 1 when zero
+	Cost     float64 // estimated cost
+	Late     bool    // served on the floor of its class
+
+	flow       *flow
+	prev, next *Item
+}
+
+// Queue holds the waiting requests of one pool. It is not safe for concurrent use.
+type Queue struct {
+	tiers   []*tier
+	classes map[string]*class
+	served  float64
+	length  int
+}
+
+type tier struct {
+	level   int
+	clock   float64
+	classes []*class
+	work    float64
+	length  int
+}
+
+// New returns an empty Queue for classes.
+func New(classes []Class) *Queue {
+	q := &Queue{classes: make(map[string]*class)}
+	for _, c := range classes {
+		q.add(c)
+	}
+	return q
+}
+
+func (q *Queue) add(conf Class) {
+	conf.Weight = positive(conf.Weight)
+	for len(q.tiers) <= conf.Tier {
+		q.tiers = append(q.tiers, &tier{level: len(q.tiers)})
+	}
+	c := &class{conf: conf, tier: q.tiers[conf.Tier], flows: make(map[string]*flow)}
+	c.tier.classes = append(c.tier.classes, c)
+	q.classes[conf.Name] = c
+}
+
+// Push appends it to the queue of its customer and class. It reports false for an unknown class.
+func (q *Queue) Push(it *Item) bool {
+	c, ok := q.classes[it.Class]
+	if !ok {
+		return false
+	}
+	if c.length == 0 {
+		c.tag = math.Max(c.tag, c.tier.clock)
+	}
+	c.push(it)
+	c.tier.work += it.Cost
+	c.tier.length++
+	q.length++
+	return true
+}
+
+// Peek returns the request to serve next, or nil, and leaves it in the queue. A class for which
+// allowed reports false is passed over; floor tells it that the class would be served on its floor.
+// A nil function allows every class.
+func (q *Queue) Peek(allowed func(class string, floor bool) bool) *Item {
+	if q.length == 0 {
+		return nil
+	}
+	if it := q.peekFloor(allowed); it != nil {
+		return it
+	}
+	for _, t := range q.tiers {
+		if c := t.first(allowed); c != nil {
+			return c.head()
+		}
+	}
+	return nil
+}
+
+func (q *Queue) peekFloor(allowed func(class string, floor bool) bool) *Item {
+	for i := len(q.tiers) - 1; i > 0; i-- {
+		for _, c := range q.tiers[i].classes {
+			if c.length == 0 || c.credit < c.head().Cost {
+				continue
+			}
+			if allowed == nil || allowed(c.conf.Name, true) {
+				it := c.head()
+				it.Late = true
+				return it
+			}
+		}
+	}
+	return nil
+}
+
+// Next removes and returns the request to serve next, or nil.
+func (q *Queue) Next(allowed func(class string, floor bool) bool) *Item {
+	it := q.Peek(allowed)
+	if it != nil {
+		q.Take(it)
+	}
+	return it
+}
+
+// Take removes a request that is about to be served, which is one that Peek returned, and charges
+// its estimated cost.
+func (q *Queue) Take(it *Item) {
+	c := it.flow.class
+	t := c.tier
+	t.clock = math.Max(t.clock, c.tag)
+	c.tag += it.Cost / c.conf.Weight
+	c.take(it)
+	q.removed(t, it)
+	q.serve(c, it.Cost)
+}
+
+func (t *tier) first(allowed func(class string, floor bool) bool) *class {
+	if t.length == 0 {
+		return nil
+	}
+	var best *class
+	for _, c := range t.classes {
+		if c.length == 0 || (best != nil && c.tag >= best.tag) {
+			continue
+		}
+		if allowed == nil || allowed(c.conf.Name, false) {
+			best = c
+		}
+	}
+	return best
+}
+
+// serve accounts cost units of service given to c and accrues the floor credit of waiting classes.
+func (q *Queue) serve(c *class, cost float64) {
+	q.served += cost
+	c.credit = math.Max(c.credit-cost, -cost)
+	for _, t := range q.tiers {
+		for _, other := range t.classes {
+			other.accrue(cost, q.served)
+		}
+	}
+}
+
+// Remove takes a waiting request out of the queue. It reports false when the request does not wait.
+func (q *Queue) Remove(it *Item) bool {
+	if it.flow == nil {
+		return false
+	}
+	c := it.flow.class
+	c.remove(it)
+	q.removed(c.tier, it)
+	return true
+}
+
+func (q *Queue) removed(t *tier, it *Item) {
+	t.length--
+	t.work -= it.Cost
+	q.length--
+	if t.length == 0 {
+		t.work = 0
+	}
+}
+
+// Charge corrects the charge of a customer and class by delta cost units, which may be negative.
+func (q *Queue) Charge(className, customer string, delta float64) {
+	c, ok := q.classes[className]
+	if !ok {
+		return
+	}
+	c.tag += delta / c.conf.Weight
+	c.credit -= delta
+	c.charge(customer, delta)
+}
+
+// Want records that a request of a class arrived, so that the floor of the class accrues credit
+// even when its requests are refused. It reports whether the credit covers cost.
+func (q *Queue) Want(className string, cost float64) bool {
+	c, ok := q.classes[className]
+	if !ok {
+		return false
+	}
+	c.wanted = q.served + c.patience(cost)
+	c.limit = math.Max(2*cost, c.limit*limitDecay)
+	return c.conf.Tier > 0 && c.credit >= cost+c.work
+}
+
+// Last returns a request to shed from a tier: the newest one of a customer late in the fair order
+// of the class with the most service. It is nil when the tier is empty.
+func (q *Queue) Last(level int) *Item {
+	if level < 0 || level >= len(q.tiers) || q.tiers[level].length == 0 {
+		return nil
+	}
+	var worst *class
+	for _, c := range q.tiers[level].classes {
+		if c.length > 0 && (worst == nil || c.tag > worst.tag) {
+			worst = c
+		}
+	}
+	return worst.heap[len(worst.heap)-1].last
+}
+
+// Lowest returns the lowest tier with a waiting request, or -1.
+func (q *Queue) Lowest() int {
+	for i := len(q.tiers) - 1; i >= 0; i-- {
+		if q.tiers[i].length > 0 {
+			return i
+		}
+	}
+	return -1
+}
+
+// Ahead estimates the cost units served before a new request of a customer and class.
+func (q *Queue) Ahead(className, customer string) float64 {
+	c, ok := q.classes[className]
+	if !ok {
+		return 0
+	}
+	ahead := 0.0
+	for _, t := range q.tiers[:c.conf.Tier] {
+		ahead += t.work
+	}
+	return ahead + math.Min(c.tier.work, c.ahead(customer)*c.tier.scale(c))
+}
+
+// scale returns by how much the service of a class is stretched by the other classes of its tier.
+func (t *tier) scale(c *class) float64 {
+	total := c.conf.Weight
+	for _, other := range t.classes {
+		if other != c && other.length > 0 {
+			total += other.conf.Weight
+		}
+	}
+	return total / c.conf.Weight
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int { return q.length }
+
+// Tiers returns one more than the lowest tier of the configuration.
+func (q *Queue) Tiers() int { return len(q.tiers) }
+
+// Depth returns the number of waiting requests of a tier.
+func (q *Queue) Depth(level int) int {
+	if level < 0 || level >= len(q.tiers) {
+		return 0
+	}
+	return q.tiers[level].length
+}
+
+// Work returns the cost units that wait in a tier.
+func (q *Queue) Work(level int) float64 {
+	if level < 0 || level >= len(q.tiers) {
+		return 0
+	}
+	return q.tiers[level].work
+}
+
+// Active returns the summed weight of the customers that wait in a tier.
+func (q *Queue) Active(level int) float64 {
+	if level < 0 || level >= len(q.tiers) {
+		return 0
+	}
+	sum := 0.0
+	for _, c := range q.tiers[level].classes {
+		sum += c.active * c.conf.Weight
+	}
+	return sum
+}
+
+func positive(w float64) float64 {
+	if w > 0 {
+		return w
+	}
+	return 1
+}
