--- a/internal/policy/model/engine_test.go
+++ b/internal/policy/model/engine_test.go
@@ -161,18 +161,6 @@
 	return jobs
 }
 
-// crash ends everything that the engine runs.
-func (e *engine) crash() {
-	lost := append(append([]*job(nil), e.running...), e.waiting...)
-	e.running, e.waiting = nil, nil
-	e.dead, e.busy = true, false
-	e.generation++
-	e.world.announce()
-	for _, j := range lost {
-		e.world.done(j, true)
-	}
-}
-
 // prefixCache is a least-recently-used set of prefix blocks.
 type prefixCache struct {
 	capacity int
--- a/internal/policy/model/load_test.go
+++ b/internal/policy/model/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"hickorypath/internal/policy/pool"
@@ -16,52 +17,42 @@
 	mean            float64 // mean output tokens
 	sigma           float64 // of the logarithm of output lengths
 	prompt          int
-	prefix          func(*world) []uint64
+	prefix          func(*rand.Rand) []uint64
 	patience        time.Duration // callers go away after it, zero for never
 	limit           int           // max_tokens
 }
 
-// play schedules the arrivals of streams until the time given.
+// play schedules the arrivals of streams until the time given. Each stream draws from its own
+// source, so that a change of one leaves the others as they are.
 func (w *world) play(until time.Duration, streams ...stream) {
 	id := uint64(0)
-	for _, s := range streams {
+	for i, s := range streams {
+		r := rand.New(rand.NewPCG(w.seed, uint64(i)+100))
 		peak := max(s.peak, 1)
-		for t := w.gap(s.rate * peak); t < until; t += w.gap(s.rate * peak) {
-			if s.factor != nil && w.rand.Float64() > s.factor(t)/peak {
-				continue
-			}
+		gap := func() time.Duration {
+			return time.Duration(r.ExpFloat64() / (s.rate * peak) * float64(time.Second))
+		}
+		for t := gap(); t < until; t += gap() {
 			id++
-			j := w.job(s, id)
-			w.at(t, func() { w.arrive(j) })
+			j := s.job(r, id)
+			if s.factor == nil || r.Float64() < s.factor(t)/peak {
+				w.at(t, func() { w.arrive(j) })
+			}
 		}
 	}
 }
 
-func (w *world) gap(rate float64) time.Duration {
-	return time.Duration(w.rand.ExpFloat64() / rate * float64(time.Second))
-}
-
-func (w *world) job(s stream, id uint64) *job {
+func (s stream) job(r *rand.Rand, id uint64) *job {
 	j := &job{Request: pool.Request{ID: id, Class: s.class, Customer: s.customer, Prompt: s.prompt, Max: s.limit}}
 	mu := math.Log(s.mean) - s.sigma*s.sigma/2
-	j.output = max(1, int(math.Exp(mu+s.sigma*w.rand.NormFloat64())))
+	j.output = max(1, int(math.Exp(mu+s.sigma*r.NormFloat64())))
 	if s.limit > 0 {
 		j.output = min(j.output, s.limit)
 	}
 	if s.prefix != nil {
-		j.Prefix = s.prefix(w)
+		j.Prefix = s.prefix(r)
 		j.Prompt += len(j.Prefix) * blockTokens
 	}
 	j.patience = s.patience
 	return j
 }
-
-// during is a factor of high between from and to, and of 1 otherwise.
-func during(from, to time.Duration, high float64) func(time.Duration) float64 {
-	return func(t time.Duration) float64 {
-		if t >= from && t < to {
-			return high
-		}
-		return 1
-	}
-}
--- a/internal/policy/model/overload_test.go
+++ b/internal/policy/model/overload_test.go
@@ -28,7 +28,7 @@
 // mixed offers load requests a second over the classes and ten customers, a few of them large.
 func mixed(classes []pool.Class, load float64) []stream {
 	weights := []float64{6, 4, 3, 1, 1, 1, 1, 1, 1, 1}
-	streams := []stream(nil)
+	streams := make([]stream, 0, len(classes)*len(weights))
 	for _, c := range classes {
 		for i, weight := range weights {
 			streams = append(streams, stream{
--- a/internal/policy/model/stats_test.go
+++ b/internal/policy/model/stats_test.go
@@ -19,7 +19,7 @@
 // tally counts the requests of one class or customer.
 type tally struct {
 	offered, attained, completed, refused, left, floor int
-	slowFirst, slowGap int // completed, but missed a target
+	slowFirst, slowGap                                 int // completed, but missed a target
 	tokens                                             int
 }
 
@@ -172,13 +172,6 @@
 	return false
 }
 
-func (s *stats) goodTokens() (n int) {
-	for _, t := range s.classes {
-		n += t.tokens
-	}
-	return n
-}
-
 func (s *stats) goodput() (n int) {
 	for _, t := range s.classes {
 		n += t.attained
@@ -186,16 +179,6 @@
 	return n
 }
 
-func (s *stats) worst(except ...string) (name string, a float64) {
-	a = 2
-	for n, t := range s.customers {
-		if !strings.Contains(strings.Join(except, " "), n) && t.attainment() < a {
-			name, a = n, t.attainment()
-		}
-	}
-	return name, a
-}
-
 func (s *stats) wastedPart() float64 {
 	if s.tokens == 0 {
 		return 0
--- a/internal/policy/model/world_test.go
+++ b/internal/policy/model/world_test.go
@@ -65,6 +65,7 @@
 	now     time.Duration
 	queue   events
 	seq     int
+	seed    uint64
 	rand    *rand.Rand
 	hosts   []*host
 	engines []*engine
@@ -100,6 +101,7 @@
 
 func newWorld(seed uint64, classes []pool.Class, engines []*engine) *world {
 	w := &world{
+		seed:        seed,
 		rand:        rand.New(rand.NewPCG(seed, 1)),
 		engines:     engines,
 		classes:     make(map[string]pool.Class),
--- a/internal/policy/pool/pool.go
+++ b/internal/policy/pool/pool.go
@@ -30,7 +30,7 @@
 	// floorWait is the longest queueing on the floor of a class that is held back.
 	floorWait = 150 * time.Millisecond
 	// spareFactor scales the slots that are left free for the arrivals of higher tiers.
-	spareFactor = 0.6
+	spareFactor = 1
 	// maxSpare is the largest part of the slots that is left free.
 	maxSpare = 0.25
 	// peerTime is how long the summary of another host counts.
@@ -79,8 +79,8 @@
 	total   int
 	counts  map[string]int // running by upstream
 
-	slots int // of all upstreams
-	limit int // of slots, the part for this host
+	slots int   // of all upstreams
+	limit int   // of slots, the part for this host
 	spare []int // by tier, free slots that are kept for higher tiers
 	first time.Duration
 	peers map[string]peer
@@ -103,7 +103,7 @@
 		host:    conf.Host,
 		classes: make(map[string]*class),
 		length:  length.New(0),
-		table:   route.New(route.Config{Zone: conf.Zone, Seed: conf.Seed}),
+		table:   route.New(route.Config{Host: conf.Host, Zone: conf.Zone, Seed: conf.Seed}),
 		rand:    rand.New(rand.NewPCG(conf.Seed, conf.Seed)),
 		expect:  conf.Expect,
 		calls:   make(map[uint64]*call),
--- /dev/null
+++ b/internal/policy/pool/pool_test.go
@@ -0,0 +1,120 @@
+package pool_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/pool"
+	"hickorypath/internal/policy/route"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func classes() []pool.Class {
+	return []pool.Class{
+		{Name: "live", Tier: 0, Wait: 10 * time.Second},
+		{Name: "bulk", Tier: 2, Wait: time.Minute, Cheap: true},
+	}
+}
+
+func newPool(slots int) *pool.Pool {
+	p := pool.New(pool.Config{Host: "a", Zone: "z1", Classes: classes(), Seed: 1})
+	if slots == 0 {
+		return p
+	}
+	p.Upstreams(start, []route.Upstream{route.NewUpstream("e1", "z1", slots, false)})
+	return p
+}
+
+func Example() {
+	p := newPool(1)
+	for id, class := range []string{"bulk", "bulk", "live"} {
+		r := pool.Request{ID: uint64(id), Customer: "c1", Class: class, Prompt: 100}
+		fmt.Println(p.Arrive(start, r)[0].Action == pool.Start)
+	}
+	for _, d := range p.Finish(start.Add(time.Second), 0, pool.Result{Output: 50}) {
+		fmt.Println("start", d.ID, "on", d.Upstream)
+	}
+	// Output:
+	// true
+	// false
+	// false
+	// start 2 on e1
+}
+
+func TestArriveRefuses(t *testing.T) {
+	cases := []struct {
+		name  string
+		slots int
+		r     pool.Request
+		want  kind.Kind
+	}{
+		{"unknown class", 1, pool.Request{ID: 9, Class: "none"}, kind.Internal},
+		{"no upstream", 0, pool.Request{ID: 9, Class: "live"}, kind.Unavailable},
+		{"deadline too near", 1, pool.Request{ID: 9, Class: "live", Deadline: start.Add(time.Millisecond)}, kind.Deadline},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newPool(c.slots).Arrive(start, c.r)
+			is.Equal(len(d), 1)
+			is.Equal(d[0].Action, pool.Refuse)
+			is.Equal(d[0].Kind, c.want)
+		})
+	}
+}
+
+func TestShedLowerFirst(t *testing.T) {
+	is := is.New(t)
+	p := newPool(1)
+	p.Arrive(start, pool.Request{ID: 1, Customer: "c1", Class: "bulk"})
+	p.Arrive(start, pool.Request{ID: 2, Customer: "c1", Class: "bulk"})
+	refused := map[uint64]bool{}
+	for id := uint64(3); id < 40; id++ {
+		for _, d := range p.Arrive(start, pool.Request{ID: id, Customer: "c1", Class: "live"}) {
+			if d.Action == pool.Refuse {
+				refused[d.ID] = true
+				is.True(d.Retry >= time.Second)
+			}
+		}
+	}
+	is.True(refused[2]) // the lower tier goes as soon as a higher one is shed
+	d := p.Arrive(start, pool.Request{ID: 50, Customer: "c2", Class: "bulk"})
+	is.Equal(d[0].Action, pool.Refuse) // and is held back
+}
+
+func TestPeerHoldsBack(t *testing.T) {
+	is := is.New(t)
+	p := newPool(4)
+	p.Peer(start, "b", pool.Summary{Shed: 0, Queued: []int{3, 0, 0}, Running: []int{4, 0, 0}})
+	d := p.Arrive(start, pool.Request{ID: 1, Customer: "c1", Class: "bulk"})
+	is.Equal(d[0].Kind, kind.Overload)
+	later := start.Add(1500 * time.Millisecond)
+	p.Peer(later, "b", pool.Summary{Shed: -1})
+	p.Tick(later)
+	d = p.Arrive(later, pool.Request{ID: 2, Customer: "c1", Class: "bulk"})
+	is.Equal(d[0].Action, pool.Start)
+}
+
+func TestAgainIsNotRefused(t *testing.T) {
+	is := is.New(t)
+	p := newPool(1)
+	p.Peer(start, "b", pool.Summary{Shed: 0})
+	d := p.Arrive(start, pool.Request{ID: 1, Customer: "c1", Class: "bulk", Again: true})
+	is.Equal(d[0].Action, pool.Start)
+}
+
+func TestWaitEnds(t *testing.T) {
+	is := is.New(t)
+	p := newPool(1)
+	p.Arrive(start, pool.Request{ID: 1, Customer: "c1", Class: "live"})
+	p.Arrive(start, pool.Request{ID: 2, Customer: "c1", Class: "live"})
+	is.Equal(len(p.Tick(start.Add(9*time.Second))), 0)
+	d := p.Tick(start.Add(11 * time.Second))
+	is.Equal(len(d), 1)
+	is.Equal(d[0], pool.Decision{ID: 2, Action: pool.Refuse, Kind: kind.Overload, Retry: d[0].Retry})
+}
--- a/internal/policy/pool/request.go
+++ b/internal/policy/pool/request.go
@@ -63,8 +63,8 @@
 	started  time.Time
 	upstream string
 	solid    bool
-	late     bool // admitted on the floor of its class while the class is held back
-	floor    bool // started on the floor of its class
+	late     bool    // admitted on the floor of its class while the class is held back
+	floor    bool    // started on the floor of its class
 	charged  float64 // output tokens charged so far
 	emitted  int
 	index    int // in the expiry heap, -1 when absent
