--- /dev/null
+++ b/internal/policy/model/load_test.go
@@ -0,0 +1,58 @@
+package model
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"hickorypath/internal/policy/pool"
+)
+
+// stream is an open-loop source of requests of one customer and class.
+type stream struct {
+	class, customer string
+	rate            float64 // requests a second
+	factor          func(time.Duration) float64
+	peak            float64 // largest factor, 1 when zero
+	mean            float64 // mean output tokens
+	sigma           float64 // of the logarithm of output lengths
+	prompt          int
+	prefix          func(*rand.Rand) []uint64
+	patience        time.Duration // callers go away after it, zero for never
+	limit           int           // max_tokens
+}
+
+// play schedules the arrivals of streams until the time given. Each stream draws from its own
+// source, so that a change of one leaves the others as they are.
+func (w *world) play(until time.Duration, streams ...stream) {
+	id := uint64(0)
+	for i, s := range streams {
+		r := rand.New(rand.NewPCG(w.seed, uint64(i)+100))
+		peak := max(s.peak, 1)
+		gap := func() time.Duration {
+			return time.Duration(r.ExpFloat64() / (s.rate * peak) * float64(time.Second))
+		}
+		for t := gap(); t < until; t += gap() {
+			id++
+			j := s.job(r, id)
+			if s.factor == nil || r.Float64() < s.factor(t)/peak {
+				w.at(t, func() { w.arrive(j) })
+			}
+		}
+	}
+}
+
+func (s stream) job(r *rand.Rand, id uint64) *job {
+	j := &job{Request: pool.Request{ID: id, Class: s.class, Customer: s.customer, Prompt: s.prompt, Max: s.limit}}
+	mu := math.Log(s.mean) - s.sigma*s.sigma/2
+	j.output = max(1, int(math.Exp(mu+s.sigma*r.NormFloat64())))
+	if s.limit > 0 {
+		j.output = min(j.output, s.limit)
+	}
+	if s.prefix != nil {
+		j.Prefix = s.prefix(r)
+		j.Prompt += len(j.Prefix) * blockTokens
+	}
+	j.patience = s.patience
+	return j
+}
