--- /dev/null
+++ b/internal/operator/admin/admin.go
@@ -0,0 +1,109 @@
+// Package admin serves the operators' API: the document, keys, status, usage and burn.
+//
+// All dependencies are function fields, so that the API can be wired to a host or to a test. Operators
+// authenticate with tokens of their own, never with customers' keys.
+package admin
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+	"go.uber.org/zap"
+
+	"hickorypath/internal/operator/api"
+	"hickorypath/internal/operator/document"
+	"hickorypath/internal/operator/key"
+	"hickorypath/internal/operator/vault"
+	"hickorypath/internal/policy/burn"
+)
+
+// Functions are what the API calls. Nil ones answer that the host does not serve them.
+type Functions struct {
+	// InForce returns the document in force on this host and its revision; nil before the first.
+	InForce func() (doc *document.Document, revision uint64)
+
+	Load    func(ctx context.Context) (source []byte, rev vault.Revision, err error)
+	Put     func(ctx context.Context, c vault.Change) (vault.Revision, error)
+	History func(ctx context.Context, before uint64, limit int) ([]vault.Revision, error)
+	Find    func(ctx context.Context, digest string) (vault.Revision, error)
+	Source  func(ctx context.Context, rev vault.Revision) ([]byte, error)
+	Outcome func(ctx context.Context, change string) (state string, rev vault.Revision, err error)
+	// Accepted is told of each accepted document, to put it in force here and pass it on.
+	Accepted func(doc *document.Document, rev vault.Revision)
+
+	Issue    func(ctx context.Context, customer string) (clear string, rec key.Record, err error)
+	Withdraw func(ctx context.Context, id string) (key.Record, error)
+	Key      func(ctx context.Context, id string) (key.Record, error)
+	Keys     func(ctx context.Context) ([]key.Record, error)
+	// KeyChanged is told of each issued or withdrawn key, to put it in force here and pass it on.
+	KeyChanged func(rec key.Record)
+
+	Status func(ctx context.Context) (api.Status, error)
+	Usage  func(ctx context.Context) ([]api.Window, error)
+	Burn   func(ctx context.Context, limit int) (burn.Report, error)
+
+	Ready   func() error // nil when the host takes requests
+	Metrics func(w http.ResponseWriter, r *http.Request)
+}
+
+// Options are the dependencies of the API.
+type Options struct {
+	Functions Functions
+	Tokens    []Token
+	Version   string
+	Log       *zap.Logger
+}
+
+// changeTimeout bounds a change, which goes on when its caller has gone away.
+const changeTimeout = 20 * time.Second
+
+// Admin is the operators' API.
+type Admin struct {
+	fn     Functions
+	tokens tokens
+	log    *zap.Logger
+	mux    *http.ServeMux
+}
+
+// New returns the API.
+func New(o Options) *Admin {
+	a := &Admin{fn: o.Functions, tokens: newTokens(o.Tokens), log: o.Log, mux: http.NewServeMux()}
+	if a.log == nil {
+		a.log = zap.NewNop()
+	}
+	config := huma.DefaultConfig("hickorypath operators' API", o.Version)
+	config.DocsPath = "" // the built-in page loads scripts from elsewhere
+	config.CreateHooks = nil
+	config.Components.SecuritySchemes = map[string]*huma.SecurityScheme{
+		"token": {Type: "http", Scheme: "bearer", Description: "An operator's token"},
+	}
+	config.Security = []map[string][]string{{"token": {}}}
+	h := humago.New(a.mux, config)
+	a.registerDocument(h)
+	a.registerKeys(h)
+	a.registerState(h)
+	a.registerPages(h)
+	return a
+}
+
+// Handler returns the HTTP handler.
+func (a *Admin) Handler() http.Handler { return a.authenticate(a.mux) }
+
+// change returns a context for a change by the request of ctx.
+func change(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.WithoutCancel(ctx), changeTimeout)
+}
+
+// register adds an operation whose errors become answers of the API.
+func register[I, O any](h huma.API, op huma.Operation, fn func(context.Context, *I) (*O, error)) {
+	huma.Register(h, op, func(ctx context.Context, in *I) (*O, error) {
+		out, err := fn(ctx, in)
+		if err != nil {
+			return nil, newFailure(err)
+		}
+		return out, nil
+	})
+}
--- /dev/null
+++ b/internal/operator/admin/document.go
@@ -0,0 +1,242 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+	"go.uber.org/zap"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/operator/api"
+	"hickorypath/internal/operator/document"
+	"hickorypath/internal/operator/vault"
+)
+
+const (
+	maxDocument  = 32 << 20 // bytes
+	readTimeout  = 30 * time.Second
+	historyLimit = 500
+)
+
+// contentType is that of JSON with comments.
+const contentType = "application/jsonc"
+
+type documentOutput struct {
+	ETag        string `header:"ETag"`
+	Digest      string `header:"Hickorypath-Digest"`
+	ContentType string `header:"Content-Type"`
+	Body        []byte
+}
+
+type revisionOutput struct {
+	ETag string `header:"ETag"`
+	Body api.Revision
+}
+
+type putInput struct {
+	IfMatch     string `header:"If-Match" doc:"Entity tag of the revision that the change was made from"`
+	IfNoneMatch string `header:"If-None-Match" doc:"* for the first document"`
+	Change      string `header:"Hickorypath-Change" doc:"Id of an earlier try of this change whose outcome was unknown"`
+	Digest      string `header:"Hickorypath-Digest" doc:"SHA-256 that the text must have, as a promotion gives it"`
+	File        string `query:"file" doc:"Name to give in the places of faults"`
+	RawBody     []byte `contentType:"application/jsonc"`
+}
+
+func (a *Admin) registerDocument(h huma.API) {
+	register(h, huma.Operation{
+		OperationID: "get-document", Method: http.MethodGet, Path: "/v1/document",
+		Summary: "Get the newest document with its comments",
+	}, a.getDocument)
+	register(h, huma.Operation{
+		OperationID: "get-document-by-digest", Method: http.MethodGet, Path: "/v1/document/digest/{digest}",
+		Summary: "Get an accepted document by its digest",
+	}, a.getByDigest)
+	register(h, huma.Operation{
+		OperationID: "check-document", Method: http.MethodPost, Path: "/v1/document/check",
+		Summary: "Check a document; nothing is changed", MaxBodyBytes: maxDocument, BodyReadTimeout: readTimeout,
+	}, a.checkDocument)
+	register(h, huma.Operation{
+		OperationID: "put-document", Method: http.MethodPut, Path: "/v1/document",
+		Summary: "Put a document in force", MaxBodyBytes: maxDocument, BodyReadTimeout: readTimeout,
+	}, a.putDocument)
+	register(h, huma.Operation{
+		OperationID: "restore-document", Method: http.MethodPost, Path: "/v1/document/digest/{digest}/restore",
+		Summary: "Put an earlier accepted document in force again",
+	}, a.restoreDocument)
+	register(h, huma.Operation{
+		OperationID: "list-revisions", Method: http.MethodGet, Path: "/v1/document/history",
+		Summary: "List the revisions, the newest first",
+	}, a.listRevisions)
+	register(h, huma.Operation{
+		OperationID: "get-change", Method: http.MethodGet, Path: "/v1/document/change/{change}",
+		Summary: "Tell what became of a change whose outcome was unknown",
+	}, a.getChange)
+}
+
+func (a *Admin) getDocument(ctx context.Context, _ *struct{}) (*documentOutput, error) {
+	source, rev, err := a.fn.Load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return newDocumentOutput(source, rev), nil
+}
+
+type digestInput struct {
+	Digest string `path:"digest" doc:"SHA-256 of the text"`
+}
+
+func (a *Admin) getByDigest(ctx context.Context, in *digestInput) (*documentOutput, error) {
+	rev, err := a.fn.Find(ctx, in.Digest)
+	if err != nil {
+		return nil, err
+	}
+	source, err := a.fn.Source(ctx, rev)
+	if err != nil {
+		return nil, err
+	}
+	return newDocumentOutput(source, rev), nil
+}
+
+func newDocumentOutput(source []byte, rev vault.Revision) *documentOutput {
+	return &documentOutput{ETag: api.ETag(rev.Number()), Digest: rev.Digest(), ContentType: contentType, Body: source}
+}
+
+type checkInput struct {
+	File    string `query:"file" doc:"Name to give in the places of faults"`
+	RawBody []byte `contentType:"application/jsonc"`
+}
+
+type checkOutput struct{ Body api.Check }
+
+func (a *Admin) checkDocument(_ context.Context, in *checkInput) (*checkOutput, error) {
+	doc, err := document.Parse(in.RawBody, fileName(in.File))
+	if err != nil {
+		return nil, err
+	}
+	return &checkOutput{Body: api.Check{
+		Digest: doc.Digest(), Customers: len(doc.Customers()), Classes: len(doc.Classes()),
+		Pools: len(doc.Pools()), Routes: len(doc.Routes()),
+	}}, nil
+}
+
+func fileName(name string) string {
+	if name == "" {
+		return "document"
+	}
+	return name
+}
+
+func (a *Admin) putDocument(ctx context.Context, in *putInput) (*revisionOutput, error) {
+	base, err := baseOf(in.IfMatch, in.IfNoneMatch)
+	if err != nil {
+		return nil, err
+	}
+	doc, err := document.Parse(in.RawBody, fileName(in.File))
+	if err != nil {
+		return nil, err
+	}
+	if in.Digest != "" && in.Digest != doc.Digest() {
+		return nil, kind.New(kind.Invalid, "the text has the digest %s, not %s", doc.Digest(), in.Digest)
+	}
+	return a.put(ctx, doc, vault.Change{Base: base, Source: in.RawBody, Operator: operatorOf(ctx), ID: in.Change})
+}
+
+// baseOf returns the revision that a change was made from.
+func baseOf(match, noneMatch string) (uint64, error) {
+	if match != "" {
+		return api.ParseETag(match)
+	}
+	if noneMatch == "*" {
+		return 0, nil
+	}
+	return 0, &failure{
+		Detail: api.Detail{Kind: kind.Invalid, Ran: kind.RanNo, Message: "give the entity tag that was read as If-Match, or If-None-Match: * for the first document"},
+		status: http.StatusPreconditionRequired,
+	}
+}
+
+func (a *Admin) put(ctx context.Context, doc *document.Document, c vault.Change) (*revisionOutput, error) {
+	ctx, cancel := change(ctx)
+	defer cancel()
+	rev, err := a.fn.Put(ctx, c)
+	if err != nil {
+		f := newFailureOf(err, rev.Change())
+		a.log.Warn("document refused", zap.String("operator", c.Operator), zap.String("digest", doc.Digest()),
+			zap.String("change", rev.Change()), zap.String("kind", string(f.Detail.Kind)))
+		return nil, f
+	}
+	a.log.Info("document accepted", zap.String("operator", c.Operator), zap.String("digest", doc.Digest()),
+		zap.String("change", rev.Change()), zap.Uint64("revision", rev.Number()))
+	if a.fn.Accepted != nil {
+		a.fn.Accepted(doc, rev)
+	}
+	return &revisionOutput{ETag: api.ETag(rev.Number()), Body: newRevision(rev)}, nil
+}
+
+type restoreInput struct {
+	Digest  string `path:"digest" doc:"SHA-256 of the text"`
+	IfMatch string `header:"If-Match" required:"true" doc:"Entity tag of the newest revision"`
+}
+
+func (a *Admin) restoreDocument(ctx context.Context, in *restoreInput) (*revisionOutput, error) {
+	base, err := api.ParseETag(in.IfMatch)
+	if err != nil {
+		return nil, err
+	}
+	old, err := a.getByDigest(ctx, &digestInput{Digest: in.Digest})
+	if err != nil {
+		return nil, err
+	}
+	doc, err := document.Parse(old.Body, "digest "+in.Digest)
+	if err != nil {
+		return nil, err
+	}
+	return a.put(ctx, doc, vault.Change{Base: base, Source: old.Body, Operator: operatorOf(ctx)})
+}
+
+type historyInput struct {
+	Before uint64 `query:"before" doc:"List revisions older than this number"`
+	Limit  int    `query:"limit" default:"50" minimum:"1" maximum:"500" doc:"Greatest number of revisions"`
+}
+
+type historyOutput struct{ Body []api.Revision }
+
+func (a *Admin) listRevisions(ctx context.Context, in *historyInput) (*historyOutput, error) {
+	list, err := a.fn.History(ctx, in.Before, min(in.Limit, historyLimit))
+	if err != nil {
+		return nil, err
+	}
+	out := &historyOutput{Body: make([]api.Revision, len(list))}
+	for i, r := range list {
+		out.Body[i] = newRevision(r)
+	}
+	return out, nil
+}
+
+type changeInput struct {
+	Change string `path:"change" doc:"Id of the change"`
+}
+
+type changeOutput struct{ Body api.Outcome }
+
+func (a *Admin) getChange(ctx context.Context, in *changeInput) (*changeOutput, error) {
+	state, rev, err := a.fn.Outcome(ctx, in.Change)
+	if err != nil {
+		return nil, err
+	}
+	out := &changeOutput{Body: api.Outcome{State: state}}
+	if rev.Number() > 0 {
+		r := newRevision(rev)
+		out.Body.Revision = &r
+	}
+	return out, nil
+}
+
+func newRevision(r vault.Revision) api.Revision {
+	return api.Revision{
+		Number: r.Number(), Digest: r.Digest(), Size: r.Size(),
+		At: r.At(), Operator: r.Operator(), Change: r.Change(),
+	}
+}
--- /dev/null
+++ b/internal/operator/admin/failure.go
@@ -0,0 +1,94 @@
+package admin
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/danielgtaylor/huma/v2"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/operator/api"
+	"hickorypath/internal/operator/document"
+)
+
+// failure is the error answer of the API.
+type failure struct {
+	Detail api.Detail `json:"error" doc:"The error"`
+
+	status int
+	after  int
+}
+
+// Error implements error.
+func (f *failure) Error() string { return f.Detail.Message }
+
+// GetStatus returns the HTTP status.
+func (f *failure) GetStatus() int { return f.status }
+
+// GetHeaders returns the advice on when to retry.
+func (f *failure) GetHeaders() http.Header {
+	h := http.Header{}
+	if f.after > 0 {
+		h.Set("Retry-After", strconv.Itoa(f.after))
+	}
+	return h
+}
+
+// newFailure returns the answer for err.
+func newFailure(err error) *failure {
+	var known *failure
+	if errors.As(err, &known) {
+		return known
+	}
+	e := kind.From(err)
+	f := &failure{
+		Detail: api.Detail{Kind: e.Kind(), Message: e.Message(), Ran: e.Ran()},
+		status: e.Kind().Answer().Status(),
+		after:  int(math.Ceil(e.RetryAfter().Seconds())),
+	}
+	var faults *document.Faults
+	if errors.As(err, &faults) {
+		f.Detail.Faults = newFaults(faults.List())
+	}
+	return f
+}
+
+// newFailureOf returns the answer for a change that failed.
+func newFailureOf(err error, change string) *failure {
+	f := newFailure(err)
+	if f.Detail.Kind == kind.Unknown {
+		f.Detail.Change = change
+	}
+	return f
+}
+
+func newFaults(list []document.Fault) []api.Fault {
+	faults := make([]api.Fault, len(list))
+	for i, f := range list {
+		faults[i] = api.Fault{File: f.File(), Line: f.Line(), Column: f.Column(), Text: f.Text(), Remedy: f.Remedy()}
+	}
+	return faults
+}
+
+// The errors that the HTTP library raises itself take the same form.
+func init() {
+	huma.NewError = func(status int, message string, errs ...error) huma.StatusError {
+		parts := []string{message}
+		for _, err := range errs {
+			if err != nil {
+				parts = append(parts, err.Error())
+			}
+		}
+		k := kind.Invalid
+		if status >= http.StatusInternalServerError {
+			k = kind.Internal
+		}
+		return &failure{
+			Detail: api.Detail{Kind: k, Message: strings.Join(parts, "; "), Ran: kind.RanNo},
+			status: status,
+		}
+	}
+}
--- /dev/null
+++ b/internal/operator/admin/token.go
@@ -0,0 +1,98 @@
+package admin
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"go.uber.org/zap"
+
+	"hickorypath/internal/core/kind"
+)
+
+// Token is an operator's secret.
+type Token struct {
+	operator string
+	hash     [sha256.Size]byte
+}
+
+// NewToken returns the token of an operator.
+func NewToken(operator, secret string) Token {
+	return Token{operator: operator, hash: sha256.Sum256([]byte(secret))}
+}
+
+// tokens are all tokens that are accepted.
+type tokens []Token
+
+// newTokens leaves out tokens with an empty secret, which an unset variable would make.
+func newTokens(list []Token) tokens {
+	empty := sha256.Sum256(nil)
+	var kept tokens
+	for _, t := range list {
+		if t.hash != empty {
+			kept = append(kept, t)
+		}
+	}
+	return kept
+}
+
+// operator returns who holds the secret. Each token is compared in constant time, and none is left out.
+func (t tokens) operator(secret string) (string, bool) {
+	hash := sha256.Sum256([]byte(secret))
+	found, operator := 0, ""
+	for i := range t {
+		same := subtle.ConstantTimeCompare(hash[:], t[i].hash[:])
+		if same == 1 {
+			operator = t[i].operator
+		}
+		found |= same
+	}
+	return operator, found == 1
+}
+
+type operatorKey struct{}
+
+// operatorOf returns the operator who makes the request.
+func operatorOf(ctx context.Context) string {
+	name, _ := ctx.Value(operatorKey{}).(string)
+	return name
+}
+
+// openPaths need no token: probes and metrics reveal no customer's data.
+var openPaths = map[string]bool{"/healthz": true, "/readyz": true, "/metrics": true}
+
+func (a *Admin) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if openPaths[r.URL.Path] {
+			next.ServeHTTP(w, r)
+			return
+		}
+		operator, ok := a.tokens.operator(secretOf(r))
+		if !ok {
+			a.log.Warn("operator refused", zap.String("path", r.URL.Path), zap.String("kind", string(kind.Unauthorized)))
+			w.Header().Set("WWW-Authenticate", `Basic realm="operators of hickorypath"`)
+			writeError(w, kind.New(kind.Unauthorized, "give an operator's token as a bearer token or as the password of basic authentication"))
+			return
+		}
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), operatorKey{}, operator)))
+	})
+}
+
+// secretOf returns the token of a request. A browser sends it as a password.
+func secretOf(r *http.Request) string {
+	if _, password, ok := r.BasicAuth(); ok {
+		return password
+	}
+	secret, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return secret
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	f := newFailure(err)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(f.GetStatus())
+	_ = json.NewEncoder(w).Encode(f)
+}
--- /dev/null
+++ b/internal/operator/api/api.go
@@ -0,0 +1,145 @@
+// Package api holds the messages of the operators' API, which the admin server and its client share.
+//
+// Fields are exported since they are the wire format; names are the words of the JSON messages.
+package api
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"hickorypath/internal/core/kind"
+)
+
+// Names of headers.
+const (
+	HeaderChange = "Hickorypath-Change" // id of a change
+	HeaderDigest = "Hickorypath-Digest" // SHA-256 of a document
+)
+
+// Revision is an accepted document.
+type Revision struct {
+	Number   uint64    `json:"number" doc:"Number; rises by one with each accepted change"`
+	Digest   string    `json:"digest" doc:"SHA-256 of the text"`
+	Size     int       `json:"size" doc:"Size of the text in bytes"`
+	At       time.Time `json:"at" doc:"Time of acceptance"`
+	Operator string    `json:"operator" doc:"Operator who made the change"`
+	Change   string    `json:"change" doc:"Id of the change"`
+}
+
+// Check is the answer for a document without faults.
+type Check struct {
+	Digest    string `json:"digest" doc:"SHA-256 of the text"`
+	Customers int    `json:"customers" doc:"Number of customers"`
+	Classes   int    `json:"classes" doc:"Number of classes"`
+	Pools     int    `json:"pools" doc:"Number of pools"`
+	Routes    int    `json:"routes" doc:"Number of routes"`
+}
+
+// Outcome tells what became of a change.
+type Outcome struct {
+	State    string    `json:"state" enum:"applied,refused,open" doc:"applied: it made the revision; refused: the revision was made by another change; open: not seen so far, and it may still take effect"`
+	Revision *Revision `json:"revision,omitempty" doc:"The revision of that number"`
+}
+
+// Key is an issued key. Clear is given only in the answer to its issue.
+type Key struct {
+	ID        string     `json:"id" doc:"Public name of the key"`
+	Customer  string     `json:"customer" doc:"Customer for whom it stands"`
+	Issued    time.Time  `json:"issued" doc:"Time of issue"`
+	Withdrawn *time.Time `json:"withdrawn,omitempty" doc:"Time of withdrawal"`
+	Clear     string     `json:"clear,omitempty" doc:"The key itself; shown once"`
+}
+
+// Status is what a host knows of the environment.
+type Status struct {
+	Host      string     `json:"host" doc:"The host that answers"`
+	Zone      string     `json:"zone" doc:"Its availability zone"`
+	Revision  uint64     `json:"revision" doc:"Revision in force on it"`
+	Digest    string     `json:"digest" doc:"Digest of the document in force on it"`
+	Hosts     []Host     `json:"hosts" doc:"Hosts"`
+	Upstreams []Upstream `json:"upstreams" doc:"Upstreams"`
+	Leases    []Lease    `json:"leases" doc:"Leases"`
+}
+
+// Host is one host of the system.
+type Host struct {
+	ID       string `json:"id" doc:"Name"`
+	Zone     string `json:"zone" doc:"Availability zone"`
+	State    string `json:"state" doc:"live, leaving or silent"`
+	Revision uint64 `json:"revision" doc:"Revision in force on it"`
+}
+
+// Upstream is one engine or service.
+type Upstream struct {
+	ID          string `json:"id" doc:"Name"`
+	Pool        string `json:"pool" doc:"Pool"`
+	Zone        string `json:"zone" doc:"Availability zone"`
+	State       string `json:"state" doc:"starting, ready, leaving or ejected"`
+	Reclaimable bool   `json:"reclaimable" doc:"Whether the platform may take it back"`
+	Running     int    `json:"running" doc:"Requests in flight from the answering host"`
+}
+
+// Lease is one duty that a single host holds.
+type Lease struct {
+	Name   string    `json:"name" doc:"Duty"`
+	Holder string    `json:"holder" doc:"Host, empty when none holds it"`
+	Fence  uint64    `json:"fence" doc:"Fencing number"`
+	Until  time.Time `json:"until" doc:"End of the validity that the answering host knows of"`
+}
+
+// Window is one usage window.
+type Window struct {
+	Start time.Time `json:"start" doc:"Start"`
+	End   time.Time `json:"end" doc:"End"`
+	State string    `json:"state" doc:"open, sealed, frozen or reported"`
+	Rows  []Usage   `json:"rows" doc:"Usage by customer"`
+}
+
+// Usage is what one customer used in one window.
+type Usage struct {
+	Customer string `json:"customer" doc:"Customer"`
+	Class    string `json:"class,omitempty" doc:"Class"`
+	Calls    int    `json:"calls" doc:"Answered requests"`
+	Prompt   int    `json:"prompt" doc:"Prompt tokens"`
+	Output   int    `json:"output" doc:"Output tokens"`
+	Wasted   int    `json:"wasted" doc:"Tokens computed and not billed"`
+}
+
+// Fault is one fault of a document.
+type Fault struct {
+	File   string `json:"file" doc:"File"`
+	Line   int    `json:"line" doc:"Line, from 1"`
+	Column int    `json:"column" doc:"Column, from 1"`
+	Text   string `json:"text" doc:"What is wrong"`
+	Remedy string `json:"remedy" doc:"What to do about it"`
+}
+
+// String returns the fault as one line.
+func (f Fault) String() string {
+	return fmt.Sprintf("%s:%d:%d: %s; %s", f.File, f.Line, f.Column, f.Text, f.Remedy)
+}
+
+// Detail is the inside of an error answer.
+type Detail struct {
+	Kind    kind.Kind `json:"kind" doc:"Kind of the error, from a closed list"`
+	Message string    `json:"message" doc:"What happened"`
+	Ran     kind.Ran  `json:"ran" doc:"Whether the change was made: no, maybe or yes"`
+	Change  string    `json:"change,omitempty" doc:"Id by which to ask for the outcome"`
+	Faults  []Fault   `json:"faults,omitempty" doc:"All faults of a refused document"`
+}
+
+// ETag returns the entity tag of a revision.
+func ETag(revision uint64) string { return strconv.Quote(strconv.FormatUint(revision, 10)) }
+
+// ParseETag returns the revision of an entity tag. The error is of kind Invalid.
+func ParseETag(tag string) (uint64, error) {
+	text, err := strconv.Unquote(tag)
+	if err == nil {
+		var n uint64
+		if n, err = strconv.ParseUint(text, 10, 64); err == nil {
+			return n, nil
+		}
+	}
+	return 0, kind.New(kind.Invalid, "%s is not the entity tag of a revision, such as \"7\"", tag)
+}
--- /dev/null
+++ b/internal/operator/client/client_test.go
@@ -0,0 +1,291 @@
+package client_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/operator/admin"
+	"hickorypath/internal/operator/api"
+	"hickorypath/internal/operator/client"
+	"hickorypath/internal/operator/document"
+	"hickorypath/internal/operator/key"
+	"hickorypath/internal/operator/vault"
+	"hickorypath/internal/platform/store"
+	"hickorypath/internal/policy/burn"
+)
+
+var ctx = context.Background()
+
+// environment is the API over the stand-in of the store.
+type environment struct {
+	memory *store.Memory
+	live   *document.Live
+	table  *key.Table
+	server *httptest.Server
+	wrap   func(http.Handler) http.Handler // faults on the way to the API
+}
+
+func newEnvironment(t *testing.T) *environment {
+	t.Helper()
+	e := &environment{memory: store.NewMemory(clock.NewSystem()), live: document.NewLive(), table: key.NewTable()}
+	backend := store.New(e.memory.Backend(), store.Options{
+		Clock: clock.NewSystem(), Rand: rand.New(rand.NewPCG(1, 2)),
+		Attempt: 20 * time.Millisecond, Whole: 100 * time.Millisecond, Rate: 10_000,
+		Budgets: map[store.Use]float64{store.UseDocument: 10_000, store.UseKey: 10_000},
+	})
+	v := vault.New(vault.Options{Store: vault.NewStore(backend), Now: time.Now})
+	a := admin.New(admin.Options{
+		Version: "test",
+		Tokens:  []admin.Token{admin.NewToken("maria", "m-secret"), admin.NewToken("jon", "j-secret"), admin.NewToken("unset", "")},
+		Functions: admin.Functions{
+			InForce: e.live.Load, Load: v.Load, Put: v.Put, History: v.History, Find: v.Find, Source: v.Source, Outcome: v.Outcome,
+			Accepted: func(doc *document.Document, rev vault.Revision) { e.live.Apply(doc, rev.Number()) },
+			Issue:    v.Issue, Withdraw: v.Withdraw, Key: v.Key, Keys: v.Keys,
+			KeyChanged: func(rec key.Record) { e.table.Put(rec) },
+			Status: func(context.Context) (api.Status, error) {
+				return api.Status{Host: "h1", Hosts: []api.Host{{ID: "h1", State: "live"}}}, nil
+			},
+			Burn: func(context.Context, int) (burn.Report, error) { return burnReport(), nil },
+		},
+	})
+	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h := a.Handler()
+		if e.wrap != nil {
+			h = e.wrap(h)
+		}
+		h.ServeHTTP(w, r)
+	}))
+	t.Cleanup(e.server.Close)
+	return e
+}
+
+func burnReport() burn.Report {
+	now := time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+	b := burn.New(burn.Config{})
+	for i := range 40 {
+		b.Add(now, burn.Call{Customer: "<laredo>", Class: "query", Pool: "asesor", Output: 10, Missed: i%2 == 0})
+	}
+	return b.Report(now, 10)
+}
+
+func (e *environment) client(token string) *client.Client {
+	return client.New(client.Options{URL: e.server.URL, Token: token, HTTP: e.server.Client(), Pause: func(context.Context, time.Duration) {}})
+}
+
+func text(customer string) []byte {
+	return []byte(`{ // for ` + customer + `
+"customers":[{"name":"` + customer + `"}],"classes":[],"pools":[],"routes":[]}`)
+}
+
+func TestTokens(t *testing.T) {
+	e := newEnvironment(t)
+	cases := []struct {
+		name, token string
+		want        kind.Kind
+	}{
+		{"known", "m-secret", kind.Missing}, // no document yet
+		{"wrong", "m-secreT", kind.Unauthorized},
+		{"none", "", kind.Unauthorized}, // and not that of an operator whose secret is unset
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := e.client(c.token).Document(ctx)
+			is.Equal(kind.Of(err), c.want)
+		})
+	}
+}
+
+func TestDocumentSession(t *testing.T) {
+	is := is.New(t)
+	e := newEnvironment(t)
+	c := e.client("m-secret")
+	check, err := c.Check(ctx, text("laredo"), "trial.jsonc")
+	is.NoErr(err)
+	is.Equal(check.Customers, 1)
+	first, err := c.Put(ctx, client.Put{Source: text("laredo"), Digest: check.Digest})
+	is.NoErr(err)
+	is.Equal(first.Operator, "maria")
+	got, err := c.Document(ctx)
+	is.NoErr(err)
+	is.Equal(string(got.Source()), string(text("laredo"))) // comments stay
+	_, err = c.Put(ctx, client.Put{Base: 1, Source: text("noja"), Digest: check.Digest})
+	is.Equal(kind.Of(err), kind.Invalid) // the text does not have the promised digest
+	second, err := c.Put(ctx, client.Put{Base: 1, Source: text("noja")})
+	is.NoErr(err)
+	is.Equal(second.Number, uint64(2))
+	third, err := c.Restore(ctx, first.Digest, 2)
+	is.NoErr(err)
+	is.Equal(third.Digest, first.Digest)
+	list, err := c.History(ctx, 0, 10)
+	is.NoErr(err)
+	is.Equal(len(list), 3)
+	out, err := c.Outcome(ctx, second.Change)
+	is.NoErr(err)
+	is.Equal(out.State, "applied")
+	_, rev := e.live.Load()
+	is.Equal(rev, uint64(3))
+}
+
+func TestBadDocumentLeavesOldInForce(t *testing.T) {
+	is := is.New(t)
+	e := newEnvironment(t)
+	c := e.client("m-secret")
+	_, err := c.Put(ctx, client.Put{Source: text("laredo")})
+	is.NoErr(err)
+	_, err = c.Put(ctx, client.Put{Base: 1, Source: []byte(`{"customer":[]}`), File: "bad.jsonc"})
+	is.Equal(kind.Of(err), kind.Document)
+	var f *client.Failure
+	is.True(errors.As(err, &f))
+	is.Equal(len(f.Faults()), 5)
+	is.True(strings.HasPrefix(f.Error(), "bad.jsonc:1:1: "))
+	got, err := c.Document(ctx)
+	is.NoErr(err)
+	is.Equal(got.Revision(), uint64(1))
+}
+
+func TestRaceOfTwoOperators(t *testing.T) {
+	is := is.New(t)
+	e := newEnvironment(t)
+	_, err := e.client("m-secret").Put(ctx, client.Put{Source: text("laredo")})
+	is.NoErr(err)
+	_, err = e.client("j-secret").Put(ctx, client.Put{Base: 1, Source: text("noja")})
+	is.NoErr(err)
+	_, err = e.client("m-secret").Put(ctx, client.Put{Base: 1, Source: text("santona")})
+	is.Equal(kind.Of(err), kind.Conflict)
+	is.True(strings.Contains(err.Error(), "by jon") && strings.Contains(err.Error(), "by maria"))
+}
+
+// The answer of the store or of the API is lost: the client learns the truth or says that it is unknown.
+func TestLostAnswers(t *testing.T) {
+	cutAnswer := func(after bool) func(e *environment) {
+		return func(e *environment) {
+			e.wrap = func(h http.Handler) http.Handler {
+				return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if r.Method != http.MethodPut {
+						h.ServeHTTP(w, r)
+						return
+					}
+					if after {
+						h.ServeHTTP(httptest.NewRecorder(), r)
+					}
+					panic(http.ErrAbortHandler)
+				})
+			}
+		}
+	}
+	cases := []struct {
+		name  string
+		fault func(e *environment)
+		want  kind.Kind
+		state string
+	}{
+		{"store answers lost after taking effect", func(e *environment) { e.memory.Set(store.Faults{Lose: 5}) }, "", "applied"},
+		{"store silent", func(e *environment) { e.memory.Set(store.Faults{Silent: true}) }, kind.Store, ""},
+		{"API answer cut after taking effect", cutAnswer(true), "", "applied"},
+		{"API call cut before taking effect", cutAnswer(false), kind.Unknown, "open"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEnvironment(t)
+			operator := e.client("m-secret")
+			_, err := operator.Put(ctx, client.Put{Source: text("laredo")})
+			is.NoErr(err)
+			c.fault(e)
+			rev, err := operator.Put(ctx, client.Put{Base: 1, Source: text("noja")})
+			is.Equal(kind.Of(err), c.want)
+			e.memory.Set(store.Faults{})
+			if c.state == "" {
+				return
+			}
+			change := rev.Change
+			var f *client.Failure
+			if errors.As(err, &f) {
+				change = f.Change()
+			}
+			out, err := operator.Outcome(ctx, change)
+			is.NoErr(err)
+			is.Equal(out.State, c.state)
+		})
+	}
+}
+
+func TestKeySession(t *testing.T) {
+	is := is.New(t)
+	e := newEnvironment(t)
+	c := e.client("m-secret")
+	_, err := c.Issue(ctx, "laredo")
+	is.Equal(kind.Of(err), kind.Missing) // no document defines the customer
+	_, err = c.Put(ctx, client.Put{Source: text("laredo")})
+	is.NoErr(err)
+	issued, err := c.Issue(ctx, "laredo")
+	is.NoErr(err)
+	customer, _, err := e.table.Lookup(issued.Clear)
+	is.NoErr(err)
+	is.Equal(customer, "laredo")
+	gone, stop := e.table.Watch(issued.ID)
+	defer stop()
+	_, err = c.Withdraw(ctx, issued.ID)
+	is.NoErr(err)
+	<-gone
+	list, err := c.Keys(ctx, "laredo")
+	is.NoErr(err)
+	is.Equal(len(list), 1)
+	is.Equal(list[0].Clear, "") // the key itself is shown once
+	is.True(list[0].Withdrawn != nil)
+	_, err = c.Withdraw(ctx, "0000000000000000")
+	is.Equal(kind.Of(err), kind.Missing)
+}
+
+func TestPages(t *testing.T) {
+	e := newEnvironment(t)
+	cases := []struct {
+		name, path, token string
+		status            int
+		want              string
+	}{
+		{"health", "/healthz", "", http.StatusOK, "ok"},
+		{"ready", "/readyz", "", http.StatusOK, "ready"},
+		{"burn", "/burn", "m-secret", http.StatusOK, "&lt;laredo&gt;"},
+		{"burn without token", "/burn", "", http.StatusUnauthorized, "unauthorized"},
+		{"docs", "/docs", "m-secret", http.StatusOK, "/v1/document/check"},
+		{"description", "/openapi.json", "m-secret", http.StatusOK, "put-document"},
+		{"usage that the host does not serve", "/v1/usage", "m-secret", http.StatusNotFound, "does not serve usage"},
+		{"bad query", "/v1/burn?limit=0", "m-secret", http.StatusUnprocessableEntity, `"kind":"invalid"`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := httptest.NewRequest(http.MethodGet, c.path, nil)
+			if c.token != "" {
+				r.SetBasicAuth("", c.token)
+			}
+			w := httptest.NewRecorder()
+			e.server.Config.Handler.ServeHTTP(w, r)
+			is.Equal(w.Code, c.status)
+			is.True(strings.Contains(w.Body.String(), c.want))
+			is.True(!strings.Contains(w.Body.String(), "unpkg")) // pages need nothing from elsewhere
+		})
+	}
+}
+
+func TestPutNeedsPrecondition(t *testing.T) {
+	is := is.New(t)
+	e := newEnvironment(t)
+	r := httptest.NewRequest(http.MethodPut, "/v1/document", strings.NewReader(string(text("laredo"))))
+	r.SetBasicAuth("", "m-secret")
+	w := httptest.NewRecorder()
+	e.server.Config.Handler.ServeHTTP(w, r)
+	is.Equal(w.Code, http.StatusPreconditionRequired)
+}
--- /dev/null
+++ b/internal/operator/client/document.go
@@ -0,0 +1,168 @@
+package client
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/operator/api"
+	"hickorypath/internal/operator/document"
+)
+
+// Document is a text with its place in the history.
+type Document struct {
+	source   []byte
+	digest   string
+	revision uint64
+}
+
+// Source returns the text.
+func (d Document) Source() []byte { return d.source }
+
+// Digest returns the SHA-256 of the text.
+func (d Document) Digest() string { return d.digest }
+
+// Revision returns the number of the revision, 0 when the environment has no document.
+func (d Document) Revision() uint64 { return d.revision }
+
+// Document returns the newest document.
+func (c *Client) Document(ctx context.Context) (Document, error) {
+	return c.getDocument(ctx, "/v1/document")
+}
+
+// Base returns the newest document, and an empty one at revision 0 when there is none.
+func (c *Client) Base(ctx context.Context) (Document, error) {
+	d, err := c.Document(ctx)
+	if kind.Of(err) == kind.Missing {
+		return Document{}, nil
+	}
+	return d, err
+}
+
+// Accepted returns the document of that digest from the history.
+func (c *Client) Accepted(ctx context.Context, digest string) (Document, error) {
+	return c.getDocument(ctx, "/v1/document/digest/"+url.PathEscape(digest))
+}
+
+func (c *Client) getDocument(ctx context.Context, path string) (Document, error) {
+	header, data, err := c.send(ctx, call{method: http.MethodGet, path: path})
+	if err != nil {
+		return Document{}, err
+	}
+	revision, err := api.ParseETag(header.Get("ETag"))
+	if err != nil {
+		return Document{}, err
+	}
+	d := Document{source: data, digest: document.DigestOf(data), revision: revision}
+	if want := header.Get(api.HeaderDigest); want != d.digest {
+		return Document{}, kind.New(kind.Lost, "%s sent a document whose digest is %s, not %s", c.url, d.digest, want)
+	}
+	return d, nil
+}
+
+// Check checks a document against the rules of the environment.
+func (c *Client) Check(ctx context.Context, source []byte, file string) (api.Check, error) {
+	var out api.Check
+	_, err := c.do(ctx, call{
+		method: http.MethodPost, path: "/v1/document/check", query: url.Values{"file": {file}},
+		header: jsonHeader(), body: source,
+	}, &out)
+	return out, err
+}
+
+// Put is a change of the document.
+type Put struct {
+	Base   uint64 // the revision that was read
+	Source []byte
+	File   string // names the text in the places of faults
+	Digest string // the digest that the text must have, empty for any
+}
+
+// outcomeTries is how often the client asks what became of a change whose answer was lost.
+const (
+	outcomeTries = 4
+	outcomePause = 500 * time.Millisecond
+)
+
+// Put puts a document in force. An error of kind Unknown is a *Failure that names the change.
+func (c *Client) Put(ctx context.Context, p Put) (api.Revision, error) {
+	change := newChange(p.Base)
+	header := jsonHeader()
+	header.Set(api.HeaderChange, change)
+	if p.Digest != "" {
+		header.Set(api.HeaderDigest, p.Digest)
+	}
+	header.Set("If-Match", api.ETag(p.Base))
+	if p.Base == 0 {
+		header.Del("If-Match")
+		header.Set("If-None-Match", "*")
+	}
+	var out api.Revision
+	_, err := c.do(ctx, call{
+		method: http.MethodPut, path: "/v1/document", query: url.Values{"file": {p.File}},
+		header: header, body: p.Source,
+	}, &out)
+	if k := kind.Of(err); k == kind.Lost || k == kind.Unknown {
+		return c.settle(ctx, change, err)
+	}
+	return out, err
+}
+
+// settle asks what became of a change whose answer was lost.
+func (c *Client) settle(ctx context.Context, change string, cause error) (api.Revision, error) {
+	for range outcomeTries {
+		c.pause(ctx, outcomePause)
+		out, err := c.Outcome(ctx, change)
+		if err != nil || out.Revision == nil {
+			continue
+		}
+		if out.State == "applied" {
+			return *out.Revision, nil
+		}
+		return api.Revision{}, &Failure{detail: api.Detail{Kind: kind.Conflict, Ran: kind.RanNo,
+			Message: "revision " + strconv.FormatUint(out.Revision.Number, 10) + " by " + out.Revision.Operator + " was accepted in place of this change"}}
+	}
+	var f *Failure
+	if errors.As(cause, &f) && f.Change() != "" {
+		return api.Revision{}, cause
+	}
+	return api.Revision{}, &Failure{detail: api.Detail{Kind: kind.Unknown, Ran: kind.RanMaybe, Change: change,
+		Message: "the outcome of change " + change + " is not known; ask for it by that id"}}
+}
+
+// Restore puts an accepted document in force again.
+func (c *Client) Restore(ctx context.Context, digest string, base uint64) (api.Revision, error) {
+	var out api.Revision
+	_, err := c.do(ctx, call{
+		method: http.MethodPost, path: "/v1/document/digest/" + url.PathEscape(digest) + "/restore",
+		header: http.Header{"If-Match": {api.ETag(base)}},
+	}, &out)
+	return out, err
+}
+
+// Outcome tells what became of a change.
+func (c *Client) Outcome(ctx context.Context, change string) (api.Outcome, error) {
+	var out api.Outcome
+	_, err := c.do(ctx, call{method: http.MethodGet, path: "/v1/document/change/" + url.PathEscape(change)}, &out)
+	return out, err
+}
+
+// History returns up to limit revisions older than before, the newest first; 0 stands for all.
+func (c *Client) History(ctx context.Context, before uint64, limit int) ([]api.Revision, error) {
+	query := url.Values{"limit": {strconv.Itoa(limit)}}
+	if before > 0 {
+		query.Set("before", strconv.FormatUint(before, 10))
+	}
+	var out []api.Revision
+	_, err := c.do(ctx, call{method: http.MethodGet, path: "/v1/document/history", query: query}, &out)
+	return out, err
+}
+
+func jsonHeader() http.Header {
+	return http.Header{"Content-Type": {"application/jsonc"}}
+}
--- /dev/null
+++ b/internal/operator/client/state.go
@@ -0,0 +1,72 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"hickorypath/internal/operator/api"
+	"hickorypath/internal/policy/burn"
+)
+
+// Keys returns the keys of a customer, or all for the empty name.
+func (c *Client) Keys(ctx context.Context, customer string) ([]api.Key, error) {
+	var out []api.Key
+	_, err := c.do(ctx, call{method: http.MethodGet, path: "/v1/keys", query: optional("customer", customer)}, &out)
+	return out, err
+}
+
+// Issue issues a key to a customer.
+func (c *Client) Issue(ctx context.Context, customer string) (api.Key, error) {
+	body, _ := json.Marshal(map[string]string{"customer": customer})
+	var out api.Key
+	_, err := c.do(ctx, call{
+		method: http.MethodPost, path: "/v1/keys", body: body,
+		header: http.Header{"Content-Type": {"application/json"}},
+	}, &out)
+	return out, err
+}
+
+// Withdraw withdraws a key.
+func (c *Client) Withdraw(ctx context.Context, id string) (api.Key, error) {
+	var out api.Key
+	_, err := c.do(ctx, call{method: http.MethodDelete, path: "/v1/keys/" + url.PathEscape(id)}, &out)
+	return out, err
+}
+
+// Key returns one key.
+func (c *Client) Key(ctx context.Context, id string) (api.Key, error) {
+	var out api.Key
+	_, err := c.do(ctx, call{method: http.MethodGet, path: "/v1/keys/" + url.PathEscape(id)}, &out)
+	return out, err
+}
+
+// Status returns what the host at the address knows of the environment.
+func (c *Client) Status(ctx context.Context) (api.Status, error) {
+	var out api.Status
+	_, err := c.do(ctx, call{method: http.MethodGet, path: "/v1/status"}, &out)
+	return out, err
+}
+
+// Usage returns the usage windows, with the rows of one customer or of all for the empty name.
+func (c *Client) Usage(ctx context.Context, customer string) ([]api.Window, error) {
+	var out []api.Window
+	_, err := c.do(ctx, call{method: http.MethodGet, path: "/v1/usage", query: optional("customer", customer)}, &out)
+	return out, err
+}
+
+// Burn returns the burn report with up to limit customers.
+func (c *Client) Burn(ctx context.Context, limit int) (burn.Report, error) {
+	var out burn.Report
+	_, err := c.do(ctx, call{method: http.MethodGet, path: "/v1/burn", query: url.Values{"limit": {strconv.Itoa(limit)}}}, &out)
+	return out, err
+}
+
+func optional(name, value string) url.Values {
+	if value == "" {
+		return nil
+	}
+	return url.Values{name: {value}}
+}
--- /dev/null
+++ b/internal/operator/report/report.go
@@ -0,0 +1,130 @@
+// Package report writes the burn report as an HTML page for people.
+//
+// The page needs nothing from elsewhere: its plots are SVG in the page itself.
+package report
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+
+	"hickorypath/internal/policy/burn"
+)
+
+// Sizes of a plot in SVG units.
+const (
+	barHeight  = 16
+	barGap     = 6
+	labelWidth = 150
+	plotWidth  = 420
+	valueWidth = 70
+)
+
+// Marks of the burn axis. It is logarithmic, so that 1 and 20 can both be read.
+var marks = []float64{0.1, 1, 6, 14.4}
+
+const (
+	leastBurn = 0.1
+	mostBurn  = 20
+)
+
+// HTML returns the page.
+func HTML(r burn.Report) []byte {
+	var b bytes.Buffer
+	if err := page.Execute(&b, newView(r)); err != nil {
+		panic("report: " + err.Error()) // the template and its data are fixed
+	}
+	return b.Bytes()
+}
+
+// view is what the template shows.
+type view struct {
+	burn.Report
+	Plots   []plot
+	Windows []string
+}
+
+// plot is a bar chart of burn with one group for each row.
+type plot struct {
+	Title  string
+	Width  int
+	Height int
+	Bars   []bar
+	Marks  []mark
+}
+
+type bar struct {
+	Label string
+	Value string
+	X, Y  int
+	Width int
+	Text  int // y of the text
+	Color string
+}
+
+type mark struct {
+	X     int
+	Label string
+}
+
+func newView(r burn.Report) view {
+	v := view{Report: r}
+	for i, w := range burn.Windows() {
+		name := windowName(r, i, w.String())
+		v.Windows = append(v.Windows, name)
+		v.Plots = append(v.Plots, newPlot("Burn by class, "+name, r.Classes, i))
+	}
+	if len(r.Customers) > 0 {
+		v.Plots = append(v.Plots, newPlot("Burn by customer, 1h, the worst served first", r.Customers[:min(len(r.Customers), 20)], 1))
+	}
+	return v
+}
+
+func windowName(r burn.Report, i int, otherwise string) string {
+	if len(r.Classes) > 0 {
+		return r.Classes[0].Windows[i].Window
+	}
+	return otherwise
+}
+
+func newPlot(title string, rows []burn.Row, window int) plot {
+	p := plot{Title: title, Width: labelWidth + plotWidth + valueWidth, Height: len(rows)*(barHeight+barGap) + 24}
+	for i, row := range rows {
+		y := i * (barHeight + barGap)
+		f := row.Windows[window]
+		p.Bars = append(p.Bars, bar{
+			Label: label(row), Value: fmt.Sprintf("%.2f", f.Burn),
+			X: labelWidth, Y: y, Width: scale(f.Burn), Text: y + barHeight - 4, Color: color(f.Burn),
+		})
+	}
+	for _, m := range marks {
+		p.Marks = append(p.Marks, mark{X: labelWidth + scale(m), Label: fmt.Sprintf("%g", m)})
+	}
+	return p
+}
+
+func label(r burn.Row) string {
+	if r.Customer == "" {
+		return r.Class
+	}
+	return r.Customer + " / " + r.Class
+}
+
+// scale returns the length of a bar on the logarithmic axis.
+func scale(v float64) int {
+	if v <= leastBurn {
+		return 0
+	}
+	share := math.Log(v/leastBurn) / math.Log(mostBurn/leastBurn)
+	return int(math.Round(math.Min(share, 1) * plotWidth))
+}
+
+func color(v float64) string {
+	switch {
+	case v >= 14.4:
+		return "#b3261e"
+	case v >= 1:
+		return "#e08a00"
+	}
+	return "#3a7d44"
+}
