--- /dev/null
+++ b/cmd/hickorypath/apply.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"hickorypath/internal/operator/api"
+	"hickorypath/internal/operator/client"
+)
+
+// noBase stands for a base that was not given.
+const noBase = -1
+
+func addApply(app *kingpin.Application) {
+	var (
+		file string
+		base int64
+		wait waiting
+	)
+	cmd := app.Command("apply", "Put a document in force in an environment. Exits with 3 for faults, 4 when another operator changed it first, 5 when the outcome is not known, 7 when --wait ran out of time.")
+	cmd.Arg("file", "The document.").Required().StringVar(&file)
+	cmd.Flag("base", "Revision from which the document was made; any later one is a conflict. Without it the newest is taken.").Default("-1").Int64Var(&base)
+	wait.add(cmd)
+	r := addRemote(cmd)
+	cmd.Action(action(&r.json, func(ctx context.Context) error {
+		doc, err := readDocument(file)
+		if err != nil {
+			return err
+		}
+		c := r.client()
+		if base == noBase {
+			current, err := c.Base(ctx)
+			if err != nil {
+				return err
+			}
+			base = int64(current.Revision())
+		}
+		rev, err := c.Put(ctx, client.Put{Base: uint64(base), Source: doc.Source(), File: file, Digest: doc.Digest()})
+		if err != nil {
+			return err
+		}
+		return accepted(ctx, c, r.json, rev, wait)
+	}))
+}
+
+// accepted prints an accepted revision and waits for it when asked to.
+func accepted(ctx context.Context, c *client.Client, jsonOutput bool, rev api.Revision, wait waiting) error {
+	if !jsonOutput {
+		fmt.Printf("revision %d accepted; digest %s, change %s\n", rev.Number, rev.Digest, rev.Change)
+	}
+	if wait.on {
+		if err := wait.until(ctx, c, rev.Number); err != nil {
+			return err
+		}
+	}
+	if jsonOutput {
+		return printJSON(rev)
+	}
+	return nil
+}
+
+// waiting holds the flags of commands that wait until a revision is in force.
+type waiting struct {
+	on      bool
+	timeout time.Duration
+}
+
+func (w *waiting) add(cmd *kingpin.CmdClause) {
+	cmd.Flag("wait", "Wait until the revision is in force on all live hosts, and show how far it got.").BoolVar(&w.on)
+	cmd.Flag("timeout", "How long to wait.").Default("30s").DurationVar(&w.timeout)
+}
+
+// pollPause is the time between two looks at the hosts.
+const pollPause = 250 * time.Millisecond
+
+// until waits until the revision is in force on all live hosts. Progress goes to standard error.
+func (w waiting) until(ctx context.Context, c *client.Client, revision uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, w.timeout)
+	defer cancel()
+	shown := ""
+	for {
+		status, err := c.Status(ctx)
+		if err == nil {
+			have, want, behind := countInForce(status, revision)
+			if line := fmt.Sprintf("revision %d is in force on %d of %d hosts", revision, have, want); line != shown {
+				fmt.Fprintln(os.Stderr, line)
+				shown = line
+			}
+			if want > 0 && have == want {
+				return nil
+			}
+			if ctx.Err() != nil {
+				return late(revision, behind)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			if shown == "" && err != nil {
+				return &exitError{exitLate, fmt.Sprintf("revision %d was accepted, but the hosts cannot be seen: %v", revision, err)}
+			}
+			_, _, behind := countInForce(status, revision)
+			return late(revision, behind)
+		case <-time.After(pollPause):
+		}
+	}
+}
+
+func late(revision uint64, behind []string) error {
+	return &exitError{exitLate, fmt.Sprintf("revision %d was accepted, but is not yet in force on %v; it will be when they are reached", revision, behind)}
+}
+
+// stateLive is the state of a host that takes requests.
+const stateLive = "live"
+
+// countInForce counts the live hosts that have the revision, and names those that do not.
+func countInForce(s api.Status, revision uint64) (have, want int, behind []string) {
+	for _, h := range s.Hosts {
+		if h.State != stateLive {
+			continue
+		}
+		want++
+		if h.Revision >= revision {
+			have++
+		} else {
+			behind = append(behind, h.ID)
+		}
+	}
+	return have, want, behind
+}
--- /dev/null
+++ b/cmd/hickorypath/change.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+func addChange(app *kingpin.Application) {
+	var id string
+	cmd := app.Command("change", "Tell what became of a change whose outcome was not known.")
+	cmd.Arg("id", "Id of the change.").Required().StringVar(&id)
+	r := addRemote(cmd)
+	cmd.Action(action(&r.json, func(ctx context.Context) error {
+		out, err := r.client().Outcome(ctx, id)
+		if err != nil {
+			return err
+		}
+		if r.json {
+			return printJSON(out)
+		}
+		switch {
+		case out.Revision == nil:
+			fmt.Printf("change %s is open: it was not seen so far, and may still take effect until another revision is accepted\n", id)
+		case out.State == "applied":
+			fmt.Printf("change %s was applied as revision %d\n", id, out.Revision.Number)
+		default:
+			fmt.Printf("change %s was refused: revision %d is change %s by %s\n", id, out.Revision.Number, out.Revision.Change, out.Revision.Operator)
+		}
+		return nil
+	}))
+}
--- /dev/null
+++ b/cmd/hickorypath/output.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// printJSON prints v for programs.
+func printJSON(v any) error {
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+// table is a table for people.
+type table struct {
+	w *tabwriter.Writer
+}
+
+func newTable(columns ...string) *table {
+	t := &table{w: tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)}
+	fmt.Fprintln(t.w, strings.ToUpper(strings.Join(columns, "\t")))
+	return t
+}
+
+func (t *table) row(values ...any) {
+	cells := make([]string, len(values))
+	for i, v := range values {
+		cells[i] = fmt.Sprint(v)
+		if cells[i] == "" {
+			cells[i] = "-"
+		}
+	}
+	fmt.Fprintln(t.w, strings.Join(cells, "\t"))
+}
+
+func (t *table) print() error { return t.w.Flush() }
+
+// stamp formats a time for tables.
+func stamp(t time.Time) string {
+	if t.IsZero() {
+		return ""
+	}
+	return t.UTC().Format("2006-01-02 15:04:05")
+}
+
+// digestWidth is the number of digits of a digest in tables.
+const digestWidth = 12
+
+func shortDigest(d string) string { return d[:min(len(d), digestWidth)] }
--- /dev/null
+++ b/cmd/hickorypath/script_test.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"os"
+	"testing"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"hickorypath": runOperator})
+}
+
+// runOperator runs the operators' commands alone.
+func runOperator() {
+	app := kingpin.New("hickorypath", "A router for language-model traffic.")
+	registerOperator(app)
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata/script", RequireExplicitExec: true})
+}
--- /dev/null
+++ b/cmd/hickorypath/version.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"runtime/debug"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// build describes the program.
+type build struct {
+	Version  string `json:"version"`
+	Go       string `json:"go"`
+	Revision string `json:"revision,omitempty"`
+	Modified bool   `json:"modified,omitempty"`
+}
+
+func addVersion(app *kingpin.Application) {
+	var json bool
+	cmd := app.Command("version", "Print the version.")
+	addJSON(cmd, &json)
+	cmd.Action(action(&json, func(context.Context) error {
+		b := newBuild()
+		if json {
+			return printJSON(b)
+		}
+		fmt.Printf("hickorypath %s %s %s\n", b.Version, shortDigest(b.Revision), b.Go)
+		return nil
+	}))
+}
+
+func newBuild() build {
+	b := build{Version: "(unknown)"}
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return b
+	}
+	b.Version, b.Go = info.Main.Version, info.GoVersion
+	for _, s := range info.Settings {
+		switch s.Key {
+		case "vcs.revision":
+			b.Revision = s.Value
+		case "vcs.modified":
+			b.Modified = s.Value == "true"
+		}
+	}
+	return b
+}
--- a/internal/operator/vault/change.go
+++ b/internal/operator/vault/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/operator/document"
@@ -19,6 +20,7 @@
 // base, of kind Store when nothing was changed, and of kind Unknown when the outcome is not known; the
 // revision then names the change, whose outcome Outcome tells.
 func (v *Vault) Put(ctx context.Context, c Change) (Revision, error) {
+	c.Source = slices.Clone(c.Source) // the chunks in memory outlive the caller's buffer
 	r, err := v.readRoot(ctx)
 	if err != nil {
 		return Revision{}, err
--- a/internal/operator/vault/vault_test.go
+++ b/internal/operator/vault/vault_test.go
@@ -35,6 +35,18 @@
 	is.Equal(same, rev) // a change of nothing makes no revision
 }
 
+func TestPutKeepsNoBufferOfCaller(t *testing.T) {
+	is := is.New(t)
+	v := newVault(newFake())
+	buffer := source(1)
+	_, err := v.Put(ctx, vault.Change{Source: buffer, Operator: "maria"})
+	is.NoErr(err)
+	clear(buffer)
+	got, _, err := v.Load(ctx)
+	is.NoErr(err)
+	is.Equal(string(got), string(source(1)))
+}
+
 func TestTwoOperatorsRace(t *testing.T) {
 	is := is.New(t)
 	f := newFake()
