Weigh cached prefixes, queued prompts and the batch in the choice of an upstream

With static shares and a cost led by the decode time, hosts queued while others had free slots, noise in single times to first token ejected healthy upstreams, and far zones cost more than a cached prompt.

Shares now follow demand, with part of the free slots lent; slowness averages logarithms and trusts gaps more than first tokens; first tokens are compared with a fitted line; a prompt also counts for the requests that wait behind it; new prefixes have a home.

--- a/internal/policy/health/health.go
+++ b/internal/policy/health/health.go
@@ -2,7 +2,10 @@
 // the present time is passed in.
 package health
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Config holds the limits of a Pool; zero values get defaults.
 type Config struct {
@@ -66,20 +69,20 @@
 
 // State is the health of one upstream.
 type State struct {
-	until   time.Time // end of the ejection
-	back    time.Time // begin of the slow return; zero when there is none
-	times   int       // ejections in a row
-	slow    bool      // the ejection is for slowness
-	out     bool
-	trial   bool // the next result decides whether the ejection is repeated
-	samples int
-	ratio   float64 // smoothed slowness, 1 being the pool's usual
+	until    time.Time // end of the ejection
+	back     time.Time // begin of the slow return; zero when there is none
+	times    int       // ejections in a row
+	slow     bool      // the ejection is for slowness
+	out      bool
+	trial    bool // the next result decides whether the ejection is repeated
+	samples  int
+	slowness float64 // smoothed logarithm of the slowness, 0 being the pool's usual
 }
 
 // Join adds an upstream to the pool.
 func (p *Pool) Join() *State {
 	p.members++
-	return &State{ratio: 1}
+	return &State{}
 }
 
 // Leave removes an upstream from the pool.
@@ -95,28 +98,53 @@
 	s.out = false
 }
 
+// Signal is a latency by which slowness is observed. Its value is the newest sample's share in the
+// smoothed slowness.
+type Signal float64
+
+// The signals. Times to first token vary with prompts, caches and queues, so each one says less.
 const (
-	ratioShare = 0.25 // the newest sample's share in the smoothed ratio
-	ratioMax   = 20   // bound on one sample, so that a single freeze is forgotten soon
-	minSamples = 4    // samples before an upstream can be ejected for slowness
+	First Signal = 0.08
+	Gap   Signal = 0.2
 )
 
-// Observe adds a sample of slowness: an observed latency over the one expected of the pool.
-func (p *Pool) Observe(now time.Time, s *State, ratio float64) {
-	ratio = min(max(ratio, 0), ratioMax)
+const (
+	ratioMin   = 0.25 // bounds on one sample, so that a single freeze is forgotten soon
+	ratioMax   = 8
+	minSamples = 4 // samples before an upstream can be ejected for slowness
+)
+
+// Observe adds a sample of slowness: an observed latency over the one expected of the pool. Samples
+// are averaged by their logarithms, so that one late answer does not outweigh many prompt ones.
+func (p *Pool) Observe(now time.Time, s *State, signal Signal, ratio float64) {
+	sample := math.Log(min(max(ratio, ratioMin), ratioMax))
 	s.samples++
-	if s.trial && ratio < p.config.Outlier {
-		s.ratio = ratio
+	if s.trial && !s.out {
+		p.decide(now, s, signal, ratio)
+		return
 	}
-	s.ratio += ratioShare * (ratio - s.ratio)
-	switch {
-	case s.out:
-	case s.trial && ratio >= p.config.Outlier:
+	s.slowness += float64(signal) * (sample - s.slowness)
+	if !s.out && s.samples >= minSamples && s.Ratio() >= p.config.Outlier {
 		p.eject(now, s, true)
-	case s.trial:
-		s.trial = false
-	case s.samples >= minSamples && s.ratio >= p.config.Outlier:
+	}
+}
+
+// decide ends the trial of an upstream that came back from an ejection.
+func (p *Pool) decide(now time.Time, s *State, signal Signal, ratio float64) {
+	if ratio >= p.config.Outlier {
 		p.eject(now, s, true)
+		return
+	}
+	if signal == Gap {
+		s.trial, s.slowness = false, math.Log(max(ratio, 1))
+	}
+}
+
+// Succeed notes that an upstream ran a request to its end. It ends a trial in which no sample spoke
+// against the upstream.
+func (p *Pool) Succeed(s *State) {
+	if s.trial && !s.out {
+		s.trial, s.slowness = false, 0
 	}
 }
 
@@ -185,7 +213,7 @@
 const minWeight = 0.01
 
 // Ratio returns the smoothed slowness, 1 being the pool's usual.
-func (s *State) Ratio() float64 { return s.ratio }
+func (s *State) Ratio() float64 { return math.Exp(s.slowness) }
 
 // Settled reports whether the weight is 1 and stays so until the next event.
 func (s *State) Settled() bool { return !s.out && s.back.IsZero() }
--- a/internal/policy/route/bench_test.go
+++ b/internal/policy/route/bench_test.go
@@ -12,7 +12,7 @@
 func pool(n, zones, slots int) []route.Upstream {
 	list := make([]route.Upstream, n)
 	for i := range list {
-		list[i] = route.NewUpstream(fmt.Sprintf("u%04d", i), fmt.Sprintf("z%d", i%zones), slots, i%5 == 4)
+		list[i] = route.NewUpstream(fmt.Sprintf("u%04d", i), fmt.Sprintf("z%d", i%zones), slots, false)
 	}
 	return list
 }
@@ -50,7 +50,7 @@
 					table.Gap(now, id, 30*time.Millisecond)
 					table.Finish(now, id, i-uint64(len(inFlight)), route.Result{})
 				}
-				w := route.Work{Cheap: i%2 == 0, Prefix: shared[i%512], Tokens: 1024}
+				w := route.Work{Prefix: shared[i%512], Tokens: 1024}
 				id, ok := table.Pick(now, w)
 				if ok {
 					table.Start(now, id, i, w)
@@ -70,7 +70,7 @@
 			table.Set(start, pool(1300, 15, 16))
 			shared := prompts(512, prefix)
 			for i := range 5000 {
-				w := route.Work{Cheap: true, Prefix: shared[i%512], Tokens: 1024}
+				w := route.Work{Prefix: shared[i%512], Tokens: 1024}
 				if id, ok := table.Pick(start, w); ok {
 					table.Start(start, id, uint64(i), w)
 				}
@@ -79,8 +79,37 @@
 			i := 0
 			for b.Loop() {
 				i++
-				table.Pick(start, route.Work{Cheap: true, Prefix: shared[i%512], Tokens: 1024})
+				table.Pick(start, route.Work{Prefix: shared[i%512], Tokens: 1024})
 			}
 		})
 	}
 }
+
+// BenchmarkShare divides the slots of 1,300 upstreams among 350 hosts anew.
+func BenchmarkShare(b *testing.B) {
+	hosts := make([]route.Host, 350)
+	for i := range hosts {
+		hosts[i] = route.Host{ID: fmt.Sprintf("h%d", i), Zone: fmt.Sprintf("z%d", i%15), Demand: float64(i % 7)}
+	}
+	table := route.New(route.Config{Host: "h0", Zone: "z0"})
+	table.Set(start, pool(1300, 15, 16))
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Share(start, hosts)
+	}
+}
+
+// BenchmarkPeer takes the running requests of one other host.
+func BenchmarkPeer(b *testing.B) {
+	table := route.New(route.Config{Host: "h0", Zone: "z0"})
+	list := pool(1300, 15, 16)
+	table.Set(start, list)
+	running := map[string]int{}
+	for _, u := range list[:64] {
+		running[u.ID()] = 2
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Peer(start, "h1", running)
+	}
+}
--- a/internal/policy/route/cost.go
+++ b/internal/policy/route/cost.go
@@ -7,46 +7,35 @@
 )
 
 const (
-	usualGap      = 30 * time.Millisecond // until gaps were observed
-	usualPerToken = 200 * time.Microsecond
-	usualOutput   = 200  // output tokens that a choice expects
-	farFactor     = 1.15 // cost of an upstream in another zone, relative
-	reportTrust   = 5 * time.Second
-	doubtFactor   = 0.7 // worth of a cache entry after lost events
-	queueFactor   = 1.0 // growth of the cost for each batch of requests beyond the slots
+	usualOutput = 60   // output tokens by which the batch of an upstream counts
+	farCost     = 0.02 // seconds that an upstream in another zone must be better by
+	reportTrust = 5 * time.Second
+	doubtFactor = 0.9 // worth of a cache entry after lost events
+	queueFactor = 1.0 // growth of the cost for each batch of requests beyond the slots
 )
 
-// cost returns the expected time in seconds of the work on m, of which blocks are cached.
+// cost returns the expected time in seconds that the work takes on m, of which blocks are cached, and
+// that it takes from the requests which run there already: they wait while its prompt is processed,
+// and share the batch with it.
 func (t *Table) cost(now time.Time, m *member, w *Work, blocks int) float64 {
-	fill := m.fill(t.others(now, m) + 1)
+	others := t.others(now, m)
+	busy := float64(m.own) + others
+	fill := m.fill(others)
 	missing := float64(w.Tokens) * (1 - t.hitShare(now, m, w, blocks))
-	ahead := float64(m.pendingTokens())
-	first := t.perToken() * (missing + ahead + baseTokens)
-	decode := t.usualGap() * usualOutput * (1 + batchFactor*fill)
-	cost := (first + decode) * t.slowness(now, m)
-	if fill > 1 {
-		cost += decode * queueFactor * (fill - 1)
+	prompt := t.model.slope() * missing
+	first := t.model.expect(missing + float64(m.ahead))
+	decode := t.model.usualGap() * usualOutput
+	cost := first + prompt*busy + decode*(1+2*batchFactor*fill)
+	cost *= t.slowness(now, m)
+	if fill >= 1 {
+		cost += decode * (1 + queueFactor*fill)
 	}
 	if !m.near {
-		cost *= farFactor
+		cost += farCost
 	}
 	return cost
 }
 
-func (t *Table) perToken() float64 {
-	if v := t.model.perToken.value; v > 0 {
-		return v
-	}
-	return usualPerToken.Seconds()
-}
-
-func (t *Table) usualGap() float64 {
-	if v := t.model.gapTime.value; v > 0 {
-		return v
-	}
-	return usualGap.Seconds()
-}
-
 // hitShare returns the share of the prompt that m is expected to have cached.
 func (t *Table) hitShare(now time.Time, m *member, w *Work, blocks int) float64 {
 	if blocks == 0 {
@@ -91,8 +80,7 @@
 	slow := m.health.Ratio()
 	if len(m.first) > 0 {
 		oldest := &m.first[0]
-		usual := t.perToken() * float64(oldest.tokens+baseTokens*(1+len(m.first)))
-		slow = max(slow, now.Sub(oldest.start).Seconds()/usual)
+		slow = max(slow, now.Sub(oldest.start).Seconds()/t.model.expect(float64(oldest.tokens+oldest.ahead)))
 	}
 	return max(slow, minSlowness)
 }
@@ -105,20 +93,8 @@
 	return (float64(m.own) + others) / float64(m.slots)
 }
 
-// depth returns how many requests wait for their first token.
-func (m *member) depth() int { return len(m.first) }
-
-// pendingTokens returns the prompt tokens ahead of a new request.
-func (m *member) pendingTokens() int {
-	n := 0
-	for i := range m.first {
-		n += m.first[i].tokens
-	}
-	return n
-}
-
-// settleFirst removes the pending request that started nearest to start and returns its tokens.
-func (m *member) settleFirst(start time.Time) int {
+// settleFirst removes the pending request that started nearest to start.
+func (m *member) settleFirst(start time.Time) (p pending, ok bool) {
 	best, least := -1, time.Duration(math.MaxInt64)
 	for i := range m.first {
 		if d := m.first[i].start.Sub(start).Abs(); d < least {
@@ -126,19 +102,24 @@
 		}
 	}
 	if best < 0 {
-		return 0
+		return pending{}, false
 	}
-	tokens := m.first[best].tokens
-	m.first = slices.Delete(m.first, best, best+1)
-	return tokens
+	return m.removeFirst(best), true
 }
 
 // forgetFirst removes a request from the pending ones.
 func (m *member) forgetFirst(request uint64) {
 	for i := range m.first {
 		if m.first[i].request == request {
-			m.first = slices.Delete(m.first, i, i+1)
+			m.removeFirst(i)
 			return
 		}
 	}
 }
+
+func (m *member) removeFirst(i int) pending {
+	p := m.first[i]
+	m.first = slices.Delete(m.first, i, i+1)
+	m.ahead -= p.tokens
+	return p
+}
--- a/internal/policy/route/model.go
+++ b/internal/policy/route/model.go
@@ -8,26 +8,82 @@
 // model is what the pool as a whole has shown: the usual latencies against which each upstream's are
 // compared.
 type model struct {
-	perToken quantile // time to first token for each prompt token that is not cached
-	gapTime  quantile // time between tokens at an empty batch
+	line    line     // time to first token by prompt tokens to process
+	gapTime quantile // time between tokens at an empty batch
 }
 
 const (
-	baseTokens  = 64  // work of a request besides its prompt, as tokens
-	batchFactor = 1.0 // growth of the gap from an empty batch to a full one, as a fraction
+	batchFactor  = 1.0 // growth of the gap from an empty batch to a full one, as a fraction
+	defaultGap   = 0.03
+	defaultFirst = 0.1
+	defaultSlope = 0.0002
 )
 
 func newModel() model { return model{} }
 
 // first takes a time to first token and returns its ratio to the usual one.
-func (m *model) first(d time.Duration, tokens, depth int) (ratio float64, ok bool) {
-	usual := m.perToken.value
-	v := d.Seconds() / float64(tokens+baseTokens*(1+depth))
-	m.perToken.add(v)
-	if usual == 0 {
-		return 0, false
+func (m *model) first(d time.Duration, tokens int) (ratio float64, ok bool) {
+	usual := m.expect(float64(tokens))
+	ratio, ok = d.Seconds()/usual, m.line.n >= minLine
+	seconds := d.Seconds()
+	if ok {
+		seconds = min(seconds, maxRatio*usual)
 	}
-	return v / usual, true
+	m.line.add(float64(tokens), seconds)
+	return ratio, ok
+}
+
+// expect returns the usual time in seconds to first token with tokens to process.
+func (m *model) expect(tokens float64) float64 {
+	if m.line.n < minLine {
+		return defaultFirst + defaultSlope*tokens
+	}
+	return m.line.base + m.line.slope*tokens
+}
+
+// slope returns the usual time in seconds for each prompt token.
+func (m *model) slope() float64 {
+	if m.line.n < minLine {
+		return defaultSlope
+	}
+	return m.line.slope
+}
+
+// usualGap returns the usual time in seconds between tokens at an empty batch.
+func (m *model) usualGap() float64 {
+	if v := m.gapTime.value; v > 0 {
+		return v
+	}
+	return defaultGap
+}
+
+// line fits a straight line through points, the newest weighing most.
+type line struct {
+	n            int
+	x, y, xx, xy float64
+	base, slope  float64
+}
+
+const (
+	minLine   = 16    // points before the line is used
+	lineShare = 0.01  // the newest point's share
+	minSlope  = 1e-6  // seconds for each token
+	minBase   = 0.002 // seconds
+	maxRatio  = 3     // bound on a point relative to the line, so that stragglers do not bend it
+)
+
+func (l *line) add(x, y float64) {
+	l.n++
+	share := max(lineShare, 1/float64(l.n))
+	l.x += share * (x - l.x)
+	l.y += share * (y - l.y)
+	l.xx += share * (x*x - l.xx)
+	l.xy += share * (x*y - l.xy)
+	l.slope = minSlope
+	if spread := l.xx - l.x*l.x; spread > 1 {
+		l.slope = max(minSlope, (l.xy-l.x*l.y)/spread)
+	}
+	l.base = max(minBase, l.y-l.slope*l.x)
 }
 
 // gap takes a time between tokens and returns its ratio to the usual one at that fill.
--- a/internal/policy/route/pick.go
+++ b/internal/policy/route/pick.go
@@ -17,8 +17,9 @@
 type choice struct {
 	table *Table
 	now   time.Time
-	work  *Work
+	work  Work
 	match []affine
+	homes [homes]*member
 	best  *member
 	cost  float64
 }
@@ -27,7 +28,9 @@
 // none may take the work now.
 func (t *Table) Pick(now time.Time, w Work) (id string, ok bool) {
 	t.advance(now)
-	c := choice{table: t, now: now, work: &w, match: t.prefixes.match(w.Prefix)}
+	c := &t.choice
+	*c = choice{table: t, now: now, work: w, match: t.prefixes.match(w.Prefix)}
+	c.findHomes()
 	if t.openCount(w.Cheap) <= smallPool {
 		c.all()
 	} else {
@@ -62,7 +65,11 @@
 		c.sample(groupNearCheap, nearSamples)
 		c.sample(groupFarCheap, farSamples)
 	}
-	c.home()
+	for _, m := range c.homes {
+		if m != nil {
+			c.consider(m)
+		}
+	}
 }
 
 // sample considers n members of a group's open list that stand at random places.
@@ -80,18 +87,15 @@
 	}
 }
 
-// home considers the members to which the first prefix block points, so that all hosts send a new
+// findHomes sets the members to which the first prefix block points, so that all hosts send a new
 // prefix the same way.
-func (c *choice) home() {
-	if len(c.work.Prefix) == 0 {
+func (c *choice) findHomes() {
+	if len(c.work.Prefix) == 0 || len(c.table.members) == 0 {
 		return
 	}
-	members := c.table.members
 	at := c.work.Prefix[0]
-	for range homes {
-		if m := members[at%uint64(len(members))]; m != nil {
-			c.consider(m)
-		}
+	for i := range c.homes {
+		c.homes[i] = c.table.members[at%uint64(len(c.table.members))]
 		at = at*0x9e3779b97f4a7c15 + 1
 	}
 }
@@ -112,14 +116,14 @@
 	if m.place < 0 || !c.allows(m) {
 		return
 	}
-	cost := c.table.cost(c.now, m, c.work, c.blocks(m))
+	cost := c.table.cost(c.now, m, &c.work, c.blocks(m))
 	if c.best == nil || cost < c.cost {
 		c.best, c.cost = m, cost
 	}
 }
 
 func (c *choice) allows(m *member) bool {
-	w := c.work
+	w := &c.work
 	switch {
 	case m.reclaimable && !w.Cheap:
 		return false
@@ -131,12 +135,16 @@
 	return !slices.Contains(w.Exclude, m.id)
 }
 
-// blocks returns how many leading blocks of the work's prefix m holds.
+// blocks returns how many leading blocks of the work's prefix m holds. A prefix that nobody is known to
+// hold counts half at its home.
 func (c *choice) blocks(m *member) int {
 	for _, a := range c.match {
 		if int(a.member) == m.index {
 			return a.blocks
 		}
 	}
+	if len(c.match) == 0 && m == c.homes[0] {
+		return (len(c.work.Prefix) + 1) / 2
+	}
 	return 0
 }
--- a/internal/policy/route/share.go
+++ b/internal/policy/route/share.go
@@ -24,6 +24,7 @@
 
 const (
 	nearFactor    = 4   // a host near an upstream gets this many times the share of a far one
+	reserve       = 4   // 1/reserve of an upstream's slots is not lent beyond the shares
 	idleDemand    = 0.5 // demand of an idle host, so that its first requests find a slot
 	peerExpiry    = 2 * time.Second
 	refreshPeriod = 50 * time.Millisecond
@@ -34,6 +35,7 @@
 func (t *Table) Share(now time.Time, hosts []Host) {
 	t.hosts = slices.Clone(hosts)
 	slices.SortFunc(t.hosts, func(a, b Host) int { return cmp.Compare(a.ID, b.ID) })
+	t.sums = newSums(t.hosts, t.config.Host)
 	t.reshare(now)
 }
 
@@ -87,37 +89,72 @@
 	}
 }
 
-// shareOf divides the slots of m by cumulative rounding: the hosts stand in an order that differs for
-// each upstream, and each gets the slots between the rounded sums before and after it.
+// shareOf divides the slots of m by cumulative rounding: the hosts stand in an order that begins at
+// another one for each upstream, and each gets the slots between the rounded sums before and after it.
 func (t *Table) shareOf(m *member) int {
 	if len(t.hosts) < 2 {
 		return m.slots
 	}
-	start := int(xxhash.Sum64String(m.id) % uint64(len(t.hosts)))
-	total := 0.0
-	for i := range t.hosts {
-		total += weight(&t.hosts[i], m)
-	}
-	sum, offset := 0.0, float64(xxhash.Sum64String(m.id+"/")%1024)/1024
-	for i := range t.hosts {
-		h := &t.hosts[(start+i)%len(t.hosts)]
-		before := math.Floor(sum/total*float64(m.slots) + offset)
-		sum += weight(h, m)
-		if h.ID == t.config.Host {
-			return int(math.Floor(sum/total*float64(m.slots)+offset) - before)
+	if t.sums.self < 0 {
+		return 0
+	}
+	hash := xxhash.Sum64String(m.id)
+	before, after, total := t.sums.around(m.zone, int(hash%uint64(len(t.hosts))))
+	offset := float64(hash>>32%1024) / 1024
+	slots := float64(m.slots)
+	return int(math.Floor(after/total*slots+offset) - math.Floor(before/total*slots+offset))
+}
+
+// sums are the running sums of the hosts' weights, over all and over each zone, so that a share takes
+// the same time however many hosts there are.
+type sums struct {
+	self int // index of this host, -1 when it is not among them
+	all  []float64
+	zone map[string][]float64
+}
+
+func newSums(hosts []Host, self string) sums {
+	s := sums{self: -1, all: make([]float64, len(hosts)+1), zone: map[string][]float64{}}
+	for i, h := range hosts {
+		if h.ID == self {
+			s.self = i
+		}
+		if s.zone[h.Zone] == nil {
+			s.zone[h.Zone] = make([]float64, len(hosts)+1)
+		}
+		s.all[i+1] = s.all[i] + weight(h)
+	}
+	for zone, sum := range s.zone {
+		for i, h := range hosts {
+			sum[i+1] = sum[i]
+			if h.Zone == zone {
+				sum[i+1] += weight(h) * (nearFactor - 1)
+			}
 		}
 	}
-	return 0
+	return s
 }
 
-func weight(h *Host, m *member) float64 {
-	w := max(h.Demand, idleDemand)
-	if h.Zone == m.zone {
-		return w * nearFactor
+// around returns the sums before and after this host, counted from host first on, and the total, as
+// they are for an upstream in zone.
+func (s *sums) around(zone string, first int) (before, after, total float64) {
+	near := s.zone[zone]
+	at := func(i int) float64 {
+		if near == nil {
+			return s.all[i]
+		}
+		return s.all[i] + near[i]
 	}
-	return w
+	total = at(len(s.all) - 1)
+	before, after = at(s.self)-at(first), at(s.self+1)-at(first)
+	if s.self < first {
+		before, after = before+total, after+total
+	}
+	return before, after, total
 }
 
+func weight(h Host) float64 { return max(h.Demand, idleDemand) }
+
 // grantOne gives a host without any share one slot, so that a small pool serves many hosts.
 func (t *Table) grantOne(now time.Time) {
 	var best *member
@@ -141,7 +178,8 @@
 func (t *Table) relimit(now time.Time, m *member) {
 	limit := m.share
 	if n := len(t.hosts); n > 1 {
-		limit = max(limit, m.own+(m.slots-m.own-m.peers)/n)
+		free := m.slots - m.own - m.peers
+		limit = max(limit, m.own+free/n, m.own+(free-m.slots/reserve)/2)
 	}
 	if w := t.health.Weight(now, m.health); w < 1 {
 		limit = int(math.Ceil(w * float64(limit)))
--- /dev/null
+++ b/internal/policy/route/share_test.go
@@ -0,0 +1,162 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/policy/route"
+)
+
+// TestSharesAddUp checks that the hosts' shares of an upstream's slots add up to the slots.
+func TestSharesAddUp(t *testing.T) {
+	cases := []struct{ hosts, upstreams, slots int }{{1, 9, 16}, {2, 9, 16}, {7, 9, 16}, {7, 4, 8}, {350, 130, 64}}
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
+			is := is.New(t)
+			hosts := make([]route.Host, c.hosts)
+			for i := range hosts {
+				hosts[i] = route.Host{ID: fmt.Sprintf("h%d", i), Zone: fmt.Sprintf("z%d", i%3), Demand: 1 + float64(i%5)}
+			}
+			sum, none := 0, 0
+			for _, h := range hosts {
+				table := route.New(route.Config{Host: h.ID, Zone: h.Zone})
+				table.Set(start, pool(c.upstreams, 3, c.slots))
+				table.Share(start, hosts)
+				table.Peer(start, "other", full(c.upstreams, c.slots))
+				sum += table.Free(start)
+				if table.Free(start) == 0 {
+					none++
+				}
+			}
+			is.Equal(sum, c.upstreams*c.slots)
+			is.Equal(none, 0)
+		})
+	}
+}
+
+// full returns counts by which nothing is left to lend beyond the shares.
+func full(upstreams, slots int) map[string]int {
+	all := map[string]int{}
+	for _, u := range pool(upstreams, 3, slots) {
+		all[u.ID()] = slots
+	}
+	return all
+}
+
+func TestHostWithoutShareGetsOneSlot(t *testing.T) {
+	is := is.New(t)
+	hosts := make([]route.Host, 40)
+	for i := range hosts {
+		hosts[i] = route.Host{ID: fmt.Sprintf("h%d", i), Zone: "z0", Demand: 1}
+	}
+	for _, h := range hosts {
+		table := route.New(route.Config{Host: h.ID, Zone: h.Zone})
+		table.Set(start, pool(4, 1, 2))
+		table.Share(start, hosts)
+		table.Peer(start, "other", full(4, 2))
+		is.True(table.Free(start) >= 1)
+	}
+}
+
+// TestDemandMovesShares checks that a host with all of the demand may use nearly all slots.
+func TestDemandMovesShares(t *testing.T) {
+	is := is.New(t)
+	hosts := []route.Host{{ID: "h0", Zone: "z0", Demand: 100}}
+	for i := 1; i < 7; i++ {
+		hosts = append(hosts, route.Host{ID: fmt.Sprintf("h%d", i), Zone: fmt.Sprintf("z%d", i%3)})
+	}
+	table := route.New(route.Config{Host: "h0", Zone: "z0"})
+	table.Set(start, pool(9, 3, 16))
+	table.Share(start, hosts)
+	t.Logf("%d of %d slots", table.Free(start), 9*16)
+	is.True(table.Free(start) >= 9*16*9/10)
+}
+
+func TestLeavingGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	table := route.New(route.Config{Host: "h0", Zone: "z0"})
+	list := pool(2, 1, 4)
+	table.Set(start, list)
+	is.Equal(table.Free(start), 8)
+	list[0] = list[0].WithLeaving(true)
+	table.Set(start, list)
+	is.Equal(table.Free(start), 4)
+	for i := range uint64(4) {
+		id, ok := table.Pick(start, route.Work{})
+		is.True(ok)
+		is.Equal(id, list[1].ID())
+		table.Start(start, id, i, route.Work{})
+	}
+	_, ok := table.Pick(start, route.Work{})
+	is.True(!ok)
+}
+
+func TestCrashedUpstreamReturnsSlowly(t *testing.T) {
+	is := is.New(t)
+	table := route.New(route.Config{Host: "h0", Zone: "z0"})
+	table.Set(start, pool(1, 1, 10))
+	table.Start(start, "u0000", 1, route.Work{})
+	table.Finish(start, "u0000", 1, route.Result{Crashed: true})
+	is.Equal(table.Free(start), 0)
+	back := start.Add(6 * time.Second)
+	is.Equal(table.Free(back), 1)
+	table.Start(back, "u0000", 2, route.Work{})
+	is.Equal(table.Free(back.Add(time.Second)), 0)
+	table.First(back.Add(time.Second), "u0000", 100*time.Millisecond)
+	table.Gap(back.Add(time.Second), "u0000", 30*time.Millisecond)
+	table.Finish(back.Add(time.Second), "u0000", 2, route.Result{})
+	half := table.Free(back.Add(5 * time.Second))
+	is.True(half >= 4 && half <= 6)
+	is.Equal(table.Free(back.Add(11*time.Second)), 10)
+}
+
+// TestLoneSuspects checks that a suspect on trial shares its upstream with no other suspect.
+func TestLoneSuspects(t *testing.T) {
+	is := is.New(t)
+	table := route.New(route.Config{Host: "h0", Zone: "z0"})
+	table.Set(start, pool(2, 1, 4))
+	lone := route.Work{Lone: true, Suspect: true}
+	first, ok := table.Pick(start, lone)
+	is.True(ok)
+	table.Start(start, first, 1, lone)
+	second, ok := table.Pick(start, lone)
+	is.True(ok)
+	is.True(first != second)
+	table.Start(start, second, 2, lone)
+	_, ok = table.Pick(start, lone)
+	is.True(!ok)
+	_, ok = table.Pick(start, route.Work{})
+	is.True(ok)
+	table.Finish(start, first, 1, route.Result{})
+	again, ok := table.Pick(start, lone)
+	is.True(ok)
+	is.Equal(again, first)
+}
+
+// TestReportsAge checks that what others run on an upstream counts less as its report grows old.
+func TestReportsAge(t *testing.T) {
+	cases := []struct {
+		name string
+		age  time.Duration
+		want string
+	}{
+		{"fresh report of a full upstream", 0, "u0001"},
+		{"stale report of a full upstream", time.Minute, "u0000"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			table := route.New(route.Config{Host: "h0", Zone: "z0"})
+			table.Set(start, pool(2, 1, 8))
+			table.Report(start, "u0000", route.Load{Running: 8, At: start})
+			for i := range uint64(3) {
+				table.Start(start, "u0001", i, route.Work{})
+			}
+			id, _ := table.Pick(start.Add(c.age), route.Work{})
+			is.Equal(id, c.want)
+		})
+	}
+}
--- a/internal/policy/route/table.go
+++ b/internal/policy/route/table.go
@@ -28,10 +28,12 @@
 	prefixes *prefixes
 	model    model
 	hosts    []Host
+	sums     sums
 	peers    map[string]*counts
 	unsettle []*member // members whose health weight changes with time
 	refresh  time.Time
 	free     int
+	choice   choice
 }
 
 // running is a request that this host has started.
@@ -182,7 +184,8 @@
 	}
 	t.requests[request] = running{member: m, start: now, lone: w.Lone, sus: w.Suspect || w.Lone}
 	missing := w.Tokens - t.cachedTokens(now, m, w)
-	m.first = append(m.first, pending{request: request, start: now, tokens: missing})
+	m.first = append(m.first, pending{request: request, start: now, tokens: missing, ahead: m.ahead})
+	m.ahead += missing
 	for _, b := range w.Prefix {
 		t.prefixes.add(b, uint16(m.index))
 	}
@@ -201,9 +204,12 @@
 	if m == nil {
 		return
 	}
-	tokens := m.settleFirst(now.Add(-d))
-	if ratio, ok := t.model.first(d, tokens, m.depth()); ok {
-		t.observe(now, m, ratio)
+	p, ok := m.settleFirst(now.Add(-d))
+	if !ok {
+		return
+	}
+	if ratio, ok := t.model.first(d, p.tokens+p.ahead); ok {
+		t.observe(now, m, health.First, ratio)
 	}
 }
 
@@ -214,12 +220,12 @@
 		return
 	}
 	if ratio, ok := t.model.gap(d, m.fill(t.others(now, m))); ok {
-		t.observe(now, m, ratio)
+		t.observe(now, m, health.Gap, ratio)
 	}
 }
 
-func (t *Table) observe(now time.Time, m *member, ratio float64) {
-	t.health.Observe(now, m.health, ratio)
+func (t *Table) observe(now time.Time, m *member, signal health.Signal, ratio float64) {
+	t.health.Observe(now, m.health, signal, ratio)
 	t.checkHealth(now, m)
 }
 
@@ -239,10 +245,16 @@
 		m.lone--
 	}
 	t.occupy(now, m, -1)
-	if r.Crashed && m == t.byID[id] {
+	if m != t.byID[id] {
+		return
+	}
+	switch {
+	case r.Crashed:
 		t.health.Crash(now, m.health)
-		t.checkHealth(now, m)
+	case !r.Failed:
+		t.health.Succeed(m.health)
 	}
+	t.checkHealth(now, m)
 }
 
 // occupy changes the count of own requests and keeps the open lists.
--- a/internal/policy/route/upstream.go
+++ b/internal/policy/route/upstream.go
@@ -81,6 +81,7 @@
 	own    int // requests of this host
 	peers  int // requests of the other hosts, by their own word
 	first  []pending
+	ahead  int // prompt tokens of the pending requests
 	health *health.State
 
 	suspects int
@@ -98,5 +99,6 @@
 type pending struct {
 	request uint64
 	start   time.Time
-	tokens  int
+	tokens  int // of its prompt that are not cached
+	ahead   int // of the prompts that were pending before it
 }
