--- a/cmd/hickorypath/script_test.go
+++ b/cmd/hickorypath/script_test.go
@@ -20,5 +20,11 @@
 }
 
 func TestScripts(t *testing.T) {
-	testscript.Run(t, testscript.Params{Dir: "testdata/script", RequireExplicitExec: true})
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script", RequireExplicitExec: true,
+		Setup: func(e *testscript.Env) error {
+			e.Setenv("GORACE", "atexit_sleep_ms=0")
+			return nil
+		},
+	})
 }
--- a/cmd/hickorypath/session_test.go
+++ b/cmd/hickorypath/session_test.go
@@ -119,6 +119,7 @@
 					Files: []string{"testdata/session/" + name + ".txtar"},
 					Cmds:  map[string]func(*testscript.TestScript, bool, []string){"session": s.run},
 					Setup: func(e *testscript.Env) error {
+						e.Setenv("GORACE", "atexit_sleep_ms=0")
 						e.Setenv("TRIAL", trial)
 						e.Setenv("PRODUCTION", production)
 						e.Setenv("HICKORYPATH_ADMIN", trial)
--- a/internal/operator/document/document.go
+++ b/internal/operator/document/document.go
@@ -21,6 +21,7 @@
 	pools     []*Pool
 	routes    []*Route
 	index     index
+	texts     map[uint64]known // the customers by the hashes of their texts
 }
 
 // index holds the look-ups of a document.
--- a/internal/operator/document/document_test.go
+++ b/internal/operator/document/document_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/operator/document"
@@ -206,6 +207,58 @@
 	}
 }
 
+// A document that is read with the help of any prior one is the same as without.
+func TestParseAfter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		customer := rapid.Custom(func(t *rapid.T) string {
+			name := rapid.SampledFrom([]string{"a", "b", "c", "d", "e f"}).Draw(t, "name")
+			return fmt.Sprintf(`{"name": %q, "weight": %d}`, name, rapid.IntRange(0, 3).Draw(t, "weight"))
+		})
+		text := func(label string) []byte {
+			return []byte(frame(strings.Join(rapid.SliceOfN(customer, 0, 6).Draw(t, label), ",\n"), "", "", ""))
+		}
+		prior, _ := document.Parse(text("prior"), "prior")
+		data := text("next")
+		want, wantErr := document.Parse(data, "next")
+		got, gotErr := document.ParseAfter(prior, data, "next")
+		if (wantErr == nil) != (gotErr == nil) {
+			t.Fatalf("got %v, want %v", gotErr, wantErr)
+		}
+		if wantErr == nil && string(got.Canonical()) != string(want.Canonical()) {
+			t.Fatalf("got %s, want %s", got.Canonical(), want.Canonical())
+		}
+	})
+}
+
+// Text of any kind is refused or read, with faults whose places lie in it.
+func TestAnyText(t *testing.T) {
+	piece := rapid.SampledFrom([]string{"{", "}", "[", "]", `"customers"`, `"name"`, `"a`, `"`, ":", ",", "0", "//", "/*", "*/", "\n", "\\", "é"})
+	rapid.Check(t, func(t *rapid.T) {
+		text := strings.Join(rapid.SliceOfN(piece, 0, 40).Draw(t, "pieces"), "")
+		_, err := document.Parse([]byte(text), "any")
+		var faults *document.Faults
+		if err != nil && !errors.As(err, &faults) {
+			t.Fatalf("%v is no list of faults", err)
+		}
+		for _, f := range faults.List() {
+			if f.Line() < 1 || f.Line() > strings.Count(text, "\n")+1 || f.Column() < 1 {
+				t.Fatalf("%s lies outside", f)
+			}
+		}
+	})
+}
+
+// Each object with an error of syntax is reported.
+func TestSyntaxFaultsOfObjects(t *testing.T) {
+	is := is.New(t)
+	faults := faultsOf(t, "{\"customers\": [\n  {\"name\" \"a\"},\n  {\"name\": \"b\" \"weight\": 1},\n /* } */ {\"name\": \"c}\"}, // {\n],\n\"classes\": [], \"pools\": [], \"routes\": []}")
+	got := make([]string, 0, len(faults))
+	for _, f := range faults {
+		got = append(got, fmt.Sprintf("%d:%d", f.Line(), f.Column()))
+	}
+	is.Equal(got, []string{"2:11", "3:16", "4:19"})
+}
+
 func TestLiveNeverFalls(t *testing.T) {
 	is := is.New(t)
 	doc := sample(t)
--- a/internal/operator/document/field.go
+++ b/internal/operator/document/field.go
@@ -29,7 +29,7 @@
 	if ok && lit.Kind() == kind {
 		return lit, true
 	}
-	r.fault(v.StartOffset, "write "+want, "%q must be %s, not %s", name, want, typeOf(v))
+	r.fault(r.pos(v), "write "+want, "%q must be %s, not %s", name, want, typeOf(v))
 	return nil, false
 }
 
@@ -52,7 +52,7 @@
 		}
 		n, err := strconv.ParseFloat(string(lit), 64)
 		if err != nil || n < low || n > high {
-			r.fault(v.StartOffset, fmt.Sprintf("give a number from %v to %v", low, high), "%q is out of range: %s", name, string(lit))
+			r.fault(r.pos(v), fmt.Sprintf("give a number from %v to %v", low, high), "%q is out of range: %s", name, string(lit))
 			return
 		}
 		*get(&e.value) = n
@@ -67,7 +67,7 @@
 		}
 		n, err := strconv.Atoi(string(lit))
 		if err != nil || n < low || n > high {
-			r.fault(v.StartOffset, fmt.Sprintf("give a whole number from %d to %d", low, high), "%q is out of range: %s", name, string(lit))
+			r.fault(r.pos(v), fmt.Sprintf("give a whole number from %d to %d", low, high), "%q is out of range: %s", name, string(lit))
 			return
 		}
 		*get(&e.value) = n
@@ -82,11 +82,11 @@
 		}
 		d, err := time.ParseDuration(stringOf(lit))
 		if err != nil {
-			r.fault(v.StartOffset, `write a number with a unit, such as "33ms", "1.1s" or "10m"`, "%q is no duration: %s", name, string(lit))
+			r.fault(r.pos(v), `write a number with a unit, such as "33ms", "1.1s" or "10m"`, "%q is no duration: %s", name, string(lit))
 			return
 		}
 		if d < low || d > high {
-			r.fault(v.StartOffset, fmt.Sprintf("give a duration from %s to %s", short(low), short(high)), "%q is out of range: %s", name, string(lit))
+			r.fault(r.pos(v), fmt.Sprintf("give a duration from %s to %s", short(low), short(high)), "%q is out of range: %s", name, string(lit))
 			return
 		}
 		*get(&e.value) = d
@@ -97,7 +97,7 @@
 	return func(r *reader, e *entry[T], name string, v *hujson.Value) {
 		lit, ok := v.Value.(hujson.Literal)
 		if !ok || (lit.Kind() != 't' && lit.Kind() != 'f') {
-			r.fault(v.StartOffset, "write true or false", "%q must be true or false, not %s", name, typeOf(v))
+			r.fault(r.pos(v), "write true or false", "%q must be true or false, not %s", name, typeOf(v))
 			return
 		}
 		*get(&e.value) = lit.Bool()
@@ -133,7 +133,7 @@
 		}
 		value := stringOf(lit)
 		if remedy := check(value); remedy != "" {
-			r.fault(v.StartOffset, remedy, "%q cannot be %s", name, string(lit))
+			r.fault(r.pos(v), remedy, "%q cannot be %s", name, string(lit))
 			return
 		}
 		*get(&e.value) = value
@@ -145,7 +145,7 @@
 	return func(r *reader, e *entry[T], name string, v *hujson.Value) {
 		arr, ok := v.Value.(*hujson.Array)
 		if !ok {
-			r.fault(v.StartOffset, "write an array of strings", "%q must be an array, not %s", name, typeOf(v))
+			r.fault(r.pos(v), "write an array of strings", "%q must be an array, not %s", name, typeOf(v))
 			return
 		}
 		var items []string
@@ -158,15 +158,15 @@
 			}
 			s := stringOf(lit)
 			if remedy := check(s); remedy != "" {
-				r.fault(el.StartOffset, remedy, "%q cannot hold %s", name, string(lit))
+				r.fault(r.pos(el), remedy, "%q cannot hold %s", name, string(lit))
 				continue
 			}
 			if seen[s] {
-				r.fault(el.StartOffset, "keep one of the two", "%q lists %s twice", name, string(lit))
+				r.fault(r.pos(el), "keep one of the two", "%q lists %s twice", name, string(lit))
 				continue
 			}
 			seen[s] = true
-			e.mark(name, len(items), el.StartOffset)
+			e.mark(name, len(items), r.pos(el))
 			items = append(items, s)
 		}
 		*get(&e.value) = items
--- a/internal/operator/document/parse.go
+++ b/internal/operator/document/parse.go
@@ -1,7 +1,6 @@
 package document
 
 import (
-	"fmt"
 	"regexp"
 	"slices"
 	"strconv"
@@ -34,11 +33,18 @@
 
 // Parse reads and checks a document; file names it in the places of faults.
 // The error, if any, is a *Faults that lists all of them.
-func Parse(data []byte, file string) (*Document, error) {
-	r := &reader{at: newLocator(file, data)}
-	root, err := hujson.Parse(data)
+func Parse(data []byte, file string) (*Document, error) { return ParseAfter(nil, data, file) }
+
+// ParseAfter is Parse with the help of a prior document: customers whose text is the same are taken over,
+// which makes a small change of a large document cheap. The result is the same.
+func ParseAfter(prior *Document, data []byte, file string) (*Document, error) {
+	r := &reader{at: newLocator(file, data), prior: prior}
+	outline, spans := outlineOf(data)
+	r.spans = spans
+	root, err := hujson.Parse(outline)
 	if err != nil {
-		return nil, &Faults{list: []Fault{syntaxFault(file, err)}}
+		r.syntaxFault(0, data, err)
+		return nil, &Faults{list: r.faults}
 	}
 	e := &entry[draft]{}
 	if readObject(r, &root, "the document", draftFields, e) {
@@ -48,7 +54,9 @@
 		sortFaults(r.faults)
 		return nil, &Faults{list: r.faults}
 	}
-	return newDocument(data, &e.value), nil
+	doc := newDocument(data, &e.value)
+	doc.texts = newTexts(e.value.customers, doc.customers, spans)
+	return doc, nil
 }
 
 func newDocument(data []byte, d *draft) *Document {
@@ -84,15 +92,17 @@
 // syntaxPlace finds the place in the text of a syntax error.
 var syntaxPlace = regexp.MustCompile(`line (\d+), column (\d+): (.*)$`)
 
-func syntaxFault(file string, err error) Fault {
-	f := Fault{file: file, line: 1, column: 1, text: err.Error()}
-	f.remedy = "correct the JSON here; faults after this place are found once it reads"
+// syntaxFault reports an error of the JSON library in text, which starts at an offset of the document.
+func (r *reader) syntaxFault(start int, text []byte, err error) {
+	const remedy = "correct the JSON here; other faults of the same object are found once it reads"
 	m := syntaxPlace.FindStringSubmatch(err.Error())
 	if m == nil {
-		return f
+		r.fault(start, remedy, "%s", err)
+		return
 	}
-	f.line, _ = strconv.Atoi(m[1])
-	f.column, _ = strconv.Atoi(m[2])
-	f.text = fmt.Sprintf("not JSON with comments: %s", m[3])
-	return f
+	line, _ := strconv.Atoi(m[1])
+	column, _ := strconv.Atoi(m[2])
+	starts := newLocator("", text).starts
+	offset := starts[min(max(line, 1), len(starts))-1] + column - 1
+	r.fault(start+offset, remedy, "not JSON with comments: %s", m[3])
 }
--- a/internal/operator/document/reader.go
+++ b/internal/operator/document/reader.go
@@ -10,9 +10,15 @@
 // reader walks the syntax tree of a document and collects its faults.
 type reader struct {
 	at     *locator
+	spans  spans
+	base   int // offset of the object that is being read, for those that were parsed alone
+	prior  *Document
 	faults []Fault
 }
 
+// pos returns the offset of v in the whole text.
+func (r *reader) pos(v *hujson.Value) int { return r.base + v.StartOffset }
+
 func (r *reader) fault(offset int, remedy, format string, args ...any) {
 	if len(r.faults) >= maxFaults {
 		return
@@ -30,6 +36,7 @@
 // entry is an object that was read, with the places of its fields for later checks.
 type entry[T any] struct {
 	value  T
+	hash   uint64 // of the text
 	offset int
 	places []place
 }
@@ -70,10 +77,10 @@
 
 // readObject reads v by the table of fields into e and reports unknown, duplicate and missing fields.
 func readObject[T any](r *reader, v *hujson.Value, what string, fields []field[T], e *entry[T]) bool {
-	e.offset = v.StartOffset
+	e.offset = r.pos(v)
 	obj, ok := v.Value.(*hujson.Object)
 	if !ok {
-		r.fault(v.StartOffset, "write an object in braces", "%s must be an object, not %s", what, typeOf(v))
+		r.fault(r.pos(v), "write an object in braces", "%s must be an object, not %s", what, typeOf(v))
 		return false
 	}
 	e.places = make([]place, 0, len(obj.Members))
@@ -93,32 +100,34 @@
 	key := stringOf(m.Name.Value.(hujson.Literal))
 	if first, ok := seen[key]; ok {
 		line, column := r.at.place(first)
-		r.fault(m.Name.StartOffset, "keep one of the two", "%s gives the field %q twice, first at %d:%d", what, key, line, column)
+		r.fault(r.pos(&m.Name), "keep one of the two", "%s gives the field %q twice, first at %d:%d", what, key, line, column)
 		return
 	}
-	seen[key] = m.Name.StartOffset
+	seen[key] = r.pos(&m.Name)
 	for _, f := range fields {
 		if f.name != key {
 			continue
 		}
-		e.mark(key, whole, m.Value.StartOffset)
+		e.mark(key, whole, r.pos(&m.Value))
 		f.read(r, e, key, &m.Value)
 		return
 	}
-	r.fault(m.Name.StartOffset, remedyUnknown(key, fields), "%s has no field %q", what, key)
+	r.fault(r.pos(&m.Name), remedyUnknown(key, fields), "%s has no field %q", what, key)
 }
 
 // readList reads an array of objects, each starting from the value that fresh returns.
 func readList[T any](r *reader, v *hujson.Value, what string, fields []field[T], fresh func() T) []*entry[T] {
 	arr, ok := v.Value.(*hujson.Array)
 	if !ok {
-		r.fault(v.StartOffset, "write an array in brackets", "the list of each %s must be an array, not %s", what, typeOf(v))
+		r.fault(r.pos(v), "write an array in brackets", "the list of each %s must be an array, not %s", what, typeOf(v))
 		return nil
 	}
 	entries := make([]*entry[T], 0, len(arr.Elements))
+	block := make([]entry[T], len(arr.Elements))
 	for i := range arr.Elements {
-		e := &entry[T]{value: fresh()}
-		if readObject(r, &arr.Elements[i], what, fields, e) {
+		e := &block[i]
+		e.value = fresh()
+		if readElement(r, &arr.Elements[i], what, fields, e) {
 			entries = append(entries, e)
 		}
 	}
--- a/internal/operator/vault/size_test.go
+++ b/internal/operator/vault/size_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -64,6 +65,36 @@
 	is.Equal(f.calls, 2)
 }
 
+// TestMemoryAtFullSize holds the document and the keys of a host under half of its 64 MB for control.
+func TestMemoryAtFullSize(t *testing.T) {
+	is := is.New(t)
+	data := large(customers, -1)
+	start := heap()
+	doc, err := document.Parse(data, "large")
+	is.NoErr(err)
+	withDocument := heap()
+	table := key.NewTable()
+	for i := range keys {
+		_, rec := key.Generate()
+		table.Put(rec.IssueTo(fmt.Sprintf("customer-%05d", i%customers), epoch))
+	}
+	withKeys := heap()
+	t.Logf("document of %d customers: %d KB of heap; table of %d keys: %d KB",
+		customers, (withDocument-start)>>10, keys, (withKeys-withDocument)>>10)
+	is.True(withKeys-start < 32<<20)
+	runtime.KeepAlive(doc)
+	runtime.KeepAlive(table)
+	runtime.KeepAlive(data)
+}
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
 // fillShards writes keys without the cost of one write for each.
 func fillShards(f *fake) {
 	records := make([]key.Record, keys)
@@ -96,6 +127,21 @@
 	}
 }
 
+// BenchmarkParseAfter measures the check when one customer of 29,000 changed.
+func BenchmarkParseAfter(b *testing.B) {
+	prior, err := document.Parse(large(customers, -1), "large")
+	if err != nil {
+		b.Fatal(err)
+	}
+	data := large(customers, customers/2)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := document.ParseAfter(prior, data, "large"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 // BenchmarkSplit measures the cutting of a document of 29,000 customers.
 func BenchmarkSplit(b *testing.B) {
 	data := large(customers, -1)
