Share free slots among hosts and leave room for small customers and classes

Hosts started requests up to a part of the slots that others still used, so that engines queued and an early refusal came too late. A host now grows only into slots that the summaries show free, and classes and customers above their share leave some slots for the arrivals of the others.

--- a/internal/policy/admit/split.go
+++ b/internal/policy/admit/split.go
@@ -12,10 +12,10 @@
 	Weight []float64 // summed weight of the customers behind them
 }
 
-// Split divides slots among hosts and returns how many host may use. Tiers are satisfied in order;
-// the tier that does not fit is divided by weight, and what is left over is divided equally. Hosts
-// with the same view compute shares that add up to slots.
-func Split(slots int, loads []Load, host string) int {
+// Split divides slots among hosts and returns the part of each, in the order of the sorted loads.
+// Tiers are satisfied in order; the tier that does not fit is divided by weight, and what is left
+// over is divided equally. Hosts with the same view compute parts that add up to slots.
+func Split(slots int, loads []Load) []int {
 	sort.Slice(loads, func(i, j int) bool { return loads[i].Host < loads[j].Host })
 	shares := make([]float64, len(loads))
 	left := float64(slots)
@@ -25,7 +25,7 @@
 	for i := range shares {
 		shares[i] += left / float64(len(shares))
 	}
-	return round(shares, loads, host)
+	return round(shares)
 }
 
 func tiersOf(loads []Load) int {
@@ -94,14 +94,39 @@
 
 // round turns the running sum of shares into whole slots, so that all hosts together get no more
 // than there are.
-func round(shares []float64, loads []Load, host string) int {
-	sum := 0.0
-	for i, l := range loads {
-		before := math.Floor(sum + 1e-6)
-		sum += shares[i]
-		if l.Host == host {
-			return int(math.Floor(sum+1e-6) - before)
+func round(shares []float64) []int {
+	parts := make([]int, len(shares))
+	sum, given := 0.0, 0
+	for i, share := range shares {
+		sum += share
+		parts[i] = int(math.Floor(sum+1e-6)) - given
+		given += parts[i]
+	}
+	return parts
+}
+
+// Grow returns how many requests each host may run now, so that all hosts come to their parts of
+// slots without running more than there are: hosts above their part give up slots as requests end,
+// and the slots that are free are divided among the hosts below theirs.
+func Grow(slots int, parts, running []int) []int {
+	free, missing := slots, 0
+	for i, n := range running {
+		free -= n
+		missing += max(0, parts[i]-n)
+	}
+	free = max(0, free)
+	limits := make([]int, len(parts))
+	sum, given := 0.0, 0
+	for i, n := range running {
+		lack := parts[i] - n
+		if lack <= 0 || missing <= free {
+			limits[i] = parts[i]
+			continue
 		}
+		sum += float64(free) * float64(lack) / float64(missing)
+		grant := int(sum+1e-6) - given
+		given += grant
+		limits[i] = n + grant
 	}
-	return 0
+	return limits
 }
--- /dev/null
+++ b/internal/policy/model/burst_test.go
@@ -0,0 +1,130 @@
+package model
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/policy/pool"
+)
+
+// burst runs at 80% of the capacity over 60 s while the class named bursting triples for 20 s.
+func burst(seed uint64, factor float64, classes []pool.Class, decide func(string, uint64) decider) *stats {
+	w := newWorld(seed, classes, newEngines(9, 3, 32))
+	w.addHosts(7, decide)
+	streams := mixed(classes, 0.8*capacity(9))
+	for i := range streams {
+		if streams[i].class == "t1b" {
+			streams[i].factor, streams[i].peak = during(20*time.Second, 40*time.Second, factor), 3
+		}
+	}
+	w.stats.from, w.stats.to = 20*time.Second, 45*time.Second
+	w.play(60*time.Second, streams...)
+	w.run(60 * time.Second)
+	return w.stats
+}
+
+func burstClasses() []pool.Class {
+	all := sevenTiers()
+	all[1].Name = "t1a"
+	all[2].Name, all[2].Tier = "t1b", 1
+	all[3].Name, all[3].Tier = "t2", 2
+	return all[:4]
+}
+
+// TestBurst triples one class: the classes of its own and of higher tiers lose at most one point.
+func TestBurst(t *testing.T) {
+	classes := burstClasses()
+	for _, b := range []struct {
+		name   string
+		decide func(string, uint64) decider
+	}{
+		{"fifo, round robin", withBaseline(roundRobin)},
+		{"least in flight", withBaseline(leastInFlight)},
+		{"pool", withPool(classes, nil)},
+	} {
+		calm, loud := burst(1, 1, classes, b.decide), burst(1, 3, classes, b.decide)
+		t.Logf("%s: without %v", b.name, calm)
+		t.Logf("%s: with    %v", b.name, loud)
+		if b.name != "pool" {
+			continue
+		}
+		is := is.New(t)
+		for _, name := range []string{"t0", "t1a"} {
+			loss := calm.classes[name].attainment() - loud.classes[name].attainment()
+			t.Logf("%s loses %.2f points", name, 100*loss)
+			is.True(loss <= 0.01)
+		}
+	}
+}
+
+// flood runs at 70% of the capacity with ten equal customers, one of which sends factor times more.
+func flood(seed uint64, flooded int, factor float64, classes []pool.Class, decide func(string, uint64) decider) *stats {
+	w := newWorld(seed, classes, newEngines(9, 3, 32))
+	w.addHosts(7, decide)
+	streams := make([]stream, 0, 20)
+	for i := range 10 {
+		for _, c := range classes {
+			s := stream{
+				class: c.Name, customer: fmt.Sprintf("c%d", i), rate: 0.7 * capacity(9) / 10 / float64(len(classes)),
+				mean: 200, sigma: 0.8, prompt: 300, patience: 10 * time.Second,
+			}
+			if i == 0 && c.Tier == flooded {
+				s.factor, s.peak = during(0, time.Hour, factor), 20
+			}
+			streams = append(streams, s)
+		}
+	}
+	w.stats.from, w.stats.to = 10*time.Second, 50*time.Second
+	w.play(60*time.Second, streams...)
+	w.run(60 * time.Second)
+	return w.stats
+}
+
+// TestFlood lets one customer flood: the worst-served other one keeps 95% of its attainment.
+func TestFlood(t *testing.T) {
+	classes := sevenTiers()[:1]
+	for _, b := range []struct {
+		name   string
+		decide func(string, uint64) decider
+	}{
+		{"fifo, round robin", withBaseline(roundRobin)},
+		{"least in flight", withBaseline(leastInFlight)},
+		{"pool", withPool(classes, nil)},
+	} {
+		calm, loud := flood(1, 0, 1, classes, b.decide), flood(1, 0, 20, classes, b.decide)
+		before, after := fractions(calm.customers, "c0"), fractions(loud.customers, "c0")
+		worst := 1.0
+		for name, a := range after {
+			worst = min(worst, a/before[name])
+		}
+		t.Logf("%s: worst-served other customer keeps %.1f%%; %v", b.name, 100*worst, loud)
+		if b.name == "pool" {
+			is := is.New(t)
+			is.True(worst >= 0.95)
+		}
+	}
+}
+
+// during is a factor of high between from and to, and of 1 otherwise.
+func during(from, to time.Duration, high float64) func(time.Duration) float64 {
+	return func(t time.Duration) float64 {
+		if t >= from && t < to {
+			return high
+		}
+		return 1
+	}
+}
+
+// fractions returns the attainment of each class or customer but one.
+func fractions(m map[string]*tally, except string) map[string]float64 {
+	all := make(map[string]float64, len(m))
+	for name, t := range m {
+		if name != except {
+			all[name] = t.attainment()
+		}
+	}
+	return all
+}
--- a/internal/policy/pool/arrive.go
+++ b/internal/policy/pool/arrive.go
@@ -101,10 +101,10 @@
 
 // wait estimates how long the call would wait for a slot.
 func (p *Pool) wait(now time.Time, c *call) time.Duration {
-	if p.total < p.limit && p.queue.Len() == 0 {
+	ahead := p.queue.Ahead(c.Class, c.Customer)
+	if ahead == 0 && p.allows(c.Class, false) && !p.leavesRoom(c) {
 		return 0
 	}
-	ahead := p.queue.Ahead(c.Class, c.Customer)
 	return p.gate.Turn(p.limit) + p.gate.Wait(now, c.class.Tier, ahead, float64(p.limit))
 }
 
--- a/internal/policy/pool/dispatch.go
+++ b/internal/policy/pool/dispatch.go
@@ -38,6 +38,10 @@
 		}
 		c := p.calls[it.ID]
 		c.floor = c.late || floor
+		if p.leavesRoom(c) {
+			c.class.blocked = p.round
+			continue
+		}
 		up, cheap, ok := p.pick(now, c)
 		switch {
 		case ok:
@@ -90,6 +94,7 @@
 	c.started, c.upstream, c.solid = now, up, !cheap
 	p.table.Start(now, up, c.ID, c.work(cheap))
 	p.counts[up]++
+	p.holds[c.Customer]++
 	p.running[c.class.Tier]++
 	p.total++
 	c.class.running++
@@ -105,6 +110,9 @@
 	if p.counts[c.upstream]--; p.counts[c.upstream] == 0 {
 		delete(p.counts, c.upstream)
 	}
+	if p.holds[c.Customer]--; p.holds[c.Customer] == 0 {
+		delete(p.holds, c.Customer)
+	}
 	p.running[c.class.Tier]--
 	p.total--
 	c.class.running--
--- a/internal/policy/pool/peer.go
+++ b/internal/policy/pool/peer.go
@@ -1,10 +1,12 @@
 package pool
 
 import (
-	"math"
 	"time"
 
+	"github.com/samber/lo"
+
 	"hickorypath/internal/policy/admit"
+	"hickorypath/internal/policy/route"
 )
 
 // Summary is what a host tells the others about one pool, several times a second.
@@ -12,6 +14,7 @@
 	Queued  []int          `cbor:"q"` // by tier
 	Running []int          `cbor:"r"` // by tier
 	Weight  []float64      `cbor:"w"` // weight of the waiting customers, by tier
+	Zone    string         `cbor:"z"`
 	Shed    int            `cbor:"s"` // highest tier that is shed, -1 for none
 	Counts  map[string]int `cbor:"u"` // running by upstream
 	Offered []float64      `cbor:"o"` // slots that the arrivals would keep busy, by tier
@@ -45,6 +48,7 @@
 		Queued:  make([]int, p.queue.Tiers()),
 		Running: append([]int(nil), p.running...),
 		Weight:  make([]float64, p.queue.Tiers()),
+		Zone:    p.zone,
 		Shed:    p.gate.Shedding(now),
 		Counts:  make(map[string]int, len(p.counts)),
 		Offered: make([]float64, p.queue.Tiers()),
@@ -122,19 +126,42 @@
 		}
 		loads = append(loads, peer.load(host))
 	}
-	p.limit = admit.Split(p.slots, loads, p.host)
+	p.share(now, loads, admit.Split(p.slots, loads))
 	p.reserve(now)
 }
 
-// reserve computes how many free slots each tier leaves for the arrivals of higher ones, which
-// vary by the square root of the slots that they occupy on average.
-func (p *Pool) reserve(now time.Time) {
-	higher := 0.0
-	for t := range p.spare {
-		n := math.Ceil(spareFactor * math.Sqrt(higher))
-		p.spare[t] = int(math.Min(n, maxSpare*float64(p.limit)))
-		higher += p.gate.Offered(now, t)
+// share takes this host's part of the slots and tells the routing table how the hosts divide them.
+func (p *Pool) share(now time.Time, loads []admit.Load, parts []int) {
+	running := make([]int, len(loads))
+	for i, l := range loads {
+		running[i] = p.runningOf(l.Host)
+	}
+	limits := admit.Grow(p.slots, parts, running)
+	hosts := make([]route.Host, len(loads))
+	for i, l := range loads {
+		hosts[i] = route.Host{ID: l.Host, Zone: p.zoneOf(l.Host), Demand: float64(parts[i])}
+		if l.Host == p.host {
+			p.limit = limits[i]
+		}
+	}
+	if now.Sub(p.shared) >= sharePeriod {
+		p.shared = now
+		p.table.Share(now, hosts)
+	}
+}
+
+func (p *Pool) runningOf(host string) int {
+	if host == p.host {
+		return p.total
+	}
+	return lo.Sum(p.peers[host].Running)
+}
+
+func (p *Pool) zoneOf(host string) string {
+	if host == p.host {
+		return p.zone
 	}
+	return p.peers[host].Zone
 }
 
 // forget drops a host that has sent no summary for some time.
--- a/internal/policy/pool/pool.go
+++ b/internal/policy/pool/pool.go
@@ -31,8 +31,12 @@
 	floorWait = 150 * time.Millisecond
 	// spareFactor scales the slots that are left free for the arrivals of higher tiers.
 	spareFactor = 1
+	// largePart is the part of a host's slots above which a customer leaves room for the others.
+	largePart = 0.33
 	// maxSpare is the largest part of the slots that is left free.
 	maxSpare = 0.25
+	// sharePeriod is the least time between two divisions of each upstream's slots.
+	sharePeriod = 100 * time.Millisecond
 	// peerTime is how long the summary of another host counts.
 	peerTime = 3 * time.Second
 )
@@ -63,6 +67,7 @@
 // Pool is the decision core of one pool on one host.
 type Pool struct {
 	host    string
+	zone    string
 	classes map[string]*class
 	queue   *queue.Queue
 	gate    *admit.Gate
@@ -78,12 +83,14 @@
 	running []int   // by tier
 	total   int
 	counts  map[string]int // running by upstream
+	holds   map[string]int // running by customer
 
-	slots int   // of all upstreams
-	limit int   // of slots, the part for this host
-	spare []int // by tier, free slots that are kept for higher tiers
-	first time.Duration
-	peers map[string]peer
+	slots  int       // of all upstreams
+	limit  int       // of slots, the part for this host
+	shared time.Time // last time that the routing table learned the parts
+	spare  []int     // by tier, free slots that are kept for higher tiers
+	first  time.Duration
+	peers  map[string]peer
 
 	round     uint64
 	isAllowed func(class string, floor bool) bool
@@ -95,12 +102,14 @@
 	running int
 	solid   int // of running, those on durable upstreams
 	blocked uint64
+	part    float64 // share of its tier, by weight
 }
 
 // New returns a Pool without upstreams.
 func New(conf Config) *Pool {
 	p := &Pool{
 		host:    conf.Host,
+		zone:    conf.Zone,
 		classes: make(map[string]*class),
 		length:  length.New(0),
 		table:   route.New(route.Config{Host: conf.Host, Zone: conf.Zone, Seed: conf.Seed}),
@@ -108,6 +117,7 @@
 		expect:  conf.Expect,
 		calls:   make(map[uint64]*call),
 		counts:  make(map[string]int),
+		holds:   make(map[string]int),
 		peers:   make(map[string]peer),
 	}
 	queued := make([]queue.Class, 0, len(conf.Classes))
@@ -120,22 +130,28 @@
 	p.running = make([]int, p.queue.Tiers())
 	p.spare = make([]int, p.queue.Tiers())
 	p.isAllowed = p.allows
+	p.weigh()
 	return p
 }
 
-// allows reports whether a class may start a request in this round of dispatch.
-func (p *Pool) allows(name string, floor bool) bool {
-	k := p.classes[name]
-	if k.blocked == p.round {
-		return false
+// weigh computes the share of each class in its tier.
+func (p *Pool) weigh() {
+	sums := make([]float64, p.queue.Tiers())
+	for _, k := range p.classes {
+		sums[k.Tier] += k.Weight
+	}
+	for _, k := range p.classes {
+		k.part = k.Weight / sums[k.Tier]
 	}
-	return floor || p.total+p.spare[k.Tier] < p.limit
 }
 
 func newClass(c Class) *class {
 	if c.Wait <= 0 {
 		c.Wait = defaultWait
 	}
+	if c.Weight <= 0 {
+		c.Weight = 1
+	}
 	return &class{Class: c}
 }
 
--- /dev/null
+++ b/internal/policy/pool/spare.go
@@ -0,0 +1,52 @@
+package pool
+
+import (
+	"math"
+	"time"
+)
+
+// A slot comes free only when a request ends, so a host whose slots are all busy makes the next
+// arrival wait, whatever its rank. Lower tiers, and classes and customers that hold more than their
+// share, therefore leave some slots free for the arrivals of the others, which vary by the square
+// root of the slots that they occupy on average.
+
+// reserve computes how many free slots each tier leaves for the arrivals of higher ones.
+func (p *Pool) reserve(now time.Time) {
+	higher := 0.0
+	for t := range p.spare {
+		p.spare[t] = p.room(higher)
+		higher += p.gate.Offered(now, t)
+	}
+}
+
+// room returns the slots to leave for arrivals that occupy n slots on average.
+func (p *Pool) room(n float64) int {
+	return int(math.Min(math.Ceil(spareFactor*math.Sqrt(n)), maxSpare*float64(p.limit)))
+}
+
+// allows reports whether a class may start a request in this round of dispatch.
+func (p *Pool) allows(name string, floor bool) bool {
+	k := p.classes[name]
+	if k.blocked == p.round {
+		return false
+	}
+	return floor || p.total+p.spare[k.Tier]+p.classRoom(k) < p.limit
+}
+
+// classRoom returns the slots that a class with more than its share leaves for its tier.
+func (p *Pool) classRoom(k *class) int {
+	others := p.running[k.Tier] - k.running
+	if others == 0 || float64(k.running) <= k.part*float64(p.running[k.Tier]) {
+		return 0
+	}
+	return p.room(float64(others))
+}
+
+// leavesRoom reports whether a call's customer leaves the free slots to the others.
+func (p *Pool) leavesRoom(c *call) bool {
+	own := p.holds[c.Customer]
+	if c.floor || float64(own) <= largePart*float64(p.limit) {
+		return false
+	}
+	return p.total+p.spare[c.class.Tier]+p.room(float64(p.total-own)) >= p.limit
+}
