--- a/internal/policy/model/decider_test.go
+++ b/internal/policy/model/decider_test.go
@@ -24,15 +24,15 @@
 	next   int
 	load   map[string]int
 	placed map[uint64]string
-	choose func(b *baseline) string
+	choose func(b *baseline, r pool.Request) string
 }
 
-func roundRobin(b *baseline) string {
+func roundRobin(b *baseline, _ pool.Request) string {
 	b.next++
 	return b.ups[b.next%len(b.ups)].ID()
 }
 
-func leastInFlight(b *baseline) string {
+func leastInFlight(b *baseline, _ pool.Request) string {
 	b.next++
 	best := ""
 	for i := range b.ups {
@@ -44,7 +44,7 @@
 	return best
 }
 
-func withBaseline(choose func(*baseline) string) func(string, uint64) decider {
+func withBaseline(choose func(*baseline, pool.Request) string) func(string, uint64) decider {
 	return func(_ string, seed uint64) decider {
 		b := &baseline{load: make(map[string]int), placed: make(map[uint64]string), choose: choose, next: int(seed)}
 		return decider{
@@ -60,7 +60,7 @@
 }
 
 func (b *baseline) arrive(_ time.Time, r pool.Request) []pool.Decision {
-	id := b.choose(b)
+	id := b.choose(b, r)
 	b.load[id]++
 	b.placed[r.ID] = id
 	return []pool.Decision{{ID: r.ID, Action: pool.Start, Upstream: id}}
--- a/internal/policy/model/engine_test.go
+++ b/internal/policy/model/engine_test.go
@@ -194,3 +194,15 @@
 	}
 	return found, added, removed
 }
+
+// crash ends everything that the engine runs.
+func (e *engine) crash() {
+	lost := append(append([]*job(nil), e.running...), e.waiting...)
+	e.running, e.waiting = nil, nil
+	e.dead, e.busy = true, false
+	e.generation++
+	e.world.announce()
+	for _, j := range lost {
+		e.world.done(j, true)
+	}
+}
--- a/internal/policy/model/load_test.go
+++ b/internal/policy/model/load_test.go
@@ -20,6 +20,7 @@
 	prefix          func(*rand.Rand) []uint64
 	patience        time.Duration // callers go away after it, zero for never
 	limit           int           // max_tokens
+	whole           time.Duration // deadline of the whole answer, zero for none
 }
 
 // play schedules the arrivals of streams until the time given. Each stream draws from its own
@@ -53,6 +54,6 @@
 		j.Prefix = s.prefix(r)
 		j.Prompt += len(j.Prefix) * blockTokens
 	}
-	j.patience = s.patience
+	j.patience, j.whole = s.patience, s.whole
 	return j
 }
--- a/internal/policy/model/overload_test.go
+++ b/internal/policy/model/overload_test.go
@@ -42,9 +42,13 @@
 
 // overloaded runs factor times the capacity for 60 s against 9 engines and 7 hosts.
 func overloaded(seed uint64, factor float64, classes []pool.Class, decide func(string, uint64) decider) *stats {
+	return against(seed, classes, mixed(classes, factor*capacity(9)), decide)
+}
+
+func against(seed uint64, classes []pool.Class, streams []stream, decide func(string, uint64) decider) *stats {
 	w := newWorld(seed, classes, newEngines(9, 3, 32))
 	w.addHosts(7, decide)
-	w.play(60*time.Second, mixed(classes, factor*capacity(9))...)
+	w.play(60*time.Second, streams...)
 	w.run(60 * time.Second)
 	return w.stats
 }
--- /dev/null
+++ b/internal/policy/model/prefix_test.go
@@ -0,0 +1,105 @@
+package model
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/policy/pool"
+)
+
+// Sizes of the shared prefixes: together they fit the caches of the pool, not that of one engine.
+const (
+	prefixGroups = 90
+	prefixBlocks = 24
+	cacheBlocks  = 512
+)
+
+// shared offers requests whose prompts begin with one of the customer's prefixes, a few of which
+// are much in use.
+func shared(class string, load float64) []stream {
+	streams := make([]stream, 10)
+	for i := range streams {
+		streams[i] = stream{
+			class: class, customer: fmt.Sprintf("c%d", i), rate: load / float64(len(streams)),
+			mean: 150, sigma: 0.8, prompt: 100, patience: 10 * time.Second,
+			prefix: func(r *rand.Rand) []uint64 {
+				group := uint64(i + 10*int(r.Float64()*r.Float64()*prefixGroups/10))
+				blocks := make([]uint64, prefixBlocks)
+				for b := range blocks {
+					blocks[b] = group*1000 + uint64(b) + 1
+				}
+				return blocks
+			},
+		}
+	}
+	return streams
+}
+
+// cached runs shared prefixes and returns the part of the prefix blocks that engines found.
+func cached(seed uint64, classes []pool.Class, decide func(w *world) func(string, uint64) decider) (hit float64, s *stats) {
+	w := newWorld(seed, classes, newEngines(9, 3, 32))
+	w.cacheLoss = 0.1
+	for _, e := range w.engines {
+		e.cache = newPrefixCache(cacheBlocks)
+	}
+	w.addHosts(7, decide(w))
+	w.play(60*time.Second, shared(classes[0].Name, 0.6*capacity(9))...)
+	w.run(60 * time.Second)
+	found, asked := 0, 0
+	for _, e := range w.engines {
+		found += e.hit
+		asked += e.prompt
+	}
+	return float64(found) / float64(asked), w.stats
+}
+
+// omniscient sees the caches themselves and takes the engine with the longest match that has a slot.
+func omniscient(w *world) func(*baseline, pool.Request) string {
+	return func(_ *baseline, r pool.Request) string {
+		var best *engine
+		most := -1
+		for _, e := range w.engines {
+			load := len(e.running) + len(e.waiting)
+			if load >= e.slots {
+				continue
+			}
+			n := e.cache.match(r.Prefix)
+			if n > most || (n == most && load < len(best.running)+len(best.waiting)) {
+				best, most = e, n
+			}
+		}
+		if best == nil {
+			best = w.engines[0]
+		}
+		return best.id
+	}
+}
+
+// match returns how many leading blocks are present.
+func (c *prefixCache) match(prefix []uint64) int {
+	for i, b := range prefix {
+		if _, ok := c.blocks[b]; !ok {
+			return i
+		}
+	}
+	return len(prefix)
+}
+
+// TestPrefix compares the hit rate with that of an omniscient router, and the first token with
+// that of a router that looks at load only. Cache events come 300 ms late, one in ten is lost.
+func TestPrefix(t *testing.T) {
+	classes := sevenTiers()[:1]
+	best, ideal := cached(1, classes, func(w *world) func(string, uint64) decider { return withBaseline(omniscient(w)) })
+	only, load := cached(1, classes, func(*world) func(string, uint64) decider { return withBaseline(leastInFlight) })
+	hit, own := cached(1, classes, func(*world) func(string, uint64) decider { return withPool(classes, nil) })
+	t.Logf("omniscient: hit rate %.1f%%, p99 first %v", 100*best, quantile(ideal.firsts, 0.99))
+	t.Logf("least in flight: hit rate %.1f%%, p99 first %v", 100*only, quantile(load.firsts, 0.99))
+	t.Logf("pool: hit rate %.1f%%, %.1f%% of the omniscient, p99 first %v", 100*hit, 100*hit/best, quantile(own.firsts, 0.99))
+	is := is.New(t)
+	is.True(hit >= 0.85*best)
+	is.True(quantile(own.firsts, 0.99) <= quantile(load.firsts, 0.99))
+}
--- a/internal/policy/model/stats_test.go
+++ b/internal/policy/model/stats_test.go
@@ -31,19 +31,23 @@
 }
 
 type stats struct {
-	world     *world
-	classes   map[string]*tally
-	customers map[string]*tally
-	firsts    []time.Duration
-	byClass   map[string][]time.Duration
-	tokens    int // produced
-	wasted    int // of them, those that no caller got as part of a whole answer
-	sheds     map[int][]time.Duration
-	behind    int // sheds after which a lower tier still waited when all hosts knew
-	overtaken int // lower requests started, outside their floor, while a higher tier was shed
-	floored   int // tokens asked by requests started on a floor
-	from      time.Duration
-	to        time.Duration
+	world      *world
+	classes    map[string]*tally
+	customers  map[string]*tally
+	firsts     []time.Duration
+	byClass    map[string][]time.Duration
+	tokens     int // produced
+	good       int // of them, those of attained requests
+	lateTokens int // of them, those of answers that missed the first-token target
+	crashed    int // runs that ended with their engine
+	again      int // tokens whose state was lost with an engine
+	wasted     int // of them, those that no caller got as part of a whole answer
+	sheds      map[int][]time.Duration
+	behind     int // sheds after which a lower tier still waited when all hosts knew
+	overtaken  int // lower requests started, outside their floor, while a higher tier was shed
+	floored    int // tokens asked by requests started on a floor
+	from       time.Duration
+	to         time.Duration
 }
 
 func newStats(w *world) *stats {
@@ -85,7 +89,13 @@
 func (s *stats) completed(j *job) {
 	s.tokens += j.emitted
 	ok := s.attained(j)
+	if ok {
+		s.good += j.output
+	}
 	c := s.world.classes[j.Class]
+	if c.First > 0 && j.first-j.arrived > c.First {
+		s.lateTokens += j.output
+	}
 	s.each(j, func(t *tally) {
 		if c.First > 0 && j.first-j.arrived > c.First {
 			t.slowFirst++
@@ -172,6 +182,8 @@
 	return false
 }
 
+func (s *stats) goodTokens() int { return s.good }
+
 func (s *stats) goodput() (n int) {
 	for _, t := range s.classes {
 		n += t.attained
--- a/internal/policy/model/world_test.go
+++ b/internal/policy/model/world_test.go
@@ -97,6 +97,7 @@
 	queued   bool
 	finished bool
 	patience time.Duration
+	whole    time.Duration
 }
 
 func newWorld(seed uint64, classes []pool.Class, engines []*engine) *world {
@@ -212,9 +213,17 @@
 	}
 	w.jobs[j.ID] = j
 	w.stats.offered(j)
+	if j.whole > 0 {
+		j.Deadline = w.time().Add(j.whole)
+		w.after(j.whole, func() { w.leave(j) })
+	}
 	w.submit(j)
 	if j.patience > 0 {
-		w.after(j.patience, func() { w.leave(j) })
+		w.after(j.patience, func() {
+			if j.first == 0 {
+				w.leave(j)
+			}
+		})
 	}
 }
 
@@ -227,9 +236,9 @@
 	w.apply(h, h.arrive(w.time(), j.Request))
 }
 
-// leave lets a caller go away that has waited too long for the first token.
+// leave lets a caller go away.
 func (w *world) leave(j *job) {
-	if j.finished || j.first > 0 {
+	if j.finished {
 		return
 	}
 	j.finished = true
@@ -292,6 +301,8 @@
 // retry resumes a request whose engine went away from the tokens that it has.
 func (w *world) retry(j *job) {
 	j.tries++
+	w.stats.crashed++
+	w.stats.again += j.emitted
 	j.engine = nil
 	j.resumed = j.emitted
 	j.Again = true
