--- /dev/null
+++ b/internal/policy/limit/scope.go
@@ -0,0 +1,178 @@
+package limit
+
+import (
+	"math"
+	"time"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/admit"
+)
+
+const (
+	// requestBurst is how much of a rate limit may be used at once.
+	requestBurst = 2 * time.Second
+	// tokenBurst is how much of a token limit may be used at once.
+	tokenBurst = 3 * time.Second
+	// demandWindow is the time constant of the demand that hosts tell each other.
+	demandWindow = 700 * time.Millisecond
+	// openRetry is the advice to a caller over its limit of concurrency.
+	openRetry = time.Second
+)
+
+// scope is one customer or class on this host.
+type scope struct {
+	key      string
+	rule     Rule
+	hosts    int
+	used     time.Time
+	requests bucket
+	tokens   bucket
+	open     int
+	asked    admit.Rate // requests
+	wanted   admit.Rate // tokens
+	refused  admit.Rate // for concurrency
+	peers    map[string]Entry
+}
+
+func newScope(key string, now time.Time) *scope {
+	rate := admit.NewRate(demandWindow)
+	return &scope{key: key, used: now, asked: rate, wanted: rate, refused: rate, peers: make(map[string]Entry)}
+}
+
+func (s *scope) set(now time.Time, r Rule) {
+	fresh := s.rule == Rule{}
+	s.rule = r
+	s.used = now
+	own := s.demand(now)
+	part, burst := s.part(r.Rate, own.Rate, func(e Entry) float64 { return e.Rate })
+	s.requests.refill(now, part, burst*requestBurst.Seconds())
+	part, burst = s.part(r.Tokens/60, own.Tokens, func(e Entry) float64 { return e.Tokens })
+	s.tokens.refill(now, part, burst*tokenBurst.Seconds())
+	if fresh {
+		s.requests.fill(now)
+		s.tokens.fill(now)
+	}
+}
+
+// part returns this host's part of a limit, given its demand and that of each other host, and the
+// rate whose burst it may use. Demand below the limit is met, the rest divided equally, and each host
+// may use the whole burst; demand above the limit is cut in proportion.
+func (s *scope) part(limit, own float64, of func(Entry) float64) (part, burst float64) {
+	if limit <= 0 {
+		return 0, 0
+	}
+	total := own
+	for _, e := range s.peers {
+		total += of(e)
+	}
+	if total <= limit {
+		return own + (limit-total)/float64(s.hosts), limit
+	}
+	part = limit * own / total
+	return part, part
+}
+
+// ask counts the demand of a request, admitted or not.
+func (s *scope) ask(now time.Time, tokens float64) {
+	s.asked.Add(now, 1)
+	s.wanted.Add(now, tokens)
+}
+
+func (s *scope) check(now time.Time, host string, tokens float64) error {
+	if s.rule.Open > 0 && s.open >= s.openPart(now, host) {
+		s.refused.Add(now, 1)
+		return refusal(kind.Concurrency, "requests at once", openRetry)
+	}
+	if s.rule.Rate > 0 {
+		if wait := s.requests.wait(1); wait > 0 {
+			return refusal(kind.Rate, "requests a second", wait)
+		}
+	}
+	if s.rule.Tokens > 0 {
+		if wait := s.tokens.wait(tokens); wait > 0 {
+			return refusal(kind.Tokens, "tokens a minute", wait)
+		}
+	}
+	return nil
+}
+
+func (s *scope) take(tokens float64) {
+	s.requests.level--
+	s.tokens.level -= tokens
+	s.open++
+}
+
+func (s *scope) done(over float64) {
+	s.tokens.level += over
+	s.open = max(0, s.open-1)
+}
+
+// openPart returns how many requests this host may have open: its part by demand, as far as the
+// others have given up what they hold of it.
+func (s *scope) openPart(now time.Time, host string) int {
+	loads := make([]admit.Load, 0, len(s.peers)+1)
+	loads = append(loads, admit.Load{Host: host, Want: []float64{s.demand(now).Want}})
+	left := s.rule.Open
+	for id, e := range s.peers {
+		loads = append(loads, admit.Load{Host: id, Want: []float64{e.Want}})
+		left -= e.Open
+	}
+	parts := admit.Split(s.rule.Open, loads)
+	for i, l := range loads {
+		if l.Host == host {
+			return min(parts[i], left)
+		}
+	}
+	return 0
+}
+
+func (s *scope) demand(now time.Time) Entry {
+	return Entry{
+		Key:    s.key,
+		Rate:   s.asked.PerSecond(now),
+		Tokens: s.wanted.PerSecond(now),
+		Open:   s.open,
+		Want:   float64(s.open) + math.Ceil(s.refused.PerSecond(now)),
+	}
+}
+
+// isQuiet reports whether demand is so small that other hosts need not know.
+func (s *scope) isQuiet(e Entry) bool {
+	small := quiet / float64(s.hosts)
+	return e.Rate <= small*s.rule.Rate && e.Tokens <= small*s.rule.Tokens/60 && (s.rule.Open == 0 || e.Want == 0)
+}
+
+// bucket is a token bucket whose rate changes.
+type bucket struct {
+	level, rate, size float64
+	at                time.Time
+}
+
+func (b *bucket) refill(now time.Time, rate, burst float64) {
+	if elapsed := now.Sub(b.at).Seconds(); elapsed > 0 && !b.at.IsZero() {
+		b.level += elapsed * b.rate
+	}
+	b.at = now
+	b.rate = rate
+	b.size = math.Max(1, burst)
+	b.level = math.Min(b.level, b.size)
+}
+
+// fill makes a new bucket hold one burst of its rate.
+func (b *bucket) fill(now time.Time) {
+	b.at = now
+	b.level = b.size
+}
+
+// wait returns the time until n may be taken, zero when it may be now. More than the bucket's size
+// may be taken from a full bucket, which then goes into debt.
+func (b *bucket) wait(n float64) time.Duration {
+	need := math.Min(n, b.size) - b.level
+	if need <= 1e-9 {
+		return 0
+	}
+	if b.rate <= 0 {
+		return time.Minute
+	}
+	return time.Duration(math.Min(60, need/b.rate) * float64(time.Second))
+}
--- /dev/null
+++ b/internal/policy/limit/share.go
@@ -0,0 +1,91 @@
+package limit
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// Entry is one host's demand on one limit.
+type Entry struct {
+	Key    string  `cbor:"k"`
+	Rate   float64 `cbor:"r"` // requests asked for a second
+	Tokens float64 `cbor:"t"` // tokens asked for a second
+	Open   int     `cbor:"o"` // requests open
+	Want   float64 `cbor:"w"` // requests that would be open
+}
+
+// Summary is what a host tells the others, a few times a second.
+type Summary struct {
+	Entries []Entry `cbor:"e"`
+}
+
+// Share returns this host's demand on every limit that it uses to a notable part.
+func (l *Limiter) Share(now time.Time) Summary {
+	l.forget(now)
+	var sum Summary
+	for _, s := range l.order {
+		s.hosts = l.count(now)
+		if e := s.demand(now); !s.isQuiet(e) {
+			sum.Entries = append(sum.Entries, e)
+		}
+	}
+	return sum
+}
+
+// Peer takes the summary of another host, which replaces its last one.
+func (l *Limiter) Peer(now time.Time, host string, sum Summary) {
+	if host == l.config.Host {
+		return
+	}
+	l.drop(host)
+	p := &peer{at: now, keys: make([]string, 0, len(sum.Entries))}
+	l.hosts[host] = p
+	for _, e := range sum.Entries {
+		s, ok := l.scopes[e.Key]
+		if !ok {
+			s = newScope(e.Key, now)
+			l.scopes[e.Key] = s
+			l.order = append(l.order, s)
+		}
+		s.peers[host] = e
+		s.used = now
+		p.keys = append(p.keys, e.Key)
+	}
+}
+
+// drop forgets what another host said.
+func (l *Limiter) drop(host string) {
+	p, ok := l.hosts[host]
+	if !ok {
+		return
+	}
+	for _, key := range p.keys {
+		if s, ok := l.scopes[key]; ok {
+			delete(s.peers, host)
+		}
+	}
+	delete(l.hosts, host)
+}
+
+// forget drops hosts that fell silent, and a few scopes that are idle.
+func (l *Limiter) forget(now time.Time) {
+	for host, p := range l.hosts {
+		if now.Sub(p.at) > peerTime {
+			l.drop(host)
+		}
+	}
+	for range min(sweepCount, len(l.order)) {
+		l.sweep = (l.sweep + 1) % len(l.order)
+		s := l.order[l.sweep]
+		if s.open > 0 || now.Sub(s.used) < idleTime {
+			continue
+		}
+		delete(l.scopes, s.key)
+		l.order = lo.DropByIndex(l.order, l.sweep)
+		if len(l.order) == 0 {
+			return
+		}
+		l.sweep %= len(l.order)
+	}
+}
--- a/internal/policy/model/burst_test.go
+++ b/internal/policy/model/burst_test.go
@@ -60,23 +60,26 @@
 	}
 }
 
-// flood runs at 70% of the capacity with ten equal customers, one of which sends factor times more.
-func flood(seed uint64, flooded int, factor float64, classes []pool.Class, decide func(string, uint64) decider) *stats {
-	w := newWorld(seed, classes, newEngines(9, 3, 32))
-	w.addHosts(7, decide)
-	streams := make([]stream, 0, 20)
+// equal offers load requests a second over ten equal customers and the classes.
+func equal(classes []pool.Class, load float64) []stream {
+	streams := make([]stream, 0, 10*len(classes))
 	for i := range 10 {
 		for _, c := range classes {
-			s := stream{
-				class: c.Name, customer: fmt.Sprintf("c%d", i), rate: 0.7 * capacity(9) / 10 / float64(len(classes)),
+			streams = append(streams, stream{
+				class: c.Name, customer: fmt.Sprintf("c%d", i), rate: load / 10 / float64(len(classes)),
 				mean: 200, sigma: 0.8, prompt: 300, patience: 10 * time.Second,
-			}
-			if i == 0 && c.Tier == flooded {
-				s.factor, s.peak = during(0, time.Hour, factor), 20
-			}
-			streams = append(streams, s)
+			})
 		}
 	}
+	return streams
+}
+
+// flood runs at 70% of the capacity with ten equal customers, one of which sends factor times more.
+func flood(seed uint64, factor float64, classes []pool.Class, decide func(string, uint64) decider) *stats {
+	w := newWorld(seed, classes, newEngines(9, 3, 32))
+	w.addHosts(7, decide)
+	streams := equal(classes, 0.7*capacity(9))
+	streams[0].factor, streams[0].peak = during(0, time.Hour, factor), 20
 	w.stats.from, w.stats.to = 10*time.Second, 50*time.Second
 	w.play(60*time.Second, streams...)
 	w.run(60 * time.Second)
@@ -94,7 +97,7 @@
 		{"least in flight", withBaseline(leastInFlight)},
 		{"pool", withPool(classes, nil)},
 	} {
-		calm, loud := flood(1, 0, 1, classes, b.decide), flood(1, 0, 20, classes, b.decide)
+		calm, loud := flood(1, 1, classes, b.decide), flood(1, 20, classes, b.decide)
 		before, after := fractions(calm.customers, "c0"), fractions(loud.customers, "c0")
 		worst := 1.0
 		for name, a := range after {
--- a/internal/policy/model/world_test.go
+++ b/internal/policy/model/world_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"hickorypath/internal/policy/limit"
 	"hickorypath/internal/policy/pool"
 	"hickorypath/internal/policy/route"
 )
@@ -62,17 +63,18 @@
 
 // world is one run.
 type world struct {
-	now     time.Duration
-	queue   events
-	seq     int
-	seed    uint64
-	rand    *rand.Rand
-	hosts   []*host
-	engines []*engine
-	classes map[string]pool.Class
-	jobs    map[uint64]*job
-	stats   *stats
-	until   time.Duration
+	now      time.Duration
+	queue    events
+	seq      int
+	seed     uint64
+	rand     *rand.Rand
+	hosts    []*host
+	engines  []*engine
+	classes  map[string]pool.Class
+	jobs     map[uint64]*job
+	stats    *stats
+	limiters map[string]*limit.Limiter
+	until    time.Duration
 
 	reportEvery, reportLag time.Duration
 	cacheLag               time.Duration
@@ -107,6 +109,7 @@
 		engines:     engines,
 		classes:     make(map[string]pool.Class),
 		jobs:        make(map[uint64]*job),
+		limiters:    make(map[string]*limit.Limiter),
 		reportEvery: time.Second,
 		reportLag:   500 * time.Millisecond,
 		cacheLag:    300 * time.Millisecond,
