--- /dev/null
+++ b/internal/caller/exchange/exchange.go
@@ -0,0 +1,193 @@
+// Package exchange carries one request from its caller to upstreams and back, whatever its protocol.
+//
+// A Runner holds what all requests of a host share. Open authenticates and routes a request and
+// returns a Session; Chat or Forward then runs it; Close accounts for it.
+package exchange
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/operator/document"
+	"hickorypath/internal/operator/key"
+	"hickorypath/internal/platform/claim"
+	"hickorypath/internal/platform/usage"
+	"hickorypath/internal/policy/limit"
+	"hickorypath/internal/policy/retry"
+	"hickorypath/internal/policy/suspect"
+	"hickorypath/internal/upstream/dispatch"
+	"hickorypath/internal/upstream/engine"
+	"hickorypath/internal/upstream/service"
+)
+
+// Anonymous is the customer to whom requests without a key on open routes are accounted.
+const Anonymous = "anonymous"
+
+// Deps are what a Runner works with.
+type Deps struct {
+	Clock    clock.Clock
+	Log      *zap.Logger
+	Document *document.Live
+	Keys     *key.Table
+	Limits   *Limits
+	Suspects *Suspects
+	Retries  *Retries
+	Engines  *engine.Client
+	Services *service.Client
+	Claims   *claim.Book
+
+	// Pool returns the dispatcher of a pool of the document.
+	Pool func(name string) (*dispatch.Dispatcher, bool)
+	// Bill adds one answer to the usage of its customer.
+	Bill func(usage.Record)
+	// Observe is told how each request ended.
+	Observe func(Ending)
+	// Quarantine tells all hosts of a request that crashes upstreams.
+	Quarantine func(suspect.Quarantine)
+}
+
+// Runner runs requests.
+type Runner struct {
+	deps Deps
+}
+
+// New returns a Runner over deps.
+func New(deps Deps) *Runner {
+	return &Runner{deps: deps}
+}
+
+// Request is what a caller asks for, independent of its protocol.
+type Request struct {
+	ID          string // request id, given by the caller or made here
+	Bearer      string // the key in clear, empty without one
+	Class       string // the class asked for, empty for the route's own
+	Idempotency string // the idempotency key, empty without one
+	Model       string // the model of a chat completion
+	Method      string // the method of a call to a plain service
+	Path        string // the path of a call to a plain service
+}
+
+// Identity is who a key speaks for.
+type Identity struct {
+	customer string
+	keyID    string
+}
+
+// Customer returns the name of the customer, empty without a key.
+func (i Identity) Customer() string { return i.customer }
+
+// Authenticate finds the customer of a key; without a key the identity is empty and only
+// open routes take the request.
+func (r *Runner) Authenticate(bearer string) (Identity, error) {
+	if bearer == "" {
+		return Identity{}, nil
+	}
+	customer, id, err := r.deps.Keys.Lookup(bearer)
+	if err != nil {
+		return Identity{}, err
+	}
+	return Identity{customer: customer, keyID: id}, nil
+}
+
+// Models returns the models that the identity may use.
+func (r *Runner) Models(i Identity) []string {
+	doc, _ := r.deps.Document.Load()
+	if doc == nil {
+		return nil
+	}
+	return doc.Models(i.customer)
+}
+
+// Session is one authenticated and routed request.
+type Session struct {
+	runner   *Runner
+	req      Request
+	customer string
+	route    *document.Route
+	class    *document.Class
+	pool     *dispatch.Dispatcher
+	ctx      context.Context
+	stop     context.CancelCauseFunc
+	unwatch  func()
+	arrived  time.Time
+	ending   Ending
+}
+
+// Open routes a request and ties its context to the life of its key.
+func (r *Runner) Open(ctx context.Context, who Identity, req Request) (*Session, error) {
+	doc, _ := r.deps.Document.Load()
+	if doc == nil {
+		return nil, kind.New(kind.Unavailable, "this host has no document yet")
+	}
+	route, class, err := match(doc, who.customer, req)
+	if err != nil {
+		return nil, err
+	}
+	p, ok := r.deps.Pool(route.Pool())
+	if !ok {
+		return nil, kind.New(kind.Unavailable, "pool %s is not ready on this host", route.Pool())
+	}
+	s := &Session{runner: r, req: req, customer: who.customer, route: route, class: class, pool: p, arrived: r.deps.Clock.Now()}
+	if s.customer == "" {
+		s.customer = Anonymous
+	}
+	s.ending = Ending{Request: req.ID, Customer: s.customer, Class: class.Name(), Route: route.Name(), Pool: route.Pool(), Started: s.arrived}
+	s.ctx, s.stop = context.WithCancelCause(ctx)
+	s.unwatch = r.watchKey(who.keyID, s.stop)
+	return s, nil
+}
+
+func match(doc *document.Document, customer string, req Request) (*document.Route, *document.Class, error) {
+	if req.Model != "" {
+		return doc.RouteModel(req.Model, customer, req.Class)
+	}
+	return doc.RoutePath(req.Path, req.Method, customer, req.Class)
+}
+
+// watchKey ends a session when its key is withdrawn.
+func (r *Runner) watchKey(id string, stop context.CancelCauseFunc) func() {
+	if id == "" {
+		return func() {}
+	}
+	gone, unwatch := r.deps.Keys.Watch(id)
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-gone:
+			stop(kind.New(kind.Withdrawn, "the key was withdrawn while its request ran").WithRan(kind.RanMaybe))
+		case <-done:
+		}
+	}()
+	return func() {
+		close(done)
+		unwatch()
+	}
+}
+
+// BodyLimit returns the largest body in bytes that the route takes.
+func (s *Session) BodyLimit() int64 { return int64(s.route.Body()) }
+
+// Context returns the context that ends with the caller or with the key.
+func (s *Session) Context() context.Context { return s.ctx }
+
+// Close frees the session and accounts for how it ended.
+func (s *Session) Close(err error) {
+	s.unwatch()
+	s.stop(nil)
+	s.ending.Finished = s.runner.deps.Clock.Now()
+	s.ending.Err = kind.From(err)
+	s.runner.finish(s.ending)
+}
+
+// deadline returns when the answer must have ended.
+func (s *Session) deadline() time.Time {
+	limit := s.route.Timeout()
+	if limit <= 0 {
+		limit = s.class.Whole()
+	}
+	return s.arrived.Add(limit)
+}
--- /dev/null
+++ b/internal/caller/openai/openai.go
@@ -0,0 +1,127 @@
+// Package openai serves callers that speak the OpenAI-compatible chat completions protocol.
+package openai
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"hickorypath/internal/caller/exchange"
+	"hickorypath/internal/caller/reply"
+	"hickorypath/internal/core/kind"
+)
+
+// maxBody bounds a body before its route is known, in bytes.
+const maxBody = 64 << 20
+
+// heartbeatInterval is how often a comment is sent to a caller whose stream is quiet.
+const heartbeatInterval = 5 * time.Second
+
+// Handler serves the chat completions protocol.
+type Handler struct {
+	runner *exchange.Runner
+	mux    *http.ServeMux
+}
+
+// New returns a Handler that runs requests with runner.
+func New(runner *exchange.Runner) *Handler {
+	h := &Handler{runner: runner, mux: http.NewServeMux()}
+	h.mux.HandleFunc("POST /v1/chat/completions", h.chat)
+	h.mux.HandleFunc("GET /v1/models", h.models)
+	h.mux.HandleFunc("/v1/", h.other)
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.mux.ServeHTTP(w, r)
+}
+
+func (h *Handler) chat(w http.ResponseWriter, r *http.Request) {
+	req := reply.NewRequest(r)
+	w.Header().Set(reply.HeaderRequest, req.ID)
+	if err := h.serveChat(w, r, req); err != nil {
+		reply.Error(w, err)
+	}
+}
+
+// serveChat returns an error only while nothing of an answer was written.
+func (h *Handler) serveChat(w http.ResponseWriter, r *http.Request, req exchange.Request) error {
+	who, err := h.runner.Authenticate(req.Bearer)
+	if err != nil {
+		return err
+	}
+	data, err := readBody(w, r)
+	if err != nil {
+		return err
+	}
+	body, err := exchange.ParseChat(data)
+	if err != nil {
+		return err
+	}
+	req.Model = body.Model()
+	s, err := h.runner.Open(r.Context(), who, req)
+	if err != nil {
+		return err
+	}
+	if int64(len(data)) > s.BodyLimit() {
+		err = kind.New(kind.Large, "the body has %d bytes and the route takes %d", len(data), s.BodyLimit())
+		s.Close(err)
+		return err
+	}
+	out := newWriter(w, body.IsStream())
+	defer out.close()
+	err = s.Chat(body, out.output())
+	s.Close(err)
+	return out.finish(err)
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err == nil {
+		return data, nil
+	}
+	var large *http.MaxBytesError
+	if asLarge(err, &large) {
+		return nil, kind.New(kind.Large, "the body has more than %d bytes", large.Limit)
+	}
+	return nil, kind.Wrap(err, kind.Canceled, "the body did not arrive whole").WithRan(kind.RanNo)
+}
+
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	Owner   string `json:"owned_by"`
+}
+
+func (h *Handler) models(w http.ResponseWriter, r *http.Request) {
+	req := reply.NewRequest(r)
+	w.Header().Set(reply.HeaderRequest, req.ID)
+	who, err := h.runner.Authenticate(req.Bearer)
+	if err != nil {
+		reply.Error(w, err)
+		return
+	}
+	list := modelList{Object: "list", Data: []model{}}
+	for _, name := range h.runner.Models(who) {
+		list.Data = append(list.Data, model{ID: name, Object: "model", Owner: "hickorypath"})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
+
+func (h *Handler) other(w http.ResponseWriter, r *http.Request) {
+	k, text := kind.NoRoute, "no such path: "+r.URL.Path
+	if strings.HasPrefix(r.URL.Path, "/v1/chat/completions") || r.URL.Path == "/v1/models" {
+		k, text = kind.Method, "the path does not take "+r.Method
+	}
+	reply.Error(w, kind.New(k, "%s", text))
+}
--- /dev/null
+++ b/internal/caller/openai/writer.go
@@ -0,0 +1,125 @@
+package openai
+
+import (
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"hickorypath/internal/caller/exchange"
+	"hickorypath/internal/caller/reply"
+	"hickorypath/internal/core/kind"
+)
+
+// writer sends one answer to a caller, plain or as server-sent events.
+type writer struct {
+	mu      sync.Mutex
+	w       http.ResponseWriter
+	rc      *http.ResponseController
+	stream  bool
+	started bool
+	last    time.Time
+	stop    chan struct{}
+	beats   sync.WaitGroup
+}
+
+func newWriter(w http.ResponseWriter, stream bool) *writer {
+	return &writer{w: w, rc: http.NewResponseController(w), stream: stream, stop: make(chan struct{})}
+}
+
+func (w *writer) output() exchange.Output {
+	return exchange.Output{Event: w.event}
+}
+
+// event sends one event of a stream, or the whole body of a plain answer.
+func (w *writer) event(data []byte) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.started {
+		w.start()
+	}
+	if !w.stream {
+		_, err := w.w.Write(data)
+		return err
+	}
+	return w.send("data: ", data)
+}
+
+// start sends the header; the caller holds the lock.
+func (w *writer) start() {
+	w.started = true
+	if !w.stream {
+		w.w.Header().Set("Content-Type", "application/json")
+		w.w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.w.Header().Set("Content-Type", "text/event-stream")
+	w.w.Header().Set("Cache-Control", "no-cache")
+	w.w.WriteHeader(http.StatusOK)
+	w.beats.Go(w.heartbeat)
+}
+
+// send writes one line and the blank line that ends an event; the caller holds the lock.
+func (w *writer) send(field string, data []byte) error {
+	line := make([]byte, 0, len(field)+len(data)+2)
+	line = append(line, field...)
+	line = append(line, data...)
+	line = append(line, "\n\n"...)
+	if _, err := w.w.Write(line); err != nil {
+		return err
+	}
+	w.last = time.Now()
+	return w.rc.Flush()
+}
+
+// heartbeat keeps a quiet stream alive with comments, so that boxes on the way do not forget it.
+func (w *writer) heartbeat() {
+	tick := time.NewTicker(heartbeatInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-tick.C:
+			w.beat()
+		}
+	}
+}
+
+func (w *writer) beat() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if time.Since(w.last) >= heartbeatInterval {
+		_ = w.send(": ", []byte("waiting"))
+	}
+}
+
+// finish ends the answer; it returns err unchanged while nothing was written.
+func (w *writer) finish(err error) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.started {
+		return err
+	}
+	if !w.stream {
+		return nil
+	}
+	if err != nil {
+		_ = w.send("data: ", reply.Body(err))
+		// The connection is cut so that the caller cannot take the part for the whole.
+		panic(http.ErrAbortHandler)
+	}
+	_ = w.send("data: ", []byte("[DONE]"))
+	return nil
+}
+
+func (w *writer) close() {
+	close(w.stop)
+	w.beats.Wait()
+}
+
+func asLarge(err error, target **http.MaxBytesError) bool {
+	return errors.As(err, target)
+}
+
+var _ = kind.Canceled
--- /dev/null
+++ b/internal/caller/reply/reply.go
@@ -0,0 +1,99 @@
+// Package reply reads what all caller protocols have in common and writes error answers.
+package reply
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"hickorypath/internal/caller/exchange"
+	"hickorypath/internal/core/kind"
+)
+
+// Header names of the callers' protocol.
+const (
+	HeaderRequest     = "X-Request-Id"
+	HeaderClass       = "Hickorypath-Class"
+	HeaderIdempotency = "Idempotency-Key"
+	headerRetry       = "Retry-After"
+)
+
+// maxHeaderText bounds the request id and the idempotency key, in bytes.
+const maxHeaderText = 128
+
+type errorBody struct {
+	Error errorText `json:"error"`
+}
+
+type errorText struct {
+	Message string    `json:"message"`
+	Type    string    `json:"type"`
+	Code    string    `json:"code"`
+	Param   *string   `json:"param"`
+	Kind    kind.Kind `json:"kind"`
+	Ran     kind.Ran  `json:"ran"`
+}
+
+// NewRequest reads the headers that every protocol shares; a request without an id gets one.
+func NewRequest(r *http.Request) exchange.Request {
+	id := r.Header.Get(HeaderRequest)
+	if !isPlainText(id) {
+		id = exchange.NewID()
+	}
+	return exchange.Request{
+		ID:          id,
+		Bearer:      bearer(r),
+		Class:       r.Header.Get(HeaderClass),
+		Idempotency: r.Header.Get(HeaderIdempotency),
+		Method:      r.Method,
+		Path:        r.URL.Path,
+	}
+}
+
+func bearer(r *http.Request) string {
+	scheme, token, ok := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(token)
+}
+
+// isPlainText reports whether text is short and printable, so that it may stand in logs and headers.
+func isPlainText(text string) bool {
+	if text == "" || len(text) > maxHeaderText {
+		return false
+	}
+	for _, c := range text {
+		if c < '!' || c > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// Error answers with the status, the headers and the body of err's kind.
+func Error(w http.ResponseWriter, err error) {
+	e := kind.From(err)
+	a := e.Kind().Answer()
+	w.Header().Set("Content-Type", "application/json")
+	if after := e.RetryAfter(); after > 0 {
+		w.Header().Set(headerRetry, strconv.Itoa(int(math.Ceil(after.Seconds()))))
+	}
+	w.WriteHeader(a.Status())
+	_, _ = w.Write(Body(err))
+}
+
+// Body returns the error body of err, without its cause.
+func Body(err error) []byte {
+	e := kind.From(err)
+	data, _ := json.Marshal(errorBody{Error: errorText{
+		Message: e.Message(),
+		Type:    e.Kind().Answer().Class(),
+		Code:    string(e.Kind()),
+		Kind:    e.Kind(),
+		Ran:     e.Ran(),
+	}})
+	return data
+}
--- /dev/null
+++ b/internal/core/settings/check.go
@@ -0,0 +1,166 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"hickorypath/internal/core/kind"
+)
+
+// Duration is a length of time written as text such as "1.5s".
+type Duration time.Duration
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	text, err := strconv.Unquote(string(data))
+	if err != nil {
+		return fmt.Errorf("a duration is text such as \"1.5s\", not %s", data)
+	}
+	v, err := time.ParseDuration(text)
+	if err != nil {
+		return fmt.Errorf("%q is not a duration such as \"1.5s\"", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+type checker struct {
+	file   string
+	data   []byte
+	root   hujson.Value
+	faults []string
+}
+
+func decode(data []byte, name string) (*file, hujson.Value, error) {
+	root, err := hujson.Parse(data)
+	if err != nil {
+		return nil, root, kind.Wrap(err, kind.Settings, "%s: not JSON with comments", name)
+	}
+	plain := root.Clone()
+	plain.Standardize()
+	dec := json.NewDecoder(bytes.NewReader(plain.Pack()))
+	dec.DisallowUnknownFields()
+	var f file
+	if err := dec.Decode(&f); err != nil {
+		line, col := position(data, int(dec.InputOffset()))
+		return nil, root, kind.New(kind.Settings, "%s:%d:%d: %s; see docs/operate/settings.md for the fields", name, line, col, strings.TrimPrefix(err.Error(), "json: "))
+	}
+	return &f, root, nil
+}
+
+func (c *checker) check(f *file, getenv func(string) string) {
+	c.need("/host", f.Host, "name this host, unique in the environment")
+	c.need("/zone", f.Zone, "name the host's availability zone")
+	c.need("/environment", f.Environment, "name the environment, such as trial or production")
+	c.listener("/caller", f.Caller)
+	c.listener("/admin", f.Admin)
+	c.address("/peer/listen", f.Peer.Listen)
+	c.secret("/peer/secret", &f.Peer.Secret, getenv)
+	if f.Peer.Secret == "" && f.Peer.Cert == "" {
+		c.fault("/peer", "hosts need a shared secret or certificates", "set \"secret\": \"env:NAME\", or cert, key and ca")
+	}
+	c.url("/platform/store", f.Platform.Store)
+	c.url("/platform/provision", f.Platform.Provision)
+	c.url("/platform/usage", f.Platform.Usage)
+	c.url("/platform/roster", f.Platform.Roster)
+	if len(f.Tokens) == 0 {
+		c.fault("/tokens", "no operator token", "list at least one, such as \"env:HICKORYPATH_TOKEN\"")
+	}
+	for i := range f.Tokens {
+		c.secret(fmt.Sprintf("/tokens/%d", i), &f.Tokens[i], getenv)
+	}
+	for i, s := range f.Services {
+		c.need(fmt.Sprintf("/services/%d/pool", i), s.Pool, "name the document's pool that the service belongs to")
+		c.address(fmt.Sprintf("/services/%d/addr", i), s.Addr)
+	}
+	switch f.Log {
+	case "debug", "info", "warn", "error":
+	default:
+		c.fault("/log", fmt.Sprintf("log level %q does not exist", f.Log), "use debug, info, warn or error")
+	}
+	c.positive("/timeout/store", f.Timeout.Store)
+	c.positive("/timeout/order", f.Timeout.Order)
+	c.positive("/timeout/connect", f.Timeout.Connect)
+	c.positive("/timeout/shutdown", f.Timeout.Shutdown)
+	c.positive("/drain/notice", f.Drain.Notice)
+	c.positive("/window", f.Window)
+}
+
+func (c *checker) need(pointer, value, remedy string) {
+	if value == "" {
+		c.fault(pointer, "is missing or empty", remedy)
+	}
+}
+
+func (c *checker) positive(pointer string, d Duration) {
+	if d <= 0 {
+		c.fault(pointer, "is not a positive duration", "write a duration such as \"2s\"")
+	}
+}
+
+func (c *checker) listener(pointer string, l Listener) {
+	c.address(pointer+"/listen", l.Listen)
+	if (l.Cert == "") != (l.Key == "") {
+		c.fault(pointer, "has only one of cert and key", "set both for TLS, or neither")
+	}
+}
+
+func (c *checker) address(pointer, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.fault(pointer, fmt.Sprintf("%q is not an IP number with a port", value), "write it as \"10.0.0.1:8080\"")
+	}
+}
+
+func (c *checker) url(pointer, value string) {
+	u, err := url.Parse(value)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		c.fault(pointer, fmt.Sprintf("%q is not a base URL", value), "write it as \"http://10.0.0.1:9000\"")
+	}
+}
+
+func (c *checker) secret(pointer string, value *string, getenv func(string) string) {
+	name, ok := strings.CutPrefix(*value, "env:")
+	if !ok {
+		return
+	}
+	*value = getenv(name)
+	if *value == "" {
+		c.fault(pointer, fmt.Sprintf("environment variable %s is empty", name), "set it before the host starts")
+	}
+}
+
+func (c *checker) fault(pointer, problem, remedy string) {
+	line, col := position(c.data, c.offset(pointer))
+	c.faults = append(c.faults, fmt.Sprintf("%s:%d:%d: %s %s; %s", c.file, line, col, strings.ReplaceAll(pointer[1:], "/", "."), problem, remedy))
+}
+
+// offset returns where the value at pointer starts, or its nearest ancestor that exists.
+func (c *checker) offset(pointer string) int {
+	for pointer != "" {
+		if v := c.root.Find(pointer); v != nil {
+			return v.StartOffset
+		}
+		pointer = pointer[:strings.LastIndex(pointer, "/")]
+	}
+	return c.root.StartOffset
+}
+
+func (c *checker) err() error {
+	return kind.New(kind.Settings, "%d faults\n%s", len(c.faults), strings.Join(c.faults, "\n"))
+}
+
+func position(data []byte, offset int) (line, col int) {
+	offset = min(offset, len(data))
+	before := data[:offset]
+	line = bytes.Count(before, []byte("\n")) + 1
+	col = offset - bytes.LastIndexByte(before, '\n')
+	return line, col
+}
--- /dev/null
+++ b/internal/core/settings/settings_test.go
@@ -0,0 +1,65 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/core/settings"
+)
+
+const good = `{
+	// one host of the trial environment
+	"host": "h1", "zone": "norte-a", "environment": "trial",
+	"caller": {"listen": "127.0.0.1:8080"},
+	"admin": {"listen": "127.0.0.1:8090"},
+	"tokens": ["env:TOKEN"],
+	"peer": {"listen": "127.0.0.1:8070", "secret": "env:SECRET"},
+	"platform": {"store": "http://127.0.0.1:9000", "provision": "http://127.0.0.1:9000", "usage": "http://127.0.0.1:9000", "roster": "http://127.0.0.1:9000"},
+	"services": [{"pool": "ledger", "zone": "norte-a", "addr": "127.0.0.1:9100"}],
+	"timeout": {"store": "1s"},
+}`
+
+func env(name string) string {
+	return map[string]string{"TOKEN": "t", "SECRET": "s"}[name]
+}
+
+func TestNew(t *testing.T) {
+	is := is.New(t)
+	s, err := settings.New([]byte(good), "host.jsonc", env)
+	is.NoErr(err)
+	is.Equal(s.Host(), "h1")
+	is.Equal(s.Tokens(), []string{"t"})
+	is.Equal(s.Peer().Secret, "s")
+	is.Equal(s.StoreTimeout(), time.Second)
+	is.Equal(s.Window(), time.Minute)
+}
+
+func TestNewNamesPlaceAndRemedy(t *testing.T) {
+	cases := []struct {
+		name, old, new string
+		want           []string
+	}{
+		{"no name", `"host": "h1"`, `"host": ""`, []string{"host.jsonc:3:10: host", "unique"}},
+		{"host name for address", `"127.0.0.1:8080"`, `"localhost:8080"`, []string{":4:23: caller.listen", "IP number"}},
+		{"half of TLS", `"127.0.0.1:8090"`, `"127.0.0.1:8090", "cert": "a.pem"`, []string{":5:11: admin", "cert and key"}},
+		{"unset variable", `env:TOKEN`, `env:NONE`, []string{":6:13: tokens.0", "NONE"}},
+		{"unknown field", `"zone"`, `"zoen"`, []string{"unknown field", "zoen"}},
+		{"bad duration", `"1s"`, `"soon"`, []string{"soon"}},
+		{"two faults", `"norte-a", "environment": "trial"`, `"", "environment": ""`, []string{"2 faults", "zone", "environment"}},
+		{"not JSON", `{`, ``, []string{"host.jsonc"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := settings.New([]byte(strings.Replace(good, c.old, c.new, 1)), "host.jsonc", env)
+			is.Equal(kind.Of(err), kind.Settings)
+			for _, w := range c.want {
+				is.True(strings.Contains(err.Error(), w)) // the error names place and remedy
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/upstream/dispatch/dispatch.go
@@ -0,0 +1,231 @@
+// Package dispatch runs the decisions of a pool: requests wait here until an upstream may take them.
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/pool"
+	"hickorypath/internal/policy/route"
+)
+
+// tickInterval is how often expiry, holding back and ageing are looked at.
+const tickInterval = 25 * time.Millisecond
+
+// Target is one upstream as the platform or the settings list it.
+type Target struct {
+	id          string
+	zone        string
+	addr        string
+	slots       int
+	reclaimable bool
+	leaving     bool
+}
+
+// NewTarget returns a Target that may take slots requests at once.
+func NewTarget(id, zone, addr string, slots int, reclaimable, leaving bool) Target {
+	return Target{id: id, zone: zone, addr: addr, slots: slots, reclaimable: reclaimable, leaving: leaving}
+}
+
+// ID returns the name of the upstream.
+func (t Target) ID() string { return t.id }
+
+// Addr returns the address of the upstream as IP number and port.
+func (t Target) Addr() string { return t.addr }
+
+// Zone returns the availability zone of the upstream.
+func (t Target) Zone() string { return t.zone }
+
+// Grant is the permission to run one attempt on one upstream.
+type Grant struct {
+	id     uint64
+	target Target
+}
+
+// Target returns the upstream that takes the attempt.
+func (g Grant) Target() Target { return g.target }
+
+// Dispatcher serializes access to the pool's decisions and wakes the requests that they name.
+type Dispatcher struct {
+	name  string
+	clock clock.Clock
+	ids   atomic.Uint64
+
+	mu      sync.Mutex
+	pool    *pool.Pool
+	targets map[string]Target
+	waiting map[uint64]chan outcome
+}
+
+// outcome is the end of a wait: a refusal, or a start on target.
+type outcome struct {
+	decision pool.Decision
+	target   Target
+}
+
+// New returns a Dispatcher for the pool called name.
+func New(name string, p *pool.Pool, c clock.Clock) *Dispatcher {
+	return &Dispatcher{
+		name:    name,
+		clock:   c,
+		pool:    p,
+		targets: map[string]Target{},
+		waiting: map[uint64]chan outcome{},
+	}
+}
+
+// Name returns the name of the pool.
+func (d *Dispatcher) Name() string { return d.name }
+
+// Run drives the pool's timers until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			d.do(func(now time.Time) []pool.Decision { return d.pool.Tick(now) })
+		}
+	}
+}
+
+// Acquire waits until an upstream may take the request and returns the grant.
+// The error is the pool's refusal, or Canceled when ctx ends first.
+func (d *Dispatcher) Acquire(ctx context.Context, r pool.Request) (Grant, error) {
+	r.ID = d.ids.Add(1)
+	wake := make(chan outcome, 1)
+	d.mu.Lock()
+	d.waiting[r.ID] = wake
+	d.apply(d.pool.Arrive(d.clock.Now(), r))
+	d.mu.Unlock()
+	select {
+	case o := <-wake:
+		return d.settle(o)
+	case <-ctx.Done():
+		return Grant{}, d.abandon(ctx, r.ID)
+	}
+}
+
+// Token tells the pool that n more tokens of the attempt were seen.
+func (d *Dispatcher) Token(g Grant, n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pool.Token(d.clock.Now(), g.id, n)
+}
+
+// Release ends the attempt of a grant.
+func (d *Dispatcher) Release(g Grant, r pool.Result) {
+	d.do(func(now time.Time) []pool.Decision { return d.pool.Finish(now, g.id, r) })
+}
+
+// SetTargets replaces the list of upstreams.
+func (d *Dispatcher) SetTargets(targets []Target) {
+	ups := make([]route.Upstream, 0, len(targets))
+	for _, t := range targets {
+		ups = append(ups, route.NewUpstream(t.id, t.zone, t.slots, t.reclaimable).WithLeaving(t.leaving))
+	}
+	d.do(func(now time.Time) []pool.Decision {
+		d.targets = lo.KeyBy(targets, Target.ID)
+		return d.pool.Upstreams(now, ups)
+	})
+}
+
+// Targets returns the upstreams that are not leaving.
+func (d *Dispatcher) Targets() []Target {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return lo.Filter(lo.Values(d.targets), func(t Target, _ int) bool { return !t.leaving })
+}
+
+// Report passes on the load that an upstream reported.
+func (d *Dispatcher) Report(id string, l route.Load) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pool.Report(d.clock.Now(), id, l)
+}
+
+// Cached passes on which prompt blocks an upstream cached and dropped; gap tells that events were lost.
+func (d *Dispatcher) Cached(id string, added, removed []uint64, gap bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pool.Cached(d.clock.Now(), id, added, removed, gap)
+}
+
+// Peer merges the summary of another host.
+func (d *Dispatcher) Peer(host string, s pool.Summary) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pool.Peer(d.clock.Now(), host, s)
+}
+
+// Summary returns what other hosts need to know.
+func (d *Dispatcher) Summary() pool.Summary {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pool.Summary(d.clock.Now())
+}
+
+// Want returns the demand of the pool as this host sees it.
+func (d *Dispatcher) Want() pool.Demand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pool.Want(d.clock.Now())
+}
+
+// Depth returns the queued and running requests of each tier.
+func (d *Dispatcher) Depth() []pool.TierDepth {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pool.Depth()
+}
+
+func (d *Dispatcher) do(event func(now time.Time) []pool.Decision) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.apply(event(d.clock.Now()))
+}
+
+// apply wakes the requests that the decisions name; the caller holds the lock.
+func (d *Dispatcher) apply(decisions []pool.Decision) {
+	for _, dec := range decisions {
+		if dec.Action == pool.Wait {
+			continue
+		}
+		wake, ok := d.waiting[dec.ID]
+		if !ok {
+			continue
+		}
+		delete(d.waiting, dec.ID)
+		wake <- outcome{decision: dec, target: d.targets[dec.Upstream]}
+	}
+}
+
+func (d *Dispatcher) settle(o outcome) (Grant, error) {
+	if o.decision.Action == pool.Refuse {
+		k := o.decision.Kind
+		return Grant{}, kind.New(k, "pool %s refused the request: %s", d.name, k).WithRetry(o.decision.Retry)
+	}
+	return Grant{id: o.decision.ID, target: o.target}, nil
+}
+
+// abandon withdraws a request whose caller is gone, whether it still waits or was just started.
+func (d *Dispatcher) abandon(ctx context.Context, id uint64) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.waiting, id)
+	d.apply(d.pool.Cancel(d.clock.Now(), id))
+	var cause *kind.Error
+	if errors.As(context.Cause(ctx), &cause) {
+		return cause.WithRan(kind.RanNo)
+	}
+	return kind.Wrap(context.Cause(ctx), kind.Canceled, "the caller went away while the request waited").WithRan(kind.RanNo)
+}
