--- /dev/null
+++ b/internal/caller/exchange/chat.go
@@ -0,0 +1,291 @@
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/pool"
+	"hickorypath/internal/policy/retry"
+	"hickorypath/internal/policy/suspect"
+	"hickorypath/internal/upstream/dispatch"
+	"hickorypath/internal/upstream/engine"
+)
+
+// eventEnd separates the events of a stored answer; JSON on one line never holds it.
+var eventEnd = []byte("\n")
+
+// Output takes an answer on its way to the caller.
+type Output struct {
+	// Event takes one event of a stream, or the whole of a plain answer.
+	Event func(data []byte) error
+}
+
+// chat is the state of one chat completion over all its attempts.
+type chat struct {
+	*Session
+	body     *ChatBody
+	data     []byte // the body as it is sent upstream
+	print    suspect.Print
+	out      Output
+	text     transcript
+	prior    string // the attempt that a resumed one continues
+	tokens   int    // delivered to the caller
+	usage    *engine.Usage
+	ran      kind.Ran
+	avoid    []string
+	attempts int
+	gaps     gapMeter
+}
+
+// Chat runs a chat completion until it is answered wholly or refused.
+func (s *Session) Chat(body *ChatBody, out Output) error {
+	data, err := body.Upstream()
+	if err != nil {
+		return err
+	}
+	c := &chat{Session: s, body: body, data: data, out: out, ran: kind.RanNo}
+	c.print = suspect.Fingerprint(s.customer, s.route.Name(), data)
+	estimate := body.PromptTokens() + body.max
+	done, err := s.runner.deps.Admit(s.customer, s.class.Name(), estimate)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := s.deadlineContext()
+	defer cancel()
+	err = s.claimed(ctx, c.hash(), func() error { return c.run(ctx) })
+	if err == nil && s.replay != nil {
+		done(tokensNone)
+		return c.sendStored(s.replay)
+	}
+	done(c.account(err))
+	return err
+}
+
+// sendStored answers with the stored answer of an earlier run; it is not billed again.
+func (c *chat) sendStored(o *Outcome) error {
+	if !c.body.IsStream() {
+		return c.out.Event(o.Body)
+	}
+	for event := range bytes.SplitSeq(o.Body, eventEnd) {
+		if err := c.out.Event(event); err != nil {
+			return kind.Wrap(err, kind.Canceled, "the caller stopped reading").WithRan(kind.RanYes)
+		}
+	}
+	return nil
+}
+
+func (c *chat) hash() string { return fmt.Sprintf("%016x", uint64(c.print)) }
+
+// deadlineContext bounds the session by its deadline and keeps the reason.
+func (s *Session) deadlineContext() (context.Context, context.CancelFunc) {
+	late := kind.New(kind.Timeout, "the answer did not end in time").WithRan(kind.RanMaybe)
+	return context.WithDeadlineCause(s.ctx, s.deadline(), late)
+}
+
+// run makes attempts until one is whole or the budget says stop.
+func (c *chat) run(ctx context.Context) error {
+	budget := c.runner.deps.Retries
+	budget.Request(c.pool.Name())
+	for {
+		err := c.attempt(ctx)
+		if err == nil {
+			return nil
+		}
+		err = c.explain(ctx, err)
+		v := budget.Next(c.pool.Name(), c.runner.deps.Clock.Now(), retry.Attempt{
+			Err:      err,
+			Ran:      c.ran,
+			Repeat:   c.route.Repeat(),
+			Stream:   c.body.IsStream() && !c.text.opaque,
+			Tokens:   c.tokens,
+			Count:    c.attempts,
+			Deadline: c.deadline(),
+		})
+		c.ran = v.Ran
+		if v.Action == retry.Stop {
+			return kind.From(err).WithRan(v.Ran)
+		}
+		if v.Avoid && c.ending.Upstream != "" {
+			c.avoid = append(c.avoid, c.ending.Upstream)
+		}
+		if v.Action == retry.Retry {
+			c.prior = ""
+		}
+		if err := sleep(ctx, v.Delay); err != nil {
+			return c.explain(ctx, err)
+		}
+	}
+}
+
+// attempt waits for an upstream and runs the request there once.
+func (c *chat) attempt(ctx context.Context) error {
+	now := c.runner.deps.Clock.Now()
+	isSuspect, err := c.runner.deps.Suspects.Check(now, c.print)
+	if err != nil {
+		return err
+	}
+	grant, err := c.pool.Acquire(ctx, c.request(isSuspect))
+	if err != nil {
+		return err
+	}
+	c.attempts++
+	c.ending.Upstream = grant.Target().ID()
+	run := c.runner.deps.Suspects.Start(c.runner.deps.Clock.Now(), c.print, grant.Target().ID())
+	result, err := c.stream(ctx, grant)
+	c.runner.deps.Suspects.Finish(c.runner.deps.Clock.Now(), run, err == nil)
+	result.Failed = err != nil && ctx.Err() == nil
+	c.pool.Release(grant, result)
+	return err
+}
+
+func (c *chat) request(isSuspect bool) pool.Request {
+	return pool.Request{
+		Customer: c.customer,
+		Class:    c.class.Name(),
+		Weight:   c.weight,
+		Prompt:   c.body.PromptTokens(),
+		Max:      c.body.max,
+		Prefix:   c.body.Prefix(c.customer),
+		Deadline: c.deadline(),
+		Exclude:  c.avoid,
+		Lone:     isSuspect,
+		Suspect:  isSuspect,
+		Again:    c.attempts > 0,
+	}
+}
+
+// stream sends one attempt and passes its answer on.
+func (c *chat) stream(ctx context.Context, grant dispatch.Grant) (pool.Result, error) {
+	attempt := fmt.Sprintf("%s-%d", c.req.ID, c.attempts)
+	sent := c.runner.deps.Clock.Now()
+	before := c.tokens
+	s, err := c.runner.deps.Engines.Chat(ctx, grant.Target().Addr(), c.call(attempt))
+	if err != nil {
+		return pool.Result{Crashed: c.crashed(ctx, grant, err)}, err
+	}
+	defer s.Close()
+	c.prior = attempt
+	for {
+		event, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			return pool.Result{Output: c.tokens - before, First: s.First(), Gap: s.Gap()}, nil
+		}
+		if err == nil {
+			err = c.pass(grant, event)
+		}
+		if err != nil {
+			crashed := c.crashed(ctx, grant, err)
+			return pool.Result{Output: c.tokens - before, First: s.First(), Gap: s.Gap(), Crashed: crashed}, err
+		}
+		c.noteFirst(sent, event)
+	}
+}
+
+func (c *chat) call(attempt string) engine.Call {
+	return engine.Call{
+		Attempt:  attempt,
+		Body:     c.data,
+		Header:   http.Header{},
+		Secret:   c.req.Bearer,
+		Salt:     c.customer,
+		Stream:   c.body.IsStream(),
+		Priority: c.class.Tier(),
+		Offset:   c.tokens,
+		Prior:    c.prior,
+	}
+}
+
+// pass hands one event to the caller.
+func (c *chat) pass(grant dispatch.Grant, e engine.Event) error {
+	if e.Usage != nil {
+		c.usage = e.Usage
+	}
+	if e.Tokens > 0 {
+		c.gaps.add(c.runner.deps.Clock.Now(), e.Tokens)
+		c.pool.Token(grant, e.Tokens)
+	}
+	if c.body.IsStream() {
+		if e.Done {
+			return nil
+		}
+		if usageOnly := c.text.add(e.Data); usageOnly && !c.body.usage {
+			return nil
+		}
+	}
+	if err := c.out.Event(e.Data); err != nil {
+		return kind.Wrap(err, kind.Canceled, "the caller stopped reading").WithRan(kind.RanYes)
+	}
+	c.tokens += e.Tokens
+	c.keep(e.Data)
+	return nil
+}
+
+// keep records the answer of a request whose resends must get the same one.
+func (c *chat) keep(data []byte) {
+	if c.route.Repeat() || c.req.Idempotency == "" {
+		return
+	}
+	if c.outcome == nil {
+		c.outcome = &Outcome{Status: http.StatusOK, Body: bytes.Clone(data)}
+		return
+	}
+	c.outcome.Body = append(append(c.outcome.Body, eventEnd...), data...)
+}
+
+func (c *chat) noteFirst(sent time.Time, e engine.Event) {
+	if c.ending.First > 0 || (e.Tokens == 0 && !e.Done) {
+		return
+	}
+	c.ending.First = c.runner.deps.Clock.Now().Sub(c.arrived)
+}
+
+// crashed tells whether an attempt failed because its upstream crashed, and reports the crash.
+func (c *chat) crashed(ctx context.Context, grant dispatch.Grant, err error) bool {
+	if kind.Of(err) != kind.Lost || ctx.Err() != nil {
+		return false
+	}
+	return c.runner.reportCrash(ctx, grant.Target())
+}
+
+// account fills in what the request cost and returns its tokens.
+func (c *chat) account(err error) int {
+	c.ending.Attempts = c.attempts
+	c.ending.Gap = c.gaps.quantile()
+	prompt, output := 0, c.tokens
+	if c.usage != nil {
+		prompt = c.usage.Prompt
+	}
+	if c.usage != nil && c.attempts == 1 {
+		output = c.usage.Output
+	}
+	switch {
+	case err == nil:
+		c.bill(prompt, output)
+	case kind.Of(err) == kind.Canceled && c.tokens > 0:
+		c.bill(c.body.PromptTokens(), c.tokens)
+	default:
+		c.ending.Wasted += c.tokens
+	}
+	return prompt + output
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/caller/exchange/claimed.go
@@ -0,0 +1,65 @@
+package exchange
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hickorypath/internal/core/kind"
+)
+
+// Claim is the right to run one non-repeatable request, held in the platform's store.
+type Claim struct {
+	// Finish stores the outcome, so that a resend gets it.
+	Finish func(ctx context.Context, o Outcome) error
+	// Release gives the claim up; it is called only when nothing was sent.
+	Release func(ctx context.Context) error
+}
+
+// Outcome is the stored answer of a non-repeatable request.
+type Outcome struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// claimTimeout bounds storing the end of a claim after the caller may be gone.
+const claimTimeout = 5 * time.Second
+
+// claimed runs a request under a claim when it may not be repeated and carries an idempotency key.
+// A stored outcome of an earlier run is returned through s.replay instead.
+func (s *Session) claimed(ctx context.Context, hash string, run func() error) error {
+	if s.route.Repeat() || s.req.Idempotency == "" {
+		return run()
+	}
+	claim, stored, err := s.runner.deps.Claim(ctx, s.customer, s.route.Name(), s.req.Idempotency, hash, s.route.Expiry())
+	if err != nil {
+		return err
+	}
+	if stored != nil {
+		s.replay = stored
+		return nil
+	}
+	err = run()
+	s.settle(claim, err)
+	return err
+}
+
+// settle stores the outcome of a claimed run, or releases the claim when the request did not run.
+// A claim that may have run and has no outcome stays, so that a resend is told that it may have run.
+func (s *Session) settle(claim *Claim, err error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), claimTimeout)
+	defer cancel()
+	var failed error
+	switch {
+	case err == nil && s.outcome != nil:
+		failed = claim.Finish(ctx, *s.outcome)
+	case err != nil && kind.From(err).Ran() == kind.RanNo:
+		failed = claim.Release(ctx)
+	}
+	if failed != nil {
+		s.runner.deps.Log.Warn("claim not settled", append(s.ending.fields(), zap.Error(failed))...)
+	}
+}
--- a/internal/caller/exchange/ending.go
+++ b/internal/caller/exchange/ending.go
@@ -40,7 +40,17 @@
 
 func (r *Runner) finish(e Ending) {
 	r.deps.Observe(e)
-	fields := []zap.Field{
+	fields := e.fields()
+	if e.Err == nil {
+		r.deps.Log.Info("request answered", fields...)
+		return
+	}
+	fields = append(fields, zap.String("kind", string(e.Err.Kind())), zap.String("ran", string(e.Err.Ran())), zap.Error(e.Err))
+	r.deps.Log.Info("request refused", fields...)
+}
+
+func (e Ending) fields() []zap.Field {
+	return []zap.Field{
 		zap.String("request", e.Request),
 		zap.String("customer", e.Customer),
 		zap.String("class", e.Class),
@@ -52,10 +62,4 @@
 		zap.Duration("first", e.First),
 		zap.Duration("whole", e.Whole()),
 	}
-	if e.Err == nil {
-		r.deps.Log.Info("request answered", fields...)
-		return
-	}
-	fields = append(fields, zap.String("kind", string(e.Err.Kind())), zap.String("ran", string(e.Err.Ran())), zap.Error(e.Err))
-	r.deps.Log.Info("request refused", fields...)
 }
--- a/internal/caller/exchange/exchange.go
+++ b/internal/caller/exchange/exchange.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,10 +16,6 @@
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/operator/document"
 	"hickorypath/internal/operator/key"
-	"hickorypath/internal/platform/claim"
-	"hickorypath/internal/platform/usage"
-	"hickorypath/internal/policy/limit"
-	"hickorypath/internal/policy/retry"
 	"hickorypath/internal/policy/suspect"
 	"hickorypath/internal/upstream/dispatch"
 	"hickorypath/internal/upstream/engine"
@@ -33,21 +31,36 @@
 	Log      *zap.Logger
 	Document *document.Live
 	Keys     *key.Table
-	Limits   *Limits
 	Suspects *Suspects
 	Retries  *Retries
 	Engines  *engine.Client
 	Services *service.Client
-	Claims   *claim.Book
 
 	// Pool returns the dispatcher of a pool of the document.
 	Pool func(name string) (*dispatch.Dispatcher, bool)
+	// Admit takes a request's share of its customer's and class's limits; done gives back what was not used.
+	Admit func(customer, class string, tokens int) (done func(used int), err error)
+	// Claim begins a claim, or returns the stored outcome of an earlier run.
+	Claim func(ctx context.Context, customer, route, idempotency, hash string, expiry time.Duration) (*Claim, *Outcome, error)
+	// Alive reports whether an upstream answers on a new connection.
+	Alive func(ctx context.Context, addr string) bool
+	// Crashed tells all hosts which requests ran on an upstream that crashed.
+	Crashed func(upstream string, s []suspect.Suspicion, q []suspect.Quarantine)
 	// Bill adds one answer to the usage of its customer.
-	Bill func(usage.Record)
+	Bill func(Bill)
 	// Observe is told how each request ended.
 	Observe func(Ending)
-	// Quarantine tells all hosts of a request that crashes upstreams.
-	Quarantine func(suspect.Quarantine)
+}
+
+// Bill is the usage of one answer, in tokens.
+type Bill struct {
+	Request  string
+	Customer string
+	Class    string
+	Route    string
+	Model    string
+	Prompt   int
+	Output   int
 }
 
 // Runner runs requests.
@@ -80,6 +93,11 @@
 // Customer returns the name of the customer, empty without a key.
 func (i Identity) Customer() string { return i.customer }
 
+// NewID returns a random request id.
+func NewID() string {
+	return strings.ToLower(rand.Text())
+}
+
 // Authenticate finds the customer of a key; without a key the identity is empty and only
 // open routes take the request.
 func (r *Runner) Authenticate(bearer string) (Identity, error) {
@@ -114,7 +132,10 @@
 	stop     context.CancelCauseFunc
 	unwatch  func()
 	arrived  time.Time
+	weight   float64
 	ending   Ending
+	outcome  *Outcome // of this run, to be stored for resends
+	replay   *Outcome // of an earlier run
 }
 
 // Open routes a request and ties its context to the life of its key.
@@ -135,6 +156,9 @@
 	if s.customer == "" {
 		s.customer = Anonymous
 	}
+	if c, ok := doc.Customer(who.customer); ok {
+		s.weight = c.Weight()
+	}
 	s.ending = Ending{Request: req.ID, Customer: s.customer, Class: class.Name(), Route: route.Name(), Pool: route.Pool(), Started: s.arrived}
 	s.ctx, s.stop = context.WithCancelCause(ctx)
 	s.unwatch = r.watchKey(who.keyID, s.stop)
@@ -183,6 +207,20 @@
 	s.runner.finish(s.ending)
 }
 
+// bill adds the tokens of a delivered answer to the customer's usage.
+func (s *Session) bill(prompt, output int) {
+	s.ending.Prompt, s.ending.Output = prompt, output
+	s.runner.deps.Bill(Bill{
+		Request:  s.req.ID,
+		Customer: s.customer,
+		Class:    s.class.Name(),
+		Route:    s.route.Name(),
+		Model:    s.req.Model,
+		Prompt:   prompt,
+		Output:   output,
+	})
+}
+
 // deadline returns when the answer must have ended.
 func (s *Session) deadline() time.Time {
 	limit := s.route.Timeout()
--- /dev/null
+++ b/internal/caller/exchange/forward.go
@@ -0,0 +1,236 @@
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/pool"
+	"hickorypath/internal/policy/retry"
+	"hickorypath/internal/policy/suspect"
+	"hickorypath/internal/upstream/service"
+)
+
+// Sizes of calls to plain services, in bytes.
+const (
+	bufferLimit  = 256 << 10 // a longer request body is streamed and cannot be sent again
+	outcomeLimit = 256 << 10 // a longer answer is not stored for resends
+	tokensNone   = 0
+)
+
+// ServiceCall is a call to a plain service.
+type ServiceCall struct {
+	Query  string // raw
+	Header http.Header
+	Body   io.Reader
+	Length int64 // -1 when unknown
+}
+
+// Respond takes an answer of a plain service on its way to the caller.
+type Respond func(status int, header http.Header, body io.Reader) error
+
+// forward is the state of one call to a plain service over all its attempts.
+type forward struct {
+	*Session
+	call     ServiceCall
+	buffer   []byte // the request body when it fits
+	buffered bool
+	print    suspect.Print
+	respond  Respond
+	ran      kind.Ran
+	avoid    []string
+	attempts int
+	answered bool // a part of the answer went to the caller
+}
+
+// Forward runs a call to a plain service until it is answered or refused.
+func (s *Session) Forward(call ServiceCall, respond Respond) error {
+	f := &forward{Session: s, call: call, respond: respond, ran: kind.RanNo}
+	if err := f.fill(); err != nil {
+		return err
+	}
+	f.print = suspect.Fingerprint(s.customer, s.route.Name()+" "+s.req.Method+" "+s.req.Path+"?"+call.Query, f.buffer)
+	done, err := s.runner.deps.Admit(s.customer, s.class.Name(), tokensNone)
+	if err != nil {
+		return err
+	}
+	defer done(tokensNone)
+	ctx, cancel := s.deadlineContext()
+	defer cancel()
+	err = s.claimed(ctx, fmt.Sprintf("%016x", uint64(f.print)), func() error { return f.run(ctx) })
+	if err == nil && s.replay != nil {
+		err = f.sendStored(s.replay)
+	}
+	s.ending.Attempts = f.attempts
+	if err == nil {
+		s.bill(0, 0)
+	}
+	return err
+}
+
+// fill reads a body that is short enough to be sent again.
+func (f *forward) fill() error {
+	limit := f.BodyLimit()
+	if f.call.Length > limit {
+		return kind.New(kind.Large, "the body has %d bytes and the route takes %d", f.call.Length, limit)
+	}
+	head, err := io.ReadAll(io.LimitReader(f.call.Body, min(bufferLimit, limit)+1))
+	if err != nil {
+		return kind.Wrap(err, kind.Canceled, "the body did not arrive whole").WithRan(kind.RanNo)
+	}
+	if int64(len(head)) > limit {
+		return kind.New(kind.Large, "the body has more than the %d bytes that the route takes", limit)
+	}
+	f.buffer = head
+	f.buffered = len(head) <= bufferLimit
+	return nil
+}
+
+// reader returns the request body for one attempt.
+func (f *forward) reader() io.Reader {
+	if f.buffered {
+		return bytes.NewReader(f.buffer)
+	}
+	rest := &limited{r: f.call.Body, left: f.BodyLimit() - int64(len(f.buffer))}
+	return io.MultiReader(bytes.NewReader(f.buffer), rest)
+}
+
+func (f *forward) length() int64 {
+	if f.buffered {
+		return int64(len(f.buffer))
+	}
+	return f.call.Length
+}
+
+func (f *forward) run(ctx context.Context) error {
+	budget := f.runner.deps.Retries
+	budget.Request(f.pool.Name())
+	for {
+		err := f.attempt(ctx)
+		if err == nil {
+			return nil
+		}
+		err = f.explain(ctx, err)
+		v := budget.Next(f.pool.Name(), f.runner.deps.Clock.Now(), retry.Attempt{
+			Err:      err,
+			Ran:      f.ran,
+			Repeat:   f.route.Repeat(),
+			Count:    f.attempts,
+			Deadline: f.deadline(),
+		})
+		f.ran = v.Ran
+		if v.Action == retry.Stop || f.answered || (!f.buffered && f.attempts > 0) {
+			return kind.From(err).WithRan(v.Ran)
+		}
+		if v.Avoid && f.ending.Upstream != "" {
+			f.avoid = append(f.avoid, f.ending.Upstream)
+		}
+		if err := sleep(ctx, v.Delay); err != nil {
+			return f.explain(ctx, err)
+		}
+	}
+}
+
+func (f *forward) attempt(ctx context.Context) error {
+	isSuspect, err := f.runner.deps.Suspects.Check(f.runner.deps.Clock.Now(), f.print)
+	if err != nil {
+		return err
+	}
+	grant, err := f.pool.Acquire(ctx, pool.Request{
+		Customer: f.customer,
+		Class:    f.class.Name(),
+		Weight:   f.weight,
+		Deadline: f.deadline(),
+		Exclude:  f.avoid,
+		Lone:     isSuspect,
+		Suspect:  isSuspect,
+		Again:    f.attempts > 0,
+	})
+	if err != nil {
+		return err
+	}
+	f.attempts++
+	f.ending.Upstream = grant.Target().ID()
+	run := f.runner.deps.Suspects.Start(f.runner.deps.Clock.Now(), f.print, f.ending.Upstream)
+	sent := f.runner.deps.Clock.Now()
+	err = f.send(ctx, grant.Target().Addr())
+	result := pool.Result{First: f.runner.deps.Clock.Now().Sub(sent), Failed: err != nil && ctx.Err() == nil}
+	if kind.Of(err) == kind.Lost && ctx.Err() == nil {
+		result.Crashed = f.runner.reportCrash(ctx, grant.Target())
+	}
+	f.runner.deps.Suspects.Finish(f.runner.deps.Clock.Now(), run, err == nil)
+	f.pool.Release(grant, result)
+	return err
+}
+
+// send makes one attempt and passes its answer to the caller.
+func (f *forward) send(ctx context.Context, addr string) error {
+	res, err := f.runner.deps.Services.Do(ctx, addr, service.Call{
+		Attempt: fmt.Sprintf("%s-%d", f.req.ID, f.attempts),
+		Method:  f.req.Method,
+		Path:    f.req.Path,
+		Query:   f.call.Query,
+		Header:  f.call.Header,
+		Secret:  f.req.Bearer,
+		Body:    f.reader(),
+		Length:  f.length(),
+		Repeat:  f.route.Repeat() && f.buffered,
+	})
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	f.ending.First = f.runner.deps.Clock.Now().Sub(f.arrived)
+	keep := &recorder{r: res.Body}
+	f.answered = true
+	if err := f.respond(res.StatusCode, res.Header, keep); err != nil {
+		return kind.From(err).WithRan(kind.RanYes)
+	}
+	if !keep.long {
+		f.outcome = &Outcome{Status: res.StatusCode, Header: res.Header, Body: keep.kept}
+	}
+	return nil
+}
+
+func (f *forward) sendStored(o *Outcome) error {
+	return f.respond(o.Status, o.Header, bytes.NewReader(o.Body))
+}
+
+// recorder keeps what is read through it, up to outcomeLimit.
+type recorder struct {
+	r    io.Reader
+	kept []byte
+	long bool
+}
+
+// Read implements io.Reader.
+func (k *recorder) Read(p []byte) (int, error) {
+	n, err := k.r.Read(p)
+	if len(k.kept)+n > outcomeLimit {
+		k.long = true
+		k.kept = nil
+	}
+	if !k.long {
+		k.kept = append(k.kept, p[:n]...)
+	}
+	return n, err
+}
+
+// limited fails with kind Large once more than left bytes are read.
+type limited struct {
+	r    io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (l *limited) Read(p []byte) (int, error) {
+	n, err := l.r.Read(p)
+	l.left -= int64(n)
+	if l.left < 0 {
+		return 0, kind.New(kind.Large, "the body has more bytes than the route takes").WithRan(kind.RanMaybe)
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/caller/exchange/retries.go
@@ -0,0 +1,131 @@
+package exchange
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/retry"
+	"hickorypath/internal/policy/suspect"
+	"hickorypath/internal/upstream/dispatch"
+)
+
+// Retries holds one retry budget for each pool. It is safe for concurrent use.
+type Retries struct {
+	mu      sync.Mutex
+	config  retry.Config
+	budgets map[string]*retry.Budget
+}
+
+// NewRetries returns budgets that all have the limits of config.
+func NewRetries(config retry.Config) *Retries {
+	return &Retries{config: config, budgets: map[string]*retry.Budget{}}
+}
+
+// Request notes a new request to a pool.
+func (r *Retries) Request(pool string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(pool).Request()
+}
+
+// Next decides what follows a failed attempt.
+func (r *Retries) Next(pool string, now time.Time, a retry.Attempt) retry.Verdict {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget(pool).Next(now, a)
+}
+
+// budget returns the budget of a pool; the caller holds the lock.
+func (r *Retries) budget(pool string) *retry.Budget {
+	b, ok := r.budgets[pool]
+	if !ok {
+		b = retry.New(r.config)
+		r.budgets[pool] = b
+	}
+	return b
+}
+
+// Suspects is the book of suspect requests, safe for concurrent use.
+type Suspects struct {
+	mu   sync.Mutex
+	book *suspect.Book
+	runs uint64
+}
+
+// NewSuspects returns an empty book.
+func NewSuspects(config suspect.Config) *Suspects {
+	return &Suspects{book: suspect.New(config)}
+}
+
+// Check tells whether a request is a suspect, or refuses it.
+func (s *Suspects) Check(now time.Time, p suspect.Print) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Check(now, p)
+}
+
+// Start notes that a request was sent to an upstream and returns the number of the run.
+func (s *Suspects) Start(now time.Time, p suspect.Print, upstream string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs++
+	s.book.Start(now, p, upstream, s.runs)
+	return s.runs
+}
+
+// Finish notes the end of a run.
+func (s *Suspects) Finish(now time.Time, run uint64, whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.Finish(now, run, whole)
+}
+
+// Crash notes that an upstream crashed and returns what other hosts must know.
+func (s *Suspects) Crash(now time.Time, upstream string) ([]suspect.Suspicion, []suspect.Quarantine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Crash(now, upstream)
+}
+
+// Merge takes a quarantine from another host.
+func (s *Suspects) Merge(now time.Time, q suspect.Quarantine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.Merge(now, q)
+}
+
+// MergeSuspicion takes a suspicion from another host.
+func (s *Suspects) MergeSuspicion(now time.Time, q suspect.Suspicion) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.MergeSuspicion(now, q)
+}
+
+// reportCrash asks an upstream on a new connection whether it still answers; when it does not, the
+// requests that ran there become suspects on all hosts. A connection that was merely cut makes none.
+func (r *Runner) reportCrash(ctx context.Context, t dispatch.Target) bool {
+	if r.deps.Alive(ctx, t.Addr()) {
+		return false
+	}
+	suspicions, quarantines := r.deps.Suspects.Crash(r.deps.Clock.Now(), t.ID())
+	r.deps.Crashed(t.ID(), suspicions, quarantines)
+	return true
+}
+
+// explain replaces the error of an attempt that was cut short by the reason for the cut, such as a
+// withdrawn key or the deadline.
+func (s *Session) explain(ctx context.Context, err error) error {
+	if ctx.Err() == nil {
+		return err
+	}
+	ran := kind.From(err).Ran()
+	var cause *kind.Error
+	if errors.As(context.Cause(ctx), &cause) {
+		return cause.WithRan(ran)
+	}
+	return kind.Wrap(err, kind.Canceled, "the caller went away").WithRan(ran)
+}
--- a/internal/caller/openai/writer.go
+++ b/internal/caller/openai/writer.go
@@ -8,7 +8,6 @@
 
 	"hickorypath/internal/caller/exchange"
 	"hickorypath/internal/caller/reply"
-	"hickorypath/internal/core/kind"
 )
 
 // writer sends one answer to a caller, plain or as server-sent events.
@@ -121,5 +120,3 @@
 func asLarge(err error, target **http.MaxBytesError) bool {
 	return errors.As(err, target)
 }
-
-var _ = kind.Canceled
--- /dev/null
+++ b/internal/caller/service/service.go
@@ -0,0 +1,94 @@
+// Package service serves callers of the plain services that stand beside the model engines.
+package service
+
+import (
+	"io"
+	"net/http"
+
+	"hickorypath/internal/caller/exchange"
+	"hickorypath/internal/caller/reply"
+	"hickorypath/internal/core/kind"
+)
+
+// Handler serves calls under the paths of the document's routes.
+type Handler struct {
+	runner *exchange.Runner
+}
+
+// New returns a Handler that runs calls with runner.
+func New(runner *exchange.Runner) *Handler {
+	return &Handler{runner: runner}
+}
+
+// hopHeaders concern one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade",
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	req := reply.NewRequest(r)
+	w.Header().Set(reply.HeaderRequest, req.ID)
+	started, err := h.serve(w, r, req)
+	switch {
+	case err == nil:
+	case started:
+		panic(http.ErrAbortHandler) // the caller must not take the part for the whole
+	default:
+		reply.Error(w, err)
+	}
+}
+
+// serve runs the call; started tells whether a part of the answer was written.
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, req exchange.Request) (started bool, err error) {
+	who, err := h.runner.Authenticate(req.Bearer)
+	if err != nil {
+		return false, err
+	}
+	s, err := h.runner.Open(r.Context(), who, req)
+	if err != nil {
+		return false, err
+	}
+	call := exchange.ServiceCall{Query: r.URL.RawQuery, Header: r.Header, Body: r.Body, Length: r.ContentLength}
+	err = s.Forward(call, func(status int, header http.Header, body io.Reader) error {
+		started = true
+		return respond(w, status, header, body)
+	})
+	s.Close(err)
+	return started, err
+}
+
+func respond(w http.ResponseWriter, status int, header http.Header, body io.Reader) error {
+	id := w.Header().Get(reply.HeaderRequest)
+	for name, values := range header {
+		w.Header()[name] = values
+	}
+	for _, name := range hopHeaders {
+		w.Header().Del(name)
+	}
+	w.Header().Set(reply.HeaderRequest, id)
+	w.WriteHeader(status)
+	return copyFlush(w, body)
+}
+
+// copyFlush passes each part of a body on as it comes.
+func copyFlush(w http.ResponseWriter, body io.Reader) error {
+	rc := http.NewResponseController(w)
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			if _, err := w.Write(buf[:n]); err != nil {
+				return kind.Wrap(err, kind.Canceled, "the caller stopped reading").WithRan(kind.RanYes)
+			}
+			_ = rc.Flush()
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return kind.From(err)
+		}
+	}
+}
