Serve the whole path: callers, hosts, stand-ins and a demo

A request goes from the caller's key through class, queue and upstream to a streamed answer. Claims, limits, orders and usage are not wired yet.

--- /dev/null
+++ b/cmd/hickorypath/demo.go
@@ -0,0 +1,314 @@
+package main
+
+import (
+	"context"
+	_ "embed" // for the demo's document
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"go.uber.org/zap"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/core/settings"
+	"hickorypath/internal/operator/client"
+	"hickorypath/internal/platform/roster"
+	standinengine "hickorypath/internal/standin/engine"
+	"hickorypath/internal/standin/site"
+)
+
+//go:embed demo.jsonc
+var demoDocument []byte
+
+// Shape of the demo's stand-ins.
+const (
+	demoEngines   = 3
+	demoGap       = 15 * time.Millisecond
+	demoPrefill   = 50 * time.Microsecond
+	demoSlots     = 8
+	demoToken     = "demo-operator"
+	demoSecret    = "demo-secret-of-the-hosts"
+	demoDeadline  = 20 * time.Second
+	demoInterval  = 50 * time.Millisecond
+	anyPort       = "127.0.0.1:0"
+	demoCustomer  = "laredo"
+	demoOther     = "santona"
+	demoDocName   = "demo.jsonc"
+	demoZonePrefx = "norte-"
+)
+
+// demoFlags are the flags of the demo.
+type demoFlags struct {
+	listen string
+	admin  string
+	hosts  int
+	zones  int
+	log    string
+}
+
+// addDemo adds the command that runs hosts and stand-ins in one process.
+func addDemo(app *kingpin.Application) {
+	f := &demoFlags{}
+	cmd := app.Command("demo", "Run hosts on loopback with stand-ins for everything outside, and print commands to try.")
+	cmd.Flag("listen", "Callers' address of the first host; the others take the ports after it.").Default("127.0.0.1:8080").StringVar(&f.listen)
+	cmd.Flag("admin", "Operators' address of the first host; the others take the ports after it.").Default("127.0.0.1:8090").StringVar(&f.admin)
+	cmd.Flag("hosts", "Number of hosts.").Default("3").IntVar(&f.hosts)
+	cmd.Flag("zones", "Number of availability zones.").Default("3").IntVar(&f.zones)
+	cmd.Flag("log", "Log level: debug, info, warn or error.").Default("error").StringVar(&f.log)
+	cmd.Action(func(*kingpin.ParseContext) error {
+		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		return runDemo(ctx, f)
+	})
+}
+
+func runDemo(ctx context.Context, f *demoFlags) error {
+	log, err := newLog(f.log)
+	if err != nil {
+		return err
+	}
+	d, err := newDemo(f, log)
+	if err != nil {
+		return err
+	}
+	defer d.close()
+	d.start()
+	fmt.Printf("starting %d hosts in %d zones ...\n", f.hosts, f.zones)
+	keys, err := d.prepare(ctx)
+	if err != nil {
+		return err
+	}
+	d.print(keys)
+	<-ctx.Done()
+	fmt.Println("\nending: hosts drain their requests")
+	return nil
+}
+
+// demo is a set of hosts with their stand-ins in one process.
+type demo struct {
+	flags *demoFlags
+	log   *zap.Logger
+	site  *site.Site
+	hosts []*host
+	stop  context.CancelFunc
+	done  sync.WaitGroup
+	outer context.CancelFunc
+}
+
+func newDemo(f *demoFlags, log *zap.Logger) (*demo, error) {
+	if f.hosts < 1 || f.zones < 1 {
+		return nil, fmt.Errorf("--hosts and --zones must be at least 1")
+	}
+	d := &demo{flags: f, log: log, site: site.New()}
+	ln, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d.outer = cancel
+	go func() { _ = d.site.Serve(ctx, ln) }()
+	if err := d.startUpstreams(); err != nil {
+		return nil, err
+	}
+	for n := range f.hosts {
+		if err := d.addHost(n, "http://"+ln.Addr().String()); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+func (d *demo) startUpstreams() error {
+	for n := range demoEngines {
+		for _, pool := range []string{"asesor", "libro"} {
+			o := standinengine.Options{Model: pool, Slots: demoSlots, Gap: demoGap, Prefill: demoPrefill}
+			if _, err := d.site.StartEngine(pool, d.zone(n), anyPort, o); err != nil {
+				return err
+			}
+		}
+	}
+	_, err := d.site.StartService("ledger", d.zone(0), anyPort)
+	return err
+}
+
+func (d *demo) zone(n int) string { return demoZonePrefx + string(rune('a'+n%d.flags.zones)) }
+
+// addHost makes one host and lists it with the platform.
+func (d *demo) addHost(n int, platform string) error {
+	caller, err := shift(d.flags.listen, n)
+	if err != nil {
+		return err
+	}
+	admin, err := shift(d.flags.admin, n)
+	if err != nil {
+		return err
+	}
+	peer, err := freeUDP()
+	if err != nil {
+		return err
+	}
+	s, err := d.settings(n, caller, admin, peer, platform)
+	if err != nil {
+		return err
+	}
+	h, err := newHost(s, d.log)
+	if err != nil {
+		return err
+	}
+	d.site.Roster().Put(roster.New(s.Host(), s.Zone(), peer, roster.Live))
+	d.hosts = append(d.hosts, h)
+	return nil
+}
+
+// settings returns the settings of the n-th host, through the same checks as a file.
+func (d *demo) settings(n int, caller, admin, peer, platform string) (*settings.Settings, error) {
+	var services []settings.Service
+	for _, u := range d.site.Upstreams() {
+		services = append(services, settings.Service{Pool: u.Pool, Zone: u.Zone, Addr: u.Addr})
+	}
+	data, err := json.Marshal(map[string]any{
+		"host":        "host-" + strconv.Itoa(n+1),
+		"zone":        d.zone(n),
+		"environment": "demo",
+		"caller":      settings.Listener{Listen: caller},
+		"admin":       settings.Listener{Listen: admin},
+		"tokens":      []string{demoToken},
+		"peer":        settings.Peer{Listen: peer, Secret: demoSecret},
+		"platform": settings.Platform{
+			Store: platform + "/store", Provision: platform + "/provision",
+			Usage: platform + "/usage", Roster: platform + "/roster",
+		},
+		"services": services,
+		"drain":    map[string]string{"notice": "200ms"},
+		"window":   "10s",
+		"log":      d.flags.log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return settings.New(data, "demo settings", os.Getenv)
+}
+
+func (d *demo) start() {
+	ctx, stop := context.WithCancel(context.Background())
+	d.stop = stop
+	for _, h := range d.hosts {
+		d.done.Go(func() {
+			if err := h.run(ctx); err != nil {
+				d.log.Error("host ended", zap.Error(err))
+			}
+		})
+	}
+}
+
+// prepare puts the document in force on all hosts and issues one key for each customer.
+func (d *demo) prepare(ctx context.Context) (map[string]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, demoDeadline)
+	defer cancel()
+	c := client.New(client.Options{URL: d.adminURL(0), Token: demoToken})
+	if err := d.apply(ctx, c); err != nil {
+		return nil, err
+	}
+	keys := map[string]string{}
+	for _, customer := range []string{demoCustomer, demoOther} {
+		k, err := c.Issue(ctx, customer)
+		if err != nil {
+			return nil, err
+		}
+		keys[customer] = k.Clear
+	}
+	return keys, d.inForce(ctx, c)
+}
+
+// apply puts the demo's document in force through the operators' API.
+func (d *demo) apply(ctx context.Context, c *client.Client) error {
+	for {
+		_, err := c.Put(ctx, client.Put{Source: demoDocument, File: demoDocName})
+		if err == nil || ctx.Err() != nil || !isRetryable(err) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(demoInterval):
+		}
+	}
+}
+
+// isRetryable reports whether the hosts may still be starting.
+func isRetryable(err error) bool {
+	switch kind.Of(err) {
+	case kind.Lost, kind.Unavailable, kind.Store:
+		return true
+	}
+	return false
+}
+
+// inForce waits until every host applied the document, and shows the progress.
+func (d *demo) inForce(ctx context.Context, c *client.Client) error {
+	for {
+		s, err := c.Status(ctx)
+		if err != nil {
+			return err
+		}
+		applied := 0
+		for _, h := range s.Hosts {
+			if h.Revision >= 1 {
+				applied++
+			}
+		}
+		fmt.Printf("\rdocument in force on %d of %d hosts", applied, len(d.hosts))
+		if applied >= len(d.hosts) {
+			fmt.Println()
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(demoInterval):
+		}
+	}
+}
+
+func (d *demo) adminURL(n int) string { return "http://" + d.hosts[n].adminLn.Addr().String() }
+
+func (d *demo) callerURL(n int) string { return "http://" + d.hosts[n].callerLn.Addr().String() }
+
+func (d *demo) close() {
+	if d.stop != nil {
+		d.stop()
+	}
+	d.done.Wait()
+	d.site.Close()
+	d.outer()
+}
+
+// shift returns an address with its port raised by n; port 0 stays.
+func shift(addr string, n int) (string, error) {
+	a, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return "", fmt.Errorf("%q is not an IP number with a port, such as 127.0.0.1:8080", addr)
+	}
+	if a.Port() == 0 {
+		return addr, nil
+	}
+	return netip.AddrPortFrom(a.Addr(), a.Port()+uint16(n)).String(), nil
+}
+
+// freeUDP returns a loopback address whose UDP port is free now.
+func freeUDP() (string, error) {
+	conn, err := net.ListenPacket("udp", anyPort)
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close()
+	return conn.LocalAddr().String(), nil
+}
--- /dev/null
+++ b/cmd/hickorypath/demotext.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"os"
+	"text/template"
+)
+
+// demoText is what the demo prints once it is ready.
+var demoText = template.Must(template.New("demo").Parse(`
+hickorypath is ready. Callers: {{.Caller}}  Operators: {{.Admin}}
+
+  export KEY={{.Key}}
+
+A plain answer:
+  curl -s {{.Caller}}/v1/chat/completions -H "Authorization: Bearer $KEY" -d '{"model":"asesor","messages":[{"role":"user","content":"Why do dues differ in May?"}]}'
+
+A streamed answer:
+  curl -sN {{.Caller}}/v1/chat/completions -H "Authorization: Bearer $KEY" -d '{"model":"asesor","stream":true,"messages":[{"role":"user","content":"Draft the annual accounts."}]}'
+
+A call that runs at most once, however often it is sent:
+  curl -s {{.Caller}}/dues -H "Authorization: Bearer $KEY" -H "Idempotency-Key: may-ana" -d '{"member":"Ana","euro":12}'
+
+An open route, without a key:
+  curl -s {{.Caller}}/help
+
+Refusals: no key, another customer's route, an unknown model:
+  curl -s {{.Caller}}/v1/chat/completions -d '{"model":"asesor","messages":[]}'
+  curl -s {{.Caller}}/v1/chat/completions -H "Authorization: Bearer {{.Other}}" -d '{"model":"libro","messages":[]}'
+  curl -s {{.Caller}}/v1/chat/completions -H "Authorization: Bearer $KEY" -d '{"model":"none","messages":[]}'
+
+Operators:
+  export HICKORYPATH_ADMIN={{.Admin}} HICKORYPATH_TOKEN={{.Token}}
+  curl -s $HICKORYPATH_ADMIN/v1/status -H "Authorization: Bearer $HICKORYPATH_TOKEN"
+  go run ./cmd/hickorypath status
+  go run ./cmd/hickorypath key issue --customer santona
+
+Ctrl-C ends the demo.
+`))
+
+// print shows commands to paste, with a working key of each customer.
+func (d *demo) print(keys map[string]string) {
+	_ = demoText.Execute(os.Stdout, map[string]string{
+		"Caller": d.callerURL(0),
+		"Admin":  d.adminURL(0),
+		"Key":    keys[demoCustomer],
+		"Other":  keys[demoOther],
+		"Token":  demoToken,
+	})
+}
--- /dev/null
+++ b/cmd/hickorypath/gauges.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"hickorypath/internal/caller/exchange"
+)
+
+// gauges are the metrics of the request path. Labels are classes, pools and kinds, never customers,
+// so that their number is bounded by the document.
+type gauges struct {
+	set *metrics.Set
+}
+
+func newGauges(set *metrics.Set) *gauges {
+	return &gauges{set: set}
+}
+
+// observe counts one ended request.
+func (g *gauges) observe(e exchange.Ending) {
+	kind := string(e.Kind())
+	if kind == "" {
+		kind = "none"
+	}
+	labels := fmt.Sprintf(`class=%q,pool=%q`, e.Class, e.Pool)
+	g.set.GetOrCreateCounter(fmt.Sprintf(`hickorypath_requests_total{%s,kind=%q}`, labels, kind)).Inc()
+	g.set.GetOrCreateCounter(fmt.Sprintf(`hickorypath_output_tokens_total{%s}`, labels)).Add(e.Output)
+	g.set.GetOrCreateCounter(fmt.Sprintf(`hickorypath_wasted_tokens_total{%s}`, labels)).Add(e.Wasted)
+	if e.First > 0 {
+		g.set.GetOrCreateHistogram(fmt.Sprintf(`hickorypath_first_token_seconds{%s}`, labels)).Update(e.First.Seconds())
+	}
+	if e.Gap > 0 {
+		g.set.GetOrCreateHistogram(fmt.Sprintf(`hickorypath_token_gap_seconds{%s}`, labels)).Update(e.Gap.Seconds())
+	}
+}
--- /dev/null
+++ b/cmd/hickorypath/host.go
@@ -0,0 +1,208 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"hickorypath/internal/caller/exchange"
+	"hickorypath/internal/caller/openai"
+	"hickorypath/internal/caller/reply"
+	callerservice "hickorypath/internal/caller/service"
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/core/settings"
+	"hickorypath/internal/host/member"
+	"hickorypath/internal/host/node"
+	"hickorypath/internal/host/spread"
+	"hickorypath/internal/operator/follow"
+	"hickorypath/internal/upstream/dispatch"
+	"hickorypath/internal/upstream/fleet"
+)
+
+// watchersPerZone is how many hosts of a zone watch the store for all.
+const watchersPerZone = 2
+
+// headerTimeout bounds the arrival of a caller's request header.
+const headerTimeout = 10 * time.Second
+
+// host is one running daemon.
+type host struct {
+	settings *settings.Settings
+	log      *zap.Logger
+	injector *do.RootScope
+	caller   *http.Server
+	admin    *http.Server
+	callerLn net.Listener
+	adminLn  net.Listener
+	leaving  atomic.Bool
+	loops    sync.WaitGroup
+	stop     context.CancelFunc
+}
+
+// newHost opens the listeners and wires the components; the caller runs run.
+func newHost(s *settings.Settings, log *zap.Logger) (*host, error) {
+	h := &host{settings: s, log: log.With(zap.String("host", s.Host())), injector: nil}
+	h.injector = newInjector(s, h.log)
+	if _, err := do.Invoke[*node.Node](h.injector); err != nil {
+		return nil, kind.Wrap(err, kind.Settings, "the address %s for other hosts cannot be used", s.Peer().Listen)
+	}
+	var err error
+	if h.callerLn, err = listen(s.Caller()); err != nil {
+		return nil, err
+	}
+	if h.adminLn, err = listen(s.Admin()); err != nil {
+		return nil, err
+	}
+	h.caller = &http.Server{Handler: h.callers(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(h.log)}
+	h.admin = &http.Server{Handler: h.operators(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(h.log)}
+	return h, nil
+}
+
+func listen(l settings.Listener) (net.Listener, error) {
+	conf := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepInterval, Count: keepCount}}
+	ln, err := conf.Listen(context.Background(), "tcp", l.Listen)
+	if err != nil {
+		return nil, kind.Wrap(err, kind.Settings, "the address %s cannot be used", l.Listen)
+	}
+	return ln, nil
+}
+
+// Keep-alive of callers' connections, so that one that went silent is noticed.
+const (
+	keepIdle     = 10 * time.Second
+	keepInterval = 5 * time.Second
+	keepCount    = 3
+)
+
+// callers returns the handler of the callers' address.
+func (h *host) callers() http.Handler {
+	runner := get[*exchange.Runner](h.injector)
+	chat := openai.New(runner)
+	services := callerservice.New(runner)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case strings.HasPrefix(r.URL.Path, "/v1/"):
+			chat.ServeHTTP(w, r)
+		case r.URL.Path == "/healthz":
+			h.health(w)
+		default:
+			services.ServeHTTP(w, r)
+		}
+	})
+}
+
+// health tells the balancer whether to send new connections here.
+func (h *host) health(w http.ResponseWriter) {
+	if err := h.ready(); err != nil {
+		reply.Error(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (h *host) ready() error {
+	if h.leaving.Load() {
+		return kind.New(kind.Draining, "the host is shutting down")
+	}
+	return nil
+}
+
+// run serves until ctx ends and then shuts down without cutting a request.
+func (h *host) run(ctx context.Context) error {
+	loops, stop := context.WithCancel(context.Background())
+	defer stop()
+	h.start(loops)
+	served := make(chan error, 2)
+	go func() { served <- serve(h.caller, h.callerLn, h.settings.Caller()) }()
+	go func() { served <- serve(h.admin, h.adminLn, h.settings.Admin()) }()
+	h.log.Info("host serves", zap.String("caller", h.callerLn.Addr().String()), zap.String("admin", h.adminLn.Addr().String()))
+	select {
+	case <-ctx.Done():
+	case err := <-served:
+		return err
+	}
+	err := h.shutdown()
+	stop()
+	h.loops.Wait()
+	return err
+}
+
+func serve(s *http.Server, ln net.Listener, l settings.Listener) error {
+	var err error
+	if l.IsTLS() {
+		err = s.ServeTLS(ln, l.Cert, l.Key)
+	} else {
+		err = s.Serve(ln)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// start runs the host's loops.
+func (h *host) start(ctx context.Context) {
+	n := get[*node.Node](h.injector)
+	f := get[*fleet.Fleet](h.injector)
+	f.SetTargets(staticTargets(h.settings.Services()))
+	stop := n.Spread().Watch(spread.Suspect, takeCrash(get[*exchange.Suspects](h.injector), get[clock.Clock](h.injector)))
+	context.AfterFunc(ctx, stop)
+	h.loop(func() { _ = n.Run(ctx) })
+	h.loop(func() { get[*follow.Follower](h.injector).Run(ctx) })
+	h.loop(func() { f.Run(ctx) })
+}
+
+func (h *host) loop(run func()) {
+	h.loops.Go(run)
+}
+
+// shutdown leaves the other hosts, goes on accepting until the balancer has noticed, and waits for
+// every running request.
+func (h *host) shutdown() error {
+	h.log.Info("host leaves")
+	h.leaving.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), h.settings.ShutdownTimeout())
+	defer cancel()
+	get[*node.Node](h.injector).Leave(ctx)
+	notice := time.NewTimer(h.settings.DrainNotice())
+	defer notice.Stop()
+	select {
+	case <-notice.C:
+	case <-ctx.Done():
+	}
+	err := h.caller.Shutdown(ctx)
+	_ = h.admin.Shutdown(ctx)
+	h.log.Info("host left", zap.Error(err))
+	return err
+}
+
+// staticTargets returns the plain services that the settings list.
+func staticTargets(services []settings.Service) map[string][]dispatch.Target {
+	byPool := lo.GroupBy(services, func(s settings.Service) string { return s.Pool })
+	return lo.MapValues(byPool, func(list []settings.Service, _ string) []dispatch.Target {
+		return lo.Map(list, func(s settings.Service, _ int) dispatch.Target {
+			return dispatch.NewTarget(s.Addr, s.Zone, s.Addr, false, false)
+		})
+	})
+}
+
+// isWatcher reports whether a host is among the first live ones of its zone, by name.
+func isWatcher(members []member.Member, self, zone string) bool {
+	names := lo.FilterMap(members, func(m member.Member, _ int) (string, bool) {
+		return m.ID(), m.Zone() == zone && m.Alive()
+	})
+	slices.Sort(names)
+	at := slices.Index(names, self)
+	return at >= 0 && at < watchersPerZone
+}
--- a/cmd/hickorypath/main.go
+++ b/cmd/hickorypath/main.go
@@ -4,9 +4,18 @@
 import (
 	"fmt"
 	"os"
+
+	"github.com/alecthomas/kingpin/v2"
 )
 
 func main() {
-	fmt.Fprintln(os.Stderr, "hickorypath: no command given")
-	os.Exit(2)
+	app := kingpin.New("hickorypath", "A router for language-model traffic with service levels and priorities.")
+	app.HelpFlag.Short('h')
+	addServe(app)
+	addDemo(app)
+	registerOperator(app)
+	if _, err := app.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "hickorypath:", err)
+		os.Exit(exitFailed)
+	}
 }
--- /dev/null
+++ b/cmd/hickorypath/operators.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/samber/lo"
+
+	"hickorypath/internal/core/settings"
+	"hickorypath/internal/host/member"
+	"hickorypath/internal/host/node"
+	"hickorypath/internal/operator/admin"
+	"hickorypath/internal/operator/api"
+	"hickorypath/internal/operator/document"
+	"hickorypath/internal/operator/follow"
+	"hickorypath/internal/operator/vault"
+	"hickorypath/internal/upstream/dispatch"
+	"hickorypath/internal/upstream/fleet"
+)
+
+// operators returns the handler of the operators' address.
+func (h *host) operators() http.Handler {
+	v := get[*vault.Vault](h.injector)
+	f := get[*follow.Follower](h.injector)
+	live := get[*document.Live](h.injector)
+	set := get[*metrics.Set](h.injector)
+	return admin.New(admin.Options{
+		Tokens: lo.Map(h.settings.Tokens(), func(secret string, n int) admin.Token {
+			return admin.NewToken(fmt.Sprintf("operator-%d", n+1), secret)
+		}),
+		Version: newBuild().Version,
+		Log:     h.log,
+		Functions: admin.Functions{
+			InForce:    live.Load,
+			Load:       v.Load,
+			Put:        v.Put,
+			History:    v.History,
+			Find:       v.Find,
+			Source:     v.Source,
+			Outcome:    v.Outcome,
+			Accepted:   func(doc *document.Document, rev vault.Revision) { f.Accept(doc, rev.Number()) },
+			Issue:      v.Issue,
+			Withdraw:   v.Withdraw,
+			Key:        v.Key,
+			Keys:       v.Keys,
+			KeyChanged: f.AcceptKey,
+			Status:     h.status,
+			Ready:      h.ready,
+			Metrics: func(w http.ResponseWriter, _ *http.Request) {
+				set.WritePrometheus(w)
+				metrics.WriteProcessMetrics(w)
+			},
+		},
+	}).Handler()
+}
+
+// status returns what this host knows of the environment.
+func (h *host) status(context.Context) (api.Status, error) {
+	s := get[*settings.Settings](h.injector)
+	doc, revision := get[*document.Live](h.injector).Load()
+	st := api.Status{Host: s.Host(), Zone: s.Zone(), Revision: revision}
+	if doc != nil {
+		st.Digest = doc.Digest()
+	}
+	for _, m := range get[*node.Node](h.injector).Members() {
+		st.Hosts = append(st.Hosts, newHostStatus(m, s.Host(), revision))
+	}
+	for _, d := range get[*fleet.Fleet](h.injector).Pools() {
+		for _, t := range d.Targets() {
+			st.Upstreams = append(st.Upstreams, newUpstreamStatus(d, t))
+		}
+	}
+	return st, nil
+}
+
+func newHostStatus(m member.Member, self string, revision uint64) api.Host {
+	state := "silent"
+	switch {
+	case m.State() == member.Leaving:
+		state = "leaving"
+	case m.Alive():
+		state = "live"
+	}
+	applied := m.Revision()
+	if m.ID() == self {
+		applied = revision
+	}
+	return api.Host{ID: m.ID(), Zone: m.Zone(), State: state, Revision: applied}
+}
+
+func newUpstreamStatus(d *dispatch.Dispatcher, t dispatch.Target) api.Upstream {
+	state := "ready"
+	if t.Leaving() {
+		state = "leaving"
+	}
+	return api.Upstream{ID: t.ID(), Pool: d.Name(), Zone: t.Zone(), State: state, Reclaimable: t.Reclaimable(), Running: d.Running(t.ID())}
+}
+
--- /dev/null
+++ b/cmd/hickorypath/serve.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"hickorypath/internal/core/settings"
+)
+
+// addServe adds the command that runs one host.
+func addServe(app *kingpin.Application) {
+	cmd := app.Command("serve", "Run one host of the router until SIGTERM or SIGINT, and then end without cutting a request.")
+	path := cmd.Flag("settings", "File with the host's settings, JSON with comments.").Short('s').Required().ExistingFile()
+	cmd.Action(func(*kingpin.ParseContext) error {
+		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		return runServe(ctx, *path)
+	})
+}
+
+func runServe(ctx context.Context, path string) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	log, err := newLog(s.Log())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Sync() }()
+	h, err := newHost(s, log)
+	if err != nil {
+		return err
+	}
+	return h.run(ctx)
+}
+
+// newLog returns a log of JSON lines on standard error.
+func newLog(level string) (*zap.Logger, error) {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	conf := zap.NewProductionConfig()
+	conf.Level = zap.NewAtomicLevelAt(parsed)
+	conf.Sampling = nil
+	conf.DisableStacktrace = true
+	conf.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	conf.EncoderConfig.TimeKey = "time"
+	conf.EncoderConfig.MessageKey = "text"
+	return conf.Build()
+}
--- /dev/null
+++ b/cmd/hickorypath/wire.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"hash/fnv"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/samber/do/v2"
+	"go.uber.org/zap"
+
+	"hickorypath/internal/caller/exchange"
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/core/settings"
+	"hickorypath/internal/host/node"
+	"hickorypath/internal/host/peer"
+	"hickorypath/internal/operator/document"
+	"hickorypath/internal/operator/follow"
+	"hickorypath/internal/operator/key"
+	"hickorypath/internal/operator/vault"
+	"hickorypath/internal/platform/roster"
+	"hickorypath/internal/platform/store"
+	"hickorypath/internal/policy/retry"
+	"hickorypath/internal/policy/suspect"
+	"hickorypath/internal/upstream/engine"
+	"hickorypath/internal/upstream/fleet"
+	"hickorypath/internal/upstream/service"
+	"hickorypath/internal/upstream/wire"
+)
+
+// newInjector wires the components of one host.
+func newInjector(s *settings.Settings, log *zap.Logger) *do.RootScope {
+	i := do.New()
+	do.ProvideValue(i, s)
+	do.ProvideValue(i, log)
+	do.ProvideValue(i, clock.NewSystem())
+	do.ProvideValue(i, document.NewLive())
+	do.ProvideValue(i, key.NewTable())
+	do.ProvideValue(i, metrics.NewSet())
+	do.Provide(i, provideStore)
+	do.Provide(i, provideVault)
+	do.Provide(i, provideNode)
+	do.Provide(i, provideFleet)
+	do.Provide(i, provideFollower)
+	do.Provide(i, provideEngines)
+	do.Provide(i, provideServices)
+	do.Provide(i, provideSuspects)
+	do.Provide(i, provideRetries)
+	do.Provide(i, provideRunner)
+	return i
+}
+
+func get[T any](i do.Injector) T { return do.MustInvoke[T](i) }
+
+func provideStore(i do.Injector) (*store.Client, error) {
+	s := get[*settings.Settings](i)
+	backend := store.NewHTTP(s.Platform().Store, &http.Client{})
+	return store.New(backend, store.Options{
+		Clock:   get[clock.Clock](i),
+		Log:     get[*zap.Logger](i),
+		Attempt: s.StoreTimeout(),
+	}), nil
+}
+
+func provideVault(i do.Injector) (*vault.Vault, error) {
+	c := get[clock.Clock](i)
+	return vault.New(vault.Options{Store: vault.NewStore(get[*store.Client](i)), Now: c.Now}), nil
+}
+
+func provideNode(i do.Injector) (*node.Node, error) {
+	s := get[*settings.Settings](i)
+	conf, err := peerTLS(s.Peer())
+	if err != nil {
+		return nil, err
+	}
+	live := get[*document.Live](i)
+	return node.New(node.Options{
+		ID:     s.Host(),
+		Zone:   s.Zone(),
+		Addr:   s.Peer().Listen,
+		TLS:    conf,
+		Roster: roster.NewHTTP(s.Platform().Roster, &http.Client{Timeout: s.StoreTimeout()}).List,
+		Clock:  get[clock.Clock](i),
+		Log:    get[*zap.Logger](i),
+		Revision: func() uint64 {
+			_, revision := live.Load()
+			return revision
+		},
+	})
+}
+
+func peerTLS(p settings.Peer) (*tls.Config, error) {
+	if p.Cert == "" {
+		return peer.NewTLSSecret(p.Secret)
+	}
+	var texts [3][]byte
+	for n, path := range []string{p.Cert, p.Key, p.CA} {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return nil, err
+		}
+		texts[n] = data
+	}
+	return peer.NewTLS(texts[0], texts[1], texts[2])
+}
+
+func provideFleet(i do.Injector) (*fleet.Fleet, error) {
+	s := get[*settings.Settings](i)
+	return fleet.New(fleet.Options{
+		Host:   s.Host(),
+		Zone:   s.Zone(),
+		Seed:   seedOf(s.Host()),
+		Clock:  get[clock.Clock](i),
+		Log:    get[*zap.Logger](i),
+		Spread: get[*node.Node](i).Spread(),
+	}), nil
+}
+
+// seedOf gives each host its own order of equally good choices.
+func seedOf(host string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(host))
+	return h.Sum64()
+}
+
+func provideFollower(i do.Injector) (*follow.Follower, error) {
+	s := get[*settings.Settings](i)
+	n := get[*node.Node](i)
+	f := get[*fleet.Fleet](i)
+	return follow.New(follow.Options{
+		Vault:     get[*vault.Vault](i),
+		Store:     get[*store.Client](i),
+		Spread:    n.Spread(),
+		Document:  get[*document.Live](i),
+		Keys:      get[*key.Table](i),
+		Log:       get[*zap.Logger](i),
+		IsWatcher: func() bool { return isWatcher(n.Members(), s.Host(), s.Zone()) },
+		Changed:   func(doc *document.Document, _ uint64) { f.Apply(doc) },
+	}), nil
+}
+
+func provideEngines(i do.Injector) (*engine.Client, error) {
+	return engine.New(engine.Options{Dial: wire.NewDial(), Clock: get[clock.Clock](i), Log: get[*zap.Logger](i)}), nil
+}
+
+func provideServices(do.Injector) (*service.Client, error) {
+	return service.New(service.Options{Dial: wire.NewDial()}), nil
+}
+
+func provideSuspects(do.Injector) (*exchange.Suspects, error) {
+	return exchange.NewSuspects(suspect.Config{}), nil
+}
+
+func provideRetries(do.Injector) (*exchange.Retries, error) {
+	return exchange.NewRetries(retry.Config{}), nil
+}
+
+func provideRunner(i do.Injector) (*exchange.Runner, error) {
+	sp := get[*node.Node](i).Spread()
+	c := get[clock.Clock](i)
+	return exchange.New(exchange.Deps{
+		Clock:    c,
+		Log:      get[*zap.Logger](i),
+		Document: get[*document.Live](i),
+		Keys:     get[*key.Table](i),
+		Suspects: get[*exchange.Suspects](i),
+		Retries:  get[*exchange.Retries](i),
+		Engines:  get[*engine.Client](i),
+		Services: get[*service.Client](i),
+		Pool:     get[*fleet.Fleet](i).Pool,
+		Admit:    func(string, string, int) (func(int), error) { return func(int) {}, nil },
+		Claim:    noClaim,
+		Alive:    isAlive,
+		Crashed:  tellCrash(sp, c),
+		Bill:     func(exchange.Bill) {},
+		Observe:  newGauges(get[*metrics.Set](i)).observe,
+	}), nil
+}
+
+// noClaim refuses every non-repeatable request that asks for protection against resends.
+func noClaim(context.Context, string, string, string, string, time.Duration) (*exchange.Claim, *exchange.Outcome, error) {
+	return nil, nil, kind.New(kind.Claimless, "claims cannot be stored")
+}
--- /dev/null
+++ b/internal/operator/follow/follow.go
@@ -0,0 +1,228 @@
+// Package follow keeps a host's document and keys as new as the store and the other hosts know them.
+//
+// A few hosts of each zone watch the store and pass changes on; all others learn from them. A host
+// that starts while the store is down takes both from its peers.
+package follow
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hickorypath/internal/host/spread"
+	"hickorypath/internal/operator/document"
+	"hickorypath/internal/operator/key"
+	"hickorypath/internal/operator/vault"
+	"hickorypath/internal/platform/store"
+)
+
+// currentKey is the key of the document's record among the records that hosts share.
+const currentKey = "current"
+
+// Times of the follower.
+const (
+	roleInterval = 1 * time.Second // between looks at whether this host watches the store
+	retryDelay   = 1 * time.Second // after the store could not be read
+)
+
+// documentPrefix covers the root of the documents.
+const documentPrefix = vault.RootKey
+
+// Options are the dependencies of a Follower.
+type Options struct {
+	Vault    *vault.Vault
+	Store    *store.Client
+	Spread   *spread.Spread
+	Document *document.Live
+	Keys     *key.Table
+	Log      *zap.Logger
+	// IsWatcher reports whether this host is one that watches the store for its zone.
+	IsWatcher func() bool
+	// Changed, when set, is told of each document that came into force here.
+	Changed func(doc *document.Document, revision uint64)
+}
+
+// Follower applies new documents and keys.
+type Follower struct {
+	options Options
+}
+
+// New returns a Follower.
+func New(o Options) *Follower {
+	return &Follower{options: o}
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	stopDocument := f.options.Spread.Watch(spread.Document, f.takeDocument)
+	defer stopDocument()
+	stopKeys := f.options.Spread.Watch(spread.Key, f.takeKey)
+	defer stopKeys()
+	f.loadUntilDone(ctx)
+	for ctx.Err() == nil {
+		if f.options.IsWatcher() {
+			f.watch(ctx)
+		}
+		pause(ctx, roleInterval)
+	}
+}
+
+// Accept puts a document in force here and passes it on to all hosts.
+func (f *Follower) Accept(doc *document.Document, revision uint64) {
+	f.options.Spread.Put(spread.Document, currentKey, revision, doc.Source(), time.Time{})
+	f.apply(doc, revision)
+}
+
+// AcceptKey puts a key record in force here and passes it on to all hosts.
+func (f *Follower) AcceptKey(rec key.Record) {
+	f.options.Keys.Put(rec)
+	f.options.Spread.Put(spread.Key, rec.ID(), rec.Version(), rec.Encode(), time.Time{})
+}
+
+// loadUntilDone reads document and keys from the store; while the store is down it goes on trying,
+// and the records of peers are in force meanwhile.
+func (f *Follower) loadUntilDone(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := f.load(ctx); err == nil {
+			return
+		}
+		pause(ctx, retryDelay)
+	}
+}
+
+func (f *Follower) load(ctx context.Context) error {
+	if err := f.loadDocument(ctx); err != nil {
+		return err
+	}
+	records, err := f.options.Vault.Keys(ctx)
+	if err != nil {
+		return err
+	}
+	for _, rec := range records {
+		f.options.Keys.Put(rec)
+		f.options.Spread.Load(spread.Key, rec.ID(), rec.Version(), rec.Encode(), time.Time{})
+	}
+	return nil
+}
+
+func (f *Follower) loadDocument(ctx context.Context) error {
+	rev, err := f.options.Vault.Current(ctx)
+	if err != nil {
+		return err
+	}
+	if rev.Number() == 0 {
+		return nil
+	}
+	return f.fetch(ctx, rev)
+}
+
+// fetch reads the document of a revision from the store unless it is in force already.
+func (f *Follower) fetch(ctx context.Context, rev vault.Revision) error {
+	if _, have := f.options.Document.Load(); have >= rev.Number() {
+		return nil
+	}
+	source, err := f.options.Vault.Source(ctx, rev)
+	if err != nil {
+		return err
+	}
+	doc, err := document.Parse(source, "stored document")
+	if err != nil {
+		return err
+	}
+	f.Accept(doc, rev.Number())
+	return nil
+}
+
+// watch follows the store while this host has that role.
+func (f *Follower) watch(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go f.watchPrefix(ctx, cancel, store.UseDocument, documentPrefix, f.rootChanged)
+	go f.watchPrefix(ctx, cancel, store.UseKey, vault.ShardPrefix, f.shardChanged)
+	for ctx.Err() == nil && f.options.IsWatcher() {
+		pause(ctx, roleInterval)
+	}
+}
+
+func (f *Follower) watchPrefix(ctx context.Context, cancel context.CancelFunc, use store.Use, prefix string, fn func(context.Context, store.Event)) {
+	defer cancel()
+	err := f.options.Store.For(use).Watch(ctx, prefix, 0, func(e store.Event) { fn(ctx, e) })
+	if err != nil && ctx.Err() == nil {
+		f.options.Log.Warn("watch of the store ended", zap.String("prefix", prefix), zap.Error(err))
+	}
+}
+
+func (f *Follower) rootChanged(ctx context.Context, e store.Event) {
+	if e.Deleted() {
+		return
+	}
+	rev, err := vault.DecodeRoot(e.Entry().Value())
+	for err == nil && ctx.Err() == nil {
+		fetchErr := f.fetch(ctx, rev)
+		if fetchErr == nil {
+			return
+		}
+		f.options.Log.Warn("document not fetched", zap.Uint64("revision", rev.Number()), zap.Error(fetchErr))
+		pause(ctx, retryDelay)
+	}
+	if err != nil {
+		f.options.Log.Error("document root cannot be read", zap.Error(err))
+	}
+}
+
+func (f *Follower) shardChanged(_ context.Context, e store.Event) {
+	if e.Deleted() {
+		return
+	}
+	records, err := vault.DecodeShard(e.Entry().Value())
+	if err != nil {
+		f.options.Log.Error("key shard cannot be read", zap.String("key", e.Key()), zap.Error(err))
+		return
+	}
+	for _, rec := range records {
+		if f.options.Keys.Put(rec) {
+			f.options.Spread.Put(spread.Key, rec.ID(), rec.Version(), rec.Encode(), time.Time{})
+		}
+	}
+}
+
+func (f *Follower) takeDocument(r spread.Record) {
+	if _, have := f.options.Document.Load(); have >= r.Version() {
+		return
+	}
+	doc, err := document.Parse(r.Value(), "document of a peer")
+	if err != nil {
+		f.options.Log.Error("document of a peer cannot be read", zap.Error(err))
+		return
+	}
+	f.apply(doc, r.Version())
+}
+
+func (f *Follower) takeKey(r spread.Record) {
+	rec, err := key.Decode(r.Value())
+	if err != nil {
+		f.options.Log.Error("key record of a peer cannot be read", zap.Error(err))
+		return
+	}
+	f.options.Keys.Put(rec)
+}
+
+func (f *Follower) apply(doc *document.Document, revision uint64) {
+	if !f.options.Document.Apply(doc, revision) {
+		return
+	}
+	f.options.Log.Info("document in force", zap.Uint64("revision", revision), zap.String("digest", doc.Digest()))
+	if f.options.Changed != nil {
+		f.options.Changed(doc, revision)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/upstream/dispatch/dispatch.go
+++ b/internal/upstream/dispatch/dispatch.go
@@ -3,6 +3,9 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,11 +32,23 @@
 	leaving     bool
 }
 
-// NewTarget returns a Target that may take slots requests at once.
-func NewTarget(id, zone, addr string, slots int, reclaimable, leaving bool) Target {
-	return Target{id: id, zone: zone, addr: addr, slots: slots, reclaimable: reclaimable, leaving: leaving}
+// NewTarget returns a Target without slots.
+func NewTarget(id, zone, addr string, reclaimable, leaving bool) Target {
+	return Target{id: id, zone: zone, addr: addr, reclaimable: reclaimable, leaving: leaving}
 }
 
+// WithSlots returns a copy of t that may take slots requests at once.
+func (t Target) WithSlots(slots int) Target {
+	t.slots = slots
+	return t
+}
+
+// Reclaimable reports whether the platform may take the upstream back.
+func (t Target) Reclaimable() bool { return t.reclaimable }
+
+// Leaving reports whether the upstream gets no new work.
+func (t Target) Leaving() bool { return t.leaving }
+
 // ID returns the name of the upstream.
 func (t Target) ID() string { return t.id }
 
@@ -59,9 +74,19 @@
 	ids   atomic.Uint64
 
 	mu      sync.Mutex
+	make    func([]pool.Class) *pool.Pool
+	classes []pool.Class
 	pool    *pool.Pool
+	older   map[uint64]*pool.Pool // of requests that were started before the classes changed
 	targets map[string]Target
-	waiting map[uint64]chan outcome
+	waiting map[uint64]waiter
+	running map[uint64]string // upstream by request
+}
+
+// waiter is a request that has no upstream yet.
+type waiter struct {
+	request pool.Request
+	wake    chan outcome
 }
 
 // outcome is the end of a wait: a refusal, or a start on target.
@@ -70,14 +95,19 @@
 	target   Target
 }
 
-// New returns a Dispatcher for the pool called name.
-func New(name string, p *pool.Pool, c clock.Clock) *Dispatcher {
+// New returns a Dispatcher for the pool called name; build makes the pool's decision core for a set of
+// classes.
+func New(name string, classes []pool.Class, build func([]pool.Class) *pool.Pool, c clock.Clock) *Dispatcher {
 	return &Dispatcher{
 		name:    name,
 		clock:   c,
-		pool:    p,
+		make:    build,
+		classes: classes,
+		pool:    build(classes),
+		older:   map[uint64]*pool.Pool{},
 		targets: map[string]Target{},
-		waiting: map[uint64]chan outcome{},
+		waiting: map[uint64]waiter{},
+		running: map[uint64]string{},
 	}
 }
 
@@ -104,7 +134,7 @@
 	r.ID = d.ids.Add(1)
 	wake := make(chan outcome, 1)
 	d.mu.Lock()
-	d.waiting[r.ID] = wake
+	d.waiting[r.ID] = waiter{request: r, wake: wake}
 	d.apply(d.pool.Arrive(d.clock.Now(), r))
 	d.mu.Unlock()
 	select {
@@ -119,31 +149,77 @@
 func (d *Dispatcher) Token(g Grant, n int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.pool.Token(d.clock.Now(), g.id, n)
+	d.owner(g.id).Token(d.clock.Now(), g.id, n)
 }
 
 // Release ends the attempt of a grant.
 func (d *Dispatcher) Release(g Grant, r pool.Result) {
-	d.do(func(now time.Time) []pool.Decision { return d.pool.Finish(now, g.id, r) })
+	d.do(func(now time.Time) []pool.Decision {
+		owner := d.owner(g.id)
+		delete(d.running, g.id)
+		delete(d.older, g.id)
+		return owner.Finish(now, g.id, r)
+	})
+}
+
+// owner returns the decision core that started a request; the caller holds the lock.
+func (d *Dispatcher) owner(id uint64) *pool.Pool {
+	if p, ok := d.older[id]; ok {
+		return p
+	}
+	return d.pool
+}
+
+// SetClasses puts new classes in force. Waiting requests are decided on anew; running ones end under
+// the classes that started them.
+func (d *Dispatcher) SetClasses(classes []pool.Class) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if slices.Equal(classes, d.classes) {
+		return
+	}
+	now := d.clock.Now()
+	for id := range d.running {
+		if _, ok := d.older[id]; !ok {
+			d.older[id] = d.pool
+		}
+	}
+	d.classes = classes
+	d.pool = d.make(classes)
+	d.apply(d.pool.Upstreams(now, upstreams(lo.Values(d.targets))))
+	ids := slices.Sorted(maps.Keys(d.waiting))
+	for _, id := range ids {
+		d.apply(d.pool.Arrive(now, d.waiting[id].request))
+	}
 }
 
 // SetTargets replaces the list of upstreams.
 func (d *Dispatcher) SetTargets(targets []Target) {
-	ups := make([]route.Upstream, 0, len(targets))
-	for _, t := range targets {
-		ups = append(ups, route.NewUpstream(t.id, t.zone, t.slots, t.reclaimable).WithLeaving(t.leaving))
-	}
+	ups := upstreams(targets)
 	d.do(func(now time.Time) []pool.Decision {
 		d.targets = lo.KeyBy(targets, Target.ID)
 		return d.pool.Upstreams(now, ups)
 	})
 }
 
-// Targets returns the upstreams that are not leaving.
+func upstreams(targets []Target) []route.Upstream {
+	return lo.Map(targets, func(t Target, _ int) route.Upstream {
+		return route.NewUpstream(t.id, t.zone, t.slots, t.reclaimable).WithLeaving(t.leaving)
+	})
+}
+
+// Targets returns the upstreams in the order of their names.
 func (d *Dispatcher) Targets() []Target {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return lo.Filter(lo.Values(d.targets), func(t Target, _ int) bool { return !t.leaving })
+	return slices.SortedFunc(maps.Values(d.targets), func(a, b Target) int { return strings.Compare(a.id, b.id) })
+}
+
+// Running returns how many requests of this host an upstream runs.
+func (d *Dispatcher) Running(upstream string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return lo.CountBy(lo.Values(d.running), func(id string) bool { return id == upstream })
 }
 
 // Report passes on the load that an upstream reported.
@@ -200,12 +276,15 @@
 		if dec.Action == pool.Wait {
 			continue
 		}
-		wake, ok := d.waiting[dec.ID]
+		w, ok := d.waiting[dec.ID]
 		if !ok {
 			continue
 		}
 		delete(d.waiting, dec.ID)
-		wake <- outcome{decision: dec, target: d.targets[dec.Upstream]}
+		if dec.Action == pool.Start {
+			d.running[dec.ID] = dec.Upstream
+		}
+		w.wake <- outcome{decision: dec, target: d.targets[dec.Upstream]}
 	}
 }
 
@@ -221,8 +300,11 @@
 func (d *Dispatcher) abandon(ctx context.Context, id uint64) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	owner := d.owner(id)
 	delete(d.waiting, id)
-	d.apply(d.pool.Cancel(d.clock.Now(), id))
+	delete(d.running, id)
+	delete(d.older, id)
+	d.apply(owner.Cancel(d.clock.Now(), id))
 	var cause *kind.Error
 	if errors.As(context.Cause(ctx), &cause) {
 		return cause.WithRan(kind.RanNo)
