Try suspects in turns and keep lost requests until the verdict

Two hosts that each tried a lone suspect on one engine would both blame their own when it crashed. Hosts now take turns by upstream. A lost request counts as running until it is known whether its engine crashed.

--- a/internal/policy/route/pick.go
+++ b/internal/policy/route/pick.go
@@ -127,7 +127,7 @@
 	switch {
 	case m.reclaimable && !w.Cheap:
 		return false
-	case w.Lone && m.suspects > 0:
+	case w.Lone && (m.suspects > 0 || !c.table.mayTry(c.now, m)):
 		return false
 	case w.Suspect && m.lone > 0:
 		return false
--- a/internal/policy/route/share_test.go
+++ b/internal/policy/route/share_test.go
@@ -160,3 +160,41 @@
 		})
 	}
 }
+
+// TestTrialsTakeTurns checks that no two hosts may try suspects on an upstream at one time, and that
+// each host gets its turn on some upstream before long.
+func TestTrialsTakeTurns(t *testing.T) {
+	cases := []struct{ hosts, upstreams int }{{1, 9}, {7, 9}, {7, 4}, {2, 1}}
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
+			is := is.New(t)
+			hosts := make([]route.Host, c.hosts)
+			for i := range hosts {
+				hosts[i] = route.Host{ID: fmt.Sprintf("h%d", i), Zone: "z0", Demand: 1}
+			}
+			turns := make([]int, c.hosts)
+			for second := range 70 {
+				now := start.Add(time.Duration(second) * time.Second)
+				taken := map[string]bool{}
+				for i, h := range hosts {
+					table := route.New(route.Config{Host: h.ID, Zone: "z0"})
+					table.Set(now, pool(c.upstreams, 1, 16))
+					table.Share(now, hosts)
+					for n := uint64(0); ; n++ {
+						id, ok := table.Pick(now, route.Work{Lone: true})
+						if !ok {
+							break
+						}
+						is.True(!taken[id])
+						taken[id] = true
+						turns[i]++
+						table.Start(now, id, n, route.Work{Lone: true})
+					}
+				}
+			}
+			for _, n := range turns {
+				is.True(n > 0)
+			}
+		})
+	}
+}
--- a/internal/policy/route/table.go
+++ b/internal/policy/route/table.go
@@ -84,6 +84,7 @@
 			t.drop(m)
 		}
 	}
+	t.rank()
 	t.reshare(now)
 }
 
--- a/internal/policy/route/upstream.go
+++ b/internal/policy/route/upstream.go
@@ -73,6 +73,7 @@
 type member struct {
 	Upstream
 	index  int
+	rank   int // among the ids of all members in order
 	group  int
 	place  int // position in the group's open list, -1 when closed
 	near   bool
--- a/internal/policy/suspect/book.go
+++ b/internal/policy/suspect/book.go
@@ -20,6 +20,7 @@
 	defaultLongest    = 24 * time.Hour
 	defaultSize       = 10_000
 	maxDoublings      = 10
+	trialRetry        = 2 * time.Second
 )
 
 func (c Config) withDefaults() Config {
@@ -59,7 +60,8 @@
 type run struct {
 	upstream string
 	print    Print
-	lone     bool
+	trial    bool      // started as a suspect
+	lost     time.Time // when its connection was lost, zero before
 }
 
 // New returns an empty Book.
@@ -88,7 +90,7 @@
 		return false, nil
 	}
 	if e.running > 0 {
-		return true, kind.New(kind.Unavailable, "the same request is on trial after a crash")
+		return true, kind.New(kind.Unavailable, "the same request is on trial after a crash").WithRetry(trialRetry)
 	}
 	return true, nil
 }
@@ -96,12 +98,13 @@
 // Start notes that a request was sent to an upstream. A suspect is taken to be placed as the only
 // suspect there.
 func (b *Book) Start(now time.Time, p Print, upstream string, request uint64) {
+	b.release(now, upstream)
 	e := b.entries[p]
-	lone := e != nil && now.Before(e.suspect)
-	if lone {
+	trial := e != nil && now.Before(e.suspect)
+	if trial {
 		e.running++
 	}
-	b.runs[request] = run{upstream: upstream, print: p, lone: lone}
+	b.runs[request] = run{upstream: upstream, print: p, trial: trial}
 	here := b.on[upstream]
 	if here == nil {
 		here = map[uint64]Print{}
@@ -110,17 +113,48 @@
 	here[request] = p
 }
 
-// Finish notes the end of a request. A suspect that ran to its end is cleared.
+// Finish notes the end of a request on an upstream that goes on. A suspect whose answer was whole is
+// cleared.
 func (b *Book) Finish(now time.Time, request uint64, whole bool) {
 	r, ok := b.take(request)
-	if !ok || !whole {
+	if !ok || !whole || !r.trial {
 		return
 	}
-	if e := b.entries[r.print]; e != nil && r.lone && now.After(e.quarantine) {
+	if e := b.entries[r.print]; e != nil && now.After(e.quarantine) {
 		delete(b.entries, r.print)
 	}
 }
 
+// Lost notes that a request's connection was lost, while it is not known yet why. The request counts
+// as running until Crash or Alive, for a short time at most.
+func (b *Book) Lost(now time.Time, request uint64) {
+	if r, ok := b.runs[request]; ok {
+		r.lost = now
+		b.runs[request] = r
+	}
+}
+
+// lostExpiry bounds the time in which a lost request waits for the verdict on its upstream.
+const lostExpiry = 3 * time.Second
+
+// release lets go of the requests that were lost long ago on an upstream.
+func (b *Book) release(now time.Time, upstream string) {
+	for request := range b.on[upstream] {
+		if r := b.runs[request]; !r.lost.IsZero() && now.Sub(r.lost) > lostExpiry {
+			b.take(request)
+		}
+	}
+}
+
+// Alive notes that an upstream answers: the requests that were lost there did not crash it.
+func (b *Book) Alive(upstream string) {
+	for request := range b.on[upstream] {
+		if !b.runs[request].lost.IsZero() {
+			b.take(request)
+		}
+	}
+}
+
 func (b *Book) take(request uint64) (run, bool) {
 	r, ok := b.runs[request]
 	if !ok {
@@ -131,25 +165,27 @@
 	if len(b.on[r.upstream]) == 0 {
 		delete(b.on, r.upstream)
 	}
-	if e := b.entries[r.print]; r.lone && e != nil && e.running > 0 {
+	if e := b.entries[r.print]; r.trial && e != nil && e.running > 0 {
 		e.running--
 	}
 	return r, true
 }
 
 // Crash notes that an upstream crashed. Each request that ran there becomes a suspect; if exactly one
-// of them was a suspect already, it is quarantined and its neighbours are not suspects.
+// of them was a suspect already, it is quarantined and its neighbours are not suspects. Both results
+// are for the other hosts, too, before any of the requests gets its answer.
 func (b *Book) Crash(now time.Time, upstream string) ([]Suspicion, []Quarantine) {
-	var lone []Print
+	b.release(now, upstream)
+	var trials []Print
 	all := make([]Print, 0, len(b.on[upstream]))
 	for request, p := range b.on[upstream] {
-		if r, ok := b.take(request); ok && r.lone {
-			lone = append(lone, p)
+		if r, ok := b.take(request); ok && r.trial {
+			trials = append(trials, p)
 		}
 		all = append(all, p)
 	}
-	if len(lone) == 1 {
-		return nil, []Quarantine{b.quarantine(now, lone[0])}
+	if len(trials) == 1 {
+		return nil, []Quarantine{b.quarantine(now, trials[0])}
 	}
 	out := make([]Suspicion, 0, len(all))
 	for _, p := range all {
