--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -21,14 +21,14 @@
 
 // Attempt describes a request and the attempt that failed.
 type Attempt struct {
-	Err      error     // why the attempt failed
-	Ran      kind.Ran  // whether any attempt so far ran
-	Repeat   bool      // the request may run more than once
-	Stream   bool      // the answer can resume from an offset
-	Tokens   int       // output tokens received so far
-	Count    int       // attempts so far
-	Deadline time.Time // of the whole request; zero when there is none
-	Expected time.Duration
+	Err      error         // why the attempt failed
+	Ran      kind.Ran      // whether any attempt so far ran
+	Repeat   bool          // the request may run more than once
+	Stream   bool          // the answer can resume from an offset
+	Tokens   int           // output tokens received so far
+	Count    int           // attempts so far
+	Deadline time.Time     // of the whole request; zero when there is none
+	Expected time.Duration // of one more attempt, until its answer is of use
 }
 
 // Verdict is the decision on a failed attempt.
@@ -149,14 +149,13 @@
 
 // worse returns the stronger of two statements on whether a request ran.
 func worse(a, b kind.Ran) kind.Ran {
-	rank := map[kind.Ran]int{kind.RanNo: 0, "": 0, kind.RanMaybe: 1, kind.RanYes: 2}
-	if rank[a] > rank[b] {
-		return a
-	}
-	if b == "" {
-		return kind.RanNo
+	switch {
+	case a == kind.RanYes || b == kind.RanYes:
+		return kind.RanYes
+	case a == kind.RanMaybe || b == kind.RanMaybe:
+		return kind.RanMaybe
 	}
-	return b
+	return kind.RanNo
 }
 
 // Slack describes a running attempt without its first token.
--- /dev/null
+++ b/internal/policy/retry/retry_test.go
@@ -0,0 +1,125 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/retry"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func failure(k kind.Kind, ran kind.Ran) error { return kind.New(k, "test").WithRan(ran) }
+
+func TestNext(t *testing.T) {
+	soon := start.Add(100 * time.Millisecond)
+	cases := []struct {
+		name    string
+		attempt retry.Attempt
+		action  retry.Action
+		ran     kind.Ran
+	}{
+		{"refused connection, repeatable", retry.Attempt{Err: failure(kind.Unavailable, kind.RanNo), Repeat: true}, retry.Retry, kind.RanNo},
+		{"refused connection, not repeatable", retry.Attempt{Err: failure(kind.Unavailable, kind.RanNo)}, retry.Retry, kind.RanNo},
+		{"rejected, not repeatable", retry.Attempt{Err: failure(kind.Rejected, kind.RanNo)}, retry.Retry, kind.RanNo},
+		{"lost, repeatable", retry.Attempt{Err: failure(kind.Lost, kind.RanMaybe), Repeat: true}, retry.Retry, kind.RanMaybe},
+		{"lost, not repeatable", retry.Attempt{Err: failure(kind.Lost, kind.RanMaybe)}, retry.Stop, kind.RanMaybe},
+		{"silent, not repeatable", retry.Attempt{Err: failure(kind.Silent, kind.RanMaybe)}, retry.Stop, kind.RanMaybe},
+		{"crossed, repeatable", retry.Attempt{Err: failure(kind.Crossed, kind.RanMaybe), Repeat: true}, retry.Retry, kind.RanMaybe},
+		{"failed after running, not repeatable", retry.Attempt{Err: failure(kind.Failed, kind.RanYes)}, retry.Stop, kind.RanYes},
+		{"earlier attempt may have run", retry.Attempt{Err: failure(kind.Unavailable, kind.RanNo), Ran: kind.RanMaybe}, retry.Stop, kind.RanMaybe},
+		{"mid-stream", retry.Attempt{Err: failure(kind.Lost, kind.RanMaybe), Repeat: true, Stream: true, Tokens: 7}, retry.Resume, kind.RanMaybe},
+		{"mid-stream, no resume", retry.Attempt{Err: failure(kind.Lost, kind.RanMaybe), Repeat: true, Tokens: 7}, retry.Stop, kind.RanMaybe},
+		{"mid-stream, not repeatable", retry.Attempt{Err: failure(kind.Lost, kind.RanMaybe), Stream: true, Tokens: 7}, retry.Stop, kind.RanMaybe},
+		{"caller went away", retry.Attempt{Err: failure(kind.Canceled, kind.RanMaybe), Repeat: true}, retry.Stop, kind.RanMaybe},
+		{"caller's fault", retry.Attempt{Err: failure(kind.Invalid, kind.RanNo), Repeat: true}, retry.Stop, kind.RanNo},
+		{"quarantined", retry.Attempt{Err: failure(kind.Quarantined, kind.RanNo), Repeat: true}, retry.Stop, kind.RanNo},
+		{"too many attempts", retry.Attempt{Err: failure(kind.Lost, kind.RanMaybe), Repeat: true, Count: 4}, retry.Stop, kind.RanMaybe},
+		{"time left", retry.Attempt{Err: failure(kind.Lost, kind.RanMaybe), Repeat: true, Deadline: soon, Expected: 99 * time.Millisecond}, retry.Retry, kind.RanMaybe},
+		{"no time left", retry.Attempt{Err: failure(kind.Lost, kind.RanMaybe), Repeat: true, Deadline: soon, Expected: time.Second}, retry.Stop, kind.RanMaybe},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			v := retry.New(retry.Config{}).Next(start, c.attempt)
+			is.Equal(v.Action, c.action)
+			is.Equal(v.Ran, c.ran)
+			if v.Action == retry.Stop {
+				is.Equal(v.Kind, kind.Of(c.attempt.Err))
+			}
+		})
+	}
+}
+
+// TestBudget fails every attempt of many requests: retries stay within their share.
+func TestBudget(t *testing.T) {
+	is := is.New(t)
+	b := retry.New(retry.Config{Share: 0.1, Burst: 20})
+	retries := 0
+	for range 1000 {
+		b.Request()
+		a := retry.Attempt{Err: failure(kind.Lost, kind.RanMaybe), Repeat: true, Count: 1}
+		for b.Next(start, a).Action == retry.Retry {
+			retries++
+			a.Count++
+		}
+	}
+	t.Logf("%d retries of 1000 requests that all fail", retries)
+	is.True(retries <= 120)
+	is.True(retries >= 100)
+}
+
+func TestDelayGrows(t *testing.T) {
+	is := is.New(t)
+	b := retry.New(retry.Config{Attempts: 9})
+	last := time.Duration(-1)
+	for count := 1; count < 9; count++ {
+		v := b.Next(start, retry.Attempt{Err: failure(kind.Rejected, kind.RanNo), Count: count})
+		is.True(v.Delay > last || v.Delay == 500*time.Millisecond)
+		last = v.Delay
+	}
+}
+
+func TestHedge(t *testing.T) {
+	late := retry.Slack{Repeat: true, Waited: time.Second, Usual: 300 * time.Millisecond, Expected: 200 * time.Millisecond,
+		Deadline: start.Add(time.Second), Free: 5}
+	with := func(change func(s *retry.Slack)) retry.Slack {
+		s := late
+		change(&s)
+		return s
+	}
+	cases := []struct {
+		name  string
+		slack retry.Slack
+		want  bool
+	}{
+		{"late", late, true},
+		{"not repeatable", with(func(s *retry.Slack) { s.Repeat = false }), false},
+		{"as usual", with(func(s *retry.Slack) { s.Waited = 100 * time.Millisecond }), false},
+		{"hedged already", with(func(s *retry.Slack) { s.Hedged = true }), false},
+		{"others wait", with(func(s *retry.Slack) { s.Queued = 1 }), false},
+		{"no slot to spare", with(func(s *retry.Slack) { s.Free = 1 }), false},
+		{"too late to help", with(func(s *retry.Slack) { s.Expected = 2 * time.Second }), false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(retry.New(retry.Config{}).Hedge(start, c.slack), c.want)
+		})
+	}
+}
+
+func TestHedgesAreFew(t *testing.T) {
+	is := is.New(t)
+	b := retry.New(retry.Config{})
+	hedges := 0
+	for range 1000 {
+		b.Request()
+		if b.Hedge(start, retry.Slack{Repeat: true, Waited: time.Second, Free: 5}) {
+			hedges++
+		}
+	}
+	is.True(hedges >= 15 && hedges <= 25)
+}
--- /dev/null
+++ b/internal/upstream/poll/poll_test.go
@@ -0,0 +1,141 @@
+package poll_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/policy/route"
+	standin "hickorypath/internal/standin/engine"
+	"hickorypath/internal/standin/pipe"
+	"hickorypath/internal/upstream/engine"
+	"hickorypath/internal/upstream/poll"
+)
+
+// TestPollEngine follows a stand-in engine's load and cache events through a crash.
+func TestPollEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		net := pipe.New()
+		e := standin.New(standin.Options{Model: "m"})
+		stop := net.Serve("a1:80", e.Handler())
+		client := engine.New(engine.Options{Clock: clock.NewWall(), Dial: net.Dial})
+		defer synctest.Wait()
+		defer stop()
+		defer client.Close()
+
+		var loads, failed, gaps int
+		cached := map[uint64]bool{}
+		p := poll.New(poll.Options{
+			Load: client.Load, Events: client.Events,
+			Loaded: func(string, route.Load) { loads++ },
+			Failed: func(string, error) { failed++ },
+			Cached: func(_ string, added, removed []uint64, gap bool) {
+				for _, b := range added {
+					cached[b] = true
+				}
+				for _, b := range removed {
+					delete(cached, b)
+				}
+				if gap {
+					gaps++
+				}
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { p.Run(ctx); close(done) }()
+		p.Set([]poll.Target{{ID: "a1", Addr: "a1:80"}})
+
+		body := fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":"%0600d"}],"max_tokens":2}`, 7)
+		s, err := client.Chat(t.Context(), "a1:80", engine.Call{Attempt: "t1", Body: []byte(body)})
+		is.NoErr(err)
+		_, err = s.Next()
+		is.NoErr(err)
+		s.Close()
+		time.Sleep(10 * time.Second)
+		is.True(loads >= 9 && loads <= 11)
+		is.Equal(len(cached), 2)
+		is.Equal(gaps, 0)
+
+		e.Crash()
+		time.Sleep(time.Minute)
+		is.True(failed >= 2 && failed <= 10) // backs off
+		e.Restore()
+		time.Sleep(20 * time.Second)
+		is.Equal(gaps, 1)
+		p.Set(nil)
+		before := loads
+		time.Sleep(10 * time.Second)
+		is.Equal(loads, before)
+		cancel()
+		<-done
+	})
+}
+
+func TestBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		polls := 0
+		p := poll.New(poll.Options{
+			Load:   func(context.Context, string) (route.Load, error) { polls++; return route.Load{}, nil },
+			Loaded: func(string, route.Load) {},
+			Budget: 50,
+		})
+		list := make([]poll.Target, 1300)
+		for i := range list {
+			list[i] = poll.Target{ID: fmt.Sprint(i)}
+		}
+		p.Set(list)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		p.Run(ctx)
+		t.Logf("%.1f polls a second of 1300 upstreams", float64(polls)/60)
+		is.True(polls <= 50*66)
+		is.True(polls >= 50*54)
+	})
+}
+
+func TestMine(t *testing.T) {
+	cases := []struct{ hosts, upstreams, want int }{{1, 9, 1}, {2, 9, 2}, {7, 9, 2}, {350, 130, 2}}
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
+			is := is.New(t)
+			hosts := make([]string, c.hosts)
+			for i := range hosts {
+				hosts[i] = fmt.Sprintf("h%d", i)
+			}
+			for u := range c.upstreams {
+				n := 0
+				for _, h := range hosts {
+					if poll.Mine(h, hosts, fmt.Sprintf("u%d", u)) {
+						n++
+					}
+				}
+				is.Equal(n, c.want)
+			}
+		})
+	}
+}
+
+func TestFailingLoadStopsEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		events := 0
+		p := poll.New(poll.Options{
+			Load:   func(context.Context, string) (route.Load, error) { return route.Load{}, errors.New("down") },
+			Events: func(context.Context, string, int) (engine.Events, error) { events++; return engine.Events{}, nil },
+		})
+		p.Set([]poll.Target{{ID: "a"}})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		p.Run(ctx)
+		is.Equal(events, 0)
+	})
+}
