--- a/cmd/hickorypath/demo.go
+++ b/cmd/hickorypath/demo.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"hickorypath/internal/core/kind"
@@ -170,10 +171,9 @@
 
 // settings returns the settings of the n-th host, through the same checks as a file.
 func (d *demo) settings(n int, caller, admin, peer, platform string) (*settings.Settings, error) {
-	var services []settings.Service
-	for _, u := range d.site.Upstreams() {
-		services = append(services, settings.Service{Pool: u.Pool, Zone: u.Zone, Addr: u.Addr})
-	}
+	services := lo.Map(d.site.Upstreams(), func(u site.Upstream, _ int) settings.Service {
+		return settings.Service{Pool: u.Pool, Zone: u.Zone, Addr: u.Addr}
+	})
 	data, err := json.Marshal(map[string]any{
 		"host":        "host-" + strconv.Itoa(n+1),
 		"zone":        d.zone(n),
--- a/cmd/hickorypath/host.go
+++ b/cmd/hickorypath/host.go
@@ -47,7 +47,6 @@
 	adminLn  net.Listener
 	leaving  atomic.Bool
 	loops    sync.WaitGroup
-	stop     context.CancelFunc
 }
 
 // newHost opens the listeners and wires the components; the caller runs run.
--- a/cmd/hickorypath/operators.go
+++ b/cmd/hickorypath/operators.go
@@ -97,4 +97,3 @@
 	}
 	return api.Upstream{ID: t.ID(), Pool: d.Name(), Zone: t.Zone(), State: state, Reclaimable: t.Reclaimable(), Running: d.Running(t.ID())}
 }
-
