--- a/internal/operator/vault/change.go
+++ b/internal/operator/vault/change.go
@@ -29,6 +29,7 @@
 		return rev, nil
 	}
 	next := v.newRevision(c)
+	next.after = r.at
 	if r.current().number != c.Base {
 		return next, conflict(next, c.Base, r.current())
 	}
--- a/internal/operator/vault/client.go
+++ b/internal/operator/vault/client.go
@@ -29,6 +29,9 @@
 			_, err := pick(key).Put(ctx, key, value, conditionAt(revision))
 			return err
 		},
+		Delete: func(ctx context.Context, key string, revision uint64) error {
+			return pick(key).Delete(ctx, key, store.At(revision))
+		},
 		List: func(ctx context.Context, prefix string) ([]Entry, error) {
 			list, _, err := pick(prefix).List(ctx, prefix)
 			entries := make([]Entry, len(list))
--- a/internal/operator/vault/fake_test.go
+++ b/internal/operator/vault/fake_test.go
@@ -29,7 +29,7 @@
 func newFake() *fake { return &fake{values: map[string]vault.Entry{}} }
 
 func (f *fake) store() vault.Store {
-	return vault.Store{Get: f.get, Put: f.put, Swap: f.swap, List: f.list}
+	return vault.Store{Get: f.get, Put: f.put, Swap: f.swap, List: f.list, Delete: f.remove}
 }
 
 func (f *fake) get(_ context.Context, key string) (vault.Entry, error) {
@@ -81,6 +81,19 @@
 	return nil
 }
 
+func (f *fake) remove(_ context.Context, key string, revision uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return kind.New(kind.Store, "down")
+	}
+	if f.values[key].Revision != revision {
+		return kind.New(kind.Conflict, "%s moved", key)
+	}
+	delete(f.values, key)
+	return nil
+}
+
 func (f *fake) list(_ context.Context, prefix string) ([]vault.Entry, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/operator/vault/read.go
+++ b/internal/operator/vault/read.go
@@ -87,6 +87,9 @@
 		return nil, nil
 	}
 	data, err := v.readChunk(ctx, rev.manifest)
+	if isKind(err, kind.Missing) {
+		return nil, kind.New(kind.Missing, "the text of revision %d is no longer kept", rev.number)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/operator/vault/revision.go
+++ b/internal/operator/vault/revision.go
@@ -21,6 +21,7 @@
 	at       time.Time
 	operator string
 	change   string
+	after    uint64 // the store's revision at which the revision before was accepted
 }
 
 // Number returns the number of the revision, 0 when no document was accepted yet.
@@ -98,6 +99,7 @@
 	At       int64  `cbor:"5,keyasint"`
 	Operator string `cbor:"6,keyasint"`
 	Change   string `cbor:"7,keyasint"`
+	After    uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 func encodeRevisions(list []Revision) []byte {
@@ -106,7 +108,7 @@
 		digest, _ := hex.DecodeString(r.digest)
 		forms[i] = revisionForm{
 			Number: r.number, Digest: digest, Manifest: r.manifest[:], Size: r.size,
-			At: r.at.Unix(), Operator: r.operator, Change: r.change,
+			At: r.at.Unix(), Operator: r.operator, Change: r.change, After: r.after,
 		}
 	}
 	return encode(forms)
@@ -121,7 +123,7 @@
 	for i, f := range forms {
 		list[i] = Revision{
 			number: f.Number, digest: hex.EncodeToString(f.Digest), size: f.Size,
-			at: time.Unix(f.At, 0).UTC(), operator: f.Operator, change: f.Change,
+			at: time.Unix(f.At, 0).UTC(), operator: f.Operator, change: f.Change, after: f.After,
 		}
 		copy(list[i].manifest[:], f.Manifest)
 	}
--- /dev/null
+++ b/internal/operator/vault/sweep_test.go
@@ -0,0 +1,71 @@
+package vault_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/operator/vault"
+)
+
+func TestSweep(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	v := newVault(f)
+	for i := range 10 {
+		_, err := v.Put(ctx, vault.Change{Base: uint64(i), Source: source(i), Operator: "maria"})
+		is.NoErr(err)
+	}
+	removed, err := v.Sweep(ctx, 4)
+	is.NoErr(err)
+	is.Equal(removed, 12) // a chunk and a manifest of each of six revisions
+	removed, err = v.Sweep(ctx, 4)
+	is.NoErr(err)
+	is.Equal(removed, 0)
+	list, err := newVault(f).History(ctx, 0, 100)
+	is.NoErr(err)
+	is.Equal(len(list), 10) // the entries stay
+	_, err = newVault(f).Source(ctx, list[9])
+	is.Equal(kind.Of(err), kind.Missing)
+	_, err = newVault(f).Source(ctx, list[3])
+	is.NoErr(err)
+}
+
+// Documents come back at random while sweeps run, also between the writes of a change: every kept
+// revision can be read.
+func TestSweepKeepsWhatIsKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFake()
+		v := newVault(f)
+		keep := rapid.IntRange(2, 5).Draw(t, "keep")
+		texts := [][]byte{large(200, -1), large(200, 3), large(200, 150), large(260, 3), source(1)}
+		var base uint64
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "sweep between the writes") {
+				f.before = func(*fake, string, []byte, uint64) { _, _ = newVault(f).Sweep(ctx, keep) }
+			}
+			text := rapid.SampledFrom(texts).Draw(t, "text")
+			rev, err := v.Put(ctx, vault.Change{Base: base, Source: text, Operator: "maria"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			base = rev.Number()
+			if rapid.Bool().Draw(t, "sweep") {
+				if _, err := newVault(f).Sweep(ctx, keep); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		list, err := newVault(f).History(ctx, 0, keep)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, rev := range list {
+			if _, err := newVault(f).Source(ctx, rev); err != nil {
+				t.Fatalf("%s: %v", rev, err)
+			}
+		}
+	})
+}
--- a/internal/operator/vault/vault.go
+++ b/internal/operator/vault/vault.go
@@ -24,6 +24,8 @@
 	Put  func(ctx context.Context, key string, value []byte) error
 	Swap func(ctx context.Context, key string, value []byte, revision uint64) error // revision 0: the key must be absent
 	List func(ctx context.Context, prefix string) ([]Entry, error)
+	// Delete removes the key if it was last written at revision, else its error is of kind Conflict.
+	Delete func(ctx context.Context, key string, revision uint64) error
 }
 
 // Entry is one value of the store. Its Revision is the store's.
@@ -73,6 +75,7 @@
 	RootKey     = "document/root"
 	chunkPrefix = "document/chunk/"
 	pagePrefix  = "document/history/"
+	sweptKey    = "document/swept"
 	// ShardPrefix is the prefix of all shards of keys.
 	ShardPrefix = "key/shard/"
 )
