--- a/cmd/hickorypath/demo.go
+++ b/cmd/hickorypath/demo.go
@@ -5,6 +5,7 @@
 	_ "embed" // for the demo's document
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"os"
@@ -23,6 +24,7 @@
 	"hickorypath/internal/operator/client"
 	"hickorypath/internal/platform/roster"
 	standinengine "hickorypath/internal/standin/engine"
+	standinservice "hickorypath/internal/standin/service"
 	"hickorypath/internal/standin/site"
 )
 
@@ -76,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	d, err := newDemo(f, log)
+	d, err := newDemo(f, log, os.Stdout)
 	if err != nil {
 		return err
 	}
@@ -95,20 +97,24 @@
 
 // demo is a set of hosts with their stand-ins in one process.
 type demo struct {
+	out   io.Writer
 	flags *demoFlags
 	log   *zap.Logger
 	site  *site.Site
 	hosts []*host
-	stop  context.CancelFunc
+	stops []context.CancelFunc // by host
 	done  sync.WaitGroup
 	outer context.CancelFunc
+
+	engines []*standinengine.Engine
+	ledger  *standinservice.Service
 }
 
-func newDemo(f *demoFlags, log *zap.Logger) (*demo, error) {
+func newDemo(f *demoFlags, log *zap.Logger, out io.Writer) (*demo, error) {
 	if f.hosts < 1 || f.zones < 1 {
 		return nil, fmt.Errorf("--hosts and --zones must be at least 1")
 	}
-	d := &demo{flags: f, log: log, site: site.New()}
+	d := &demo{out: out, flags: f, log: log, site: site.New()}
 	ln, err := net.Listen("tcp", anyPort)
 	if err != nil {
 		return nil, err
@@ -131,12 +137,15 @@
 	for n := range demoEngines {
 		for _, pool := range []string{"asesor", "libro"} {
 			o := standinengine.Options{Model: pool, Slots: demoSlots, Gap: demoGap, Prefill: demoPrefill}
-			if _, err := d.site.StartEngine(pool, d.zone(n), anyPort, o); err != nil {
+			e, err := d.site.StartEngine(pool, d.zone(n), anyPort, o)
+			if err != nil {
 				return err
 			}
+			d.engines = append(d.engines, e)
 		}
 	}
-	_, err := d.site.StartService("ledger", d.zone(0), anyPort)
+	var err error
+	d.ledger, err = d.site.StartService("ledger", d.zone(0), anyPort)
 	return err
 }
 
@@ -198,9 +207,9 @@
 }
 
 func (d *demo) start() {
-	ctx, stop := context.WithCancel(context.Background())
-	d.stop = stop
 	for _, h := range d.hosts {
+		ctx, stop := context.WithCancel(context.Background())
+		d.stops = append(d.stops, stop)
 		d.done.Go(func() {
 			if err := h.run(ctx); err != nil {
 				d.log.Error("host ended", zap.Error(err))
@@ -265,9 +274,9 @@
 				applied++
 			}
 		}
-		fmt.Printf("\rdocument in force on %d of %d hosts", applied, len(d.hosts))
+		fmt.Fprintf(d.out, "\rdocument in force on %d of %d hosts", applied, len(d.hosts))
 		if applied >= len(d.hosts) {
-			fmt.Println()
+			fmt.Fprintln(d.out)
 			return nil
 		}
 		select {
@@ -283,8 +292,8 @@
 func (d *demo) callerURL(n int) string { return "http://" + d.hosts[n].callerLn.Addr().String() }
 
 func (d *demo) close() {
-	if d.stop != nil {
-		d.stop()
+	for _, stop := range d.stops {
+		stop()
 	}
 	d.done.Wait()
 	d.site.Close()
--- a/cmd/hickorypath/demotext.go
+++ b/cmd/hickorypath/demotext.go
@@ -1,9 +1,6 @@
 package main
 
-import (
-	"os"
-	"text/template"
-)
+import "text/template"
 
 // demoText is what the demo prints once it is ready.
 var demoText = template.Must(template.New("demo").Parse(`
@@ -39,7 +36,7 @@
 
 // print shows commands to paste, with a working key of each customer.
 func (d *demo) print(keys map[string]string) {
-	_ = demoText.Execute(os.Stdout, map[string]string{
+	_ = demoText.Execute(d.out, map[string]string{
 		"Caller": d.callerURL(0),
 		"Admin":  d.adminURL(0),
 		"Key":    keys[demoCustomer],
--- a/cmd/hickorypath/gauges.go
+++ b/cmd/hickorypath/gauges.go
@@ -6,6 +6,8 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"hickorypath/internal/caller/exchange"
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/burn"
 )
 
 // gauges are the metrics of the request path. Labels are classes, pools and kinds, never customers,
@@ -35,3 +37,24 @@
 		g.set.GetOrCreateHistogram(fmt.Sprintf(`hickorypath_token_gap_seconds{%s}`, labels)).Update(e.Gap.Seconds())
 	}
 }
+
+// newCall returns how a request counts against the service level of its class. It does not count when
+// its own caller ended it, or when its content or its customer's limits refused it.
+func newCall(e exchange.Ending) (c burn.Call, counts bool) {
+	switch e.Kind() {
+	case kind.Canceled, kind.Withdrawn, kind.Large, kind.Invalid, kind.Rate, kind.Tokens, kind.Concurrency,
+		kind.Quarantined, kind.Running, kind.Uncertain:
+		return burn.Call{}, false
+	}
+	return burn.Call{
+		Customer: e.Customer,
+		Class:    e.Class,
+		Pool:     e.Pool,
+		First:    e.First,
+		Gap:      e.Gap,
+		Whole:    e.Whole(),
+		Output:   e.Output,
+		Wasted:   e.Wasted,
+		Missed:   e.Err != nil,
+	}, true
+}
--- a/cmd/hickorypath/host.go
+++ b/cmd/hickorypath/host.go
@@ -26,6 +26,7 @@
 	"hickorypath/internal/host/node"
 	"hickorypath/internal/host/spread"
 	"hickorypath/internal/operator/follow"
+	"hickorypath/internal/operator/meter"
 	"hickorypath/internal/upstream/dispatch"
 	"hickorypath/internal/upstream/fleet"
 )
@@ -160,6 +161,7 @@
 	h.loop(func() { _ = n.Run(ctx) })
 	h.loop(func() { get[*follow.Follower](h.injector).Run(ctx) })
 	h.loop(func() { f.Run(ctx) })
+	h.loop(func() { get[*meter.Meter](h.injector).Run(ctx) })
 }
 
 func (h *host) loop(run func()) {
@@ -196,6 +198,11 @@
 	})
 }
 
+// liveHosts returns the names of the live hosts.
+func liveHosts(members []member.Member) []string {
+	return lo.FilterMap(members, func(m member.Member, _ int) (string, bool) { return m.ID(), m.Alive() })
+}
+
 // isWatcher reports whether a host is among the first live ones of its zone, by name.
 func isWatcher(members []member.Member, self, zone string) bool {
 	names := lo.FilterMap(members, func(m member.Member, _ int) (string, bool) {
--- a/cmd/hickorypath/operators.go
+++ b/cmd/hickorypath/operators.go
@@ -15,6 +15,7 @@
 	"hickorypath/internal/operator/api"
 	"hickorypath/internal/operator/document"
 	"hickorypath/internal/operator/follow"
+	"hickorypath/internal/operator/meter"
 	"hickorypath/internal/operator/vault"
 	"hickorypath/internal/upstream/dispatch"
 	"hickorypath/internal/upstream/fleet"
@@ -47,6 +48,7 @@
 			Keys:       v.Keys,
 			KeyChanged: f.AcceptKey,
 			Status:     h.status,
+			Burn:       get[*meter.Meter](h.injector).Report,
 			Ready:      h.ready,
 			Metrics: func(w http.ResponseWriter, _ *http.Request) {
 				set.WritePrometheus(w)
--- a/cmd/hickorypath/wire.go
+++ b/cmd/hickorypath/wire.go
@@ -21,6 +21,7 @@
 	"hickorypath/internal/operator/document"
 	"hickorypath/internal/operator/follow"
 	"hickorypath/internal/operator/key"
+	"hickorypath/internal/operator/meter"
 	"hickorypath/internal/operator/vault"
 	"hickorypath/internal/platform/roster"
 	"hickorypath/internal/platform/store"
@@ -45,6 +46,7 @@
 	do.Provide(i, provideVault)
 	do.Provide(i, provideNode)
 	do.Provide(i, provideFleet)
+	do.Provide(i, provideMeter)
 	do.Provide(i, provideFollower)
 	do.Provide(i, provideEngines)
 	do.Provide(i, provideServices)
@@ -110,13 +112,18 @@
 
 func provideFleet(i do.Injector) (*fleet.Fleet, error) {
 	s := get[*settings.Settings](i)
+	n := get[*node.Node](i)
+	engines := get[*engine.Client](i)
 	return fleet.New(fleet.Options{
 		Host:   s.Host(),
 		Zone:   s.Zone(),
 		Seed:   seedOf(s.Host()),
 		Clock:  get[clock.Clock](i),
 		Log:    get[*zap.Logger](i),
-		Spread: get[*node.Node](i).Spread(),
+		Spread: n.Spread(),
+		Load:   engines.Load,
+		Events: engines.Events,
+		Hosts:  func() []string { return liveHosts(n.Members()) },
 	}), nil
 }
 
@@ -131,6 +138,7 @@
 	s := get[*settings.Settings](i)
 	n := get[*node.Node](i)
 	f := get[*fleet.Fleet](i)
+	m := get[*meter.Meter](i)
 	return follow.New(follow.Options{
 		Vault:     get[*vault.Vault](i),
 		Store:     get[*store.Client](i),
@@ -139,7 +147,19 @@
 		Keys:      get[*key.Table](i),
 		Log:       get[*zap.Logger](i),
 		IsWatcher: func() bool { return isWatcher(n.Members(), s.Host(), s.Zone()) },
-		Changed:   func(doc *document.Document, _ uint64) { f.Apply(doc) },
+		Changed: func(doc *document.Document, _ uint64) {
+			f.Apply(doc)
+			m.Apply(doc)
+		},
+	}), nil
+}
+
+func provideMeter(i do.Injector) (*meter.Meter, error) {
+	return meter.New(meter.Options{
+		Host:   get[*settings.Settings](i).Host(),
+		Clock:  get[clock.Clock](i),
+		Log:    get[*zap.Logger](i),
+		Spread: get[*node.Node](i).Spread(),
 	}), nil
 }
 
@@ -162,6 +182,8 @@
 func provideRunner(i do.Injector) (*exchange.Runner, error) {
 	sp := get[*node.Node](i).Spread()
 	c := get[clock.Clock](i)
+	m := get[*meter.Meter](i)
+	g := newGauges(get[*metrics.Set](i))
 	return exchange.New(exchange.Deps{
 		Clock:    c,
 		Log:      get[*zap.Logger](i),
@@ -177,7 +199,12 @@
 		Alive:    isAlive,
 		Crashed:  tellCrash(sp, c),
 		Bill:     func(exchange.Bill) {},
-		Observe:  newGauges(get[*metrics.Set](i)).observe,
+		Observe: func(e exchange.Ending) {
+			g.observe(e)
+			if c, counts := newCall(e); counts {
+				m.Add(c)
+			}
+		},
 	}), nil
 }
 
--- a/internal/caller/openai/openai.go
+++ b/internal/caller/openai/openai.go
@@ -119,6 +119,7 @@
 }
 
 func (h *Handler) other(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(reply.HeaderRequest, reply.NewRequest(r).ID)
 	k, text := kind.NoRoute, "no such path: "+r.URL.Path
 	if strings.HasPrefix(r.URL.Path, "/v1/chat/completions") || r.URL.Path == "/v1/models" {
 		k, text = kind.Method, "the path does not take "+r.Method
--- a/internal/upstream/dispatch/dispatch.go
+++ b/internal/upstream/dispatch/dispatch.go
@@ -222,6 +222,13 @@
 	return lo.CountBy(lo.Values(d.running), func(id string) bool { return id == upstream })
 }
 
+// IsIdle reports whether no request waits or runs.
+func (d *Dispatcher) IsIdle() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.waiting)+len(d.running) == 0
+}
+
 // Report passes on the load that an upstream reported.
 func (d *Dispatcher) Report(id string, l route.Load) {
 	d.mu.Lock()
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,7 +16,10 @@
 	"hickorypath/internal/host/spread"
 	"hickorypath/internal/operator/document"
 	"hickorypath/internal/policy/pool"
+	"hickorypath/internal/policy/route"
 	"hickorypath/internal/upstream/dispatch"
+	"hickorypath/internal/upstream/engine"
+	"hickorypath/internal/upstream/poll"
 )
 
 // Times of the exchange of summaries among hosts.
@@ -31,6 +36,11 @@
 	Clock  clock.Clock
 	Log    *zap.Logger
 	Spread *spread.Spread
+	// Load and Events ask an engine for its load and for the changes of its prefix cache.
+	Load   func(ctx context.Context, addr string) (route.Load, error)
+	Events func(ctx context.Context, addr string, after int) (engine.Events, error)
+	// Hosts returns the live hosts, among whom the polling of engines is shared.
+	Hosts func() []string
 }
 
 // Fleet is the set of dispatchers of one host. It is safe for concurrent use.
@@ -39,23 +49,34 @@
 
 	mu      sync.Mutex
 	ctx     context.Context
-	pools   map[string]*dispatch.Dispatcher
+	pools   map[string]*entry
 	targets map[string][]dispatch.Target // by pool
 	slots   map[string]int               // of one upstream, by pool
 }
 
+// entry is one pool. Plain services report no load and have no poller.
+type entry struct {
+	*dispatch.Dispatcher
+	poller *poll.Poller
+	stop   context.CancelFunc
+
+	mu    sync.Mutex
+	loads map[string]route.Load // polled here since the last summary
+}
+
 // summary is what travels between hosts for one pool.
 type summary struct {
-	Pool string       `cbor:"p"`
-	Host string       `cbor:"h"`
-	Body pool.Summary `cbor:"s"`
+	Pool  string                `cbor:"p"`
+	Host  string                `cbor:"h"`
+	Body  pool.Summary          `cbor:"s"`
+	Loads map[string]route.Load `cbor:"l,omitempty"`
 }
 
 // New returns a Fleet without pools.
 func New(o Options) *Fleet {
 	return &Fleet{
 		options: o,
-		pools:   map[string]*dispatch.Dispatcher{},
+		pools:   map[string]*entry{},
 		targets: map[string][]dispatch.Target{},
 		slots:   map[string]int{},
 	}
@@ -65,8 +86,8 @@
 func (f *Fleet) Run(ctx context.Context) {
 	f.mu.Lock()
 	f.ctx = ctx
-	for _, d := range f.pools {
-		go d.Run(ctx)
+	for _, e := range f.pools {
+		e.run(ctx)
 	}
 	f.mu.Unlock()
 	stop := f.options.Spread.Watch(spread.Load, f.take)
@@ -88,30 +109,106 @@
 	classes := lo.Map(doc.Classes(), func(c *document.Class, _ int) pool.Class { return newClass(c) })
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	next := map[string]*dispatch.Dispatcher{}
+	next := map[string]*entry{}
 	for _, p := range doc.Pools() {
 		f.slots[p.Name()] = p.Slots()
-		d := f.dispatcher(p.Name(), classes)
-		d.SetTargets(f.sized(p.Name()))
-		next[p.Name()] = d
+		e, ok := f.pools[p.Name()]
+		if ok {
+			e.SetClasses(classes)
+		} else {
+			e = f.newEntry(p, classes)
+		}
+		e.setTargets(f.sized(p.Name()))
+		next[p.Name()] = e
+	}
+	for name, e := range f.pools {
+		if _, ok := next[name]; !ok {
+			e.end()
+		}
 	}
 	f.pools = next
 }
 
-// dispatcher returns the dispatcher of a pool with its classes; the caller holds the lock.
-func (f *Fleet) dispatcher(name string, classes []pool.Class) *dispatch.Dispatcher {
-	if d, ok := f.pools[name]; ok {
-		d.SetClasses(classes)
-		return d
-	}
+// newEntry makes a pool and runs it when the Fleet runs; the caller holds the lock.
+func (f *Fleet) newEntry(p *document.Pool, classes []pool.Class) *entry {
 	build := func(classes []pool.Class) *pool.Pool {
 		return pool.New(pool.Config{Host: f.options.Host, Zone: f.options.Zone, Classes: classes, Seed: f.options.Seed})
 	}
-	d := dispatch.New(name, classes, build, f.options.Clock)
+	e := &entry{
+		Dispatcher: dispatch.New(p.Name(), classes, build, f.options.Clock),
+		loads:      map[string]route.Load{},
+		stop:       func() {},
+	}
+	if p.Kind() == document.Engine {
+		e.poller = f.newPoller(e)
+	}
 	if f.ctx != nil {
-		go d.Run(f.ctx)
+		e.run(f.ctx)
+	}
+	return e
+}
+
+func (f *Fleet) newPoller(e *entry) *poll.Poller {
+	return poll.New(poll.Options{
+		Load:   f.options.Load,
+		Events: f.options.Events,
+		Loaded: e.loaded,
+		Cached: e.Cached,
+		Mine: func(id string) bool {
+			return poll.Mine(f.options.Host, f.options.Hosts(), id)
+		},
+	})
+}
+
+// run starts the pool's loops.
+func (e *entry) run(ctx context.Context) {
+	ctx, e.stop = context.WithCancel(ctx)
+	go e.Run(ctx)
+	if e.poller != nil {
+		go e.poller.Run(ctx)
+	}
+}
+
+// drainInterval is how often a pool that left the document is looked at until it is empty.
+const drainInterval = time.Second
+
+// end stops a pool that left the document once its last request has ended.
+func (e *entry) end() {
+	go func() {
+		tick := time.NewTicker(drainInterval)
+		defer tick.Stop()
+		for !e.IsIdle() {
+			<-tick.C
+		}
+		e.stop()
+	}()
+}
+
+// loaded takes the load of an upstream and keeps it for the other hosts.
+func (e *entry) loaded(id string, l route.Load) {
+	e.Report(id, l)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loads[id] = l
+}
+
+// takeLoads returns the loads polled here since the last call.
+func (e *entry) takeLoads() map[string]route.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	loads := e.loads
+	e.loads = map[string]route.Load{}
+	return loads
+}
+
+func (e *entry) setTargets(targets []dispatch.Target) {
+	e.SetTargets(targets)
+	if e.poller == nil {
+		return
 	}
-	return d
+	e.poller.Set(lo.Map(targets, func(t dispatch.Target, _ int) poll.Target {
+		return poll.Target{ID: t.ID(), Addr: t.Addr()}
+	}))
 }
 
 func newClass(c *document.Class) pool.Class {
@@ -134,8 +231,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.targets = byPool
-	for name, d := range f.pools {
-		d.SetTargets(f.sized(name))
+	for name, e := range f.pools {
+		e.setTargets(f.sized(name))
 	}
 }
 
@@ -149,14 +246,28 @@
 
 // Pool returns the dispatcher of a pool of the document in force.
 func (f *Fleet) Pool(name string) (*dispatch.Dispatcher, bool) {
+	e, ok := f.entry(name)
+	if !ok {
+		return nil, false
+	}
+	return e.Dispatcher, true
+}
+
+// Pools returns all dispatchers in the order of their names.
+func (f *Fleet) Pools() []*dispatch.Dispatcher {
+	list := lo.Map(f.entries(), func(e *entry, _ int) *dispatch.Dispatcher { return e.Dispatcher })
+	slices.SortFunc(list, func(a, b *dispatch.Dispatcher) int { return strings.Compare(a.Name(), b.Name()) })
+	return list
+}
+
+func (f *Fleet) entry(name string) (*entry, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	d, ok := f.pools[name]
-	return d, ok
+	e, ok := f.pools[name]
+	return e, ok
 }
 
-// Pools returns all dispatchers.
-func (f *Fleet) Pools() []*dispatch.Dispatcher {
+func (f *Fleet) entries() []*entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return lo.Values(f.pools)
@@ -165,26 +276,29 @@
 // publish tells the other hosts what waits and runs here.
 func (f *Fleet) publish() {
 	now := f.options.Clock.Now()
-	for _, d := range f.Pools() {
-		data, err := cbor.Marshal(summary{Pool: d.Name(), Host: f.options.Host, Body: d.Summary()})
+	for _, e := range f.entries() {
+		data, err := cbor.Marshal(summary{Pool: e.Name(), Host: f.options.Host, Body: e.Summary(), Loads: e.takeLoads()})
 		if err != nil {
 			f.options.Log.Error("summary cannot be encoded", zap.Error(err))
 			continue
 		}
-		f.options.Spread.Put(spread.Load, d.Name()+"/"+f.options.Host, uint64(now.UnixNano()), data, now.Add(summaryExpiry))
+		f.options.Spread.Put(spread.Load, e.Name()+"/"+f.options.Host, uint64(now.UnixNano()), data, now.Add(summaryExpiry))
 	}
 }
 
+// take merges what another host tells of a pool.
 func (f *Fleet) take(r spread.Record) {
 	var s summary
 	if err := cbor.Unmarshal(r.Value(), &s); err != nil {
 		f.options.Log.Warn("summary of a peer cannot be read", zap.Error(err))
 		return
 	}
-	if s.Host == f.options.Host {
+	e, ok := f.entry(s.Pool)
+	if !ok || s.Host == f.options.Host {
 		return
 	}
-	if d, ok := f.Pool(s.Pool); ok {
-		d.Peer(s.Host, s.Body)
+	e.Peer(s.Host, s.Body)
+	for id, l := range s.Loads {
+		e.Report(id, l)
 	}
 }
