--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,126 @@
+package engine_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/standin/engine"
+)
+
+const body = `{"model":"m","messages":[{"role":"user","content":"Who paid?"}],"max_tokens":4}`
+
+// server is an engine on loopback.
+type server struct {
+	*is.I
+	engine *engine.Engine
+	url    string
+}
+
+func newServer(t *testing.T) *server {
+	e := engine.New(engine.Options{Model: "m", Gap: time.Microsecond})
+	s := httptest.NewServer(e.Handler())
+	t.Cleanup(s.Close)
+	return &server{is.New(t), e, s.URL}
+}
+
+// post returns status, echoed id and body; the status is 0 when the connection was dropped.
+func (s *server) post(path, id, text string) (status int, echo, answer string) {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, s.url+path, strings.NewReader(text))
+	s.NoErr(err)
+	req.Header.Set("X-Request-Id", id)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", ""
+	}
+	defer res.Body.Close()
+	all, _ := io.ReadAll(res.Body)
+	return res.StatusCode, res.Header.Get("X-Request-Id"), string(all)
+}
+
+// TestFaultsByHTTP switches each fault over HTTP and looks at the next call.
+func TestFaultsByHTTP(t *testing.T) {
+	cases := []struct {
+		order  string
+		status int
+		echo   string
+	}{
+		{`{"fault":"restore"}`, http.StatusOK, "t1"},
+		{`{"fault":"crash"}`, 0, ""},
+		{`{"fault":"reject"}`, http.StatusServiceUnavailable, "t1"},
+		{`{"fault":"cross"}`, http.StatusOK, "other-t1"},
+		{`{"fault":"late"}`, http.StatusOK, "t0"},
+		{`{"fault":"mark","mark":"paid"}`, 0, ""},
+		{`{"fault":"mark","mark":"absent"}`, http.StatusOK, "t1"},
+		{`{"fault":"slow","value":2}`, http.StatusOK, "t1"},
+		{`{"fault":"forget"}`, http.StatusOK, "t1"},
+		{`{"fault":"splice"}`, http.StatusOK, "t1"},
+	}
+	for _, c := range cases {
+		t.Run(c.order, func(t *testing.T) {
+			s := newServer(t)
+			status, _, _ := s.post("/v1/chat/completions", "t0", body)
+			s.Equal(status, http.StatusOK)
+			status, _, _ = s.post("/fault", "", c.order)
+			s.Equal(status, http.StatusNoContent)
+			status, echo, _ := s.post("/v1/chat/completions", "t1", body)
+			s.Equal(status, c.status)
+			s.Equal(echo, c.echo)
+			status, _, _ = s.post("/fault", "", `{"fault":"restore"}`)
+			s.Equal(status, http.StatusNoContent)
+			status, _, _ = s.post("/v1/chat/completions", "t2", strings.ReplaceAll(body, "paid", "owes"))
+			s.Equal(status, http.StatusOK)
+		})
+	}
+}
+
+func TestUnknownFault(t *testing.T) {
+	s := newServer(t)
+	for _, order := range []string{`{"fault":"fire"}`, `{`} {
+		status, _, _ := s.post("/fault", "", order)
+		s.Equal(status, http.StatusBadRequest)
+	}
+}
+
+func TestAnswersAreDeterministic(t *testing.T) {
+	s := newServer(t)
+	_, _, first := s.post("/v1/chat/completions", "t1", body)
+	_, _, second := s.post("/v1/chat/completions", "t1", body)
+	s.Equal(first, second)
+	s.True(strings.Contains(first, `"completion_tokens":4`))
+	seen := s.engine.Seen()
+	s.Equal(len(seen), 2)
+	s.True(seen[1].Ran() && seen[1].Done())
+	s.Equal(seen[1].Tokens(), 4)
+}
+
+// TestPriority fills the only slot and checks that the highest priority runs next.
+func TestPriority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := engine.New(engine.Options{Model: "m", Slots: 1})
+		e.Stall()
+		done := make(chan string, 3)
+		for _, c := range []struct{ id, priority string }{{"first", "5"}, {"low", "3"}, {"high", "0"}} {
+			r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(body))
+			r.Header.Set("X-Request-Id", c.id)
+			r.Header.Set("X-Priority", c.priority)
+			go func() {
+				e.Handler().ServeHTTP(httptest.NewRecorder(), r)
+				done <- c.id
+			}()
+			synctest.Wait()
+		}
+		e.Restore()
+		is.Equal(<-done, "first")
+		is.Equal(<-done, "high")
+		is.Equal(<-done, "low")
+	})
+}
--- a/internal/standin/engine/report.go
+++ b/internal/standin/engine/report.go
@@ -50,7 +50,7 @@
 	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
 	e.mu.Lock()
 	changes, next, gap := e.cache.since(after)
-	out := news{Next: next, Gap: gap}
+	out := news{Next: next, Gap: gap, Added: []uint64{}, Removed: []uint64{}}
 	last := map[uint64]bool{}
 	for _, c := range changes {
 		last[c.block] = c.added
--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -158,7 +158,7 @@
 	h.Del("Idempotency-Key")
 	h.Del("Accept")
 	h.Set("Content-Type", "application/json")
-	h.Set("User-Agent", "hickorypath")
+	h.Set("User-Agent", userAgent)
 	h.Set(wire.HeaderID, call.Attempt)
 	h.Set(wire.HeaderPriority, strconv.Itoa(call.Priority))
 	if call.Salt != "" {
--- a/internal/upstream/engine/control.go
+++ b/internal/upstream/engine/control.go
@@ -30,6 +30,8 @@
 	Removed []uint64 `json:"removed"` // blocks no longer in the cache
 }
 
+const userAgent = "hickorypath"
+
 // maxReport bounds the answer to a control call.
 const maxReport = 4 << 20
 
@@ -85,6 +87,7 @@
 }
 
 func (c *Client) control(req *http.Request, t *http.Transport, addr string, into any) error {
+	req.Header.Set("User-Agent", userAgent)
 	res, err := t.RoundTrip(req)
 	if err != nil {
 		return kind.Wrap(err, kind.Unavailable, "engine %s does not answer %s", addr, req.URL.Path)
--- a/internal/upstream/service/client.go
+++ b/internal/upstream/service/client.go
@@ -21,7 +21,7 @@
 }
 
 const (
-	defaultIdle = 30 * time.Second
+	defaultIdle = 5 * time.Second
 	recentIdle  = 1 * time.Second // how long an idle connection may serve calls that may not be repeated
 	maxIdle     = 64              // idle connections for each service
 )
--- a/internal/upstream/wire/conn.go
+++ b/internal/upstream/wire/conn.go
@@ -18,9 +18,9 @@
 const (
 	dialTimeout   = 2 * time.Second
 	keepIdle      = 5 * time.Second
-	keepInterval  = 2 * time.Second
+	keepInterval  = 1 * time.Second
 	keepCount     = 3
-	unackedExpiry = 10 * time.Second
+	unackedExpiry = 3 * time.Second
 )
 
 // NewDial returns a Dial over TCP with keep-alive probes and a bound on unacknowledged data.
