--- a/internal/policy/model/world_test.go
+++ b/internal/policy/model/world_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"hickorypath/internal/policy/limit"
 	"hickorypath/internal/policy/pool"
 	"hickorypath/internal/policy/route"
 )
@@ -62,17 +63,18 @@
 
 // world is one run.
 type world struct {
-	now     time.Duration
-	queue   events
-	seq     int
-	seed    uint64
-	rand    *rand.Rand
-	hosts   []*host
-	engines []*engine
-	classes map[string]pool.Class
-	jobs    map[uint64]*job
-	stats   *stats
-	until   time.Duration
+	now      time.Duration
+	queue    events
+	seq      int
+	seed     uint64
+	rand     *rand.Rand
+	hosts    []*host
+	engines  []*engine
+	classes  map[string]pool.Class
+	jobs     map[uint64]*job
+	stats    *stats
+	limiters map[string]*limit.Limiter
+	until    time.Duration
 
 	reportEvery, reportLag time.Duration
 	cacheLag               time.Duration
@@ -97,6 +99,7 @@
 	queued   bool
 	finished bool
 	patience time.Duration
+	whole    time.Duration
 }
 
 func newWorld(seed uint64, classes []pool.Class, engines []*engine) *world {
@@ -106,6 +109,7 @@
 		engines:     engines,
 		classes:     make(map[string]pool.Class),
 		jobs:        make(map[uint64]*job),
+		limiters:    make(map[string]*limit.Limiter),
 		reportEvery: time.Second,
 		reportLag:   500 * time.Millisecond,
 		cacheLag:    300 * time.Millisecond,
@@ -212,9 +216,17 @@
 	}
 	w.jobs[j.ID] = j
 	w.stats.offered(j)
+	if j.whole > 0 {
+		j.Deadline = w.time().Add(j.whole)
+		w.after(j.whole, func() { w.leave(j) })
+	}
 	w.submit(j)
 	if j.patience > 0 {
-		w.after(j.patience, func() { w.leave(j) })
+		w.after(j.patience, func() {
+			if j.first == 0 {
+				w.leave(j)
+			}
+		})
 	}
 }
 
@@ -227,9 +239,9 @@
 	w.apply(h, h.arrive(w.time(), j.Request))
 }
 
-// leave lets a caller go away that has waited too long for the first token.
+// leave lets a caller go away.
 func (w *world) leave(j *job) {
-	if j.finished || j.first > 0 {
+	if j.finished {
 		return
 	}
 	j.finished = true
@@ -292,6 +304,8 @@
 // retry resumes a request whose engine went away from the tokens that it has.
 func (w *world) retry(j *job) {
 	j.tries++
+	w.stats.crashed++
+	w.stats.again += j.emitted
 	j.engine = nil
 	j.resumed = j.emitted
 	j.Again = true
