--- a/internal/policy/route/bench_test.go
+++ b/internal/policy/route/bench_test.go
@@ -99,17 +99,18 @@
 	}
 }
 
-// BenchmarkPeer takes the running requests of one other host.
+// BenchmarkPeer takes the running requests of one other host on 64 upstreams, half of them changed.
 func BenchmarkPeer(b *testing.B) {
 	table := route.New(route.Config{Host: "h0", Zone: "z0"})
 	list := pool(1300, 15, 16)
 	table.Set(start, list)
-	running := map[string]int{}
-	for _, u := range list[:64] {
-		running[u.ID()] = 2
+	words := [2]map[string]int{{}, {}}
+	for i, u := range list[:64] {
+		words[0][u.ID()] = 2
+		words[1][u.ID()] = 2 + i%2
 	}
 	b.ReportAllocs()
-	for b.Loop() {
-		table.Peer(start, "h1", running)
+	for i := 0; b.Loop(); i++ {
+		table.Peer(start, "h1", words[i%2])
 	}
 }
--- a/internal/policy/route/share.go
+++ b/internal/policy/route/share.go
@@ -18,8 +18,14 @@
 
 // counts are another host's running requests by upstream.
 type counts struct {
-	at time.Time
-	by map[*member]int
+	at    time.Time
+	round int // of the latest word
+	by    map[*member]count
+}
+
+type count struct {
+	n     int
+	round int
 }
 
 const (
@@ -41,27 +47,56 @@
 
 // Peer takes another host's running requests by upstream.
 func (t *Table) Peer(now time.Time, host string, running map[string]int) {
-	t.forgetPeer(host)
-	c := &counts{at: now, by: make(map[*member]int, len(running))}
+	c := t.peers[host]
+	if c == nil {
+		c = &counts{by: make(map[*member]count, len(running))}
+		t.peers[host] = c
+	}
+	c.at = now
+	c.round++
+	changed := t.changed[:0]
 	for id, n := range running {
-		if m := t.byID[id]; m != nil && n > 0 {
-			c.by[m] = n
-			m.peers += n
-			t.relimit(now, m)
+		m := t.byID[id]
+		if m == nil {
+			continue
+		}
+		if old := c.by[m].n; old != n {
+			m.peers += n - old
+			changed = append(changed, m)
 		}
+		c.by[m] = count{n: n, round: c.round}
 	}
-	t.peers[host] = c
+	for m, old := range c.by {
+		if old.round != c.round {
+			m.peers -= old.n
+			delete(c.by, m)
+			changed = append(changed, m)
+		}
+	}
+	t.relimitAll(now, changed)
 }
 
-func (t *Table) forgetPeer(host string) {
-	old := t.peers[host]
-	if old == nil {
-		return
+// relimitAll computes the limits of some members in the order of their numbers, so that the outcome
+// does not depend on the order of a map.
+func (t *Table) relimitAll(now time.Time, changed []*member) {
+	slices.SortFunc(changed, func(a, b *member) int { return cmp.Compare(a.index, b.index) })
+	for _, m := range changed {
+		if t.byID[m.id] == m {
+			t.relimit(now, m)
+		}
 	}
-	for m, n := range old.by {
-		m.peers -= n
+	t.changed = changed[:0]
+}
+
+// forgetPeer drops the word of a host that has fallen silent.
+func (t *Table) forgetPeer(now time.Time, host string) {
+	changed := t.changed[:0]
+	for m, old := range t.peers[host].by {
+		m.peers -= old.n
+		changed = append(changed, m)
 	}
 	delete(t.peers, host)
+	t.relimitAll(now, changed)
 }
 
 // Running returns this host's running requests by upstream, as Peer takes them.
@@ -221,7 +256,7 @@
 	t.unsettle = kept
 	for host, c := range t.peers {
 		if now.Sub(c.at) > peerExpiry {
-			t.forgetPeer(host)
+			t.forgetPeer(now, host)
 		}
 	}
 }
--- a/internal/policy/route/table.go
+++ b/internal/policy/route/table.go
@@ -30,6 +30,7 @@
 	hosts    []Host
 	sums     sums
 	peers    map[string]*counts
+	changed  []*member // reused by Peer
 	unsettle []*member // members whose health weight changes with time
 	refresh  time.Time
 	free     int
