--- /dev/null
+++ b/internal/policy/pool/bench_test.go
@@ -0,0 +1,90 @@
+package pool_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"hickorypath/internal/policy/pool"
+	"hickorypath/internal/policy/queue"
+	"hickorypath/internal/policy/route"
+)
+
+// BenchmarkArrive is admission, queueing and dequeueing of one request with 7 tiers, a standing
+// queue of one request per customer, and all slots busy; bound 5 µs at 29,000 customers.
+func BenchmarkArrive(b *testing.B) {
+	for _, customers := range []int{290, 2_900, 29_000} {
+		b.Run(strconv.Itoa(customers), func(b *testing.B) {
+			const slots = 64
+			p := bigPool(slots)
+			names := make([]string, customers)
+			for i := range names {
+				names[i] = fmt.Sprintf("customer-%d", i)
+			}
+			now, id := start, uint64(0)
+			ready := make([]uint64, 0, customers+slots)
+			take := func(ds []pool.Decision) {
+				for _, d := range ds {
+					if d.Action == pool.Start {
+						ready = append(ready, d.ID)
+					}
+				}
+			}
+			arrive := func() {
+				id++
+				r := pool.Request{ID: id, Customer: names[int(id)%customers], Class: classNames[id%7], Prompt: 300}
+				take(p.Arrive(now, r))
+			}
+			for range customers + slots {
+				arrive()
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				now = now.Add(time.Millisecond)
+				arrive()
+				first := ready[0]
+				ready = ready[1:]
+				take(p.Finish(now, first, pool.Result{Output: 200}))
+			}
+		})
+	}
+}
+
+var classNames = []string{"t0", "t1", "t2", "t3", "t4", "t5", "t6"}
+
+func bigPool(slots int) *pool.Pool {
+	all := make([]pool.Class, len(classNames))
+	for i, name := range classNames {
+		all[i] = pool.Class{Name: name, Tier: i, Wait: 1000 * time.Hour, Share: 0.01, Cheap: true}
+	}
+	p := pool.New(pool.Config{Host: "a", Zone: "z1", Classes: all, Seed: 1})
+	p.Upstreams(start, []route.Upstream{route.NewUpstream("e1", "z1", slots, false)})
+	return p
+}
+
+// BenchmarkQueue is one Push and one Next of a queue of its size.
+func BenchmarkQueue(b *testing.B) {
+	for _, customers := range []int{290, 2_900, 29_000} {
+		b.Run(strconv.Itoa(customers), func(b *testing.B) {
+			conf := make([]queue.Class, len(classNames))
+			for i, name := range classNames {
+				conf[i] = queue.Class{Name: name, Tier: i, Floor: 0.01}
+			}
+			q := queue.New(conf)
+			push := func(i int) {
+				q.Push(&queue.Item{ID: uint64(i), Customer: strconv.Itoa(i % customers), Class: classNames[i%7], Cost: 200})
+			}
+			for i := range customers {
+				push(i)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				push(i)
+				q.Next(nil)
+			}
+		})
+	}
+}
