--- a/internal/operator/document/outline.go
+++ b/internal/operator/document/outline.go
@@ -21,8 +21,8 @@
 const listDepth = 2
 
 // outlineOf returns the text with each object of a list replaced by a 0 and blanks, and the extents of those
-// objects. The syntax tree of a large document takes thirty times its text, so the objects are parsed one
-// by one. Offsets and lines stay as they were. A text whose brackets do not match is returned whole.
+// objects. The syntax tree of a large document takes far more memory than its text, so the objects are
+// parsed one by one. Offsets and lines stay as they were. A text whose brackets do not match is returned whole.
 func outlineOf(data []byte) ([]byte, spans) {
 	var (
 		found spans
--- /dev/null
+++ b/internal/operator/tally/tally_test.go
@@ -0,0 +1,123 @@
+package tally_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/operator/tally"
+	"hickorypath/internal/platform/store"
+	"hickorypath/internal/policy/burn"
+)
+
+// process is one start of a host.
+type process struct {
+	book  *burn.Book
+	tally *tally.Tally
+}
+
+func newProcess(memory *store.Memory, host, incarnation string) *process {
+	p := &process{book: burn.New(burn.Config{})}
+	p.tally = tally.New(tally.Options{
+		Store: store.New(memory.Backend(), store.Options{Clock: clock.NewWall()}),
+		Host:  host, Incarnation: incarnation, Snapshot: p.book.Snapshot,
+	})
+	return p
+}
+
+// add counts met calls that end now.
+func (p *process) add(calls int) {
+	for range calls {
+		p.book.Add(time.Now(), burn.Call{Customer: "laredo", Class: "query"})
+	}
+}
+
+// calls returns the calls of three days over all processes, as p sees them.
+func (p *process) calls(t *testing.T, live map[string]string) int {
+	t.Helper()
+	sum := burn.New(burn.Config{})
+	sum.Merge(time.Now(), p.book.Snapshot(time.Now(), burn.DefaultLimit))
+	if err := p.tally.MergeInto(context.Background(), sum, live); err != nil {
+		t.Fatal(err)
+	}
+	report := sum.Report(time.Now(), 10)
+	if len(report.Classes) == 0 {
+		return 0
+	}
+	return report.Classes[0].Windows[3].Calls
+}
+
+func TestCountsOutlastHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		memory := store.NewMemory(clock.NewWall())
+		first, second := newProcess(memory, "h1", "1"), newProcess(memory, "h2", "1")
+		first.add(10)
+		second.add(5)
+		ctx, stop := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() { first.tally.Run(ctx); close(ended) }()
+		time.Sleep(tally.DefaultEvery + time.Minute)
+		is.Equal(second.calls(t, nil), 15)
+		first.add(3)
+		stop() // the last save holds what was counted since the one before
+		<-ended
+		is.Equal(second.calls(t, nil), 18)
+
+		again := newProcess(memory, "h1", "2")
+		again.add(1)
+		is.NoErr(again.tally.Save(context.Background()))
+		is.Equal(second.calls(t, nil), 19)
+		is.Equal(second.calls(t, map[string]string{"h1": "2"}), 18) // the running process is counted otherwise
+		time.Sleep(100 * time.Hour)
+		is.Equal(second.calls(t, nil), 0)
+	})
+}
+
+func TestStoreFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults store.Faults
+		want   kind.Kind
+	}{
+		{"answers lost after taking effect", store.Faults{Lose: 2}, ""},
+		{"down", store.Faults{Down: true}, kind.Store},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				memory := store.NewMemory(clock.NewWall())
+				first, second := newProcess(memory, "h1", "1"), newProcess(memory, "h2", "1")
+				first.add(10)
+				is.NoErr(first.tally.Save(context.Background()))
+				first.add(2)
+				memory.Set(c.faults)
+				is.Equal(kind.Of(first.tally.Save(context.Background())), c.want)
+				memory.Set(store.Faults{})
+				is.NoErr(first.tally.Save(context.Background()))
+				is.Equal(second.calls(t, nil), 12) // the next save holds what was not saved
+			})
+		})
+	}
+}
+
+// The platform may end the lease early; the next save takes a new one.
+func TestLeaseEndedEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		memory := store.NewMemory(clock.NewWall())
+		first, second := newProcess(memory, "h1", "1"), newProcess(memory, "h2", "1")
+		first.add(10)
+		is.NoErr(first.tally.Save(context.Background()))
+		memory.Lapse()
+		is.Equal(second.calls(t, nil), 0)
+		is.NoErr(first.tally.Save(context.Background()))
+		is.Equal(second.calls(t, nil), 10)
+	})
+}
--- a/internal/policy/burn/series.go
+++ b/internal/policy/burn/series.go
@@ -62,8 +62,8 @@
 	c.Cheap += n.Cheap
 }
 
-// series holds the cells of one row for all windows. Rows of customers leave work nil: at 29,000
-// customers the calls alone take a quarter of the memory.
+// series holds the cells of one row for all windows. Rows of customers leave work nil, which bounds the
+// memory of many customers.
 type series struct {
 	slots [cells]uint32
 	calls [cells]uint32
