--- a/internal/policy/pool/peer.go
+++ b/internal/policy/pool/peer.go
@@ -13,6 +13,7 @@
 type Summary struct {
 	Queued  []int          `cbor:"q"` // by tier
 	Running []int          `cbor:"r"` // by tier
+	Want    []float64      `cbor:"n"` // slots asked for, by tier
 	Weight  []float64      `cbor:"w"` // weight of the waiting customers, by tier
 	Zone    string         `cbor:"z"`
 	Shed    int            `cbor:"s"` // highest tier that is shed, -1 for none
@@ -47,6 +48,7 @@
 	s := Summary{
 		Queued:  make([]int, p.queue.Tiers()),
 		Running: append([]int(nil), p.running...),
+		Want:    p.want(now),
 		Weight:  make([]float64, p.queue.Tiers()),
 		Zone:    p.zone,
 		Shed:    p.gate.Shedding(now),
@@ -113,9 +115,8 @@
 // split recomputes this host's part of the slots.
 func (p *Pool) split(now time.Time) {
 	loads := make([]admit.Load, 0, len(p.peers)+1)
-	own := admit.Load{Host: p.host, Want: make([]float64, p.queue.Tiers()), Weight: make([]float64, p.queue.Tiers())}
-	for t := range own.Want {
-		own.Want[t] = p.gate.Offered(now, t) + float64(p.queue.Depth(t))
+	own := admit.Load{Host: p.host, Want: p.want(now), Weight: make([]float64, p.queue.Tiers())}
+	for t := range own.Weight {
 		own.Weight[t] = p.queue.Active(t)
 	}
 	loads = append(loads, own)
@@ -172,9 +173,16 @@
 }
 
 func (s Summary) load(host string) admit.Load {
-	want := make([]float64, min(len(s.Queued), len(s.Offered)))
+	return admit.Load{Host: host, Want: s.Want, Weight: s.Weight}
+}
+
+// want returns the slots that this host asks for by tier: for what runs and waits, and for what
+// arrives before the other hosts hear of it.
+func (p *Pool) want(now time.Time) []float64 {
+	want := make([]float64, p.queue.Tiers())
+	soon := lookAhead.Seconds() / p.gate.Turn(1).Seconds()
 	for t := range want {
-		want[t] = s.Offered[t] + float64(s.Queued[t])
+		want[t] = float64(p.running[t]+p.queue.Depth(t)) + soon*p.gate.Offered(now, t)
 	}
-	return admit.Load{Host: host, Want: want, Weight: s.Weight}
+	return want
 }
--- a/internal/policy/pool/pool.go
+++ b/internal/policy/pool/pool.go
@@ -35,6 +35,8 @@
 	largePart = 0.33
 	// maxSpare is the largest part of the slots that is left free.
 	maxSpare = 0.25
+	// lookAhead is the time whose arrivals a host asks slots for in advance.
+	lookAhead = 400 * time.Millisecond
 	// sharePeriod is the least time between two divisions of each upstream's slots.
 	sharePeriod = 100 * time.Millisecond
 	// peerTime is how long the summary of another host counts.
