--- /dev/null
+++ b/internal/policy/length/length_test.go
@@ -0,0 +1,62 @@
+package length_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/policy/length"
+)
+
+func draw(r *rand.Rand, mean, sigma float64) int {
+	return max(1, int(mean*math.Exp(sigma*r.NormFloat64()-sigma*sigma/2)))
+}
+
+func TestLearnsPerCustomer(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(1, 1))
+	m := length.New(0)
+	for range 500 {
+		m.Observe("short", "live", draw(r, 50, 0.5))
+		m.Observe("long", "live", draw(r, 800, 0.5))
+	}
+	is.True(math.Abs(m.Mean("short", "live", 0)/50-1) < 0.2)
+	is.True(math.Abs(m.Mean("long", "live", 0)/800-1) < 0.2)
+	is.True(m.Mean("new", "live", 0) > 50 && m.Mean("new", "live", 0) < 800)
+	is.Equal(m.Mean("long", "live", 100), 100.0)
+}
+
+func TestRemainingGrowsWithTheTail(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(1, 2))
+	m := length.New(0)
+	sample := make([]int, 4000)
+	for i := range sample {
+		sample[i] = draw(r, 200, 0.8)
+		m.Observe("c", "live", sample[i])
+	}
+	for _, seen := range []int{100, 300, 600} {
+		sum, n := 0, 0
+		for _, x := range sample {
+			if x > seen {
+				sum, n = sum+x-seen, n+1
+			}
+		}
+		want, got := float64(sum)/float64(n), m.Remaining("c", "live", seen, 0)
+		t.Logf("after %d tokens %.0f more expected, %.0f true", seen, got, want)
+		is.True(math.Abs(got/want-1) < 0.3)
+	}
+	is.Equal(m.Remaining("c", "live", 300, 310), 10.0)
+}
+
+func TestBounded(t *testing.T) {
+	is := is.New(t)
+	m := length.New(100)
+	for i := range 1000 {
+		m.Observe(fmt.Sprint(i), "live", 10)
+	}
+	is.Equal(m.Len(), 100)
+}
--- a/internal/policy/model/burst_test.go
+++ b/internal/policy/model/burst_test.go
@@ -36,6 +36,7 @@
 
 // TestBurst triples one class: the classes of its own and of higher tiers lose at most one point.
 func TestBurst(t *testing.T) {
+	t.Parallel()
 	classes := burstClasses()
 	for _, b := range []struct {
 		name   string
@@ -88,6 +89,7 @@
 
 // TestFlood lets one customer flood: the worst-served other one keeps 95% of its attainment.
 func TestFlood(t *testing.T) {
+	t.Parallel()
 	classes := sevenTiers()[:1]
 	for _, b := range []struct {
 		name   string
--- a/internal/policy/model/fault_test.go
+++ b/internal/policy/model/fault_test.go
@@ -37,6 +37,7 @@
 
 // TestStraggler slows one engine of nine down: p99 of the first token stays within 1.3 times.
 func TestStraggler(t *testing.T) {
+	t.Parallel()
 	classes := sevenTiers()[:2]
 	for _, c := range choices(classes) {
 		without := quantile(straggle(1, 1, classes, c.decide).firsts, 0.99)
@@ -82,6 +83,7 @@
 
 // TestReclaim checks that no request of a class with a deadline is lost with a reclaimed zone.
 func TestReclaim(t *testing.T) {
+	t.Parallel()
 	classes := sevenTiers()[:3]
 	classes[0].Cheap = false
 	classes[1].Solid = 0.2
@@ -97,6 +99,7 @@
 // TestWasted checks the tokens that no caller gets at 1.5 times the capacity. Callers go away when
 // they have waited 10 s for the first token or 20 s for the whole answer.
 func TestWasted(t *testing.T) {
+	t.Parallel()
 	classes := sevenTiers()
 	streams := mixed(classes, 1.5*capacity(9))
 	for i := range streams {
@@ -115,6 +118,7 @@
 
 // TestUnknownLengths compares the goodput with that of the same scheduler told the true lengths.
 func TestUnknownLengths(t *testing.T) {
+	t.Parallel()
 	classes := sevenTiers()
 	var w *world
 	oracle := func(r pool.Request) float64 { return float64(w.jobs[r.ID].output) }
--- a/internal/policy/model/limit_test.go
+++ b/internal/policy/model/limit_test.go
@@ -64,6 +64,7 @@
 // TestFloodAcrossTiers floods the highest tier: what it takes from lower tiers is for the limits of
 // customers to bound, since no tier is shed for a lower one.
 func TestFloodAcrossTiers(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name string
 		rule limit.Rule
--- a/internal/policy/model/overload_test.go
+++ b/internal/policy/model/overload_test.go
@@ -54,6 +54,7 @@
 }
 
 func TestOverload(t *testing.T) {
+	t.Parallel()
 	classes := sevenTiers()
 	t.Log("fifo, round robin:", overloaded(1, 2, classes, withBaseline(roundRobin)))
 	t.Log("least in flight:  ", overloaded(1, 2, classes, withBaseline(leastInFlight)))
--- a/internal/policy/model/prefix_test.go
+++ b/internal/policy/model/prefix_test.go
@@ -92,6 +92,7 @@
 // TestPrefix compares the hit rate with that of an omniscient router, and the first token with
 // that of a router that looks at load only. Cache events come 300 ms late, one in ten is lost.
 func TestPrefix(t *testing.T) {
+	t.Parallel()
 	classes := sevenTiers()[:1]
 	best, ideal := cached(1, classes, func(w *world) func(string, uint64) decider { return withBaseline(omniscient(w)) })
 	only, load := cached(1, classes, func(*world) func(string, uint64) decider { return withBaseline(leastInFlight) })
--- a/internal/policy/model/stats_test.go
+++ b/internal/policy/model/stats_test.go
@@ -138,7 +138,7 @@
 	w := s.world
 	tier := w.classes[j.Class].Tier
 	s.sheds[tier] = append(s.sheds[tier], w.now)
-	w.after(window, func() { s.lookBehind(tier) })
+	w.after(window+time.Nanosecond, func() { s.lookBehind(tier) }) // after ticks of that instant
 }
 
 // lookBehind counts a lower tier that waits, otherwise than on its floor, although every host has
--- /dev/null
+++ b/internal/policy/queue/queue_test.go
@@ -0,0 +1,138 @@
+package queue_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"hickorypath/internal/policy/queue"
+)
+
+func Example() {
+	q := queue.New([]queue.Class{{Name: "live", Tier: 0}, {Name: "bulk", Tier: 1}})
+	q.Push(&queue.Item{ID: 1, Class: "bulk", Customer: "c1", Cost: 10})
+	q.Push(&queue.Item{ID: 2, Class: "live", Customer: "c1", Cost: 10})
+	q.Push(&queue.Item{ID: 3, Class: "live", Customer: "c1", Cost: 10})
+	q.Push(&queue.Item{ID: 4, Class: "live", Customer: "c2", Cost: 10})
+	for q.Len() > 0 {
+		fmt.Println(q.Next(nil).ID)
+	}
+	// Output:
+	// 2
+	// 4
+	// 3
+	// 1
+}
+
+// serve keeps every customer of every class backlogged and returns the cost served by customer and
+// class.
+func serve(classes []queue.Class, weights map[string]float64, correct bool) (customers, names map[string]float64) {
+	r := rand.New(rand.NewPCG(1, 1))
+	q := queue.New(classes)
+	customers, names = map[string]float64{}, map[string]float64{}
+	id := uint64(0)
+	push := func(class, customer string) {
+		id++
+		q.Want(class, 100)
+		q.Push(&queue.Item{ID: id, Class: class, Customer: customer, Weight: weights[customer], Cost: 100})
+	}
+	for _, c := range classes {
+		for customer := range weights {
+			push(c.Name, customer)
+			push(c.Name, customer)
+		}
+	}
+	for range 20_000 {
+		it := q.Next(nil)
+		cost := it.Cost
+		if correct {
+			cost = 50 + 300*r.Float64()*r.Float64()
+			q.Charge(it.Class, it.Customer, cost-it.Cost)
+		}
+		customers[it.Customer] += cost
+		names[it.Class] += cost
+		push(it.Class, it.Customer)
+	}
+	return customers, names
+}
+
+func near(is *is.I, got, want float64) {
+	is.Helper()
+	is.True(got > 0.97*want && got < 1.03*want)
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	for _, correct := range []bool{false, true} {
+		is := is.New(t)
+		classes := []queue.Class{{Name: "a", Weight: 3}, {Name: "b", Weight: 1}}
+		customers, names := serve(classes, map[string]float64{"c1": 2, "c2": 1, "c3": 1}, correct)
+		near(is, names["a"], 3*names["b"])
+		near(is, customers["c1"], 2*customers["c2"])
+		near(is, customers["c2"], customers["c3"])
+	}
+}
+
+func TestFloor(t *testing.T) {
+	is := is.New(t)
+	classes := []queue.Class{{Name: "top", Tier: 0}, {Name: "low", Tier: 1, Floor: 0.02}, {Name: "none", Tier: 2}}
+	_, names := serve(classes, map[string]float64{"c1": 1}, false)
+	total := names["top"] + names["low"] + names["none"]
+	near(is, names["low"], 0.02*total)
+	is.Equal(names["none"], 0.0)
+}
+
+func TestAhead(t *testing.T) {
+	is := is.New(t)
+	q := queue.New([]queue.Class{{Name: "a"}, {Name: "b", Tier: 1}})
+	for i := range 10 {
+		q.Push(&queue.Item{ID: uint64(i), Class: "a", Customer: "busy", Cost: 100})
+	}
+	is.Equal(q.Ahead("a", "busy"), 1000.0)
+	is.Equal(q.Ahead("a", "other"), 0.0) // fair queueing puts a new customer first
+	is.Equal(q.Ahead("b", "other"), 1000.0)
+	is.Equal(q.Lowest(), 0)
+	is.Equal(q.Depth(0), 10)
+}
+
+// TestBooks checks the sums against a plain count under random operations.
+func TestBooks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := queue.New([]queue.Class{{Name: "a", Floor: 0.1}, {Name: "b", Tier: 1, Floor: 0.1}, {Name: "c", Tier: 1}})
+		waiting := map[uint64]*queue.Item{}
+		for id := range uint64(rapid.IntRange(1, 80).Draw(t, "steps")) {
+			switch rapid.IntRange(0, 3).Draw(t, "operation") {
+			case 0, 1:
+				it := &queue.Item{
+					ID: id, Cost: float64(rapid.IntRange(1, 50).Draw(t, "cost")),
+					Class:    rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "class"),
+					Customer: rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "customer"),
+				}
+				q.Push(it)
+				waiting[id] = it
+			case 2:
+				if it := q.Next(nil); it != nil {
+					delete(waiting, it.ID)
+					q.Charge(it.Class, it.Customer, float64(rapid.IntRange(-20, 90).Draw(t, "delta")))
+				}
+			case 3:
+				if it := q.Last(q.Lowest()); it != nil {
+					q.Remove(it)
+					delete(waiting, it.ID)
+				}
+			}
+			sum := 0.0
+			for _, it := range waiting {
+				sum += it.Cost
+			}
+			if q.Len() != len(waiting) || q.Depth(0)+q.Depth(1) != len(waiting) {
+				t.Fatalf("length %d, want %d", q.Len(), len(waiting))
+			}
+			if d := q.Work(0) + q.Work(1) - sum; d > 1e-6 || d < -1e-6 {
+				t.Fatalf("work off by %v", d)
+			}
+		}
+	})
+}
