Let cached work go beyond a host's share; obey a refusal's advice before a retry

Up to 8 hosts now all poll. A request whose twin is on trial was retried without a pause; the pause that the refusal asks for is kept.

--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -105,7 +105,7 @@
 	if !mayRunAgain(k, ran, a) || a.Count >= b.config.Attempts {
 		return stop
 	}
-	delay := b.delay(a)
+	delay := max(b.delay(a), advice(a.Err))
 	if !a.Deadline.IsZero() && now.Add(delay+a.Expected).After(a.Deadline) {
 		return stop
 	}
@@ -122,6 +122,16 @@
 	return Verdict{Action: action, Ran: ran, Delay: delay, Avoid: k != kind.Silent}
 }
 
+// advice returns the delay that a refusal asks for when nothing was sent, such as that of a request
+// whose twin is on trial. The default of the kind's table is meant for callers.
+func advice(err error) time.Duration {
+	e := kind.From(err)
+	if e.Kind() != kind.Unavailable || e.RetryAfter() == e.Kind().Answer().RetryAfter() {
+		return 0
+	}
+	return e.RetryAfter()
+}
+
 // mayRunAgain reports whether another attempt is allowed and can help.
 func mayRunAgain(k kind.Kind, ran kind.Ran, a Attempt) bool {
 	switch k {
--- a/internal/policy/retry/retry_test.go
+++ b/internal/policy/retry/retry_test.go
@@ -83,6 +83,19 @@
 	}
 }
 
+func TestAdviceIsObeyed(t *testing.T) {
+	is := is.New(t)
+	b := retry.New(retry.Config{})
+	asked := kind.New(kind.Unavailable, "on trial").WithRetry(500 * time.Millisecond)
+	v := b.Next(start, retry.Attempt{Err: asked})
+	is.Equal(v.Action, retry.Retry)
+	is.Equal(v.Delay, 500*time.Millisecond)
+	v = b.Next(start, retry.Attempt{Err: asked, Deadline: start.Add(100 * time.Millisecond)})
+	is.Equal(v.Action, retry.Stop)
+	v = b.Next(start, retry.Attempt{Err: kind.New(kind.Unavailable, "refused")})
+	is.Equal(v.Delay, time.Duration(0))
+}
+
 func TestHedge(t *testing.T) {
 	late := retry.Slack{Repeat: true, Waited: time.Second, Usual: 300 * time.Millisecond, Expected: 200 * time.Millisecond,
 		Deadline: start.Add(time.Second), Free: 5}
--- a/internal/policy/route/pick.go
+++ b/internal/policy/route/pick.go
@@ -31,6 +31,7 @@
 	c := &t.choice
 	*c = choice{table: t, now: now, work: w, match: t.prefixes.match(w.Prefix)}
 	c.findHomes()
+	c.holders()
 	if t.openCount(w.Cheap) <= smallPool {
 		c.all()
 	} else {
@@ -54,11 +55,6 @@
 }
 
 func (c *choice) few() {
-	for _, a := range c.match {
-		if m := c.table.members[a.member]; m != nil {
-			c.consider(m)
-		}
-	}
 	c.sample(groupNear, nearSamples)
 	c.sample(groupFar, farSamples)
 	if c.work.Cheap {
@@ -112,11 +108,21 @@
 	}
 }
 
+// holders considers the members that hold parts of the prefix.
+func (c *choice) holders() {
+	for _, a := range c.match {
+		if m := c.table.members[a.member]; m != nil {
+			c.consider(m)
+		}
+	}
+}
+
 func (c *choice) consider(m *member) {
-	if m.place < 0 || !c.allows(m) {
+	blocks := c.blocks(m)
+	if (m.place < 0 && !c.mayExceed(m, blocks)) || !c.allows(m) {
 		return
 	}
-	cost := c.table.cost(c.now, m, &c.work, c.blocks(m))
+	cost := c.table.cost(c.now, m, &c.work, blocks)
 	if c.best == nil || cost < c.cost {
 		c.best, c.cost = m, cost
 	}
@@ -135,6 +141,20 @@
 	return !slices.Contains(w.Exclude, m.id)
 }
 
+// mayExceed reports whether m may take the work although this host has no free slot there: m holds most
+// of the prefix, and all hosts together run little more there than it has slots. In a full pool the
+// work would else go wherever a slot falls free, and each cache would come to hold every prefix.
+func (c *choice) mayExceed(m *member, blocks int) bool {
+	if 2*blocks < len(c.work.Prefix) || blocks == 0 || m.limit == 0 || !m.health.Settled() {
+		return false
+	}
+	total := m.own + int(c.table.others(c.now, m))
+	return total < m.slots+m.slots/excessPart
+}
+
+// excessPart is the part of an upstream's slots by which cached work may exceed them.
+const excessPart = 8
+
 // blocks returns how many leading blocks of the work's prefix m holds. A prefix that nobody is known to
 // hold counts half at its home.
 func (c *choice) blocks(m *member) int {
--- a/internal/policy/suspect/book.go
+++ b/internal/policy/suspect/book.go
@@ -20,7 +20,7 @@
 	defaultLongest    = 24 * time.Hour
 	defaultSize       = 10_000
 	maxDoublings      = 10
-	trialRetry        = 2 * time.Second
+	trialRetry        = 500 * time.Millisecond
 )
 
 func (c Config) withDefaults() Config {
--- a/internal/upstream/poll/turn.go
+++ b/internal/upstream/poll/turn.go
@@ -6,13 +6,17 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Watchers is how many hosts poll each upstream; the others learn its load from them.
+// Watchers is how many hosts of a large fleet poll each upstream; the others learn its load from them.
 const Watchers = 2
 
-// Mine reports whether host is among the Watchers of an upstream, by rendezvous hashing over the
-// hosts. With few hosts each of them polls.
+// smallFleet is the number of hosts up to which each host polls each upstream. Cache events reach only
+// the hosts that poll, and a host without them finds far fewer cached prefixes.
+const smallFleet = 8
+
+// Mine reports whether host polls an upstream: in a small fleet always, in a larger one if it is among
+// the Watchers of the upstream by rendezvous hashing.
 func Mine(host string, hosts []string, upstream string) bool {
-	if len(hosts) <= Watchers || !slices.Contains(hosts, host) {
+	if len(hosts) <= smallFleet || !slices.Contains(hosts, host) {
 		return true
 	}
 	own := score(host, upstream)
