--- a/cmd/hickorypath/key.go
+++ b/cmd/hickorypath/key.go
@@ -19,7 +19,7 @@
 func addKeyIssue(parent *kingpin.CmdClause) {
 	var customer string
 	cmd := parent.Command("issue", "Issue a key. It is shown once and cannot be read again.")
-	cmd.Arg("customer", "Customer of the document in force.").Required().StringVar(&customer)
+	cmd.Flag("customer", "Customer of the document in force.").Required().StringVar(&customer)
 	r := addRemote(cmd)
 	cmd.Action(action(&r.json, func(ctx context.Context) error {
 		k, err := r.client().Issue(ctx, customer)
@@ -37,7 +37,7 @@
 func addKeyList(parent *kingpin.CmdClause) {
 	var customer string
 	cmd := parent.Command("list", "List the keys; the keys themselves cannot be read again.")
-	cmd.Arg("customer", "List only the keys of this customer.").StringVar(&customer)
+	cmd.Flag("customer", "List only the keys of this customer.").StringVar(&customer)
 	r := addRemote(cmd)
 	cmd.Action(action(&r.json, func(ctx context.Context) error {
 		list, err := r.client().Keys(ctx, customer)
