--- a/internal/policy/admit/gate.go
+++ b/internal/policy/admit/gate.go
@@ -56,6 +56,14 @@
 	}
 }
 
+// Resize keeps what the Gate knows for tiers 0 to tiers-1 and forgets the rest.
+func (g *Gate) Resize(tiers int) {
+	shed, rates := make([]time.Time, tiers), make([]Rate, tiers)
+	copy(shed, g.shed)
+	copy(rates, g.rates)
+	g.shed, g.rates = shed, rates
+}
+
 // Arrive counts a request that asks for service in a tier, refused or not.
 func (g *Gate) Arrive(now time.Time, tier int, cost float64) {
 	g.rates[tier].Add(now, cost)
--- /dev/null
+++ b/internal/policy/pool/classes.go
@@ -0,0 +1,79 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/queue"
+)
+
+// SetClasses puts new classes in force. What was learned and what runs stays; waiting requests keep
+// their arrival and are refused when their class is gone.
+func (p *Pool) SetClasses(now time.Time, classes []Class) []Decision {
+	old := p.classes
+	p.setClasses(classes)
+	waiting := lo.Filter(lo.Values(p.calls), func(c *call, _ int) bool { return !c.isRunning() })
+	slices.SortFunc(waiting, func(a, b *call) int {
+		return cmp.Or(a.arrived.Compare(b.arrived), cmp.Compare(a.ID, b.ID))
+	})
+	p.aside = nil
+	for _, c := range p.calls {
+		p.rebind(c, old)
+	}
+	for _, c := range waiting {
+		p.requeue(c)
+	}
+	p.split(now)
+	p.dispatch(now)
+	return p.flush()
+}
+
+func (p *Pool) setClasses(classes []Class) {
+	p.classes = make(map[string]*class, len(classes))
+	queued := make([]queue.Class, 0, len(classes))
+	for _, c := range classes {
+		p.classes[c.Name] = newClass(c)
+		queued = append(queued, queue.Class{Name: c.Name, Tier: c.Tier, Weight: c.Weight, Floor: max(c.Share, minFloor)})
+	}
+	p.queue = queue.New(queued)
+	p.gate.Resize(p.queue.Tiers())
+	p.running = make([]int, p.queue.Tiers())
+	p.spare = make([]int, p.queue.Tiers())
+	p.weigh()
+}
+
+// rebind moves a call to the class that now has its name. A running call of a class that is gone
+// ends on the lowest tier.
+func (p *Pool) rebind(c *call, old map[string]*class) {
+	k, ok := p.classes[c.Class]
+	if !ok {
+		gone := *old[c.Class]
+		gone.Tier = max(0, p.queue.Tiers()-1)
+		gone.running, gone.solid = 0, 0
+		k = &gone
+	}
+	c.class = k
+	if !c.isRunning() {
+		return
+	}
+	p.running[k.Tier]++
+	k.running++
+	if c.solid {
+		k.solid++
+	}
+}
+
+// requeue puts a waiting call into the new queue, or refuses it when its class is gone.
+func (p *Pool) requeue(c *call) {
+	c.item = queue.Item{ID: c.ID, Customer: c.Customer, Class: c.Class, Weight: c.Weight, Cost: c.item.Cost}
+	if p.queue.Push(&c.item) {
+		return
+	}
+	p.unexpire(c)
+	delete(p.calls, c.ID)
+	p.refuse(c, kind.Unavailable, 0)
+}
--- a/internal/policy/pool/dispatch.go
+++ b/internal/policy/pool/dispatch.go
@@ -91,7 +91,7 @@
 
 func (p *Pool) start(now time.Time, c *call, up string, cheap bool) {
 	p.unexpire(c)
-	c.started, c.upstream, c.solid = now, up, !cheap
+	c.started, c.upstream, c.solid = now, up, !p.cheap[up]
 	p.table.Start(now, up, c.ID, c.work(cheap))
 	p.counts[up]++
 	p.holds[c.Customer]++
--- a/internal/policy/pool/pool.go
+++ b/internal/policy/pool/pool.go
@@ -84,8 +84,9 @@
 	aside   []*call // requests with placement constraints that no upstream meets now
 	running []int   // by tier
 	total   int
-	counts  map[string]int // running by upstream
-	holds   map[string]int // running by customer
+	counts  map[string]int  // running by upstream
+	cheap   map[string]bool // reclaimable upstreams
+	holds   map[string]int  // running by customer
 
 	slots  int       // of all upstreams
 	limit  int       // of slots, the part for this host
@@ -110,29 +111,21 @@
 // New returns a Pool without upstreams.
 func New(conf Config) *Pool {
 	p := &Pool{
-		host:    conf.Host,
-		zone:    conf.Zone,
-		classes: make(map[string]*class),
-		length:  length.New(0),
-		table:   route.New(route.Config{Host: conf.Host, Zone: conf.Zone, Seed: conf.Seed}),
-		rand:    rand.New(rand.NewPCG(conf.Seed, conf.Seed)),
-		expect:  conf.Expect,
-		calls:   make(map[uint64]*call),
-		counts:  make(map[string]int),
-		holds:   make(map[string]int),
-		peers:   make(map[string]peer),
+		host:   conf.Host,
+		zone:   conf.Zone,
+		gate:   admit.New(0),
+		cheap:  make(map[string]bool),
+		length: length.New(0),
+		table:  route.New(route.Config{Host: conf.Host, Zone: conf.Zone, Seed: conf.Seed}),
+		rand:   rand.New(rand.NewPCG(conf.Seed, conf.Seed)),
+		expect: conf.Expect,
+		calls:  make(map[uint64]*call),
+		counts: make(map[string]int),
+		holds:  make(map[string]int),
+		peers:  make(map[string]peer),
 	}
-	queued := make([]queue.Class, 0, len(conf.Classes))
-	for _, c := range conf.Classes {
-		p.classes[c.Name] = newClass(c)
-		queued = append(queued, queue.Class{Name: c.Name, Tier: c.Tier, Weight: c.Weight, Floor: max(c.Share, minFloor)})
-	}
-	p.queue = queue.New(queued)
-	p.gate = admit.New(p.queue.Tiers())
-	p.running = make([]int, p.queue.Tiers())
-	p.spare = make([]int, p.queue.Tiers())
+	p.setClasses(conf.Classes)
 	p.isAllowed = p.allows
-	p.weigh()
 	return p
 }
 
@@ -161,7 +154,11 @@
 func (p *Pool) Upstreams(now time.Time, ups []route.Upstream) []Decision {
 	p.table.Set(now, ups)
 	p.slots = 0
+	clear(p.cheap)
 	for _, u := range ups {
+		if u.Reclaimable() {
+			p.cheap[u.ID()] = true
+		}
 		if !u.Leaving() {
 			p.slots += u.Slots()
 		}
