--- a/internal/policy/pool/bench_test.go
+++ b/internal/policy/pool/bench_test.go
@@ -88,3 +88,24 @@
 		})
 	}
 }
+
+// BenchmarkTick is one Tick every 25 ms, with the summaries of 349 other hosts.
+func BenchmarkTick(b *testing.B) {
+	p, now := bigPool(64), start
+	peers := make([]string, 349)
+	s := p.Summary(now)
+	for t := range s.Want {
+		s.Want[t], s.Queued[t], s.Running[t] = 3, 1, 2
+	}
+	for i := range peers {
+		peers[i] = fmt.Sprintf("host-%03d", i)
+		p.Peer(now, peers[i], s)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		now = now.Add(25 * time.Millisecond)
+		p.Peer(now, peers[i%len(peers)], s)
+		p.Tick(now)
+	}
+}
--- a/internal/policy/pool/dispatch.go
+++ b/internal/policy/pool/dispatch.go
@@ -195,7 +195,9 @@
 	if held := p.gate.Held(now); held >= 0 {
 		p.shedBelow(now, held)
 	}
-	p.split(now)
+	if now.Sub(p.divided) >= time.Duration(len(p.peers))*splitPeriod {
+		p.split(now)
+	}
 	p.dispatch(now)
 	return p.flush()
 }
--- a/internal/policy/pool/peer.go
+++ b/internal/policy/pool/peer.go
@@ -114,6 +114,7 @@
 
 // split recomputes this host's part of the slots.
 func (p *Pool) split(now time.Time) {
+	p.divided = now
 	loads := make([]admit.Load, 0, len(p.peers)+1)
 	own := admit.Load{Host: p.host, Want: p.want(now), Weight: make([]float64, p.queue.Tiers())}
 	for t := range own.Weight {
--- a/internal/policy/pool/pool.go
+++ b/internal/policy/pool/pool.go
@@ -37,6 +37,8 @@
 	maxSpare = 0.25
 	// lookAhead is the time whose arrivals a host asks slots for in advance.
 	lookAhead = 400 * time.Millisecond
+	// splitPeriod is the least time, per other host, between two divisions of the slots among hosts.
+	splitPeriod = 500 * time.Microsecond
 	// sharePeriod is the least time between two divisions of each upstream's slots.
 	sharePeriod = 100 * time.Millisecond
 	// peerTime is how long the summary of another host counts.
@@ -88,12 +90,13 @@
 	cheap   map[string]bool // reclaimable upstreams
 	holds   map[string]int  // running by customer
 
-	slots  int       // of all upstreams
-	limit  int       // of slots, the part for this host
-	shared time.Time // last time that the routing table learned the parts
-	spare  []int     // by tier, free slots that are kept for higher tiers
-	first  time.Duration
-	peers  map[string]peer
+	slots   int       // of all upstreams
+	limit   int       // of slots, the part for this host
+	divided time.Time // last time that the slots were divided among hosts
+	shared  time.Time // last time that the routing table learned the parts
+	spare   []int     // by tier, free slots that are kept for higher tiers
+	first   time.Duration
+	peers   map[string]peer
 
 	round     uint64
 	isAllowed func(class string, floor bool) bool
