Tell a crashed upstream from a cut connection and stop at the last upstream

Cause: a TCP connection to a crashed engine can still open, so crashes were taken for cut connections and their requests were never suspected; a request whose only upstream had rejected it waited out its class and was refused as overload. Change: an engine counts as alive when it answers a call; a request stops at once when no upstream is left to try; the fingerprint covers model and messages, so that the plain and the streamed form of a request are the same suspect.

--- /dev/null
+++ b/cmd/hickorypath/bench_test.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	standinengine "hickorypath/internal/standin/engine"
+)
+
+// fastOptions make an engine whose own time is as good as nothing, so that the router's shows.
+var fastOptions = standinengine.Options{Model: "asesor", Slots: 64, Gap: time.Microsecond, Prefill: time.Nanosecond}
+
+// BenchmarkAddedCost compares calls through one host with direct calls to the same stand-in in the same
+// run. It reports the time and the processor time of one call, of the whole process.
+func BenchmarkAddedCost(b *testing.B) {
+	d, err := newDemo(&demoFlags{listen: anyPort, admin: anyPort, hosts: 1, zones: 1, engine: fastOptions, count: 1}, zap.NewNop(), io.Discard)
+	if err != nil {
+		b.Fatal(err)
+	}
+	d.start()
+	defer d.close()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	keys, err := d.prepare(ctx)
+	if err != nil {
+		b.Fatal(err)
+	}
+	direct := "http://" + d.site.Upstreams()[0].Addr
+	cases := []struct {
+		name, url string
+		stream    bool
+	}{
+		{"plain/direct", direct, false},
+		{"plain/router", d.callerURL(0), false},
+		{"stream/direct", direct, true},
+		{"stream/router", d.callerURL(0), true},
+	}
+	hc := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
+	defer hc.CloseIdleConnections()
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			events := 0
+			before := processorTime()
+			for b.Loop() {
+				events += benchCall(b, hc, c.url, keys[demoCustomer], c.stream)
+			}
+			used := processorTime() - before
+			b.ReportMetric(float64(used.Microseconds())/float64(b.N), "cpu-us/op")
+			b.ReportMetric(float64(events)/float64(b.N), "events/op")
+		})
+	}
+}
+
+// benchCall makes one call and returns the number of its events.
+func benchCall(b *testing.B, hc *http.Client, url, key string, stream bool) int {
+	req, err := http.NewRequest(http.MethodPost, url+"/v1/chat/completions", strings.NewReader(chatBody("asesor", stream, "bench")))
+	if err != nil {
+		b.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	res, err := hc.Do(req)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		b.Fatal(res.Status)
+	}
+	events := 0
+	lines := bufio.NewScanner(res.Body)
+	for lines.Scan() {
+		if strings.HasPrefix(lines.Text(), "data:") {
+			events++
+		}
+	}
+	return events
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/cmd/hickorypath/crash.go
+++ b/cmd/hickorypath/crash.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"context"
-	"net"
 	"strconv"
 	"time"
 
@@ -14,22 +12,6 @@
 	"hickorypath/internal/policy/suspect"
 )
 
-// aliveTimeout bounds the connection that tells a crashed upstream from a cut connection.
-const aliveTimeout = 500 * time.Millisecond
-
-// isAlive reports whether an upstream accepts a new connection.
-func isAlive(ctx context.Context, addr string) bool {
-	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
-	defer cancel()
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return false
-	}
-	_ = conn.Close()
-	return true
-}
-
 // crashReport is what hosts tell each other about one request that ran on a crashed upstream.
 type crashReport struct {
 	Suspicion  *suspect.Suspicion  `cbor:"s,omitempty"`
--- a/cmd/hickorypath/demo.go
+++ b/cmd/hickorypath/demo.go
@@ -55,11 +55,16 @@
 	hosts  int
 	zones  int
 	log    string
+	engine standinengine.Options
+	count  int // engines of each pool
 }
 
+// demoEngine are the properties of the demo's engines.
+var demoEngine = standinengine.Options{Slots: demoSlots, Gap: demoGap, Prefill: demoPrefill}
+
 // addDemo adds the command that runs hosts and stand-ins in one process.
 func addDemo(app *kingpin.Application) {
-	f := &demoFlags{}
+	f := &demoFlags{engine: demoEngine, count: demoEngines}
 	cmd := app.Command("demo", "Run hosts on loopback with stand-ins for everything outside, and print commands to try.")
 	cmd.Flag("listen", "Callers' address of the first host; the others take the ports after it.").Default("127.0.0.1:8080").StringVar(&f.listen)
 	cmd.Flag("admin", "Operators' address of the first host; the others take the ports after it.").Default("127.0.0.1:8090").StringVar(&f.admin)
@@ -134,9 +139,10 @@
 }
 
 func (d *demo) startUpstreams() error {
-	for n := range demoEngines {
+	for n := range d.flags.count {
 		for _, pool := range []string{"asesor", "libro"} {
-			o := standinengine.Options{Model: pool, Slots: demoSlots, Gap: demoGap, Prefill: demoPrefill}
+			o := d.flags.engine
+			o.Model = pool
 			e, err := d.site.StartEngine(pool, d.zone(n), anyPort, o)
 			if err != nil {
 				return err
--- a/cmd/hickorypath/path_test.go
+++ b/cmd/hickorypath/path_test.go
@@ -19,6 +19,7 @@
 
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/operator/client"
+	standinengine "hickorypath/internal/standin/engine"
 )
 
 // patience bounds a wait in these tests; it is no target.
@@ -32,9 +33,17 @@
 }
 
 func newWorld(t *testing.T) *world {
+	return newWorldOf(t, demoEngines)
+}
+
+// testEngine is like the engines of the demo, and faster.
+var testEngine = standinengine.Options{Slots: demoSlots, Gap: 2 * time.Millisecond, Prefill: demoPrefill}
+
+// newWorldOf runs three hosts before count engines of each pool.
+func newWorldOf(t *testing.T, count int) *world {
 	t.Helper()
 	is := is.New(t)
-	d, err := newDemo(&demoFlags{listen: anyPort, admin: anyPort, hosts: 3, zones: 3}, zap.NewNop(), io.Discard)
+	d, err := newDemo(&demoFlags{listen: anyPort, admin: anyPort, hosts: 3, zones: 3, engine: testEngine, count: count}, zap.NewNop(), io.Discard)
 	is.NoErr(err)
 	d.start()
 	t.Cleanup(d.close)
--- a/cmd/hickorypath/wire.go
+++ b/cmd/hickorypath/wire.go
@@ -196,7 +196,7 @@
 		Pool:     get[*fleet.Fleet](i).Pool,
 		Admit:    func(string, string, int) (func(int), error) { return func(int) {}, nil },
 		Claim:    noClaim,
-		Alive:    isAlive,
+		Alive:    get[*fleet.Fleet](i).Alive,
 		Crashed:  tellCrash(sp, c),
 		Bill:     func(exchange.Bill) {},
 		Observe: func(e exchange.Ending) {
--- a/internal/caller/exchange/body.go
+++ b/internal/caller/exchange/body.go
@@ -2,9 +2,9 @@
 
 import (
 	"encoding/json"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/tidwall/gjson"
 
 	"hickorypath/internal/core/kind"
 )
@@ -14,7 +14,6 @@
 	bytesPerToken  = 4
 	blockBytes     = 1024 // one block of prompt text for cache affinity
 	maxBlocks      = 64
-	firstChoice    = 0
 	optionsField   = "stream_options"
 	usageField     = "include_usage"
 	defaultChoices = 1
@@ -113,38 +112,7 @@
 	return hashes
 }
 
-// chunk is the part of a streamed event that the router reads.
-type chunk struct {
-	Choices []struct {
-		Index int `json:"index"`
-		Delta struct {
-			Content string          `json:"content"`
-			Tools   json.RawMessage `json:"tool_calls"`
-		} `json:"delta"`
-	} `json:"choices"`
-	Usage json.RawMessage `json:"usage"`
-}
-
-// transcript collects the text that was delivered, so that another engine can continue it.
-type transcript struct {
-	text    strings.Builder
-	opaque  bool // the answer holds more than the text of one choice
-	started bool
-}
-
-// add reads one event and reports whether it carries nothing but usage.
-func (t *transcript) add(data []byte) (usageOnly bool) {
-	var c chunk
-	if err := json.Unmarshal(data, &c); err != nil {
-		t.opaque = true
-		return false
-	}
-	for _, choice := range c.Choices {
-		if choice.Index != firstChoice || len(choice.Delta.Tools) > 0 {
-			t.opaque = true
-		}
-		t.text.WriteString(choice.Delta.Content)
-	}
-	t.started = true
-	return len(c.Choices) == 0 && len(c.Usage) > 0 && string(c.Usage) != "null"
+// isUsageOnly reports whether a streamed event carries its usage and no choice.
+func isUsageOnly(data []byte) bool {
+	return gjson.GetBytes(data, "choices.#").Int() == 0
 }
--- a/internal/caller/exchange/chat.go
+++ b/internal/caller/exchange/chat.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/policy/pool"
 	"hickorypath/internal/policy/retry"
@@ -33,7 +35,6 @@
 	data     []byte // the body as it is sent upstream
 	print    suspect.Print
 	out      Output
-	text     transcript
 	prior    string // the attempt that a resumed one continues
 	tokens   int    // delivered to the caller
 	usage    *engine.Usage
@@ -50,7 +51,7 @@
 		return err
 	}
 	c := &chat{Session: s, body: body, data: data, out: out, ran: kind.RanNo}
-	c.print = suspect.Fingerprint(s.customer, s.route.Name(), data)
+	c.print = suspect.Fingerprint(s.customer, s.route.Name(), body.messages)
 	estimate := body.PromptTokens() + body.max
 	done, err := s.runner.deps.Admit(s.customer, s.class.Name(), estimate)
 	if err != nil {
@@ -58,7 +59,7 @@
 	}
 	ctx, cancel := s.deadlineContext()
 	defer cancel()
-	err = s.claimed(ctx, c.hash(), func() error { return c.run(ctx) })
+	err = s.claimed(ctx, hashOf(data), func() error { return c.run(ctx) })
 	if err == nil && s.replay != nil {
 		done(tokensNone)
 		return c.sendStored(s.replay)
@@ -80,7 +81,8 @@
 	return nil
 }
 
-func (c *chat) hash() string { return fmt.Sprintf("%016x", uint64(c.print)) }
+// hashOf tells requests apart that carry the same idempotency key.
+func hashOf(data []byte) string { return fmt.Sprintf("%016x", xxhash.Sum64(data)) }
 
 // deadlineContext bounds the session by its deadline and keeps the reason.
 func (s *Session) deadlineContext() (context.Context, context.CancelFunc) {
@@ -102,18 +104,18 @@
 			Err:      err,
 			Ran:      c.ran,
 			Repeat:   c.route.Repeat(),
-			Stream:   c.body.IsStream() && !c.text.opaque,
+			Stream:   c.body.IsStream(),
 			Tokens:   c.tokens,
 			Count:    c.attempts,
 			Deadline: c.deadline(),
 		})
 		c.ran = v.Ran
-		if v.Action == retry.Stop {
-			return kind.From(err).WithRan(v.Ran)
-		}
 		if v.Avoid && c.ending.Upstream != "" {
 			c.avoid = append(c.avoid, c.ending.Upstream)
 		}
+		if v.Action == retry.Stop || !c.pool.HasOther(c.avoid) {
+			return kind.From(err).WithRan(v.Ran)
+		}
 		if v.Action == retry.Retry {
 			c.prior = ""
 		}
@@ -214,7 +216,7 @@
 		if e.Done {
 			return nil
 		}
-		if usageOnly := c.text.add(e.Data); usageOnly && !c.body.usage {
+		if e.Usage != nil && !c.body.usage && isUsageOnly(e.Data) {
 			return nil
 		}
 	}
@@ -250,7 +252,7 @@
 	if kind.Of(err) != kind.Lost || ctx.Err() != nil {
 		return false
 	}
-	return c.runner.reportCrash(ctx, grant.Target())
+	return c.runner.reportCrash(ctx, c.pool.Name(), grant.Target())
 }
 
 // account fills in what the request cost and returns its tokens.
--- a/internal/caller/exchange/exchange.go
+++ b/internal/caller/exchange/exchange.go
@@ -42,8 +42,8 @@
 	Admit func(customer, class string, tokens int) (done func(used int), err error)
 	// Claim begins a claim, or returns the stored outcome of an earlier run.
 	Claim func(ctx context.Context, customer, route, idempotency, hash string, expiry time.Duration) (*Claim, *Outcome, error)
-	// Alive reports whether an upstream answers on a new connection.
-	Alive func(ctx context.Context, addr string) bool
+	// Alive reports whether an upstream of a pool still answers.
+	Alive func(ctx context.Context, pool, addr string) bool
 	// Crashed tells all hosts which requests ran on an upstream that crashed.
 	Crashed func(upstream string, s []suspect.Suspicion, q []suspect.Quarantine)
 	// Bill adds one answer to the usage of its customer.
--- a/internal/caller/exchange/forward.go
+++ b/internal/caller/exchange/forward.go
@@ -122,12 +122,12 @@
 			Deadline: f.deadline(),
 		})
 		f.ran = v.Ran
-		if v.Action == retry.Stop || f.answered || (!f.buffered && f.attempts > 0) {
-			return kind.From(err).WithRan(v.Ran)
-		}
 		if v.Avoid && f.ending.Upstream != "" {
 			f.avoid = append(f.avoid, f.ending.Upstream)
 		}
+		if v.Action == retry.Stop || f.answered || (!f.buffered && f.attempts > 0) || !f.pool.HasOther(f.avoid) {
+			return kind.From(err).WithRan(v.Ran)
+		}
 		if err := sleep(ctx, v.Delay); err != nil {
 			return f.explain(ctx, err)
 		}
@@ -159,7 +159,7 @@
 	err = f.send(ctx, grant.Target().Addr())
 	result := pool.Result{First: f.runner.deps.Clock.Now().Sub(sent), Failed: err != nil && ctx.Err() == nil}
 	if kind.Of(err) == kind.Lost && ctx.Err() == nil {
-		result.Crashed = f.runner.reportCrash(ctx, grant.Target())
+		result.Crashed = f.runner.reportCrash(ctx, f.pool.Name(), grant.Target())
 	}
 	f.runner.deps.Suspects.Finish(f.runner.deps.Clock.Now(), run, err == nil)
 	f.pool.Release(grant, result)
--- a/internal/caller/exchange/retries.go
+++ b/internal/caller/exchange/retries.go
@@ -105,10 +105,10 @@
 	s.book.MergeSuspicion(now, q)
 }
 
-// reportCrash asks an upstream on a new connection whether it still answers; when it does not, the
+// reportCrash asks an upstream whether it still answers; when it does not, the
 // requests that ran there become suspects on all hosts. A connection that was merely cut makes none.
-func (r *Runner) reportCrash(ctx context.Context, t dispatch.Target) bool {
-	if r.deps.Alive(ctx, t.Addr()) {
+func (r *Runner) reportCrash(ctx context.Context, pool string, t dispatch.Target) bool {
+	if r.deps.Alive(ctx, pool, t.Addr()) {
 		return false
 	}
 	suspicions, quarantines := r.deps.Suspects.Crash(r.deps.Clock.Now(), t.ID())
--- a/internal/caller/openai/writer.go
+++ b/internal/caller/openai/writer.go
@@ -18,6 +18,7 @@
 	stream  bool
 	started bool
 	last    time.Time
+	line    []byte // reused for each event
 	stop    chan struct{}
 	beats   sync.WaitGroup
 }
@@ -60,11 +61,8 @@
 
 // send writes one line and the blank line that ends an event; the caller holds the lock.
 func (w *writer) send(field string, data []byte) error {
-	line := make([]byte, 0, len(field)+len(data)+2)
-	line = append(line, field...)
-	line = append(line, data...)
-	line = append(line, "\n\n"...)
-	if _, err := w.w.Write(line); err != nil {
+	w.line = append(append(append(w.line[:0], field...), data...), "\n\n"...)
+	if _, err := w.w.Write(w.line); err != nil {
 		return err
 	}
 	w.last = time.Now()
--- a/internal/upstream/dispatch/dispatch.go
+++ b/internal/upstream/dispatch/dispatch.go
@@ -222,6 +222,15 @@
 	return lo.CountBy(lo.Values(d.running), func(id string) bool { return id == upstream })
 }
 
+// HasOther reports whether an upstream outside avoid may take new work.
+func (d *Dispatcher) HasOther(avoid []string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return lo.SomeBy(lo.Values(d.targets), func(t Target) bool {
+		return !t.leaving && !slices.Contains(avoid, t.id)
+	})
+}
+
 // IsIdle reports whether no request waits or runs.
 func (d *Dispatcher) IsIdle() bool {
 	d.mu.Lock()
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -28,6 +29,9 @@
 	summaryExpiry   = 2 * time.Second
 )
 
+// aliveTimeout bounds the call that tells a crashed upstream from a cut connection.
+const aliveTimeout = 500 * time.Millisecond
+
 // Options are the dependencies of a Fleet.
 type Options struct {
 	Host   string
@@ -253,6 +257,24 @@
 	return e.Dispatcher, true
 }
 
+// Alive reports whether an upstream still answers: an engine to a call of its interface, a plain
+// service to a new connection.
+func (f *Fleet) Alive(ctx context.Context, name, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	if e, ok := f.entry(name); ok && e.poller != nil {
+		_, err := f.options.Load(ctx, addr)
+		return err == nil
+	}
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // Pools returns all dispatchers in the order of their names.
 func (f *Fleet) Pools() []*dispatch.Dispatcher {
 	list := lo.Map(f.entries(), func(e *entry, _ int) *dispatch.Dispatcher { return e.Dispatcher })
