--- a/cmd/hickorypath/status.go
+++ b/cmd/hickorypath/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -21,8 +22,8 @@
 			return err
 		}
 		revisions, err := c.History(ctx, 0, history)
-		if err != nil {
-			return err
+		if err != nil { // the hosts are shown also while the store is down
+			fmt.Fprintln(os.Stderr, "hickorypath: the history cannot be read:", err)
 		}
 		if r.json {
 			return printJSON(struct {
--- a/internal/operator/document/document_test.go
+++ b/internal/operator/document/document_test.go
@@ -230,6 +230,13 @@
 	})
 }
 
+func TestFaultsAreBounded(t *testing.T) {
+	is := is.New(t)
+	faults := faultsOf(t, frame(strings.Repeat(`{"name":""},`, 5000), "", "", ""))
+	is.Equal(len(faults), 1001)
+	is.True(strings.Contains(faults[1000].Text(), "more faults"))
+}
+
 // Text of any kind is refused or read, with faults whose places lie in it.
 func TestAnyText(t *testing.T) {
 	piece := rapid.SampledFrom([]string{"{", "}", "[", "]", `"customers"`, `"name"`, `"a`, `"`, ":", ",", "0", "//", "/*", "*/", "\n", "\\", "é"})
--- a/internal/operator/document/reader.go
+++ b/internal/operator/document/reader.go
@@ -20,10 +20,12 @@
 func (r *reader) pos(v *hujson.Value) int { return r.base + v.StartOffset }
 
 func (r *reader) fault(offset int, remedy, format string, args ...any) {
-	if len(r.faults) >= maxFaults {
-		return
+	switch {
+	case len(r.faults) < maxFaults:
+		r.faults = append(r.faults, r.at.fault(offset, fmt.Sprintf(format, args...), remedy))
+	case len(r.faults) == maxFaults:
+		r.faults = append(r.faults, r.at.fault(len(r.at.data), "there are more faults than are listed", "mend these and check again"))
 	}
-	r.faults = append(r.faults, r.at.fault(offset, fmt.Sprintf(format, args...), remedy))
 }
 
 // field says how one named field of an object is read.
--- a/internal/operator/vault/client_test.go
+++ b/internal/operator/vault/client_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +16,61 @@
 	"hickorypath/internal/platform/store"
 )
 
+// Operators on several hosts change the document and keys at the same time: each accepted change is a revision
+// of its own, no key is lost, and every change gets through once it is made again from the newest revision.
+func TestConcurrentOperators(t *testing.T) {
+	const operators, changes = 4, 10
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		memory := store.NewMemory(clock.NewWall())
+		memory.Set(store.Faults{Slow: 3 * time.Millisecond})
+		open := func() *vault.Vault {
+			client := store.New(memory.Backend(), store.Options{Clock: clock.NewWall(), Rate: 1000,
+				Budgets: map[store.Use]float64{store.UseDocument: 1000, store.UseKey: 1000}})
+			return vault.New(vault.Options{Store: vault.NewStore(client), Now: time.Now})
+		}
+		var conflicts atomic.Int64
+		var group sync.WaitGroup
+		for who := range operators {
+			v := open()
+			group.Go(func() {
+				for i := range changes {
+					conflicts.Add(int64(insist(t, v, source(who*changes+i))))
+					if _, _, err := v.Issue(ctx, "laredo"); err != nil {
+						t.Errorf("issue: %v", err)
+					}
+				}
+			})
+		}
+		group.Wait()
+		list, err := open().History(ctx, 0, 1000)
+		is.NoErr(err)
+		is.Equal(len(list), operators*changes)
+		all, err := open().Keys(ctx)
+		is.NoErr(err)
+		is.Equal(len(all), operators*changes)
+		t.Logf("%d operators, %d changes each: %d conflicts", operators, changes, conflicts.Load())
+	})
+}
+
+// insist makes a change from the newest revision until it is accepted, and returns the number of conflicts.
+func insist(t *testing.T, v *vault.Vault, text []byte) (conflicts int) {
+	for {
+		now, err := v.Current(ctx)
+		if err == nil {
+			_, err = v.Put(ctx, vault.Change{Base: now.Number(), Source: text, Operator: "maria"})
+		}
+		if err == nil {
+			return conflicts
+		}
+		if kind.Of(err) != kind.Conflict {
+			t.Errorf("put: %v", err)
+			return conflicts
+		}
+		conflicts++
+	}
+}
+
 // A document of 29,000 customers passes the default budgets of the store's client within the time of a change.
 func TestFullSizeWithinBudgets(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/operator/vault/size_test.go
+++ b/internal/operator/vault/size_test.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -69,14 +70,14 @@
 func TestMemoryAtFullSize(t *testing.T) {
 	is := is.New(t)
 	data := large(customers, -1)
+	allRecords()
 	start := heap()
 	doc, err := document.Parse(data, "large")
 	is.NoErr(err)
 	withDocument := heap()
 	table := key.NewTable()
-	for i := range keys {
-		_, rec := key.Generate()
-		table.Put(rec.IssueTo(fmt.Sprintf("customer-%05d", i%customers), epoch))
+	for _, rec := range allRecords() {
+		table.Put(rec)
 	}
 	withKeys := heap()
 	t.Logf("document of %d customers: %d KB of heap; table of %d keys: %d KB",
@@ -95,16 +96,21 @@
 	return m.HeapAlloc
 }
 
-// fillShards writes keys without the cost of one write for each.
-func fillShards(f *fake) {
+// allRecords returns records of all keys, sorted by id.
+var allRecords = sync.OnceValue(func() []key.Record {
 	records := make([]key.Record, keys)
 	for i := range records {
 		_, rec := key.Generate()
 		records[i] = rec.IssueTo(fmt.Sprintf("customer-%05d", i%customers), epoch)
 	}
 	slices.SortFunc(records, func(a, b key.Record) int { return strings.Compare(a.ID(), b.ID()) })
+	return records
+})
+
+// fillShards writes keys without the cost of one write for each.
+func fillShards(f *fake) {
 	shards := map[string][][]byte{}
-	for _, rec := range records {
+	for _, rec := range allRecords() {
 		shards[rec.ID()[:2]] = append(shards[rec.ID()[:2]], rec.Encode())
 	}
 	for name, records := range shards {
