--- a/internal/core/kind/kind_test.go
+++ b/internal/core/kind/kind_test.go
@@ -1,7 +1,10 @@
 package kind_test
 
 import (
+	"fmt"
 	"io"
+	"os"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -49,3 +52,18 @@
 	is.Equal(err.WithRan(kind.RanNo).Ran(), kind.RanNo)
 	is.Equal(err.Ran(), kind.RanMaybe)
 }
+
+func TestRefusalsPageMatchesTheTable(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../../docs/operate/refusals.md")
+	is.NoErr(err)
+	for _, k := range kind.All() {
+		a := k.Answer()
+		retry := ""
+		if a.RetryAfter() > 0 {
+			retry = a.RetryAfter().String()[:1] + " s"
+		}
+		row := fmt.Sprintf("| `%s` | %d | %s | %s |", k, a.Status(), a.Ran(), retry)
+		is.True(strings.Contains(string(page), row)) // docs/operate/refusals.md has the row of each kind
+	}
+}
