--- a/cmd/hickorypath/demo.go
+++ b/cmd/hickorypath/demo.go
@@ -21,6 +21,7 @@
 
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/core/settings"
+	"hickorypath/internal/host/node"
 	"hickorypath/internal/operator/client"
 	"hickorypath/internal/platform/roster"
 	standinengine "hickorypath/internal/standin/engine"
@@ -167,11 +168,7 @@
 	if err != nil {
 		return err
 	}
-	peer, err := freeUDP()
-	if err != nil {
-		return err
-	}
-	s, err := d.settings(n, caller, admin, peer, platform)
+	s, err := d.settings(n, caller, admin, platform)
 	if err != nil {
 		return err
 	}
@@ -179,13 +176,14 @@
 	if err != nil {
 		return err
 	}
-	d.site.Roster().Put(roster.New(s.Host(), s.Zone(), peer, roster.Live))
+	addr := get[*node.Node](h.injector).Addr()
+	d.site.Roster().Put(roster.New(s.Host(), s.Zone(), addr, roster.Live))
 	d.hosts = append(d.hosts, h)
 	return nil
 }
 
 // settings returns the settings of the n-th host, through the same checks as a file.
-func (d *demo) settings(n int, caller, admin, peer, platform string) (*settings.Settings, error) {
+func (d *demo) settings(n int, caller, admin, platform string) (*settings.Settings, error) {
 	services := lo.Map(d.site.Upstreams(), func(u site.Upstream, _ int) settings.Service {
 		return settings.Service{Pool: u.Pool, Zone: u.Zone, Addr: u.Addr}
 	})
@@ -196,7 +194,7 @@
 		"caller":      settings.Listener{Listen: caller},
 		"admin":       settings.Listener{Listen: admin},
 		"tokens":      []string{demoToken},
-		"peer":        settings.Peer{Listen: peer, Secret: demoSecret},
+		"peer":        settings.Peer{Listen: anyPort, Secret: demoSecret},
 		"platform": settings.Platform{
 			Store: platform + "/store", Provision: platform + "/provision",
 			Usage: platform + "/usage", Roster: platform + "/roster",
@@ -317,13 +315,3 @@
 	}
 	return netip.AddrPortFrom(a.Addr(), a.Port()+uint16(n)).String(), nil
 }
-
-// freeUDP returns a loopback address whose UDP port is free now.
-func freeUDP() (string, error) {
-	conn, err := net.ListenPacket("udp", anyPort)
-	if err != nil {
-		return "", err
-	}
-	defer conn.Close()
-	return conn.LocalAddr().String(), nil
-}
--- a/cmd/hickorypath/path_test.go
+++ b/cmd/hickorypath/path_test.go
@@ -42,6 +42,7 @@
 // newWorldOf runs three hosts before count engines of each pool.
 func newWorldOf(t *testing.T, count int) *world {
 	t.Helper()
+	t.Parallel()
 	is := is.New(t)
 	d, err := newDemo(&demoFlags{listen: anyPort, admin: anyPort, hosts: 3, zones: 3, engine: testEngine, count: count}, zap.NewNop(), io.Discard)
 	is.NoErr(err)
