Keep work from an upstream whose requests fail at once

A member that refuses each request looks idle and drew 3000 of 3000 requests in a minute of the model.

--- a/internal/policy/route/cost.go
+++ b/internal/policy/route/cost.go
@@ -11,6 +11,9 @@
 	farCost     = 0.02 // seconds that an upstream in another zone must be better by
 	reportTrust = 5 * time.Second
 	doubtFactor = 0.9 // worth of a cache entry after lost events
+	failureTime = 10 * time.Second
+	failureStep = 0.5 // seconds of cost for each failure in a row
+	maxFailures = 8
 	queueFactor = 1.0 // growth of the cost for each batch of requests beyond the slots
 )
 
@@ -33,7 +36,17 @@
 	if !m.near {
 		cost += farCost
 	}
-	return cost
+	return cost + m.failureCost(now)
+}
+
+// failureCost keeps work from an upstream whose requests fail at once, which would else look idle and
+// draw all of it. It is a preference only: when a caller's faulty requests fail everywhere, all
+// upstreams cost alike.
+func (m *member) failureCost(now time.Time) float64 {
+	if m.failures == 0 || now.Sub(m.failed) > failureTime {
+		return 0
+	}
+	return failureStep * float64(min(m.failures, maxFailures))
 }
 
 // hitShare returns the share of the prompt that m is expected to have cached.
--- a/internal/policy/route/share_test.go
+++ b/internal/policy/route/share_test.go
@@ -198,3 +198,35 @@
 		})
 	}
 }
+
+// TestFailingUpstreamDrawsNoWork sends requests to a pool of which one member fails each at once.
+func TestFailingUpstreamDrawsNoWork(t *testing.T) {
+	is := is.New(t)
+	table := route.New(route.Config{Host: "h0", Zone: "z0", Seed: 1})
+	table.Set(start, pool(9, 3, 16))
+	now, failed := start, 0
+	var running []uint64
+	ids := map[uint64]string{}
+	for i := range uint64(3000) { // a minute
+		now = now.Add(20 * time.Millisecond)
+		id, ok := table.Pick(now, route.Work{Tokens: 300})
+		is.True(ok)
+		table.Start(now, id, i, route.Work{Tokens: 300})
+		if id == "u0000" {
+			failed++
+			table.Finish(now, id, i, route.Result{Failed: true})
+			continue
+		}
+		ids[i] = id
+		running = append(running, i)
+		if n := len(running); n > 5 {
+			table.First(now, ids[running[n-6]], 100*time.Millisecond)
+		}
+		if len(running) > 70 {
+			table.Finish(now, ids[running[0]], running[0], route.Result{})
+			running = running[1:]
+		}
+	}
+	t.Logf("%d of 3000 requests went to the failing member", failed)
+	is.True(failed <= 60)
+}
--- a/internal/policy/route/table.go
+++ b/internal/policy/route/table.go
@@ -253,7 +253,10 @@
 	switch {
 	case r.Crashed:
 		t.health.Crash(now, m.health)
-	case !r.Failed:
+	case r.Failed:
+		m.failures, m.failed = m.failures+1, now
+	default:
+		m.failures = 0
 		t.health.Succeed(m.health)
 	}
 	t.checkHealth(now, m)
--- a/internal/policy/route/upstream.go
+++ b/internal/policy/route/upstream.go
@@ -93,6 +93,9 @@
 	ownAt    int // own requests when the report was taken
 	samples  samples
 
+	failures int // in a row, crashes not counted
+	failed   time.Time
+
 	doubt time.Time // until when cache entries count less, after lost events
 }
 
--- a/internal/standin/engine/chat.go
+++ b/internal/standin/engine/chat.go
@@ -21,6 +21,9 @@
 	headerRan      = "X-Ran"
 )
 
+// maxSeen bounds the requests that are remembered.
+const maxSeen = 20_000
+
 // maxBody bounds the body of a request.
 const maxBody = 16 << 20
 
@@ -123,6 +126,9 @@
 	req.priority, _ = strconv.Atoi(r.Header.Get(headerPriority))
 	req.offset, _ = strconv.Atoi(r.Header.Get(headerOffset))
 	e.seen = append(e.seen, req)
+	if len(e.seen) > maxSeen {
+		e.seen = append([]*Request(nil), e.seen[maxSeen/2:]...)
+	}
 	return req, before
 }
 
--- a/internal/upstream/engine/fault_test.go
+++ b/internal/upstream/engine/fault_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"time"
@@ -193,3 +194,34 @@
 		})
 	}
 }
+
+// TestCallerEnds checks what is known of an attempt whose caller ended it, and that the engine stops.
+func TestCallerEnds(t *testing.T) {
+	cases := []struct {
+		name  string
+		after time.Duration
+		limit time.Duration
+		kind  kind.Kind
+	}{
+		{"canceled before the answer", 5 * time.Millisecond, time.Hour, kind.Canceled},
+		{"canceled mid-stream", 70 * time.Millisecond, time.Hour, kind.Canceled},
+		{"deadline mid-stream", time.Hour, 70 * time.Millisecond, kind.Timeout},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			within(t, func(b *bench) {
+				ctx, cancel := context.WithTimeout(b.ctx, c.limit)
+				defer cancel()
+				timer := time.AfterFunc(c.after, cancel)
+				defer timer.Stop()
+				b.ctx = ctx
+				_, err := b.chat(engine.Call{Attempt: "t1", Body: []byte(prompt), Stream: true})
+				b.Equal(kind.Of(err), c.kind)
+				b.Equal(kind.From(err).Ran(), kind.RanMaybe)
+				time.Sleep(time.Second)
+				b.Equal(b.engine.Load().Running, 0)
+				b.True(!b.engine.Seen()[0].Done())
+			})
+		})
+	}
+}
