--- a/internal/policy/length/length.go
+++ b/internal/policy/length/length.go
@@ -32,8 +32,10 @@
 
 type flowKey struct{ customer, class string }
 
-type flow struct {
-	key flowKey
+// Flow is what is known of one customer and class. It stays usable after the Model forgot it.
+type Flow struct {
+	key   flowKey
+	class *estimate
 	estimate
 }
 
@@ -58,25 +60,42 @@
 	}
 }
 
+// Flow returns the flow of a customer and class.
+func (m *Model) Flow(customer, class string) *Flow {
+	key := flowKey{customer, class}
+	if el, ok := m.flows[key]; ok {
+		m.recent.MoveToFront(el)
+		return el.Value.(*Flow)
+	}
+	if m.recent.Len() >= m.capacity {
+		oldest := m.recent.Back()
+		delete(m.flows, oldest.Value.(*Flow).key)
+		m.recent.Remove(oldest)
+	}
+	f := &Flow{key: key, class: m.class(class)}
+	m.flows[key] = m.recent.PushFront(f)
+	return f
+}
+
 // Observe records the true length of a finished output.
-func (m *Model) Observe(customer, class string, tokens int) {
+func (f *Flow) Observe(tokens int) {
 	x := math.Log(math.Max(1, float64(tokens)))
-	m.class(class).add(x)
-	m.flow(customer, class).add(x)
+	f.class.add(x)
+	f.add(x)
 }
 
 // Mean returns the expected output length of a new request, at most limit when limit is positive.
-func (m *Model) Mean(customer, class string, limit int) float64 {
-	mu, variance := m.blend(customer, class)
+func (f *Flow) Mean(limit int) float64 {
+	mu, variance := f.blend()
 	return capped(math.Exp(mu+variance/2), limit)
 }
 
 // Remaining returns the expected number of further tokens of an output that has seen tokens so far.
-func (m *Model) Remaining(customer, class string, seen, limit int) float64 {
+func (f *Flow) Remaining(seen, limit int) float64 {
 	if seen <= 0 {
-		return m.Mean(customer, class, limit)
+		return f.Mean(limit)
 	}
-	mu, variance := m.blend(customer, class)
+	mu, variance := f.blend()
 	total := meanAbove(mu, math.Sqrt(variance), float64(seen))
 	return math.Max(1, capped(total, limit)-float64(seen))
 }
@@ -93,33 +112,11 @@
 	return e
 }
 
-func (m *Model) flow(customer, class string) *flow {
-	key := flowKey{customer, class}
-	if el, ok := m.flows[key]; ok {
-		m.recent.MoveToFront(el)
-		return el.Value.(*flow)
-	}
-	if m.recent.Len() >= m.capacity {
-		oldest := m.recent.Back()
-		delete(m.flows, oldest.Value.(*flow).key)
-		m.recent.Remove(oldest)
-	}
-	f := &flow{key: key}
-	m.flows[key] = m.recent.PushFront(f)
-	return f
-}
-
 // blend mixes the estimates of the customer and of its class by the customer's number of samples.
-func (m *Model) blend(customer, class string) (mean, variance float64) {
-	prior := m.class(class)
-	el, ok := m.flows[flowKey{customer, class}]
-	if !ok {
-		return prior.mean, math.Max(minVariance, prior.variance)
-	}
-	f := el.Value.(*flow)
+func (f *Flow) blend() (mean, variance float64) {
 	w := f.count / (f.count + priorSamples)
-	mean = w*f.mean + (1-w)*prior.mean
-	variance = w*f.variance + (1-w)*prior.variance
+	mean = w*f.mean + (1-w)*f.class.mean
+	variance = w*f.variance + (1-w)*f.class.variance
 	return mean, math.Max(minVariance, variance)
 }
 
--- a/internal/policy/length/length_test.go
+++ b/internal/policy/length/length_test.go
@@ -20,13 +20,13 @@
 	r := rand.New(rand.NewPCG(1, 1))
 	m := length.New(0)
 	for range 500 {
-		m.Observe("short", "live", draw(r, 50, 0.5))
-		m.Observe("long", "live", draw(r, 800, 0.5))
+		m.Flow("short", "live").Observe(draw(r, 50, 0.5))
+		m.Flow("long", "live").Observe(draw(r, 800, 0.5))
 	}
-	is.True(math.Abs(m.Mean("short", "live", 0)/50-1) < 0.2)
-	is.True(math.Abs(m.Mean("long", "live", 0)/800-1) < 0.2)
-	is.True(m.Mean("new", "live", 0) > 50 && m.Mean("new", "live", 0) < 800)
-	is.Equal(m.Mean("long", "live", 100), 100.0)
+	is.True(math.Abs(m.Flow("short", "live").Mean(0)/50-1) < 0.2)
+	is.True(math.Abs(m.Flow("long", "live").Mean(0)/800-1) < 0.2)
+	is.True(m.Flow("new", "live").Mean(0) > 50 && m.Flow("new", "live").Mean(0) < 800)
+	is.Equal(m.Flow("long", "live").Mean(100), 100.0)
 }
 
 func TestRemainingGrowsWithTheTail(t *testing.T) {
@@ -36,7 +36,7 @@
 	sample := make([]int, 4000)
 	for i := range sample {
 		sample[i] = draw(r, 200, 0.8)
-		m.Observe("c", "live", sample[i])
+		m.Flow("c", "live").Observe(sample[i])
 	}
 	for _, seen := range []int{100, 300, 600} {
 		sum, n := 0, 0
@@ -45,18 +45,18 @@
 				sum, n = sum+x-seen, n+1
 			}
 		}
-		want, got := float64(sum)/float64(n), m.Remaining("c", "live", seen, 0)
+		want, got := float64(sum)/float64(n), m.Flow("c", "live").Remaining(seen, 0)
 		t.Logf("after %d tokens %.0f more expected, %.0f true", seen, got, want)
 		is.True(math.Abs(got/want-1) < 0.3)
 	}
-	is.Equal(m.Remaining("c", "live", 300, 310), 10.0)
+	is.Equal(m.Flow("c", "live").Remaining(300, 310), 10.0)
 }
 
 func TestBounded(t *testing.T) {
 	is := is.New(t)
 	m := length.New(100)
 	for i := range 1000 {
-		m.Observe(fmt.Sprint(i), "live", 10)
+		m.Flow(fmt.Sprint(i), "live").Observe(10)
 	}
 	is.Equal(m.Len(), 100)
 }
--- a/internal/policy/pool/arrive.go
+++ b/internal/policy/pool/arrive.go
@@ -39,7 +39,8 @@
 
 func (p *Pool) newCall(now time.Time, r Request, k *class) *call {
 	c := &call{Request: r, class: k, arrived: now, index: -1}
-	c.charged = p.expected(r)
+	c.flow = p.length.Flow(r.Customer, r.Class)
+	c.charged = p.expected(c)
 	c.item.ID = r.ID
 	c.item.Customer = r.Customer
 	c.item.Class = r.Class
@@ -52,11 +53,11 @@
 	return c
 }
 
-func (p *Pool) expected(r Request) float64 {
+func (p *Pool) expected(c *call) float64 {
 	if p.expect != nil {
-		return p.expect(r)
+		return p.expect(c.Request)
 	}
-	return p.length.Mean(r.Customer, r.Class, r.Max)
+	return c.flow.Mean(c.Max)
 }
 
 // admit refuses a request that could not start in time and reports whether it may wait.
--- a/internal/policy/pool/dispatch.go
+++ b/internal/policy/pool/dispatch.go
@@ -134,8 +134,8 @@
 	}
 	c.emitted += n
 	if float64(c.emitted) > c.charged {
-		total := float64(c.emitted) + p.length.Remaining(c.Customer, c.Class, c.emitted, c.Max)
-		p.queue.Charge(c.Class, c.Customer, total-c.charged)
+		total := float64(c.emitted) + c.flow.Remaining(c.emitted, c.Max)
+		p.queue.Charge(&c.item, total-c.charged)
 		c.charged = total
 	}
 }
@@ -159,7 +159,7 @@
 	}
 	p.account(now, c, r.Output)
 	if !r.Failed && !r.Crashed {
-		p.length.Observe(c.Customer, c.Class, r.Output)
+		c.flow.Observe(r.Output)
 	}
 	p.stop(now, c, route.Result{Crashed: r.Crashed, Failed: r.Failed})
 	p.dispatch(now)
@@ -168,7 +168,7 @@
 
 // account replaces the estimated charge of a call by its true one.
 func (p *Pool) account(now time.Time, c *call, output int) {
-	p.queue.Charge(c.Class, c.Customer, float64(output)-c.charged)
+	p.queue.Charge(&c.item, float64(output)-c.charged)
 	p.gate.Done(float64(output)+promptCost*float64(c.Prompt), now.Sub(c.started))
 }
 
@@ -182,7 +182,7 @@
 		p.drop(c)
 		return nil
 	}
-	p.queue.Charge(c.Class, c.Customer, float64(c.emitted)-c.charged)
+	p.queue.Charge(&c.item, float64(c.emitted)-c.charged)
 	p.stop(now, c, route.Result{})
 	p.dispatch(now)
 	return p.flush()
--- a/internal/policy/pool/request.go
+++ b/internal/policy/pool/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/length"
 	"hickorypath/internal/policy/queue"
 	"hickorypath/internal/policy/route"
 )
@@ -58,6 +59,7 @@
 	Request
 	item     queue.Item
 	class    *class
+	flow     *length.Flow
 	arrived  time.Time
 	expires  time.Time
 	started  time.Time
--- a/internal/policy/queue/class.go
+++ b/internal/policy/queue/class.go
@@ -47,7 +47,7 @@
 
 func (c *class) push(it *Item) {
 	f := c.flow(it)
-	it.flow = f
+	it.flow, it.owner = f, f
 	f.append(it)
 	c.work += it.Cost
 	c.length++
@@ -115,19 +115,18 @@
 func (c *class) forget() {
 	for len(c.idle) > 0 && c.idle[0].tag <= c.clock {
 		f := heap.Pop(&c.idle).(*flow)
+		f.idle = false
 		delete(c.flows, f.customer)
 	}
 }
 
-func (c *class) charge(customer string, delta float64) {
-	f, ok := c.flows[customer]
-	if !ok {
-		f = &flow{customer: customer, class: c, weight: 1, tag: c.clock, idle: true}
-		if delta <= 0 {
-			return
-		}
-		c.flows[customer] = f
-		heap.Push(&c.idle, f)
+func (c *class) charge(it *Item, delta float64) {
+	f := it.owner
+	if f.isGone() {
+		f = c.revive(it, delta)
+	}
+	if f == nil {
+		return
 	}
 	f.tag = math.Max(f.tag+delta/f.weight, c.clock)
 	if f.idle {
@@ -137,6 +136,20 @@
 	heap.Fix(&c.heap, f.index)
 }
 
+// revive returns the flow that now stands for a forgotten customer; a new one only for a debt.
+func (c *class) revive(it *Item, delta float64) *flow {
+	f, ok := c.flows[it.Customer]
+	if !ok && delta > 0 {
+		f = &flow{customer: it.Customer, class: c, weight: positive(it.Weight), tag: c.clock, idle: true}
+		c.flows[it.Customer] = f
+		heap.Push(&c.idle, f)
+	}
+	return f
+}
+
+// isGone reports whether the class has forgotten the flow.
+func (f *flow) isGone() bool { return !f.idle && f.first == nil }
+
 // ahead estimates the service that the class gives before a new request of customer.
 func (c *class) ahead(customer string) float64 {
 	if c.length == 0 {
--- a/internal/policy/queue/queue.go
+++ b/internal/policy/queue/queue.go
@@ -24,7 +24,8 @@
 	Weight   float64 // weight of the customer, 1 when zero
 	Cost     float64 // estimated cost
 
-	flow       *flow
+	flow       *flow // while it waits
+	owner      *flow
 	prev, next *Item
 }
 
@@ -180,15 +181,15 @@
 	}
 }
 
-// Charge corrects the charge of a customer and class by delta cost units, which may be negative.
-func (q *Queue) Charge(className, customer string, delta float64) {
-	c, ok := q.classes[className]
-	if !ok {
+// Charge corrects the charge of a request that was taken by delta cost units, which may be negative.
+func (q *Queue) Charge(it *Item, delta float64) {
+	if it.owner == nil {
 		return
 	}
+	c := it.owner.class
 	c.tag += delta / c.conf.Weight
 	c.credit -= delta
-	c.charge(customer, delta)
+	c.charge(it, delta)
 }
 
 // Want records that a request of a class arrived, so that the floor of the class accrues credit
--- a/internal/policy/queue/queue_test.go
+++ b/internal/policy/queue/queue_test.go
@@ -50,7 +50,7 @@
 		cost := it.Cost
 		if correct {
 			cost = 50 + 300*r.Float64()*r.Float64()
-			q.Charge(it.Class, it.Customer, cost-it.Cost)
+			q.Charge(it, cost-it.Cost)
 		}
 		customers[it.Customer] += cost
 		names[it.Class] += cost
@@ -115,7 +115,7 @@
 			case 2:
 				if it := q.Next(nil); it != nil {
 					delete(waiting, it.ID)
-					q.Charge(it.Class, it.Customer, float64(rapid.IntRange(-20, 90).Draw(t, "delta")))
+					q.Charge(it, float64(rapid.IntRange(-20, 90).Draw(t, "delta")))
 				}
 			case 3:
 				if it := q.Last(q.Lowest()); it != nil {
