--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -85,9 +86,11 @@
 
 // Run exchanges messages with the other hosts until ctx ends, and then closes the listener.
 func (n *Node) Run(ctx context.Context) error {
-	go n.peer.Run(ctx)
-	go n.follow(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	defer n.peer.Close()
+	wg.Go(func() { n.peer.Run(ctx) })
+	wg.Go(func() { n.follow(ctx) })
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
--- a/internal/host/peer/link.go
+++ b/internal/host/peer/link.go
@@ -40,12 +40,14 @@
 	return l
 }
 
+// setAddr follows a host to a new address; a connection to the old one is of no more use.
 func (l *link) setAddr(addr string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if addr != "" {
-		l.addr = addr
+	if addr == "" || addr == l.addr {
+		return
 	}
+	l.addr, l.conn = addr, nil
 }
 
 // adopt uses the connection that the other host was last heard on: the path of any other may be dead.
