--- a/internal/host/member/overlay.go
+++ b/internal/host/member/overlay.go
@@ -10,6 +10,9 @@
 )
 
 const (
+	// MeshFleet is the number of hosts up to which all exchange heartbeats with all: each is a relay.
+	MeshFleet = 16
+
 	attached  = 2 // relays that a host exchanges heartbeats with
 	zonePairs = 2 // pairs of relays that link two zones
 )
@@ -38,7 +41,14 @@
 }
 
 // relayCount returns how many relays a zone of n hosts has.
-func relayCount(n int) int { return min(n, 1+(n+7)/8) }
+func (t *Table) relayCount(n int) int {
+	if t.isMesh() {
+		return n
+	}
+	return min(n, 1+(n+7)/8)
+}
+
+func (t *Table) isMesh() bool { return t.Len() <= MeshFleet }
 
 // rank orders ids by their rendezvous weight under a name.
 func rank(name string, ids []string) []string {
@@ -72,7 +82,7 @@
 		if len(ids) == 0 {
 			ids = rest[zone]
 		}
-		t.view.relays[zone] = rank(zone, ids)[:relayCount(len(ids))]
+		t.view.relays[zone] = rank(zone, ids)[:t.relayCount(len(ids))]
 	}
 	t.view.zones = slices.Sorted(maps.Keys(t.view.relays))
 	t.view.relay = slices.Contains(t.view.relays[t.config.Zone], t.config.ID)
@@ -172,6 +182,9 @@
 	if len(own) == 0 || len(other) == 0 {
 		return nil
 	}
+	if t.isMesh() {
+		return product(own, other)
+	}
 	a, _ := slices.BinarySearch(t.view.zones, t.config.Zone)
 	b, _ := slices.BinarySearch(t.view.zones, zone)
 	all := make([][2]string, 0, zonePairs)
@@ -180,3 +193,13 @@
 	}
 	return all
 }
+
+func product(a, b []string) [][2]string {
+	all := make([][2]string, 0, len(a)*len(b))
+	for _, x := range a {
+		for _, y := range b {
+			all = append(all, [2]string{x, y})
+		}
+	}
+	return all
+}
--- a/internal/host/member/table.go
+++ b/internal/host/member/table.go
@@ -134,7 +134,7 @@
 // slowdown bounds the bytes that heartbeats of a large fleet take.
 func slowdown(hosts int) int {
 	switch {
-	case hosts <= 16:
+	case hosts <= MeshFleet:
 		return 1
 	case hosts <= 64:
 		return 2
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -24,8 +24,8 @@
 	listTimeout = 2 * time.Second
 	leaveWait   = 500 * time.Millisecond
 	shareFast   = 200 * time.Millisecond
-	softLife    = 5  // exchanges that a combined soft record outlives
-	fastFleet   = 16 // hosts up to which soft records are shared at the fast rate
+	softLife    = 5                // exchanges that a combined soft record outlives
+	fastFleet   = member.MeshFleet // hosts up to which soft records are shared at the fast rate
 	shareMedium = 1 * time.Second
 	mediumFleet = 64
 	shareSlow   = 9 * time.Second
--- a/internal/host/spread/soft.go
+++ b/internal/host/spread/soft.go
@@ -74,8 +74,8 @@
 
 func (t *Table) isCombining() bool { return t.large && t.config.Merge != nil }
 
-// Share exchanges soft records. Hosts of a small fleet pass on each other's records; those of a large one
-// combine them by zone. Life is how long combined records are valid.
+// Share exchanges soft records. Hosts of a small fleet are all linked and send their own records; those of
+// a large one combine them by zone, or pass them on if they cannot be combined. Life is how long combined records are valid.
 func (t *Table) Share(now time.Time, large bool, life time.Duration) {
 	t.large = large
 	if !t.isCombining() {
@@ -94,7 +94,8 @@
 	}
 }
 
-// flood sends each linked host the records that changed since the last call, but for those it sent.
+// flood sends each linked host the records that changed since the last call, but for those it sent, and
+// in a small fleet only the own ones.
 func (t *Table) flood(now time.Time) {
 	fresh := slices.Sorted(maps.Keys(t.soft.fresh))
 	for _, l := range t.order {
@@ -102,7 +103,8 @@
 		for _, h := range fresh {
 			s := t.soft.fresh[h]
 			e := t.find(s.topic, h)
-			if s.from != l.ID() && e != nil && !e.isExpired(now) {
+			passed := s.from != "" && (!t.large || s.from == l.ID())
+			if !passed && e != nil && !e.isExpired(now) {
 				wires = append(wires, t.wireOf(s.topic, e))
 			}
 		}
