--- a/internal/operator/report/page.go
+++ b/internal/operator/report/page.go
@@ -24,6 +24,7 @@
 Burn is the share of misses divided by the share allowed: at 1 the allowance lasts exactly; the axis is logarithmic.</p>
 {{with .Worst}}<p>Worst-served customer of the last hour: <strong>{{.Customer}}</strong> in class {{.Class}},
 {{percent (index .Windows 1).Attained}} of {{(index .Windows 1).Calls}} calls met.</p>{{end}}
+{{if not .Classes}}<p>No calls ended in the last three days.</p>{{end}}
 <div class="plots">
 {{range .Plots}}{{$p := .}}<div><h2>{{.Title}}</h2>
 <svg width="{{.Width}}" height="{{.Height}}" role="img" aria-label="{{.Title}}">
--- a/internal/operator/report/report.go
+++ b/internal/operator/report/report.go
@@ -18,6 +18,8 @@
 	labelWidth = 150
 	plotWidth  = 420
 	valueWidth = 70
+
+	plotCustomers = 20
 )
 
 // Marks of the burn axis. It is logarithmic, so that 1 and 20 can both be read.
@@ -69,24 +71,19 @@
 
 func newView(r burn.Report) view {
 	v := view{Report: r}
-	for i, w := range burn.Windows() {
-		name := windowName(r, i, w.String())
-		v.Windows = append(v.Windows, name)
-		v.Plots = append(v.Plots, newPlot("Burn by class, "+name, r.Classes, i))
+	if len(r.Classes) == 0 {
+		return v
+	}
+	for i, w := range r.Classes[0].Windows {
+		v.Windows = append(v.Windows, w.Window)
+		v.Plots = append(v.Plots, newPlot("Burn by class, "+w.Window, r.Classes, i))
 	}
 	if len(r.Customers) > 0 {
-		v.Plots = append(v.Plots, newPlot("Burn by customer, 1h, the worst served first", r.Customers[:min(len(r.Customers), 20)], 1))
+		v.Plots = append(v.Plots, newPlot("Burn by customer, 1h, the worst served first", r.Customers[:min(len(r.Customers), plotCustomers)], 1))
 	}
 	return v
 }
 
-func windowName(r burn.Report, i int, otherwise string) string {
-	if len(r.Classes) > 0 {
-		return r.Classes[0].Windows[i].Window
-	}
-	return otherwise
-}
-
 func newPlot(title string, rows []burn.Row, window int) plot {
 	p := plot{Title: title, Width: labelWidth + plotWidth + valueWidth, Height: len(rows)*(barHeight+barGap) + 24}
 	for i, row := range rows {
