--- a/internal/policy/model/load_test.go
+++ b/internal/policy/model/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"hickorypath/internal/policy/pool"
@@ -11,6 +12,7 @@
 // stream is an open-loop source of requests of one customer and class.
 type stream struct {
 	class, customer string
+	customers       int     // requests come from one of so many, when positive
 	rate            float64 // requests a second
 	factor          func(time.Duration) float64
 	peak            float64 // largest factor, 1 when zero
@@ -55,5 +57,8 @@
 		j.Prompt += len(j.Prefix) * blockTokens
 	}
 	j.patience, j.whole = s.patience, s.whole
+	if s.customers > 0 {
+		j.Customer = "c" + strconv.Itoa(r.IntN(s.customers))
+	}
 	return j
 }
--- /dev/null
+++ b/internal/policy/model/size_test.go
@@ -0,0 +1,38 @@
+package model
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkSize runs twice the capacity of one of eight models at the size of two years from now: 163
+// engines, 44 hosts of one region, 29,000 customers, 15 s of virtual time.
+func BenchmarkSize(b *testing.B) {
+	classes := sevenTiers()
+	const engines, hosts, customers = 163, 44, 29_000
+	for range b.N {
+		w := newWorld(1, classes, nil)
+		for i := range engines {
+			e := newEngine(fmt.Sprintf("e%03d", i), fmt.Sprintf("z%d", i%4+1), 32)
+			e.world = w
+			w.engines = append(w.engines, e)
+		}
+		w.addHosts(hosts, withPool(classes, nil))
+		streams := make([]stream, 0, len(classes))
+		for _, c := range classes {
+			streams = append(streams, stream{
+				class: c.Name, rate: 2 * capacity(engines) / float64(len(classes)), mean: 200, sigma: 0.8, prompt: 300,
+				patience: 10 * time.Second, customers: customers,
+			})
+		}
+		w.stats.from, w.stats.to = 5*time.Second, 15*time.Second
+		w.play(15*time.Second, streams...)
+		w.run(15 * time.Second)
+		for _, c := range classes {
+			b.ReportMetric(100*w.stats.classes[c.Name].attainment(), c.Name+"-%")
+		}
+		b.ReportMetric(float64(w.stats.behind), "waited-behind")
+		b.ReportMetric(float64(w.stats.overtaken), "overtook")
+	}
+}
--- a/internal/policy/model/world_test.go
+++ b/internal/policy/model/world_test.go
@@ -4,7 +4,9 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"hickorypath/internal/policy/limit"
@@ -147,7 +149,7 @@
 
 func (w *world) addHosts(n int, decide func(id string, seed uint64) decider) {
 	for i := range n {
-		id := string(rune('a' + i))
+		id := fmt.Sprintf("h%02d", i)
 		w.hosts = append(w.hosts, &host{id: id, decider: decide(id, uint64(i+1))})
 	}
 }
@@ -271,12 +273,8 @@
 }
 
 func (w *world) engine(id string) *engine {
-	for _, e := range w.engines {
-		if e.id == id {
-			return e
-		}
-	}
-	panic("no engine " + id)
+	i := slices.IndexFunc(w.engines, func(e *engine) bool { return e.id == id })
+	return w.engines[i]
 }
 
 // done ends a run on an engine.
