--- a/internal/policy/model/world_test.go
+++ b/internal/policy/model/world_test.go
@@ -59,7 +59,9 @@
 }
 
 type host struct {
-	id string
+	id   string
+	dead bool
+	cut  int // hosts of another part of the network do not hear it
 	decider
 }
 
@@ -187,10 +189,13 @@
 }
 
 func (w *world) share(from *host) {
+	if from.dead {
+		return
+	}
 	s := from.summary(w.time())
 	w.after(latency, func() {
 		for _, h := range w.hosts {
-			if h != from {
+			if h != from && h.cut == from.cut {
 				h.peer(w.time(), from.id, s)
 			}
 		}
@@ -209,10 +214,27 @@
 	})
 }
 
+// kill ends a host: its callers and upstreams lose their connections.
+func (w *world) kill(h *host) {
+	h.dead = true
+	for _, j := range w.jobs {
+		if w.hosts[j.host] != h || j.finished {
+			continue
+		}
+		j.finished = true
+		w.stats.left(j)
+		if j.engine != nil {
+			j.engine.remove(j)
+		}
+	}
+}
+
 // arrive brings a request to a host.
 func (w *world) arrive(j *job) {
 	j.arrived = w.now
-	j.host = w.rand.IntN(len(w.hosts))
+	for j.host = w.rand.IntN(len(w.hosts)); w.hosts[j.host].dead; {
+		j.host = w.rand.IntN(len(w.hosts))
+	}
 	if w.skew != nil {
 		j.host = w.skew(j)
 	}
@@ -256,6 +278,9 @@
 }
 
 func (w *world) apply(h *host, decisions []pool.Decision) {
+	if h.dead {
+		return
+	}
 	for _, d := range decisions {
 		j := w.jobs[d.ID]
 		switch d.Action {
--- /dev/null
+++ b/internal/policy/pool/outside.go
@@ -0,0 +1,49 @@
+package pool
+
+import (
+	"time"
+
+	"hickorypath/internal/policy/route"
+)
+
+const (
+	// outsidePart is the part of all slots above which work from outside counts. Less is within the
+	// error of reports that are a second old.
+	outsidePart = 0.1
+	// outsideTime is how long a report tells about work from outside.
+	outsideTime = 15 * time.Second
+)
+
+// outside is what an upstream ran, by its last report, beyond the requests of the known hosts: work
+// of hosts that this one cannot hear, or of others. It is negative while the report is behind.
+type outside struct {
+	requests int
+	at       time.Time
+}
+
+// Report takes an upstream's own report of its load.
+func (p *Pool) Report(now time.Time, upstream string, l route.Load) {
+	p.table.Report(now, upstream, l)
+	known := p.counts[upstream]
+	for _, peer := range p.peers {
+		known += peer.Counts[upstream]
+	}
+	p.outside[upstream] = outside{requests: l.Running + l.Waiting - known, at: now}
+}
+
+// usable returns the slots that the known hosts may divide: all but those that work from outside
+// holds.
+func (p *Pool) usable(now time.Time) int {
+	sum := 0
+	for id, o := range p.outside {
+		if now.Sub(o.at) > outsideTime {
+			delete(p.outside, id)
+			continue
+		}
+		sum += o.requests
+	}
+	if float64(sum) < outsidePart*float64(p.slots) {
+		return p.slots
+	}
+	return max(0, p.slots-sum)
+}
--- a/internal/policy/pool/peer.go
+++ b/internal/policy/pool/peer.go
@@ -128,17 +128,18 @@
 		}
 		loads = append(loads, peer.load(host))
 	}
-	p.share(now, loads, admit.Split(p.slots, loads))
+	slots := p.usable(now)
+	p.share(now, loads, slots, admit.Split(slots, loads))
 	p.reserve(now)
 }
 
 // share takes this host's part of the slots and tells the routing table how the hosts divide them.
-func (p *Pool) share(now time.Time, loads []admit.Load, parts []int) {
+func (p *Pool) share(now time.Time, loads []admit.Load, slots int, parts []int) {
 	running := make([]int, len(loads))
 	for i, l := range loads {
 		running[i] = p.runningOf(l.Host)
 	}
-	limits := admit.Grow(p.slots, parts, running)
+	limits := admit.Grow(slots, parts, running)
 	hosts := make([]route.Host, len(loads))
 	for i, l := range loads {
 		hosts[i] = route.Host{ID: l.Host, Zone: p.zoneOf(l.Host), Demand: float64(parts[i])}
--- a/internal/policy/pool/pool.go
+++ b/internal/policy/pool/pool.go
@@ -86,9 +86,10 @@
 	aside   []*call // requests with placement constraints that no upstream meets now
 	running []int   // by tier
 	total   int
-	counts  map[string]int  // running by upstream
-	cheap   map[string]bool // reclaimable upstreams
-	holds   map[string]int  // running by customer
+	counts  map[string]int     // running by upstream
+	cheap   map[string]bool    // reclaimable upstreams
+	outside map[string]outside // by upstream
+	holds   map[string]int     // running by customer
 
 	slots   int       // of all upstreams
 	limit   int       // of slots, the part for this host
@@ -114,18 +115,19 @@
 // New returns a Pool without upstreams.
 func New(conf Config) *Pool {
 	p := &Pool{
-		host:   conf.Host,
-		zone:   conf.Zone,
-		gate:   admit.New(0),
-		cheap:  make(map[string]bool),
-		length: length.New(0),
-		table:  route.New(route.Config{Host: conf.Host, Zone: conf.Zone, Seed: conf.Seed}),
-		rand:   rand.New(rand.NewPCG(conf.Seed, conf.Seed)),
-		expect: conf.Expect,
-		calls:  make(map[uint64]*call),
-		counts: make(map[string]int),
-		holds:  make(map[string]int),
-		peers:  make(map[string]peer),
+		host:    conf.Host,
+		zone:    conf.Zone,
+		gate:    admit.New(0),
+		cheap:   make(map[string]bool),
+		outside: make(map[string]outside),
+		length:  length.New(0),
+		table:   route.New(route.Config{Host: conf.Host, Zone: conf.Zone, Seed: conf.Seed}),
+		rand:    rand.New(rand.NewPCG(conf.Seed, conf.Seed)),
+		expect:  conf.Expect,
+		calls:   make(map[uint64]*call),
+		counts:  make(map[string]int),
+		holds:   make(map[string]int),
+		peers:   make(map[string]peer),
 	}
 	p.setClasses(conf.Classes)
 	p.isAllowed = p.allows
@@ -171,11 +173,6 @@
 	return p.flush()
 }
 
-// Report takes an upstream's own report of its load.
-func (p *Pool) Report(now time.Time, upstream string, l route.Load) {
-	p.table.Report(now, upstream, l)
-}
-
 // Cached takes an upstream's events about its prefix cache; gap tells that events were lost.
 func (p *Pool) Cached(now time.Time, upstream string, added, removed []uint64, gap bool) {
 	p.table.Cached(now, upstream, added, removed, gap)
