--- a/internal/policy/model/world_test.go
+++ b/internal/policy/model/world_test.go
@@ -4,7 +4,9 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"hickorypath/internal/policy/limit"
@@ -57,7 +59,9 @@
 }
 
 type host struct {
-	id string
+	id   string
+	dead bool
+	cut  int // hosts of another part of the network do not hear it
 	decider
 }
 
@@ -147,7 +151,7 @@
 
 func (w *world) addHosts(n int, decide func(id string, seed uint64) decider) {
 	for i := range n {
-		id := string(rune('a' + i))
+		id := fmt.Sprintf("h%02d", i)
 		w.hosts = append(w.hosts, &host{id: id, decider: decide(id, uint64(i+1))})
 	}
 }
@@ -185,10 +189,13 @@
 }
 
 func (w *world) share(from *host) {
+	if from.dead {
+		return
+	}
 	s := from.summary(w.time())
 	w.after(latency, func() {
 		for _, h := range w.hosts {
-			if h != from {
+			if h != from && h.cut == from.cut {
 				h.peer(w.time(), from.id, s)
 			}
 		}
@@ -207,10 +214,27 @@
 	})
 }
 
+// kill ends a host: its callers and upstreams lose their connections.
+func (w *world) kill(h *host) {
+	h.dead = true
+	for _, j := range w.jobs {
+		if w.hosts[j.host] != h || j.finished {
+			continue
+		}
+		j.finished = true
+		w.stats.left(j)
+		if j.engine != nil {
+			j.engine.remove(j)
+		}
+	}
+}
+
 // arrive brings a request to a host.
 func (w *world) arrive(j *job) {
 	j.arrived = w.now
-	j.host = w.rand.IntN(len(w.hosts))
+	for j.host = w.rand.IntN(len(w.hosts)); w.hosts[j.host].dead; {
+		j.host = w.rand.IntN(len(w.hosts))
+	}
 	if w.skew != nil {
 		j.host = w.skew(j)
 	}
@@ -254,6 +278,9 @@
 }
 
 func (w *world) apply(h *host, decisions []pool.Decision) {
+	if h.dead {
+		return
+	}
 	for _, d := range decisions {
 		j := w.jobs[d.ID]
 		switch d.Action {
@@ -271,12 +298,8 @@
 }
 
 func (w *world) engine(id string) *engine {
-	for _, e := range w.engines {
-		if e.id == id {
-			return e
-		}
-	}
-	panic("no engine " + id)
+	i := slices.IndexFunc(w.engines, func(e *engine) bool { return e.id == id })
+	return w.engines[i]
 }
 
 // done ends a run on an engine.
