--- /dev/null
+++ b/internal/operator/vault/client_test.go
@@ -0,0 +1,146 @@
+package vault_test
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/operator/vault"
+	"hickorypath/internal/platform/store"
+)
+
+// Operators on several hosts change the document and keys at the same time: each accepted change is a revision
+// of its own, no key is lost, and every change gets through once it is made again from the newest revision.
+func TestConcurrentOperators(t *testing.T) {
+	const operators, changes = 4, 10
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		memory := store.NewMemory(clock.NewWall())
+		memory.Set(store.Faults{Slow: 3 * time.Millisecond})
+		open := func() *vault.Vault {
+			client := store.New(memory.Backend(), store.Options{Clock: clock.NewWall(), Rate: 1000,
+				Budgets: map[store.Use]float64{store.UseDocument: 1000, store.UseKey: 1000}})
+			return vault.New(vault.Options{Store: vault.NewStore(client), Now: time.Now})
+		}
+		var conflicts atomic.Int64
+		var group sync.WaitGroup
+		for who := range operators {
+			v := open()
+			group.Go(func() {
+				for i := range changes {
+					conflicts.Add(int64(insist(t, v, source(who*changes+i))))
+					if _, _, err := v.Issue(ctx, "laredo"); err != nil {
+						t.Errorf("issue: %v", err)
+					}
+				}
+			})
+		}
+		group.Wait()
+		list, err := open().History(ctx, 0, 1000)
+		is.NoErr(err)
+		is.Equal(len(list), operators*changes)
+		all, err := open().Keys(ctx)
+		is.NoErr(err)
+		is.Equal(len(all), operators*changes)
+		t.Logf("%d operators, %d changes each: %d conflicts", operators, changes, conflicts.Load())
+	})
+}
+
+// insist makes a change from the newest revision until it is accepted, and returns the number of conflicts.
+func insist(t *testing.T, v *vault.Vault, text []byte) (conflicts int) {
+	for {
+		now, err := v.Current(ctx)
+		if err == nil {
+			_, err = v.Put(ctx, vault.Change{Base: now.Number(), Source: text, Operator: "maria"})
+		}
+		if err == nil {
+			return conflicts
+		}
+		if kind.Of(err) != kind.Conflict {
+			t.Errorf("put: %v", err)
+			return conflicts
+		}
+		conflicts++
+	}
+}
+
+// A document of 29,000 customers passes the default budgets of the store's client within the time of a change.
+func TestFullSizeWithinBudgets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		memory := store.NewMemory(clock.NewWall())
+		open := func() *vault.Vault {
+			client := store.New(memory.Backend(), store.Options{Clock: clock.NewWall()})
+			return vault.New(vault.Options{Store: vault.NewStore(client), Now: time.Now})
+		}
+		writer, reader := open(), open()
+		took := func(fn func() error) time.Duration {
+			start := time.Now()
+			is.NoErr(fn())
+			return time.Since(start)
+		}
+		first := took(func() error {
+			_, err := writer.Put(ctx, vault.Change{Source: large(customers, -1), Operator: "maria"})
+			return err
+		})
+		load := func() error { _, _, err := reader.Load(ctx); return err }
+		cold := took(load)
+		time.Sleep(time.Minute) // the budgets fill up again
+		change := took(func() error {
+			_, err := writer.Put(ctx, vault.Change{Base: 1, Source: large(customers, 7), Operator: "maria"})
+			return err
+		})
+		warm := took(load)
+		t.Logf("in virtual time: first write %v, cold read %v, one customer changed %v, read of the change %v", first, cold, change, warm)
+		is.True(first < 20*time.Second)
+		is.True(cold < 20*time.Second)
+		is.True(change < time.Second && warm < time.Second)
+	})
+}
+
+// The vault over the platform's client and its stand-in, with the faults of the store itself.
+func TestOverStoreClient(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults store.Faults
+		want   kind.Kind
+	}{
+		{"none", store.Faults{}, ""},
+		{"answers lost after taking effect", store.Faults{Lose: 3}, ""},
+		{"calls lost before taking effect", store.Faults{Drop: 2}, ""},
+		{"down", store.Faults{Down: true}, kind.Store},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				memory := store.NewMemory(clock.NewWall())
+				client := store.New(memory.Backend(), store.Options{Clock: clock.NewWall(), Rand: rand.New(rand.NewPCG(1, 2))})
+				v := vault.New(vault.Options{Store: vault.NewStore(client), Now: time.Now})
+				_, err := v.Put(ctx, vault.Change{Source: source(1), Operator: "maria"})
+				is.NoErr(err)
+				memory.Set(c.faults)
+				_, err = v.Put(ctx, vault.Change{Base: 1, Source: source(2), Operator: "maria"})
+				is.Equal(kind.Of(err), c.want)
+				_, _, err = v.Issue(ctx, "laredo")
+				is.Equal(kind.Of(err), c.want)
+				memory.Set(store.Faults{})
+				list, err := v.History(ctx, 0, 10)
+				is.NoErr(err)
+				keys, err := v.Keys(ctx)
+				is.NoErr(err)
+				if c.want == "" {
+					is.Equal(len(list), 2)
+					is.Equal(len(keys), 1)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/operator/vault/size_test.go
@@ -0,0 +1,158 @@
+package vault_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/operator/document"
+	"hickorypath/internal/operator/key"
+	"hickorypath/internal/operator/vault"
+)
+
+// Sizes of two years from now.
+const (
+	customers = 29_000
+	keys      = 90_000
+	maxValue  = 1 << 20 // bytes of one value of the store
+)
+
+func TestDeltaAtFullSize(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	v := newVault(f)
+	first := large(customers, -1)
+	_, err := v.Put(ctx, vault.Change{Source: first, Operator: "maria"})
+	is.NoErr(err)
+	whole := f.bytes
+	reader := newVault(f)
+	_, _, err = reader.Load(ctx)
+	is.NoErr(err)
+	cold := f.reads
+
+	f.bytes, f.calls, f.reads = 0, 0, 0
+	_, err = v.Put(ctx, vault.Change{Base: 1, Source: large(customers, customers/2), Operator: "maria"})
+	is.NoErr(err)
+	writes, written := f.calls, f.bytes
+	f.reads = 0
+	_, _, err = reader.Load(ctx)
+	is.NoErr(err)
+	t.Logf("document %d B in %d chunks; first write %d B, cold read %d calls; one customer changed: %d calls, %d B written, %d reads by a host; largest value %d B",
+		len(first), len(vault.Split(first)), whole, cold, writes, written, f.reads, f.largest())
+	is.True(f.largest() < maxValue)
+	is.True(written < len(first)/20) // one change writes a small part
+	is.True(f.reads <= 6)
+}
+
+func TestShardsAtFullSize(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	v := newVault(f)
+	fillShards(f)
+	all, err := v.Keys(ctx)
+	is.NoErr(err)
+	is.Equal(len(all), keys)
+	f.bytes, f.calls = 0, 0
+	_, err = v.Withdraw(ctx, all[0].ID())
+	is.NoErr(err)
+	t.Logf("%d keys: largest shard %d B; one withdrawal: %d calls, %d B written", keys, f.largest(), f.calls, f.bytes)
+	is.True(f.largest() < maxValue/4)
+	is.Equal(f.calls, 2)
+}
+
+// TestMemoryAtFullSize holds the document and the keys of a host under half of its 64 MB for control.
+func TestMemoryAtFullSize(t *testing.T) {
+	is := is.New(t)
+	data := large(customers, -1)
+	allRecords()
+	start := heap()
+	doc, err := document.Parse(data, "large")
+	is.NoErr(err)
+	withDocument := heap()
+	table := key.NewTable()
+	for _, rec := range allRecords() {
+		table.Put(rec)
+	}
+	withKeys := heap()
+	t.Logf("document of %d customers: %d KB of heap; table of %d keys: %d KB",
+		customers, (withDocument-start)>>10, keys, (withKeys-withDocument)>>10)
+	is.True(withKeys-start < 32<<20)
+	runtime.KeepAlive(doc)
+	runtime.KeepAlive(table)
+	runtime.KeepAlive(data)
+}
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// allRecords returns records of all keys, sorted by id.
+var allRecords = sync.OnceValue(func() []key.Record {
+	records := make([]key.Record, keys)
+	for i := range records {
+		_, rec := key.Generate()
+		records[i] = rec.IssueTo(fmt.Sprintf("customer-%05d", i%customers), epoch)
+	}
+	slices.SortFunc(records, func(a, b key.Record) int { return strings.Compare(a.ID(), b.ID()) })
+	return records
+})
+
+// fillShards writes keys without the cost of one write for each.
+func fillShards(f *fake) {
+	shards := map[string][][]byte{}
+	for _, rec := range allRecords() {
+		shards[rec.ID()[:2]] = append(shards[rec.ID()[:2]], rec.Encode())
+	}
+	for name, records := range shards {
+		value := binary.BigEndian.AppendUint16([]byte{0x99}, uint16(len(records))) // CBOR array header
+		for _, r := range records {
+			value = append(value, r...)
+		}
+		_ = f.put(ctx, vault.ShardPrefix+name, value)
+	}
+}
+
+// BenchmarkParse measures the check of a document of 29,000 customers.
+func BenchmarkParse(b *testing.B) {
+	data := large(customers, -1)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := document.Parse(data, "large"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkParseAfter measures the check when one customer of 29,000 changed.
+func BenchmarkParseAfter(b *testing.B) {
+	prior, err := document.Parse(large(customers, -1), "large")
+	if err != nil {
+		b.Fatal(err)
+	}
+	data := large(customers, customers/2)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := document.ParseAfter(prior, data, "large"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkSplit measures the cutting of a document of 29,000 customers.
+func BenchmarkSplit(b *testing.B) {
+	data := large(customers, -1)
+	b.SetBytes(int64(len(data)))
+	for b.Loop() {
+		vault.Split(data)
+	}
+}
--- /dev/null
+++ b/internal/policy/admit/split.go
@@ -0,0 +1,132 @@
+package admit
+
+import (
+	"math"
+	"sort"
+)
+
+// Load is what one host asks of a pool, per tier.
+type Load struct {
+	Host   string
+	Want   []float64 // running and waiting requests
+	Weight []float64 // summed weight of the customers behind them
+}
+
+// Split divides slots among hosts and returns the part of each, in the order of the sorted loads.
+// Tiers are satisfied in order; the tier that does not fit is divided by weight, and what is left
+// over is divided equally. Hosts with the same view compute parts that add up to slots.
+func Split(slots int, loads []Load) []int {
+	sort.Slice(loads, func(i, j int) bool { return loads[i].Host < loads[j].Host })
+	shares := make([]float64, len(loads))
+	left := float64(slots)
+	for t := 0; t < tiersOf(loads) && left > 0; t++ {
+		left -= fill(shares, loads, t, left)
+	}
+	for i := range shares {
+		shares[i] += left / float64(len(shares))
+	}
+	return round(shares)
+}
+
+func tiersOf(loads []Load) int {
+	n := 0
+	for _, l := range loads {
+		n = max(n, len(l.Want))
+	}
+	return n
+}
+
+// fill gives each host its want in one tier, or a max-min fair part of it by weight.
+func fill(shares []float64, loads []Load, t int, left float64) float64 {
+	want := make([]float64, len(loads))
+	total := 0.0
+	for i, l := range loads {
+		if t < len(l.Want) {
+			want[i] = l.Want[t]
+			total += want[i]
+		}
+	}
+	if total <= left {
+		for i := range want {
+			shares[i] += want[i]
+		}
+		return total
+	}
+	pour(shares, want, loads, t, left)
+	return left
+}
+
+// pour divides left by weight among the hosts with unmet wants until nothing is left.
+func pour(shares, want []float64, loads []Load, t int, left float64) {
+	for left > 1e-9 {
+		weight := 0.0
+		for i, l := range loads {
+			if want[i] > 0 {
+				weight += weightOf(l, t)
+			}
+		}
+		if weight == 0 {
+			return
+		}
+		given := 0.0
+		for i, l := range loads {
+			if want[i] <= 0 {
+				continue
+			}
+			g := math.Min(want[i], left*weightOf(l, t)/weight)
+			shares[i] += g
+			want[i] -= g
+			if want[i] < 1e-9 {
+				want[i] = 0
+			}
+			given += g
+		}
+		left -= given
+	}
+}
+
+func weightOf(l Load, t int) float64 {
+	if t < len(l.Weight) && l.Weight[t] > 0 {
+		return l.Weight[t]
+	}
+	return 1
+}
+
+// round turns the running sum of shares into whole slots, so that all hosts together get no more
+// than there are.
+func round(shares []float64) []int {
+	parts := make([]int, len(shares))
+	sum, given := 0.0, 0
+	for i, share := range shares {
+		sum += share
+		parts[i] = int(math.Floor(sum+1e-6)) - given
+		given += parts[i]
+	}
+	return parts
+}
+
+// Grow returns how many requests each host may run now, so that all hosts come to their parts of
+// slots without running more than there are: hosts above their part give up slots as requests end,
+// and the slots that are free are divided among the hosts below theirs.
+func Grow(slots int, parts, running []int) []int {
+	free, missing := slots, 0
+	for i, n := range running {
+		free -= n
+		missing += max(0, parts[i]-n)
+	}
+	free = max(0, free)
+	limits := make([]int, len(parts))
+	sum, given := 0.0, 0
+	for i, n := range running {
+		lack := parts[i] - n
+		if lack <= 0 || missing <= free {
+			limits[i] = parts[i]
+			continue
+		}
+		sum += float64(free) * float64(lack) / float64(missing)
+		grant := int(sum+1e-6) - given
+		given += grant
+		limits[i] = n + grant
+	}
+	return limits
+}
--- /dev/null
+++ b/internal/policy/pool/peer.go
@@ -0,0 +1,190 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"hickorypath/internal/policy/admit"
+	"hickorypath/internal/policy/route"
+)
+
+// Summary is what a host tells the others about one pool, several times a second.
+type Summary struct {
+	Queued  []int          `cbor:"q"` // by tier
+	Running []int          `cbor:"r"` // by tier
+	Want    []float64      `cbor:"n"` // slots asked for, by tier
+	Weight  []float64      `cbor:"w"` // weight of the waiting customers, by tier
+	Zone    string         `cbor:"z"`
+	Shed    int            `cbor:"s"` // highest tier that is shed, -1 for none
+	Counts  map[string]int `cbor:"u"` // running by upstream
+	Offered []float64      `cbor:"o"` // slots that the arrivals would keep busy, by tier
+	Durable float64        `cbor:"d"` // of them, slots that must be durable
+}
+
+type peer struct {
+	Summary
+	at time.Time
+}
+
+// TierDepth is the number of requests of one tier on this host.
+type TierDepth struct {
+	Tier    int
+	Queued  int
+	Running int
+}
+
+// Demand is what all known hosts together ask of the pool.
+type Demand struct {
+	Slots   float64   // slots that the arrivals would keep busy, refused ones included
+	Durable float64   // of them, slots that must be on durable upstreams
+	Tiers   []float64 // Slots by tier
+	Queued  int
+	Running int
+}
+
+// Summary returns this host's summary.
+func (p *Pool) Summary(now time.Time) Summary {
+	s := Summary{
+		Queued:  make([]int, p.queue.Tiers()),
+		Running: append([]int(nil), p.running...),
+		Want:    p.want(now),
+		Weight:  make([]float64, p.queue.Tiers()),
+		Zone:    p.zone,
+		Shed:    p.gate.Shedding(now),
+		Counts:  make(map[string]int, len(p.counts)),
+		Offered: make([]float64, p.queue.Tiers()),
+		Durable: p.durable.PerSecond(now) * p.gate.Pace(),
+	}
+	for t := range s.Queued {
+		s.Queued[t] = p.queue.Depth(t)
+		s.Weight[t] = p.queue.Active(t)
+		s.Offered[t] = p.gate.Offered(now, t)
+	}
+	for id, n := range p.counts {
+		s.Counts[id] = n
+	}
+	return s
+}
+
+// Peer takes the summary of another host.
+func (p *Pool) Peer(now time.Time, host string, s Summary) {
+	if host == p.host {
+		return
+	}
+	p.peers[host] = peer{Summary: s, at: now}
+	p.gate.Peer(now, host, s.Shed)
+	p.table.Peer(now, host, s.Counts)
+}
+
+// Depth returns the number of requests by tier.
+func (p *Pool) Depth() []TierDepth {
+	depths := make([]TierDepth, p.queue.Tiers())
+	for t := range depths {
+		depths[t] = TierDepth{Tier: t, Queued: p.queue.Depth(t), Running: p.running[t]}
+	}
+	return depths
+}
+
+// Want returns the demand on the pool, from this host's arrivals and the summaries of the others.
+func (p *Pool) Want(now time.Time) Demand {
+	d := Demand{Tiers: make([]float64, p.queue.Tiers())}
+	d.add(p.Summary(now))
+	for _, peer := range p.peers {
+		if now.Sub(peer.at) <= peerTime {
+			d.add(peer.Summary)
+		}
+	}
+	return d
+}
+
+func (d *Demand) add(s Summary) {
+	d.Durable += s.Durable
+	for t := range min(len(s.Offered), len(d.Tiers)) {
+		d.Tiers[t] += s.Offered[t]
+		d.Slots += s.Offered[t]
+	}
+	for _, n := range s.Queued {
+		d.Queued += n
+	}
+	for _, n := range s.Running {
+		d.Running += n
+	}
+}
+
+// split recomputes this host's part of the slots.
+func (p *Pool) split(now time.Time) {
+	p.divided = now
+	loads := make([]admit.Load, 0, len(p.peers)+1)
+	own := admit.Load{Host: p.host, Want: p.want(now), Weight: make([]float64, p.queue.Tiers())}
+	for t := range own.Weight {
+		own.Weight[t] = p.queue.Active(t)
+	}
+	loads = append(loads, own)
+	for host, peer := range p.peers {
+		if now.Sub(peer.at) > peerTime {
+			p.forget(now, host)
+			continue
+		}
+		loads = append(loads, peer.load(host))
+	}
+	slots := p.usable(now)
+	p.share(now, loads, slots, admit.Split(slots, loads))
+	p.reserve(now)
+}
+
+// share takes this host's part of the slots and tells the routing table how the hosts divide them.
+func (p *Pool) share(now time.Time, loads []admit.Load, slots int, parts []int) {
+	running := make([]int, len(loads))
+	for i, l := range loads {
+		running[i] = p.runningOf(l.Host)
+	}
+	limits := admit.Grow(slots, parts, running)
+	hosts := make([]route.Host, len(loads))
+	for i, l := range loads {
+		hosts[i] = route.Host{ID: l.Host, Zone: p.zoneOf(l.Host), Demand: float64(parts[i])}
+		if l.Host == p.host {
+			p.limit = limits[i]
+		}
+	}
+	if now.Sub(p.shared) >= sharePeriod {
+		p.shared = now
+		p.table.Share(now, hosts)
+	}
+}
+
+func (p *Pool) runningOf(host string) int {
+	if host == p.host {
+		return p.total
+	}
+	return lo.Sum(p.peers[host].Running)
+}
+
+func (p *Pool) zoneOf(host string) string {
+	if host == p.host {
+		return p.zone
+	}
+	return p.peers[host].Zone
+}
+
+// forget drops a host that has sent no summary for some time.
+func (p *Pool) forget(now time.Time, host string) {
+	delete(p.peers, host)
+	p.gate.Peer(now, host, admit.None)
+	p.table.Peer(now, host, nil)
+}
+
+func (s Summary) load(host string) admit.Load {
+	return admit.Load{Host: host, Want: s.Want, Weight: s.Weight}
+}
+
+// want returns the slots that this host asks for by tier: for what runs and waits, and for what
+// arrives before the other hosts hear of it.
+func (p *Pool) want(now time.Time) []float64 {
+	want := make([]float64, p.queue.Tiers())
+	soon := lookAhead.Seconds() / p.gate.Turn(1).Seconds()
+	for t := range want {
+		want[t] = float64(p.running[t]+p.queue.Depth(t)) + soon*p.gate.Offered(now, t)
+	}
+	return want
+}
--- /dev/null
+++ b/internal/upstream/dispatch/dispatch.go
@@ -0,0 +1,329 @@
+// Package dispatch runs the decisions of a pool: requests wait here until an upstream may take them.
+package dispatch
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/pool"
+	"hickorypath/internal/policy/route"
+)
+
+// tickInterval is how often expiry, holding back and ageing are looked at.
+const tickInterval = 25 * time.Millisecond
+
+// Target is one upstream as the platform or the settings list it.
+type Target struct {
+	id          string
+	zone        string
+	addr        string
+	slots       int
+	reclaimable bool
+	leaving     bool
+}
+
+// NewTarget returns a Target without slots.
+func NewTarget(id, zone, addr string, reclaimable, leaving bool) Target {
+	return Target{id: id, zone: zone, addr: addr, reclaimable: reclaimable, leaving: leaving}
+}
+
+// WithSlots returns a copy of t that may take slots requests at once.
+func (t Target) WithSlots(slots int) Target {
+	t.slots = slots
+	return t
+}
+
+// Reclaimable reports whether the platform may take the upstream back.
+func (t Target) Reclaimable() bool { return t.reclaimable }
+
+// Leaving reports whether the upstream gets no new work.
+func (t Target) Leaving() bool { return t.leaving }
+
+// ID returns the name of the upstream.
+func (t Target) ID() string { return t.id }
+
+// Addr returns the address of the upstream as IP number and port.
+func (t Target) Addr() string { return t.addr }
+
+// Zone returns the availability zone of the upstream.
+func (t Target) Zone() string { return t.zone }
+
+// Grant is the permission to run one attempt on one upstream.
+type Grant struct {
+	id     uint64
+	target Target
+}
+
+// Target returns the upstream that takes the attempt.
+func (g Grant) Target() Target { return g.target }
+
+// Dispatcher serializes access to the pool's decisions and wakes the requests that they name.
+type Dispatcher struct {
+	name  string
+	clock clock.Clock
+	ids   atomic.Uint64
+
+	mu      sync.Mutex
+	make    func([]pool.Class) *pool.Pool
+	classes []pool.Class
+	pool    *pool.Pool
+	older   map[uint64]*pool.Pool // of requests that were started before the classes changed
+	targets map[string]Target
+	waiting map[uint64]waiter
+	running map[uint64]string // upstream by request
+}
+
+// waiter is a request that has no upstream yet.
+type waiter struct {
+	request pool.Request
+	wake    chan outcome
+}
+
+// outcome is the end of a wait: a refusal, or a start on target.
+type outcome struct {
+	decision pool.Decision
+	target   Target
+}
+
+// New returns a Dispatcher for the pool called name; build makes the pool's decision core for a set of
+// classes.
+func New(name string, classes []pool.Class, build func([]pool.Class) *pool.Pool, c clock.Clock) *Dispatcher {
+	return &Dispatcher{
+		name:    name,
+		clock:   c,
+		make:    build,
+		classes: classes,
+		pool:    build(classes),
+		older:   map[uint64]*pool.Pool{},
+		targets: map[string]Target{},
+		waiting: map[uint64]waiter{},
+		running: map[uint64]string{},
+	}
+}
+
+// Name returns the name of the pool.
+func (d *Dispatcher) Name() string { return d.name }
+
+// Run drives the pool's timers until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			d.do(func(now time.Time) []pool.Decision { return d.pool.Tick(now) })
+		}
+	}
+}
+
+// Acquire waits until an upstream may take the request and returns the grant.
+// The error is the pool's refusal, or Canceled when ctx ends first.
+func (d *Dispatcher) Acquire(ctx context.Context, r pool.Request) (Grant, error) {
+	r.ID = d.ids.Add(1)
+	wake := make(chan outcome, 1)
+	d.mu.Lock()
+	d.waiting[r.ID] = waiter{request: r, wake: wake}
+	d.apply(d.pool.Arrive(d.clock.Now(), r))
+	d.mu.Unlock()
+	select {
+	case o := <-wake:
+		return d.settle(o)
+	case <-ctx.Done():
+		return Grant{}, d.abandon(ctx, r.ID)
+	}
+}
+
+// Token tells the pool that n more tokens of the attempt were seen.
+func (d *Dispatcher) Token(g Grant, n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.owner(g.id).Token(d.clock.Now(), g.id, n)
+}
+
+// Release ends the attempt of a grant.
+func (d *Dispatcher) Release(g Grant, r pool.Result) {
+	d.do(func(now time.Time) []pool.Decision {
+		owner := d.owner(g.id)
+		delete(d.running, g.id)
+		delete(d.older, g.id)
+		return owner.Finish(now, g.id, r)
+	})
+}
+
+// owner returns the decision core that started a request; the caller holds the lock.
+func (d *Dispatcher) owner(id uint64) *pool.Pool {
+	if p, ok := d.older[id]; ok {
+		return p
+	}
+	return d.pool
+}
+
+// SetClasses puts new classes in force. Waiting requests are decided on anew; running ones end under
+// the classes that started them.
+func (d *Dispatcher) SetClasses(classes []pool.Class) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if slices.Equal(classes, d.classes) {
+		return
+	}
+	now := d.clock.Now()
+	for id := range d.running {
+		if _, ok := d.older[id]; !ok {
+			d.older[id] = d.pool
+		}
+	}
+	d.classes = classes
+	d.pool = d.make(classes)
+	d.apply(d.pool.Upstreams(now, upstreams(lo.Values(d.targets))))
+	ids := slices.Sorted(maps.Keys(d.waiting))
+	for _, id := range ids {
+		d.apply(d.pool.Arrive(now, d.waiting[id].request))
+	}
+}
+
+// SetTargets replaces the list of upstreams.
+func (d *Dispatcher) SetTargets(targets []Target) {
+	ups := upstreams(targets)
+	d.do(func(now time.Time) []pool.Decision {
+		d.targets = lo.KeyBy(targets, Target.ID)
+		return d.pool.Upstreams(now, ups)
+	})
+}
+
+func upstreams(targets []Target) []route.Upstream {
+	return lo.Map(targets, func(t Target, _ int) route.Upstream {
+		return route.NewUpstream(t.id, t.zone, t.slots, t.reclaimable).WithLeaving(t.leaving)
+	})
+}
+
+// Targets returns the upstreams in the order of their names.
+func (d *Dispatcher) Targets() []Target {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.SortedFunc(maps.Values(d.targets), func(a, b Target) int { return strings.Compare(a.id, b.id) })
+}
+
+// Running returns how many requests of this host an upstream runs.
+func (d *Dispatcher) Running(upstream string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return lo.CountBy(lo.Values(d.running), func(id string) bool { return id == upstream })
+}
+
+// HasOther reports whether an upstream outside avoid may take new work.
+func (d *Dispatcher) HasOther(avoid []string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return lo.SomeBy(lo.Values(d.targets), func(t Target) bool {
+		return !t.leaving && !slices.Contains(avoid, t.id)
+	})
+}
+
+// IsIdle reports whether no request waits or runs.
+func (d *Dispatcher) IsIdle() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.waiting)+len(d.running) == 0
+}
+
+// Report passes on the load that an upstream reported.
+func (d *Dispatcher) Report(id string, l route.Load) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pool.Report(d.clock.Now(), id, l)
+}
+
+// Cached passes on which prompt blocks an upstream cached and dropped; gap tells that events were lost.
+func (d *Dispatcher) Cached(id string, added, removed []uint64, gap bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pool.Cached(d.clock.Now(), id, added, removed, gap)
+}
+
+// Peer merges the summary of another host.
+func (d *Dispatcher) Peer(host string, s pool.Summary) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pool.Peer(d.clock.Now(), host, s)
+}
+
+// Summary returns what other hosts need to know.
+func (d *Dispatcher) Summary() pool.Summary {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pool.Summary(d.clock.Now())
+}
+
+// Want returns the demand of the pool as this host sees it.
+func (d *Dispatcher) Want() pool.Demand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pool.Want(d.clock.Now())
+}
+
+// Depth returns the queued and running requests of each tier.
+func (d *Dispatcher) Depth() []pool.TierDepth {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pool.Depth()
+}
+
+func (d *Dispatcher) do(event func(now time.Time) []pool.Decision) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.apply(event(d.clock.Now()))
+}
+
+// apply wakes the requests that the decisions name; the caller holds the lock.
+func (d *Dispatcher) apply(decisions []pool.Decision) {
+	for _, dec := range decisions {
+		if dec.Action == pool.Wait {
+			continue
+		}
+		w, ok := d.waiting[dec.ID]
+		if !ok {
+			continue
+		}
+		delete(d.waiting, dec.ID)
+		if dec.Action == pool.Start {
+			d.running[dec.ID] = dec.Upstream
+		}
+		w.wake <- outcome{decision: dec, target: d.targets[dec.Upstream]}
+	}
+}
+
+func (d *Dispatcher) settle(o outcome) (Grant, error) {
+	if o.decision.Action == pool.Refuse {
+		k := o.decision.Kind
+		return Grant{}, kind.New(k, "pool %s refused the request: %s", d.name, k).WithRetry(o.decision.Retry)
+	}
+	return Grant{id: o.decision.ID, target: o.target}, nil
+}
+
+// abandon withdraws a request whose caller is gone, whether it still waits or was just started.
+func (d *Dispatcher) abandon(ctx context.Context, id uint64) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	owner := d.owner(id)
+	delete(d.waiting, id)
+	delete(d.running, id)
+	delete(d.older, id)
+	d.apply(owner.Cancel(d.clock.Now(), id))
+	var cause *kind.Error
+	if errors.As(context.Cause(ctx), &cause) {
+		return cause.WithRan(kind.RanNo)
+	}
+	return kind.Wrap(context.Cause(ctx), kind.Canceled, "the caller went away while the request waited").WithRan(kind.RanNo)
+}
--- /dev/null
+++ b/internal/upstream/fleet/fleet.go
@@ -0,0 +1,326 @@
+// Package fleet holds the dispatchers of all pools of the document in force, with their upstreams.
+package fleet
+
+import (
+	"context"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/host/spread"
+	"hickorypath/internal/operator/document"
+	"hickorypath/internal/policy/pool"
+	"hickorypath/internal/policy/route"
+	"hickorypath/internal/upstream/dispatch"
+	"hickorypath/internal/upstream/engine"
+	"hickorypath/internal/upstream/poll"
+)
+
+// Times of the exchange of summaries among hosts.
+const (
+	summaryInterval = 200 * time.Millisecond
+	summaryExpiry   = 2 * time.Second
+)
+
+// aliveTimeout bounds the call that tells a crashed upstream from a cut connection.
+const aliveTimeout = 500 * time.Millisecond
+
+// Options are the dependencies of a Fleet.
+type Options struct {
+	Host   string
+	Zone   string
+	Seed   uint64
+	Clock  clock.Clock
+	Log    *zap.Logger
+	Spread *spread.Spread
+	// Load and Events ask an engine for its load and for the changes of its prefix cache.
+	Load   func(ctx context.Context, addr string) (route.Load, error)
+	Events func(ctx context.Context, addr string, after int) (engine.Events, error)
+	// Hosts returns the live hosts, among whom the polling of engines is shared.
+	Hosts func() []string
+}
+
+// Fleet is the set of dispatchers of one host. It is safe for concurrent use.
+type Fleet struct {
+	options Options
+
+	mu      sync.Mutex
+	ctx     context.Context
+	pools   map[string]*entry
+	targets map[string][]dispatch.Target // by pool
+	slots   map[string]int               // of one upstream, by pool
+}
+
+// entry is one pool. Plain services report no load and have no poller.
+type entry struct {
+	*dispatch.Dispatcher
+	poller *poll.Poller
+	stop   context.CancelFunc
+
+	mu    sync.Mutex
+	loads map[string]route.Load // polled here since the last summary
+}
+
+// summary is what travels between hosts for one pool.
+type summary struct {
+	Pool  string                `cbor:"p"`
+	Host  string                `cbor:"h"`
+	Body  pool.Summary          `cbor:"s"`
+	Loads map[string]route.Load `cbor:"l,omitempty"`
+}
+
+// New returns a Fleet without pools.
+func New(o Options) *Fleet {
+	return &Fleet{
+		options: o,
+		pools:   map[string]*entry{},
+		targets: map[string][]dispatch.Target{},
+		slots:   map[string]int{},
+	}
+}
+
+// Run drives the pools and exchanges summaries until ctx ends.
+func (f *Fleet) Run(ctx context.Context) {
+	f.mu.Lock()
+	f.ctx = ctx
+	for _, e := range f.pools {
+		e.run(ctx)
+	}
+	f.mu.Unlock()
+	stop := f.options.Spread.Watch(spread.Load, f.take)
+	defer stop()
+	tick := time.NewTicker(summaryInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			f.publish()
+		}
+	}
+}
+
+// Apply makes the pools those of doc. A pool that stays keeps its queue and running requests.
+func (f *Fleet) Apply(doc *document.Document) {
+	classes := lo.Map(doc.Classes(), func(c *document.Class, _ int) pool.Class { return newClass(c) })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := map[string]*entry{}
+	for _, p := range doc.Pools() {
+		f.slots[p.Name()] = p.Slots()
+		e, ok := f.pools[p.Name()]
+		if ok {
+			e.SetClasses(classes)
+		} else {
+			e = f.newEntry(p, classes)
+		}
+		e.setTargets(f.sized(p.Name()))
+		next[p.Name()] = e
+	}
+	for name, e := range f.pools {
+		if _, ok := next[name]; !ok {
+			e.end()
+		}
+	}
+	f.pools = next
+}
+
+// newEntry makes a pool and runs it when the Fleet runs; the caller holds the lock.
+func (f *Fleet) newEntry(p *document.Pool, classes []pool.Class) *entry {
+	build := func(classes []pool.Class) *pool.Pool {
+		return pool.New(pool.Config{Host: f.options.Host, Zone: f.options.Zone, Classes: classes, Seed: f.options.Seed})
+	}
+	e := &entry{
+		Dispatcher: dispatch.New(p.Name(), classes, build, f.options.Clock),
+		loads:      map[string]route.Load{},
+		stop:       func() {},
+	}
+	if p.Kind() == document.Engine {
+		e.poller = f.newPoller(e)
+	}
+	if f.ctx != nil {
+		e.run(f.ctx)
+	}
+	return e
+}
+
+func (f *Fleet) newPoller(e *entry) *poll.Poller {
+	return poll.New(poll.Options{
+		Load:   f.options.Load,
+		Events: f.options.Events,
+		Loaded: e.loaded,
+		Cached: e.Cached,
+		Mine: func(id string) bool {
+			return poll.Mine(f.options.Host, f.options.Hosts(), id)
+		},
+	})
+}
+
+// run starts the pool's loops.
+func (e *entry) run(ctx context.Context) {
+	ctx, e.stop = context.WithCancel(ctx)
+	go e.Run(ctx)
+	if e.poller != nil {
+		go e.poller.Run(ctx)
+	}
+}
+
+// drainInterval is how often a pool that left the document is looked at until it is empty.
+const drainInterval = time.Second
+
+// end stops a pool that left the document once its last request has ended.
+func (e *entry) end() {
+	go func() {
+		tick := time.NewTicker(drainInterval)
+		defer tick.Stop()
+		for !e.IsIdle() {
+			<-tick.C
+		}
+		e.stop()
+	}()
+}
+
+// loaded takes the load of an upstream and keeps it for the other hosts.
+func (e *entry) loaded(id string, l route.Load) {
+	e.Report(id, l)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loads[id] = l
+}
+
+// takeLoads returns the loads polled here since the last call.
+func (e *entry) takeLoads() map[string]route.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	loads := e.loads
+	e.loads = map[string]route.Load{}
+	return loads
+}
+
+func (e *entry) setTargets(targets []dispatch.Target) {
+	e.SetTargets(targets)
+	if e.poller == nil {
+		return
+	}
+	e.poller.Set(lo.Map(targets, func(t dispatch.Target, _ int) poll.Target {
+		return poll.Target{ID: t.ID(), Addr: t.Addr()}
+	}))
+}
+
+func newClass(c *document.Class) pool.Class {
+	return pool.Class{
+		Name:   c.Name(),
+		Tier:   c.Tier(),
+		First:  c.First(),
+		Gap:    c.Gap(),
+		Whole:  c.Whole(),
+		Wait:   c.Wait(),
+		Share:  c.Share(),
+		Weight: c.Weight(),
+		Cheap:  c.Cheap(),
+		Solid:  c.Solid(),
+	}
+}
+
+// SetTargets replaces the upstreams of all pools.
+func (f *Fleet) SetTargets(byPool map[string][]dispatch.Target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.targets = byPool
+	for name, e := range f.pools {
+		e.setTargets(f.sized(name))
+	}
+}
+
+// sized returns the upstreams of a pool with the slots that the document gives them; the caller holds
+// the lock.
+func (f *Fleet) sized(name string) []dispatch.Target {
+	return lo.Map(f.targets[name], func(t dispatch.Target, _ int) dispatch.Target {
+		return t.WithSlots(f.slots[name])
+	})
+}
+
+// Pool returns the dispatcher of a pool of the document in force.
+func (f *Fleet) Pool(name string) (*dispatch.Dispatcher, bool) {
+	e, ok := f.entry(name)
+	if !ok {
+		return nil, false
+	}
+	return e.Dispatcher, true
+}
+
+// Alive reports whether an upstream still answers: an engine to a call of its interface, a plain
+// service to a new connection.
+func (f *Fleet) Alive(ctx context.Context, name, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	if e, ok := f.entry(name); ok && e.poller != nil {
+		_, err := f.options.Load(ctx, addr)
+		return err == nil
+	}
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// Pools returns all dispatchers in the order of their names.
+func (f *Fleet) Pools() []*dispatch.Dispatcher {
+	list := lo.Map(f.entries(), func(e *entry, _ int) *dispatch.Dispatcher { return e.Dispatcher })
+	slices.SortFunc(list, func(a, b *dispatch.Dispatcher) int { return strings.Compare(a.Name(), b.Name()) })
+	return list
+}
+
+func (f *Fleet) entry(name string) (*entry, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, ok := f.pools[name]
+	return e, ok
+}
+
+func (f *Fleet) entries() []*entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return lo.Values(f.pools)
+}
+
+// publish tells the other hosts what waits and runs here.
+func (f *Fleet) publish() {
+	now := f.options.Clock.Now()
+	for _, e := range f.entries() {
+		data, err := cbor.Marshal(summary{Pool: e.Name(), Host: f.options.Host, Body: e.Summary(), Loads: e.takeLoads()})
+		if err != nil {
+			f.options.Log.Error("summary cannot be encoded", zap.Error(err))
+			continue
+		}
+		f.options.Spread.Put(spread.Load, e.Name()+"/"+f.options.Host, uint64(now.UnixNano()), data, now.Add(summaryExpiry))
+	}
+}
+
+// take merges what another host tells of a pool.
+func (f *Fleet) take(r spread.Record) {
+	var s summary
+	if err := cbor.Unmarshal(r.Value(), &s); err != nil {
+		f.options.Log.Warn("summary of a peer cannot be read", zap.Error(err))
+		return
+	}
+	e, ok := f.entry(s.Pool)
+	if !ok || s.Host == f.options.Host {
+		return
+	}
+	e.Peer(s.Host, s.Body)
+	for id, l := range s.Loads {
+		e.Report(id, l)
+	}
+}
