--- a/internal/platform/lease/lease.go
+++ b/internal/platform/lease/lease.go
@@ -46,6 +46,7 @@
 	fence   uint64        // revision of the lease key
 	until   time.Duration // boot time at which the validity ends
 	settled time.Duration // boot time at which the settling ends
+	busy    time.Duration // boot time until which something sent under the lease may be on its way
 }
 
 // New returns a Lease that is not held; Run tries to get it.
@@ -156,14 +157,17 @@
 	return nil
 }
 
-// release gives the lease back, so that the next holder need not wait for its end.
+// release gives the lease back once nothing sent under it is on its way, so that the next holder
+// need not wait for its end.
 func (l *Lease) release(ctx context.Context) {
 	l.mu.Lock()
 	held := l.machine.State() != stateIdle
 	grant := l.grant
+	wait := l.busy - l.clock.Boot()
 	l.fire("close")
 	l.mu.Unlock()
 	if held {
+		time.Sleep(wait)
 		l.drop(ctx, grant)
 	}
 }
--- a/internal/platform/lease/token.go
+++ b/internal/platform/lease/token.go
@@ -11,9 +11,15 @@
 // Fence returns the fencing number of the holder.
 func (t Token) Fence() uint64 { return t.fence }
 
-// Valid returns an error of kind Lapsed unless the lease stays valid for need.
+// Valid returns an error of kind Lapsed unless the lease stays valid for need, the time within which
+// what is sent now arrives or is dropped.
 func (t Token) Valid(need time.Duration) error {
-	t.lease.mu.Lock()
-	defer t.lease.mu.Unlock()
-	return t.lease.check(t.fence, need)
+	l := t.lease
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.check(t.fence, need); err != nil {
+		return err
+	}
+	l.busy = max(l.busy, l.clock.Boot()+need)
+	return nil
 }
--- /dev/null
+++ b/internal/platform/usage/interleave_test.go
@@ -0,0 +1,67 @@
+package usage_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"hickorypath/internal/platform/store"
+	sinkstandin "hickorypath/internal/standin/usage"
+)
+
+const (
+	interleavings      = 10000
+	interleavingsShort = 300
+	shards             = 10
+	stepLimit          = 120
+)
+
+// Two reporters, each paused at random steps, report each window with one set of figures and never
+// after their lease ended, to a sink that refuses old fences and to one that takes them.
+func TestReportInterleavings(t *testing.T) {
+	n := interleavings
+	if testing.Short() {
+		n = interleavingsShort
+	}
+	for shard := range shards {
+		t.Run(fmt.Sprint(shard), func(t *testing.T) {
+			t.Parallel()
+			for seed := shard; seed < n; seed += shards {
+				if err := interleave(t, uint64(seed)); err != nil {
+					t.Fatalf("seed %d: %v", seed, err)
+				}
+			}
+		})
+	}
+}
+
+func interleave(t *testing.T, seed uint64) (err error) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(seed)
+		w.strict, w.every = true, 7*time.Second
+		w.sink.Set(sinkstandin.Faults{Ignore: seed%2 == 0, Lose: w.rand.IntN(3)})
+		w.memory.Set(store.Faults{Lose: w.rand.IntN(3)})
+		for range 2 {
+			w.start(t, pausesAt(w.rand))
+		}
+		for range 12 {
+			w.deliver(w.hosts[w.rand.IntN(2)], "c", 1+w.rand.IntN(9))
+			time.Sleep(time.Duration(w.rand.Int64N(int64(30 * time.Second))))
+		}
+		time.Sleep(4 * windowLength)
+		err = w.verify()
+		w.stop()
+	})
+	return err
+}
+
+// pausesAt draws the steps at which a host is paused.
+func pausesAt(r *rand.Rand) map[int]time.Duration {
+	pauses := map[int]time.Duration{}
+	for range 1 + r.IntN(2) {
+		pauses[1+r.IntN(stepLimit)] = time.Duration(5+r.IntN(60)) * time.Second
+	}
+	return pauses
+}
--- a/internal/platform/usage/world_test.go
+++ b/internal/platform/usage/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,7 +31,9 @@
 	hosts     []*host
 	starts    int
 	delivered map[string]int // output tokens by customer
+	mu        sync.Mutex
 	unfenced  []string       // reports accepted from a reporter whose lease had ended
+	every     time.Duration  // between commits
 	strict    bool           // look at the lease key when a report arrives
 }
 
@@ -42,6 +45,7 @@
 	recorder *usage.Recorder
 	reporter *usage.Reporter
 	cancel   context.CancelFunc
+	rand     *rand.Rand // of the network to the sink
 }
 
 func newWorld(seed uint64) *world {
@@ -59,12 +63,13 @@
 func (w *world) start(t *testing.T, pauses map[int]time.Duration) *host {
 	w.starts++
 	h := &host{world: w, name: fmt.Sprintf("h%d", w.starts), gate: standin.NewGate(pauses)}
+	h.rand = rand.New(rand.NewPCG(w.rand.Uint64(), 3))
 	ctx, cancel := context.WithCancel(t.Context())
 	h.cancel = cancel
 	h.client = store.New(h.gate.Backend(w.memory.Backend()), store.Options{
 		Clock: w.clock, Rand: rand.New(rand.NewPCG(w.rand.Uint64(), 2)),
 	})
-	h.recorder = usage.New(h.client, w.clock, usage.Options{Host: h.name, Incarnation: "1", Window: windowLength})
+	h.recorder = usage.New(h.client, w.clock, usage.Options{Host: h.name, Incarnation: "1", Window: windowLength, Every: w.every})
 	l := lease.New(h.client, w.clock, lease.Options{Name: "usage", Holder: h.name, TTL: leaseTTL})
 	sink := usage.Sink{Report: h.report}
 	h.reporter = usage.NewReporter(h.client, w.clock, l, sink, usage.ReporterOptions{Window: windowLength})
@@ -81,7 +86,7 @@
 	if err := check(); err != nil {
 		return err
 	}
-	time.Sleep(time.Duration(h.world.rand.Int64N(int64(2 * time.Second))))
+	time.Sleep(time.Duration(h.rand.Int64N(int64(2 * time.Second))))
 	lost, err := h.world.accept(r)
 	h.gate.Pass()
 	if lost || ctx.Err() != nil {
@@ -94,6 +99,8 @@
 	_, fence, ok := w.memory.Read("lease/usage")
 	lost, err := w.sink.Accept(r)
 	if err == nil && w.strict && (!ok || fence != r.Fence) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
 		w.unfenced = append(w.unfenced, fmt.Sprintf("%s fence %d, lease at %d", r.ID, r.Fence, fence))
 	}
 	return lost, err
--- /dev/null
+++ b/internal/standin/provision/provision.go
@@ -0,0 +1,192 @@
+// Package provision is a stand-in of the platform's interface that lists and orders upstreams.
+package provision
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/platform/provision"
+)
+
+// Faults are the faults of a Platform.
+type Faults struct {
+	Down   bool          `json:"down"`   // calls fail
+	Slow   time.Duration `json:"slow"`   // delay of each order
+	Lose   int           `json:"lose"`   // so many coming orders are carried out and their answers are lost
+	Drop   int           `json:"drop"`   // so many coming orders are lost before they arrive
+	Refuse int           `json:"refuse"` // so many coming orders are refused
+	Rate   bool          `json:"rate"`   // orders exceed the rate
+	Empty  []string      `json:"empty"`  // zones without free upstreams
+	Ignore bool          `json:"ignore"` // old fences are not refused
+}
+
+// Options are the function fields of a Platform.
+type Options struct {
+	Launch func(provision.Upstream) string // starts an upstream and returns its address; may be nil
+	Halt   func(provision.Upstream)        // stops one; may be nil
+}
+
+// Platform keeps a list of upstreams and carries out orders, once for each id.
+type Platform struct {
+	opts Options
+
+	mu        sync.Mutex
+	faults    Faults
+	fence     map[string]uint64 // highest by pool
+	accepted  map[string]provision.Command
+	order     []string
+	wrong     []string
+	upstreams []provision.Upstream
+	started   int
+}
+
+// New returns a Platform without upstreams.
+func New(o Options) *Platform {
+	return &Platform{opts: o, fence: map[string]uint64{}, accepted: map[string]provision.Command{}}
+}
+
+// Set replaces the faults.
+func (p *Platform) Set(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
+// Add lists an upstream.
+func (p *Platform) Add(u provision.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.upstreams = append(p.upstreams, u)
+}
+
+// Upstreams returns the list; upstreams whose notice has run out are gone.
+func (p *Platform) Upstreams() []provision.Upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.upstreams = slices.DeleteFunc(p.upstreams, func(u provision.Upstream) bool {
+		gone := u.State == provision.StateLeaving && !u.Deadline.After(now)
+		if gone && p.opts.Halt != nil {
+			p.opts.Halt(u)
+		}
+		return gone
+	})
+	return slices.Clone(p.upstreams)
+}
+
+// Reclaim gives notice to all reclaimable upstreams of a zone.
+func (p *Platform) Reclaim(zone string, notice time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, u := range p.upstreams {
+		if u.Zone == zone && u.Reclaimable {
+			p.upstreams[i].State = provision.StateLeaving
+			p.upstreams[i].Deadline = time.Now().Add(notice)
+		}
+	}
+}
+
+// Accepted returns the commands that were carried out, in order.
+func (p *Platform) Accepted() []provision.Command {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]provision.Command, 0, len(p.order))
+	for _, id := range p.order {
+		out = append(out, p.accepted[id])
+	}
+	return out
+}
+
+// Wrong returns the orders that were carried out under an old fence or with two contents.
+func (p *Platform) Wrong() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.wrong)
+}
+
+// Find tells whether a command was carried out.
+func (p *Platform) Find(id string) (bool, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.Down {
+		return false, kind.New(kind.Unavailable, "provisioning is down")
+	}
+	_, ok := p.accepted[id]
+	return ok, nil
+}
+
+// Accept takes an order as the interface does; the kind Lost means that the answer is lost.
+func (p *Platform) Accept(c provision.Command) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.refusal(c); err != nil {
+		return err
+	}
+	p.carryOut(c)
+	if p.faults.Lose > 0 {
+		p.faults.Lose--
+		return kind.New(kind.Lost, "the answer is lost")
+	}
+	return nil
+}
+
+// refusal applies the faults that keep an order from being carried out.
+func (p *Platform) refusal(c provision.Command) error {
+	switch f := &p.faults; {
+	case f.Down:
+		return kind.New(kind.Unavailable, "provisioning is down")
+	case f.Drop > 0:
+		f.Drop--
+		return kind.New(kind.Lost, "the order is lost")
+	case f.Rate:
+		return kind.New(kind.Rate, "too many orders")
+	case f.Refuse > 0:
+		f.Refuse--
+		return kind.New(kind.Refused, "refused")
+	case c.Action == provision.ActionStart && slices.Contains(f.Empty, c.Zone):
+		return kind.New(kind.Unavailable, "zone %s has none", c.Zone)
+	case c.Fence < p.fence[c.Pool] && !f.Ignore:
+		return kind.New(kind.Fenced, "fence %d is older than %d", c.Fence, p.fence[c.Pool])
+	}
+	return nil
+}
+
+func (p *Platform) carryOut(c provision.Command) {
+	if c.Fence < p.fence[c.Pool] {
+		p.wrong = append(p.wrong, c.ID+": old fence")
+	}
+	p.fence[c.Pool] = max(p.fence[c.Pool], c.Fence)
+	if was, ok := p.accepted[c.ID]; ok {
+		if was.Order != c.Order {
+			p.wrong = append(p.wrong, c.ID+": other content")
+		}
+		return
+	}
+	p.accepted[c.ID] = c
+	p.order = append(p.order, c.ID)
+	p.apply(c)
+}
+
+// apply changes the list of upstreams.
+func (p *Platform) apply(c provision.Command) {
+	if c.Action == provision.ActionStop {
+		for i, u := range p.upstreams {
+			if u.ID == c.Upstream {
+				p.upstreams[i].State, p.upstreams[i].Deadline = provision.StateLeaving, time.Now()
+			}
+		}
+		return
+	}
+	p.started++
+	u := provision.Upstream{
+		ID: fmt.Sprintf("%s-o%d", c.Pool, p.started), Pool: c.Pool, Zone: c.Zone,
+		Reclaimable: c.Reclaimable, State: provision.StateReady, Checks: !p.faults.Ignore,
+	}
+	if p.opts.Launch != nil {
+		u.Addr = p.opts.Launch(u)
+	}
+	p.upstreams = append(p.upstreams, u)
+}
