Claim requests that may not be repeated

A claim is stored in a bucket by compare-and-swap before the request is sent; claims of one host for one bucket share a write: 200 at once in 4 buckets take 8 store calls. A claim without an outcome means that the request may have run. A wall clock that was set does not end claims.

--- /dev/null
+++ b/internal/platform/claim/book.go
@@ -0,0 +1,138 @@
+package claim
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/platform/store"
+)
+
+// Options are the settings of a Book; zero values get defaults.
+type Options struct {
+	Buckets int           // the same on all hosts
+	Batch   time.Duration // time to gather claims for one write
+	Running time.Duration // how long a request without an outcome is taken to run
+	Whole   time.Duration // longest time for a claim
+	Skew    time.Duration // by which the clocks of hosts may differ
+}
+
+const (
+	defaultBuckets = 256
+	defaultBatch   = 5 * time.Millisecond
+	defaultRunning = 2 * time.Minute
+	defaultWhole   = 2 * time.Second
+	defaultSkew    = 10 * time.Second
+)
+
+// Book makes the claims of one host.
+type Book struct {
+	client *store.Client
+	clock  clock.Clock
+	opts   Options
+	owner  string
+	seq    atomic.Uint64
+	wall   time.Time     // at the start
+	boot   time.Duration // at the start
+
+	mu      sync.Mutex
+	waiting map[string][]*op // by bucket key, while its batch gathers
+}
+
+// New returns a Book.
+func New(client *store.Client, c clock.Clock, o Options) *Book {
+	o.Buckets = cmp.Or(o.Buckets, defaultBuckets)
+	o.Batch = cmp.Or(o.Batch, defaultBatch)
+	o.Running = cmp.Or(o.Running, defaultRunning)
+	o.Whole = cmp.Or(o.Whole, defaultWhole)
+	o.Skew = cmp.Or(o.Skew, defaultSkew)
+	return &Book{
+		client:  client.For(store.UseClaim),
+		clock:   c,
+		opts:    o,
+		owner:   fmt.Sprintf("%016x", rand.Uint64()),
+		wall:    c.Now(),
+		boot:    c.Boot(),
+		waiting: map[string][]*op{},
+	}
+}
+
+// Begin claims a request for an expiry. It returns the Claim, or the Outcome of an earlier run.
+//
+// The error has kind Running while an earlier run may still go on, Uncertain when an earlier one may
+// have run, and Claimless when no claim could be stored; the request is then not to be sent.
+func (b *Book) Begin(ctx context.Context, customer, route, key string, expiry time.Duration) (*Claim, *Outcome, error) {
+	id := identify(customer, route, key)
+	c := &Claim{book: b, id: id, owner: fmt.Sprintf("%s-%d", b.owner, b.seq.Add(1)), until: b.clock.Boot() + expiry/2}
+	var found entry
+	err := b.do(ctx, id, func(all bucket) (bool, error) {
+		e, ok := all[id]
+		found = e
+		if ok {
+			return false, nil
+		}
+		state, err := states.Next(states.Start().State(), "claim")
+		if err != nil {
+			return false, err
+		}
+		now := b.clock.Now()
+		found = entry{State: state, Owner: c.owner, Until: now.Add(b.opts.Running), Expires: now.Add(expiry + b.opts.Skew)}
+		all[id] = found
+		return true, nil
+	})
+	if err != nil {
+		b.giveUp(ctx, c)
+		return nil, nil, kind.Wrap(err, kind.Claimless, "no claim stored")
+	}
+	if found.Owner == c.owner {
+		return c, nil, c.Valid()
+	}
+	return b.repeat(ctx, id, found)
+}
+
+// repeat answers a request that was claimed before.
+func (b *Book) repeat(ctx context.Context, id string, e entry) (*Claim, *Outcome, error) {
+	switch {
+	case e.Outcome == nil && b.clock.Now().Before(e.Until):
+		return nil, nil, kind.New(kind.Running, "the same request is still running")
+	case e.Outcome == nil:
+		return nil, nil, kind.New(kind.Uncertain, "the same request may have run")
+	case !e.Apart:
+		return nil, e.Outcome, nil
+	}
+	body, err := b.client.Get(ctx, bodyPrefix+id)
+	if err != nil {
+		return nil, nil, kind.Wrap(err, kind.Uncertain, "the request has run, its answer cannot be read").WithRan(kind.RanYes)
+	}
+	e.Outcome.Body = body.Value()
+	return nil, e.Outcome, nil
+}
+
+// giveUp removes, in the background, a claim that may have been stored after all.
+func (b *Book) giveUp(ctx context.Context, c *Claim) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), b.opts.Whole)
+		defer cancel()
+		_ = c.Release(ctx) // a claim that stays tells repeats that the request may have run
+	}()
+}
+
+func (b *Book) putBody(ctx context.Context, id string, body []byte) error {
+	_, err := b.client.Put(ctx, bodyPrefix+id, body, store.Absent())
+	if kind.Of(err) == kind.Conflict {
+		return nil
+	}
+	return err
+}
+
+// jumped reports whether the wall clock was set since the start, so that it cannot tell what has expired.
+func (b *Book) jumped() bool {
+	drift := b.clock.Now().Round(0).Sub(b.wall.Round(0)) - (b.clock.Boot() - b.boot)
+	return drift.Abs() > b.opts.Skew
+}
--- /dev/null
+++ b/internal/platform/claim/claim_test.go
@@ -0,0 +1,237 @@
+package claim_test
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/platform/claim"
+	"hickorypath/internal/platform/store"
+	standin "hickorypath/internal/standin/store"
+)
+
+// TestMain fixes the seed of the property tests; flags of the command line go before it.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "5", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	expiry = 24 * time.Hour
+	hosts  = 3
+)
+
+func newBook(b store.Backend, c clock.Clock) *claim.Book {
+	client := store.New(b, store.Options{Clock: c, Rand: rand.New(rand.NewPCG(1, 2))})
+	return claim.New(client, c, claim.Options{Buckets: 4})
+}
+
+func TestRepeat(t *testing.T) {
+	big := bytes.Repeat([]byte("x"), 100<<10)
+	cases := []struct {
+		name  string
+		first func(ctx context.Context, c *claim.Claim) error
+		after time.Duration
+		want  kind.Kind
+		body  []byte
+		again bool // the repeat may run
+	}{
+		{"still running", func(context.Context, *claim.Claim) error { return nil }, time.Second, kind.Running, nil, false},
+		{"host died", func(context.Context, *claim.Claim) error { return nil }, time.Hour, kind.Uncertain, nil, false},
+		{"done", finish([]byte("ok")), time.Hour, "", []byte("ok"), false},
+		{"done with a large body", finish(big), time.Hour, "", big, false},
+		{"not sent", func(ctx context.Context, c *claim.Claim) error { return c.Release(ctx) }, 0, "", nil, true},
+		{"expired", finish([]byte("ok")), expiry + time.Minute, "", nil, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				clk := clock.NewWall()
+				m := store.NewMemory(clk)
+				one, two := newBook(m.Backend(), clk), newBook(m.Backend(), clk)
+				got, _, err := one.Begin(t.Context(), "customer", "route", "key", expiry)
+				is.NoErr(err)
+				is.NoErr(c.first(t.Context(), got))
+				time.Sleep(c.after)
+				again, outcome, err := two.Begin(t.Context(), "customer", "route", "key", expiry)
+				is.Equal(kind.Of(err), c.want)
+				is.Equal(again != nil, c.again)
+				if c.body != nil {
+					is.Equal(outcome.Body, c.body)
+				}
+			})
+		})
+	}
+}
+
+func finish(body []byte) func(context.Context, *claim.Claim) error {
+	return func(ctx context.Context, c *claim.Claim) error {
+		return c.Finish(ctx, claim.Outcome{Status: 200, Body: body})
+	}
+}
+
+func TestOldClaimMayNotBeSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clk := clock.NewWall()
+		c, _, err := newBook(store.NewMemory(clk).Backend(), clk).Begin(t.Context(), "a", "b", "c", time.Minute)
+		is.NoErr(err)
+		is.NoErr(c.Valid())
+		time.Sleep(30 * time.Second)
+		is.Equal(kind.Of(c.Valid()), kind.Claimless)
+	})
+}
+
+// A clock that was set forward does not end claims.
+func TestClockJump(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		wall := clock.NewWall()
+		jump := time.Duration(0)
+		jumping := clock.New(func() time.Time { return time.Now().Add(jump) }, wall.Boot)
+		m := store.NewMemory(wall)
+		one, two := newBook(m.Backend(), wall), newBook(m.Backend(), jumping)
+		_, _, err := one.Begin(t.Context(), "a", "b", "c", time.Hour)
+		is.NoErr(err)
+		jump = 2 * time.Hour
+		_, _, err = two.Begin(t.Context(), "a", "b", "c", time.Hour)
+		is.Equal(kind.Of(err), kind.Uncertain)
+	})
+}
+
+func TestBatching(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clk := clock.NewWall()
+		m := store.NewMemory(clk)
+		b := newBook(m.Backend(), clk)
+		var wg sync.WaitGroup
+		const n = 200
+		for i := range n {
+			wg.Go(func() {
+				if _, _, err := b.Begin(t.Context(), "a", "b", fmt.Sprint(i), expiry); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wg.Wait()
+		t.Logf("%d claims at once, 4 buckets: %d store calls", n, m.Calls())
+		is.Equal(m.Calls(), uint64(8))
+	})
+}
+
+// upstream counts how often each request ran.
+type upstream struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (u *upstream) run(key string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.runs[key]++
+}
+
+// send is one try of a request through a host; fate is what becomes of the run.
+func send(ctx context.Context, b *claim.Book, g *standin.Gate, u *upstream, key, fate string) {
+	c, _, err := b.Begin(ctx, "customer", "route", key, expiry)
+	if err != nil || c == nil {
+		return
+	}
+	g.Pass()
+	if c.Valid() != nil {
+		return
+	}
+	if fate == "reject" { // the upstream answers that it did not run it
+		_ = c.Release(ctx)
+		return
+	}
+	u.run(key)
+	g.Pass()
+	if fate == "finish" {
+		_ = c.Finish(ctx, claim.Outcome{Status: 200})
+	}
+}
+
+type step struct {
+	name, fate string
+	host, key  int
+	span       time.Duration
+}
+
+func TestAtMostOnceProperty(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+			return step{
+				name: rapid.SampledFrom([]string{"send", "send", "send", "pause", "cut", "join", "down", "up", "lose", "drop"}).Draw(t, "name"),
+				fate: rapid.SampledFrom([]string{"finish", "crash", "reject"}).Draw(t, "fate"),
+				host: rapid.IntRange(0, 2).Draw(t, "host"),
+				key:  rapid.IntRange(0, 2).Draw(t, "key"),
+				span: time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond,
+			}
+		}), 10, 60).Draw(rt, "steps")
+		if runs := play(t, steps); len(runs) > 0 {
+			rt.Fatalf("ran more than once: %v", runs)
+		}
+	})
+}
+
+// play runs the steps and returns the requests that ran more than once.
+func play(t *testing.T, steps []step) map[string]int {
+	u := &upstream{runs: map[string]int{}}
+	synctest.Test(t, func(t *testing.T) {
+		clk := clock.NewWall()
+		m := store.NewMemory(clk)
+		gates := make([]*standin.Gate, hosts)
+		books := make([]*claim.Book, hosts)
+		for i := range hosts {
+			gates[i] = standin.NewGate(nil)
+			books[i] = newBook(gates[i].Backend(m.Backend()), clk)
+		}
+		for _, s := range steps {
+			f := m.Faults()
+			switch s.name {
+			case "send":
+				go send(t.Context(), books[s.host], gates[s.host], u, fmt.Sprint(s.key), s.fate)
+			case "pause":
+				gates[s.host].Pause(10 * s.span)
+			case "cut", "join":
+				gates[s.host].Cut(s.name == "cut")
+			case "down", "up":
+				f.Down = s.name == "down"
+			case "lose":
+				f.Lose = 1 + s.key
+			case "drop":
+				f.Drop = 1 + s.key
+			}
+			if s.name != "send" {
+				m.Set(f)
+			}
+			time.Sleep(s.span / 4)
+		}
+		time.Sleep(10 * time.Minute)
+	})
+	for key, n := range u.runs {
+		if n <= 1 {
+			delete(u.runs, key)
+		}
+	}
+	return u.runs
+}
