Tell stragglers from engines that are slower by make; let slowness fade

An upstream whose slowness nobody sampled any more kept it for good and got no work at light load; it now fades by half in two minutes.

--- a/internal/policy/health/health.go
+++ b/internal/policy/health/health.go
@@ -19,7 +19,7 @@
 
 // Defaults of Config.
 const (
-	defaultOutlier = 2.5
+	defaultOutlier = 3.0
 	defaultCap     = 0.34
 	defaultEject   = 5 * time.Second
 	defaultLongest = 60 * time.Second
@@ -76,7 +76,8 @@
 	out      bool
 	trial    bool // the next result decides whether the ejection is repeated
 	samples  int
-	slowness float64 // smoothed logarithm of the slowness, 0 being the pool's usual
+	sampled  time.Time // when the slowness was last brought up to date
+	slowness float64   // smoothed logarithm of the slowness, 0 being the pool's usual
 }
 
 // Join adds an upstream to the pool.
@@ -102,12 +103,16 @@
 // smoothed slowness.
 type Signal float64
 
-// The signals. Times to first token vary with prompts, caches and queues, so each one says less.
+// The signals. A request gives one first token and many gaps.
 const (
-	First Signal = 0.08
-	Gap   Signal = 0.2
+	First Signal = 0.25
+	Gap   Signal = 0.1
 )
 
+// forgetTime is how long it takes an upstream without samples to lose half of its slowness, so that
+// one that has recovered is tried again.
+const forgetTime = 120 * time.Second
+
 const (
 	ratioMin   = 0.25 // bounds on one sample, so that a single freeze is forgotten soon
 	ratioMax   = 8
@@ -118,13 +123,14 @@
 // are averaged by their logarithms, so that one late answer does not outweigh many prompt ones.
 func (p *Pool) Observe(now time.Time, s *State, signal Signal, ratio float64) {
 	sample := math.Log(min(max(ratio, ratioMin), ratioMax))
+	s.forget(now)
 	s.samples++
 	if s.trial && !s.out {
 		p.decide(now, s, signal, ratio)
 		return
 	}
 	s.slowness += float64(signal) * (sample - s.slowness)
-	if !s.out && s.samples >= minSamples && s.Ratio() >= p.config.Outlier {
+	if !s.out && s.samples >= minSamples && s.Ratio(now) >= p.config.Outlier {
 		p.eject(now, s, true)
 	}
 }
@@ -132,6 +138,7 @@
 // decide ends the trial of an upstream that came back from an ejection.
 func (p *Pool) decide(now time.Time, s *State, signal Signal, ratio float64) {
 	if ratio >= p.config.Outlier {
+		s.slowness = max(s.slowness, math.Log(min(ratio, ratioMax)))
 		p.eject(now, s, true)
 		return
 	}
@@ -213,7 +220,23 @@
 const minWeight = 0.01
 
 // Ratio returns the smoothed slowness, 1 being the pool's usual.
-func (s *State) Ratio() float64 { return math.Exp(s.slowness) }
+func (s *State) Ratio(now time.Time) float64 {
+	s.forget(now)
+	return math.Exp(s.slowness)
+}
+
+// forget lets the slowness fade with the time since the last sample or reading.
+func (s *State) forget(now time.Time) {
+	passed := now.Sub(s.sampled)
+	if passed < forgetStep {
+		return
+	}
+	s.slowness *= math.Exp2(-passed.Seconds() / forgetTime.Seconds())
+	s.sampled = now
+}
+
+// forgetStep is the time up to which fading is put off.
+const forgetStep = time.Second
 
 // Settled reports whether the weight is 1 and stays so until the next event.
 func (s *State) Settled() bool { return !s.out && s.back.IsZero() }
--- a/internal/policy/route/cost.go
+++ b/internal/policy/route/cost.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	usualOutput = 60   // output tokens by which the batch of an upstream counts
-	farCost     = 0.02 // seconds that an upstream in another zone must be better by
+	usualOutput = 60  // output tokens by which the batch of an upstream counts
+	farCost     = 0.1 // seconds that an upstream in another zone must be better by
 	reportTrust = 5 * time.Second
 	doubtFactor = 0.9 // worth of a cache entry after lost events
 	failureTime = 10 * time.Second
@@ -90,7 +90,7 @@
 // slowness returns how many times slower than usual m is. A request that has waited long for its
 // first token speaks before the token comes.
 func (t *Table) slowness(now time.Time, m *member) float64 {
-	slow := m.health.Ratio()
+	slow := m.health.Ratio(now)
 	if len(m.first) > 0 {
 		oldest := &m.first[0]
 		slow = max(slow, now.Sub(oldest.start).Seconds()/t.model.expect(float64(oldest.tokens+oldest.ahead)))
--- a/internal/policy/route/pick.go
+++ b/internal/policy/route/pick.go
@@ -123,6 +123,7 @@
 		return
 	}
 	cost := c.table.cost(c.now, m, &c.work, blocks)
+	cost *= c.table.scatter()
 	if c.best == nil || cost < c.cost {
 		c.best, c.cost = m, cost
 	}
@@ -141,6 +142,20 @@
 	return !slices.Contains(w.Exclude, m.id)
 }
 
+// scatter returns a random factor, so that hosts which know the same do not all choose the same
+// upstream between two exchanges. A host on its own needs none.
+func (t *Table) scatter() float64 {
+	if len(t.hosts) < 2 {
+		return 1
+	}
+	return 1 + scatterRange*float64(t.rand.Uint64()%scatterSteps)/scatterSteps
+}
+
+const (
+	scatterRange = 0.3
+	scatterSteps = 1024
+)
+
 // mayExceed reports whether m may take the work although this host has no free slot there: m holds most
 // of the prefix, and all hosts together run little more there than it has slots. In a full pool the
 // work would else go wherever a slot falls free, and each cache would come to hold every prefix.
