--- a/internal/policy/admit/admit_test.go
+++ b/internal/policy/admit/admit_test.go
@@ -35,9 +35,12 @@
 		g.Shed(now, 0)
 		g.Held(now)
 	}
-	is.True(g.RetryHeld(now) >= 9*time.Second)
-	is.Equal(g.Retry(5*time.Second, 2*time.Second), 3*time.Second)
-	is.Equal(g.Retry(2*time.Second, 2*time.Second), time.Second)
+	is.True(g.RetryHeld(now, 1) >= 9*time.Second)
+	is.True(g.Retry(now, 0, 2*time.Second, 2*time.Second) >= 9*time.Second)
+	later := now.Add(time.Minute)
+	g.Shed(later, 0)
+	is.Equal(g.Retry(later, 0, 5*time.Second, 2*time.Second), 3*time.Second)
+	is.Equal(g.Retry(later, 0, 2*time.Second, 2*time.Second), time.Second)
 }
 
 func TestWaitCountsHigherArrivals(t *testing.T) {
--- a/internal/policy/admit/gate.go
+++ b/internal/policy/admit/gate.go
@@ -12,6 +12,8 @@
 const (
 	// holdTime is how long lower tiers stay held back after a tier was shed.
 	holdTime = time.Second
+	// runTime is the pause after which sheds of a tier count as a new run.
+	runTime = 3 * time.Second
 	// paceDecay is the weight of one finished request in the pace.
 	paceDecay = 0.02
 	// startPace is the seconds that a slot takes for one cost unit before any request has finished.
@@ -31,6 +33,7 @@
 // Gate is the admission state of one pool on one host. It is not safe for concurrent use.
 type Gate struct {
 	shed  []time.Time // last time that each tier was shed on this host
+	runs  []time.Time // start of the present run of sheds of each tier
 	peers map[string]mark
 	rates []Rate
 	pace  float64
@@ -49,6 +52,7 @@
 func New(tiers int) *Gate {
 	return &Gate{
 		shed:  make([]time.Time, tiers),
+		runs:  make([]time.Time, tiers),
 		peers: make(map[string]mark),
 		rates: make([]Rate, tiers),
 		pace:  startPace,
@@ -58,10 +62,11 @@
 
 // Resize keeps what the Gate knows for tiers 0 to tiers-1 and forgets the rest.
 func (g *Gate) Resize(tiers int) {
-	shed, rates := make([]time.Time, tiers), make([]Rate, tiers)
+	shed, runs, rates := make([]time.Time, tiers), make([]time.Time, tiers), make([]Rate, tiers)
 	copy(shed, g.shed)
+	copy(runs, g.runs)
 	copy(rates, g.rates)
-	g.shed, g.rates = shed, rates
+	g.shed, g.runs, g.rates = shed, runs, rates
 }
 
 // Arrive counts a request that asks for service in a tier, refused or not.
@@ -109,7 +114,12 @@
 }
 
 // Shed records that a request of a tier was shed on this host.
-func (g *Gate) Shed(now time.Time, tier int) { g.shed[tier] = now }
+func (g *Gate) Shed(now time.Time, tier int) {
+	if now.Sub(g.shed[tier]) > runTime {
+		g.runs[tier] = now
+	}
+	g.shed[tier] = now
+}
 
 // Shedding returns the highest tier that this host sheds, or None.
 func (g *Gate) Shedding(now time.Time) int {
@@ -152,16 +162,22 @@
 	g.until = now.Add(holdTime)
 }
 
-// Retry turns an estimated wait and the wait that the class accepts into advice for a refused
-// caller: the time after which the wait would be acceptable.
-func (g *Gate) Retry(wait, limit time.Duration) time.Duration {
-	return clamp(wait - limit)
+// Retry returns the advice for a caller of a tier that was just shed: the time after which the
+// estimated wait would be the limit, or, when longer, the time for which the tier has been shed.
+// Overload that has lasted for some time is expected to last as long again.
+func (g *Gate) Retry(now time.Time, tier int, wait, limit time.Duration) time.Duration {
+	return clamp(max(wait-limit, now.Sub(g.runs[tier])))
 }
 
-// RetryHeld returns the advice for a caller whose tier is held back. Overload that has lasted for
-// some time is expected to last as long again.
-func (g *Gate) RetryHeld(now time.Time) time.Duration {
-	return clamp(now.Sub(g.since))
+// RetryHeld returns the advice for a caller whose tier is held back: as long as that has lasted, and
+// the time that the tiers between take to return.
+func (g *Gate) RetryHeld(now time.Time, tier int) time.Duration {
+	between := 0
+	if held := g.Held(now); held != None {
+		between = max(0, tier-held-1)
+	}
+	lasted := max(now.Sub(g.since), now.Sub(g.runs[tier]))
+	return clamp(lasted + time.Duration(between)*holdTime)
 }
 
 func clamp(d time.Duration) time.Duration { return min(max(d, minRetry), maxRetry) }
--- a/internal/policy/model/stats_test.go
+++ b/internal/policy/model/stats_test.go
@@ -43,9 +43,10 @@
 	again      int // tokens whose state was lost with an engine
 	wasted     int // of them, those that no caller got as part of a whole answer
 	sheds      map[int][]time.Duration
-	behind     int // sheds after which a lower tier still waited when all hosts knew
-	overtaken  int // lower requests started, outside their floor, while a higher tier was shed
-	floored    int // tokens asked by requests started on a floor
+	behind     int    // sheds after which a lower tier still waited when all hosts knew
+	overtaken  int    // lower requests started, outside their floor, while a higher tier was shed
+	back       [2]int // callers that came back, and of them those refused again
+	floored    int    // tokens asked by requests started on a floor
 	from       time.Duration
 	to         time.Duration
 }
@@ -77,7 +78,12 @@
 	return t
 }
 
-func (s *stats) offered(j *job) { s.each(j, func(t *tally) { t.offered++ }) }
+func (s *stats) offered(j *job) {
+	if j.returned > 0 {
+		s.back[0]++
+	}
+	s.each(j, func(t *tally) { t.offered++ })
+}
 
 func (s *stats) first(j *job) {
 	if s.counts(j) {
@@ -129,6 +135,9 @@
 }
 
 func (s *stats) refused(j *job, d pool.Decision) {
+	if j.returned > 0 {
+		s.back[1]++
+	}
 	s.tokens += j.emitted
 	s.wasted += j.emitted
 	s.each(j, func(t *tally) { t.refused++ })
--- a/internal/policy/model/world_test.go
+++ b/internal/policy/model/world_test.go
@@ -84,6 +84,8 @@
 	cacheLag               time.Duration
 	cacheLoss              float64
 	skew                   func(j *job) int // host of a request, nil for any
+	returns                int              // times that refused callers come back
+	lastID                 uint64
 }
 
 // job is one request of a caller.
@@ -103,6 +105,7 @@
 	queued   bool
 	finished bool
 	patience time.Duration
+	returned int // times that the caller came back after a refusal
 	whole    time.Duration
 }
 
@@ -293,10 +296,21 @@
 			w.stats.refused(j, d)
 			j.queued, j.finished = false, true
 			delete(w.jobs, j.ID)
+			if w.returns > 0 && j.returned < w.returns && j.tries == 0 {
+				w.comeBack(j, d.Retry)
+			}
 		}
 	}
 }
 
+// comeBack lets a refused caller try again when it was told to.
+func (w *world) comeBack(old *job, after time.Duration) {
+	j := &job{Request: old.Request, output: old.output, patience: old.patience, whole: old.whole, returned: old.returned + 1}
+	w.lastID++
+	j.ID = 1<<40 + w.lastID
+	w.after(after, func() { w.arrive(j) })
+}
+
 func (w *world) engine(id string) *engine {
 	i := slices.IndexFunc(w.engines, func(e *engine) bool { return e.id == id })
 	return w.engines[i]
--- a/internal/policy/pool/arrive.go
+++ b/internal/policy/pool/arrive.go
@@ -74,19 +74,19 @@
 	if held := p.gate.Held(now); held != admit.None && held < tier {
 		if !floor {
 			p.gate.Shed(now, tier)
-			p.refuse(c, kind.Overload, p.spread(p.gate.RetryHeld(now)))
+			p.refuse(c, kind.Overload, p.spread(p.gate.RetryHeld(now, c.class.Tier)))
 		}
 		p.hurry(now, c)
 		return floor
 	}
 	wait := p.wait(now, c)
 	if p.isHopeless(now, c, wait) {
-		p.refuse(c, kind.Deadline, p.spread(p.gate.Retry(wait, 0)))
+		p.refuse(c, kind.Deadline, p.spread(wait))
 		return false
 	}
 	if limit := p.patience(c.class); wait > limit && !floor {
 		p.overload(now, tier)
-		p.refuse(c, kind.Overload, p.spread(p.gate.Retry(wait, limit)))
+		p.refuse(c, kind.Overload, p.spread(p.gate.Retry(now, tier, wait, limit)))
 		return false
 	}
 	return true
@@ -146,7 +146,7 @@
 			}
 			p.drop(c)
 			p.gate.Shed(now, level)
-			p.refuse(c, kind.Overload, p.spread(p.gate.RetryHeld(now)))
+			p.refuse(c, kind.Overload, p.spread(p.gate.RetryHeld(now, c.class.Tier)))
 		}
 	}
 	for _, c := range late {
--- a/internal/policy/pool/dispatch.go
+++ b/internal/policy/pool/dispatch.go
@@ -207,11 +207,11 @@
 		c := p.expiry[0]
 		p.drop(c)
 		if c.late {
-			p.refuse(c, kind.Overload, p.spread(p.gate.RetryHeld(now)))
+			p.refuse(c, kind.Overload, p.spread(p.gate.RetryHeld(now, c.class.Tier)))
 			continue
 		}
 		wait := p.wait(now, c)
 		p.overload(now, c.class.Tier)
-		p.refuse(c, kind.Overload, p.spread(p.gate.Retry(wait, p.patience(c.class))))
+		p.refuse(c, kind.Overload, p.spread(p.gate.Retry(now, c.class.Tier, wait, p.patience(c.class))))
 	}
 }
