--- a/internal/policy/pool/arrive.go
+++ b/internal/policy/pool/arrive.go
@@ -45,6 +45,7 @@
 	c.item.Customer = r.Customer
 	c.item.Class = r.Class
 	c.item.Weight = r.Weight
+	c.item.Urgent = r.Again
 	c.item.Cost = c.charged + promptCost*float64(r.Prompt)
 	c.expires = now.Add(k.Wait)
 	if !r.Deadline.IsZero() && r.Deadline.Before(c.expires) {
@@ -137,8 +138,8 @@
 func (p *Pool) shedBelow(now time.Time, tier int) {
 	var late []*call
 	for level := p.queue.Tiers() - 1; level > tier; level-- {
-		for p.queue.Depth(level) > 0 {
-			c := p.calls[p.queue.Last(level).ID]
+		for it := p.queue.Last(level); it != nil; it = p.queue.Last(level) {
+			c := p.calls[it.ID]
 			if c.late {
 				p.queue.Remove(&c.item)
 				late = append(late, c)
--- a/internal/policy/pool/classes.go
+++ b/internal/policy/pool/classes.go
@@ -69,7 +69,8 @@
 
 // requeue puts a waiting call into the new queue, or refuses it when its class is gone.
 func (p *Pool) requeue(c *call) {
-	c.item = queue.Item{ID: c.ID, Customer: c.Customer, Class: c.Class, Weight: c.Weight, Cost: c.item.Cost}
+	c.aside = false
+	c.item = queue.Item{ID: c.ID, Customer: c.Customer, Class: c.Class, Weight: c.Weight, Cost: c.item.Cost, Urgent: c.Again}
 	if p.queue.Push(&c.item) {
 		return
 	}
--- a/internal/policy/pool/dispatch.go
+++ b/internal/policy/pool/dispatch.go
@@ -49,6 +49,7 @@
 			p.start(now, c, up, cheap)
 		case c.isPicky():
 			p.queue.Remove(it)
+			c.aside = true
 			p.aside = append(p.aside, c)
 		default:
 			c.class.blocked = p.round
@@ -206,6 +207,10 @@
 	for len(p.expiry) > 0 && !p.expiry[0].expires.After(now) {
 		c := p.expiry[0]
 		p.drop(c)
+		if c.aside {
+			p.refuse(c, kind.Unavailable, 0)
+			continue
+		}
 		if c.late {
 			p.refuse(c, kind.Overload, p.spread(p.gate.RetryHeld(now, c.class.Tier)))
 			continue
--- a/internal/policy/pool/pool_test.go
+++ b/internal/policy/pool/pool_test.go
@@ -108,6 +108,34 @@
 	is.Equal(d[0].Action, pool.Start)
 }
 
+func TestAgainGoesFirstInItsTier(t *testing.T) {
+	is := is.New(t)
+	p := newPool(1)
+	p.Arrive(start, pool.Request{ID: 1, Customer: "c1", Class: "live"})
+	p.Arrive(start, pool.Request{ID: 2, Customer: "c2", Class: "bulk"})
+	p.Arrive(start, pool.Request{ID: 3, Customer: "c1", Class: "bulk", Again: true})
+	p.Arrive(start, pool.Request{ID: 4, Customer: "c1", Class: "live"})
+	p.Peer(start, "b", pool.Summary{Shed: 0})
+	d := p.Tick(start)
+	is.Equal(len(d), 1)
+	is.Equal(d[0].ID, uint64(2)) // the other one of its class is shed
+	now := start.Add(time.Second)
+	is.Equal(p.Finish(now, 1, pool.Result{Output: 10})[0].ID, uint64(4)) // the higher tier goes first
+	is.Equal(p.Finish(now, 4, pool.Result{Output: 10})[0].ID, uint64(3))
+}
+
+// TestExcludedIsNotOverload refuses a request that only an excluded upstream could run, and sheds
+// nobody for it.
+func TestExcludedIsNotOverload(t *testing.T) {
+	is := is.New(t)
+	p := newPool(2)
+	p.Arrive(start, pool.Request{ID: 1, Customer: "c1", Class: "live", Exclude: []string{"e1"}})
+	d := p.Tick(start.Add(11 * time.Second))
+	is.Equal(len(d), 1)
+	is.Equal(d[0].Kind, kind.Unavailable)
+	is.Equal(p.Summary(start.Add(11*time.Second)).Shed, -1)
+}
+
 func TestWaitEnds(t *testing.T) {
 	is := is.New(t)
 	p := newPool(1)
--- a/internal/policy/pool/request.go
+++ b/internal/policy/pool/request.go
@@ -9,7 +9,8 @@
 	"hickorypath/internal/policy/route"
 )
 
-// Request asks for one answer.
+// Request asks for one answer. One that runs Again is not refused on arrival, is not shed, and goes
+// first in its tier.
 type Request struct {
 	ID       uint64
 	Customer string
@@ -67,6 +68,7 @@
 	solid    bool
 	late     bool    // admitted on the floor of its class while the class is held back
 	floor    bool    // started on the floor of its class
+	aside    bool    // no upstream could take it because of its constraints
 	charged  float64 // output tokens charged so far
 	emitted  int
 	index    int // in the expiry heap, -1 when absent
--- a/internal/policy/queue/queue.go
+++ b/internal/policy/queue/queue.go
@@ -23,6 +23,7 @@
 	Class    string
 	Weight   float64 // weight of the customer, 1 when zero
 	Cost     float64 // estimated cost
+	Urgent   bool    // goes before the others of its tier, and is not offered for shedding
 
 	flow       *flow // while it waits
 	owner      *flow
@@ -41,6 +42,7 @@
 	level   int
 	clock   float64
 	classes []*class
+	urgent  []*Item
 	work    float64
 	length  int
 }
@@ -70,10 +72,14 @@
 	if !ok {
 		return false
 	}
-	if c.length == 0 {
-		c.tag = math.Max(c.tag, c.tier.clock)
+	if it.Urgent {
+		c.pushUrgent(it)
+	} else {
+		if c.length == 0 {
+			c.tag = math.Max(c.tag, c.tier.clock)
+		}
+		c.push(it)
 	}
-	c.push(it)
 	c.tier.work += it.Cost
 	c.tier.length++
 	q.length++
@@ -92,6 +98,9 @@
 		return it, true
 	}
 	for _, t := range q.tiers {
+		if it := t.firstUrgent(allowed); it != nil {
+			return it, false
+		}
 		if c := t.first(allowed); c != nil {
 			return c.head(), false
 		}
@@ -127,9 +136,13 @@
 func (q *Queue) Take(it *Item) {
 	c := it.flow.class
 	t := c.tier
-	t.clock = math.Max(t.clock, c.tag)
+	if it.Urgent {
+		c.removeUrgent(it)
+	} else {
+		t.clock = math.Max(t.clock, c.tag)
+		c.take(it)
+	}
 	c.tag += it.Cost / c.conf.Weight
-	c.take(it)
 	q.removed(t, it)
 	q.serve(c, it.Cost)
 }
@@ -167,7 +180,11 @@
 		return false
 	}
 	c := it.flow.class
-	c.remove(it)
+	if it.Urgent {
+		c.removeUrgent(it)
+	} else {
+		c.remove(it)
+	}
 	q.removed(c.tier, it)
 	return true
 }
@@ -216,6 +233,9 @@
 			worst = c
 		}
 	}
+	if worst == nil {
+		return nil
+	}
 	return worst.heap[len(worst.heap)-1].last
 }
 
--- /dev/null
+++ b/internal/policy/queue/urgent.go
@@ -0,0 +1,30 @@
+package queue
+
+import "slices"
+
+// pushUrgent appends it to the urgent requests of the tier. They are few: retries and resumes.
+func (c *class) pushUrgent(it *Item) {
+	f, ok := c.flows[it.Customer]
+	if !ok {
+		f = &flow{customer: it.Customer, class: c, weight: positive(it.Weight), tag: c.clock}
+	}
+	it.flow, it.owner = f, f
+	c.tier.urgent = append(c.tier.urgent, it)
+}
+
+func (c *class) removeUrgent(it *Item) {
+	it.flow = nil
+	if i := slices.Index(c.tier.urgent, it); i >= 0 {
+		c.tier.urgent = slices.Delete(c.tier.urgent, i, i+1)
+	}
+}
+
+// firstUrgent returns the oldest urgent request of a class that is allowed, or nil.
+func (t *tier) firstUrgent(allowed func(class string, floor bool) bool) *Item {
+	for _, it := range t.urgent {
+		if allowed == nil || allowed(it.Class, true) {
+			return it
+		}
+	}
+	return nil
+}
