--- a/cmd/hickorypath/demo.go
+++ b/cmd/hickorypath/demo.go
@@ -21,6 +21,7 @@
 
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/core/settings"
+	"hickorypath/internal/host/node"
 	"hickorypath/internal/operator/client"
 	"hickorypath/internal/platform/roster"
 	standinengine "hickorypath/internal/standin/engine"
@@ -55,11 +56,16 @@
 	hosts  int
 	zones  int
 	log    string
+	engine standinengine.Options
+	count  int // engines of each pool
 }
 
+// demoEngine are the properties of the demo's engines.
+var demoEngine = standinengine.Options{Slots: demoSlots, Gap: demoGap, Prefill: demoPrefill}
+
 // addDemo adds the command that runs hosts and stand-ins in one process.
 func addDemo(app *kingpin.Application) {
-	f := &demoFlags{}
+	f := &demoFlags{engine: demoEngine, count: demoEngines}
 	cmd := app.Command("demo", "Run hosts on loopback with stand-ins for everything outside, and print commands to try.")
 	cmd.Flag("listen", "Callers' address of the first host; the others take the ports after it.").Default("127.0.0.1:8080").StringVar(&f.listen)
 	cmd.Flag("admin", "Operators' address of the first host; the others take the ports after it.").Default("127.0.0.1:8090").StringVar(&f.admin)
@@ -134,9 +140,10 @@
 }
 
 func (d *demo) startUpstreams() error {
-	for n := range demoEngines {
+	for n := range d.flags.count {
 		for _, pool := range []string{"asesor", "libro"} {
-			o := standinengine.Options{Model: pool, Slots: demoSlots, Gap: demoGap, Prefill: demoPrefill}
+			o := d.flags.engine
+			o.Model = pool
 			e, err := d.site.StartEngine(pool, d.zone(n), anyPort, o)
 			if err != nil {
 				return err
@@ -161,11 +168,7 @@
 	if err != nil {
 		return err
 	}
-	peer, err := freeUDP()
-	if err != nil {
-		return err
-	}
-	s, err := d.settings(n, caller, admin, peer, platform)
+	s, err := d.settings(n, caller, admin, platform)
 	if err != nil {
 		return err
 	}
@@ -173,13 +176,14 @@
 	if err != nil {
 		return err
 	}
-	d.site.Roster().Put(roster.New(s.Host(), s.Zone(), peer, roster.Live))
+	addr := get[*node.Node](h.injector).Addr()
+	d.site.Roster().Put(roster.New(s.Host(), s.Zone(), addr, roster.Live))
 	d.hosts = append(d.hosts, h)
 	return nil
 }
 
 // settings returns the settings of the n-th host, through the same checks as a file.
-func (d *demo) settings(n int, caller, admin, peer, platform string) (*settings.Settings, error) {
+func (d *demo) settings(n int, caller, admin, platform string) (*settings.Settings, error) {
 	services := lo.Map(d.site.Upstreams(), func(u site.Upstream, _ int) settings.Service {
 		return settings.Service{Pool: u.Pool, Zone: u.Zone, Addr: u.Addr}
 	})
@@ -190,7 +194,7 @@
 		"caller":      settings.Listener{Listen: caller},
 		"admin":       settings.Listener{Listen: admin},
 		"tokens":      []string{demoToken},
-		"peer":        settings.Peer{Listen: peer, Secret: demoSecret},
+		"peer":        settings.Peer{Listen: anyPort, Secret: demoSecret},
 		"platform": settings.Platform{
 			Store: platform + "/store", Provision: platform + "/provision",
 			Usage: platform + "/usage", Roster: platform + "/roster",
@@ -311,13 +315,3 @@
 	}
 	return netip.AddrPortFrom(a.Addr(), a.Port()+uint16(n)).String(), nil
 }
-
-// freeUDP returns a loopback address whose UDP port is free now.
-func freeUDP() (string, error) {
-	conn, err := net.ListenPacket("udp", anyPort)
-	if err != nil {
-		return "", err
-	}
-	defer conn.Close()
-	return conn.LocalAddr().String(), nil
-}
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,8 +24,8 @@
 	listTimeout = 2 * time.Second
 	leaveWait   = 500 * time.Millisecond
 	shareFast   = 200 * time.Millisecond
-	softLife    = 5  // exchanges that a combined soft record outlives
-	fastFleet   = 16 // hosts up to which soft records are shared at the fast rate
+	softLife    = 5                // exchanges that a combined soft record outlives
+	fastFleet   = member.MeshFleet // hosts up to which soft records are shared at the fast rate
 	shareMedium = 1 * time.Second
 	mediumFleet = 64
 	shareSlow   = 9 * time.Second
@@ -85,9 +86,11 @@
 
 // Run exchanges messages with the other hosts until ctx ends, and then closes the listener.
 func (n *Node) Run(ctx context.Context) error {
-	go n.peer.Run(ctx)
-	go n.follow(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	defer n.peer.Close()
+	wg.Go(func() { n.peer.Run(ctx) })
+	wg.Go(func() { n.follow(ctx) })
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
--- a/internal/policy/pool/request.go
+++ b/internal/policy/pool/request.go
@@ -4,11 +4,13 @@
 	"time"
 
 	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/length"
 	"hickorypath/internal/policy/queue"
 	"hickorypath/internal/policy/route"
 )
 
-// Request asks for one answer.
+// Request asks for one answer. One that runs Again is not refused on arrival, is not shed, and goes
+// first in its tier.
 type Request struct {
 	ID       uint64
 	Customer string
@@ -58,6 +60,7 @@
 	Request
 	item     queue.Item
 	class    *class
+	flow     *length.Flow
 	arrived  time.Time
 	expires  time.Time
 	started  time.Time
@@ -65,6 +68,7 @@
 	solid    bool
 	late     bool    // admitted on the floor of its class while the class is held back
 	floor    bool    // started on the floor of its class
+	aside    bool    // no upstream could take it because of its constraints
 	charged  float64 // output tokens charged so far
 	emitted  int
 	index    int // in the expiry heap, -1 when absent
