--- /dev/null
+++ b/internal/host/capacity/role.go
@@ -0,0 +1,158 @@
+package capacity
+
+// Units.
+const (
+	secondsPerDay = 86_400
+	micro         = 1e-6 // seconds in a microsecond
+	percent       = 100
+	kilo          = 1e3
+	mega          = 1e6
+	kibi          = 1 << 10
+)
+
+// Times of the mechanisms, as set in the packages named.
+const (
+	hostTicks    = 20 // a second, node
+	poolTicks    = 40 // a second, dispatch
+	watchTime    = 50 // seconds that a watch waits, store
+	watchHosts   = 2  // hosts in each zone that watch the store at most
+	watches      = 2  // prefixes that they watch: documents and keys
+	pollWatchers = 2  // hosts that poll an upstream
+	splitPeriod  = 0.1
+	leaseRenew   = 5 // seconds
+	keyWire      = 160
+)
+
+// Row is what one mechanism costs one daemon.
+type Row struct {
+	Mechanism string
+	Messages  float64 // a second
+	Bytes     float64 // a second
+	CPU       float64 // percent of a core
+	Heap      float64 // MB
+}
+
+// Role is one job of a host and its rows.
+type Role struct {
+	Name   string
+	Holds  string // its state
+	Rows   []Row
+	Breaks string // what breaks first
+}
+
+// Total returns the sum of the rows.
+func (r Role) Total() Row {
+	t := Row{Mechanism: "total"}
+	for _, row := range r.Rows {
+		t.Messages += row.Messages
+		t.Bytes += row.Bytes
+		t.CPU += row.CPU
+		t.Heap += row.Heap
+	}
+	return t
+}
+
+// Roles returns the roles of hosts. An entry host's rows are part of every role, since each host is one.
+func (m *Model) Roles() []Role {
+	entry := Role{
+		Name:  "entry host",
+		Holds: "document, keys, list of hosts, queue and route tables of its own requests",
+		Rows: append([]Row{
+			m.heartbeats("heartbeats and load, to two relays (member, spread)", m.slope(hostPackets), m.slope(hostPayload)),
+			m.changes("changes, taken from a relay (spread)", 1),
+		}, m.common()...),
+		Breaks: "heap, by the keys: two copies of each record",
+	}
+	relay := Role{
+		Name:  "relay (four in a zone of 23 hosts)",
+		Holds: "as an entry host; load summaries of its hosts and of the zones that it is linked with",
+		Rows: append([]Row{
+			m.heartbeats("heartbeats and load, to hosts, relays and zones (member, spread)", m.slope(relayPackets), m.slope(relayPayload)),
+			m.changes("changes, passed on (spread)", m.fanout()),
+		}, m.common()...),
+		Breaks: "bytes, by the load summaries: 80 bytes for each pool and zone every 12 s",
+	}
+	return []Role{entry, relay}
+}
+
+// heartbeats returns the steady traffic of a host.
+func (m *Model) heartbeats(name string, packets, payload float64) Row {
+	return Row{Mechanism: name, Messages: packets, Bytes: payload + packets*m.slope(packetOverhead), CPU: m.packetCPU(packets)}
+}
+
+// packetCPU returns the processor time of one end.
+func (m *Model) packetCPU(packets float64) float64 {
+	return packets * m.slope(packetCPU) / 2 * micro * percent
+}
+
+func (m *Model) changesPerSecond() float64 { return m.Size.Changes / secondsPerDay }
+
+// fanout returns how many times a relay sends or receives the chunks of a change.
+func (m *Model) fanout() float64 { return m.slope(changePayload) / m.slope(changeSmall) }
+
+// changes takes every change for one of the document, the dearer kind.
+func (m *Model) changes(name string, transfers float64) Row {
+	rate := m.changesPerSecond()
+	packets := m.slope(changePackets) * min(1, transfers/m.fanout())
+	return Row{
+		Mechanism: name,
+		Messages:  rate * packets,
+		Bytes:     rate * (transfers*m.slope(changeLink) + packets*m.slope(packetOverhead)),
+		CPU:       rate*m.slope(changeCPU)/2*micro*percent + m.packetCPU(rate*packets),
+	}
+}
+
+// common returns the rows of every host.
+func (m *Model) common() []Row {
+	s := m.Size
+	polls := s.Upstreams * pollWatchers / s.Hosts
+	copyBytes := s.Keys*keyWire + s.Document
+	return []Row{
+		{Mechanism: "periodic work of membership and records (node)", CPU: hostTicks * m.slope(hostTick) * micro * percent},
+		{Mechanism: "key records for other hosts (spread)", Heap: s.Keys * m.slope(spreadKeyHeap) / mega},
+		{Mechanism: "chunks of the document for other hosts (spread)", Heap: s.Document * m.slope(spreadDocHeap) / mega},
+		{Mechanism: "table of keys (key)", Heap: m.slope(keyHeap) * kibi / mega},
+		{Mechanism: "document (document)", CPU: m.changesPerSecond() * m.slope(documentParse) * micro * percent,
+			Heap: m.slope(documentHeap) * kibi / mega},
+		{Mechanism: "copies for hosts that start (spread)", Bytes: 2 * s.Starts / secondsPerDay * copyBytes / s.Hosts},
+		{Mechanism: "expiry and ageing in queues (pool)", CPU: s.Pools * poolTicks * m.slope(poolTick) * micro * percent},
+		{Mechanism: "division of slots among hosts (route)", CPU: s.Pools * m.slope(routeShare) / (s.Hosts * splitPeriod) * micro * percent},
+		{Mechanism: "reading the load of upstreams (poll)", Messages: polls, CPU: polls * m.slope(upstreamPoll) * micro * percent},
+	}
+}
+
+// Requests returns what the requests of callers cost a host, apart from control.
+func (m *Model) Requests() []Row {
+	s := m.Size
+	requests, tokens := s.Requests/s.Hosts, s.Tokens/s.Hosts
+	cpu := func(rate, cost float64) float64 { return rate * cost * micro * percent }
+	return []Row{
+		{Mechanism: "key look-up", Messages: requests, CPU: cpu(requests, m.slope(keyLookup))},
+		{Mechanism: "admission and queue", Messages: requests, CPU: cpu(requests, m.slope(poolArrive))},
+		{Mechanism: "route decision", Messages: requests, CPU: cpu(requests, m.slope(routeDecision))},
+		{Mechanism: "request through the router, all of the above included", Messages: requests, CPU: cpu(requests, m.slope(requestCPU))},
+		{Mechanism: "streamed events, one token each", Messages: tokens, CPU: cpu(tokens, m.slope(eventCPU))},
+	}
+}
+
+// Call is a kind of call to the store by the whole fleet.
+type Call struct {
+	Mechanism     string
+	Writes, Reads float64 // a second
+}
+
+// Calls returns the calls to the store of the whole fleet.
+func (m *Model) Calls() []Call {
+	s := m.Size
+	leases := s.Pools + 1
+	watching := s.Zones * watchHosts
+	return []Call{
+		{Mechanism: "usage increments, one group commit by each host", Writes: s.Hosts * m.slope(usageCommits)},
+		{Mechanism: "claims of requests that may not be repeated", Writes: s.Requests * s.Once * m.slope(claimWrites)},
+		{Mechanism: "renewal of leases: one for each pool, one for reports", Writes: leases / leaseRenew * m.slope(leaseWrites)},
+		{Mechanism: "hosts that wait for a lease, by a watch", Reads: s.Hosts * leases / watchTime},
+		{Mechanism: "waiting watches of document and keys, two hosts in a zone", Reads: watching * watches / watchTime},
+		{Mechanism: "changes", Writes: m.changesPerSecond() * m.slope(changeWrites), Reads: m.changesPerSecond() * watching * m.slope(changeReads)},
+		{Mechanism: "hosts that start", Reads: s.Starts / secondsPerDay * m.slope(startReads)},
+	}
+}
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -28,7 +28,7 @@
 	fastFleet   = member.MeshFleet // hosts up to which soft records are shared at the fast rate
 	shareMedium = 1 * time.Second
 	mediumFleet = 64
-	shareSlow   = 9 * time.Second
+	shareSlow   = 12 * time.Second
 )
 
 // Options are the dependencies of a Node.
--- a/internal/host/node/scale_test.go
+++ b/internal/host/node/scale_test.go
@@ -63,7 +63,7 @@
 	for _, h := range s.living() {
 		for p := range scalePools {
 			key := spread.SoftKey("pool-"+string([]byte{'a' + byte(p)}), h.id)
-			h.core.spread.Put(spread.Load, key, uint64(s.now.UnixMilli()), value, s.now.Add(30*time.Second))
+			h.core.spread.Put(spread.Load, key, uint64(s.now.UnixMilli()), value, s.now.Add(60*time.Second))
 		}
 	}
 	s.at(shareSlow, func() { s.putLoads(value) })
--- a/internal/host/spread/bench_test.go
+++ b/internal/host/spread/bench_test.go
@@ -53,11 +53,17 @@
 	return b
 }
 
-// BenchmarkChange prints the payload that one changed customer costs a link, at the document's full size.
+// BenchmarkChange prints the payload that one changed customer costs a link.
 func BenchmarkChange(b *testing.B) {
+	for _, size := range []int{60_000, scaleDocument} {
+		b.Run(fmt.Sprint("document=", size), func(b *testing.B) { benchmarkChange(b, size) })
+	}
+}
+
+func benchmarkChange(b *testing.B, length int) {
 	now := time.Unix(1000, 0)
 	f := newFleet(2)
-	doc := text(scaleDocument)
+	doc := text(length)
 	bytes := 0
 	put := func(version uint64) {
 		f.tables["h0"].Put(now, spread.NewRecord(spread.Document, "", version, doc, time.Time{}))
