--- a/internal/policy/model/world_test.go
+++ b/internal/policy/model/world_test.go
@@ -4,7 +4,9 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"hickorypath/internal/policy/limit"
@@ -57,7 +59,9 @@
 }
 
 type host struct {
-	id string
+	id   string
+	dead bool
+	cut  int // hosts of another part of the network do not hear it
 	decider
 }
 
@@ -80,6 +84,8 @@
 	cacheLag               time.Duration
 	cacheLoss              float64
 	skew                   func(j *job) int // host of a request, nil for any
+	returns                int              // times that refused callers come back
+	lastID                 uint64
 }
 
 // job is one request of a caller.
@@ -99,6 +105,7 @@
 	queued   bool
 	finished bool
 	patience time.Duration
+	returned int // times that the caller came back after a refusal
 	whole    time.Duration
 }
 
@@ -147,7 +154,7 @@
 
 func (w *world) addHosts(n int, decide func(id string, seed uint64) decider) {
 	for i := range n {
-		id := string(rune('a' + i))
+		id := fmt.Sprintf("h%02d", i)
 		w.hosts = append(w.hosts, &host{id: id, decider: decide(id, uint64(i+1))})
 	}
 }
@@ -185,10 +192,13 @@
 }
 
 func (w *world) share(from *host) {
+	if from.dead {
+		return
+	}
 	s := from.summary(w.time())
 	w.after(latency, func() {
 		for _, h := range w.hosts {
-			if h != from {
+			if h != from && h.cut == from.cut {
 				h.peer(w.time(), from.id, s)
 			}
 		}
@@ -207,10 +217,27 @@
 	})
 }
 
+// kill ends a host: its callers and upstreams lose their connections.
+func (w *world) kill(h *host) {
+	h.dead = true
+	for _, j := range w.jobs {
+		if w.hosts[j.host] != h || j.finished {
+			continue
+		}
+		j.finished = true
+		w.stats.left(j)
+		if j.engine != nil {
+			j.engine.remove(j)
+		}
+	}
+}
+
 // arrive brings a request to a host.
 func (w *world) arrive(j *job) {
 	j.arrived = w.now
-	j.host = w.rand.IntN(len(w.hosts))
+	for j.host = w.rand.IntN(len(w.hosts)); w.hosts[j.host].dead; {
+		j.host = w.rand.IntN(len(w.hosts))
+	}
 	if w.skew != nil {
 		j.host = w.skew(j)
 	}
@@ -254,6 +281,9 @@
 }
 
 func (w *world) apply(h *host, decisions []pool.Decision) {
+	if h.dead {
+		return
+	}
 	for _, d := range decisions {
 		j := w.jobs[d.ID]
 		switch d.Action {
@@ -266,17 +296,24 @@
 			w.stats.refused(j, d)
 			j.queued, j.finished = false, true
 			delete(w.jobs, j.ID)
+			if w.returns > 0 && j.returned < w.returns && j.tries == 0 {
+				w.comeBack(j, d.Retry)
+			}
 		}
 	}
 }
 
+// comeBack lets a refused caller try again when it was told to.
+func (w *world) comeBack(old *job, after time.Duration) {
+	j := &job{Request: old.Request, output: old.output, patience: old.patience, whole: old.whole, returned: old.returned + 1}
+	w.lastID++
+	j.ID = 1<<40 + w.lastID
+	w.after(after, func() { w.arrive(j) })
+}
+
 func (w *world) engine(id string) *engine {
-	for _, e := range w.engines {
-		if e.id == id {
-			return e
-		}
-	}
-	panic("no engine " + id)
+	i := slices.IndexFunc(w.engines, func(e *engine) bool { return e.id == id })
+	return w.engines[i]
 }
 
 // done ends a run on an engine.
--- a/internal/policy/pool/arrive.go
+++ b/internal/policy/pool/arrive.go
@@ -45,6 +45,7 @@
 	c.item.Customer = r.Customer
 	c.item.Class = r.Class
 	c.item.Weight = r.Weight
+	c.item.Urgent = r.Again
 	c.item.Cost = c.charged + promptCost*float64(r.Prompt)
 	c.expires = now.Add(k.Wait)
 	if !r.Deadline.IsZero() && r.Deadline.Before(c.expires) {
@@ -74,19 +75,19 @@
 	if held := p.gate.Held(now); held != admit.None && held < tier {
 		if !floor {
 			p.gate.Shed(now, tier)
-			p.refuse(c, kind.Overload, p.spread(p.gate.RetryHeld(now)))
+			p.refuse(c, kind.Overload, p.spread(p.gate.RetryHeld(now, c.class.Tier)))
 		}
 		p.hurry(now, c)
 		return floor
 	}
 	wait := p.wait(now, c)
 	if p.isHopeless(now, c, wait) {
-		p.refuse(c, kind.Deadline, p.spread(p.gate.Retry(wait, 0)))
+		p.refuse(c, kind.Deadline, p.spread(wait))
 		return false
 	}
 	if limit := p.patience(c.class); wait > limit && !floor {
 		p.overload(now, tier)
-		p.refuse(c, kind.Overload, p.spread(p.gate.Retry(wait, limit)))
+		p.refuse(c, kind.Overload, p.spread(p.gate.Retry(now, tier, wait, limit)))
 		return false
 	}
 	return true
@@ -137,8 +138,8 @@
 func (p *Pool) shedBelow(now time.Time, tier int) {
 	var late []*call
 	for level := p.queue.Tiers() - 1; level > tier; level-- {
-		for p.queue.Depth(level) > 0 {
-			c := p.calls[p.queue.Last(level).ID]
+		for it := p.queue.Last(level); it != nil; it = p.queue.Last(level) {
+			c := p.calls[it.ID]
 			if c.late {
 				p.queue.Remove(&c.item)
 				late = append(late, c)
@@ -146,7 +147,7 @@
 			}
 			p.drop(c)
 			p.gate.Shed(now, level)
-			p.refuse(c, kind.Overload, p.spread(p.gate.RetryHeld(now)))
+			p.refuse(c, kind.Overload, p.spread(p.gate.RetryHeld(now, c.class.Tier)))
 		}
 	}
 	for _, c := range late {
--- a/internal/policy/pool/dispatch.go
+++ b/internal/policy/pool/dispatch.go
@@ -49,6 +49,7 @@
 			p.start(now, c, up, cheap)
 		case c.isPicky():
 			p.queue.Remove(it)
+			c.aside = true
 			p.aside = append(p.aside, c)
 		default:
 			c.class.blocked = p.round
@@ -206,12 +207,16 @@
 	for len(p.expiry) > 0 && !p.expiry[0].expires.After(now) {
 		c := p.expiry[0]
 		p.drop(c)
+		if c.aside {
+			p.refuse(c, kind.Unavailable, 0)
+			continue
+		}
 		if c.late {
-			p.refuse(c, kind.Overload, p.spread(p.gate.RetryHeld(now)))
+			p.refuse(c, kind.Overload, p.spread(p.gate.RetryHeld(now, c.class.Tier)))
 			continue
 		}
 		wait := p.wait(now, c)
 		p.overload(now, c.class.Tier)
-		p.refuse(c, kind.Overload, p.spread(p.gate.Retry(wait, p.patience(c.class))))
+		p.refuse(c, kind.Overload, p.spread(p.gate.Retry(now, c.class.Tier, wait, p.patience(c.class))))
 	}
 }
