--- /dev/null
+++ b/internal/host/capacity/bench_test.go
@@ -0,0 +1,100 @@
+package capacity_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"hickorypath/internal/host/member"
+	"hickorypath/internal/platform/roster"
+	"hickorypath/internal/policy/limit"
+	"hickorypath/internal/policy/pool"
+	"hickorypath/internal/policy/route"
+)
+
+const (
+	customers = 29_000
+	upstreams = 1_300
+	hosts     = 350
+	zones     = 15
+	tiers     = 7
+	later     = 20_000 // requests of one more customer, after which the others are idle
+	kibi      = 1 << 10
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// measure prints the heap that build's result keeps.
+func measure(b *testing.B, build func() any) {
+	for range b.N {
+		before := heap()
+		kept := build()
+		b.ReportMetric((heap()-before)/kibi, "KiB")
+		runtime.KeepAlive(kept)
+	}
+}
+
+func customer(i int) string { return fmt.Sprintf("customer-%05d", i) }
+
+// BenchmarkLimitHeap has every customer make a request under a limit of its own.
+func BenchmarkLimitHeap(b *testing.B) {
+	measure(b, func() any {
+		rule := limit.Rule{Rate: 10, Tokens: 10_000, Open: 10}
+		l := limit.New(limit.Config{Host: "h", Customer: func(string) limit.Rule { return rule }})
+		for i := range customers {
+			if err := l.Take(start, customer(i), "live", 10); err != nil {
+				b.Fatal(err)
+			}
+			l.Done(start, customer(i), "live", 10, 12)
+		}
+		return l
+	})
+}
+
+// BenchmarkPoolHeap has every customer make a request to one pool of all upstreams and end it.
+func BenchmarkPoolHeap(b *testing.B) {
+	measure(b, func() any {
+		classes := make([]pool.Class, 0, tiers)
+		for i := range tiers {
+			classes = append(classes, pool.Class{Name: fmt.Sprint("t", i), Tier: i, Wait: time.Hour, Cheap: true})
+		}
+		p := pool.New(pool.Config{Host: "h", Zone: "z0", Classes: classes, Seed: 1})
+		list := make([]route.Upstream, 0, upstreams)
+		for i := range upstreams {
+			list = append(list, route.NewUpstream(fmt.Sprint("engine-", i), fmt.Sprint("z", i%zones), 64, false))
+		}
+		p.Upstreams(start, list)
+		for i := range customers + later {
+			now := start.Add(time.Duration(i) * time.Millisecond)
+			p.Arrive(now, pool.Request{ID: uint64(i + 1), Customer: customer(min(i, customers)), Class: fmt.Sprint("t", i%tiers), Prompt: 300})
+			p.Finish(now, uint64(i+1), pool.Result{Output: 200})
+		}
+		return p
+	})
+}
+
+// BenchmarkMemberHeap lists and hears all hosts.
+func BenchmarkMemberHeap(b *testing.B) {
+	measure(b, func() any {
+		t := member.New(member.Config{ID: "h", Zone: "z0", Incarnation: 1, Publish: func(string, uint64, []byte, time.Time) {}})
+		list := make([]roster.Host, 0, hosts)
+		for i := range hosts {
+			list = append(list, roster.New(fmt.Sprint("host-", i), fmt.Sprint("z", i%zones), "10.0.0.1:7000", roster.Live))
+		}
+		t.List(list)
+		for _, h := range list {
+			t.Receive(start, member.Beat{ID: h.ID(), Zone: h.Zone(), Addr: h.Addr(), Incarnation: 1, Period: 3000})
+		}
+		t.Tick(start)
+		return t
+	})
+}
--- a/internal/host/capacity/model.go
+++ b/internal/host/capacity/model.go
@@ -23,6 +23,7 @@
 	Once      float64 `json:"once"`     // part of the requests that may not be repeated
 	Changes   float64 `json:"changes"`  // a day
 	Starts    float64 `json:"starts"`   // crashes and restarts a day
+	Commit    float64 `json:"commit"`   // seconds between commits of usage
 }
 
 // Bound is what one daemon or the store may spend.
@@ -33,6 +34,7 @@
 	Force  float64 `json:"force"`  // seconds until a change is in force
 	Writes float64 `json:"writes"` // a second, whole fleet
 	Reads  float64 `json:"reads"`  // a second, whole fleet, waiting watches included
+	Today  float64 `json:"today"`  // calls a second, whole fleet of today
 }
 
 // Slope is one measured figure and the command that prints it.
@@ -47,6 +49,7 @@
 // Model is the data that the page is worked out from.
 type Model struct {
 	Size   Size    `json:"size"`
+	Today  Size    `json:"today"`
 	Bound  Bound   `json:"bound"`
 	Slopes []Slope `json:"slopes"`
 
@@ -100,6 +103,9 @@
 	documentParse  = "document.parse"       // microseconds for a change
 	keyHeap        = "key.heap"             // KB
 	keyLookup      = "key.lookup"           // microseconds
+	memberHeap     = "member.heap"          // KB
+	limitHeap      = "limit.heap"           // KB for all customers
+	poolHeap       = "pool.heap"            // KB for all customers and upstreams
 	poolTick       = "pool.tick"            // microseconds
 	poolArrive     = "pool.arrive"
 	routeDecision  = "route.decision"
@@ -118,7 +124,7 @@
 var slopes = []string{
 	packetOverhead, packetCPU, hostTick, relayPackets, relayPayload, hostPackets, hostPayload, changePackets, changePayload,
 	changeLink, changeSmall, changeCPU, changeTime, changeFault, keyPackets, keyPayload, spreadKeyHeap, spreadDocHeap,
-	documentHeap, documentParse, keyHeap, keyLookup, poolTick, poolArrive, routeDecision, routeShare, upstreamPoll,
+	documentHeap, documentParse, keyHeap, memberHeap, limitHeap, poolHeap, keyLookup, poolTick, poolArrive, routeDecision, routeShare, upstreamPoll,
 	requestCPU, eventCPU, usageCommits, claimWrites, leaseWrites, startReads, changeWrites, changeReads,
 }
 
--- a/internal/host/capacity/page.go
+++ b/internal/host/capacity/page.go
@@ -28,10 +28,10 @@
 	},
 }).Parse(pageText))
 
-// Sum is the total of the calls to the store.
-func (m *Model) Sum() Call {
+// Sum is the total of the calls to the store at a size.
+func (m *Model) Sum(s Size) Call {
 	var t Call
-	for _, c := range m.Calls() {
+	for _, c := range m.Calls(s) {
 		t.Writes += c.Writes
 		t.Reads += c.Reads
 	}
--- a/internal/host/capacity/role.go
+++ b/internal/host/capacity/role.go
@@ -19,7 +19,9 @@
 	watches      = 2  // prefixes that they watch: documents and keys
 	pollWatchers = 2  // hosts that poll an upstream
 	splitPeriod  = 0.1
-	leaseRenew   = 5 // seconds
+	leaseRenew   = 5   // seconds, lease
+	limitIdle    = 120 // seconds after which a customer is forgotten, limit
+	usageWindow  = 300 // seconds, usage
 	keyWire      = 160
 )
 
@@ -111,6 +113,10 @@
 		{Mechanism: "periodic work of membership and records (node)", CPU: hostTicks * m.slope(hostTick) * micro * percent},
 		{Mechanism: "key records for other hosts (spread)", Heap: s.Keys * m.slope(spreadKeyHeap) / mega},
 		{Mechanism: "chunks of the document for other hosts (spread)", Heap: s.Document * m.slope(spreadDocHeap) / mega},
+		{Mechanism: "list of hosts (member)", Heap: m.slope(memberHeap) * kibi / mega},
+		{Mechanism: "limits of the customers of the last 2 minutes (limit)",
+			Heap: m.slope(limitHeap) * kibi / mega * min(1, s.Requests/s.Hosts*limitIdle/s.Customers)},
+		{Mechanism: "queues, lengths and upstreams of all pools (pool)", Heap: m.slope(poolHeap) * kibi / mega},
 		{Mechanism: "table of keys (key)", Heap: m.slope(keyHeap) * kibi / mega},
 		{Mechanism: "document (document)", CPU: m.changesPerSecond() * m.slope(documentParse) * micro * percent,
 			Heap: m.slope(documentHeap) * kibi / mega},
@@ -141,18 +147,19 @@
 	Writes, Reads float64 // a second
 }
 
-// Calls returns the calls to the store of the whole fleet.
-func (m *Model) Calls() []Call {
-	s := m.Size
+// Calls returns the calls to the store of the whole fleet at a size.
+func (m *Model) Calls(s Size) []Call {
 	leases := s.Pools + 1
-	watching := s.Zones * watchHosts
+	watching := min(s.Hosts, s.Zones*watchHosts)
+	changes := s.Changes / secondsPerDay
 	return []Call{
-		{Mechanism: "usage increments, one group commit by each host", Writes: s.Hosts * m.slope(usageCommits)},
+		{Mechanism: "usage increments, one group commit by each host", Writes: s.Hosts * m.slope(usageCommits) / s.Commit},
+		{Mechanism: "sealing the part of each host in each window of usage", Writes: s.Hosts / usageWindow},
 		{Mechanism: "claims of requests that may not be repeated", Writes: s.Requests * s.Once * m.slope(claimWrites)},
 		{Mechanism: "renewal of leases: one for each pool, one for reports", Writes: leases / leaseRenew * m.slope(leaseWrites)},
-		{Mechanism: "hosts that wait for a lease, by a watch", Reads: s.Hosts * leases / watchTime},
+		{Mechanism: "hosts that look whether a lease is free", Reads: s.Hosts * leases / leaseRenew},
 		{Mechanism: "waiting watches of document and keys, two hosts in a zone", Reads: watching * watches / watchTime},
-		{Mechanism: "changes", Writes: m.changesPerSecond() * m.slope(changeWrites), Reads: m.changesPerSecond() * watching * m.slope(changeReads)},
+		{Mechanism: "changes", Writes: changes * m.slope(changeWrites), Reads: changes * watching * m.slope(changeReads)},
 		{Mechanism: "hosts that start", Reads: s.Starts / secondsPerDay * m.slope(startReads)},
 	}
 }
