Work with engines that know none of the protocol's additions

An engine that did not echo the attempt id had all its answers dropped, and one that did not tell the progress of an attempt was taken for silent after a second without a token. A 429 without the echo may come from something in between and no longer counts as not run.

--- a/internal/standin/engine/report.go
+++ b/internal/standin/engine/report.go
@@ -33,7 +33,7 @@
 	reply(w, out)
 }
 
-// progress returns the offset that a running or finished request has reached.
+// progress returns the offset that a request has reached, -1 for one that never arrived.
 func (e *Engine) progress(id string) *int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -43,7 +43,8 @@
 			return &at
 		}
 	}
-	return nil
+	unknown := -1
+	return &unknown
 }
 
 func (e *Engine) events(w http.ResponseWriter, r *http.Request) {
--- a/internal/upstream/engine/control.go
+++ b/internal/upstream/engine/control.go
@@ -19,7 +19,7 @@
 	Waiting int     `json:"waiting"`
 	KV      float64 `json:"kv"`
 	Age     int     `json:"age"`    // milliseconds since the figures were taken
-	Offset  *int    `json:"offset"` // tokens produced for the attempt that was asked for
+	Offset  *int    `json:"offset"` // tokens produced for the attempt asked for, -1 when it never arrived
 }
 
 // Events are the changes of an engine's prefix cache after a position.
@@ -62,9 +62,9 @@
 	return c.control(req, c.fresh, addr, nil)
 }
 
-// probe asks on a new connection how far an attempt has come; known is false when the engine does
-// not know the attempt.
-func (c *Client) probe(ctx context.Context, addr, attempt string) (offset int, known bool, err error) {
+// probe asks on a new connection how far an attempt has come; tells is false when the engine does not
+// answer such questions. The offset is negative for an attempt that never arrived.
+func (c *Client) probe(ctx context.Context, addr, attempt string) (offset int, tells bool, err error) {
 	c.counts.probes.Add(1)
 	var r report
 	if err := c.get(ctx, c.fresh, addr, "/load?id="+url.QueryEscape(attempt), &r); err != nil {
--- a/internal/upstream/engine/errors.go
+++ b/internal/upstream/engine/errors.go
@@ -77,8 +77,8 @@
 	notRun := s.res.Header.Get(wire.HeaderRan) == wire.RanNo
 	switch {
 	case isCallerFault(status):
-		return kind.New(kind.Invalid, "engine: %s", text).WithRan(ranOf(notRun || status != http.StatusConflict))
-	case notRun || status == http.StatusTooManyRequests:
+		return kind.New(kind.Invalid, "engine: %s", text).WithRan(ranOf(notRun || s.echoed))
+	case notRun || (s.echoed && status == http.StatusTooManyRequests):
 		return kind.New(kind.Rejected, "engine %s: %s", s.addr, text).WithRetry(retryAfter(s.res.Header))
 	}
 	return kind.New(kind.Failed, "engine %s: %d %s", s.addr, status, text).WithRan(kind.RanMaybe)
--- a/internal/upstream/engine/history.go
+++ b/internal/upstream/engine/history.go
@@ -71,6 +71,7 @@
 
 type past struct {
 	first, gap estimate
+	echoes     bool // it has echoed an attempt id
 }
 
 func newHistory() *history {
@@ -106,6 +107,15 @@
 	}
 }
 
+// mustEcho notes whether an answer carries an attempt id and reports whether it has to.
+func (h *history) mustEcho(addr string, echoed bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.of(addr)
+	p.echoes = p.echoes || echoed
+	return p.echoes
+}
+
 func (h *history) firstLimit(addr string) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/upstream/engine/silence.go
+++ b/internal/upstream/engine/silence.go
@@ -51,13 +51,13 @@
 		s.rearm(left)
 		return
 	}
-	at, known, err := s.client.probe(s.ctx, s.addr, s.call.Attempt)
+	at, tells, err := s.client.probe(s.ctx, s.addr, s.call.Attempt)
 	if s.last.Load() != last || s.ctx.Err() != nil {
 		s.backoff, s.doubt = 1, false
 		s.rearm(s.patience())
 		return
 	}
-	verdict := s.judge(at, known, err)
+	verdict := s.judge(at, tells, err)
 	switch {
 	case verdict != nil && !s.doubt:
 		s.doubt = true
@@ -81,23 +81,43 @@
 }
 
 // judge decides on a quiet stream from the answer to a probe; nil lets it go on.
-func (s *Stream) judge(at int, known bool, err error) *kind.Error {
+func (s *Stream) judge(at int, tells bool, err error) *kind.Error {
 	quiet := s.quiet(s.last.Load()).Round(time.Millisecond)
+	begun := s.Offset() > s.call.Offset
 	switch {
 	case err != nil && s.backoff == 1:
 		return nil
 	case err != nil:
 		return kind.Wrap(err, kind.Lost, "engine %s answers neither the stream nor probes", s.addr)
-	case !known:
+	case !tells && quiet < s.blindLimit(begun):
+		return nil
+	case !tells:
 		return kind.New(kind.Silent, "engine %s answers on a new connection, the stream is quiet for %s", s.addr, quiet)
+	case at < 0:
+		return kind.New(kind.Silent, "engine %s does not know the attempt after %s", s.addr, quiet)
 	case at > s.Offset():
 		return kind.New(kind.Silent, "engine %s is at offset %d, the stream is quiet at %d", s.addr, at, s.Offset())
-	case quiet >= s.client.options.Stall && s.Offset() > s.call.Offset:
+	case quiet >= s.client.options.Stall && begun:
 		return kind.New(kind.Silent, "engine %s has stalled for %s", s.addr, quiet)
 	}
 	return nil
 }
 
+// blindLimit returns the quiet time after which a connection counts as dead at an engine that does not
+// tell how far an attempt has come.
+func (s *Stream) blindLimit(begun bool) time.Duration {
+	o := s.client.options
+	if !begun {
+		return blindFirst * max(o.Stall, s.client.history.firstLimit(s.addr))
+	}
+	return min(o.Stall, blindGap*max(o.Quiet, s.client.history.gapLimit(s.addr)))
+}
+
+const (
+	blindFirst = 3
+	blindGap   = 8
+)
+
 // condemn ends the stream: the read in progress fails, and Next returns the verdict.
 func (s *Stream) condemn(verdict *kind.Error) {
 	s.verdict.CompareAndSwap(nil, verdict)
--- a/internal/upstream/engine/stream.go
+++ b/internal/upstream/engine/stream.go
@@ -42,6 +42,7 @@
 	reader *bufio.Reader
 	data   []byte // of an event with several data lines
 	identity
+	echoed bool // the answer carries an attempt id
 	done   bool
 	closed bool
 
@@ -71,9 +72,12 @@
 	s.reader = bufio.NewReaderSize(res.Body, readerSize)
 }
 
-// checkHead checks the echoed id and the status before any of the answer is used.
+// checkHead checks the echoed id and the status before any of the answer is used. An engine that never
+// echoes is taken as it is; one that did so once must go on doing so.
 func (s *Stream) checkHead() error {
-	if got := s.res.Header.Get(wire.HeaderID); got != s.call.Attempt {
+	got := s.res.Header.Get(wire.HeaderID)
+	s.echoed = got != ""
+	if got != s.call.Attempt && s.client.history.mustEcho(s.addr, s.echoed) {
 		s.client.counts.crossed.Add(1)
 		return kind.New(kind.Crossed, "engine %s answered for another attempt", s.addr)
 	}
