Test orders and usage under single faults; one commit of usage per interval

With a slow store the recorder wrote again as long as records came in; now a commit takes what was there at its start.

--- /dev/null
+++ b/internal/platform/provision/order_test.go
@@ -0,0 +1,190 @@
+package provision_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/platform/provision"
+	platform "hickorypath/internal/standin/provision"
+)
+
+var start = provision.Order{Action: provision.ActionStart, Pool: "p", Zone: "a"}
+
+func TestOrderUnderFaults(t *testing.T) {
+	cases := []struct {
+		name     string
+		faults   platform.Faults
+		want     []kind.Kind // of the orders given one after the other
+		accepted int
+	}{
+		{"no fault", platform.Faults{}, []kind.Kind{"", ""}, 2},
+		{"answer lost", platform.Faults{Lose: 1}, []kind.Kind{"", ""}, 2},
+		{"order lost", platform.Faults{Drop: 1}, []kind.Kind{"", ""}, 2},
+		{"order and answers lost", platform.Faults{Drop: 2, Lose: 1}, []kind.Kind{"", ""}, 2},
+		{"all tries lost, resolved by the next", platform.Faults{Drop: 3}, []kind.Kind{kind.Unknown, ""}, 2},
+		{"refused once", platform.Faults{Refuse: 1}, []kind.Kind{kind.Refused, kind.Unavailable}, 0},
+		{"zone empty", platform.Faults{Empty: []string{"a"}}, []kind.Kind{kind.Unavailable, kind.Unavailable}, 0},
+		{"other zone empty", platform.Faults{Empty: []string{"b"}}, []kind.Kind{"", ""}, 2},
+		{"rate limited", platform.Faults{Rate: true}, []kind.Kind{kind.Rate, kind.Unavailable}, 0},
+		{"down", platform.Faults{Down: true}, []kind.Kind{kind.Unavailable, kind.Unavailable}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(1)
+				w.platform.Set(c.faults)
+				ctx, cancel := context.WithCancel(t.Context())
+				h := w.start(ctx, "one", nil)
+				_, err := h.orderer.Order(ctx, start)
+				is.Equal(kind.Of(err), kind.Lapsed) // settling
+				time.Sleep(2 * leaseTTL)
+				for _, want := range c.want {
+					_, err := h.orderer.Order(ctx, start)
+					is.Equal(kind.Of(err), want)
+				}
+				is.Equal(len(w.platform.Accepted()), c.accepted)
+				is.Equal(w.platform.Wrong(), nil)
+				cancel()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
+// A refused zone is held back for longer after each refusal, and free again after a success.
+func TestZoneBackoff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(1)
+		ctx, cancel := context.WithCancel(t.Context())
+		h := w.start(ctx, "one", nil)
+		time.Sleep(2 * leaseTTL)
+		tries := 0
+		w.platform.Set(platform.Faults{Empty: []string{"a"}})
+		for end := time.Now().Add(10 * time.Minute); time.Now().Before(end); time.Sleep(time.Second) {
+			before, _, _ := w.memory.Read(provision.Prefix + "p")
+			_, err := h.orderer.Order(ctx, start)
+			is.Equal(kind.Of(err), kind.Unavailable)
+			after, _, _ := w.memory.Read(provision.Prefix + "p")
+			if string(before) != string(after) {
+				tries++
+			}
+		}
+		is.True(tries >= 5 && tries <= 10)
+		other := start
+		other.Zone = "b"
+		_, err := h.orderer.Order(ctx, other)
+		is.NoErr(err)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
+func TestHTTP(t *testing.T) {
+	is := is.New(t)
+	p := platform.New(platform.Options{Launch: func(provision.Upstream) string { return "127.0.0.1:1" }})
+	srv := httptest.NewServer(p.Handler())
+	defer srv.Close()
+	b := provision.NewHTTP(srv.URL, http.DefaultClient)
+	ok := func() error { return nil }
+	cases := []struct {
+		name   string
+		faults platform.Faults
+		cmd    provision.Command
+		want   kind.Kind
+		known  bool
+	}{
+		{"accepted", platform.Faults{}, provision.Command{ID: "p-1", Fence: 5, Order: start}, "", true},
+		{"again", platform.Faults{}, provision.Command{ID: "p-1", Fence: 5, Order: start}, "", true},
+		{"old fence", platform.Faults{}, provision.Command{ID: "p-2", Fence: 4, Order: start}, kind.Fenced, false},
+		{"rate", platform.Faults{Rate: true}, provision.Command{ID: "p-2", Fence: 5, Order: start}, kind.Rate, false},
+		{"refused", platform.Faults{Refuse: 1}, provision.Command{ID: "p-2", Fence: 5, Order: start}, kind.Refused, false},
+		{"empty", platform.Faults{Empty: []string{"a"}}, provision.Command{ID: "p-2", Fence: 5, Order: start}, kind.Unavailable, false},
+		{"answer lost", platform.Faults{Lose: 1}, provision.Command{ID: "p-2", Fence: 5, Order: start}, kind.Lost, true},
+	}
+	for _, c := range cases {
+		p.Set(c.faults)
+		is.Equal(kind.Of(b.Order(t.Context(), c.cmd, ok)), c.want)
+		known, err := b.Find(t.Context(), c.cmd.ID)
+		is.NoErr(err)
+		is.Equal(known, c.known)
+	}
+	lapsed := func() error { return kind.New(kind.Lapsed, "paused") }
+	is.Equal(kind.Of(b.Order(t.Context(), provision.Command{ID: "p-3", Fence: 5, Order: start}, lapsed)), kind.Lapsed)
+	list, err := b.List(t.Context())
+	is.NoErr(err)
+	is.Equal(len(list), 2)
+	is.Equal(list[0].Addr, "127.0.0.1:1")
+}
+
+func TestWatchAndReclaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := platform.New(platform.Options{})
+		p.Add(provision.Upstream{ID: "cheap", Zone: "a", Reclaimable: true, State: provision.StateReady})
+		p.Add(provision.Upstream{ID: "solid", Zone: "a", State: provision.StateReady})
+		c := provision.New(provision.Backend{
+			List: func(context.Context) ([]provision.Upstream, error) { return p.Upstreams(), nil },
+		}, provision.Options{})
+		ctx, cancel := context.WithCancel(t.Context())
+		var states []string
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = c.Watch(ctx, func(list []provision.Upstream) { states = append(states, list[0].ID+" "+list[0].State) })
+		}()
+		time.Sleep(1500 * time.Millisecond)
+		p.Reclaim("a", 10*time.Second)
+		time.Sleep(time.Minute)
+		cancel()
+		<-done
+		is.Equal(states, []string{"cheap ready", "cheap leaving", "solid ready"})
+	})
+}
+
+// A new holder resolves the open intent of a host that died after sending, without ordering it again.
+func TestNewHolderResolvesIntent(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults platform.Faults
+	}{
+		{"accepted, answers lost", platform.Faults{Lose: 1}},
+		{"never arrived", platform.Faults{Drop: 1}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(1)
+				ctx, cancel := context.WithCancel(t.Context())
+				one := w.start(ctx, "one", nil)
+				time.Sleep(2 * leaseTTL)
+				w.platform.Set(c.faults)
+				go func() { _, _ = one.orderer.Order(ctx, start) }()
+				time.Sleep(time.Millisecond)
+				one.gate.Pause(5 * time.Minute)
+				two := w.start(ctx, "two", nil)
+				time.Sleep(time.Minute)
+				id, err := two.orderer.Order(ctx, start)
+				is.NoErr(err)
+				is.Equal(id, "p-2")
+				time.Sleep(10 * time.Minute)
+				got := w.platform.Accepted()
+				is.Equal(got[len(got)-1].ID, "p-2")
+				is.Equal(len(got) == 2, c.faults.Lose == 1)
+				is.Equal(len(append(w.wrong, w.platform.Wrong()...)), 0)
+				cancel()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
--- /dev/null
+++ b/internal/platform/usage/crash_test.go
@@ -0,0 +1,136 @@
+package usage_test
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/platform/store"
+	"hickorypath/internal/platform/usage"
+	sinkstandin "hickorypath/internal/standin/usage"
+)
+
+// A host that dies loses at most what it recorded since its last commit, and nothing is billed twice.
+func TestCrashExposure(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults store.Faults
+		bound  time.Duration // of the usage that may be lost
+	}{
+		{"store in order", store.Faults{}, 1100 * time.Millisecond},
+		{"answers take 300 ms", store.Faults{Slow: 300 * time.Millisecond}, 1400 * time.Millisecond},
+	}
+	const every = 10 * time.Millisecond
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			worst := 0
+			for seed := range 50 {
+				worst = max(worst, crash(t, uint64(seed), c.faults, every))
+			}
+			t.Logf("lost at most %s of usage in 50 crashes", time.Duration(worst)*every)
+			is.New(t).True(time.Duration(worst)*every <= c.bound)
+		})
+	}
+}
+
+// crash returns how many requests of one token were delivered and not billed.
+func crash(t *testing.T, seed uint64, f store.Faults, every time.Duration) (lost int) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(seed)
+		w.start(t, nil)
+		w.memory.Set(f)
+		victim := w.start(t, nil)
+		n := 500 + w.rand.IntN(200)
+		for range n {
+			w.deliver(victim, "c", 1)
+			time.Sleep(every)
+		}
+		victim.gate.Pause(100 * time.Hour) // none of its steps comes to pass before the end
+		time.Sleep(5 * windowLength)
+		billed := 0
+		for _, r := range w.sink.Reports() {
+			for _, row := range r.Rows {
+				billed += row.Output
+			}
+		}
+		is.True(billed <= n)
+		is.Equal(w.sink.Wrong(), nil)
+		lost = n - billed
+		for _, h := range w.hosts {
+			h.cancel()
+		}
+		time.Sleep(101 * time.Hour)
+	})
+	return lost
+}
+
+func TestRequestIsRecordedOnce(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(bubble(t, 1, func(t *testing.T, w *world) {
+		h := w.start(t, nil)
+		w.delivered["c"] = 5
+		for range 3 {
+			h.recorder.Add(usage.Record{Request: "r1", Customer: "c", Output: 5})
+			time.Sleep(10 * time.Second)
+		}
+	}))
+}
+
+func TestManyCustomers(t *testing.T) {
+	is := is.New(t)
+	const customers = 29000
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1)
+		h := w.start(t, nil)
+		w.memory.Set(store.Faults{Down: true})
+		for i := range customers {
+			w.deliver(h, fmt.Sprintf("customer-%05d", i), 1)
+		}
+		w.heal()
+		is.NoErr(w.verify())
+		windows, err := h.reporter.Windows(t.Context())
+		is.NoErr(err)
+		rows := 0
+		for _, win := range windows {
+			rows += len(win.Rows())
+		}
+		is.Equal(rows, customers)
+		w.stop()
+	})
+}
+
+func TestSinkHTTP(t *testing.T) {
+	is := is.New(t)
+	sink := sinkstandin.New()
+	srv := httptest.NewServer(sink.Handler())
+	defer srv.Close()
+	to := usage.NewHTTP(srv.URL, time.Second)
+	ok := func() error { return nil }
+	rows := []usage.Row{{Customer: "c", Output: 3}}
+	cases := []struct {
+		name   string
+		faults sinkstandin.Faults
+		report usage.Report
+		want   kind.Kind
+	}{
+		{"accepted", sinkstandin.Faults{}, usage.Report{ID: "window-1", Window: 1, Fence: 3, Rows: rows}, ""},
+		{"again", sinkstandin.Faults{}, usage.Report{ID: "window-1", Window: 1, Fence: 3, Rows: rows}, ""},
+		{"old fence", sinkstandin.Faults{}, usage.Report{ID: "window-2", Window: 2, Fence: 2}, kind.Fenced},
+		{"other figures", sinkstandin.Faults{}, usage.Report{ID: "window-1", Window: 1, Fence: 3}, kind.Conflict},
+		{"refused", sinkstandin.Faults{Refuse: 1}, usage.Report{ID: "window-3", Window: 3, Fence: 3}, kind.Refused},
+		{"answer lost", sinkstandin.Faults{Lose: 1}, usage.Report{ID: "window-3", Window: 3, Fence: 3}, kind.Lost},
+	}
+	for _, c := range cases {
+		sink.Set(c.faults)
+		is.Equal(kind.Of(to.Report(t.Context(), c.report, ok)), c.want)
+	}
+	lapsed := func() error { return kind.New(kind.Lapsed, "paused") }
+	is.Equal(kind.Of(to.Report(t.Context(), usage.Report{ID: "window-4"}, lapsed)), kind.Lapsed)
+	is.Equal(len(sink.Received()), 4)
+}
--- a/internal/platform/usage/recorder.go
+++ b/internal/platform/usage/recorder.go
@@ -140,14 +140,18 @@
 	return out
 }
 
-// commitStream writes a stream's parts until nothing is due.
+// commitStream writes what a stream holds now. Later records wait for the next commit, so that a slow
+// store does not get more writes.
 func (r *Recorder) commitStream(ctx context.Context, s *stream) error {
+	r.mu.Lock()
+	left := len(s.batches)
+	r.mu.Unlock()
 	for {
 		if err := r.sync(ctx, s); err != nil {
 			return err
 		}
 		r.mu.Lock()
-		p, due := s.next(r.window())
+		p, taken, due := s.next(r.window(), left)
 		revision := s.revision
 		r.mu.Unlock()
 		if !due {
@@ -156,6 +160,7 @@
 		if err := r.write(ctx, s, p, revision); err != nil {
 			return err
 		}
+		left -= taken
 	}
 }
 
--- a/internal/platform/usage/stream.go
+++ b/internal/platform/usage/stream.go
@@ -82,11 +82,11 @@
 }
 
 // due gives the batches of the first waiting window their sequence numbers and returns those that
-// one write takes.
-func (s *stream) due() []batch {
+// one write takes, at most limit.
+func (s *stream) due(limit int) []batch {
 	var out []batch
 	rows := 0
-	for i := range s.batches {
+	for i := range s.batches[:min(limit, len(s.batches))] {
 		if s.batches[i].Window != s.batches[0].Window || rows > rowLimit {
 			break
 		}
@@ -108,17 +108,18 @@
 }
 
 // next returns the part to write: the current one with the due increments, or with its seal when its
-// window is over. It reports false when there is nothing to write.
-func (s *stream) next(now int64) (part, bool) {
+// window is over. It reports false when there is nothing to write. At most limit batches are taken,
+// and their number is returned.
+func (s *stream) next(now int64, limit int) (part, int, bool) {
 	p := part{Host: s.host, Incarnation: s.incarnation, Number: s.number, Window: s.window}
 	if s.revision != 0 && (len(s.batches) == 0 || s.batches[0].Window > s.window) {
 		p.Seq, p.Rows = s.committed(), s.rows.rows()
 		p.Sealed = s.window < now || s.leaving
-		return p, p.Sealed
+		return p, 0, p.Sealed
 	}
-	due := s.due()
+	due := s.due(limit)
 	if len(due) == 0 {
-		return part{}, false
+		return part{}, 0, false
 	}
 	sums := maps.Clone(s.rows)
 	for _, b := range due {
@@ -127,7 +128,7 @@
 	p.Window = max(s.window, due[0].Window)
 	p.Seq, p.Rows = due[len(due)-1].Seq, sums.rows()
 	p.Sealed = p.Window < now || s.leaving || len(p.Rows) > rowLimit
-	return p, true
+	return p, len(due), true
 }
 
 // committed returns the sequence number up to which the store has the increments.
