Count the store calls of a fleet

The claims property test also has a slow and a silent store; taking an unclear outcome for a stored claim now fails it.

--- a/internal/platform/claim/claim_test.go
+++ b/internal/platform/claim/claim_test.go
@@ -180,7 +180,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
 			return step{
-				name: rapid.SampledFrom([]string{"send", "send", "send", "pause", "cut", "join", "down", "up", "lose", "drop"}).Draw(t, "name"),
+				name: rapid.SampledFrom([]string{"send", "send", "send", "pause", "cut", "join", "down", "up", "lose", "drop", "slow", "silent"}).Draw(t, "name"),
 				fate: rapid.SampledFrom([]string{"finish", "crash", "reject"}).Draw(t, "fate"),
 				host: rapid.IntRange(0, 2).Draw(t, "host"),
 				key:  rapid.IntRange(0, 2).Draw(t, "key"),
@@ -215,7 +215,11 @@
 			case "cut", "join":
 				gates[s.host].Cut(s.name == "cut")
 			case "down", "up":
-				f.Down = s.name == "down"
+				f.Down, f.Silent, f.Slow = s.name == "down", false, 0
+			case "silent":
+				f.Silent = true
+			case "slow":
+				f.Slow = s.span / 10
 			case "lose":
 				f.Lose = 1 + s.key
 			case "drop":
--- /dev/null
+++ b/internal/platform/store/fleet_test.go
@@ -0,0 +1,182 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/platform/claim"
+	"hickorypath/internal/platform/lease"
+	"hickorypath/internal/platform/store"
+	"hickorypath/internal/platform/usage"
+)
+
+// rates are calls per second by use, writes and reads apart.
+type rates struct{ writes, reads map[store.Use]float64 }
+
+func (r rates) total() (writes, reads float64) {
+	for _, v := range r.writes {
+		writes += v
+	}
+	for _, v := range r.reads {
+		reads += v
+	}
+	return writes, reads
+}
+
+// fleet is what a run of the counting has.
+type fleet struct {
+	hosts  int
+	leases int           // duties; each has at most three candidates
+	claims float64       // per second and host
+	commit time.Duration // of usage
+}
+
+const (
+	candidates  = 3
+	countedTime = 10 * time.Minute
+)
+
+// counted runs a fleet in virtual time and counts its calls.
+func counted(t *testing.T, f fleet) rates {
+	out := rates{map[store.Use]float64{}, map[store.Use]float64{}}
+	synctest.Test(t, func(t *testing.T) {
+		clk := clock.NewWall()
+		m := store.NewMemory(clk)
+		ctx, cancel := context.WithCancel(t.Context())
+		clients := make([]*store.Client, f.hosts)
+		for i := range clients {
+			clients[i] = store.New(m.Backend(), store.Options{Clock: clk, Rand: rand.New(rand.NewPCG(uint64(i), 1))})
+			f.run(ctx, clients[i], clk, i)
+		}
+		time.Sleep(countedTime)
+		for _, c := range clients {
+			out.add(c)
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+	return out
+}
+
+func (r rates) add(c *store.Client) {
+	for count, n := range c.Counts() {
+		perSecond := float64(n) / countedTime.Seconds()
+		if count.IsWrite() {
+			r.writes[count.Use()] += perSecond
+		} else {
+			r.reads[count.Use()] += perSecond
+		}
+	}
+}
+
+// run starts all of one host that calls the store.
+func (f fleet) run(ctx context.Context, c *store.Client, clk clock.Clock, i int) {
+	name := fmt.Sprint("h", i)
+	rec := usage.New(c, clk, usage.Options{Host: name, Incarnation: "1", Every: f.commit})
+	go rec.Run(ctx)
+	go every(ctx, 100*time.Millisecond, func(n int) {
+		rec.Add(usage.Record{Customer: fmt.Sprint(n % 10), Class: "c", Route: "r", Model: "m", Output: 100})
+	})
+	for l := range f.leases {
+		f.lease(ctx, c, clk, i, l)
+	}
+	for _, use := range []store.Use{store.UseDocument, store.UseKey} {
+		go func() { _ = c.For(use).Watch(ctx, string(use)+"/", 0, func(store.Event) {}) }()
+	}
+	if f.claims > 0 {
+		book := claim.New(c, clk, claim.Options{})
+		go every(ctx, time.Duration(float64(time.Second)/f.claims), func(n int) {
+			got, _, err := book.Begin(ctx, name, "r", fmt.Sprint(n), time.Hour)
+			if err == nil {
+				_ = got.Finish(ctx, claim.Outcome{Status: 200})
+			}
+		})
+	}
+}
+
+// lease starts the candidates of one duty; the first duty is the reporter's.
+func (f fleet) lease(ctx context.Context, c *store.Client, clk clock.Clock, host, number int) {
+	if (host+number)%f.hosts >= candidates {
+		return
+	}
+	l := lease.New(c, clk, lease.Options{Name: fmt.Sprint(number), Holder: fmt.Sprint(host)})
+	go l.Run(ctx)
+	if number == 0 {
+		sink := usage.Sink{Report: func(context.Context, usage.Report, func() error) error { return nil }}
+		go usage.NewReporter(c, clk, l, sink, usage.ReporterOptions{}).Run(ctx)
+	}
+}
+
+func every(ctx context.Context, d time.Duration, fn func(n int)) {
+	tick := time.NewTicker(d)
+	defer tick.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			fn(n)
+		}
+	}
+}
+
+// The sizes that the calls are worked out for.
+const (
+	todayHosts  = 7
+	todayLeases = 5 // four pools and the reporter
+	todayClaims = 1 // per second, fleet
+
+	laterHosts  = 350
+	laterLeases = 4*8 + 1 // 8 models in 4 regions and the reporter
+	laterClaims = 64      // per second, fleet: 1 in 100 of 6,400 requests
+	laterCommit = 5 * time.Second
+
+	todayLimit       = 50.0
+	laterWriteLimit  = 300.0
+	laterReadLimit   = 1500.0
+	laterTokens      = 2.5e6 // per second, fleet
+	laterHostsFailed = 28    // a day
+)
+
+// TestFleetCalls counts the calls of a fleet of today's size and works out those of the later one
+// from slopes: per host, per duty and per claim.
+func TestFleetCalls(t *testing.T) {
+	today := counted(t, fleet{hosts: todayHosts, leases: todayLeases, claims: todayClaims / float64(todayHosts), commit: time.Second})
+	w, r := today.total()
+	t.Logf("today: %d hosts, %d duties, %d claim/s: %.1f writes/s, %.1f reads/s", todayHosts, todayLeases, todayClaims, w, r)
+	for u := range today.reads {
+		t.Logf("  %-9s %6.2f writes/s %6.2f reads/s", u, today.writes[u], today.reads[u])
+	}
+	if w+r >= todayLimit {
+		t.Errorf("today: %.1f calls/s, limit %.0f", w+r, todayLimit)
+	}
+
+	base := fleet{hosts: 10, leases: 1, commit: laterCommit}
+	hostW, hostR := slope(t, base, func(f *fleet) { f.hosts = 20 }, 10)
+	dutyW, dutyR := slope(t, base, func(f *fleet) { f.leases = 5 }, 4)
+	claimW, claimR := slope(t, base, func(f *fleet) { f.claims = 1 }, 10)
+	t.Logf("slopes: host %.3f w %.3f r, duty %.3f w %.3f r, claim %.2f w %.2f r", hostW, hostR, dutyW, dutyR, claimW, claimR)
+	w = laterHosts*hostW + laterLeases*dutyW + laterClaims*claimW
+	r = laterHosts*hostR + laterLeases*dutyR + laterClaims*claimR
+	t.Logf("later: %d hosts, %d duties, %d claims/s, usage committed every %s: %.0f writes/s, %.0f reads/s",
+		laterHosts, laterLeases, laterClaims, laterCommit, w, r)
+	exposed := laterTokens / laterHosts * laterCommit.Seconds() * laterHostsFailed
+	t.Logf("later: %d host crashes a day lose at most %.1f million tokens of billing, %.1e of a day's",
+		laterHostsFailed, exposed/1e6, exposed/(laterTokens*24*3600))
+	if w >= laterWriteLimit || r >= laterReadLimit {
+		t.Errorf("later: %.0f writes/s and %.0f reads/s, limits %.0f and %.0f", w, r, laterWriteLimit, laterReadLimit)
+	}
+}
+
+// slope returns the calls per second that one more of something takes.
+func slope(t *testing.T, base fleet, more func(*fleet), n float64) (writes, reads float64) {
+	w0, r0 := counted(t, base).total()
+	more(&base)
+	w1, r1 := counted(t, base).total()
+	return (w1 - w0) / n, (r1 - r0) / n
+}
