--- a/internal/policy/pool/arrive.go
+++ b/internal/policy/pool/arrive.go
@@ -12,7 +12,8 @@
 func (p *Pool) Arrive(now time.Time, r Request) []Decision {
 	k, ok := p.classes[r.Class]
 	if !ok {
-		return []Decision{{ID: r.ID, Action: Refuse, Kind: kind.Internal}}
+		p.refuse(&call{Request: r}, kind.Unavailable, 0)
+		return p.flush()
 	}
 	c := p.newCall(now, r, k)
 	p.gate.Arrive(now, k.Tier, c.item.Cost)
--- a/internal/policy/pool/classes.go
+++ b/internal/policy/pool/classes.go
@@ -14,7 +14,6 @@
 // SetClasses puts new classes in force. What was learned and what runs stays; waiting requests keep
 // their arrival and are refused when their class is gone.
 func (p *Pool) SetClasses(now time.Time, classes []Class) []Decision {
-	old := p.classes
 	p.setClasses(classes)
 	waiting := lo.Filter(lo.Values(p.calls), func(c *call, _ int) bool { return !c.isRunning() })
 	slices.SortFunc(waiting, func(a, b *call) int {
@@ -22,7 +21,7 @@
 	})
 	p.aside = nil
 	for _, c := range p.calls {
-		p.rebind(c, old)
+		p.rebind(c)
 	}
 	for _, c := range waiting {
 		p.requeue(c)
@@ -48,10 +47,10 @@
 
 // rebind moves a call to the class that now has its name. A running call of a class that is gone
 // ends on the lowest tier.
-func (p *Pool) rebind(c *call, old map[string]*class) {
+func (p *Pool) rebind(c *call) {
 	k, ok := p.classes[c.Class]
 	if !ok {
-		gone := *old[c.Class]
+		gone := *c.class
 		gone.Tier = max(0, p.queue.Tiers()-1)
 		gone.running, gone.solid = 0, 0
 		k = &gone
