Count the shed tier of a summary from 1, and bound what is learned of lengths

An empty summary, as of a host that leaves the field out, read as a shed of the highest tier and held all others back.

--- a/internal/policy/length/length.go
+++ b/internal/policy/length/length.go
@@ -11,7 +11,7 @@
 
 const (
 	// defaultCapacity bounds the customers that are remembered, least recently seen first out.
-	defaultCapacity = 65536
+	defaultCapacity = 8192
 	// decay is the weight that one new sample takes in a full estimate.
 	decay = 0.02
 	// priorSamples is how many samples of a customer weigh as much as its class.
--- a/internal/policy/pool/arrive.go
+++ b/internal/policy/pool/arrive.go
@@ -55,6 +55,12 @@
 	return c
 }
 
+// Expected returns the output tokens that a request is expected to produce, as limits of tokens are
+// charged before it runs.
+func (p *Pool) Expected(r Request) int {
+	return int(p.expected(&call{Request: r, flow: p.length.Flow(r.Customer, r.Class)}))
+}
+
 func (p *Pool) expected(c *call) float64 {
 	if p.expect != nil {
 		return p.expect(c.Request)
--- a/internal/policy/pool/peer.go
+++ b/internal/policy/pool/peer.go
@@ -16,7 +16,7 @@
 	Want    []float64      `cbor:"n"` // slots asked for, by tier
 	Weight  []float64      `cbor:"w"` // weight of the waiting customers, by tier
 	Zone    string         `cbor:"z"`
-	Shed    int            `cbor:"s"` // highest tier that is shed, -1 for none
+	Shed    int            `cbor:"s"` // highest tier that is shed, counted from 1; 0 for none
 	Counts  map[string]int `cbor:"u"` // running by upstream
 	Offered []float64      `cbor:"o"` // slots that the arrivals would keep busy, by tier
 	Durable float64        `cbor:"d"` // of them, slots that must be durable
@@ -51,7 +51,7 @@
 		Want:    p.want(now),
 		Weight:  make([]float64, p.queue.Tiers()),
 		Zone:    p.zone,
-		Shed:    p.gate.Shedding(now),
+		Shed:    p.gate.Shedding(now) + 1,
 		Counts:  make(map[string]int, len(p.counts)),
 		Offered: make([]float64, p.queue.Tiers()),
 		Durable: p.durable.PerSecond(now) * p.gate.Pace(),
@@ -73,7 +73,7 @@
 		return
 	}
 	p.peers[host] = peer{Summary: s, at: now}
-	p.gate.Peer(now, host, s.Shed)
+	p.gate.Peer(now, host, s.Shed-1)
 	p.table.Peer(now, host, s.Counts)
 }
 
--- a/internal/policy/pool/pool_test.go
+++ b/internal/policy/pool/pool_test.go
@@ -90,11 +90,11 @@
 func TestPeerHoldsBack(t *testing.T) {
 	is := is.New(t)
 	p := newPool(4)
-	p.Peer(start, "b", pool.Summary{Shed: 0, Queued: []int{3, 0, 0}, Running: []int{4, 0, 0}})
+	p.Peer(start, "b", pool.Summary{Shed: 1, Queued: []int{3, 0, 0}, Running: []int{4, 0, 0}})
 	d := p.Arrive(start, pool.Request{ID: 1, Customer: "c1", Class: "bulk"})
 	is.Equal(d[0].Kind, kind.Overload)
 	later := start.Add(1500 * time.Millisecond)
-	p.Peer(later, "b", pool.Summary{Shed: -1})
+	p.Peer(later, "b", pool.Summary{})
 	p.Tick(later)
 	d = p.Arrive(later, pool.Request{ID: 2, Customer: "c1", Class: "bulk"})
 	is.Equal(d[0].Action, pool.Start)
@@ -103,7 +103,7 @@
 func TestAgainIsNotRefused(t *testing.T) {
 	is := is.New(t)
 	p := newPool(1)
-	p.Peer(start, "b", pool.Summary{Shed: 0})
+	p.Peer(start, "b", pool.Summary{Shed: 1})
 	d := p.Arrive(start, pool.Request{ID: 1, Customer: "c1", Class: "bulk", Again: true})
 	is.Equal(d[0].Action, pool.Start)
 }
@@ -115,7 +115,7 @@
 	p.Arrive(start, pool.Request{ID: 2, Customer: "c2", Class: "bulk"})
 	p.Arrive(start, pool.Request{ID: 3, Customer: "c1", Class: "bulk", Again: true})
 	p.Arrive(start, pool.Request{ID: 4, Customer: "c1", Class: "live"})
-	p.Peer(start, "b", pool.Summary{Shed: 0})
+	p.Peer(start, "b", pool.Summary{Shed: 1})
 	d := p.Tick(start)
 	is.Equal(len(d), 1)
 	is.Equal(d[0].ID, uint64(2)) // the other one of its class is shed
@@ -133,7 +133,7 @@
 	d := p.Tick(start.Add(11 * time.Second))
 	is.Equal(len(d), 1)
 	is.Equal(d[0].Kind, kind.Unavailable)
-	is.Equal(p.Summary(start.Add(11*time.Second)).Shed, -1)
+	is.Equal(p.Summary(start.Add(11*time.Second)).Shed, 0)
 }
 
 func TestWaitEnds(t *testing.T) {
--- a/internal/policy/pool/random_test.go
+++ b/internal/policy/pool/random_test.go
@@ -109,7 +109,7 @@
 }
 
 func (d *driver) peer() {
-	shed := rapid.IntRange(-1, 2).Draw(d.t, "shed")
+	shed := rapid.IntRange(0, 3).Draw(d.t, "shed")
 	n := rapid.IntRange(0, 3).Draw(d.t, "peer running")
 	d.p.Peer(d.now, "other", pool.Summary{
 		Shed: shed, Running: []int{n, 0, 0}, Queued: []int{0, 0, 0}, Want: []float64{float64(n), 0, 0},
