--- a/internal/host/spread/part.go
+++ b/internal/host/spread/part.go
@@ -127,7 +127,7 @@
 			delete(t.parts, h)
 		}
 	}
-	t.flush(now, batchGap)
+	t.flush(now, t.gap())
 }
 
 // sweep drops chunks that no record and no waiting record refers to.
--- a/internal/host/spread/push.go
+++ b/internal/host/spread/push.go
@@ -58,6 +58,14 @@
 	}
 }
 
+// gap returns the least time between pushes to one host outside Tick. Records of a small fleet go at once.
+func (t *Table) gap() time.Duration {
+	if t.large {
+		return batchGap
+	}
+	return 0
+}
+
 func (t *Table) flushLink(now time.Time, id string, l *link) {
 	var wires []Wire
 	next := now.Add(retryMax)
@@ -115,7 +123,7 @@
 			t.sendWires(from, []Wire{t.wireOf(w.Topic, e)})
 		}
 	}
-	t.flush(now, batchGap)
+	t.flush(now, t.gap())
 	t.send(from, Message{Ack: acks})
 	t.countWanted(from, len(wires))
 }
--- a/internal/host/spread/table.go
+++ b/internal/host/spread/table.go
@@ -17,7 +17,7 @@
 	maxBatch   = 32 << 10 // bytes of values in one message
 	// expireGap separates the searches for expired records; readers check for themselves.
 	expireGap = 1 * time.Second
-	// batchGap separates pushes to one host, so that the records of a burst travel together.
+	// batchGap separates pushes to one host of a large fleet, so that the records of a burst travel together.
 	batchGap = 50 * time.Millisecond
 )
 
@@ -93,7 +93,7 @@
 	if !t.accept(now, t.wire(r), "", true) {
 		return false
 	}
-	t.flush(now, batchGap)
+	t.flush(now, t.gap())
 	if t.topic(r.topic).soft {
 		t.soft.fresh[hash(r.topic, r.key)] = origin{topic: r.topic}
 	}
