--- a/internal/platform/usage/world_test.go
+++ b/internal/platform/usage/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,8 +31,11 @@
 	hosts     []*host
 	starts    int
 	delivered map[string]int // output tokens by customer
-	unfenced  []string       // reports accepted from a reporter whose lease had ended
-	strict    bool           // look at the lease key when a report arrives
+	mu        sync.Mutex
+	unfenced  []string      // reports accepted from a reporter whose lease had ended
+	length    time.Duration // of a window
+	every     time.Duration // between commits
+	strict    bool          // look at the lease key when a report arrives
 }
 
 type host struct {
@@ -42,6 +46,7 @@
 	recorder *usage.Recorder
 	reporter *usage.Reporter
 	cancel   context.CancelFunc
+	rand     *rand.Rand // of the network to the sink
 }
 
 func newWorld(seed uint64) *world {
@@ -52,6 +57,7 @@
 		sink:      sinkstandin.New(),
 		rand:      rand.New(rand.NewPCG(seed, 1)),
 		delivered: map[string]int{},
+		length:    windowLength,
 	}
 }
 
@@ -59,15 +65,16 @@
 func (w *world) start(t *testing.T, pauses map[int]time.Duration) *host {
 	w.starts++
 	h := &host{world: w, name: fmt.Sprintf("h%d", w.starts), gate: standin.NewGate(pauses)}
+	h.rand = rand.New(rand.NewPCG(w.rand.Uint64(), 3))
 	ctx, cancel := context.WithCancel(t.Context())
 	h.cancel = cancel
 	h.client = store.New(h.gate.Backend(w.memory.Backend()), store.Options{
 		Clock: w.clock, Rand: rand.New(rand.NewPCG(w.rand.Uint64(), 2)),
 	})
-	h.recorder = usage.New(h.client, w.clock, usage.Options{Host: h.name, Incarnation: "1", Window: windowLength})
+	h.recorder = usage.New(h.client, w.clock, usage.Options{Host: h.name, Incarnation: "1", Window: w.length, Every: w.every})
 	l := lease.New(h.client, w.clock, lease.Options{Name: "usage", Holder: h.name, TTL: leaseTTL})
 	sink := usage.Sink{Report: h.report}
-	h.reporter = usage.NewReporter(h.client, w.clock, l, sink, usage.ReporterOptions{Window: windowLength})
+	h.reporter = usage.NewReporter(h.client, w.clock, l, sink, usage.ReporterOptions{Window: w.length})
 	go h.recorder.Run(ctx)
 	go l.Run(ctx)
 	go h.reporter.Run(ctx)
@@ -81,7 +88,7 @@
 	if err := check(); err != nil {
 		return err
 	}
-	time.Sleep(time.Duration(h.world.rand.Int64N(int64(2 * time.Second))))
+	time.Sleep(time.Duration(h.rand.Int64N(int64(2 * time.Second))))
 	lost, err := h.world.accept(r)
 	h.gate.Pass()
 	if lost || ctx.Err() != nil {
@@ -94,6 +101,8 @@
 	_, fence, ok := w.memory.Read("lease/usage")
 	lost, err := w.sink.Accept(r)
 	if err == nil && w.strict && (!ok || fence != r.Fence) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
 		w.unfenced = append(w.unfenced, fmt.Sprintf("%s fence %d, lease at %d", r.ID, r.Fence, fence))
 	}
 	return lost, err
@@ -137,7 +146,7 @@
 	for _, h := range w.hosts {
 		h.cancel()
 	}
-	time.Sleep(10 * windowLength)
+	time.Sleep(10 * w.length)
 }
 
 // verify returns what is wrong with the reports.
