--- a/internal/policy/admit/admit_test.go
+++ b/internal/policy/admit/admit_test.go
@@ -104,3 +104,18 @@
 		}
 	})
 }
+
+func TestPaceIgnoresStalls(t *testing.T) {
+	is := is.New(t)
+	g := admit.New(1)
+	for range 200 {
+		g.Done(200, 4*time.Second)
+	}
+	is.True(g.Pace() > 0.0199 && g.Pace() < 0.0201)
+	g.Done(10, time.Minute)
+	is.True(g.Pace() < 0.024)
+	for range 200 {
+		g.Done(1, 50*time.Millisecond) // a plain service
+	}
+	is.True(g.Turn(1) < 300*time.Millisecond)
+}
--- a/internal/policy/admit/gate.go
+++ b/internal/policy/admit/gate.go
@@ -16,6 +16,10 @@
 	runTime = 3 * time.Second
 	// paceDecay is the weight of one finished request in the pace.
 	paceDecay = 0.02
+	// priorSamples is how many answers the starting values weigh as much as.
+	priorSamples = 5
+	// maxSample bounds one answer's pace and time, in multiples of the mean.
+	maxSample = 8
 	// startPace is the seconds that a slot takes for one cost unit before any request has finished.
 	startPace = 0.03
 	// startSpell is the time that a request occupies a slot before any request has finished.
@@ -32,14 +36,15 @@
 
 // Gate is the admission state of one pool on one host. It is not safe for concurrent use.
 type Gate struct {
-	shed  []time.Time // last time that each tier was shed on this host
-	runs  []time.Time // start of the present run of sheds of each tier
-	peers map[string]mark
-	rates []Rate
-	pace  float64
-	spell time.Duration // mean time that a request occupies a slot
-	since time.Time     // start of the present run of holding back
-	until time.Time
+	shed    []time.Time // last time that each tier was shed on this host
+	runs    []time.Time // start of the present run of sheds of each tier
+	peers   map[string]mark
+	rates   []Rate
+	pace    float64
+	samples float64
+	spell   time.Duration // mean time that a request occupies a slot
+	since   time.Time     // start of the present run of holding back
+	until   time.Time
 }
 
 // mark is the highest tier that another host sheds.
@@ -74,13 +79,17 @@
 	g.rates[tier].Add(now, cost)
 }
 
-// Done learns the pace from a request that occupied a slot for d.
+// Done learns the pace from a whole answer that occupied a slot for d. One answer moves the pace by
+// little: a stalled one says nothing about the others.
 func (g *Gate) Done(cost float64, d time.Duration) {
 	if cost <= 0 || d <= 0 {
 		return
 	}
-	g.pace += paceDecay * (d.Seconds()/cost - g.pace)
-	g.spell += time.Duration(paceDecay * float64(d-g.spell))
+	g.samples++
+	weight := math.Max(paceDecay, 1/(g.samples+priorSamples))
+	sample := math.Min(d.Seconds()/cost, maxSample*g.pace)
+	g.pace += weight * (sample - g.pace)
+	g.spell += time.Duration(weight * float64(min(d, maxSample*g.spell)-g.spell))
 }
 
 // Turn returns the mean time until the next of slots busy slots comes free.
@@ -163,23 +172,36 @@
 }
 
 // Retry returns the advice for a caller of a tier that was just shed: the time after which the
-// estimated wait would be the limit, or, when longer, the time for which the tier has been shed.
-// Overload that has lasted for some time is expected to last as long again.
+// estimated wait would be the limit, or, when longer, the time that the run of sheds is expected to
+// go on.
 func (g *Gate) Retry(now time.Time, tier int, wait, limit time.Duration) time.Duration {
-	return clamp(max(wait-limit, now.Sub(g.runs[tier])))
+	return clamp(max(wait-limit, ahead(g.run(now, tier))))
 }
 
-// RetryHeld returns the advice for a caller whose tier is held back: as long as that has lasted, and
-// the time that the tiers between take to return.
+// RetryHeld returns the advice for a caller whose tier is held back: the time that this is expected to
+// go on, and the time that the tiers between take to return.
 func (g *Gate) RetryHeld(now time.Time, tier int) time.Duration {
 	between := 0
 	if held := g.Held(now); held != None {
 		between = max(0, tier-held-1)
 	}
-	lasted := max(now.Sub(g.since), now.Sub(g.runs[tier]))
-	return clamp(lasted + time.Duration(between)*holdTime)
+	lasted := max(now.Sub(g.since), g.run(now, tier))
+	return clamp(ahead(lasted) + time.Duration(between)*holdTime)
 }
 
+// run returns for how long a tier has been shed, zero when it is not.
+func (g *Gate) run(now time.Time, tier int) time.Duration {
+	if g.shed[tier].IsZero() || now.Sub(g.shed[tier]) > runTime {
+		return 0
+	}
+	return now.Sub(g.runs[tier])
+}
+
+// ahead returns the time after which an overload that has lasted for some time is more likely over
+// than not. Durations of bursts have a long tail: one that has lasted t lasts beyond 2t about every
+// second time, beyond 2.5t two times in five.
+func ahead(lasted time.Duration) time.Duration { return lasted + lasted/2 }
+
 func clamp(d time.Duration) time.Duration { return min(max(d, minRetry), maxRetry) }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/policy/pool/dispatch.go
+++ b/internal/policy/pool/dispatch.go
@@ -158,21 +158,16 @@
 	if r.Gap > 0 {
 		p.table.Gap(now, c.upstream, r.Gap)
 	}
-	p.account(now, c, r.Output)
+	p.queue.Charge(&c.item, float64(r.Output)-c.charged)
 	if !r.Failed && !r.Crashed {
 		c.flow.Observe(r.Output)
+		p.gate.Done(float64(r.Output)+promptCost*float64(c.Prompt), now.Sub(c.started))
 	}
 	p.stop(now, c, route.Result{Crashed: r.Crashed, Failed: r.Failed})
 	p.dispatch(now)
 	return p.flush()
 }
 
-// account replaces the estimated charge of a call by its true one.
-func (p *Pool) account(now time.Time, c *call, output int) {
-	p.queue.Charge(&c.item, float64(output)-c.charged)
-	p.gate.Done(float64(output)+promptCost*float64(c.Prompt), now.Sub(c.started))
-}
-
 // Cancel withdraws a request that waits or runs.
 func (p *Pool) Cancel(now time.Time, id uint64) []Decision {
 	c, ok := p.calls[id]
