--- a/internal/host/node/fault_test.go
+++ b/internal/host/node/fault_test.go
@@ -33,6 +33,7 @@
 // TestNewRecordsAreInForceWithinTwoSeconds puts a document and a withdrawal while one relay is dead and
 // a fifth of the datagrams is lost.
 func TestNewRecordsAreInForceWithinTwoSeconds(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name     string
 		hosts    int
@@ -80,6 +81,7 @@
 // TestZoneCutAndHealed cuts one zone off: both sides go on with what they have and with their own
 // changes, and agree soon after the partition heals.
 func TestZoneCutAndHealed(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name  string
 		hosts int
@@ -124,6 +126,7 @@
 // TestRestartsWithoutStore restarts all hosts one by one while only their peers can give them the
 // document and the keys.
 func TestRestartsWithoutStore(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newFleet(4, 7, 3)
 	s.hosts["h000"].core.spread.Put(spread.Document, "", 9, document(300_000), time.Time{})
@@ -149,6 +152,7 @@
 
 // TestMembership checks what every living host thinks of h000 after a fault.
 func TestMembership(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name   string
 		fault  func(s *sim)
@@ -194,6 +198,7 @@
 
 // TestJoinBeforeListed starts a host that the others' lists do not name.
 func TestJoinBeforeListed(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newFleet(6, 7, 3)
 	s.run(5 * time.Second)
@@ -212,6 +217,7 @@
 
 // TestMembersReportRevisions checks that a host learns when all hosts have applied a revision.
 func TestMembersReportRevisions(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newFleet(8, 30, 3)
 	s.run(10 * time.Second)
--- a/internal/host/node/node_test.go
+++ b/internal/host/node/node_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,9 +18,45 @@
 	"hickorypath/internal/platform/roster"
 )
 
-// TestNodesOverLoopback runs three nodes on real sockets until a record put on one is on all.
+// lossy loses a part of the packets that it sends.
+type lossy struct {
+	net.PacketConn
+	rand *rand.Rand
+	mu   *sync.Mutex
+	loss float64
+}
+
+func (l lossy) WriteTo(b []byte, to net.Addr) (int, error) {
+	l.mu.Lock()
+	lost := l.rand.Float64() < l.loss
+	l.mu.Unlock()
+	if lost {
+		return len(b), nil
+	}
+	return l.PacketConn.WriteTo(b, to)
+}
+
+// TestNodesOverLoopback runs three nodes on real sockets until records put on one are on all.
 func TestNodesOverLoopback(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name string
+		loss float64
+	}{
+		{"no loss", 0},
+		{"a fifth of the packets lost", 0.2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { testLoopback(t, c.loss) })
+	}
+}
+
+func testLoopback(t *testing.T, loss float64) {
+	t.Parallel()
 	is := is.New(t)
+	wrap := func(c net.PacketConn) net.PacketConn {
+		return lossy{c, rand.New(rand.NewPCG(1, 2)), &sync.Mutex{}, loss}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	config, err := peer.NewTLSSecret("a secret of more than 16 bytes")
@@ -28,7 +67,7 @@
 	for _, id := range []string{"h1", "h2", "h3"} {
 		n, err := node.New(node.Options{
 			ID: id, Zone: "zone-" + id, Addr: "127.0.0.1:0", TLS: config, Roster: list,
-			Clock: clock.NewSystem(), Log: zap.NewNop(),
+			Clock: clock.NewSystem(), Log: zap.NewNop(), Wrap: wrap,
 		})
 		is.NoErr(err)
 		nodes = append(nodes, n)
--- a/internal/host/node/scale_test.go
+++ b/internal/host/node/scale_test.go
@@ -71,6 +71,7 @@
 
 // TestTwoYearSize puts a key and a document on a fleet of 350 hosts that loses datagrams and a relay.
 func TestTwoYearSize(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("350 hosts take too long under the race detector")
 	}
--- a/internal/host/peer/link.go
+++ b/internal/host/peer/link.go
@@ -83,6 +83,8 @@
 func (l *link) deliver(m message) {
 	conn, err := l.connect()
 	if err != nil {
+		failedDials.Inc()
+		droppedMessages.Inc()
 		l.peer.opts.Log.Debug("connection to another host", zap.String("addr", l.addr), zap.Error(err))
 		l.drain()
 		select {
@@ -106,6 +108,7 @@
 	select {
 	case l.writes <- struct{}{}:
 	default:
+		droppedMessages.Inc()
 		return
 	}
 	l.peer.wg.Go(func() {
@@ -121,6 +124,7 @@
 	for {
 		select {
 		case <-l.queue:
+			droppedMessages.Inc()
 		default:
 			return
 		}
@@ -134,6 +138,7 @@
 	if conn != nil && conn.Context().Err() == nil {
 		return conn, nil
 	}
+	dials.Inc()
 	ctx, cancel := context.WithTimeout(l.ctx, handshakeTimeout)
 	defer cancel()
 	conn, err := l.dial(ctx, addr, fresh)
--- a/internal/host/peer/peer.go
+++ b/internal/host/peer/peer.go
@@ -112,7 +112,10 @@
 	}
 	select {
 	case l.queue <- message{data: data, reliable: reliable || len(data) > MaxDatagram}:
+		sentMessages.Inc()
+		sentBytes.Add(len(data))
 	default:
+		droppedMessages.Inc()
 	}
 }
 
@@ -199,8 +202,11 @@
 }
 
 func (p *Peer) receive(conn *quic.Conn, name string, data []byte) {
+	receivedMessages.Inc()
+	receivedBytes.Add(len(data))
 	from := p.opts.Receive(name, data)
 	if from == "" {
+		refusedMessages.Inc()
 		return
 	}
 	p.mu.Lock()
