--- a/internal/policy/pool/arrive.go
+++ b/internal/policy/pool/arrive.go
@@ -12,7 +12,8 @@
 func (p *Pool) Arrive(now time.Time, r Request) []Decision {
 	k, ok := p.classes[r.Class]
 	if !ok {
-		return []Decision{{ID: r.ID, Action: Refuse, Kind: kind.Internal}}
+		p.refuse(&call{Request: r}, kind.Unavailable, 0)
+		return p.flush()
 	}
 	c := p.newCall(now, r, k)
 	p.gate.Arrive(now, k.Tier, c.item.Cost)
@@ -54,6 +55,12 @@
 	return c
 }
 
+// Expected returns the output tokens that a request is expected to produce, as limits of tokens are
+// charged before it runs.
+func (p *Pool) Expected(r Request) int {
+	return int(p.expected(&call{Request: r, flow: p.length.Flow(r.Customer, r.Class)}))
+}
+
 func (p *Pool) expected(c *call) float64 {
 	if p.expect != nil {
 		return p.expect(c.Request)
