--- a/internal/platform/provision/order_test.go
+++ b/internal/platform/provision/order_test.go
@@ -187,4 +187,3 @@
 		})
 	}
 }
-
