--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
@@ -35,6 +36,7 @@
 	rand    *rand.Rand
 	budgets map[Use]*rate.Limiter
 	counts  map[Count]uint64
+	totals  map[Count]*metrics.Counter
 	sights  map[string]sight
 }
 
@@ -49,6 +51,7 @@
 		rand:    o.Rand,
 		budgets: map[Use]*rate.Limiter{},
 		counts:  map[Count]uint64{},
+		totals:  map[Count]*metrics.Counter{},
 		sights:  map[string]sight{},
 	}}
 }
--- a/internal/platform/store/count.go
+++ b/internal/platform/store/count.go
@@ -37,8 +37,14 @@
 }
 
 func (c *core) count(u Use, op string) {
-	metrics.GetOrCreateCounter(fmt.Sprintf(`hickorypath_store_calls_total{use=%q,op=%q}`, string(u), op)).Inc()
+	key := Count{use: u, op: op}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.counts[Count{use: u, op: op}]++
+	c.counts[key]++
+	total, ok := c.totals[key]
+	if !ok {
+		total = metrics.GetOrCreateCounter(fmt.Sprintf(`hickorypath_store_calls_total{use=%q,op=%q}`, string(u), op))
+		c.totals[key] = total
+	}
+	total.Inc()
 }
--- a/internal/platform/usage/interleave_test.go
+++ b/internal/platform/usage/interleave_test.go
@@ -40,7 +40,8 @@
 func interleave(t *testing.T, seed uint64) (err error) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(seed)
-		w.strict, w.every, w.length = true, 5*time.Second, 20*time.Second
+		w.strict, w.length = true, 20*time.Second
+		w.every, w.pass = 6*time.Second, 9*time.Second
 		w.sink.Set(sinkstandin.Faults{Ignore: seed%2 == 0, Lose: w.rand.IntN(3)})
 		w.memory.Set(store.Faults{Lose: w.rand.IntN(3)})
 		for range 2 {
--- a/internal/platform/usage/world_test.go
+++ b/internal/platform/usage/world_test.go
@@ -20,6 +20,7 @@
 const (
 	windowLength = time.Minute
 	leaseTTL     = 15 * time.Second
+	stopTime     = 3 * time.Minute // longer than any pause
 )
 
 // world is a store, a sink for reports and some hosts, in virtual time.
@@ -35,6 +36,7 @@
 	unfenced  []string      // reports accepted from a reporter whose lease had ended
 	length    time.Duration // of a window
 	every     time.Duration // between commits
+	pass      time.Duration // between passes of the reporters
 	strict    bool          // look at the lease key when a report arrives
 }
 
@@ -74,7 +76,7 @@
 	h.recorder = usage.New(h.client, w.clock, usage.Options{Host: h.name, Incarnation: "1", Window: w.length, Every: w.every})
 	l := lease.New(h.client, w.clock, lease.Options{Name: "usage", Holder: h.name, TTL: leaseTTL})
 	sink := usage.Sink{Report: h.report}
-	h.reporter = usage.NewReporter(h.client, w.clock, l, sink, usage.ReporterOptions{Window: w.length})
+	h.reporter = usage.NewReporter(h.client, w.clock, l, sink, usage.ReporterOptions{Window: w.length, Every: w.pass})
 	go h.recorder.Run(ctx)
 	go l.Run(ctx)
 	go h.reporter.Run(ctx)
@@ -146,7 +148,7 @@
 	for _, h := range w.hosts {
 		h.cancel()
 	}
-	time.Sleep(10 * w.length)
+	time.Sleep(stopTime)
 }
 
 // verify returns what is wrong with the reports.
