Refuse nobody on a guess of the time that answers take

A host that had seen no answer end assumed 5 s and refused bursts that its upstreams could have served. It now takes the other hosts' figures and, without any, queues. Tests of early refusal first let one answer end.

--- a/internal/policy/admit/admit_test.go
+++ b/internal/policy/admit/admit_test.go
@@ -46,6 +46,8 @@
 func TestWaitCountsHigherArrivals(t *testing.T) {
 	is := is.New(t)
 	g := admit.New(2)
+	is.Equal(g.Wait(start, 1, 1000, 10), time.Duration(0)) // nothing has ended yet
+	g.Done(200, 6*time.Second)
 	before := g.Wait(start, 1, 1000, 10)
 	for i := range 100 {
 		g.Arrive(start.Add(time.Duration(i)*30*time.Millisecond), 0, 100)
@@ -105,6 +107,15 @@
 	})
 }
 
+func TestAdoptOnlyWithoutOwn(t *testing.T) {
+	is := is.New(t)
+	g := admit.New(1)
+	g.Adopt(0.03, 6*time.Second)
+	is.Equal(g.Turn(6), time.Second)
+	g.Adopt(0.01, time.Second)
+	is.Equal(g.Turn(6), time.Second)
+}
+
 func TestPaceIgnoresStalls(t *testing.T) {
 	is := is.New(t)
 	g := admit.New(1)
--- a/internal/policy/admit/gate.go
+++ b/internal/policy/admit/gate.go
@@ -16,14 +16,10 @@
 	runTime = 3 * time.Second
 	// paceDecay is the weight of one finished request in the pace.
 	paceDecay = 0.02
-	// priorSamples is how many answers the starting values weigh as much as.
-	priorSamples = 5
 	// maxSample bounds one answer's pace and time, in multiples of the mean.
 	maxSample = 8
 	// startPace is the seconds that a slot takes for one cost unit before any request has finished.
 	startPace = 0.03
-	// startSpell is the time that a request occupies a slot before any request has finished.
-	startSpell = 5 * time.Second
 	// minLeft is the least share of service that is assumed to be left by higher tiers.
 	minLeft = 0.05
 	// minRetry and maxRetry bound the advice that refused callers get.
@@ -61,7 +57,6 @@
 		peers: make(map[string]mark),
 		rates: make([]Rate, tiers),
 		pace:  startPace,
-		spell: startSpell,
 	}
 }
 
@@ -85,16 +80,35 @@
 	if cost <= 0 || d <= 0 {
 		return
 	}
+	if g.samples == 0 {
+		g.pace, g.spell = d.Seconds()/cost, d
+	}
 	g.samples++
-	weight := math.Max(paceDecay, 1/(g.samples+priorSamples))
+	weight := math.Max(paceDecay, 1/g.samples)
 	sample := math.Min(d.Seconds()/cost, maxSample*g.pace)
 	g.pace += weight * (sample - g.pace)
 	g.spell += time.Duration(weight * float64(min(d, maxSample*g.spell)-g.spell))
 }
 
+// Adopt takes the pace and spell of another host while this one has none of its own.
+func (g *Gate) Adopt(pace float64, spell time.Duration) {
+	if g.samples > 0 || pace <= 0 || spell <= 0 {
+		return
+	}
+	g.pace, g.spell, g.samples = pace, spell, 1
+}
+
+// Spell returns the mean time that a request occupies a slot, zero before any has ended.
+func (g *Gate) Spell() time.Duration {
+	if g.samples == 0 {
+		return 0
+	}
+	return g.spell
+}
+
 // Turn returns the mean time until the next of slots busy slots comes free.
 func (g *Gate) Turn(slots int) time.Duration {
-	return g.spell / time.Duration(max(1, slots))
+	return g.Spell() / time.Duration(max(1, slots))
 }
 
 // Pace returns the seconds that one slot takes for one cost unit.
@@ -105,9 +119,10 @@
 	return g.rates[tier].PerSecond(now) * g.pace
 }
 
-// Wait estimates how long a request of a tier waits behind ahead cost units, with slots slots.
+// Wait estimates how long a request of a tier waits behind ahead cost units, with slots slots. It is
+// zero before any request has ended: nobody is refused on a guess.
 func (g *Gate) Wait(now time.Time, tier int, ahead, slots float64) time.Duration {
-	if ahead <= 0 {
+	if ahead <= 0 || g.samples == 0 {
 		return 0
 	}
 	left := slots * minLeft
--- a/internal/policy/length/length.go
+++ b/internal/policy/length/length.go
@@ -84,6 +84,9 @@
 	f.add(x)
 }
 
+// IsKnown reports whether any output of the class has ended.
+func (f *Flow) IsKnown() bool { return f.class.count > 0 }
+
 // Mean returns the expected output length of a new request, at most limit when limit is positive.
 func (f *Flow) Mean(limit int) float64 {
 	mu, variance := f.blend()
--- a/internal/policy/pool/peer.go
+++ b/internal/policy/pool/peer.go
@@ -18,6 +18,8 @@
 	Zone    string         `cbor:"z"`
 	Shed    int            `cbor:"s"` // highest tier that is shed, counted from 1; 0 for none
 	Counts  map[string]int `cbor:"u"` // running by upstream
+	Pace    float64        `cbor:"p"` // seconds that a slot takes for one token
+	Spell   time.Duration  `cbor:"t"` // mean time that a request occupies a slot, zero when unknown
 	Offered []float64      `cbor:"o"` // slots that the arrivals would keep busy, by tier
 	Durable float64        `cbor:"d"` // of them, slots that must be durable
 }
@@ -53,6 +55,8 @@
 		Zone:    p.zone,
 		Shed:    p.gate.Shedding(now) + 1,
 		Counts:  make(map[string]int, len(p.counts)),
+		Pace:    p.gate.Pace(),
+		Spell:   p.gate.Spell(),
 		Offered: make([]float64, p.queue.Tiers()),
 		Durable: p.durable.PerSecond(now) * p.gate.Pace(),
 	}
@@ -74,6 +78,7 @@
 	}
 	p.peers[host] = peer{Summary: s, at: now}
 	p.gate.Peer(now, host, s.Shed-1)
+	p.gate.Adopt(s.Pace, s.Spell)
 	p.table.Peer(now, host, s.Counts)
 }
 
@@ -182,7 +187,10 @@
 // arrives before the other hosts hear of it.
 func (p *Pool) want(now time.Time) []float64 {
 	want := make([]float64, p.queue.Tiers())
-	soon := lookAhead.Seconds() / p.gate.Turn(1).Seconds()
+	soon := 0.0
+	if spell := p.gate.Spell(); spell > 0 {
+		soon = lookAhead.Seconds() / spell.Seconds()
+	}
 	for t := range want {
 		want[t] = float64(p.running[t]+p.queue.Depth(t)) + soon*p.gate.Offered(now, t)
 	}
--- a/internal/policy/pool/pool_test.go
+++ b/internal/policy/pool/pool_test.go
@@ -60,7 +60,11 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			d := newPool(c.slots).Arrive(start, c.r)
+			p := newPool(0)
+			if c.slots > 0 {
+				p = trained(c.slots)
+			}
+			d := p.Arrive(start, c.r)
 			is.Equal(len(d), 1)
 			is.Equal(d[0].Action, pool.Refuse)
 			is.Equal(d[0].Kind, c.want)
@@ -68,9 +72,26 @@
 	}
 }
 
-func TestShedLowerFirst(t *testing.T) {
+// trained returns a pool that has seen one request of five seconds end.
+func trained(slots int) *pool.Pool {
+	p := newPool(slots)
+	p.Arrive(start.Add(-5*time.Second), pool.Request{ID: 1 << 40, Customer: "c1", Class: "live"})
+	p.Finish(start, 1<<40, pool.Result{Output: 150})
+	return p
+}
+
+// TestNoGuess queues a burst on a fresh host: it has no ground to refuse anybody yet.
+func TestNoGuess(t *testing.T) {
 	is := is.New(t)
 	p := newPool(1)
+	for id := range uint64(20) {
+		is.True(p.Arrive(start, pool.Request{ID: id, Customer: "c1", Class: "live"})[0].Action != pool.Refuse)
+	}
+}
+
+func TestShedLowerFirst(t *testing.T) {
+	is := is.New(t)
+	p := trained(1)
 	p.Arrive(start, pool.Request{ID: 1, Customer: "c1", Class: "bulk"})
 	p.Arrive(start, pool.Request{ID: 2, Customer: "c1", Class: "bulk"})
 	refused := map[uint64]bool{}
