--- a/internal/upstream/engine/control.go
+++ b/internal/upstream/engine/control.go
@@ -67,11 +67,12 @@
 func (c *Client) probe(ctx context.Context, addr, attempt string) (offset int, tells bool, err error) {
 	c.counts.probes.Add(1)
 	var r report
-	if err := c.get(ctx, c.fresh, addr, "/load?id="+url.QueryEscape(attempt), &r); err != nil {
-		return 0, false, err
+	err = c.get(ctx, c.fresh, addr, "/load?id="+url.QueryEscape(attempt), &r)
+	if kind.Of(err) == kind.Failed {
+		return 0, false, nil // an engine that refuses the question is alive
 	}
-	if r.Offset == nil {
-		return 0, false, nil
+	if err != nil || r.Offset == nil {
+		return 0, false, err
 	}
 	return *r.Offset, true, nil
 }
--- a/internal/upstream/engine/plain_test.go
+++ b/internal/upstream/engine/plain_test.go
@@ -19,19 +19,25 @@
 		name  string
 		first time.Duration // until the first token
 		quiet time.Duration // after it
+		load  int           // status of GET /load
 		kind  kind.Kind
 	}{
-		{"usual", 100 * time.Millisecond, 30 * time.Millisecond, ""},
-		{"long prompt", 20 * time.Second, 30 * time.Millisecond, ""},
-		{"pause", 100 * time.Millisecond, 2 * time.Second, ""},
-		{"silent", 100 * time.Millisecond, time.Hour, kind.Silent},
-		{"silent from the start", time.Hour, 0, kind.Silent},
+		{"usual", 100 * time.Millisecond, 30 * time.Millisecond, http.StatusOK, ""},
+		{"long prompt", 20 * time.Second, 30 * time.Millisecond, http.StatusOK, ""},
+		{"long prompt, no load", 20 * time.Second, 30 * time.Millisecond, http.StatusNotFound, ""},
+		{"pause", 100 * time.Millisecond, 2 * time.Second, http.StatusOK, ""},
+		{"silent", 100 * time.Millisecond, time.Hour, http.StatusOK, kind.Silent},
+		{"silent, no load", 100 * time.Millisecond, time.Hour, http.StatusNotFound, kind.Silent},
+		{"silent from the start", time.Hour, 0, http.StatusOK, kind.Silent},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			within(t, func(b *bench) {
 				mux := http.NewServeMux()
-				mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{"running":1}`) })
+				mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
+					w.WriteHeader(c.load)
+					fmt.Fprint(w, `{"running":1}`)
+				})
 				mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) {
 					_, _ = io.Copy(io.Discard, r.Body)
 					for i, wait := range []time.Duration{c.first, c.quiet} {
