--- a/internal/policy/suspect/book.go
+++ b/internal/policy/suspect/book.go
@@ -46,6 +46,7 @@
 	runs    map[uint64]run
 	on      map[string]map[uint64]Print // requests by upstream
 	order   []Print                     // entries by age, for the bound on size
+	down    map[string]time.Time        // since when each crashed upstream is down
 }
 
 // entry is what is known of one suspect.
@@ -60,6 +61,7 @@
 type run struct {
 	upstream string
 	print    Print
+	started  time.Time
 	trial    bool      // started as a suspect
 	lost     time.Time // when its connection was lost, zero before
 }
@@ -71,6 +73,7 @@
 		entries: map[Print]*entry{},
 		runs:    map[uint64]run{},
 		on:      map[string]map[uint64]Print{},
+		down:    map[string]time.Time{},
 	}
 }
 
@@ -104,7 +107,7 @@
 	if trial {
 		e.running++
 	}
-	b.runs[request] = run{upstream: upstream, print: p, trial: trial}
+	b.runs[request] = run{upstream: upstream, print: p, started: now, trial: trial}
 	here := b.on[upstream]
 	if here == nil {
 		here = map[uint64]Print{}
@@ -117,7 +120,13 @@
 // cleared.
 func (b *Book) Finish(now time.Time, request uint64, whole bool) {
 	r, ok := b.take(request)
-	if !ok || !whole || !r.trial {
+	if !ok || !whole {
+		return
+	}
+	if r.started.After(b.down[r.upstream]) {
+		delete(b.down, r.upstream)
+	}
+	if !r.trial {
 		return
 	}
 	if e := b.entries[r.print]; e != nil && now.After(e.quarantine) {
@@ -172,43 +181,74 @@
 }
 
 // Crash notes that an upstream crashed. Each request that ran there becomes a suspect; if exactly one
-// of them was a suspect already, it is quarantined and its neighbours are not suspects. Both results
-// are for the other hosts, too, before any of the requests gets its answer.
+// of them was a suspect already, it is quarantined and its neighbours are not suspects. Requests that
+// were sent to an upstream which was down before are neither. Both results are for the other hosts,
+// too, before any of the requests gets its answer.
 func (b *Book) Crash(now time.Time, upstream string) ([]Suspicion, []Quarantine) {
 	b.release(now, upstream)
+	since, known := b.downSince(now, upstream)
 	var trials []Print
 	all := make([]Print, 0, len(b.on[upstream]))
 	for request, p := range b.on[upstream] {
-		if r, ok := b.take(request); ok && r.trial {
+		r, ok := b.take(request)
+		if !ok || (known && r.started.After(since)) {
+			continue
+		}
+		if r.trial {
 			trials = append(trials, p)
 		}
 		all = append(all, p)
 	}
+	if !known {
+		b.down[upstream] = now
+	}
 	if len(trials) == 1 {
-		return nil, []Quarantine{b.quarantine(now, trials[0])}
+		return nil, []Quarantine{b.quarantine(now, trials[0], upstream)}
 	}
 	out := make([]Suspicion, 0, len(all))
 	for _, p := range all {
-		out = append(out, b.suspect(now, p))
+		out = append(out, b.suspect(now, p, upstream))
 	}
 	return out, nil
 }
 
-func (b *Book) suspect(now time.Time, p Print) Suspicion {
+// downSince returns since when an upstream is known to be down. What was learned long ago does not
+// count: the upstream may have come back without a request from this host.
+func (b *Book) downSince(now time.Time, upstream string) (since time.Time, known bool) {
+	since, known = b.down[upstream]
+	if known && now.Sub(since) > downExpiry {
+		delete(b.down, upstream)
+		return time.Time{}, false
+	}
+	return since, known
+}
+
+// downExpiry is shorter than the first quarantine, so that a request which crashes an upstream again
+// after its quarantine is found out.
+const downExpiry = 5 * time.Minute
+
+// crashed takes another host's word that an upstream crashed.
+func (b *Book) crashed(upstream string, at time.Time) {
+	if upstream != "" && at.After(b.down[upstream]) {
+		b.down[upstream] = at
+	}
+}
+
+func (b *Book) suspect(now time.Time, p Print, upstream string) Suspicion {
 	e := b.entry(p)
 	e.crashes++
 	e.suspect = now.Add(b.config.Suspect)
-	return Suspicion{Print: p, Crashes: e.crashes, Until: e.suspect}
+	return Suspicion{Print: p, Crashes: e.crashes, Until: e.suspect, Upstream: upstream, At: now}
 }
 
-func (b *Book) quarantine(now time.Time, p Print) Quarantine {
+func (b *Book) quarantine(now time.Time, p Print, upstream string) Quarantine {
 	e := b.entry(p)
 	e.crashes++
 	length := min(b.config.Quarantine<<min(e.quarantines, maxDoublings), b.config.Longest)
 	e.quarantines++
 	e.quarantine = now.Add(length)
 	e.suspect = e.quarantine.Add(b.config.Suspect)
-	return Quarantine{Print: p, Until: e.quarantine}
+	return Quarantine{Print: p, Until: e.quarantine, Upstream: upstream, At: now}
 }
 
 // entry returns the entry of p, making room for it when the Book is full.
@@ -231,6 +271,7 @@
 	if !now.Before(q.Until) {
 		return
 	}
+	b.crashed(q.Upstream, q.At)
 	e := b.entry(q.Print)
 	if q.Until.After(e.quarantine) {
 		e.quarantine = q.Until
@@ -244,6 +285,7 @@
 	if !now.Before(s.Until) {
 		return
 	}
+	b.crashed(s.Upstream, s.At)
 	e := b.entry(s.Print)
 	e.crashes = max(e.crashes, s.Crashes)
 	if s.Until.After(e.suspect) {
--- a/internal/policy/suspect/suspect.go
+++ b/internal/policy/suspect/suspect.go
@@ -31,13 +31,17 @@
 // Quarantine is the verdict on a request that crashed an upstream while it was the only suspect there.
 // It is spread to all hosts.
 type Quarantine struct {
-	Print Print     `cbor:"print"`
-	Until time.Time `cbor:"until"`
+	Print    Print     `cbor:"print"`
+	Until    time.Time `cbor:"until"`
+	Upstream string    `cbor:"upstream"` // that crashed
+	At       time.Time `cbor:"at"`       // when it was found crashed
 }
 
 // Suspicion tells the other hosts of a request that ran on an upstream when it crashed.
 type Suspicion struct {
-	Print   Print     `cbor:"print"`
-	Crashes int       `cbor:"crashes"`
-	Until   time.Time `cbor:"until"`
+	Print    Print     `cbor:"print"`
+	Crashes  int       `cbor:"crashes"`
+	Until    time.Time `cbor:"until"`
+	Upstream string    `cbor:"upstream"` // that crashed
+	At       time.Time `cbor:"at"`       // when it was found crashed
 }
