Wait for answers that are not streamed

Such an answer sends nothing before its end, and the progress that a probe found was taken for lost events: after a second without a byte the attempt ended as silent. Now only an attempt that never arrived or one that stands still for 10 s does.

--- a/internal/policy/route/bench_test.go
+++ b/internal/policy/route/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -114,3 +115,29 @@
 		table.Peer(start, "h1", words[i%2])
 	}
 }
+
+// BenchmarkMemory reports the heap of a table with 1,300 upstreams, 2,000 running requests and as many
+// prefix blocks as it remembers.
+func BenchmarkMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		table := route.New(route.Config{Host: "h0", Zone: "z0", Seed: 1})
+		list := pool(1300, 15, 16)
+		table.Set(start, list)
+		for i := range uint64(2000) {
+			w := route.Work{Tokens: 1024, Prefix: prompts(1, 1)[0]}
+			if id, ok := table.Pick(start, w); ok {
+				table.Start(start, id, i, w)
+			}
+		}
+		for i := range uint64(200_000) {
+			table.Cached(start, list[i%1300].ID(), []uint64{i*0x9e3779b97f4a7c15 + 1}, nil, false)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MB")
+		runtime.KeepAlive(table)
+	}
+}
--- a/internal/policy/route/prefixes.go
+++ b/internal/policy/route/prefixes.go
@@ -9,7 +9,7 @@
 	maxHolders    = 4
 	noMember      = ^uint16(0)
 	maxIndex      = int(noMember) - 1
-	defaultBlocks = 1 << 17
+	defaultBlocks = 1 << 16
 )
 
 var noHolders = holders{noMember, noMember, noMember, noMember}
--- a/internal/upstream/engine/plain_test.go
+++ b/internal/upstream/engine/plain_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hickorypath/internal/core/kind"
+	standin "hickorypath/internal/standin/engine"
 	"hickorypath/internal/upstream/engine"
 )
 
@@ -102,3 +103,53 @@
 		})
 	}
 }
+
+// TestLongWholeAnswerOfPlainEngine waits for an answer of an engine that does not tell its progress.
+func TestLongWholeAnswerOfPlainEngine(t *testing.T) {
+	within(t, func(b *bench) {
+		defer b.net.Serve("plain:80", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodGet {
+				return
+			}
+			time.Sleep(2 * time.Minute)
+			_, _ = io.WriteString(w, `{"id":"c","usage":{"completion_tokens":3}}`)
+		}))()
+		s, err := b.client.Chat(b.ctx, "plain:80", engine.Call{Attempt: "t1", Body: []byte(plain)})
+		b.NoErr(err)
+		events, err := read(s)
+		s.Close()
+		b.NoErr(err)
+		b.Equal(events[0].Tokens, 3)
+	})
+}
+
+// TestLongWholeAnswer waits for answers that are not streamed, of which nothing arrives for long.
+func TestLongWholeAnswer(t *testing.T) {
+	cases := []struct {
+		name  string
+		slow  float64
+		fault func(e *standin.Engine)
+		kind  kind.Kind
+	}{
+		{"7 seconds", 30, nil, ""},
+		{"4 minutes", 1000, nil, ""},
+		{"silent connection", 30, (*standin.Engine).Silence, kind.Silent},
+		{"stall", 30, (*standin.Engine).Stall, kind.Silent},
+		{"crash", 30, (*standin.Engine).Crash, kind.Lost},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			within(t, func(b *bench) {
+				b.engine.Slow(c.slow)
+				if c.fault != nil {
+					time.AfterFunc(3*time.Second, func() { c.fault(b.engine) })
+				}
+				events, err := b.chat(engine.Call{Attempt: "t1", Body: []byte(plain)})
+				b.Equal(kind.Of(err), c.kind)
+				if err == nil {
+					b.Equal(events[0].Tokens, 12)
+				}
+			})
+		})
+	}
+}
--- a/internal/upstream/engine/silence.go
+++ b/internal/upstream/engine/silence.go
@@ -89,12 +89,14 @@
 		return nil
 	case err != nil:
 		return kind.Wrap(err, kind.Lost, "engine %s answers neither the stream nor probes", s.addr)
-	case !tells && quiet < s.blindLimit(begun):
+	case !tells && (!s.call.Stream || quiet < s.blindLimit(begun)):
 		return nil
 	case !tells:
 		return kind.New(kind.Silent, "engine %s answers on a new connection, the stream is quiet for %s", s.addr, quiet)
 	case at < 0:
 		return kind.New(kind.Silent, "engine %s does not know the attempt after %s", s.addr, quiet)
+	case !s.call.Stream:
+		return s.judgeWhole(at, quiet)
 	case at > s.Offset():
 		return kind.New(kind.Silent, "engine %s is at offset %d, the stream is quiet at %d", s.addr, at, s.Offset())
 	case quiet >= s.client.options.Stall && begun:
@@ -103,6 +105,19 @@
 	return nil
 }
 
+// judgeWhole decides on an answer that is not streamed, of which nothing arrives before its end: the
+// engine has stalled when it has produced nothing for long.
+func (s *Stream) judgeWhole(at int, quiet time.Duration) *kind.Error {
+	if at != s.progress {
+		s.progress, s.progressed = at, quiet
+		return nil
+	}
+	if at > 0 && quiet-s.progressed >= s.client.options.Stall {
+		return kind.New(kind.Silent, "engine %s has been at offset %d for %s", s.addr, at, quiet-s.progressed)
+	}
+	return nil
+}
+
 // blindLimit returns the quiet time after which a connection counts as dead at an engine that does not
 // tell how far an attempt has come.
 func (s *Stream) blindLimit(begun bool) time.Duration {
--- a/internal/upstream/engine/stream.go
+++ b/internal/upstream/engine/stream.go
@@ -54,6 +54,9 @@
 	timer   *time.Timer
 	backoff time.Duration
 	doubt   bool // the last probe spoke against the connection
+
+	progress   int           // offset in the last probe's answer, for an answer that is not streamed
+	progressed time.Duration // quiet time when that offset was first answered
 }
 
 const readerSize = 8 << 10
