--- a/internal/host/capacity/bench_test.go
+++ b/internal/host/capacity/bench_test.go
@@ -6,8 +6,11 @@
 	"testing"
 	"time"
 
+	"hickorypath/internal/core/clock"
 	"hickorypath/internal/host/member"
+	"hickorypath/internal/platform/claim"
 	"hickorypath/internal/platform/roster"
+	"hickorypath/internal/platform/store"
 	"hickorypath/internal/policy/limit"
 	"hickorypath/internal/policy/pool"
 	"hickorypath/internal/policy/route"
@@ -98,3 +101,40 @@
 		return t
 	})
 }
+
+// BenchmarkClaim makes and finishes claims one by one, and prints the calls to the store and the bytes
+// that stay in it for each.
+func BenchmarkClaim(b *testing.B) {
+	c := clock.NewWall()
+	client := store.New(store.NewMemory(c).Backend(), store.Options{Clock: c, Rate: 1e6, Budgets: map[store.Use]float64{store.UseClaim: 1e6}})
+	book := claim.New(client, c, claim.Options{})
+	for i := range b.N {
+		got, _, err := book.Begin(b.Context(), customer(i), "dues", fmt.Sprintf("%032x", i), 48*time.Hour)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if err := got.Finish(b.Context(), claim.Outcome{Status: 200, Body: []byte(`{"entry":"recorded"}`)}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	var writes, reads float64
+	for count, n := range client.Counts() {
+		if count.IsWrite() {
+			writes += float64(n)
+		} else {
+			reads += float64(n)
+		}
+	}
+	list, _, err := client.List(b.Context(), "")
+	if err != nil {
+		b.Fatal(err)
+	}
+	kept := 0
+	for _, e := range list {
+		kept += len(e.Value())
+	}
+	n := float64(b.N)
+	b.ReportMetric(writes/n, "writes/op")
+	b.ReportMetric(reads/n, "reads/op")
+	b.ReportMetric(float64(kept)/n, "kept-B/op")
+}
--- a/internal/host/capacity/model.go
+++ b/internal/host/capacity/model.go
@@ -115,6 +115,8 @@
 	eventCPU       = "event.cpu"   // microseconds that it adds to a streamed event
 	usageCommits   = "usage.commits"
 	claimWrites    = "claim.writes"
+	claimReads     = "claim.reads"
+	claimKept      = "claim.kept" // bytes
 	leaseWrites    = "lease.writes"
 	startReads     = "start.reads"
 	changeWrites   = "change.writes"
@@ -125,7 +127,7 @@
 	packetOverhead, packetCPU, hostTick, relayPackets, relayPayload, hostPackets, hostPayload, changePackets, changePayload,
 	changeLink, changeSmall, changeCPU, changeTime, changeFault, keyPackets, keyPayload, spreadKeyHeap, spreadDocHeap,
 	documentHeap, documentParse, keyHeap, memberHeap, limitHeap, poolHeap, keyLookup, poolTick, poolArrive, routeDecision, routeShare, upstreamPoll,
-	requestCPU, eventCPU, usageCommits, claimWrites, leaseWrites, startReads, changeWrites, changeReads,
+	requestCPU, eventCPU, usageCommits, claimWrites, claimReads, claimKept, leaseWrites, startReads, changeWrites, changeReads,
 }
 
 // slope returns the value under one of the names above.
--- a/internal/host/capacity/page.go
+++ b/internal/host/capacity/page.go
@@ -46,6 +46,13 @@
 	return m.slope(keyPayload) + m.slope(keyPackets)*m.slope(packetOverhead)
 }
 
+// ClaimHours returns the longest expiry of claims, in hours, that fits into their buckets.
+func (m *Model) ClaimHours() float64 {
+	const secondsPerHour = 3600
+	claims := claimBuckets * bucketBytes / m.slope(claimKept)
+	return claims / (m.Size.Requests * m.Size.Once) / secondsPerHour
+}
+
 // Page returns the text of the capacity page.
 func (m *Model) Page() ([]byte, error) {
 	var b bytes.Buffer
--- a/internal/host/capacity/role.go
+++ b/internal/host/capacity/role.go
@@ -21,6 +21,8 @@
 	splitPeriod  = 0.1
 	leaseRenew   = 5   // seconds, lease
 	limitIdle    = 120 // seconds after which a customer is forgotten, limit
+	claimBuckets = 256 // claim
+	bucketBytes  = 1e6 // most in one value, store
 	usageWindow  = 300 // seconds, usage
 	keyWire      = 160
 )
@@ -155,7 +157,8 @@
 	return []Call{
 		{Mechanism: "usage increments, one group commit by each host", Writes: s.Hosts * m.slope(usageCommits) / s.Commit},
 		{Mechanism: "sealing the part of each host in each window of usage", Writes: s.Hosts / usageWindow},
-		{Mechanism: "claims of requests that may not be repeated", Writes: s.Requests * s.Once * m.slope(claimWrites)},
+		{Mechanism: "claims of requests that may not be repeated", Writes: s.Requests * s.Once * m.slope(claimWrites),
+			Reads: s.Requests * s.Once * m.slope(claimReads)},
 		{Mechanism: "renewal of leases: one for each pool, one for reports", Writes: leases / leaseRenew * m.slope(leaseWrites)},
 		{Mechanism: "hosts that look whether a lease is free", Reads: s.Hosts * leases / leaseRenew},
 		{Mechanism: "waiting watches of document and keys, two hosts in a zone", Reads: watching * watches / watchTime},
