--- /dev/null
+++ b/internal/host/node/mix_test.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"hickorypath/internal/host/member"
+	"hickorypath/internal/host/spread"
+)
+
+// TestFaultsInAnyOrder mixes crashes, restarts, cuts, one-way loss and puts, and then checks that the
+// living hosts agree on who lives and on all records, and that no host's revision ever fell.
+func TestFaultsInAnyOrder(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		s := newFleet(rapid.Uint64Range(0, 1000).Draw(t, "seed"), rapid.SampledFrom([]int{6, 18}).Draw(t, "hosts"), 3)
+		s.tick = 200 * time.Millisecond
+		s.run(5 * time.Second)
+		highest := map[*simHost]uint64{}
+		for range rapid.IntRange(1, 5).Draw(t, "faults") {
+			s.fault(t)
+			s.run(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
+			for _, h := range s.living() {
+				if h.revision < highest[h] {
+					t.Fatalf("revision of %s fell from %d to %d", h.id, highest[h], h.revision)
+				}
+				highest[h] = h.revision
+			}
+		}
+		s.loss = 0
+		s.cut = func(_, _ *simHost) bool { return false }
+		s.run(time.Minute)
+		s.checkAgreement(t)
+	})
+}
+
+// fault draws one fault. At least one host of each zone stays, so that someone can declare the others dead.
+func (s *sim) fault(t *rapid.T) {
+	ids := make([]string, 0, len(s.hosts))
+	for _, r := range s.roster {
+		ids = append(ids, r.ID())
+	}
+	id := rapid.SampledFrom(ids[3:]).Draw(t, "host")
+	zone := fmt.Sprintf("zone%02d", rapid.IntRange(0, 2).Draw(t, "zone"))
+	switch rapid.SampledFrom([]string{"crash", "restart", "cut", "mute", "loss", "heal", "put"}).Draw(t, "fault") {
+	case "crash":
+		s.stop(id)
+	case "restart":
+		s.start(id, s.hosts[id].zone)
+	case "cut":
+		s.cut = func(from, to *simHost) bool { return (from.zone == zone) != (to.zone == zone) }
+	case "mute":
+		s.cut = func(from, _ *simHost) bool { return from.id == id }
+	case "loss":
+		s.loss = 0.3
+	case "heal":
+		s.loss, s.cut = 0, func(_, _ *simHost) bool { return false }
+	case "put":
+		s.version++
+		origin := rapid.SampledFrom(s.living()).Draw(t, "origin")
+		origin.core.spread.Put(spread.Document, "", s.version, document(5_000+int(s.version)), time.Time{})
+	}
+}
+
+func (s *sim) checkAgreement(t *rapid.T) {
+	living := s.living()
+	for _, h := range living {
+		if got, want := h.core.spread.Sum(), living[0].core.spread.Sum(); got != want {
+			t.Fatalf("%s and %s hold different records", h.id, living[0].id)
+		}
+		for _, m := range h.core.members() {
+			if m.Alive() != s.hosts[m.ID()].alive {
+				t.Fatalf("%s takes %s for %s", h.id, m.ID(), m.State())
+			}
+			if m.State() == member.Listed {
+				t.Fatalf("%s knows nothing of %s", h.id, m.ID())
+			}
+		}
+	}
+}
