--- a/cmd/hickorypath/host.go
+++ b/cmd/hickorypath/host.go
@@ -17,6 +17,7 @@
 
 	"hickorypath/internal/caller/exchange"
 	"hickorypath/internal/caller/openai"
+	"hickorypath/internal/caller/quota"
 	"hickorypath/internal/caller/reply"
 	callerservice "hickorypath/internal/caller/service"
 	"hickorypath/internal/core/clock"
@@ -161,6 +162,7 @@
 	h.loop(func() { _ = n.Run(ctx) })
 	h.loop(func() { get[*follow.Follower](h.injector).Run(ctx) })
 	h.loop(func() { f.Run(ctx) })
+	h.loop(func() { get[*quota.Quota](h.injector).Run(ctx) })
 	h.loop(func() { get[*meter.Meter](h.injector).Run(ctx) })
 }
 
--- a/cmd/hickorypath/wire.go
+++ b/cmd/hickorypath/wire.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"hickorypath/internal/caller/exchange"
+	"hickorypath/internal/caller/quota"
 	"hickorypath/internal/core/clock"
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/core/settings"
@@ -47,6 +48,7 @@
 	do.Provide(i, provideNode)
 	do.Provide(i, provideFleet)
 	do.Provide(i, provideMeter)
+	do.Provide(i, provideQuota)
 	do.Provide(i, provideFollower)
 	do.Provide(i, provideEngines)
 	do.Provide(i, provideServices)
@@ -163,6 +165,16 @@
 	}), nil
 }
 
+func provideQuota(i do.Injector) (*quota.Quota, error) {
+	return quota.New(quota.Options{
+		Host:     get[*settings.Settings](i).Host(),
+		Clock:    get[clock.Clock](i),
+		Log:      get[*zap.Logger](i),
+		Spread:   get[*node.Node](i).Spread(),
+		Document: get[*document.Live](i),
+	}), nil
+}
+
 func provideEngines(i do.Injector) (*engine.Client, error) {
 	return engine.New(engine.Options{Dial: wire.NewDial(), Clock: get[clock.Clock](i), Log: get[*zap.Logger](i)}), nil
 }
@@ -194,7 +206,7 @@
 		Engines:  get[*engine.Client](i),
 		Services: get[*service.Client](i),
 		Pool:     get[*fleet.Fleet](i).Pool,
-		Admit:    func(string, string, int) (func(int), error) { return func(int) {}, nil },
+		Admit:    get[*quota.Quota](i).Admit,
 		Claim:    noClaim,
 		Alive:    get[*fleet.Fleet](i).Alive,
 		Crashed:  tellCrash(sp, c),
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -23,6 +23,9 @@
 	"hickorypath/internal/upstream/poll"
 )
 
+// keyPrefix marks the records of this package among the soft records.
+const keyPrefix = "pool/"
+
 // Times of the exchange of summaries among hosts.
 const (
 	summaryInterval = 200 * time.Millisecond
@@ -304,12 +307,15 @@
 			f.options.Log.Error("summary cannot be encoded", zap.Error(err))
 			continue
 		}
-		f.options.Spread.Put(spread.Load, e.Name()+"/"+f.options.Host, uint64(now.UnixNano()), data, now.Add(summaryExpiry))
+		f.options.Spread.Put(spread.Load, keyPrefix+e.Name()+"/"+f.options.Host, uint64(now.UnixNano()), data, now.Add(summaryExpiry))
 	}
 }
 
 // take merges what another host tells of a pool.
 func (f *Fleet) take(r spread.Record) {
+	if !strings.HasPrefix(r.Key(), keyPrefix) {
+		return
+	}
 	var s summary
 	if err := cbor.Unmarshal(r.Value(), &s); err != nil {
 		f.options.Log.Warn("summary of a peer cannot be read", zap.Error(err))
--- /dev/null
+++ b/internal/upstream/scaler/scaler.go
@@ -0,0 +1,132 @@
+// Package scaler orders the upstreams of one pool while this host holds the pool's lease.
+package scaler
+
+import (
+	"context"
+	"reflect"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/pool"
+	"hickorypath/internal/policy/scale"
+)
+
+// interval is the time between two looks at the demand.
+const interval = 2 * time.Second
+
+// Options are the dependencies of a Scaler.
+type Options struct {
+	Pool  string
+	Clock clock.Clock
+	Log   *zap.Logger
+	// Held reports whether this host holds the pool's lease.
+	Held func() bool
+	// Plan returns the bounds of the pool in the document in force; ok is false for a pool that orders none.
+	Plan func() (conf scale.Config, ok bool)
+	// Want returns the demand of all hosts on the pool.
+	Want func() pool.Demand
+	// List returns the upstreams of the pool as the platform lists them.
+	List func() []scale.Upstream
+	// Order carries out one order under the lease.
+	Order func(ctx context.Context, o scale.Order) error
+	// Leave takes an upstream out of service on all hosts before it is stopped.
+	Leave func(upstream string)
+	// Spend counts the time for which an upstream was paid.
+	Spend func(reclaimable bool, paid time.Duration)
+}
+
+// Scaler orders the upstreams of one pool.
+type Scaler struct {
+	options Options
+	conf    scale.Config
+	planner *scale.Planner
+	last    time.Time
+}
+
+// New returns a Scaler.
+func New(o Options) *Scaler {
+	return &Scaler{options: o}
+}
+
+// Run plans and orders until ctx ends.
+func (s *Scaler) Run(ctx context.Context) {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			s.Pass(ctx)
+		}
+	}
+}
+
+// Pass looks at the demand once and gives the orders that follow from it.
+func (s *Scaler) Pass(ctx context.Context) {
+	now := s.options.Clock.Now()
+	if !s.options.Held() {
+		s.planner = nil
+		s.last = time.Time{}
+		return
+	}
+	conf, ok := s.options.Plan()
+	if !ok {
+		return
+	}
+	s.adopt(conf)
+	ups := s.options.List()
+	s.spend(now, ups)
+	d := s.options.Want()
+	s.planner.Observe(now, scale.Demand{Slots: d.Slots, Durable: d.Durable, Tiers: d.Tiers})
+	for _, o := range s.planner.Plan(now, ups) {
+		s.order(ctx, o)
+	}
+}
+
+// adopt starts a planner, anew when the document changed the pool's bounds.
+func (s *Scaler) adopt(conf scale.Config) {
+	if s.planner != nil && isSame(s.conf, conf) {
+		return
+	}
+	s.conf = conf
+	s.planner = scale.New(conf)
+}
+
+func isSame(a, b scale.Config) bool {
+	return reflect.DeepEqual(a, b)
+}
+
+func (s *Scaler) order(ctx context.Context, o scale.Order) {
+	if o.Action == scale.Drain {
+		s.options.Leave(o.Upstream)
+		return
+	}
+	err := s.options.Order(ctx, o)
+	switch {
+	case err == nil && o.Action == scale.Start:
+		s.planner.Accepted(o.Zone, o.Reclaimable)
+	case kind.Of(err) == kind.Refused && o.Action == scale.Start:
+		s.planner.Refused(s.options.Clock.Now(), o.Zone, o.Reclaimable)
+	}
+	if err != nil {
+		s.options.Log.Warn("order not carried out", zap.String("pool", s.options.Pool), zap.String("zone", o.Zone),
+			zap.String("upstream", o.Upstream), zap.String("kind", string(kind.Of(err))), zap.Error(err))
+	}
+}
+
+// spend counts the time since the last pass for every listed upstream.
+func (s *Scaler) spend(now time.Time, ups []scale.Upstream) {
+	since := now.Sub(s.last)
+	first := s.last.IsZero()
+	s.last = now
+	if first {
+		return
+	}
+	for _, u := range ups {
+		s.options.Spend(u.Reclaimable, since)
+	}
+}
