--- a/cmd/hickorypath/demo.go
+++ b/cmd/hickorypath/demo.go
@@ -112,15 +112,15 @@
 	done  sync.WaitGroup
 	outer context.CancelFunc
 
-	engines []*standinengine.Engine
-	ledger  *standinservice.Service
+	ledger *standinservice.Service
 }
 
 func newDemo(f *demoFlags, log *zap.Logger, out io.Writer) (*demo, error) {
 	if f.hosts < 1 || f.zones < 1 {
 		return nil, fmt.Errorf("--hosts and --zones must be at least 1")
 	}
-	d := &demo{out: out, flags: f, log: log, site: site.New()}
+	d := &demo{out: out, flags: f, log: log}
+	d.site = site.New(site.Options{Engine: d.engine, Checks: true})
 	ln, err := net.Listen("tcp", anyPort)
 	if err != nil {
 		return nil, err
@@ -139,16 +139,19 @@
 	return d, nil
 }
 
+// engine returns the properties of the engines of a pool.
+func (d *demo) engine(pool string) standinengine.Options {
+	o := d.flags.engine
+	o.Model = pool
+	return o
+}
+
 func (d *demo) startUpstreams() error {
 	for n := range d.flags.count {
 		for _, pool := range []string{"asesor", "libro"} {
-			o := d.flags.engine
-			o.Model = pool
-			e, err := d.site.StartEngine(pool, d.zone(n), anyPort, o)
-			if err != nil {
+			if err := d.site.AddEngine(pool, d.zone(n), false); err != nil {
 				return err
 			}
-			d.engines = append(d.engines, e)
 		}
 	}
 	var err error
@@ -184,8 +187,8 @@
 
 // settings returns the settings of the n-th host, through the same checks as a file.
 func (d *demo) settings(n int, caller, admin, platform string) (*settings.Settings, error) {
-	services := lo.Map(d.site.Upstreams(), func(u site.Upstream, _ int) settings.Service {
-		return settings.Service{Pool: u.Pool, Zone: u.Zone, Addr: u.Addr}
+	services := lo.FilterMap(d.site.Upstreams(), func(u site.Upstream, _ int) (settings.Service, bool) {
+		return settings.Service{Pool: u.Pool, Zone: u.Zone, Addr: u.Addr}, u.Pool == "ledger"
 	})
 	data, err := json.Marshal(map[string]any{
 		"host":        "host-" + strconv.Itoa(n+1),
--- a/cmd/hickorypath/fault_test.go
+++ b/cmd/hickorypath/fault_test.go
@@ -54,7 +54,7 @@
 // running returns the engines that ran a request and did not end it.
 func (w *world) running(mark string) []*standinengine.Engine {
 	var list []*standinengine.Engine
-	for _, e := range w.engines {
+	for _, e := range w.site.Engines() {
 		for _, r := range e.Seen() {
 			if r.Ran() && !r.Done() && strings.Contains(string(r.Body()), mark) {
 				list = append(list, e)
@@ -130,7 +130,7 @@
 	w := newWorldOf(t, engines)
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
-	for _, e := range w.engines {
+	for _, e := range w.site.Engines() {
 		e.Mark(mark)
 	}
 	for n := range resends {
@@ -142,7 +142,7 @@
 		is.Equal(innocent.status, http.StatusOK)
 	}
 	crashes := 0
-	for _, e := range w.engines {
+	for _, e := range w.site.Engines() {
 		for _, r := range e.Seen() {
 			if strings.Contains(string(r.Body()), mark) {
 				crashes++
--- a/cmd/hickorypath/path_test.go
+++ b/cmd/hickorypath/path_test.go
@@ -119,7 +119,7 @@
 
 func (w *world) seen() int {
 	n := len(w.ledger.Calls())
-	for _, e := range w.engines {
+	for _, e := range w.site.Engines() {
 		n += len(e.Seen())
 	}
 	return n
@@ -244,7 +244,7 @@
 		is.NoErr(a.err)
 		is.Equal(a.status, http.StatusOK)
 	}
-	for _, e := range w.engines {
+	for _, e := range w.site.Engines() {
 		for _, r := range e.Seen() {
 			is.True(!holds(key, r.Query(), r.Header(), r.Body()))
 		}
@@ -268,7 +268,7 @@
 	w := newWorld(t)
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
-	for _, e := range w.engines {
+	for _, e := range w.site.Engines() {
 		e.Stall() // every stream stays open
 	}
 	ended := make(chan answer, len(w.hosts))
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -32,23 +32,28 @@
 	listen := app.Flag("listen", "Address of the platform's services.").Default("127.0.0.1:9000").String()
 	engines := app.Flag("engines", "Engines of each pool.").Default("3").Int()
 	zones := app.Flag("zones", "Availability zones.").Default("3").Int()
+	checks := app.Flag("checks", "Refuse orders with an old fencing number.").Default("true").Bool()
 	pools := app.Flag("pool", "Pool of engines; repeat for more.").Default("asesor", "libro").Strings()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := run(ctx, *listen, *pools, *engines, min(*zones, len(zoneNames))); err != nil {
+	if err := run(ctx, *listen, *pools, *engines, min(*zones, len(zoneNames)), *checks); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context, listen string, pools []string, engines, zones int) error {
-	s := site.New()
+func run(ctx context.Context, listen string, pools []string, engines, zones int, checks bool) error {
+	s := site.New(site.Options{
+		Engine: func(pool string) standinengine.Options {
+			return standinengine.Options{Model: pool, Slots: slots, Gap: gap, Prefill: prefill}
+		},
+		Checks: checks,
+	})
 	defer s.Close()
 	for _, pool := range pools {
 		for n := range engines {
-			o := standinengine.Options{Model: pool, Slots: slots, Gap: gap, Prefill: prefill}
-			if _, err := s.StartEngine(pool, zone(n, zones), anyPort, o); err != nil {
+			if err := s.AddEngine(pool, zone(n, zones), false); err != nil {
 				return err
 			}
 		}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -9,17 +9,25 @@
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"hickorypath/internal/core/clock"
+	"hickorypath/internal/platform/provision"
 	standinengine "hickorypath/internal/standin/engine"
+	standinprovision "hickorypath/internal/standin/provision"
 	standinroster "hickorypath/internal/standin/roster"
 	standinservice "hickorypath/internal/standin/service"
 	standinstore "hickorypath/internal/standin/store"
+	standinusage "hickorypath/internal/standin/usage"
 )
 
+// anyPort lets the system choose a port.
+const anyPort = "127.0.0.1:0"
+
 // headerTimeout bounds the arrival of a request header.
 const headerTimeout = 5 * time.Second
 
@@ -33,26 +41,51 @@
 	Path string `json:"path"`
 }
 
+// Options are the properties of a Site.
+type Options struct {
+	// Engine returns the properties of the engines of a pool.
+	Engine func(pool string) standinengine.Options
+	// Checks tells whether the platform refuses orders with an old fencing number.
+	Checks bool
+}
+
 // Site is the set of stand-ins.
 type Site struct {
-	store  *standinstore.Server
-	roster *standinroster.Roster
-	mux    *http.ServeMux
+	options   Options
+	store     *standinstore.Server
+	roster    *standinroster.Roster
+	provision *standinprovision.Server
+	usage     *standinusage.Sink
+	mux       *http.ServeMux
 
 	mu      sync.Mutex
-	servers []*http.Server
-	list    []Upstream
+	started int
+	running map[string]*upstream
+}
+
+// upstream is one running stand-in with its server.
+type upstream struct {
+	Upstream
+	server *http.Server
+	engine *standinengine.Engine
 }
 
 // New returns a Site without upstreams.
-func New() *Site {
+func New(o Options) *Site {
 	s := &Site{
-		store:  standinstore.New(clock.NewSystem()),
-		roster: standinroster.New(time.Now),
-		mux:    http.NewServeMux(),
+		options: o,
+		store:   standinstore.New(clock.NewSystem()),
+		roster:  standinroster.New(time.Now),
+		usage:   standinusage.New(),
+		mux:     http.NewServeMux(),
+		running: map[string]*upstream{},
 	}
+	s.provision = standinprovision.New(standinprovision.Options{Now: time.Now, Launch: s.launch, Halt: s.Halt, Checks: o.Checks})
 	s.mount("/store", s.store.Handler())
 	s.mount("/roster", s.roster.Handler())
+	s.mount("/provision", s.provision.Handler())
+	s.mount("/usage", s.usage.Handler())
+	s.mux.HandleFunc("/upstream/{id}/", s.forward)
 	s.mux.HandleFunc("GET /{$}", s.index)
 	return s
 }
@@ -66,31 +99,75 @@
 // Roster returns the list of hosts.
 func (s *Site) Roster() *standinroster.Roster { return s.roster }
 
-// StartEngine runs an engine at addr and returns it.
-func (s *Site) StartEngine(pool, zone, addr string, o standinengine.Options) (*standinengine.Engine, error) {
-	e := standinengine.New(o)
-	return e, s.start(pool, zone, addr, e.Handler())
+// Provision returns the list of upstreams.
+func (s *Site) Provision() *standinprovision.Server { return s.provision }
+
+// Usage returns the interface for usage reports.
+func (s *Site) Usage() *standinusage.Sink { return s.usage }
+
+// AddEngine runs an engine and lists it with the platform.
+func (s *Site) AddEngine(pool, zone string, reclaimable bool) error {
+	id, addr, err := s.launch(provision.Order{Pool: pool, Zone: zone})
+	if err != nil {
+		return err
+	}
+	s.provision.Add(provision.Upstream{
+		ID: id, Pool: pool, Zone: zone, Addr: addr, Reclaimable: reclaimable,
+		State: provision.Ready, Checks: s.options.Checks,
+	})
+	return nil
 }
 
 // StartService runs a plain service at addr and returns it.
 func (s *Site) StartService(pool, zone, addr string) (*standinservice.Service, error) {
 	v := standinservice.New()
-	return v, s.start(pool, zone, addr, v.Handler())
+	_, err := s.start(pool, zone, addr, v.Handler(), nil)
+	return v, err
+}
+
+// launch starts the engine of an order.
+func (s *Site) launch(o provision.Order) (id, addr string, err error) {
+	e := standinengine.New(s.options.Engine(o.Pool))
+	u, err := s.start(o.Pool, o.Zone, anyPort, e.Handler(), e)
+	if err != nil {
+		return "", "", err
+	}
+	return u.ID, u.Addr, nil
 }
 
-// Upstreams returns the running upstreams in the order of their start.
+// Halt ends an upstream at once.
+func (s *Site) Halt(id string) {
+	s.mu.Lock()
+	u, ok := s.running[id]
+	delete(s.running, id)
+	s.mu.Unlock()
+	if ok {
+		_ = u.server.Close()
+	}
+}
+
+// Upstreams returns the running upstreams in the order of their names.
 func (s *Site) Upstreams() []Upstream {
+	return lo.Map(s.sorted(), func(u *upstream, _ int) Upstream { return u.Upstream })
+}
+
+// Engines returns the running engines in the order of their names.
+func (s *Site) Engines() []*standinengine.Engine {
+	return lo.FilterMap(s.sorted(), func(u *upstream, _ int) (*standinengine.Engine, bool) { return u.engine, u.engine != nil })
+}
+
+func (s *Site) sorted() []*upstream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.list)
+	list := lo.Values(s.running)
+	slices.SortFunc(list, func(a, b *upstream) int { return strings.Compare(a.ID, b.ID) })
+	return list
 }
 
 // Close ends all upstreams at once.
 func (s *Site) Close() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, server := range s.servers {
-		_ = server.Close()
+	for _, u := range s.sorted() {
+		s.Halt(u.ID)
 	}
 }
 
@@ -106,21 +183,32 @@
 	return err
 }
 
-func (s *Site) start(pool, zone, addr string, handler http.Handler) error {
+func (s *Site) start(pool, zone, addr string, handler http.Handler, e *standinengine.Engine) (Upstream, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
-		return fmt.Errorf("stand-in of pool %s: %w", pool, err)
+		return Upstream{}, fmt.Errorf("stand-in of pool %s: %w", pool, err)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	go func() { _ = server.Serve(ln) }()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	id := pool + "-" + strconv.Itoa(len(s.list)+1)
-	path := "/upstream/" + id
-	s.servers = append(s.servers, server)
-	s.list = append(s.list, Upstream{ID: id, Pool: pool, Zone: zone, Addr: ln.Addr().String(), Path: path})
-	s.mount(path, handler)
-	return nil
+	s.started++
+	id := fmt.Sprintf("%s-%02d", pool, s.started)
+	u := Upstream{ID: id, Pool: pool, Zone: zone, Addr: ln.Addr().String(), Path: "/upstream/" + id}
+	s.running[id] = &upstream{Upstream: u, server: server, engine: e}
+	return u, nil
+}
+
+// forward passes a call under an upstream's path on to it, so that its faults can be switched there.
+func (s *Site) forward(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	u, ok := s.running[r.PathValue("id")]
+	s.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	http.StripPrefix(u.Path, u.server.Handler).ServeHTTP(w, r)
 }
 
 func (s *Site) mount(path string, h http.Handler) {
--- a/internal/upstream/dispatch/dispatch.go
+++ b/internal/upstream/dispatch/dispatch.go
@@ -43,6 +43,12 @@
 	return t
 }
 
+// WithLeaving returns a copy of t that gets no new work.
+func (t Target) WithLeaving() Target {
+	t.leaving = true
+	return t
+}
+
 // Reclaimable reports whether the platform may take the upstream back.
 func (t Target) Reclaimable() bool { return t.reclaimable }
 
--- /dev/null
+++ b/internal/upstream/duty/duty.go
@@ -0,0 +1,196 @@
+// Package duty runs, for each pool of the document that orders upstreams, a lease and the scaler that
+// works under it.
+package duty
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/operator/document"
+	"hickorypath/internal/platform/lease"
+	"hickorypath/internal/platform/provision"
+	"hickorypath/internal/platform/store"
+	"hickorypath/internal/policy/pool"
+	"hickorypath/internal/policy/scale"
+	"hickorypath/internal/upstream/fleet"
+	"hickorypath/internal/upstream/scaler"
+)
+
+// startTime is how long an upstream takes from the order until it serves.
+const startTime = time.Minute
+
+// leasePrefix marks the leases of pools.
+const leasePrefix = "pool-"
+
+// Options are the dependencies of a Duty.
+type Options struct {
+	Holder    string // host and incarnation
+	Clock     clock.Clock
+	Log       *zap.Logger
+	Store     *store.Client
+	Backend   provision.Backend
+	Timeout   time.Duration // of one order
+	Fleet     *fleet.Fleet
+	Upstreams func() []provision.Upstream
+	Zones     func() []string
+	// Candidate reports whether this host should try to get the lease of that name.
+	Candidate func(lease string) bool
+	// Spend counts the time for which upstreams of a pool were paid.
+	Spend func(pool string, reclaimable bool, paid time.Duration)
+}
+
+// Duty holds the leases of all pools. It is safe for concurrent use.
+type Duty struct {
+	options Options
+	mu      sync.Mutex
+	ctx     context.Context
+	doc     *document.Document
+	leases  map[string]*lease.Lease // by pool
+	stops   map[string]context.CancelFunc
+	done    sync.WaitGroup
+}
+
+// New returns a Duty without pools.
+func New(o Options) *Duty {
+	return &Duty{options: o, leases: map[string]*lease.Lease{}, stops: map[string]context.CancelFunc{}}
+}
+
+// Run keeps the duties until ctx ends, and then releases the leases.
+func (d *Duty) Run(ctx context.Context) {
+	d.mu.Lock()
+	d.ctx = ctx
+	d.adopt()
+	d.mu.Unlock()
+	<-ctx.Done()
+	d.done.Wait()
+}
+
+// Apply makes the duties those of doc.
+func (d *Duty) Apply(doc *document.Document) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.doc = doc
+	d.adopt()
+}
+
+// Leases returns the leases of all pools in the order of their names.
+func (d *Duty) Leases() []*lease.Lease {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	names := lo.Keys(d.leases)
+	slices.Sort(names)
+	return lo.Map(names, func(n string, _ int) *lease.Lease { return d.leases[n] })
+}
+
+// adopt starts and stops duties; the caller holds the lock.
+func (d *Duty) adopt() {
+	if d.ctx == nil || d.doc == nil || d.ctx.Err() != nil {
+		return
+	}
+	for name, stop := range d.stops {
+		if p, ok := d.doc.Pool(name); !ok || p.Max() == 0 {
+			stop()
+			delete(d.stops, name)
+			delete(d.leases, name)
+		}
+	}
+	for _, p := range d.doc.Pools() {
+		if _, ok := d.stops[p.Name()]; !ok && p.Max() > 0 {
+			d.start(p.Name())
+		}
+	}
+}
+
+// start runs the lease and the scaler of one pool; the caller holds the lock.
+func (d *Duty) start(name string) {
+	ctx, stop := context.WithCancel(d.ctx)
+	o := d.options
+	l := lease.New(o.Store, o.Clock, lease.Options{
+		Name:      leasePrefix + name,
+		Holder:    o.Holder,
+		Candidate: func() bool { return o.Candidate(leasePrefix + name) },
+		Log:       o.Log,
+	})
+	orderer := provision.New(o.Store, l, o.Backend, provision.Options{Pool: name, Timeout: o.Timeout, Log: o.Log})
+	s := scaler.New(scaler.Options{
+		Pool:  name,
+		Clock: o.Clock,
+		Log:   o.Log,
+		Held: func() bool {
+			_, err := l.Hold(o.Timeout)
+			return err == nil
+		},
+		Plan: func() (scale.Config, bool) { return d.plan(name) },
+		Want: func() pool.Demand { return o.Fleet.Want(name) },
+		List: func() []scale.Upstream { return d.list(name) },
+		Order: func(ctx context.Context, so scale.Order) error {
+			return orderer.Order(ctx, d.newOrder(name, so))
+		},
+		Leave: o.Fleet.Leave,
+		Spend: func(reclaimable bool, paid time.Duration) { o.Spend(name, reclaimable, paid) },
+	})
+	d.leases[name], d.stops[name] = l, stop
+	d.done.Go(func() { l.Run(ctx) })
+	d.done.Go(func() { s.Run(ctx) })
+}
+
+// plan returns the bounds of a pool in the document in force.
+func (d *Duty) plan(name string) (scale.Config, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p, ok := d.doc.Pool(name)
+	if !ok || p.Max() == 0 {
+		return scale.Config{}, false
+	}
+	return scale.Config{
+		Slots:    p.Slots(),
+		Min:      p.Min(),
+		Max:      p.Max(),
+		Headroom: p.Headroom(),
+		Zones:    d.options.Zones(),
+		Lead:     startTime,
+	}, true
+}
+
+// list returns the upstreams of a pool with what they run.
+func (d *Duty) list(name string) []scale.Upstream {
+	own := lo.Filter(d.options.Upstreams(), func(u provision.Upstream, _ int) bool { return u.Pool == name })
+	return lo.Map(own, func(u provision.Upstream, _ int) scale.Upstream {
+		return scale.Upstream{
+			ID:          u.ID,
+			Zone:        u.Zone,
+			Reclaimable: u.Reclaimable,
+			State:       d.state(u),
+			Running:     d.options.Fleet.Running(name, u.ID),
+		}
+	})
+}
+
+func (d *Duty) state(u provision.Upstream) scale.State {
+	switch {
+	case u.State == provision.Leaving || d.options.Fleet.IsLeaving(u.ID):
+		return scale.Leaving
+	case u.State == provision.Starting:
+		return scale.Starting
+	}
+	return scale.Ready
+}
+
+func (d *Duty) newOrder(name string, o scale.Order) provision.Order {
+	order := provision.Order{Action: provision.Start, Zone: o.Zone, Reclaimable: o.Reclaimable}
+	if o.Action == scale.Stop {
+		return provision.Order{Action: provision.Stop, Zone: o.Zone, Upstream: o.Upstream}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p, ok := d.doc.Pool(name); ok {
+		order.Model, order.Version = p.Model(), p.Version()
+	}
+	return order
+}
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -32,6 +32,9 @@
 	summaryExpiry   = 2 * time.Second
 )
 
+// peerExpiry is how long the last word of a silent host counts.
+const peerExpiry = 30 * time.Second
+
 // aliveTimeout bounds the call that tells a crashed upstream from a cut connection.
 const aliveTimeout = 500 * time.Millisecond
 
@@ -69,6 +72,13 @@
 
 	mu    sync.Mutex
 	loads map[string]route.Load // polled here since the last summary
+	peers map[string]peer
+}
+
+// peer is what another host runs.
+type peer struct {
+	counts map[string]int // by upstream
+	heard  time.Time
 }
 
 // summary is what travels between hosts for one pool.
@@ -99,6 +109,8 @@
 	f.mu.Unlock()
 	stop := f.options.Spread.Watch(spread.Load, f.take)
 	defer stop()
+	stopLeave := f.options.Spread.Watch(leaveTopic, f.takeLeave)
+	defer stopLeave()
 	tick := time.NewTicker(summaryInterval)
 	defer tick.Stop()
 	for {
@@ -144,6 +156,7 @@
 	e := &entry{
 		Dispatcher: dispatch.New(p.Name(), classes, build, f.options.Clock),
 		loads:      map[string]route.Load{},
+		peers:      map[string]peer{},
 		stop:       func() {},
 	}
 	if p.Kind() == document.Engine {
@@ -208,6 +221,27 @@
 	return loads
 }
 
+func (e *entry) notePeer(host string, p peer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.peers[host] = p
+}
+
+// runningElsewhere returns how many requests of other hosts an upstream runs.
+func (e *entry) runningElsewhere(upstream string, now time.Time) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	sum := 0
+	for host, p := range e.peers {
+		if now.Sub(p.heard) > peerExpiry {
+			delete(e.peers, host)
+			continue
+		}
+		sum += p.counts[upstream]
+	}
+	return sum
+}
+
 func (e *entry) setTargets(targets []dispatch.Target) {
 	e.SetTargets(targets)
 	if e.poller == nil {
@@ -247,7 +281,7 @@
 // the lock.
 func (f *Fleet) sized(name string) []dispatch.Target {
 	return lo.Map(f.targets[name], func(t dispatch.Target, _ int) dispatch.Target {
-		return t.WithSlots(f.slots[name])
+		return f.marked(t).WithSlots(f.slots[name])
 	})
 }
 
@@ -278,6 +312,24 @@
 	return true
 }
 
+// Want returns the demand of all hosts on a pool.
+func (f *Fleet) Want(name string) pool.Demand {
+	e, ok := f.entry(name)
+	if !ok {
+		return pool.Demand{}
+	}
+	return e.Want()
+}
+
+// Running returns how many requests of all hosts an upstream runs.
+func (f *Fleet) Running(name, upstream string) int {
+	e, ok := f.entry(name)
+	if !ok {
+		return 0
+	}
+	return e.Running(upstream) + e.runningElsewhere(upstream, f.options.Clock.Now())
+}
+
 // Pools returns all dispatchers in the order of their names.
 func (f *Fleet) Pools() []*dispatch.Dispatcher {
 	list := lo.Map(f.entries(), func(e *entry, _ int) *dispatch.Dispatcher { return e.Dispatcher })
@@ -326,6 +378,7 @@
 		return
 	}
 	e.Peer(s.Host, s.Body)
+	e.notePeer(s.Host, peer{counts: s.Body.Counts, heard: f.options.Clock.Now()})
 	for id, l := range s.Loads {
 		e.Report(id, l)
 	}
