Wire orders, usage, saved burn counts and the state of crashed upstreams

Cause of one fault found on the way: a request that met an engine which had crashed before was taken for the cause of its crash, and an innocent one was quarantined. Change: an upstream that crashed is out of service on all hosts until it answers a poll, and meeting it is no crash.

--- /dev/null
+++ b/cmd/hickorypath/duties.go
@@ -0,0 +1,227 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/core/settings"
+	"hickorypath/internal/host/node"
+	"hickorypath/internal/operator/api"
+	"hickorypath/internal/operator/meter"
+	"hickorypath/internal/operator/vault"
+	"hickorypath/internal/platform/lease"
+	"hickorypath/internal/platform/provision"
+	"hickorypath/internal/platform/store"
+	"hickorypath/internal/platform/usage"
+	"hickorypath/internal/upstream/dispatch"
+	"hickorypath/internal/upstream/duty"
+	"hickorypath/internal/upstream/fleet"
+)
+
+// usageLease is the name of the lease under which usage is reported.
+const usageLease = "usage"
+
+// candidates is how many hosts try to get each lease.
+const candidates = 3
+
+// sweepInterval is how often the holder of the usage lease removes the texts of old documents.
+const sweepInterval = 10 * time.Minute
+
+// identity names one run of a host's process.
+type identity struct {
+	host        string
+	incarnation string
+}
+
+// listing holds the platform's last list of upstreams. It is safe for concurrent use.
+type listing struct {
+	mu   sync.Mutex
+	list []provision.Upstream
+}
+
+func newListing() *listing { return &listing{} }
+
+func (l *listing) set(list []provision.Upstream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list = list
+}
+
+func (l *listing) get() []provision.Upstream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.list
+}
+
+func provideDuty(i do.Injector) (*duty.Duty, error) {
+	s := get[*settings.Settings](i)
+	n := get[*node.Node](i)
+	id := get[identity](i)
+	list := get[*listing](i)
+	return duty.New(duty.Options{
+		Holder:    id.host + "/" + id.incarnation,
+		Clock:     get[clock.Clock](i),
+		Log:       get[*zap.Logger](i),
+		Store:     get[*store.Client](i),
+		Backend:   provision.NewHTTP(s.Platform().Provision, &http.Client{}, s.OrderTimeout()),
+		Timeout:   s.OrderTimeout(),
+		Fleet:     get[*fleet.Fleet](i),
+		Upstreams: list.get,
+		Zones:     func() []string { return zonesOf(n, list) },
+		Candidate: func(name string) bool { return isCandidate(liveHosts(n.Members()), s.Host(), name) },
+		Spend:     get[*meter.Meter](i).Spend,
+	}), nil
+}
+
+// zonesOf returns the availability zones that have hosts or upstreams.
+func zonesOf(n *node.Node, l *listing) []string {
+	var zones []string
+	for _, m := range n.Members() {
+		zones = append(zones, m.Zone())
+	}
+	for _, u := range l.get() {
+		zones = append(zones, u.Zone)
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
+// isCandidate reports whether a host is among the few that try to get a lease, by rendezvous hashing
+// over the live hosts.
+func isCandidate(hosts []string, self, name string) bool {
+	rank := func(host string) uint64 { return xxhash.Sum64String(name + "\x00" + host) }
+	better := lo.CountBy(hosts, func(h string) bool { return rank(h) > rank(self) })
+	return better < candidates
+}
+
+func provideRecorder(i do.Injector) (*usage.Recorder, error) {
+	s := get[*settings.Settings](i)
+	id := get[identity](i)
+	return usage.New(get[*store.Client](i), get[clock.Clock](i), usage.Options{
+		Host:        id.host,
+		Incarnation: id.incarnation,
+		Window:      s.Window(),
+		Log:         get[*zap.Logger](i),
+	}), nil
+}
+
+// reporting is the duty of reporting usage.
+type reporting struct {
+	lease    *lease.Lease
+	reporter *usage.Reporter
+}
+
+func provideReporter(i do.Injector) (*reporting, error) {
+	s := get[*settings.Settings](i)
+	n := get[*node.Node](i)
+	id := get[identity](i)
+	c := get[*store.Client](i)
+	k := get[clock.Clock](i)
+	l := lease.New(c, k, lease.Options{
+		Name:      usageLease,
+		Holder:    id.host + "/" + id.incarnation,
+		Candidate: func() bool { return isCandidate(liveHosts(n.Members()), s.Host(), usageLease) },
+		Log:       get[*zap.Logger](i),
+	})
+	sink := usage.NewHTTP(s.Platform().Usage, s.OrderTimeout())
+	r := usage.NewReporter(c, k, l, sink, usage.ReporterOptions{
+		Window:  s.Window(),
+		Timeout: s.OrderTimeout(),
+		Log:     get[*zap.Logger](i),
+	})
+	return &reporting{lease: l, reporter: r}, nil
+}
+
+// startDuties runs what depends on the platform.
+func (h *host) startDuties(ctx context.Context) {
+	r := get[*reporting](h.injector)
+	h.loop(func() { r.lease.Run(ctx) })
+	h.loop(func() { r.reporter.Run(ctx) })
+	h.loop(func() { get[*duty.Duty](h.injector).Run(ctx) })
+	h.loop(func() { get[*usage.Recorder](h.injector).Run(ctx) })
+	h.loop(func() { h.sweep(ctx, r.lease) })
+	h.loop(func() { h.watchUpstreams(ctx) })
+}
+
+// watchUpstreams follows the platform's list of upstreams.
+func (h *host) watchUpstreams(ctx context.Context) {
+	s := h.settings
+	backend := provision.NewHTTP(s.Platform().Provision, &http.Client{}, s.OrderTimeout())
+	list := get[*listing](h.injector)
+	f := get[*fleet.Fleet](h.injector)
+	provision.Watch(ctx, backend, func(ups []provision.Upstream) {
+		list.set(ups)
+		f.SetTargets(targetsOf(ups, s.Services()))
+	})
+}
+
+// targetsOf returns the upstreams that may take requests, by pool.
+func targetsOf(ups []provision.Upstream, services []settings.Service) map[string][]dispatch.Target {
+	byPool := staticTargets(services)
+	for _, u := range ups {
+		if u.State == provision.Starting {
+			continue
+		}
+		t := dispatch.NewTarget(u.ID, u.Zone, u.Addr, u.Reclaimable, u.State == provision.Leaving)
+		byPool[u.Pool] = append(byPool[u.Pool], t)
+	}
+	return byPool
+}
+
+// sweep removes the texts of old documents while this host holds the lease.
+func (h *host) sweep(ctx context.Context, l *lease.Lease) {
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if _, err := l.Hold(0); err != nil {
+			continue
+		}
+		if _, err := get[*vault.Vault](h.injector).Sweep(ctx, vault.DefaultKeep); err != nil {
+			h.log.Warn("old documents not removed", zap.Error(err))
+		}
+	}
+}
+
+// windows returns the usage windows for the operators' API.
+func (h *host) windows(ctx context.Context) ([]api.Window, error) {
+	list, err := get[*reporting](h.injector).reporter.Windows(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return lo.Map(list, func(w usage.Window, _ int) api.Window {
+		return api.Window{Start: w.Start(), End: w.End(), State: w.State(), Rows: lo.Map(w.Rows(), newUsageRow)}
+	}), nil
+}
+
+func newUsageRow(r usage.Row, _ int) api.Usage {
+	return api.Usage{
+		Customer: r.Customer, Class: r.Class, Calls: r.Requests,
+		Prompt: r.Prompt, Output: r.Output, Wasted: r.Wasted,
+	}
+}
+
+// leases returns the duties that this host knows of.
+func (h *host) leases() []api.Lease {
+	all := append(get[*duty.Duty](h.injector).Leases(), get[*reporting](h.injector).lease)
+	return lo.FilterMap(all, func(l *lease.Lease, _ int) (api.Lease, bool) {
+		token, err := l.Hold(0)
+		if err != nil {
+			return api.Lease{}, false
+		}
+		return api.Lease{Name: l.Name(), Holder: h.settings.Host(), Fence: token.Fence()}, true
+	})
+}
--- a/cmd/hickorypath/operators.go
+++ b/cmd/hickorypath/operators.go
@@ -48,6 +48,7 @@
 			Keys:       v.Keys,
 			KeyChanged: f.AcceptKey,
 			Status:     h.status,
+			Usage:      h.windows,
 			Burn:       get[*meter.Meter](h.injector).Report,
 			Ready:      h.ready,
 			Metrics: func(w http.ResponseWriter, _ *http.Request) {
@@ -74,6 +75,7 @@
 			st.Upstreams = append(st.Upstreams, newUpstreamStatus(d, t))
 		}
 	}
+	st.Leases = h.leases()
 	return st, nil
 }
 
@@ -94,8 +96,11 @@
 
 func newUpstreamStatus(d *dispatch.Dispatcher, t dispatch.Target) api.Upstream {
 	state := "ready"
-	if t.Leaving() {
+	switch {
+	case t.Leaving():
 		state = "leaving"
+	case t.Down():
+		state = "ejected"
 	}
 	return api.Upstream{ID: t.ID(), Pool: d.Name(), Zone: t.Zone(), State: state, Reclaimable: t.Reclaimable(), Running: d.Running(t.ID())}
 }
--- a/cmd/hickorypath/wire.go
+++ b/cmd/hickorypath/wire.go
@@ -26,8 +26,10 @@
 	"hickorypath/internal/operator/vault"
 	"hickorypath/internal/platform/roster"
 	"hickorypath/internal/platform/store"
+	"hickorypath/internal/platform/usage"
 	"hickorypath/internal/policy/retry"
 	"hickorypath/internal/policy/suspect"
+	"hickorypath/internal/upstream/duty"
 	"hickorypath/internal/upstream/engine"
 	"hickorypath/internal/upstream/fleet"
 	"hickorypath/internal/upstream/service"
@@ -43,6 +45,8 @@
 	do.ProvideValue(i, document.NewLive())
 	do.ProvideValue(i, key.NewTable())
 	do.ProvideValue(i, metrics.NewSet())
+	do.ProvideValue(i, identity{host: s.Host(), incarnation: exchange.NewID()})
+	do.ProvideValue(i, newListing())
 	do.Provide(i, provideStore)
 	do.Provide(i, provideVault)
 	do.Provide(i, provideNode)
@@ -50,6 +54,9 @@
 	do.Provide(i, provideMeter)
 	do.Provide(i, provideQuota)
 	do.Provide(i, provideFollower)
+	do.Provide(i, provideDuty)
+	do.Provide(i, provideRecorder)
+	do.Provide(i, provideReporter)
 	do.Provide(i, provideEngines)
 	do.Provide(i, provideServices)
 	do.Provide(i, provideSuspects)
@@ -141,6 +148,7 @@
 	n := get[*node.Node](i)
 	f := get[*fleet.Fleet](i)
 	m := get[*meter.Meter](i)
+	d := get[*duty.Duty](i)
 	return follow.New(follow.Options{
 		Vault:     get[*vault.Vault](i),
 		Store:     get[*store.Client](i),
@@ -152,16 +160,22 @@
 		Changed: func(doc *document.Document, _ uint64) {
 			f.Apply(doc)
 			m.Apply(doc)
+			d.Apply(doc)
 		},
 	}), nil
 }
 
 func provideMeter(i do.Injector) (*meter.Meter, error) {
+	n := get[*node.Node](i)
+	id := get[identity](i)
 	return meter.New(meter.Options{
-		Host:   get[*settings.Settings](i).Host(),
-		Clock:  get[clock.Clock](i),
-		Log:    get[*zap.Logger](i),
-		Spread: get[*node.Node](i).Spread(),
+		Host:        id.host,
+		Incarnation: id.incarnation,
+		Clock:       get[clock.Clock](i),
+		Log:         get[*zap.Logger](i),
+		Spread:      n.Spread(),
+		Store:       get[*store.Client](i),
+		Hosts:       func() []string { return liveHosts(n.Members()) },
 	}), nil
 }
 
@@ -195,7 +209,9 @@
 	sp := get[*node.Node](i).Spread()
 	c := get[clock.Clock](i)
 	m := get[*meter.Meter](i)
+	f := get[*fleet.Fleet](i)
 	g := newGauges(get[*metrics.Set](i))
+	usages := get[*usage.Recorder](i)
 	return exchange.New(exchange.Deps{
 		Clock:    c,
 		Log:      get[*zap.Logger](i),
@@ -205,12 +221,24 @@
 		Retries:  get[*exchange.Retries](i),
 		Engines:  get[*engine.Client](i),
 		Services: get[*service.Client](i),
-		Pool:     get[*fleet.Fleet](i).Pool,
+		Pool:     f.Pool,
 		Admit:    get[*quota.Quota](i).Admit,
 		Claim:    noClaim,
-		Alive:    get[*fleet.Fleet](i).Alive,
-		Crashed:  tellCrash(sp, c),
-		Bill:     func(exchange.Bill) {},
+		Alive:    f.Alive,
+		IsDown:   f.IsDown,
+		Crashed:  tellCrash(sp, c, f),
+		Bill: func(b exchange.Bill) {
+			usages.Add(usage.Record{
+				Request:  b.Request,
+				Customer: b.Customer,
+				Class:    b.Class,
+				Route:    b.Route,
+				Model:    b.Model,
+				Prompt:   b.Prompt,
+				Output:   b.Output,
+				Wasted:   b.Wasted,
+			})
+		},
 		Observe: func(e exchange.Ending) {
 			g.observe(e)
 			if c, counts := newCall(e); counts {
--- a/internal/caller/exchange/chat.go
+++ b/internal/caller/exchange/chat.go
@@ -268,11 +268,11 @@
 	}
 	switch {
 	case err == nil:
-		c.bill(prompt, output)
+		c.bill(prompt, output, 0)
 	case kind.Of(err) == kind.Canceled && c.tokens > 0:
-		c.bill(c.body.PromptTokens(), c.tokens)
+		c.bill(c.body.PromptTokens(), c.tokens, 0)
 	default:
-		c.ending.Wasted += c.tokens
+		c.ending.Wasted = c.tokens
 	}
 	return prompt + output
 }
--- a/internal/caller/exchange/exchange.go
+++ b/internal/caller/exchange/exchange.go
@@ -44,8 +44,10 @@
 	Claim func(ctx context.Context, customer, route, idempotency, hash string, expiry time.Duration) (*Claim, *Outcome, error)
 	// Alive reports whether an upstream of a pool still answers.
 	Alive func(ctx context.Context, pool, addr string) bool
-	// Crashed tells all hosts which requests ran on an upstream that crashed.
-	Crashed func(upstream string, s []suspect.Suspicion, q []suspect.Quarantine)
+	// IsDown reports whether an upstream is known not to answer.
+	IsDown func(pool, upstream string) bool
+	// Crashed tells all hosts that an upstream crashed and which requests ran on it.
+	Crashed func(pool, upstream string, s []suspect.Suspicion, q []suspect.Quarantine)
 	// Bill adds one answer to the usage of its customer.
 	Bill func(Bill)
 	// Observe is told how each request ended.
@@ -61,6 +63,7 @@
 	Model    string
 	Prompt   int
 	Output   int
+	Wasted   int // generated and not delivered; not billed
 }
 
 // Runner runs requests.
@@ -207,9 +210,9 @@
 	s.runner.finish(s.ending)
 }
 
-// bill adds the tokens of a delivered answer to the customer's usage.
-func (s *Session) bill(prompt, output int) {
-	s.ending.Prompt, s.ending.Output = prompt, output
+// bill adds the tokens of a request to its customer's usage.
+func (s *Session) bill(prompt, output, wasted int) {
+	s.ending.Prompt, s.ending.Output, s.ending.Wasted = prompt, output, wasted
 	s.runner.deps.Bill(Bill{
 		Request:  s.req.ID,
 		Customer: s.customer,
@@ -218,6 +221,7 @@
 		Model:    s.req.Model,
 		Prompt:   prompt,
 		Output:   output,
+		Wasted:   wasted,
 	})
 }
 
--- a/internal/caller/exchange/forward.go
+++ b/internal/caller/exchange/forward.go
@@ -66,7 +66,7 @@
 	}
 	s.ending.Attempts = f.attempts
 	if err == nil {
-		s.bill(0, 0)
+		s.bill(0, 0, 0)
 	}
 	return err
 }
--- a/internal/caller/exchange/retries.go
+++ b/internal/caller/exchange/retries.go
@@ -105,14 +105,18 @@
 	s.book.MergeSuspicion(now, q)
 }
 
-// reportCrash asks an upstream whether it still answers; when it does not, the
-// requests that ran there become suspects on all hosts. A connection that was merely cut makes none.
+// reportCrash asks an upstream whether it still answers; when it does not, the requests that ran there
+// become suspects on all hosts. A connection that was merely cut makes none, nor does an upstream that
+// was down before: the request did not crash it.
 func (r *Runner) reportCrash(ctx context.Context, pool string, t dispatch.Target) bool {
+	if r.deps.IsDown(pool, t.ID()) {
+		return true
+	}
 	if r.deps.Alive(ctx, pool, t.Addr()) {
 		return false
 	}
 	suspicions, quarantines := r.deps.Suspects.Crash(r.deps.Clock.Now(), t.ID())
-	r.deps.Crashed(t.ID(), suspicions, quarantines)
+	r.deps.Crashed(pool, t.ID(), suspicions, quarantines)
 	return true
 }
 
--- a/internal/operator/follow/follow.go
+++ b/internal/operator/follow/follow.go
@@ -119,14 +119,15 @@
 
 // fetch reads the document of a revision from the store unless it is in force already.
 func (f *Follower) fetch(ctx context.Context, rev vault.Revision) error {
-	if _, have := f.options.Document.Load(); have >= rev.Number() {
+	prior, have := f.options.Document.Load()
+	if have >= rev.Number() {
 		return nil
 	}
 	source, err := f.options.Vault.Source(ctx, rev)
 	if err != nil {
 		return err
 	}
-	doc, err := document.Parse(source, "stored document")
+	doc, err := document.ParseAfter(prior, source, "stored document")
 	if err != nil {
 		return err
 	}
@@ -188,10 +189,11 @@
 }
 
 func (f *Follower) takeDocument(r spread.Record) {
-	if _, have := f.options.Document.Load(); have >= r.Version() {
+	prior, have := f.options.Document.Load()
+	if have >= r.Version() {
 		return
 	}
-	doc, err := document.Parse(r.Value(), "document of a peer")
+	doc, err := document.ParseAfter(prior, r.Value(), "document of a peer")
 	if err != nil {
 		f.options.Log.Error("document of a peer cannot be read", zap.Error(err))
 		return
--- a/internal/operator/meter/meter.go
+++ b/internal/operator/meter/meter.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,25 +14,32 @@
 	"hickorypath/internal/core/clock"
 	"hickorypath/internal/host/spread"
 	"hickorypath/internal/operator/document"
+	"hickorypath/internal/operator/tally"
+	"hickorypath/internal/platform/store"
 	"hickorypath/internal/policy/burn"
 )
 
 // Topic is the topic of the hosts' counts among the records that hosts share.
 const Topic = "burn"
 
-// Exchange of counts among hosts.
+// Exchange of counts among hosts. In a larger fleet the counts of other hosts come from the store alone,
+// and are some minutes old.
 const (
 	shareInterval = 10 * time.Second
 	shareExpiry   = 1 * time.Minute
 	shareLimit    = 64 // customers in one host's counts
+	shareHosts    = 16 // largest fleet that exchanges counts
 )
 
 // Options are the dependencies of a Meter.
 type Options struct {
-	Host   string
-	Clock  clock.Clock
-	Log    *zap.Logger
-	Spread *spread.Spread
+	Host        string
+	Incarnation string
+	Clock       clock.Clock
+	Log         *zap.Logger
+	Spread      *spread.Spread
+	Store       *store.Client
+	Hosts       func() []string // the live hosts
 }
 
 // Meter counts the requests of one host. It is safe for concurrent use.
@@ -40,15 +48,23 @@
 	mu      sync.Mutex
 	classes []burn.Class
 	book    *burn.Book
+	saved   *tally.Tally
 }
 
 // New returns a Meter without classes.
 func New(o Options) *Meter {
-	return &Meter{options: o, book: burn.New(burn.Config{})}
+	m := &Meter{options: o, book: burn.New(burn.Config{})}
+	m.saved = tally.New(tally.Options{
+		Store: o.Store, Host: o.Host, Incarnation: o.Incarnation, Log: o.Log, Snapshot: m.snapshot,
+	})
+	return m
 }
 
-// Run shares the counts with the other hosts until ctx ends.
+// Run shares the counts with the other hosts and saves them in the store until ctx ends.
 func (m *Meter) Run(ctx context.Context) {
+	var saving sync.WaitGroup
+	saving.Go(func() { m.saved.Run(ctx) })
+	defer saving.Wait()
 	tick := time.NewTicker(shareInterval)
 	defer tick.Stop()
 	for {
@@ -86,16 +102,26 @@
 	m.book.Spend(m.options.Clock.Now(), pool, reclaimable, paid)
 }
 
-// Report returns the sum over all hosts, with at most limit customers.
-func (m *Meter) Report(_ context.Context, limit int) (burn.Report, error) {
+// Report returns the sum over all hosts, with at most limit customers. While the store is down, only the
+// counts of the live hosts are in it.
+func (m *Meter) Report(ctx context.Context, limit int) (burn.Report, error) {
 	now := m.options.Clock.Now()
-	m.mu.Lock()
-	own := m.book.Snapshot(now, burn.DefaultLimit)
-	sum := burn.New(burn.Config{Classes: m.classes})
-	m.mu.Unlock()
-	sum.Merge(now, own)
+	sum := burn.New(burn.Config{Classes: m.targets()})
+	sum.Merge(now, m.snapshot(now, burn.DefaultLimit))
+	live := m.mergeShared(now, sum)
+	live[m.options.Host] = m.options.Incarnation
+	if err := m.saved.MergeInto(ctx, sum, live); err != nil {
+		m.options.Log.Warn("saved counts are left out of the report", zap.Error(err))
+	}
+	return sum.Report(now, limit), nil
+}
+
+// mergeShared adds the counts that live hosts share, and returns these hosts with their incarnations.
+func (m *Meter) mergeShared(now time.Time, sum *burn.Book) map[string]string {
+	live := map[string]string{}
 	m.options.Spread.Range(Topic, func(r spread.Record) {
-		if r.Key() == m.options.Host {
+		host, incarnation, _ := strings.Cut(r.Key(), "/")
+		if host == m.options.Host {
 			return
 		}
 		s, err := burn.DecodeSnapshot(r.Value())
@@ -104,14 +130,29 @@
 			return
 		}
 		sum.Merge(now, s)
+		live[host] = incarnation
 	})
-	return sum.Report(now, limit), nil
+	return live
+}
+
+func (m *Meter) targets() []burn.Class {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.classes
+}
+
+func (m *Meter) snapshot(now time.Time, limit int) burn.Snapshot {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.book.Snapshot(now, limit)
 }
 
 func (m *Meter) share() {
+	if len(m.options.Hosts()) > shareHosts {
+		return
+	}
 	now := m.options.Clock.Now()
-	m.mu.Lock()
-	data := m.book.Snapshot(now, shareLimit).Encode()
-	m.mu.Unlock()
-	m.options.Spread.Put(Topic, m.options.Host, uint64(now.UnixNano()), data, now.Add(shareExpiry))
+	data := m.snapshot(now, shareLimit).Encode()
+	key := m.options.Host + "/" + m.options.Incarnation
+	m.options.Spread.Put(Topic, key, uint64(now.UnixNano()), data, now.Add(shareExpiry))
 }
--- a/internal/upstream/dispatch/dispatch.go
+++ b/internal/upstream/dispatch/dispatch.go
@@ -30,6 +30,7 @@
 	slots       int
 	reclaimable bool
 	leaving     bool
+	down        bool
 }
 
 // NewTarget returns a Target without slots.
@@ -49,6 +50,18 @@
 	return t
 }
 
+// WithDown returns a copy of t that does not answer and gets no new work.
+func (t Target) WithDown() Target {
+	t.down = true
+	return t
+}
+
+// Down reports whether the upstream does not answer.
+func (t Target) Down() bool { return t.down }
+
+// takesWork reports whether the upstream may get new work.
+func (t Target) takesWork() bool { return !t.leaving && !t.down }
+
 // Reclaimable reports whether the platform may take the upstream back.
 func (t Target) Reclaimable() bool { return t.reclaimable }
 
@@ -210,7 +223,7 @@
 
 func upstreams(targets []Target) []route.Upstream {
 	return lo.Map(targets, func(t Target, _ int) route.Upstream {
-		return route.NewUpstream(t.id, t.zone, t.slots, t.reclaimable).WithLeaving(t.leaving)
+		return route.NewUpstream(t.id, t.zone, t.slots, t.reclaimable).WithLeaving(!t.takesWork())
 	})
 }
 
@@ -233,7 +246,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return lo.SomeBy(lo.Values(d.targets), func(t Target) bool {
-		return !t.leaving && !slices.Contains(avoid, t.id)
+		return t.takesWork() && !slices.Contains(avoid, t.id)
 	})
 }
 
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -73,6 +73,7 @@
 	mu    sync.Mutex
 	loads map[string]route.Load // polled here since the last summary
 	peers map[string]peer
+	fails map[string]int // polls that failed in a row, by upstream; maxFails for one that crashed
 }
 
 // peer is what another host runs.
@@ -157,10 +158,11 @@
 		Dispatcher: dispatch.New(p.Name(), classes, build, f.options.Clock),
 		loads:      map[string]route.Load{},
 		peers:      map[string]peer{},
+		fails:      map[string]int{},
 		stop:       func() {},
 	}
 	if p.Kind() == document.Engine {
-		e.poller = f.newPoller(e)
+		e.poller = f.newPoller(p.Name(), e)
 	}
 	if f.ctx != nil {
 		e.run(f.ctx)
@@ -168,11 +170,21 @@
 	return e
 }
 
-func (f *Fleet) newPoller(e *entry) *poll.Poller {
+func (f *Fleet) newPoller(name string, e *entry) *poll.Poller {
 	return poll.New(poll.Options{
 		Load:   f.options.Load,
 		Events: f.options.Events,
-		Loaded: e.loaded,
+		Loaded: func(id string, l route.Load) {
+			e.loaded(id, l)
+			if e.noteUp(id) {
+				f.refreshPool(name)
+			}
+		},
+		Failed: func(id string, _ error) {
+			if e.noteFailed(id, 1) {
+				f.refreshPool(name)
+			}
+		},
 		Cached: e.Cached,
 		Mine: func(id string) bool {
 			return poll.Mine(f.options.Host, f.options.Hosts(), id)
@@ -281,7 +293,11 @@
 // the lock.
 func (f *Fleet) sized(name string) []dispatch.Target {
 	return lo.Map(f.targets[name], func(t dispatch.Target, _ int) dispatch.Target {
-		return f.marked(t).WithSlots(f.slots[name])
+		t = f.marked(t).WithSlots(f.slots[name])
+		if e, ok := f.pools[name]; ok && e.isDown(t.ID()) {
+			return t.WithDown()
+		}
+		return t
 	})
 }
 
@@ -381,5 +397,8 @@
 	e.notePeer(s.Host, peer{counts: s.Body.Counts, heard: f.options.Clock.Now()})
 	for id, l := range s.Loads {
 		e.Report(id, l)
+		if e.noteUp(id) {
+			f.refreshPool(s.Pool)
+		}
 	}
 }
