--- a/cmd/hickorypath/duties.go
+++ b/cmd/hickorypath/duties.go
@@ -72,7 +72,7 @@
 		Clock:     get[clock.Clock](i),
 		Log:       get[*zap.Logger](i),
 		Store:     get[*store.Client](i),
-		Backend:   provision.NewHTTP(s.Platform().Provision, &http.Client{}, s.OrderTimeout()),
+		Backend:   provision.NewHTTP(s.Platform().Provision, &http.Client{}),
 		Timeout:   s.OrderTimeout(),
 		Fleet:     get[*fleet.Fleet](i),
 		Upstreams: list.get,
@@ -155,10 +155,10 @@
 // watchUpstreams follows the platform's list of upstreams.
 func (h *host) watchUpstreams(ctx context.Context) {
 	s := h.settings
-	backend := provision.NewHTTP(s.Platform().Provision, &http.Client{}, s.OrderTimeout())
+	backend := provision.NewHTTP(s.Platform().Provision, &http.Client{})
 	list := get[*listing](h.injector)
 	f := get[*fleet.Fleet](h.injector)
-	provision.Watch(ctx, backend, func(ups []provision.Upstream) {
+	_ = provision.New(backend, provision.Options{Log: h.log}).Watch(ctx, func(ups []provision.Upstream) {
 		list.set(ups)
 		f.SetTargets(targetsOf(ups, s.Services()))
 	})
@@ -168,10 +168,10 @@
 func targetsOf(ups []provision.Upstream, services []settings.Service) map[string][]dispatch.Target {
 	byPool := staticTargets(services)
 	for _, u := range ups {
-		if u.State == provision.Starting {
+		if u.State == provision.StateStarting {
 			continue
 		}
-		t := dispatch.NewTarget(u.ID, u.Zone, u.Addr, u.Reclaimable, u.State == provision.Leaving)
+		t := dispatch.NewTarget(u.ID, u.Zone, u.Addr, u.Reclaimable, u.State == provision.StateLeaving)
 		byPool[u.Pool] = append(byPool[u.Pool], t)
 	}
 	return byPool
--- a/cmd/hickorypath/wire.go
+++ b/cmd/hickorypath/wire.go
@@ -1,12 +1,10 @@
 package main
 
 import (
-	"context"
 	"crypto/tls"
 	"hash/fnv"
 	"net/http"
 	"os"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/samber/do/v2"
@@ -15,7 +13,6 @@
 	"hickorypath/internal/caller/exchange"
 	"hickorypath/internal/caller/quota"
 	"hickorypath/internal/core/clock"
-	"hickorypath/internal/core/kind"
 	"hickorypath/internal/core/settings"
 	"hickorypath/internal/host/node"
 	"hickorypath/internal/host/peer"
@@ -24,6 +21,7 @@
 	"hickorypath/internal/operator/key"
 	"hickorypath/internal/operator/meter"
 	"hickorypath/internal/operator/vault"
+	"hickorypath/internal/platform/claim"
 	"hickorypath/internal/platform/roster"
 	"hickorypath/internal/platform/store"
 	"hickorypath/internal/platform/usage"
@@ -56,6 +54,7 @@
 	do.Provide(i, provideFollower)
 	do.Provide(i, provideDuty)
 	do.Provide(i, provideRecorder)
+	do.Provide(i, provideClaims)
 	do.Provide(i, provideReporter)
 	do.Provide(i, provideEngines)
 	do.Provide(i, provideServices)
@@ -223,7 +222,7 @@
 		Services: get[*service.Client](i),
 		Pool:     f.Pool,
 		Admit:    get[*quota.Quota](i).Admit,
-		Claim:    noClaim,
+		Claim:    claimer(get[*claim.Book](i)),
 		Alive:    f.Alive,
 		IsDown:   f.IsDown,
 		Crashed:  tellCrash(sp, c, f),
@@ -247,8 +246,3 @@
 		},
 	}), nil
 }
-
-// noClaim refuses every non-repeatable request that asks for protection against resends.
-func noClaim(context.Context, string, string, string, string, time.Duration) (*exchange.Claim, *exchange.Outcome, error) {
-	return nil, nil, kind.New(kind.Claimless, "claims cannot be stored")
-}
--- a/internal/caller/exchange/chat.go
+++ b/internal/caller/exchange/chat.go
@@ -167,6 +167,9 @@
 	attempt := fmt.Sprintf("%s-%d", c.req.ID, c.attempts)
 	sent := c.runner.deps.Clock.Now()
 	before := c.tokens
+	if err := c.checkClaim(); err != nil {
+		return pool.Result{}, err
+	}
 	s, err := c.runner.deps.Engines.Chat(ctx, grant.Target().Addr(), c.call(attempt))
 	if err != nil {
 		return pool.Result{Crashed: c.crashed(ctx, grant, err)}, err
--- a/internal/caller/exchange/claimed.go
+++ b/internal/caller/exchange/claimed.go
@@ -12,6 +12,8 @@
 
 // Claim is the right to run one non-repeatable request, held in the platform's store.
 type Claim struct {
+	// Valid returns an error when the claim is too old; it is called directly before the request is sent.
+	Valid func() error
 	// Finish stores the outcome, so that a resend gets it.
 	Finish func(ctx context.Context, o Outcome) error
 	// Release gives the claim up; it is called only when nothing was sent.
@@ -42,11 +44,20 @@
 		s.replay = stored
 		return nil
 	}
+	s.claim = claim
 	err = run()
 	s.settle(claim, err)
 	return err
 }
 
+// checkClaim returns an error when the request runs under a claim that is too old to send it.
+func (s *Session) checkClaim() error {
+	if s.claim == nil {
+		return nil
+	}
+	return s.claim.Valid()
+}
+
 // settle stores the outcome of a claimed run, or releases the claim when the request did not run.
 // A claim that may have run and has no outcome stays, so that a resend is told that it may have run.
 func (s *Session) settle(claim *Claim, err error) {
--- a/internal/caller/exchange/exchange.go
+++ b/internal/caller/exchange/exchange.go
@@ -137,6 +137,7 @@
 	arrived  time.Time
 	weight   float64
 	ending   Ending
+	claim    *Claim   // of a non-repeatable request
 	outcome  *Outcome // of this run, to be stored for resends
 	replay   *Outcome // of an earlier run
 }
--- a/internal/caller/exchange/forward.go
+++ b/internal/caller/exchange/forward.go
@@ -168,6 +168,9 @@
 
 // send makes one attempt and passes its answer to the caller.
 func (f *forward) send(ctx context.Context, addr string) error {
+	if err := f.checkClaim(); err != nil {
+		return err
+	}
 	res, err := f.runner.deps.Services.Do(ctx, addr, service.Call{
 		Attempt: fmt.Sprintf("%s-%d", f.req.ID, f.attempts),
 		Method:  f.req.Method,
--- a/internal/platform/provision/http.go
+++ b/internal/platform/provision/http.go
@@ -4,98 +4,111 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
-	"net/url"
+	"strconv"
 	"time"
 
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/platform/lease"
 )
 
-// maxAnswer bounds an answer of the platform, in bytes.
-const maxAnswer = 16 << 20
-
-// NewHTTP returns the Backend at a base URL: `GET /upstreams`, `POST /orders`, `GET /orders/ID`.
-func NewHTTP(base string, client *http.Client, timeout time.Duration) Backend {
-	h := &caller{base: base, client: client, timeout: timeout}
-	return Backend{List: h.list, Order: h.order, Known: h.known}
+// NewHTTP returns the backend at a base URL: `GET /upstreams`, `POST /orders`, `GET /orders/ID`.
+func NewHTTP(url string, client *http.Client) Backend {
+	h := &remote{url: url, client: client}
+	return Backend{List: h.list, Order: h.order, Find: h.find}
 }
 
-type caller struct {
-	base    string
-	client  *http.Client
-	timeout time.Duration
+type remote struct {
+	url    string
+	client *http.Client
 }
 
-func (h *caller) list(ctx context.Context, version uint64, wait time.Duration) (Listing, error) {
-	var l Listing
-	query := url.Values{"after": {fmt.Sprint(version)}, "wait": {wait.String()}}
-	status, err := h.get(ctx, "/upstreams?"+query.Encode(), wait+h.timeout, &l)
-	if err == nil && status != http.StatusOK {
-		err = kind.New(kind.Unavailable, "list of upstreams: status %d", status)
+func (h *remote) list(ctx context.Context) ([]Upstream, error) {
+	resp, err := h.get(ctx, "/upstreams")
+	if err != nil {
+		return nil, err
 	}
-	return l, err
+	defer resp.Body.Close()
+	var out []Upstream
+	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+		return nil, kind.Wrap(err, kind.Unavailable, "list of upstreams cannot be read")
+	}
+	return out, nil
 }
 
-func (h *caller) known(ctx context.Context, id string) (bool, error) {
-	status, err := h.get(ctx, "/orders/"+url.PathEscape(id), h.timeout, nil)
-	switch {
-	case err != nil:
+func (h *remote) find(ctx context.Context, id string) (bool, error) {
+	resp, err := h.get(ctx, "/orders/"+id)
+	if err != nil {
 		return false, err
-	case status == http.StatusOK:
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
 		return true, nil
-	case status == http.StatusNotFound:
+	case http.StatusNotFound:
 		return false, nil
+	default:
+		return false, kind.New(kind.Unavailable, "order %s: status %d", id, resp.StatusCode)
 	}
-	return false, kind.New(kind.Unavailable, "state of order %s: status %d", id, status)
 }
 
-func (h *caller) get(ctx context.Context, path string, timeout time.Duration, into any) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.base+path, nil)
+func (h *remote) get(ctx context.Context, path string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.url+path, http.NoBody)
 	if err != nil {
-		return 0, kind.Wrap(err, kind.Internal, "provisioning call")
+		return nil, kind.Wrap(err, kind.Internal, "request cannot be made")
 	}
-	res, err := h.client.Do(req)
+	resp, err := h.client.Do(req)
 	if err != nil {
-		return 0, kind.Wrap(err, kind.Unavailable, "provisioning cannot be reached")
-	}
-	defer res.Body.Close()
-	if into == nil || res.StatusCode != http.StatusOK {
-		return res.StatusCode, nil
-	}
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxAnswer)).Decode(into); err != nil {
-		return 0, kind.Wrap(err, kind.Unavailable, "provisioning answer cannot be read")
+		return nil, kind.Wrap(err, kind.Unavailable, "provisioning")
 	}
-	return res.StatusCode, nil
+	return resp, nil
 }
 
-func (h *caller) order(ctx context.Context, o Order, check func() error) error {
-	data, err := json.Marshal(o)
+func (h *remote) order(ctx context.Context, c Command, check func() error) error {
+	data, err := json.Marshal(c)
 	if err != nil {
 		return kind.Wrap(err, kind.Internal, "order cannot be encoded")
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.base+"/orders", bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.url+"/orders", bytes.NewReader(data))
 	if err != nil {
-		return kind.Wrap(err, kind.Internal, "order cannot be sent")
+		return kind.Wrap(err, kind.Internal, "order cannot be made")
 	}
 	req.Header.Set("Content-Type", "application/json")
-	res, err := lease.Send(req, h.timeout, check)
+	resp, err := lease.Send(req, timeoutOf(ctx), check)
 	if err != nil {
 		return err
 	}
-	defer res.Body.Close()
-	text, _ := io.ReadAll(io.LimitReader(res.Body, 1<<10))
-	switch {
-	case res.StatusCode < http.StatusMultipleChoices:
+	defer resp.Body.Close()
+	return answerError(resp)
+}
+
+// timeoutOf returns the time left of ctx.
+func timeoutOf(ctx context.Context) time.Duration {
+	if until, ok := ctx.Deadline(); ok {
+		return time.Until(until)
+	}
+	return defaultTimeout
+}
+
+// answerError maps the answer to an order to an error.
+func answerError(resp *http.Response) error {
+	if resp.StatusCode < http.StatusMultipleChoices {
 		return nil
-	case res.StatusCode == http.StatusPreconditionFailed:
-		return kind.New(kind.Fenced, "order %s: %s", o.ID, text)
-	case res.StatusCode == http.StatusTooManyRequests, res.StatusCode == http.StatusServiceUnavailable, res.StatusCode == http.StatusConflict:
-		return kind.New(kind.Refused, "order %s: %s", o.ID, text)
 	}
-	return kind.New(kind.Lost, "order %s: status %d: %s", o.ID, res.StatusCode, text)
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
+	seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
+	after := time.Duration(seconds) * time.Second
+	switch resp.StatusCode {
+	case http.StatusPreconditionFailed:
+		return kind.New(kind.Fenced, "order refused: %s", text)
+	case http.StatusTooManyRequests:
+		return kind.New(kind.Rate, "order refused: %s", text).WithRetry(after)
+	case http.StatusConflict:
+		return kind.New(kind.Unavailable, "order refused: %s", text).WithRetry(after)
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout:
+		return kind.New(kind.Lost, "order answered with status %d: %s", resp.StatusCode, text)
+	default:
+		return kind.New(kind.Refused, "order refused with status %d: %s", resp.StatusCode, text).WithRetry(after)
+	}
 }
--- a/internal/platform/provision/provision.go
+++ b/internal/platform/provision/provision.go
@@ -1,104 +1,118 @@
-// Package provision meets the platform's interface that lists upstreams and takes orders for them.
-//
-// Orders are given only under a lease. Each one has an intent in the store before it is sent, and an id
-// that makes a repeat idempotent, so that the next holder can find out what became of it.
+// Package provision reads the platform's list of upstreams and gives it orders for upstreams.
 package provision
 
 import (
+	"cmp"
 	"context"
+	"reflect"
 	"time"
-)
 
-// State is the state of an upstream as the platform lists it.
-type State string
+	"go.uber.org/zap"
+
+	"hickorypath/internal/core/kind"
+)
 
-// The states of an upstream.
+// The states of an Upstream.
 const (
-	Starting State = "starting"
-	Ready    State = "ready"
-	Leaving  State = "leaving" // stops at its deadline
+	StateStarting = "starting"
+	StateReady    = "ready"
+	StateLeaving  = "leaving"
 )
 
-// Upstream is one line of the platform's list.
+// Upstream is one upstream as the platform lists it.
 type Upstream struct {
 	ID          string    `json:"id"`
 	Pool        string    `json:"pool"`
 	Zone        string    `json:"zone"`
-	Addr        string    `json:"addr"` // IP number and port
-	Reclaimable bool      `json:"reclaimable"`
-	State       State     `json:"state"`
-	Deadline    time.Time `json:"deadline,omitzero"` // of a leaving upstream
-	Checks      bool      `json:"checks"`            // refuses orders with an old fencing number
-}
-
-// Listing is the list at one version; versions rise with each change.
-type Listing struct {
-	Version   uint64     `json:"version"`
-	Upstreams []Upstream `json:"upstreams"`
+	Addr        string    `json:"addr"`
+	Reclaimable bool      `json:"reclaimable,omitempty"`
+	State       string    `json:"state"`
+	Deadline    time.Time `json:"deadline,omitzero"` // when a leaving upstream goes
+	Checks      bool      `json:"checks,omitempty"`  // it refuses orders with an old fence
 }
 
-// Action is what an order asks for.
-type Action string
-
-// The actions.
+// The actions of an Order.
 const (
-	Start Action = "start"
-	Stop  Action = "stop"
+	ActionStart = "start"
+	ActionStop  = "stop"
 )
 
-// Order asks the platform for a change of one pool.
+// Order asks for one upstream more or less.
 type Order struct {
-	ID          string `json:"id"`
-	Fence       uint64 `json:"fence"`
-	Action      Action `json:"action"`
+	Action      string `json:"action"`
 	Pool        string `json:"pool"`
-	Zone        string `json:"zone,omitempty"`
+	Zone        string `json:"zone"`
 	Reclaimable bool   `json:"reclaimable,omitempty"`
-	Upstream    string `json:"upstream,omitempty"`
-	Model       string `json:"model,omitempty"`
-	Version     string `json:"version,omitempty"`
+	Upstream    string `json:"upstream,omitempty"` // to stop
+}
+
+// Command is an order as the platform takes it. The platform acts once on each id.
+type Command struct {
+	ID    string `json:"id"`
+	Fence uint64 `json:"fence"`
+	Order
 }
 
-// Backend is one way to reach the platform.
+// Backend is one way to reach the platform's interface. Order calls check directly before the last
+// write and gives up on its error.
+//
+// Errors of Order carry a kind: Lapsed (not sent), Fenced, Refused, Unavailable (the zone has none, or
+// not sent), Rate (too many orders), Lost (may have been accepted).
 type Backend struct {
-	// List waits until the list is newer than version or wait is over, and returns it.
-	List func(ctx context.Context, version uint64, wait time.Duration) (Listing, error)
-	// Order sends an order; check is called directly before each write and an error of it stops the
-	// order. Errors: Lapsed and Unavailable (not sent), Lost (outcome unknown), Fenced, Refused.
-	Order func(ctx context.Context, o Order, check func() error) error
-	// Known reports whether the platform has taken an order with this id.
-	Known func(ctx context.Context, id string) (bool, error)
+	List  func(ctx context.Context) ([]Upstream, error)
+	Order func(ctx context.Context, c Command, check func() error) error
+	// Find tells whether a command was accepted.
+	Find func(ctx context.Context, id string) (bool, error)
 }
 
-// Times of the watch.
-const (
-	watchWait  = 10 * time.Second
-	retryDelay = 500 * time.Millisecond
-)
+// Options are the settings of a Client; zero durations get defaults.
+type Options struct {
+	Every time.Duration // between readings of the list
+	Log   *zap.Logger
+}
 
-// Watch calls fn with the list and with each newer one until ctx ends. While the platform cannot be
-// reached the last list stays in use.
-func Watch(ctx context.Context, b Backend, fn func([]Upstream)) {
-	var version uint64
-	for ctx.Err() == nil {
-		list, err := b.List(ctx, version, watchWait)
-		if err != nil {
-			pause(ctx, retryDelay)
-			continue
-		}
-		if list.Version == version {
-			continue
-		}
-		version = list.Version
-		fn(list.Upstreams)
+const defaultEvery = time.Second
+
+// Client reads the list of upstreams.
+type Client struct {
+	backend Backend
+	opts    Options
+}
+
+// New returns a Client.
+func New(b Backend, o Options) *Client {
+	o.Every = cmp.Or(o.Every, defaultEvery)
+	if o.Log == nil {
+		o.Log = zap.NewNop()
 	}
+	return &Client{backend: b, opts: o}
+}
+
+// List reads the list of upstreams.
+func (c *Client) List(ctx context.Context) ([]Upstream, error) {
+	ctx, cancel := context.WithTimeout(ctx, defaultTimeout)
+	defer cancel()
+	return c.backend.List(ctx)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+// Watch calls fn with the list whenever it changed, until ctx ends. While the platform cannot be
+// reached the last list stays in force.
+func (c *Client) Watch(ctx context.Context, fn func([]Upstream)) error {
+	tick := time.NewTicker(c.opts.Every)
+	defer tick.Stop()
+	var last []Upstream
+	for first := true; ; first = false {
+		list, err := c.List(ctx)
+		if err != nil {
+			c.opts.Log.Warn("list of upstreams not read", zap.Error(err))
+		} else if first || !reflect.DeepEqual(list, last) {
+			last = list
+			fn(list)
+		}
+		select {
+		case <-ctx.Done():
+			return kind.Wrap(ctx.Err(), kind.Canceled, "watch of upstreams")
+		case <-tick.C:
+		}
 	}
 }
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -54,7 +54,7 @@
 	options   Options
 	store     *standinstore.Server
 	roster    *standinroster.Roster
-	provision *standinprovision.Server
+	provision *standinprovision.Platform
 	usage     *standinusage.Sink
 	mux       *http.ServeMux
 
@@ -80,7 +80,8 @@
 		mux:     http.NewServeMux(),
 		running: map[string]*upstream{},
 	}
-	s.provision = standinprovision.New(standinprovision.Options{Now: time.Now, Launch: s.launch, Halt: s.Halt, Checks: o.Checks})
+	s.provision = standinprovision.New(standinprovision.Options{Launch: s.launchListed, Halt: func(u provision.Upstream) { s.Halt(u.ID) }})
+	s.provision.Set(standinprovision.Faults{Ignore: !o.Checks})
 	s.mount("/store", s.store.Handler())
 	s.mount("/roster", s.roster.Handler())
 	s.mount("/provision", s.provision.Handler())
@@ -100,20 +101,20 @@
 func (s *Site) Roster() *standinroster.Roster { return s.roster }
 
 // Provision returns the list of upstreams.
-func (s *Site) Provision() *standinprovision.Server { return s.provision }
+func (s *Site) Provision() *standinprovision.Platform { return s.provision }
 
 // Usage returns the interface for usage reports.
 func (s *Site) Usage() *standinusage.Sink { return s.usage }
 
 // AddEngine runs an engine and lists it with the platform.
 func (s *Site) AddEngine(pool, zone string, reclaimable bool) error {
-	id, addr, err := s.launch(provision.Order{Pool: pool, Zone: zone})
+	u, err := s.startEngine("", pool, zone)
 	if err != nil {
 		return err
 	}
 	s.provision.Add(provision.Upstream{
-		ID: id, Pool: pool, Zone: zone, Addr: addr, Reclaimable: reclaimable,
-		State: provision.Ready, Checks: s.options.Checks,
+		ID: u.ID, Pool: pool, Zone: zone, Addr: u.Addr, Reclaimable: reclaimable,
+		State: provision.StateReady, Checks: s.options.Checks,
 	})
 	return nil
 }
@@ -121,18 +122,22 @@
 // StartService runs a plain service at addr and returns it.
 func (s *Site) StartService(pool, zone, addr string) (*standinservice.Service, error) {
 	v := standinservice.New()
-	_, err := s.start(pool, zone, addr, v.Handler(), nil)
+	_, err := s.start("", pool, zone, addr, v.Handler(), nil)
 	return v, err
 }
 
-// launch starts the engine of an order.
-func (s *Site) launch(o provision.Order) (id, addr string, err error) {
-	e := standinengine.New(s.options.Engine(o.Pool))
-	u, err := s.start(o.Pool, o.Zone, anyPort, e.Handler(), e)
+// launchListed starts the engine of an order and returns its address, empty when it cannot listen.
+func (s *Site) launchListed(listed provision.Upstream) string {
+	u, err := s.startEngine(listed.ID, listed.Pool, listed.Zone)
 	if err != nil {
-		return "", "", err
+		return ""
 	}
-	return u.ID, u.Addr, nil
+	return u.Addr
+}
+
+func (s *Site) startEngine(id, pool, zone string) (Upstream, error) {
+	e := standinengine.New(s.options.Engine(pool))
+	return s.start(id, pool, zone, anyPort, e.Handler(), e)
 }
 
 // Halt ends an upstream at once.
@@ -183,7 +188,8 @@
 	return err
 }
 
-func (s *Site) start(pool, zone, addr string, handler http.Handler, e *standinengine.Engine) (Upstream, error) {
+// start runs a stand-in under an id, or under one made here.
+func (s *Site) start(id, pool, zone, addr string, handler http.Handler, e *standinengine.Engine) (Upstream, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return Upstream{}, fmt.Errorf("stand-in of pool %s: %w", pool, err)
@@ -193,7 +199,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.started++
-	id := fmt.Sprintf("%s-%02d", pool, s.started)
+	if id == "" {
+		id = fmt.Sprintf("%s-%02d", pool, s.started)
+	}
 	u := Upstream{ID: id, Pool: pool, Zone: zone, Addr: ln.Addr().String(), Path: "/upstream/" + id}
 	s.running[id] = &upstream{Upstream: u, server: server, engine: e}
 	return u, nil
--- a/internal/upstream/duty/duty.go
+++ b/internal/upstream/duty/duty.go
@@ -117,7 +117,7 @@
 		Candidate: func() bool { return o.Candidate(leasePrefix + name) },
 		Log:       o.Log,
 	})
-	orderer := provision.New(o.Store, l, o.Backend, provision.Options{Pool: name, Timeout: o.Timeout, Log: o.Log})
+	orderer := provision.NewOrderer(o.Store, o.Clock, l, o.Backend, provision.OrdererOptions{Timeout: o.Timeout, Log: o.Log})
 	s := scaler.New(scaler.Options{
 		Pool:  name,
 		Clock: o.Clock,
@@ -130,7 +130,8 @@
 		Want: func() pool.Demand { return o.Fleet.Want(name) },
 		List: func() []scale.Upstream { return d.list(name) },
 		Order: func(ctx context.Context, so scale.Order) error {
-			return orderer.Order(ctx, d.newOrder(name, so))
+			_, err := orderer.Order(ctx, newOrder(name, so))
+			return err
 		},
 		Leave: o.Fleet.Leave,
 		Spend: func(reclaimable bool, paid time.Duration) { o.Spend(name, reclaimable, paid) },
@@ -174,23 +175,17 @@
 
 func (d *Duty) state(u provision.Upstream) scale.State {
 	switch {
-	case u.State == provision.Leaving || d.options.Fleet.IsLeaving(u.ID):
+	case u.State == provision.StateLeaving || d.options.Fleet.IsLeaving(u.ID):
 		return scale.Leaving
-	case u.State == provision.Starting:
+	case u.State == provision.StateStarting:
 		return scale.Starting
 	}
 	return scale.Ready
 }
 
-func (d *Duty) newOrder(name string, o scale.Order) provision.Order {
-	order := provision.Order{Action: provision.Start, Zone: o.Zone, Reclaimable: o.Reclaimable}
+func newOrder(pool string, o scale.Order) provision.Order {
 	if o.Action == scale.Stop {
-		return provision.Order{Action: provision.Stop, Zone: o.Zone, Upstream: o.Upstream}
+		return provision.Order{Action: provision.ActionStop, Pool: pool, Zone: o.Zone, Upstream: o.Upstream}
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if p, ok := d.doc.Pool(name); ok {
-		order.Model, order.Version = p.Model(), p.Version()
-	}
-	return order
+	return provision.Order{Action: provision.ActionStart, Pool: pool, Zone: o.Zone, Reclaimable: o.Reclaimable}
 }
--- a/internal/upstream/scaler/scaler.go
+++ b/internal/upstream/scaler/scaler.go
@@ -109,7 +109,7 @@
 	switch {
 	case err == nil && o.Action == scale.Start:
 		s.planner.Accepted(o.Zone, o.Reclaimable)
-	case kind.Of(err) == kind.Refused && o.Action == scale.Start:
+	case isRefusal(err) && o.Action == scale.Start:
 		s.planner.Refused(s.options.Clock.Now(), o.Zone, o.Reclaimable)
 	}
 	if err != nil {
@@ -118,6 +118,15 @@
 	}
 }
 
+// isRefusal reports whether the platform declined an order for now.
+func isRefusal(err error) bool {
+	switch kind.Of(err) {
+	case kind.Refused, kind.Unavailable, kind.Rate:
+		return true
+	}
+	return false
+}
+
 // spend counts the time since the last pass for every listed upstream.
 func (s *Scaler) spend(now time.Time, ups []scale.Upstream) {
 	since := now.Sub(s.last)
