Store the outcome of a claimed request before its caller gets it

Cause: a resend sent directly after the answer was told that the request still ran, since the outcome was stored after the answer; and a load report made before a crash put the crashed upstream back into service, so that an innocent request met two crashed engines and was quarantined. Change: the outcome is stored first; only a report made after the last failure ends the state down.

--- a/internal/caller/exchange/claimed.go
+++ b/internal/caller/exchange/claimed.go
@@ -46,7 +46,7 @@
 	}
 	s.claim = claim
 	err = run()
-	s.settle(claim, err)
+	s.settle(ctx, err)
 	return err
 }
 
@@ -58,19 +58,27 @@
 	return s.claim.Valid()
 }
 
-// settle stores the outcome of a claimed run, or releases the claim when the request did not run.
-// A claim that may have run and has no outcome stays, so that a resend is told that it may have run.
-func (s *Session) settle(claim *Claim, err error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), claimTimeout)
-	defer cancel()
-	var failed error
+// settle stores what was kept of the answer, or releases the claim when the request did not run. A claim
+// that may have run and has no outcome stays, so that a resend is told that it may have run.
+func (s *Session) settle(ctx context.Context, err error) {
 	switch {
 	case err == nil && s.outcome != nil:
-		failed = claim.Finish(ctx, *s.outcome)
+		s.store(ctx, *s.outcome)
 	case err != nil && kind.From(err).Ran() == kind.RanNo:
-		failed = claim.Release(ctx)
+		s.settled(ctx, s.claim.Release)
 	}
-	if failed != nil {
-		s.runner.deps.Log.Warn("claim not settled", append(s.ending.fields(), zap.Error(failed))...)
+}
+
+// store puts the outcome of a claimed request into the platform's store.
+func (s *Session) store(ctx context.Context, o Outcome) {
+	s.settled(ctx, func(ctx context.Context) error { return s.claim.Finish(ctx, o) })
+}
+
+// settled ends a claim, also when the caller is gone; a failure is logged, since the answer counts more.
+func (s *Session) settled(ctx context.Context, end func(ctx context.Context) error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
+	defer cancel()
+	if err := end(ctx); err != nil {
+		s.runner.deps.Log.Warn("claim not settled", append(s.ending.fields(), zap.Error(err))...)
 	}
 }
--- a/internal/caller/exchange/forward.go
+++ b/internal/caller/exchange/forward.go
@@ -187,39 +187,36 @@
 	}
 	defer res.Body.Close()
 	f.ending.First = f.runner.deps.Clock.Now().Sub(f.arrived)
-	keep := &recorder{r: res.Body}
+	body, err := f.keepOutcome(ctx, res)
+	if err != nil {
+		return err
+	}
 	f.answered = true
-	if err := f.respond(res.StatusCode, res.Header, keep); err != nil {
+	if err := f.respond(res.StatusCode, res.Header, body); err != nil {
 		return kind.From(err).WithRan(kind.RanYes)
 	}
-	if !keep.long {
-		f.outcome = &Outcome{Status: res.StatusCode, Header: res.Header, Body: keep.kept}
-	}
 	return nil
 }
 
-func (f *forward) sendStored(o *Outcome) error {
-	return f.respond(o.Status, o.Header, bytes.NewReader(o.Body))
-}
-
-// recorder keeps what is read through it, up to outcomeLimit.
-type recorder struct {
-	r    io.Reader
-	kept []byte
-	long bool
-}
-
-// Read implements io.Reader.
-func (k *recorder) Read(p []byte) (int, error) {
-	n, err := k.r.Read(p)
-	if len(k.kept)+n > outcomeLimit {
-		k.long = true
-		k.kept = nil
+// keepOutcome stores the answer of a request that runs under a claim before its caller gets it, so that
+// a resend finds it. It returns the body to pass on.
+func (f *forward) keepOutcome(ctx context.Context, res *http.Response) (io.Reader, error) {
+	if f.claim == nil {
+		return res.Body, nil
 	}
-	if !k.long {
-		k.kept = append(k.kept, p[:n]...)
+	head, err := io.ReadAll(io.LimitReader(res.Body, outcomeLimit+1))
+	if err != nil {
+		return nil, kind.From(err).WithRan(kind.RanYes)
 	}
-	return n, err
+	if len(head) > outcomeLimit {
+		return io.MultiReader(bytes.NewReader(head), res.Body), nil
+	}
+	f.store(ctx, Outcome{Status: res.StatusCode, Header: res.Header, Body: head})
+	return bytes.NewReader(head), nil
+}
+
+func (f *forward) sendStored(o *Outcome) error {
+	return f.respond(o.Status, o.Header, bytes.NewReader(o.Body))
 }
 
 // limited fails with kind Large once more than left bytes are read.
--- a/internal/upstream/fleet/down.go
+++ b/internal/upstream/fleet/down.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "time"
+
 // maxFails is how many polls in a row must fail before an upstream counts as down.
 const maxFails = 3
 
@@ -7,7 +9,7 @@
 // polled and stay in service.
 func (f *Fleet) Down(pool, upstream string) {
 	e, ok := f.entry(pool)
-	if ok && e.poller != nil && e.noteFailed(upstream, maxFails) {
+	if ok && e.poller != nil && e.noteFailed(upstream, maxFails, f.options.Clock.Now()) {
 		f.refreshPool(pool)
 	}
 }
@@ -27,26 +29,37 @@
 	}
 }
 
+// trouble is what is known of an upstream that does not answer.
+type trouble struct {
+	fails int // polls that failed in a row; maxFails for one that crashed
+	last  time.Time
+}
+
 // noteFailed counts n failed polls and reports whether the upstream is down from now on.
-func (e *entry) noteFailed(upstream string, n int) bool {
+func (e *entry) noteFailed(upstream string, n int, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	before := e.fails[upstream]
-	e.fails[upstream] = min(before+n, maxFails)
-	return before < maxFails && e.fails[upstream] == maxFails
+	before := e.troubles[upstream].fails
+	after := min(before+n, maxFails)
+	e.troubles[upstream] = trouble{fails: after, last: now}
+	return before < maxFails && after == maxFails
 }
 
-// noteUp forgets failed polls and reports whether the upstream is up again from now on.
-func (e *entry) noteUp(upstream string) bool {
+// noteUp forgets failed polls before a report of an upstream, and reports whether it is up again from
+// now on. A report that was made before the last failure says nothing.
+func (e *entry) noteUp(upstream string, made time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	before := e.fails[upstream]
-	delete(e.fails, upstream)
-	return before == maxFails
+	t, ok := e.troubles[upstream]
+	if !ok || !made.After(t.last) {
+		return false
+	}
+	delete(e.troubles, upstream)
+	return t.fails == maxFails
 }
 
 func (e *entry) isDown(upstream string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.fails[upstream] == maxFails
+	return e.troubles[upstream].fails == maxFails
 }
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -70,10 +70,10 @@
 	poller *poll.Poller
 	stop   context.CancelFunc
 
-	mu    sync.Mutex
-	loads map[string]route.Load // polled here since the last summary
-	peers map[string]peer
-	fails map[string]int // polls that failed in a row, by upstream; maxFails for one that crashed
+	mu       sync.Mutex
+	loads    map[string]route.Load // polled here since the last summary
+	peers    map[string]peer
+	troubles map[string]trouble // by upstream
 }
 
 // peer is what another host runs.
@@ -158,7 +158,7 @@
 		Dispatcher: dispatch.New(p.Name(), classes, build, f.options.Clock),
 		loads:      map[string]route.Load{},
 		peers:      map[string]peer{},
-		fails:      map[string]int{},
+		troubles:   map[string]trouble{},
 		stop:       func() {},
 	}
 	if p.Kind() == document.Engine {
@@ -176,12 +176,12 @@
 		Events: f.options.Events,
 		Loaded: func(id string, l route.Load) {
 			e.loaded(id, l)
-			if e.noteUp(id) {
+			if e.noteUp(id, l.At) {
 				f.refreshPool(name)
 			}
 		},
 		Failed: func(id string, _ error) {
-			if e.noteFailed(id, 1) {
+			if e.noteFailed(id, 1, f.options.Clock.Now()) {
 				f.refreshPool(name)
 			}
 		},
@@ -397,7 +397,7 @@
 	e.notePeer(s.Host, peer{counts: s.Body.Counts, heard: f.options.Clock.Now()})
 	for id, l := range s.Loads {
 		e.Report(id, l)
-		if e.noteUp(id) {
+		if e.noteUp(id, l.At) {
 			f.refreshPool(s.Pool)
 		}
 	}
