--- a/cmd/hickorypath/duties.go
+++ b/cmd/hickorypath/duties.go
@@ -14,6 +14,7 @@
 
 	"hickorypath/internal/core/clock"
 	"hickorypath/internal/core/settings"
+	"hickorypath/internal/host/member"
 	"hickorypath/internal/host/node"
 	"hickorypath/internal/operator/api"
 	"hickorypath/internal/operator/meter"
@@ -84,10 +85,7 @@
 
 // zonesOf returns the availability zones that have hosts or upstreams.
 func zonesOf(n *node.Node, l *listing) []string {
-	var zones []string
-	for _, m := range n.Members() {
-		zones = append(zones, m.Zone())
-	}
+	zones := lo.Map(n.Members(), func(m member.Member, _ int) string { return m.Zone() })
 	for _, u := range l.get() {
 		zones = append(zones, u.Zone)
 	}
