--- a/internal/caller/exchange/chat.go
+++ b/internal/caller/exchange/chat.go
@@ -167,6 +167,9 @@
 	attempt := fmt.Sprintf("%s-%d", c.req.ID, c.attempts)
 	sent := c.runner.deps.Clock.Now()
 	before := c.tokens
+	if err := c.checkClaim(); err != nil {
+		return pool.Result{}, err
+	}
 	s, err := c.runner.deps.Engines.Chat(ctx, grant.Target().Addr(), c.call(attempt))
 	if err != nil {
 		return pool.Result{Crashed: c.crashed(ctx, grant, err)}, err
@@ -268,11 +271,11 @@
 	}
 	switch {
 	case err == nil:
-		c.bill(prompt, output)
+		c.bill(prompt, output, 0)
 	case kind.Of(err) == kind.Canceled && c.tokens > 0:
-		c.bill(c.body.PromptTokens(), c.tokens)
+		c.bill(c.body.PromptTokens(), c.tokens, 0)
 	default:
-		c.ending.Wasted += c.tokens
+		c.ending.Wasted = c.tokens
 	}
 	return prompt + output
 }
