--- a/internal/upstream/engine/plain_test.go
+++ b/internal/upstream/engine/plain_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hickorypath/internal/core/kind"
+	standin "hickorypath/internal/standin/engine"
 	"hickorypath/internal/upstream/engine"
 )
 
@@ -19,19 +20,25 @@
 		name  string
 		first time.Duration // until the first token
 		quiet time.Duration // after it
+		load  int           // status of GET /load
 		kind  kind.Kind
 	}{
-		{"usual", 100 * time.Millisecond, 30 * time.Millisecond, ""},
-		{"long prompt", 20 * time.Second, 30 * time.Millisecond, ""},
-		{"pause", 100 * time.Millisecond, 2 * time.Second, ""},
-		{"silent", 100 * time.Millisecond, time.Hour, kind.Silent},
-		{"silent from the start", time.Hour, 0, kind.Silent},
+		{"usual", 100 * time.Millisecond, 30 * time.Millisecond, http.StatusOK, ""},
+		{"long prompt", 20 * time.Second, 30 * time.Millisecond, http.StatusOK, ""},
+		{"long prompt, no load", 20 * time.Second, 30 * time.Millisecond, http.StatusNotFound, ""},
+		{"pause", 100 * time.Millisecond, 2 * time.Second, http.StatusOK, ""},
+		{"silent", 100 * time.Millisecond, time.Hour, http.StatusOK, kind.Silent},
+		{"silent, no load", 100 * time.Millisecond, time.Hour, http.StatusNotFound, kind.Silent},
+		{"silent from the start", time.Hour, 0, http.StatusOK, kind.Silent},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			within(t, func(b *bench) {
 				mux := http.NewServeMux()
-				mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{"running":1}`) })
+				mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
+					w.WriteHeader(c.load)
+					fmt.Fprint(w, `{"running":1}`)
+				})
 				mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) {
 					_, _ = io.Copy(io.Discard, r.Body)
 					for i, wait := range []time.Duration{c.first, c.quiet} {
@@ -96,3 +103,53 @@
 		})
 	}
 }
+
+// TestLongWholeAnswerOfPlainEngine waits for an answer of an engine that does not tell its progress.
+func TestLongWholeAnswerOfPlainEngine(t *testing.T) {
+	within(t, func(b *bench) {
+		defer b.net.Serve("plain:80", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodGet {
+				return
+			}
+			time.Sleep(2 * time.Minute)
+			_, _ = io.WriteString(w, `{"id":"c","usage":{"completion_tokens":3}}`)
+		}))()
+		s, err := b.client.Chat(b.ctx, "plain:80", engine.Call{Attempt: "t1", Body: []byte(plain)})
+		b.NoErr(err)
+		events, err := read(s)
+		s.Close()
+		b.NoErr(err)
+		b.Equal(events[0].Tokens, 3)
+	})
+}
+
+// TestLongWholeAnswer waits for answers that are not streamed, of which nothing arrives for long.
+func TestLongWholeAnswer(t *testing.T) {
+	cases := []struct {
+		name  string
+		slow  float64
+		fault func(e *standin.Engine)
+		kind  kind.Kind
+	}{
+		{"7 seconds", 30, nil, ""},
+		{"4 minutes", 1000, nil, ""},
+		{"silent connection", 30, (*standin.Engine).Silence, kind.Silent},
+		{"stall", 30, (*standin.Engine).Stall, kind.Silent},
+		{"crash", 30, (*standin.Engine).Crash, kind.Lost},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			within(t, func(b *bench) {
+				b.engine.Slow(c.slow)
+				if c.fault != nil {
+					time.AfterFunc(3*time.Second, func() { c.fault(b.engine) })
+				}
+				events, err := b.chat(engine.Call{Attempt: "t1", Body: []byte(plain)})
+				b.Equal(kind.Of(err), c.kind)
+				if err == nil {
+					b.Equal(events[0].Tokens, 12)
+				}
+			})
+		})
+	}
+}
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -23,12 +23,18 @@
 	"hickorypath/internal/upstream/poll"
 )
 
+// keyPrefix marks the records of this package among the soft records.
+const keyPrefix = "pool/"
+
 // Times of the exchange of summaries among hosts.
 const (
 	summaryInterval = 200 * time.Millisecond
 	summaryExpiry   = 2 * time.Second
 )
 
+// peerExpiry is how long the last word of a silent host counts.
+const peerExpiry = 30 * time.Second
+
 // aliveTimeout bounds the call that tells a crashed upstream from a cut connection.
 const aliveTimeout = 500 * time.Millisecond
 
@@ -64,8 +70,16 @@
 	poller *poll.Poller
 	stop   context.CancelFunc
 
-	mu    sync.Mutex
-	loads map[string]route.Load // polled here since the last summary
+	mu       sync.Mutex
+	loads    map[string]route.Load // polled here since the last summary
+	peers    map[string]peer
+	troubles map[string]trouble // by upstream
+}
+
+// peer is what another host runs.
+type peer struct {
+	counts map[string]int // by upstream
+	heard  time.Time
 }
 
 // summary is what travels between hosts for one pool.
@@ -96,6 +110,8 @@
 	f.mu.Unlock()
 	stop := f.options.Spread.Watch(spread.Load, f.take)
 	defer stop()
+	stopLeave := f.options.Spread.Watch(leaveTopic, f.takeLeave)
+	defer stopLeave()
 	tick := time.NewTicker(summaryInterval)
 	defer tick.Stop()
 	for {
@@ -141,10 +157,12 @@
 	e := &entry{
 		Dispatcher: dispatch.New(p.Name(), classes, build, f.options.Clock),
 		loads:      map[string]route.Load{},
+		peers:      map[string]peer{},
+		troubles:   map[string]trouble{},
 		stop:       func() {},
 	}
 	if p.Kind() == document.Engine {
-		e.poller = f.newPoller(e)
+		e.poller = f.newPoller(p.Name(), e)
 	}
 	if f.ctx != nil {
 		e.run(f.ctx)
@@ -152,11 +170,21 @@
 	return e
 }
 
-func (f *Fleet) newPoller(e *entry) *poll.Poller {
+func (f *Fleet) newPoller(name string, e *entry) *poll.Poller {
 	return poll.New(poll.Options{
 		Load:   f.options.Load,
 		Events: f.options.Events,
-		Loaded: e.loaded,
+		Loaded: func(id string, l route.Load) {
+			e.loaded(id, l)
+			if e.noteUp(id, l.At) {
+				f.refreshPool(name)
+			}
+		},
+		Failed: func(id string, _ error) {
+			if e.noteFailed(id, 1, f.options.Clock.Now()) {
+				f.refreshPool(name)
+			}
+		},
 		Cached: e.Cached,
 		Mine: func(id string) bool {
 			return poll.Mine(f.options.Host, f.options.Hosts(), id)
@@ -205,6 +233,27 @@
 	return loads
 }
 
+func (e *entry) notePeer(host string, p peer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.peers[host] = p
+}
+
+// runningElsewhere returns how many requests of other hosts an upstream runs.
+func (e *entry) runningElsewhere(upstream string, now time.Time) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	sum := 0
+	for host, p := range e.peers {
+		if now.Sub(p.heard) > peerExpiry {
+			delete(e.peers, host)
+			continue
+		}
+		sum += p.counts[upstream]
+	}
+	return sum
+}
+
 func (e *entry) setTargets(targets []dispatch.Target) {
 	e.SetTargets(targets)
 	if e.poller == nil {
@@ -244,7 +293,11 @@
 // the lock.
 func (f *Fleet) sized(name string) []dispatch.Target {
 	return lo.Map(f.targets[name], func(t dispatch.Target, _ int) dispatch.Target {
-		return t.WithSlots(f.slots[name])
+		t = f.marked(t).WithSlots(f.slots[name])
+		if e, ok := f.pools[name]; ok && e.isDown(t.ID()) {
+			return t.WithDown()
+		}
+		return t
 	})
 }
 
@@ -275,6 +328,24 @@
 	return true
 }
 
+// Want returns the demand of all hosts on a pool.
+func (f *Fleet) Want(name string) pool.Demand {
+	e, ok := f.entry(name)
+	if !ok {
+		return pool.Demand{}
+	}
+	return e.Want()
+}
+
+// Running returns how many requests of all hosts an upstream runs.
+func (f *Fleet) Running(name, upstream string) int {
+	e, ok := f.entry(name)
+	if !ok {
+		return 0
+	}
+	return e.Running(upstream) + e.runningElsewhere(upstream, f.options.Clock.Now())
+}
+
 // Pools returns all dispatchers in the order of their names.
 func (f *Fleet) Pools() []*dispatch.Dispatcher {
 	list := lo.Map(f.entries(), func(e *entry, _ int) *dispatch.Dispatcher { return e.Dispatcher })
@@ -304,12 +375,15 @@
 			f.options.Log.Error("summary cannot be encoded", zap.Error(err))
 			continue
 		}
-		f.options.Spread.Put(spread.Load, e.Name()+"/"+f.options.Host, uint64(now.UnixNano()), data, now.Add(summaryExpiry))
+		f.options.Spread.Put(spread.Load, keyPrefix+e.Name()+"/"+f.options.Host, uint64(now.UnixNano()), data, now.Add(summaryExpiry))
 	}
 }
 
 // take merges what another host tells of a pool.
 func (f *Fleet) take(r spread.Record) {
+	if !strings.HasPrefix(r.Key(), keyPrefix) {
+		return
+	}
 	var s summary
 	if err := cbor.Unmarshal(r.Value(), &s); err != nil {
 		f.options.Log.Warn("summary of a peer cannot be read", zap.Error(err))
@@ -320,7 +394,11 @@
 		return
 	}
 	e.Peer(s.Host, s.Body)
+	e.notePeer(s.Host, peer{counts: s.Body.Counts, heard: f.options.Clock.Now()})
 	for id, l := range s.Loads {
 		e.Report(id, l)
+		if e.noteUp(id, l.At) {
+			f.refreshPool(s.Pool)
+		}
 	}
 }
