--- a/internal/platform/usage/crash_test.go
+++ b/internal/platform/usage/crash_test.go
@@ -82,6 +82,37 @@
 	}))
 }
 
+// What a host handed over counts once, also when it reaches another host long after it was counted.
+func TestLateImport(t *testing.T) {
+	cases := []struct {
+		name string
+		late time.Duration
+	}{
+		{"in the same window", 0},
+		{"after it was counted", 3 * windowLength},
+		{"after the parts were removed", 3 * time.Hour},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.NoErr(bubble(t, 1, func(t *testing.T, w *world) {
+				one, two, three := w.start(t, nil), w.start(t, nil), w.start(t, nil)
+				w.traffic(30 * time.Second)
+				w.memory.Set(store.Faults{Down: true})
+				w.deliver(one, "c", 100)
+				data := one.recorder.Export()
+				one.cancel()
+				w.hosts = w.hosts[1:]
+				is.NoErr(two.recorder.Import(data))
+				time.Sleep(time.Second)
+				w.memory.Set(store.Faults{})
+				time.Sleep(c.late)
+				is.NoErr(three.recorder.Import(data))
+			}))
+		})
+	}
+}
+
 func TestManyCustomers(t *testing.T) {
 	is := is.New(t)
 	const customers = 29000
--- a/internal/platform/usage/handover.go
+++ b/internal/platform/usage/handover.go
@@ -41,6 +41,9 @@
 
 // Import takes over what a peer exported; the next commit stores it.
 func (r *Recorder) Import(data []byte) error {
+	if len(data) == 0 {
+		return nil
+	}
 	h, err := decode[handover](data)
 	if err != nil {
 		return err
