--- a/internal/policy/pool/arrive.go
+++ b/internal/policy/pool/arrive.go
@@ -18,7 +18,7 @@
 	c := p.newCall(now, r, k)
 	p.gate.Arrive(now, k.Tier, c.item.Cost)
 	p.durable.Add(now, c.item.Cost*k.durablePart())
-	p.out = append(p.out, Decision{ID: r.ID, Action: Wait})
+	p.out = append(make([]Decision, 0, 2), Decision{ID: r.ID, Action: Wait})
 	if p.admit(now, c) {
 		p.enqueue(c)
 		p.dispatch(now)
--- a/internal/policy/pool/dispatch.go
+++ b/internal/policy/pool/dispatch.go
@@ -199,8 +199,7 @@
 }
 
 func (p *Pool) expire(now time.Time) {
-	for len(p.expiry) > 0 && !p.expiry[0].expires.After(now) {
-		c := p.expiry[0]
+	for c := p.expiry.first(now); c != nil; c = p.expiry.first(now) {
 		p.drop(c)
 		if c.aside {
 			p.refuse(c, kind.Unavailable, 0)
