Reckon the usage reporter in the capacity page

A window of usage at two years' size is 1.7 million rows in 350 parts: at 57 bytes each, 100 MB are read at once, above a daemon's 64 MB.

--- a/internal/host/capacity/model.go
+++ b/internal/host/capacity/model.go
@@ -116,7 +116,9 @@
 	usageCommits   = "usage.commits"
 	claimWrites    = "claim.writes"
 	claimReads     = "claim.reads"
-	claimKept      = "claim.kept" // bytes
+	claimKept      = "claim.kept"   // bytes
+	usageRow       = "usage.row"    // bytes
+	usageReport    = "usage.report" // microseconds a row
 	leaseWrites    = "lease.writes"
 	startReads     = "start.reads"
 	changeWrites   = "change.writes"
@@ -127,7 +129,7 @@
 	packetOverhead, packetCPU, hostTick, relayPackets, relayPayload, hostPackets, hostPayload, changePackets, changePayload,
 	changeLink, changeSmall, changeCPU, changeTime, changeFault, keyPackets, keyPayload, spreadKeyHeap, spreadDocHeap,
 	documentHeap, documentParse, keyHeap, memberHeap, limitHeap, poolHeap, keyLookup, poolTick, poolArrive, routeDecision, routeShare, upstreamPoll,
-	requestCPU, eventCPU, usageCommits, claimWrites, claimReads, claimKept, leaseWrites, startReads, changeWrites, changeReads,
+	requestCPU, eventCPU, usageCommits, usageRow, usageReport, claimWrites, claimReads, claimKept, leaseWrites, startReads, changeWrites, changeReads,
 }
 
 // slope returns the value under one of the names above.
--- a/internal/host/capacity/page.go
+++ b/internal/host/capacity/page.go
@@ -4,6 +4,7 @@
 	"bytes"
 	_ "embed"
 	"fmt"
+	"math"
 	"text/template"
 
 	"hickorypath/internal/core/kind"
@@ -53,6 +54,24 @@
 	return claims / (m.Size.Requests * m.Size.Once) / secondsPerHour
 }
 
+// Reporting is what one window of usage costs the reporter.
+type Reporting struct {
+	Rows  float64 // one for each host and customer
+	Bytes float64 // read from the store, MB
+	CPU   float64 // percent of a core over the window
+}
+
+// Reporting returns the cost of the usage reporter, with customers that meet hosts at random.
+func (m *Model) Reporting() Reporting {
+	s := m.Size
+	requests := s.Requests / s.Hosts * usageWindow
+	rows := s.Hosts * s.Customers * -math.Expm1(-requests/s.Customers)
+	return Reporting{
+		Rows: rows, Bytes: rows * m.slope(usageRow) / mega,
+		CPU: rows * m.slope(usageReport) * micro / usageWindow * percent,
+	}
+}
+
 // Page returns the text of the capacity page.
 func (m *Model) Page() ([]byte, error) {
 	var b bytes.Buffer
