--- a/internal/policy/route/pick.go
+++ b/internal/policy/route/pick.go
@@ -134,7 +134,7 @@
 	switch {
 	case m.reclaimable && !w.Cheap:
 		return false
-	case w.Lone && (m.suspects > 0 || !c.table.mayTry(c.now, m)):
+	case w.Lone && !c.table.canTry(c.now, m):
 		return false
 	case w.Suspect && m.lone > 0:
 		return false
--- a/internal/policy/route/trial.go
+++ b/internal/policy/route/trial.go
@@ -23,6 +23,15 @@
 	}
 }
 
+// canTry reports whether a lone suspect may be tried on m: not beside another suspect, in this host's
+// turn only, and not where m is on trial itself after a crash, unless all members are.
+func (t *Table) canTry(now time.Time, m *member) bool {
+	if m.suspects > 0 || !t.mayTry(now, m) {
+		return false
+	}
+	return m.health.Settled() || len(t.unsettle) >= len(t.byID)
+}
+
 // mayTry reports whether it is this host's turn to run a lone suspect on m. At any time one host at
 // most may, so that two hosts do not try two suspects on the same upstream and blame both.
 func (t *Table) mayTry(now time.Time, m *member) bool {
--- a/internal/policy/suspect/book.go
+++ b/internal/policy/suspect/book.go
@@ -46,7 +46,7 @@
 	runs    map[uint64]run
 	on      map[string]map[uint64]Print // requests by upstream
 	order   []Print                     // entries by age, for the bound on size
-	down    map[string]time.Time        // since when each crashed upstream is down
+	down    map[string]outage           // of crashed upstreams
 }
 
 // entry is what is known of one suspect.
@@ -58,6 +58,11 @@
 	running     int // runs of it on this host
 }
 
+// outage is the time in which an upstream was found down.
+type outage struct {
+	since, seen time.Time
+}
+
 type run struct {
 	upstream string
 	print    Print
@@ -73,7 +78,7 @@
 		entries: map[Print]*entry{},
 		runs:    map[uint64]run{},
 		on:      map[string]map[uint64]Print{},
-		down:    map[string]time.Time{},
+		down:    map[string]outage{},
 	}
 }
 
@@ -123,7 +128,7 @@
 	if !ok || !whole {
 		return
 	}
-	if r.started.After(b.down[r.upstream]) {
+	if r.started.After(b.down[r.upstream].since) {
 		delete(b.down, r.upstream)
 	}
 	if !r.trial {
@@ -200,8 +205,9 @@
 		all = append(all, p)
 	}
 	if !known {
-		b.down[upstream] = now
+		since = now
 	}
+	b.down[upstream] = outage{since: since, seen: now}
 	if len(trials) == 1 {
 		return nil, []Quarantine{b.quarantine(now, trials[0], upstream)}
 	}
@@ -212,25 +218,24 @@
 	return out, nil
 }
 
-// downSince returns since when an upstream is known to be down. What was learned long ago does not
-// count: the upstream may have come back without a request from this host.
+// downSince returns since when an upstream is known to be down. What was last seen some time ago does
+// not count: the upstream may have come back without an answer to this host.
 func (b *Book) downSince(now time.Time, upstream string) (since time.Time, known bool) {
-	since, known = b.down[upstream]
-	if known && now.Sub(since) > downExpiry {
+	o, known := b.down[upstream]
+	if known && now.Sub(o.seen) > downExpiry {
 		delete(b.down, upstream)
 		return time.Time{}, false
 	}
-	return since, known
+	return o.since, known
 }
 
-// downExpiry is shorter than the first quarantine, so that a request which crashes an upstream again
-// after its quarantine is found out.
-const downExpiry = 5 * time.Minute
+// downExpiry is below the time that an engine takes to load its model again.
+const downExpiry = 15 * time.Second
 
 // crashed takes another host's word that an upstream crashed.
 func (b *Book) crashed(upstream string, at time.Time) {
-	if upstream != "" && at.After(b.down[upstream]) {
-		b.down[upstream] = at
+	if upstream != "" && at.After(b.down[upstream].since) {
+		b.down[upstream] = outage{since: at, seen: at}
 	}
 }
 
