Keep one time for each tier that other hosts shed

The mark of each shedding host was looked at on every arrival. Summaries now say how long ago the tier was shed, so that all hosts end holding back together.

--- a/internal/policy/admit/admit_test.go
+++ b/internal/policy/admit/admit_test.go
@@ -18,11 +18,14 @@
 	is.Equal(g.Held(start), admit.None)
 	g.Shed(start, 4)
 	is.Equal(g.Held(start), 4)
-	g.Peer(start, "b", 2)
+	g.Hear(start, 2, 600*time.Millisecond)
 	is.Equal(g.Held(start), 2) // the highest tier that any host sheds
-	is.Equal(g.Shedding(start), 4)
-	g.Peer(start, "b", admit.None)
-	is.Equal(g.Held(start), 4)
+	tier, _ := g.Shedding(start)
+	is.Equal(tier, 4)
+	is.Equal(g.Held(start.Add(500*time.Millisecond)), 4)
+	is.Equal(g.Held(start.Add(2*time.Second)), admit.None)
+	g.Hear(start, admit.None, 0)
+	g.Hear(start, 99, 0)
 	is.Equal(g.Held(start.Add(2*time.Second)), admit.None)
 }
 
--- a/internal/policy/admit/gate.go
+++ b/internal/policy/admit/gate.go
@@ -34,7 +34,7 @@
 type Gate struct {
 	shed    []time.Time // last time that each tier was shed on this host
 	runs    []time.Time // start of the present run of sheds of each tier
-	peers   map[string]mark
+	heard   []time.Time // last time that each tier was shed on another host, as far as known
 	rates   []Rate
 	pace    float64
 	samples float64
@@ -43,18 +43,12 @@
 	until   time.Time
 }
 
-// mark is the highest tier that another host sheds.
-type mark struct {
-	tier int
-	at   time.Time
-}
-
 // New returns a Gate for tiers 0 to tiers-1.
 func New(tiers int) *Gate {
 	return &Gate{
 		shed:  make([]time.Time, tiers),
 		runs:  make([]time.Time, tiers),
-		peers: make(map[string]mark),
+		heard: make([]time.Time, tiers),
 		rates: make([]Rate, tiers),
 		pace:  startPace,
 	}
@@ -62,11 +56,13 @@
 
 // Resize keeps what the Gate knows for tiers 0 to tiers-1 and forgets the rest.
 func (g *Gate) Resize(tiers int) {
-	shed, runs, rates := make([]time.Time, tiers), make([]time.Time, tiers), make([]Rate, tiers)
+	shed, heard, runs := make([]time.Time, tiers), make([]time.Time, tiers), make([]time.Time, tiers)
+	rates := make([]Rate, tiers)
 	copy(shed, g.shed)
+	copy(heard, g.heard)
 	copy(runs, g.runs)
 	copy(rates, g.rates)
-	g.shed, g.runs, g.rates = shed, runs, rates
+	g.shed, g.heard, g.runs, g.rates = shed, heard, runs, rates
 }
 
 // Arrive counts a request that asks for service in a tier, refused or not.
@@ -145,39 +141,39 @@
 	g.shed[tier] = now
 }
 
-// Shedding returns the highest tier that this host sheds, or None.
-func (g *Gate) Shedding(now time.Time) int {
+// Shedding returns the highest tier that this host sheds, or None, and how long ago it last did.
+func (g *Gate) Shedding(now time.Time) (tier int, age time.Duration) {
 	for t, at := range g.shed {
-		if !at.IsZero() && now.Sub(at) < holdTime {
-			return t
+		if isRecent(now, at) {
+			return t, now.Sub(at)
 		}
 	}
-	return None
+	return None, 0
 }
 
-// Peer records the highest tier that another host sheds, or None.
-func (g *Gate) Peer(now time.Time, host string, tier int) {
-	if tier == None {
-		delete(g.peers, host)
+// Hear records that another host shed a tier some time ago.
+func (g *Gate) Hear(now time.Time, tier int, age time.Duration) {
+	if tier < 0 || tier >= len(g.heard) {
 		return
 	}
-	g.peers[host] = mark{tier: tier, at: now}
+	if at := now.Add(-age); at.After(g.heard[tier]) {
+		g.heard[tier] = at
+	}
 }
 
 // Held returns the highest tier that is shed on any host, or None. Every lower tier is held back.
 func (g *Gate) Held(now time.Time) int {
-	held := g.Shedding(now)
-	for _, m := range g.peers {
-		if now.Sub(m.at) < holdTime && (held == None || m.tier < held) {
-			held = m.tier
+	for t := range g.shed {
+		if isRecent(now, g.shed[t]) || isRecent(now, g.heard[t]) {
+			g.extend(now)
+			return t
 		}
 	}
-	if held != None {
-		g.extend(now)
-	}
-	return held
+	return None
 }
 
+func isRecent(now, at time.Time) bool { return !at.IsZero() && now.Sub(at) < holdTime }
+
 // extend prolongs the present run of holding back, or begins one.
 func (g *Gate) extend(now time.Time) {
 	if now.After(g.until) {
--- a/internal/policy/pool/peer.go
+++ b/internal/policy/pool/peer.go
@@ -17,6 +17,7 @@
 	Weight  []float64      `cbor:"w"` // weight of the waiting customers, by tier
 	Zone    string         `cbor:"z"`
 	Shed    int            `cbor:"s"` // highest tier that is shed, counted from 1; 0 for none
+	Age     time.Duration  `cbor:"a"` // since it was last shed
 	Counts  map[string]int `cbor:"u"` // running by upstream
 	Pace    float64        `cbor:"p"` // seconds that a slot takes for one token
 	Spell   time.Duration  `cbor:"t"` // mean time that a request occupies a slot, zero when unknown
@@ -47,13 +48,15 @@
 
 // Summary returns this host's summary.
 func (p *Pool) Summary(now time.Time) Summary {
+	shed, age := p.gate.Shedding(now)
 	s := Summary{
 		Queued:  make([]int, p.queue.Tiers()),
 		Running: append([]int(nil), p.running...),
 		Want:    p.want(now),
 		Weight:  make([]float64, p.queue.Tiers()),
 		Zone:    p.zone,
-		Shed:    p.gate.Shedding(now) + 1,
+		Shed:    shed + 1,
+		Age:     age,
 		Counts:  make(map[string]int, len(p.counts)),
 		Pace:    p.gate.Pace(),
 		Spell:   p.gate.Spell(),
@@ -77,7 +80,7 @@
 		return
 	}
 	p.peers[host] = peer{Summary: s, at: now}
-	p.gate.Peer(now, host, s.Shed-1)
+	p.gate.Hear(now, s.Shed-1, s.Age)
 	p.gate.Adopt(s.Pace, s.Spell)
 	p.table.Peer(now, host, s.Counts)
 }
@@ -175,7 +178,6 @@
 // forget drops a host that has sent no summary for some time.
 func (p *Pool) forget(now time.Time, host string) {
 	delete(p.peers, host)
-	p.gate.Peer(now, host, admit.None)
 	p.table.Peer(now, host, nil)
 }
 
