--- a/internal/platform/store/fleet_test.go
+++ b/internal/platform/store/fleet_test.go
@@ -160,20 +160,24 @@
 // TestFleetCalls counts the calls of a fleet of today's size and works out those of the later one
 // from slopes: per host, per duty and per claim.
 func TestFleetCalls(t *testing.T) {
-	today := counted(t, fleet{hosts: todayHosts, leases: todayLeases, claims: todayClaims / float64(todayHosts), commit: time.Second, load: load{10, 10}})
-	w, r := today.total()
+	now := fleet{hosts: todayHosts, leases: todayLeases, claims: todayClaims / float64(todayHosts), commit: time.Second, load: load{10, 10}}
+	base := fleet{hosts: 4, leases: 1, commit: laterCommit, load: load{18, 29000}}
+	hosts, duties, claims := base, base, base
+	hosts.hosts, duties.leases, claims.claims = 8, 5, 1
+	got := countAll(t, []fleet{now, base, hosts, duties, claims})
+
+	w, r := got[0].total()
 	t.Logf("today: %d hosts, %d duties, %d claim/s: %.1f writes/s, %.1f reads/s", todayHosts, todayLeases, todayClaims, w, r)
-	for u := range today.reads {
-		t.Logf("  %-9s %6.2f writes/s %6.2f reads/s", u, today.writes[u], today.reads[u])
+	for u := range got[0].reads {
+		t.Logf("  %-9s %6.2f writes/s %6.2f reads/s", u, got[0].writes[u], got[0].reads[u])
 	}
 	if w+r >= todayLimit {
 		t.Errorf("today: %.1f calls/s, limit %.0f", w+r, todayLimit)
 	}
 
-	base := fleet{hosts: 4, leases: 1, commit: laterCommit, load: load{18, 29000}}
-	hostW, hostR := slope(t, base, func(f *fleet) { f.hosts = 8 }, 4)
-	dutyW, dutyR := slope(t, base, func(f *fleet) { f.leases = 5 }, 4)
-	claimW, claimR := slope(t, base, func(f *fleet) { f.claims = 1 }, 4)
+	hostW, hostR := slope(got[1], got[2], 4)
+	dutyW, dutyR := slope(got[1], got[3], 4)
+	claimW, claimR := slope(got[1], got[4], 4)
 	t.Logf("slopes: host %.3f w %.3f r, duty %.3f w %.3f r, claim %.2f w %.2f r", hostW, hostR, dutyW, dutyR, claimW, claimR)
 	w = laterHosts*hostW + laterLeases*dutyW + laterClaims*claimW
 	r = laterHosts*hostR + laterLeases*dutyR + laterClaims*claimR
@@ -187,10 +191,23 @@
 	}
 }
 
+// countAll counts the calls of several fleets at a time.
+func countAll(t *testing.T, fleets []fleet) []rates {
+	out := make([]rates, len(fleets))
+	t.Run("fleets", func(t *testing.T) {
+		for i, f := range fleets {
+			t.Run(fmt.Sprint(i), func(t *testing.T) {
+				t.Parallel()
+				out[i] = counted(t, f)
+			})
+		}
+	})
+	return out
+}
+
 // slope returns the calls per second that one more of something takes.
-func slope(t *testing.T, base fleet, more func(*fleet), n float64) (writes, reads float64) {
-	w0, r0 := counted(t, base).total()
-	more(&base)
-	w1, r1 := counted(t, base).total()
+func slope(less, more rates, n float64) (writes, reads float64) {
+	w0, r0 := less.total()
+	w1, r1 := more.total()
 	return (w1 - w0) / n, (r1 - r0) / n
 }
