--- a/internal/policy/pool/peer.go
+++ b/internal/policy/pool/peer.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -129,11 +130,8 @@
 		own.Weight[t] = p.queue.Active(t)
 	}
 	loads = append(loads, own)
+	p.forgetSilent(now)
 	for host, peer := range p.peers {
-		if now.Sub(peer.at) > peerTime {
-			p.forget(now, host)
-			continue
-		}
 		loads = append(loads, peer.load(host))
 	}
 	slots := p.usable(now)
@@ -175,10 +173,20 @@
 	return p.peers[host].Zone
 }
 
-// forget drops a host that has sent no summary for some time.
-func (p *Pool) forget(now time.Time, host string) {
-	delete(p.peers, host)
-	p.table.Peer(now, host, nil)
+// forgetSilent drops the hosts that have sent no summary for some time, in the order of their names
+// so that equal histories lead to equal choices.
+func (p *Pool) forgetSilent(now time.Time) {
+	var silent []string
+	for host, peer := range p.peers {
+		if now.Sub(peer.at) > peerTime {
+			silent = append(silent, host)
+		}
+	}
+	slices.Sort(silent)
+	for _, host := range silent {
+		delete(p.peers, host)
+		p.table.Peer(now, host, nil)
+	}
 }
 
 func (s Summary) load(host string) admit.Load {
--- a/internal/policy/pool/pool.go
+++ b/internal/policy/pool/pool.go
@@ -42,7 +42,7 @@
 	// sharePeriod is the least time between two divisions of each upstream's slots.
 	sharePeriod = 100 * time.Millisecond
 	// peerTime is how long the summary of another host counts.
-	peerTime = 3 * time.Second
+	peerTime = 1800 * time.Millisecond
 )
 
 // Class is one request class as the pool sees it.
