--- a/internal/policy/route/measure_test.go
+++ b/internal/policy/route/measure_test.go
@@ -60,6 +60,7 @@
 const stragglerBound = 1.3 // p99 with a straggler relative to the pool without it
 
 func TestStraggler(t *testing.T) {
+	t.Parallel()
 	base := simConfig{
 		engines: 9, hosts: 7, slots: 16, rate: 18, length: 150 * time.Second, warm: 10 * time.Second,
 		lag: 5 * time.Second, slow: 5,
@@ -97,6 +98,7 @@
 const hitBound = 0.85 // hit rate relative to an omniscient router's
 
 func TestSharedPrefixes(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		rate   float64
 		groups int
