--- a/internal/host/node/fault_test.go
+++ b/internal/host/node/fault_test.go
@@ -196,6 +196,24 @@
 	}
 }
 
+// TestSilentConnectionIsOpenedAnew lets the connection of two hosts go silent until one opens another.
+func TestSilentConnectionIsOpenedAnew(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newFleet(9, 7, 3)
+	s.run(5 * time.Second)
+	a, b := s.hosts["h000"], s.hosts["h001"]
+	s.cut = func(from, to *simHost) bool {
+		between := from == a && to == b || from == b && to == a
+		return between && a.resets["h001"]+b.resets["h000"] == 0
+	}
+	s.run(4 * time.Second)
+	is.True(a.resets["h001"]+b.resets["h000"] > 0)
+	s.run(2 * time.Second)
+	is.Equal(a.core.members()[1].State(), member.Alive)
+	is.Equal(len(a.resets)+len(b.resets) <= 2, true) // no other connection is given up
+}
+
 // TestJoinBeforeListed starts a host that the others' lists do not name.
 func TestJoinBeforeListed(t *testing.T) {
 	t.Parallel()
--- a/internal/host/node/sim_test.go
+++ b/internal/host/node/sim_test.go
@@ -46,7 +46,8 @@
 	bytes    int
 	received int
 	bytesIn  int
-	pushed   traffic // records that changed
+	resets   map[string]int // connections opened anew
+	pushed   traffic        // records that changed
 }
 
 // traffic counts messages and their bytes, in and out.
@@ -132,7 +133,7 @@
 
 // start starts a host, or starts it again with empty memory.
 func (s *sim) start(id, zone string) *simHost {
-	h := &simHost{id: id, zone: zone, addr: "addr-" + id, alive: true}
+	h := &simHost{id: id, zone: zone, addr: "addr-" + id, alive: true, resets: map[string]int{}}
 	if old := s.hosts[id]; old != nil {
 		old.alive = false
 		h.start = old.start + 1
@@ -140,7 +141,7 @@
 	s.hosts[id] = h
 	h.core = newCore(
 		coreOptions{
-			id: id, now: func() time.Time { return s.now }, reset: func(string) {},
+			id: id, now: func() time.Time { return s.now }, reset: func(id string) { h.resets[id]++ },
 			send:     func(to, _ string, p Packet) { s.send(h, to, p) },
 			revision: func() uint64 { return h.revision },
 		},
