--- a/cmd/hickorypath/bench_test.go
+++ b/cmd/hickorypath/bench_test.go
@@ -21,7 +21,7 @@
 // BenchmarkAddedCost compares calls through one host with direct calls to the same stand-in in the same
 // run. It reports the time and the processor time of one call, of the whole process.
 func BenchmarkAddedCost(b *testing.B) {
-	d, err := newDemo(&demoFlags{listen: anyPort, admin: anyPort, hosts: 1, zones: 1, engine: fastOptions, count: 1}, zap.NewNop(), io.Discard)
+	d, err := newDemo(&demoFlags{listen: anyPort, admin: anyPort, hosts: 1, zones: 1, engine: fastOptions, count: 1, lease: testLease, window: testWindow}, zap.NewNop(), io.Discard)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/cmd/hickorypath/demo.go
+++ b/cmd/hickorypath/demo.go
@@ -41,6 +41,9 @@
 	demoToken     = "demo-operator"
 	demoSecret    = "demo-secret-of-the-hosts"
 	demoDeadline  = 20 * time.Second
+	demoLease     = 3 * time.Second
+	demoWindow    = 10 * time.Second
+	demoOrderPart = 3 // of the lease, the time for one order
 	demoInterval  = 50 * time.Millisecond
 	anyPort       = "127.0.0.1:0"
 	demoCustomer  = "laredo"
@@ -58,6 +61,8 @@
 	log    string
 	engine standinengine.Options
 	count  int // engines of each pool
+	lease  time.Duration
+	window time.Duration
 }
 
 // demoEngine are the properties of the demo's engines.
@@ -65,7 +70,7 @@
 
 // addDemo adds the command that runs hosts and stand-ins in one process.
 func addDemo(app *kingpin.Application) {
-	f := &demoFlags{engine: demoEngine, count: demoEngines}
+	f := &demoFlags{engine: demoEngine, count: demoEngines, lease: demoLease, window: demoWindow}
 	cmd := app.Command("demo", "Run hosts on loopback with stand-ins for everything outside, and print commands to try.")
 	cmd.Flag("listen", "Callers' address of the first host; the others take the ports after it.").Default("127.0.0.1:8080").StringVar(&f.listen)
 	cmd.Flag("admin", "Operators' address of the first host; the others take the ports after it.").Default("127.0.0.1:8090").StringVar(&f.admin)
@@ -204,7 +209,8 @@
 		},
 		"services": services,
 		"drain":    map[string]string{"notice": "200ms"},
-		"window":   "10s",
+		"window":   d.flags.window.String(),
+		"timeout":  map[string]string{"lease": d.flags.lease.String(), "order": (d.flags.lease / demoOrderPart).String()},
 		"log":      d.flags.log,
 	})
 	if err != nil {
--- a/cmd/hickorypath/duties.go
+++ b/cmd/hickorypath/duties.go
@@ -34,6 +34,12 @@
 // candidates is how many hosts try to get each lease.
 const candidates = 3
 
+// Bounds of the reporter's times, which follow the length of a window.
+const (
+	maxGrace = 10 * time.Second // for hosts to seal their parts
+	maxPass  = 5 * time.Second  // between looks for windows that are due
+)
+
 // sweepInterval is how often the holder of the usage lease removes the texts of old documents.
 const sweepInterval = 10 * time.Minute
 
@@ -75,6 +81,7 @@
 		Store:     get[*store.Client](i),
 		Backend:   provision.NewHTTP(s.Platform().Provision, &http.Client{}),
 		Timeout:   s.OrderTimeout(),
+		Lease:     s.Lease(),
 		Fleet:     get[*fleet.Fleet](i),
 		Upstreams: list.get,
 		Zones:     func() []string { return zonesOf(n, list) },
@@ -126,6 +133,7 @@
 	k := get[clock.Clock](i)
 	l := lease.New(c, k, lease.Options{
 		Name:      usageLease,
+		TTL:       s.Lease(),
 		Holder:    id.host + "/" + id.incarnation,
 		Candidate: func() bool { return isCandidate(liveHosts(n.Members()), s.Host(), usageLease) },
 		Log:       get[*zap.Logger](i),
@@ -133,6 +141,8 @@
 	sink := usage.NewHTTP(s.Platform().Usage, s.OrderTimeout())
 	r := usage.NewReporter(c, k, l, sink, usage.ReporterOptions{
 		Window:  s.Window(),
+		Grace:   min(s.Window(), maxGrace),
+		Every:   min(s.Window(), maxPass),
 		Timeout: s.OrderTimeout(),
 		Log:     get[*zap.Logger](i),
 	})
--- a/cmd/hickorypath/path_test.go
+++ b/cmd/hickorypath/path_test.go
@@ -39,12 +39,18 @@
 // testEngine is like the engines of the demo, and faster.
 var testEngine = standinengine.Options{Slots: demoSlots, Gap: 2 * time.Millisecond, Prefill: demoPrefill}
 
+// Times that let duties and reports show within seconds.
+const (
+	testLease  = 1 * time.Second
+	testWindow = 1 * time.Second
+)
+
 // newWorldOf runs three hosts before count engines of each pool.
 func newWorldOf(t *testing.T, count int) *world {
 	t.Helper()
 	t.Parallel()
 	is := is.New(t)
-	d, err := newDemo(&demoFlags{listen: anyPort, admin: anyPort, hosts: 3, zones: 3, engine: testEngine, count: count}, zap.NewNop(), io.Discard)
+	d, err := newDemo(&demoFlags{listen: anyPort, admin: anyPort, hosts: 3, zones: 3, engine: testEngine, count: count, lease: testLease, window: testWindow}, zap.NewNop(), io.Discard)
 	is.NoErr(err)
 	d.start()
 	t.Cleanup(d.close)
--- a/internal/core/settings/check.go
+++ b/internal/core/settings/check.go
@@ -88,6 +88,10 @@
 	}
 	c.positive("/timeout/store", f.Timeout.Store)
 	c.positive("/timeout/order", f.Timeout.Order)
+	c.positive("/timeout/lease", f.Timeout.Lease)
+	if f.Timeout.Order >= f.Timeout.Lease {
+		c.fault("/timeout/order", "is not shorter than the lease under which orders are given", "shorten timeout.order or lengthen timeout.lease")
+	}
 	c.positive("/timeout/connect", f.Timeout.Connect)
 	c.positive("/timeout/shutdown", f.Timeout.Shutdown)
 	c.positive("/drain/notice", f.Drain.Notice)
--- a/internal/core/settings/settings.go
+++ b/internal/core/settings/settings.go
@@ -67,6 +67,7 @@
 type Timeouts struct {
 	Store    Duration `json:"store"`
 	Order    Duration `json:"order"`
+	Lease    Duration `json:"lease"`
 	Connect  Duration `json:"connect"`
 	Shutdown Duration `json:"shutdown"`
 }
@@ -80,6 +81,7 @@
 const (
 	defaultStoreTimeout    = 2 * time.Second
 	defaultOrderTimeout    = 5 * time.Second
+	defaultLease           = 15 * time.Second
 	defaultConnectTimeout  = 1 * time.Second
 	defaultShutdownTimeout = 5 * time.Minute
 	defaultDrainNotice     = 3 * time.Second
@@ -115,6 +117,7 @@
 func applyDefaults(f *file) {
 	setDefault(&f.Timeout.Store, defaultStoreTimeout)
 	setDefault(&f.Timeout.Order, defaultOrderTimeout)
+	setDefault(&f.Timeout.Lease, defaultLease)
 	setDefault(&f.Timeout.Connect, defaultConnectTimeout)
 	setDefault(&f.Timeout.Shutdown, defaultShutdownTimeout)
 	setDefault(&f.Drain.Notice, defaultDrainNotice)
@@ -166,6 +169,9 @@
 // OrderTimeout bounds one order to the platform.
 func (s *Settings) OrderTimeout() time.Duration { return time.Duration(s.raw.Timeout.Order) }
 
+// Lease is the time after which a lease that is not renewed ends.
+func (s *Settings) Lease() time.Duration { return time.Duration(s.raw.Timeout.Lease) }
+
 // ConnectTimeout bounds connecting to an upstream.
 func (s *Settings) ConnectTimeout() time.Duration { return time.Duration(s.raw.Timeout.Connect) }
 
--- a/internal/core/settings/settings_test.go
+++ b/internal/core/settings/settings_test.go
@@ -49,6 +49,7 @@
 		{"unset variable", `env:TOKEN`, `env:NONE`, []string{":6:13: tokens.0", "NONE"}},
 		{"unknown field", `"zone"`, `"zoen"`, []string{"unknown field", "zoen"}},
 		{"bad duration", `"1s"`, `"soon"`, []string{"soon"}},
+		{"order outlasts lease", `"1s"`, `"1s", "order": "20s"`, []string{"timeout.order", "shorter than the lease"}},
 		{"two faults", `"norte-a", "environment": "trial"`, `"", "environment": ""`, []string{"2 faults", "zone", "environment"}},
 		{"not JSON", `{`, ``, []string{"host.jsonc"}},
 	}
--- a/internal/upstream/duty/duty.go
+++ b/internal/upstream/duty/duty.go
@@ -36,6 +36,7 @@
 	Store     *store.Client
 	Backend   provision.Backend
 	Timeout   time.Duration // of one order
+	Lease     time.Duration // after which a lease that is not renewed ends
 	Fleet     *fleet.Fleet
 	Upstreams func() []provision.Upstream
 	Zones     func() []string
@@ -114,6 +115,7 @@
 	l := lease.New(o.Store, o.Clock, lease.Options{
 		Name:      leasePrefix + name,
 		Holder:    o.Holder,
+		TTL:       o.Lease,
 		Candidate: func() bool { return o.Candidate(leasePrefix + name) },
 		Log:       o.Log,
 	})
