--- a/cmd/hickorypath/host.go
+++ b/cmd/hickorypath/host.go
@@ -128,7 +128,7 @@
 	served := make(chan error, 2)
 	go func() { served <- serve(h.caller, h.callerLn, h.settings.Caller()) }()
 	go func() { served <- serve(h.admin, h.adminLn, h.settings.Admin()) }()
-	h.log.Info("host serves", zap.String("caller", h.callerLn.Addr().String()), zap.String("admin", h.adminLn.Addr().String()))
+	h.log.Info("host serves", zap.String("caller", h.callerLn.Addr().String()), zap.String("admin", h.adminLn.Addr().String()), zap.String("peer", get[*node.Node](h.injector).Addr()))
 	select {
 	case <-ctx.Done():
 	case err := <-served:
--- a/cmd/hickorypath/path_test.go
+++ b/cmd/hickorypath/path_test.go
@@ -96,7 +96,11 @@
 }
 
 func (w *world) send(ctx context.Context, host int, c call) answer {
-	req, err := http.NewRequestWithContext(ctx, c.method, w.callerURL(host)+c.path, strings.NewReader(c.body))
+	return w.sendTo(ctx, w.callerURL(host), c)
+}
+
+func (w *world) sendTo(ctx context.Context, base string, c call) answer {
+	req, err := http.NewRequestWithContext(ctx, c.method, base+c.path, strings.NewReader(c.body))
 	if err != nil {
 		return answer{err: err}
 	}
--- a/cmd/hickorypath/script_test.go
+++ b/cmd/hickorypath/script_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"context"
+	"fmt"
 	"os"
 	"testing"
 
@@ -9,6 +11,13 @@
 )
 
 func TestMain(m *testing.M) {
+	if path := os.Getenv(serveVariable); path != "" {
+		if err := runServe(context.Background(), path); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	testscript.Main(m, map[string]func(){"hickorypath": runOperator})
 }
 
--- a/internal/standin/provision/provision.go
+++ b/internal/standin/provision/provision.go
@@ -62,6 +62,13 @@
 	p.upstreams = append(p.upstreams, u)
 }
 
+// Remove takes an upstream that is gone off the list.
+func (p *Platform) Remove(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.upstreams = slices.DeleteFunc(p.upstreams, func(u provision.Upstream) bool { return u.ID == id })
+}
+
 // Upstreams returns the list; upstreams whose notice has run out are gone.
 func (p *Platform) Upstreams() []provision.Upstream {
 	p.mu.Lock()
