Tell the pool truthfully about failed attempts

Cause: a failed call of a plain service reported the time until its failure as its time to first token, so a service that fails fast looked fast; the time also held the caller's reading of the answer. A refused connection did not count as a crash of the upstream, and the retry budget did not know how long a further attempt takes.

Change: the time to first token of a service runs from sending to the head of the answer and is left out on an error. A refused connection sets Crashed for the pool, without a verdict on the request.

--- a/internal/caller/exchange/chat.go
+++ b/internal/caller/exchange/chat.go
@@ -108,6 +108,7 @@
 			Tokens:   c.tokens,
 			Count:    c.attempts,
 			Deadline: c.deadline(),
+			Expected: budget.Expected(c.pool.Name()),
 		})
 		c.ran = v.Ran
 		if v.Avoid && c.ending.Upstream != "" {
@@ -142,6 +143,9 @@
 	result, err := c.stream(ctx, grant)
 	c.runner.deps.Suspects.Finish(c.runner.deps.Clock.Now(), run, err == nil)
 	result.Failed = err != nil && ctx.Err() == nil
+	if c.body.IsStream() && result.First > 0 {
+		c.runner.deps.Retries.First(c.pool.Name(), result.First)
+	}
 	c.pool.Release(grant, result)
 	return err
 }
@@ -250,14 +254,6 @@
 	c.ending.First = c.runner.deps.Clock.Now().Sub(c.arrived)
 }
 
-// crashed tells whether an attempt failed because its upstream crashed, and reports the crash.
-func (c *chat) crashed(ctx context.Context, grant dispatch.Grant, err error) bool {
-	if kind.Of(err) != kind.Lost || ctx.Err() != nil {
-		return false
-	}
-	return c.runner.reportCrash(ctx, c.pool.Name(), grant.Target())
-}
-
 // account fills in what the request cost and returns its tokens.
 func (c *chat) account(err error) int {
 	c.ending.Attempts = c.attempts
--- a/internal/caller/exchange/forward.go
+++ b/internal/caller/exchange/forward.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/policy/pool"
@@ -43,7 +44,8 @@
 	ran      kind.Ran
 	avoid    []string
 	attempts int
-	answered bool // a part of the answer went to the caller
+	answered bool          // a part of the answer went to the caller
+	first    time.Duration // of the present attempt, until its answer began
 }
 
 // Forward runs a call to a plain service until it is answered or refused.
@@ -120,6 +122,7 @@
 			Repeat:   f.route.Repeat(),
 			Count:    f.attempts,
 			Deadline: f.deadline(),
+			Expected: budget.Expected(f.pool.Name()),
 		})
 		f.ran = v.Ran
 		if v.Avoid && f.ending.Upstream != "" {
@@ -155,11 +158,12 @@
 	f.attempts++
 	f.ending.Upstream = grant.Target().ID()
 	run := f.runner.deps.Suspects.Start(f.runner.deps.Clock.Now(), f.print, f.ending.Upstream)
-	sent := f.runner.deps.Clock.Now()
+	f.first = 0
 	err = f.send(ctx, grant.Target().Addr())
-	result := pool.Result{First: f.runner.deps.Clock.Now().Sub(sent), Failed: err != nil && ctx.Err() == nil}
-	if kind.Of(err) == kind.Lost && ctx.Err() == nil {
-		result.Crashed = f.runner.reportCrash(ctx, f.pool.Name(), grant.Target())
+	result := pool.Result{Failed: err != nil && ctx.Err() == nil, Crashed: f.crashed(ctx, grant, err)}
+	if err == nil {
+		result.First = f.first
+		f.runner.deps.Retries.First(f.pool.Name(), f.first)
 	}
 	f.runner.deps.Suspects.Finish(f.runner.deps.Clock.Now(), run, err == nil)
 	f.pool.Release(grant, result)
@@ -171,6 +175,7 @@
 	if err := f.checkClaim(); err != nil {
 		return err
 	}
+	sent := f.runner.deps.Clock.Now()
 	res, err := f.runner.deps.Services.Do(ctx, addr, service.Call{
 		Attempt: fmt.Sprintf("%s-%d", f.req.ID, f.attempts),
 		Method:  f.req.Method,
@@ -186,7 +191,8 @@
 		return err
 	}
 	defer res.Body.Close()
-	f.ending.First = f.runner.deps.Clock.Now().Sub(f.arrived)
+	now := f.runner.deps.Clock.Now()
+	f.ending.First, f.first = now.Sub(f.arrived), now.Sub(sent)
 	body, err := f.keepOutcome(ctx, res)
 	if err != nil {
 		return err
--- a/internal/caller/exchange/retries.go
+++ b/internal/caller/exchange/retries.go
@@ -13,37 +13,58 @@
 	"hickorypath/internal/upstream/dispatch"
 )
 
-// Retries holds one retry budget for each pool. It is safe for concurrent use.
+// Retries holds one retry budget for each pool, and the times to first token that decide whether one
+// more attempt can be in time. It is safe for concurrent use.
 type Retries struct {
 	mu      sync.Mutex
 	config  retry.Config
-	budgets map[string]*retry.Budget
+	budgets map[string]*budget
+}
+
+// budget is what is kept for one pool.
+type budget struct {
+	*retry.Budget
+	firsts window
 }
 
 // NewRetries returns budgets that all have the limits of config.
 func NewRetries(config retry.Config) *Retries {
-	return &Retries{config: config, budgets: map[string]*retry.Budget{}}
+	return &Retries{config: config, budgets: map[string]*budget{}}
 }
 
 // Request notes a new request to a pool.
 func (r *Retries) Request(pool string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.budget(pool).Request()
+	r.of(pool).Request()
 }
 
 // Next decides what follows a failed attempt.
 func (r *Retries) Next(pool string, now time.Time, a retry.Attempt) retry.Verdict {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.budget(pool).Next(now, a)
+	return r.of(pool).Next(now, a)
+}
+
+// First notes the time from sending an attempt to its first token.
+func (r *Retries) First(pool string, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.of(pool).firsts.add(d)
+}
+
+// Expected returns the median time to first token of a pool, zero while few are known.
+func (r *Retries) Expected(pool string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.of(pool).firsts.quantile(expectedQuantile)
 }
 
-// budget returns the budget of a pool; the caller holds the lock.
-func (r *Retries) budget(pool string) *retry.Budget {
+// of returns the budget of a pool; the caller holds the lock.
+func (r *Retries) of(pool string) *budget {
 	b, ok := r.budgets[pool]
 	if !ok {
-		b = retry.New(r.config)
+		b = &budget{Budget: retry.New(r.config)}
 		r.budgets[pool] = b
 	}
 	return b
@@ -120,6 +141,21 @@
 	return true
 }
 
+// crashed tells whether an attempt failed because its upstream crashed, and reports the crash. An upstream
+// that refuses connections is as good as crashed, and the request that finds it so did not cause it.
+func (s *Session) crashed(ctx context.Context, grant dispatch.Grant, err error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	switch kind.Of(err) {
+	case kind.Unavailable:
+		return true
+	case kind.Lost:
+		return s.runner.reportCrash(ctx, s.pool.Name(), grant.Target())
+	}
+	return false
+}
+
 // explain replaces the error of an attempt that was cut short by the reason for the cut, such as a
 // withdrawn key or the deadline.
 func (s *Session) explain(ctx context.Context, err error) error {
