Run a second attempt beside one whose first token is late

Cause: the budget of hedges had no caller, so one slow engine made a streamed answer as slow as itself even with idle slots elsewhere.

Change: chat attempts are lanes. A streamed answer of a repeatable route whose first event is later than the 95th percentile of its pool gets a second lane on another upstream, if it starts there at once and nothing waits. The first event decides; the other lane is canceled, its slot freed and its tokens counted as wasted. A lane that loses its connection ends both, so that a request that crashes engines does not reach a second one. An attempt that was cut short on this side no longer counts for the lengths of answers.

--- a/internal/caller/exchange/chat.go
+++ b/internal/caller/exchange/chat.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -41,6 +39,8 @@
 	ran      kind.Ran
 	avoid    []string
 	attempts int
+	resumed  bool // the last attempt went on after an earlier one
+	wasted   int  // tokens of attempts that another one outran
 	gaps     gapMeter
 }
 
@@ -126,30 +126,6 @@
 	}
 }
 
-// attempt waits for an upstream and runs the request there once.
-func (c *chat) attempt(ctx context.Context) error {
-	now := c.runner.deps.Clock.Now()
-	isSuspect, err := c.runner.deps.Suspects.Check(now, c.print)
-	if err != nil {
-		return err
-	}
-	grant, err := c.pool.Acquire(ctx, c.request(isSuspect))
-	if err != nil {
-		return err
-	}
-	c.attempts++
-	c.ending.Upstream = grant.Target().ID()
-	run := c.runner.deps.Suspects.Start(c.runner.deps.Clock.Now(), c.print, grant.Target().ID())
-	result, err := c.stream(ctx, grant)
-	c.runner.deps.Suspects.Finish(c.runner.deps.Clock.Now(), run, err == nil)
-	result.Failed = err != nil && ctx.Err() == nil
-	if c.body.IsStream() && result.First > 0 {
-		c.runner.deps.Retries.First(c.pool.Name(), result.First)
-	}
-	c.pool.Release(grant, result)
-	return err
-}
-
 func (c *chat) request(isSuspect bool) pool.Request {
 	return pool.Request{
 		Customer: c.customer,
@@ -166,36 +142,6 @@
 	}
 }
 
-// stream sends one attempt and passes its answer on.
-func (c *chat) stream(ctx context.Context, grant dispatch.Grant) (pool.Result, error) {
-	attempt := fmt.Sprintf("%s-%d", c.req.ID, c.attempts)
-	sent := c.runner.deps.Clock.Now()
-	before := c.tokens
-	if err := c.checkClaim(); err != nil {
-		return pool.Result{}, err
-	}
-	s, err := c.runner.deps.Engines.Chat(ctx, grant.Target().Addr(), c.call(attempt))
-	if err != nil {
-		return pool.Result{Crashed: c.crashed(ctx, grant, err)}, err
-	}
-	defer s.Close()
-	c.prior = attempt
-	for {
-		event, err := s.Next()
-		if errors.Is(err, io.EOF) {
-			return pool.Result{Output: c.tokens - before, First: s.First(), Gap: s.Gap()}, nil
-		}
-		if err == nil {
-			err = c.pass(grant, event)
-		}
-		if err != nil {
-			crashed := c.crashed(ctx, grant, err)
-			return pool.Result{Output: c.tokens - before, First: s.First(), Gap: s.Gap(), Crashed: crashed}, err
-		}
-		c.noteFirst(sent, event)
-	}
-}
-
 func (c *chat) call(attempt string) engine.Call {
 	return engine.Call{
 		Attempt:  attempt,
@@ -247,7 +193,7 @@
 	c.outcome.Body = append(append(c.outcome.Body, eventEnd...), data...)
 }
 
-func (c *chat) noteFirst(sent time.Time, e engine.Event) {
+func (c *chat) noteFirst(e engine.Event) {
 	if c.ending.First > 0 || (e.Tokens == 0 && !e.Done) {
 		return
 	}
@@ -262,16 +208,16 @@
 	if c.usage != nil {
 		prompt = c.usage.Prompt
 	}
-	if c.usage != nil && c.attempts == 1 {
+	if c.usage != nil && !c.resumed {
 		output = c.usage.Output
 	}
 	switch {
 	case err == nil:
-		c.bill(prompt, output, 0)
+		c.bill(prompt, output, c.wasted)
 	case kind.Of(err) == kind.Canceled && c.tokens > 0:
-		c.bill(c.body.PromptTokens(), c.tokens, 0)
+		c.bill(c.body.PromptTokens(), c.tokens, c.wasted)
 	default:
-		c.ending.Wasted = c.tokens
+		c.ending.Wasted = c.tokens + c.wasted
 	}
 	return prompt + output
 }
--- a/internal/caller/exchange/ending.go
+++ b/internal/caller/exchange/ending.go
@@ -24,6 +24,7 @@
 	Output   int           // tokens delivered
 	Wasted   int           // tokens generated and not delivered
 	Attempts int
+	Hedged   bool        // two of the attempts ran side by side
 	Err      *kind.Error // nil for a whole answer
 }
 
@@ -57,6 +58,7 @@
 		zap.String("route", e.Route),
 		zap.String("upstream", e.Upstream),
 		zap.Int("attempts", e.Attempts),
+		zap.Bool("hedged", e.Hedged),
 		zap.Int("prompt", e.Prompt),
 		zap.Int("output", e.Output),
 		zap.Duration("first", e.First),
--- /dev/null
+++ b/internal/caller/exchange/exchange_test.go
@@ -0,0 +1,253 @@
+package exchange_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tidwall/gjson"
+	"go.uber.org/zap"
+
+	"hickorypath/internal/caller/exchange"
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/operator/document"
+	"hickorypath/internal/operator/key"
+	"hickorypath/internal/platform/claim"
+	"hickorypath/internal/platform/store"
+	"hickorypath/internal/policy/pool"
+	"hickorypath/internal/policy/retry"
+	"hickorypath/internal/policy/suspect"
+	standinengine "hickorypath/internal/standin/engine"
+	"hickorypath/internal/standin/pipe"
+	standinservice "hickorypath/internal/standin/service"
+	standinstore "hickorypath/internal/standin/store"
+	"hickorypath/internal/upstream/dispatch"
+	"hickorypath/internal/upstream/engine"
+	"hickorypath/internal/upstream/service"
+)
+
+const text = `{
+  "customers": [{"name": "laredo"}],
+  "classes": [
+    {"name": "query", "tier": 0, "first": "1.1s", "whole": "30s", "wait": "5s"},
+    {"name": "brisk", "tier": 0, "first": "100ms", "whole": "300ms", "wait": "50ms"},
+  ],
+  "pools": [
+    {"name": "again", "kind": "engine", "model": "again", "slots": 8, "min": 2, "max": 6},
+    {"name": "brief", "kind": "engine", "model": "brief", "slots": 8, "min": 2, "max": 6},
+    {"name": "once", "kind": "engine", "model": "once", "slots": 8, "min": 2, "max": 6},
+    {"name": "ledger", "kind": "service", "slots": 8},
+  ],
+  "routes": [
+    {"name": "again", "model": "again", "pool": "again", "class": "query"},
+    {"name": "brief", "model": "brief", "pool": "brief", "class": "brisk", "timeout": "300ms"},
+    {"name": "once", "model": "once", "pool": "once", "class": "query", "repeat": false, "expiry": "48h"},
+    {"name": "dues", "path": "/dues", "methods": ["POST"], "pool": "ledger", "class": "query", "repeat": false, "expiry": "48h"},
+  ],
+}`
+
+const (
+	length = 12 // tokens of a whole answer
+	gap    = 20 * time.Millisecond
+	settle = time.Minute
+)
+
+// world is one host's request path before stand-ins, on a network in memory and in virtual time.
+type world struct {
+	*is.I
+	ctx     context.Context
+	net     *pipe.Net
+	engines map[string]*standinengine.Engine
+	ledger  *standinservice.Service
+	pools   map[string]*dispatch.Dispatcher
+	keys    *key.Table
+	key     string
+	record  key.Record
+	gate    *standinstore.Gate
+	client  *engine.Client
+	runner  *exchange.Runner
+	bills   []exchange.Bill
+	endings []exchange.Ending
+	crashes int
+}
+
+// within runs f in a world with two engines and a plain service.
+func within(t *testing.T, f func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := &world{I: is.New(t), ctx: ctx, net: pipe.New(), keys: key.NewTable(), gate: standinstore.NewGate(nil)}
+		w.client = engine.New(engine.Options{Clock: clock.NewWall(), Dial: w.net.Dial})
+		services := service.New(service.Options{Dial: w.net.Dial})
+		stop := w.serve()
+		defer time.Sleep(settle) // for what goes on in the background
+		defer stop()
+		defer services.Close()
+		defer w.client.Close()
+		defer cancel()
+		w.issue()
+		w.connect(services)
+		f(w)
+	})
+}
+
+// serve starts the stand-ins and lists them in their pools.
+func (w *world) serve() (stop func()) {
+	w.engines = map[string]*standinengine.Engine{}
+	const engines = 2
+	stops := make([]func(), 0, engines+1)
+	targets := make([]dispatch.Target, 0, engines)
+	for n := range engines {
+		id := fmt.Sprintf("asesor-%d", n)
+		w.engines[id] = standinengine.New(standinengine.Options{Gap: gap, Slots: 8})
+		stops = append(stops, w.net.Serve(id+":80", w.engines[id].Handler()))
+		targets = append(targets, dispatch.NewTarget(id, "a", id+":80", false, false).WithSlots(8))
+	}
+	w.ledger = standinservice.New()
+	stops = append(stops, w.net.Serve("ledger:80", w.ledger.Handler()))
+	w.pools = map[string]*dispatch.Dispatcher{}
+	w.pool("asesor", targets...)
+	w.pool("ledger", dispatch.NewTarget("ledger", "a", "ledger:80", false, false).WithSlots(8))
+	return func() {
+		for _, stop := range stops {
+			stop()
+		}
+	}
+}
+
+func (w *world) pool(name string, targets ...dispatch.Target) {
+	build := func(classes []pool.Class) *pool.Pool {
+		return pool.New(pool.Config{Host: "h1", Zone: "a", Classes: classes, Seed: 1})
+	}
+	classes := []pool.Class{
+		{Name: "query", First: 1100 * time.Millisecond, Wait: 5 * time.Second},
+		{Name: "brisk", First: 100 * time.Millisecond, Wait: 50 * time.Millisecond},
+	}
+	w.pools[name] = dispatch.New(name, classes, build, clock.NewWall())
+	w.pools[name].SetTargets(targets)
+	go w.pools[name].Run(w.ctx)
+}
+
+func (w *world) issue() {
+	w.key, w.record = key.Generate()
+	w.record = w.record.IssueTo("laredo", time.Now())
+	w.True(w.keys.Put(w.record))
+}
+
+func (w *world) connect(services *service.Client) {
+	doc, err := document.Parse([]byte(text), "test.jsonc")
+	w.NoErr(err)
+	live := document.NewLive()
+	live.Apply(doc, 1)
+	c := clock.NewWall()
+	backend := store.New(w.gate.Backend(store.NewMemory(c).Backend()), store.Options{Clock: c, Rand: rand.New(rand.NewPCG(1, 2))})
+	w.runner = exchange.New(exchange.Deps{
+		Clock: c, Log: zap.NewNop(), Document: live, Keys: w.keys, Engines: w.client, Services: services,
+		Suspects: exchange.NewSuspects(suspect.Config{}), Retries: exchange.NewRetries(retry.Config{}),
+		Pool: func(name string) (*dispatch.Dispatcher, bool) {
+			if name != "ledger" {
+				name = "asesor" // the engines serve every model
+			}
+			return w.pools[name], true
+		},
+		Admit: func(string, string, int) (func(int), error) { return func(int) {}, nil },
+		Claim: begin(claim.New(backend, c, claim.Options{})),
+		Alive: func(ctx context.Context, _, addr string) bool {
+			_, err := w.client.Load(ctx, addr)
+			return err == nil
+		},
+		IsDown:  func(string, string) bool { return false },
+		Crashed: func(string, string, []suspect.Suspicion, []suspect.Quarantine) { w.crashes++ },
+		Bill:    func(b exchange.Bill) { w.bills = append(w.bills, b) },
+		Observe: func(e exchange.Ending) { w.endings = append(w.endings, e) },
+	})
+}
+
+// begin joins the book of claims to the request path.
+func begin(b *claim.Book) func(context.Context, string, string, string, string, time.Duration) (*exchange.Claim, *exchange.Outcome, error) {
+	return func(ctx context.Context, customer, route, idempotency, _ string, expiry time.Duration) (*exchange.Claim, *exchange.Outcome, error) {
+		c, stored, err := b.Begin(ctx, customer, route, idempotency, expiry)
+		if err != nil {
+			return nil, nil, err
+		}
+		if stored != nil {
+			return nil, &exchange.Outcome{Status: stored.Status, Header: stored.Header, Body: stored.Body}, nil
+		}
+		return &exchange.Claim{Valid: c.Valid, Release: c.Release, Finish: func(ctx context.Context, o exchange.Outcome) error {
+			return c.Finish(ctx, claim.Outcome{Status: o.Status, Header: o.Header, Body: o.Body})
+		}}, nil, nil
+	}
+}
+
+// call is one chat completion as its caller sees it.
+type call struct {
+	model string
+	plain bool   // not streamed
+	key   string // idempotency key
+	write func() // called with each token
+}
+
+// answer is what the caller got.
+type answer struct {
+	text   string
+	tokens int
+	err    error
+}
+
+func (w *world) chat(ctx context.Context, c call) answer {
+	var a answer
+	body, err := exchange.ParseChat(fmt.Appendf(nil, `{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"Why do dues differ in May, and who decides?"}]}`, c.model, !c.plain, length))
+	w.NoErr(err)
+	who, err := w.runner.Authenticate(w.key)
+	w.NoErr(err)
+	s, err := w.runner.Open(ctx, who, exchange.Request{ID: exchange.NewID(), Bearer: w.key, Model: c.model, Idempotency: c.key})
+	w.NoErr(err)
+	a.err = s.Chat(body, exchange.Output{Event: func(data []byte) error {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if word := gjson.GetBytes(data, "choices.0.delta.content").String(); word != "" {
+			a.text += word
+			a.tokens++
+			if c.write != nil {
+				c.write()
+			}
+		}
+		return nil
+	}})
+	s.Close(a.err)
+	return a
+}
+
+// seen returns how many chat requests the engines have read.
+func (w *world) seen() int {
+	n := 0
+	for _, e := range w.engines {
+		n += len(e.Seen())
+	}
+	return n
+}
+
+// running returns the engines that run a request.
+func (w *world) running() []*standinengine.Engine {
+	var list []*standinengine.Engine
+	for _, e := range w.engines {
+		if e.Load().Running > 0 {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// billed returns the billed tokens, which come in one bill at most.
+func (w *world) billed() int {
+	w.True(len(w.bills) <= 1)
+	if len(w.bills) == 0 {
+		return 0
+	}
+	return w.bills[0].Output
+}
--- /dev/null
+++ b/internal/caller/exchange/hedge_test.go
@@ -0,0 +1,82 @@
+package exchange_test
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	standinengine "hickorypath/internal/standin/engine"
+)
+
+// TestHedge lets the first token of one request be late, after the pool has learned what is usual.
+func TestHedge(t *testing.T) {
+	const warm = 40
+	cases := []struct {
+		name   string
+		call   call
+		fault  func(e *standinengine.Engine)
+		crash  bool // the late engine crashes while both run
+		hedged bool
+		slow   bool // the answer takes longer than three times the usual
+		seen   int  // attempts that engines read
+	}{
+		{"stalled", call{model: "again"}, (*standinengine.Engine).Stall, false, true, false, 2},
+		{"ten times slower", call{model: "again"}, slow, false, true, false, 2},
+		{"not slow", call{model: "again"}, func(*standinengine.Engine) {}, false, false, false, 1},
+		{"not repeatable", call{model: "once"}, slow, false, false, true, 1},
+		{"not streamed", call{model: "again", plain: true}, slow, false, false, true, 1},
+		{"crashes while both run", call{model: "again"}, (*standinengine.Engine).Stall, true, true, false, 3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			within(t, func(w *world) {
+				var want answer
+				for range warm {
+					want = w.chat(w.ctx, call{model: "again"})
+					w.NoErr(want.err)
+				}
+				usual := w.endings[warm-1].Whole()
+				w.bills, w.endings = nil, nil
+				for _, e := range w.engines {
+					c.fault(e)
+				}
+				late := w.afterRestore(15 * time.Millisecond)
+				if c.crash {
+					time.AfterFunc(30*time.Millisecond, func() { late.Load().Crash() })
+				}
+				a := w.chat(w.ctx, c.call)
+				w.NoErr(a.err)
+				if !c.call.plain {
+					w.Equal(a.text, want.text)
+				}
+				w.Equal(w.billed(), length)
+				w.Equal(w.endings[0].Hedged, c.hedged)
+				w.Equal(w.crashes > 0, c.crash)
+				w.Equal(w.seen(), warm+c.seen)
+				t.Logf("usual %s, this one %s", usual, w.endings[0].Whole())
+				w.Equal(w.endings[0].Whole() > 3*usual, c.slow)
+				synctest.Wait()
+				w.True(w.pools["asesor"].IsIdle())
+				w.Equal(len(w.running()), 0) // the attempt that lost was canceled
+			})
+		})
+	}
+}
+
+func slow(e *standinengine.Engine) { e.Slow(10) }
+
+// afterRestore ends, after d, the faults of the engines that run nothing; the result then names the other one.
+func (w *world) afterRestore(d time.Duration) *atomic.Pointer[standinengine.Engine] {
+	var late atomic.Pointer[standinengine.Engine]
+	time.AfterFunc(d, func() {
+		for _, e := range w.engines {
+			if e.Load().Running > 0 {
+				late.Store(e)
+				continue
+			}
+			e.Restore()
+		}
+	})
+	return &late
+}
--- /dev/null
+++ b/internal/caller/exchange/lane.go
@@ -0,0 +1,114 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/pool"
+	"hickorypath/internal/upstream/dispatch"
+	"hickorypath/internal/upstream/engine"
+)
+
+// lane is one attempt of a chat completion on one upstream.
+type lane struct {
+	grant  dispatch.Grant
+	call   engine.Call
+	run    uint64 // in the book of suspects
+	sent   time.Time
+	ctx    context.Context
+	cancel context.CancelFunc
+	stream *engine.Stream
+	event  engine.Event // the first one
+	err    error
+}
+
+// attempt waits for an upstream and runs the request there once.
+func (c *chat) attempt(ctx context.Context) error {
+	isSuspect, err := c.runner.deps.Suspects.Check(c.runner.deps.Clock.Now(), c.print)
+	if err != nil {
+		return err
+	}
+	grant, err := c.pool.Acquire(ctx, c.request(isSuspect))
+	if err != nil {
+		return err
+	}
+	l := c.newLane(ctx, grant)
+	if c.mayHedge(isSuspect) {
+		l = c.race(ctx, l)
+	} else {
+		c.open(l)
+	}
+	c.ending.Upstream = l.grant.Target().ID()
+	before := c.tokens
+	if l.err == nil {
+		l.err = c.follow(l)
+	}
+	c.end(ctx, l, c.tokens-before)
+	return l.err
+}
+
+func (c *chat) newLane(ctx context.Context, grant dispatch.Grant) *lane {
+	c.attempts++
+	now := c.runner.deps.Clock.Now()
+	l := &lane{grant: grant, sent: now, call: c.call(fmt.Sprintf("%s-%d", c.req.ID, c.attempts))}
+	l.run = c.runner.deps.Suspects.Start(now, c.print, grant.Target().ID())
+	l.ctx, l.cancel = context.WithCancel(ctx)
+	return l
+}
+
+// open sends the attempt and waits for its first event.
+func (c *chat) open(l *lane) {
+	if l.err = c.checkClaim(); l.err != nil {
+		return
+	}
+	l.stream, l.err = c.runner.deps.Engines.Chat(l.ctx, l.grant.Target().Addr(), l.call)
+	if l.err == nil {
+		l.event, l.err = l.stream.Next()
+	}
+}
+
+// follow passes the answer of an open attempt on to the caller.
+func (c *chat) follow(l *lane) error {
+	c.prior = l.call.Attempt
+	c.resumed = l.call.Offset > 0
+	event := l.event
+	for {
+		if err := c.pass(l.grant, event); err != nil {
+			return err
+		}
+		c.noteFirst(event)
+		var err error
+		event, err = l.stream.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// end gives back what an attempt holds and reports how it went. An attempt that was cut short on this
+// side tells nothing of its upstream, nor of the length of answers.
+func (c *chat) end(ctx context.Context, l *lane, output int) {
+	result := pool.Result{Output: output, Failed: l.err != nil}
+	if l.stream != nil {
+		result.First, result.Gap = l.stream.First(), l.stream.Gap()
+		l.stream.Close()
+	}
+	l.cancel()
+	if c.body.IsStream() && result.First > 0 {
+		c.runner.deps.Retries.First(c.pool.Name(), result.First)
+	}
+	result.Crashed = c.crashed(ctx, l.grant, l.err)
+	c.runner.deps.Suspects.Finish(c.runner.deps.Clock.Now(), l.run, l.err == nil)
+	if l.err != nil && (ctx.Err() != nil || kind.Of(l.err) == kind.Canceled) {
+		c.pool.Cancel(l.grant)
+		return
+	}
+	c.pool.Release(l.grant, result)
+}
--- a/internal/caller/exchange/retries.go
+++ b/internal/caller/exchange/retries.go
@@ -60,6 +60,22 @@
 	return r.of(pool).firsts.quantile(expectedQuantile)
 }
 
+// Usual returns the time to first token beyond which an attempt to a pool is late, zero while few are known.
+func (r *Retries) Usual(pool string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.of(pool).firsts.quantile(usualQuantile)
+}
+
+// Hedge decides whether a second attempt may start beside a running one, by the pool's times to first token.
+func (r *Retries) Hedge(pool string, now time.Time, s retry.Slack) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.of(pool)
+	s.Usual, s.Expected = b.firsts.quantile(usualQuantile), b.firsts.quantile(expectedQuantile)
+	return b.Hedge(now, s)
+}
+
 // of returns the budget of a pool; the caller holds the lock.
 func (r *Retries) of(pool string) *budget {
 	b, ok := r.budgets[pool]
