Test the request path against faults and bill no replay

Cause: the request path had tests over whole hosts only. A call of a plain service that was answered with its stored outcome was counted in its customer's usage once more.

Change: exchange is tested over stand-ins in memory and in virtual time, with a table of faults: what the caller is told, what ran, what is billed. A replayed outcome of a service is not billed.

Conclusion: the one fault found, the second bill, is mended.

--- a/internal/caller/exchange/exchange_test.go
+++ b/internal/caller/exchange/exchange_test.go
@@ -53,6 +53,7 @@
 const (
 	length = 12 // tokens of a whole answer
 	gap    = 20 * time.Millisecond
+	brief  = 300 * time.Millisecond // timeout of a route
 	settle = time.Minute
 )
 
--- /dev/null
+++ b/internal/caller/exchange/fault_test.go
@@ -0,0 +1,184 @@
+package exchange_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"hickorypath/internal/caller/exchange"
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/upstream/dispatch"
+)
+
+// TestFaults is the contract on what the caller is told and what the customer pays for.
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		call   call
+		before func(w *world)
+		during func(w *world, hangUp func()) // with the fourth token
+		kind   kind.Kind
+		ran    kind.Ran
+		seen   int // requests that engines read
+		billed int // tokens
+		wasted int
+	}{
+		{"none", call{model: "again"}, nil, nil, "", "", 1, length, 0},
+		{"none, not streamed", call{model: "again", plain: true}, nil, nil, "", "", 1, length, 0},
+		{"caller gone", call{model: "again"}, nil, func(_ *world, hangUp func()) { hangUp() }, kind.Canceled, kind.RanMaybe, 1, 4, 0},
+		{"deadline passed", call{model: "brief"}, nil, stall, kind.Timeout, kind.RanMaybe, 1, 0, 4},
+		{"deadline passed, all stalled from the start", call{model: "brief", plain: true}, stallAll, nil, kind.Timeout, kind.RanMaybe, 1, 0, 0},
+		{"key withdrawn", call{model: "again"}, nil, withdraw, kind.Withdrawn, kind.RanMaybe, 1, 0, 4},
+		{"store down, claimed call", call{model: "once", key: "k1"}, cutStore, nil, kind.Claimless, kind.RanNo, 0, 0, 0},
+		{"store down, call without claim", call{model: "once"}, cutStore, nil, "", "", 1, length, 0},
+		{"engine crashed, stream resumed", call{model: "again"}, nil, crash, "", "", 2, length, 0},
+		{"connection silent, stream resumed", call{model: "again"}, nil, silence, "", "", 2, length, 0},
+		{"engine crashed, not repeatable", call{model: "once"}, nil, crash, kind.Lost, kind.RanMaybe, 1, 0, 4},
+		{"engine crashed, claimed call", call{model: "once", key: "k1"}, nil, crash, kind.Lost, kind.RanMaybe, 1, 0, 4},
+		{"connections refused", call{model: "once"}, refuse, nil, kind.Unavailable, kind.RanNo, 0, 0, 0},
+		{"all reject", call{model: "once"}, rejectAll, nil, kind.Rejected, kind.RanNo, 2, 0, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			within(t, func(w *world) {
+				ctx, hangUp := context.WithCancel(w.ctx)
+				defer hangUp()
+				if c.before != nil {
+					c.before(w)
+				}
+				tokens := 0
+				c.call.write = func() {
+					if tokens++; tokens == 4 && c.during != nil {
+						c.during(w, hangUp)
+					}
+				}
+				a := w.chat(ctx, c.call)
+				w.Equal(kind.Of(a.err), c.kind)
+				if a.err != nil {
+					w.Equal(kind.From(a.err).Ran(), c.ran)
+				}
+				w.Equal(w.seen(), c.seen)
+				w.Equal(w.billed(), c.billed)
+				w.Equal(len(w.endings), 1)
+				w.Equal(w.endings[0].Wasted, c.wasted)
+				w.True(c.kind != kind.Timeout || w.endings[0].Whole() == brief)
+				synctest.Wait()
+				w.True(w.pools["asesor"].IsIdle()) // no slot is kept
+			})
+		})
+	}
+}
+
+func stall(w *world, _ func()) {
+	for _, e := range w.running() {
+		e.Stall()
+	}
+}
+
+func crash(w *world, _ func()) {
+	for _, e := range w.running() {
+		e.Crash()
+	}
+}
+
+func silence(w *world, _ func()) {
+	for _, e := range w.running() {
+		e.Silence()
+	}
+}
+
+func withdraw(w *world, _ func()) { w.True(w.keys.Put(w.record.Withdraw(time.Now()))) }
+
+func stallAll(w *world) {
+	for _, e := range w.engines {
+		e.Stall()
+	}
+}
+
+func rejectAll(w *world) {
+	for _, e := range w.engines {
+		e.Reject(-1)
+	}
+}
+
+func cutStore(w *world) { w.gate.Cut(true) }
+
+// refuse lists upstreams at whose addresses nothing listens.
+func refuse(w *world) {
+	w.pools["asesor"].SetTargets([]dispatch.Target{
+		dispatch.NewTarget("x", "a", "x:80", false, false).WithSlots(8),
+		dispatch.NewTarget("y", "a", "y:80", false, false).WithSlots(8),
+	})
+}
+
+// TestRefusedConnectionMakesNoSuspect checks that a refused connection ejects the upstream and blames
+// no request.
+func TestRefusedConnectionMakesNoSuspect(t *testing.T) {
+	within(t, func(w *world) {
+		refuse(w)
+		w.Equal(kind.Of(w.chat(w.ctx, call{model: "again"}).err), kind.Unavailable)
+		for range 5 {
+			w.True(w.chat(w.ctx, call{model: "again"}).err != nil)
+		}
+		w.Equal(w.crashes, 0)
+	})
+}
+
+// TestReplay resends a claimed call: the caller gets the same answer, nothing runs and nothing is billed.
+func TestReplay(t *testing.T) {
+	for _, plain := range []bool{false, true} {
+		within(t, func(w *world) {
+			first := w.chat(w.ctx, call{model: "once", key: "k1", plain: plain})
+			w.NoErr(first.err)
+			again := w.chat(w.ctx, call{model: "once", key: "k1", plain: plain})
+			w.NoErr(again.err)
+			w.Equal(again.text, first.text)
+			w.Equal(w.seen(), 1)
+			w.Equal(w.billed(), length)
+		})
+	}
+}
+
+// TestResendAfterCrash resends a claimed call whose outcome is unknown: nothing runs a second time.
+func TestResendAfterCrash(t *testing.T) {
+	within(t, func(w *world) {
+		c := call{model: "once", key: "k1", write: func() { crash(w, nil) }}
+		w.Equal(kind.Of(w.chat(w.ctx, c).err), kind.Lost)
+		time.Sleep(5 * time.Minute)
+		again := w.chat(w.ctx, c)
+		w.Equal(kind.Of(again.err), kind.Uncertain)
+		w.Equal(kind.From(again.err).Ran(), kind.RanMaybe)
+		w.Equal(w.seen(), 1)
+		w.Equal(w.billed(), 0)
+	})
+}
+
+// TestReplayOfService does the same with a plain service.
+func TestReplayOfService(t *testing.T) {
+	within(t, func(w *world) {
+		bodies := []string{w.forward("k1"), w.forward("k1")}
+		w.Equal(bodies[0], bodies[1])
+		w.Equal(w.ledger.Executed("/dues", "{}"), 1)
+		w.Equal(len(w.bills), 1)
+	})
+}
+
+// forward calls the plain service and returns its answer.
+func (w *world) forward(idempotency string) string {
+	who, err := w.runner.Authenticate(w.key)
+	w.NoErr(err)
+	s, err := w.runner.Open(w.ctx, who, exchange.Request{ID: exchange.NewID(), Bearer: w.key, Method: http.MethodPost, Path: "/dues", Idempotency: idempotency})
+	w.NoErr(err)
+	var got []byte
+	err = s.Forward(exchange.ServiceCall{Body: bytes.NewReader([]byte("{}")), Length: 2}, func(_ int, _ http.Header, body io.Reader) error {
+		got, err = io.ReadAll(body)
+		return err
+	})
+	s.Close(err)
+	w.NoErr(err)
+	return string(got)
+}
--- a/internal/caller/exchange/forward.go
+++ b/internal/caller/exchange/forward.go
@@ -67,7 +67,7 @@
 		err = f.sendStored(s.replay)
 	}
 	s.ending.Attempts = f.attempts
-	if err == nil {
+	if err == nil && s.replay == nil {
 		s.bill(0, 0, 0)
 	}
 	return err
