--- a/internal/platform/store/client_test.go
+++ b/internal/platform/store/client_test.go
@@ -6,10 +6,12 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 
 	"hickorypath/internal/core/clock"
@@ -167,6 +169,17 @@
 	})
 }
 
+func TestCallsAreCounted(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewSystem()
+	set := metrics.NewSet()
+	c := store.New(store.NewMemory(clk).Backend(), store.Options{Clock: clk, Metrics: set}).For(store.UseClaim)
+	put(t, c, "k", "v", store.Absent())
+	var out strings.Builder
+	set.WritePrometheus(&out)
+	is.Equal(out.String(), "hickorypath_store_calls_total{use=\"claim\",op=\"put\"} 1\n")
+}
+
 func TestBudgetsAreSeparate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/platform/store/count.go
+++ b/internal/platform/store/count.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"maps"
-
-	"github.com/VictoriaMetrics/metrics"
 )
 
 // Count names one counter of calls.
@@ -43,7 +41,7 @@
 	c.counts[key]++
 	total, ok := c.totals[key]
 	if !ok {
-		total = metrics.GetOrCreateCounter(fmt.Sprintf(`hickorypath_store_calls_total{use=%q,op=%q}`, string(u), op))
+		total = c.opts.Metrics.GetOrCreateCounter(fmt.Sprintf(`hickorypath_store_calls_total{use=%q,op=%q}`, string(u), op))
 		c.totals[key] = total
 	}
 	total.Inc()
--- a/internal/platform/store/options.go
+++ b/internal/platform/store/options.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"hickorypath/internal/core/clock"
@@ -34,6 +35,7 @@
 	Poll    time.Duration   // longest wait of one watch call
 	Rate    float64         // calls per second of this process
 	Budgets map[Use]float64 // calls per second by use, in place of the defaults
+	Metrics *metrics.Set    // where the calls are counted; nil for the set of the process
 }
 
 const (
@@ -64,6 +66,9 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.GetDefaultSet()
+	}
 	o.Attempt = cmp.Or(o.Attempt, defaultAttempt)
 	o.Whole = cmp.Or(o.Whole, defaultWhole)
 	o.Poll = cmp.Or(o.Poll, defaultPoll)
