--- a/cmd/hickorypath/demo.go
+++ b/cmd/hickorypath/demo.go
@@ -63,6 +63,7 @@
 	count  int // engines of each pool
 	lease  time.Duration
 	window time.Duration
+	source []byte // of the document
 }
 
 // demoEngine are the properties of the demo's engines.
@@ -70,7 +71,7 @@
 
 // addDemo adds the command that runs hosts and stand-ins in one process.
 func addDemo(app *kingpin.Application) {
-	f := &demoFlags{engine: demoEngine, count: demoEngines, lease: demoLease, window: demoWindow}
+	f := &demoFlags{engine: demoEngine, count: demoEngines, lease: demoLease, window: demoWindow, source: demoDocument}
 	cmd := app.Command("demo", "Run hosts on loopback with stand-ins for everything outside, and print commands to try.")
 	cmd.Flag("listen", "Callers' address of the first host; the others take the ports after it.").Default("127.0.0.1:8080").StringVar(&f.listen)
 	cmd.Flag("admin", "Operators' address of the first host; the others take the ports after it.").Default("127.0.0.1:8090").StringVar(&f.admin)
@@ -201,7 +202,7 @@
 		"environment": "demo",
 		"caller":      settings.Listener{Listen: caller},
 		"admin":       settings.Listener{Listen: admin},
-		"tokens":      []string{demoToken},
+		"operators":   []settings.Operator{{Name: "demo", Token: demoToken}},
 		"peer":        settings.Peer{Listen: anyPort, Secret: demoSecret},
 		"platform": settings.Platform{
 			Store: platform + "/store", Provision: platform + "/provision",
@@ -253,7 +254,7 @@
 // apply puts the demo's document in force through the operators' API.
 func (d *demo) apply(ctx context.Context, c *client.Client) error {
 	for {
-		_, err := c.Put(ctx, client.Put{Source: demoDocument, File: demoDocName})
+		_, err := c.Put(ctx, client.Put{Source: d.flags.source, File: demoDocName})
 		if err == nil || ctx.Err() != nil || !isRetryable(err) {
 			return err
 		}
--- a/cmd/hickorypath/operators.go
+++ b/cmd/hickorypath/operators.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -28,8 +27,8 @@
 	live := get[*document.Live](h.injector)
 	set := get[*metrics.Set](h.injector)
 	return admin.New(admin.Options{
-		Tokens: lo.Map(h.settings.Tokens(), func(secret string, n int) admin.Token {
-			return admin.NewToken(fmt.Sprintf("operator-%d", n+1), secret)
+		Tokens: lo.Map(h.settings.Operators(), func(o settings.Operator, _ int) admin.Token {
+			return admin.NewToken(o.Name, o.Token)
 		}),
 		Version: newBuild().Version,
 		Log:     h.log,
--- a/cmd/hickorypath/serve.go
+++ b/cmd/hickorypath/serve.go
@@ -34,6 +34,7 @@
 		return err
 	}
 	defer func() { _ = log.Sync() }()
+	defer zap.RedirectStdLog(log)() // libraries that use the standard logger
 	h, err := newHost(s, log)
 	if err != nil {
 		return err
--- a/internal/core/settings/check.go
+++ b/internal/core/settings/check.go
@@ -71,12 +71,7 @@
 	c.url("/platform/provision", f.Platform.Provision)
 	c.url("/platform/usage", f.Platform.Usage)
 	c.url("/platform/roster", f.Platform.Roster)
-	if len(f.Tokens) == 0 {
-		c.fault("/tokens", "no operator token", "list at least one, such as \"env:HICKORYPATH_TOKEN\"")
-	}
-	for i := range f.Tokens {
-		c.secret(fmt.Sprintf("/tokens/%d", i), &f.Tokens[i], getenv)
-	}
+	c.operators(f.Operators, getenv)
 	for i, s := range f.Services {
 		c.need(fmt.Sprintf("/services/%d/pool", i), s.Pool, "name the document's pool that the service belongs to")
 		c.address(fmt.Sprintf("/services/%d/addr", i), s.Addr)
@@ -104,6 +99,18 @@
 	}
 }
 
+func (c *checker) operators(list []Operator, getenv func(string) string) {
+	if len(list) == 0 {
+		c.fault("/operators", "names no operator", "list at least one, with a name and a token such as \"env:HICKORYPATH_TOKEN\"")
+	}
+	for i := range list {
+		at := fmt.Sprintf("/operators/%d", i)
+		c.need(at+"/name", list[i].Name, "name the operator, for the history of changes")
+		c.need(at+"/token", list[i].Token, "set a token, such as \"env:HICKORYPATH_TOKEN\"")
+		c.secret(at+"/token", &list[i].Token, getenv)
+	}
+}
+
 func (c *checker) positive(pointer string, d Duration) {
 	if d <= 0 {
 		c.fault(pointer, "is not a positive duration", "write a duration such as \"2s\"")
--- a/internal/core/settings/settings.go
+++ b/internal/core/settings/settings.go
@@ -14,19 +14,19 @@
 }
 
 type file struct {
-	Host        string    `json:"host"`
-	Zone        string    `json:"zone"`
-	Environment string    `json:"environment"`
-	Caller      Listener  `json:"caller"`
-	Admin       Listener  `json:"admin"`
-	Tokens      []string  `json:"tokens"`
-	Peer        Peer      `json:"peer"`
-	Platform    Platform  `json:"platform"`
-	Services    []Service `json:"services"`
-	Log         string    `json:"log"`
-	Timeout     Timeouts  `json:"timeout"`
-	Drain       Drain     `json:"drain"`
-	Window      Duration  `json:"window"`
+	Host        string     `json:"host"`
+	Zone        string     `json:"zone"`
+	Environment string     `json:"environment"`
+	Caller      Listener   `json:"caller"`
+	Admin       Listener   `json:"admin"`
+	Operators   []Operator `json:"operators"`
+	Peer        Peer       `json:"peer"`
+	Platform    Platform   `json:"platform"`
+	Services    []Service  `json:"services"`
+	Log         string     `json:"log"`
+	Timeout     Timeouts   `json:"timeout"`
+	Drain       Drain      `json:"drain"`
+	Window      Duration   `json:"window"`
 }
 
 // Listener is an address with optional TLS files.
@@ -39,6 +39,12 @@
 // IsTLS reports whether the listener speaks TLS.
 func (l Listener) IsTLS() bool { return l.Cert != "" }
 
+// Operator is one who may use the operators' API.
+type Operator struct {
+	Name  string `json:"name"`
+	Token string `json:"token"`
+}
+
 // Peer holds the address for other hosts and the secret or certificates that they share.
 type Peer struct {
 	Listen string `json:"listen"`
@@ -148,8 +154,8 @@
 // Admin returns the listener for operators.
 func (s *Settings) Admin() Listener { return s.raw.Admin }
 
-// Tokens returns the operators' tokens.
-func (s *Settings) Tokens() []string { return s.raw.Tokens }
+// Operators returns those who may use the operators' API.
+func (s *Settings) Operators() []Operator { return s.raw.Operators }
 
 // Peer returns the settings for traffic between hosts.
 func (s *Settings) Peer() Peer { return s.raw.Peer }
