Let the question after a crash outlive its caller

Cause: whether a lost upstream still answers was asked under the caller's context. A caller that hung up meanwhile cut the question, which then counted as a crash: the upstream was taken out of service and all that ran there became suspects. A caller whose deadline passed waited for the answer.

Change: the question runs on its own, and the run stays in the book of suspects until it is answered; the caller gets its answer at once.

--- a/internal/caller/exchange/exchange_test.go
+++ b/internal/caller/exchange/exchange_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,7 +74,10 @@
 	runner  *exchange.Runner
 	bills   []exchange.Bill
 	endings []exchange.Ending
-	crashes int
+	crashes atomic.Int64
+	// suspects counts the suspicions that were told to other hosts.
+	suspects atomic.Int64
+	latency  time.Duration // of the question whether an upstream answers
 }
 
 // within runs f in a world with two engines and a plain service.
@@ -158,11 +162,15 @@
 		Admit: func(string, string, int) (func(int), error) { return func(int) {}, nil },
 		Claim: begin(claim.New(backend, c, claim.Options{})),
 		Alive: func(ctx context.Context, _, addr string) bool {
+			time.Sleep(w.latency)
 			_, err := w.client.Load(ctx, addr)
 			return err == nil
 		},
-		IsDown:  func(string, string) bool { return false },
-		Crashed: func(string, string, []suspect.Suspicion, []suspect.Quarantine) { w.crashes++ },
+		IsDown: func(string, string) bool { return false },
+		Crashed: func(_, _ string, s []suspect.Suspicion, _ []suspect.Quarantine) {
+			w.crashes.Add(1)
+			w.suspects.Add(int64(len(s)))
+		},
 		Bill:    func(b exchange.Bill) { w.bills = append(w.bills, b) },
 		Observe: func(e exchange.Ending) { w.endings = append(w.endings, e) },
 	})
--- a/internal/caller/exchange/fault_test.go
+++ b/internal/caller/exchange/fault_test.go
@@ -124,7 +124,7 @@
 		for range 5 {
 			w.True(w.chat(w.ctx, call{model: "again"}).err != nil)
 		}
-		w.Equal(w.crashes, 0)
+		w.Equal(w.crashes.Load(), int64(0))
 	})
 }
 
--- a/internal/caller/exchange/forward.go
+++ b/internal/caller/exchange/forward.go
@@ -160,12 +160,11 @@
 	run := f.runner.deps.Suspects.Start(f.runner.deps.Clock.Now(), f.print, f.ending.Upstream)
 	f.first = 0
 	err = f.send(ctx, grant.Target().Addr())
-	result := pool.Result{Failed: err != nil && ctx.Err() == nil, Crashed: f.crashed(ctx, grant, err)}
+	result := pool.Result{Failed: err != nil && ctx.Err() == nil, Crashed: f.judge(ctx, grant, run, err)}
 	if err == nil {
 		result.First = f.first
 		f.runner.deps.Retries.First(f.pool.Name(), f.first)
 	}
-	f.runner.deps.Suspects.Finish(f.runner.deps.Clock.Now(), run, err == nil)
 	f.pool.Release(grant, result)
 	return err
 }
--- a/internal/caller/exchange/hedge_test.go
+++ b/internal/caller/exchange/hedge_test.go
@@ -52,7 +52,7 @@
 				}
 				w.Equal(w.billed(), length)
 				w.Equal(w.endings[0].Hedged, c.hedged)
-				w.Equal(w.crashes > 0, c.crash)
+				w.Equal(w.crashes.Load() > 0, c.crash)
 				w.Equal(w.seen(), warm+c.seen)
 				t.Logf("usual %s, this one %s", usual, w.endings[0].Whole())
 				w.Equal(w.endings[0].Whole() > 3*usual, c.slow)
--- a/internal/caller/exchange/lane.go
+++ b/internal/caller/exchange/lane.go
@@ -104,8 +104,7 @@
 	if c.body.IsStream() && result.First > 0 {
 		c.runner.deps.Retries.First(c.pool.Name(), result.First)
 	}
-	result.Crashed = c.crashed(ctx, l.grant, l.err)
-	c.runner.deps.Suspects.Finish(c.runner.deps.Clock.Now(), l.run, l.err == nil)
+	result.Crashed = c.judge(ctx, l.grant, l.run, l.err)
 	if l.err != nil && (ctx.Err() != nil || kind.Of(l.err) == kind.Canceled) {
 		c.pool.Cancel(l.grant)
 		return
--- a/internal/caller/exchange/retries.go
+++ b/internal/caller/exchange/retries.go
@@ -142,6 +142,29 @@
 	s.book.MergeSuspicion(now, q)
 }
 
+// judge ends a run in the book of suspects and tells whether its upstream crashed. An upstream that
+// refuses connections is as good as crashed, and the request that finds it so did not cause it. The
+// question whether the upstream still answers outlives the caller, and until it is answered the run stays
+// in the book: a request that crashes upstreams cannot escape by a caller that hangs up.
+func (s *Session) judge(ctx context.Context, grant dispatch.Grant, run uint64, err error) (crashed bool) {
+	if kind.Of(err) != kind.Lost {
+		s.runner.deps.Suspects.Finish(s.runner.deps.Clock.Now(), run, err == nil)
+		return kind.Of(err) == kind.Unavailable && ctx.Err() == nil
+	}
+	verdict := make(chan bool, 1)
+	go func() {
+		crashed := s.runner.reportCrash(context.WithoutCancel(ctx), s.pool.Name(), grant.Target())
+		s.runner.deps.Suspects.Finish(s.runner.deps.Clock.Now(), run, false)
+		verdict <- crashed
+	}()
+	select {
+	case crashed = <-verdict:
+		return crashed
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // reportCrash asks an upstream whether it still answers; when it does not, the requests that ran there
 // become suspects on all hosts. A connection that was merely cut makes none, nor does an upstream that
 // was down before: the request did not crash it.
@@ -157,21 +180,6 @@
 	return true
 }
 
-// crashed tells whether an attempt failed because its upstream crashed, and reports the crash. An upstream
-// that refuses connections is as good as crashed, and the request that finds it so did not cause it.
-func (s *Session) crashed(ctx context.Context, grant dispatch.Grant, err error) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	switch kind.Of(err) {
-	case kind.Unavailable:
-		return true
-	case kind.Lost:
-		return s.runner.reportCrash(ctx, s.pool.Name(), grant.Target())
-	}
-	return false
-}
-
 // explain replaces the error of an attempt that was cut short by the reason for the cut, such as a
 // withdrawn key or the deadline.
 func (s *Session) explain(ctx context.Context, err error) error {
