--- a/cmd/hickorypath/operators.go
+++ b/cmd/hickorypath/operators.go
@@ -52,7 +52,7 @@
 			Ready:      h.ready,
 			Metrics: func(w http.ResponseWriter, _ *http.Request) {
 				set.WritePrometheus(w)
-				metrics.WriteProcessMetrics(w)
+				metrics.WritePrometheus(w, true)
 			},
 		},
 	}).Handler()
--- a/cmd/hickorypath/wire.go
+++ b/cmd/hickorypath/wire.go
@@ -73,6 +73,7 @@
 		Clock:   get[clock.Clock](i),
 		Log:     get[*zap.Logger](i),
 		Attempt: s.StoreTimeout(),
+		Metrics: get[*metrics.Set](i),
 	}), nil
 }
 
--- a/internal/host/capacity/role.go
+++ b/internal/host/capacity/role.go
@@ -20,6 +20,8 @@
 	pollWatchers = 2  // hosts that poll an upstream
 	splitPeriod  = 0.1
 	leaseRenew   = 5   // seconds, lease
+	candidates   = 3   // hosts that try to get each lease
+	burnSave     = 300 // seconds between savings of a host's counts, tally
 	limitIdle    = 120 // seconds after which a customer is forgotten, limit
 	claimBuckets = 256 // claim
 	bucketBytes  = 1e6 // most in one value, store
@@ -160,7 +162,8 @@
 		{Mechanism: "claims of requests that may not be repeated", Writes: s.Requests * s.Once * m.slope(claimWrites),
 			Reads: s.Requests * s.Once * m.slope(claimReads)},
 		{Mechanism: "renewal of leases: one for each pool, one for reports", Writes: leases / leaseRenew * m.slope(leaseWrites)},
-		{Mechanism: "hosts that look whether a lease is free", Reads: s.Hosts * leases / leaseRenew},
+		{Mechanism: "candidates that look whether a lease is free", Reads: min(s.Hosts, candidates) * leases / leaseRenew},
+		{Mechanism: "saved counts of the burn report", Writes: s.Hosts / burnSave},
 		{Mechanism: "waiting watches of document and keys, two hosts in a zone", Reads: watching * watches / watchTime},
 		{Mechanism: "changes", Writes: changes * m.slope(changeWrites), Reads: changes * watching * m.slope(changeReads)},
 		{Mechanism: "hosts that start", Reads: s.Starts / secondsPerDay * m.slope(startReads)},
