Show all leases with their holders in the status

The status named only the duties of the answering host and never their end. It now reads the lease keys.

--- a/cmd/hickorypath/duties.go
+++ b/cmd/hickorypath/duties.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -222,14 +223,23 @@
 	}
 }
 
-// leases returns the duties that this host knows of.
-func (h *host) leases() []api.Lease {
+// leases returns the duties and their holders as the store has them, or only those of this host while
+// the store cannot be read.
+func (h *host) leases(ctx context.Context) []api.Lease {
+	entries, _, err := get[*store.Client](h.injector).For(store.UseLease).List(ctx, lease.Prefix)
+	if err != nil {
+		return h.ownLeases()
+	}
+	return lo.Map(entries, func(e store.Entry, _ int) api.Lease {
+		holder, _, _ := strings.Cut(string(e.Value()), "/")
+		return api.Lease{Name: strings.TrimPrefix(e.Key(), lease.Prefix), Holder: holder, Fence: e.Revision()}
+	})
+}
+
+func (h *host) ownLeases() []api.Lease {
 	all := append(get[*duty.Duty](h.injector).Leases(), get[*reporting](h.injector).lease)
 	return lo.FilterMap(all, func(l *lease.Lease, _ int) (api.Lease, bool) {
 		token, err := l.Hold(0)
-		if err != nil {
-			return api.Lease{}, false
-		}
-		return api.Lease{Name: l.Name(), Holder: h.settings.Host(), Fence: token.Fence()}, true
+		return api.Lease{Name: l.Name(), Holder: h.settings.Host(), Fence: token.Fence()}, err == nil
 	})
 }
--- a/cmd/hickorypath/operators.go
+++ b/cmd/hickorypath/operators.go
@@ -59,7 +59,7 @@
 }
 
 // status returns what this host knows of the environment.
-func (h *host) status(context.Context) (api.Status, error) {
+func (h *host) status(ctx context.Context) (api.Status, error) {
 	s := get[*settings.Settings](h.injector)
 	doc, revision := get[*document.Live](h.injector).Load()
 	st := api.Status{Host: s.Host(), Zone: s.Zone(), Revision: revision}
@@ -74,7 +74,7 @@
 			st.Upstreams = append(st.Upstreams, newUpstreamStatus(d, t))
 		}
 	}
-	st.Leases = h.leases()
+	st.Leases = h.leases(ctx)
 	return st, nil
 }
 
--- a/cmd/hickorypath/status.go
+++ b/cmd/hickorypath/status.go
@@ -45,9 +45,9 @@
 	for _, u := range s.Upstreams {
 		upstreams.row(u.ID, u.Pool, u.Zone, u.State, u.Reclaimable, u.Running)
 	}
-	leases := newTable("lease", "holder", "fence", "until")
+	leases := newTable("lease", "holder", "fence")
 	for _, l := range s.Leases {
-		leases.row(l.Name, l.Holder, l.Fence, stamp(l.Until))
+		leases.row(l.Name, l.Holder, l.Fence)
 	}
 	history := newTable("revision", "at", "operator", "digest", "bytes", "change")
 	for _, r := range revisions {
--- a/internal/operator/api/api.go
+++ b/internal/operator/api/api.go
@@ -82,10 +82,9 @@
 
 // Lease is one duty that a single host holds.
 type Lease struct {
-	Name   string    `json:"name" doc:"Duty"`
-	Holder string    `json:"holder" doc:"Host, empty when none holds it"`
-	Fence  uint64    `json:"fence" doc:"Fencing number"`
-	Until  time.Time `json:"until" doc:"End of the validity that the answering host knows of"`
+	Name   string `json:"name" doc:"Duty"`
+	Holder string `json:"holder" doc:"Host, empty when none holds it"`
+	Fence  uint64 `json:"fence" doc:"Fencing number"`
 }
 
 // Window is one usage window.
