--- /dev/null
+++ b/internal/upstream/fleet/summary.go
@@ -0,0 +1,82 @@
+package fleet
+
+import (
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"hickorypath/internal/host/spread"
+	"hickorypath/internal/policy/pool"
+	"hickorypath/internal/policy/route"
+)
+
+// keyPrefix marks the records of this package among the soft records.
+const keyPrefix = "pool/"
+
+// Times of the exchange of summaries among hosts.
+const (
+	summaryInterval = 200 * time.Millisecond
+	summaryExpiry   = 2 * time.Second
+)
+
+// summary is what travels between hosts for one pool.
+type summary struct {
+	Pool  string                `cbor:"p"`
+	Host  string                `cbor:"h"`
+	Body  pool.Summary          `cbor:"s"`
+	Loads map[string]route.Load `cbor:"l,omitempty"`
+}
+
+// takeLoads returns the loads polled here since the last call.
+func (e *entry) takeLoads() map[string]route.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	loads := e.loads
+	e.loads = map[string]route.Load{}
+	return loads
+}
+
+func (e *entry) notePeer(host string, p peer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.peers[host] = p
+}
+
+// publish tells the other hosts what waits and runs here.
+func (f *Fleet) publish() {
+	now := f.options.Clock.Now()
+	for _, e := range f.entries() {
+		data, err := cbor.Marshal(summary{Pool: e.Name(), Host: f.options.Host, Body: e.Summary(), Loads: e.takeLoads()})
+		if err != nil {
+			f.options.Log.Error("summary cannot be encoded", zap.Error(err))
+			continue
+		}
+		f.options.Spread.Put(spread.Load, keyPrefix+e.Name()+"/"+f.options.Host, uint64(now.UnixNano()), data, now.Add(summaryExpiry))
+	}
+}
+
+// take merges what another host tells of a pool.
+func (f *Fleet) take(r spread.Record) {
+	if !strings.HasPrefix(r.Key(), keyPrefix) {
+		return
+	}
+	var s summary
+	if err := cbor.Unmarshal(r.Value(), &s); err != nil {
+		f.options.Log.Warn("summary of a peer cannot be read", zap.Error(err))
+		return
+	}
+	e, ok := f.entry(s.Pool)
+	if !ok || s.Host == f.options.Host {
+		return
+	}
+	e.Peer(s.Host, s.Body)
+	e.notePeer(s.Host, peer{counts: s.Body.Counts, heard: f.options.Clock.Now()})
+	for id, l := range s.Loads {
+		e.Report(id, l)
+		if e.noteUp(id, l.At) {
+			f.refreshPool(s.Pool)
+		}
+	}
+}
