Refuse at once when no upstream is in service, and change classes in place

Cause: with all upstreams ejected for crashes a request waited out its class, was refused as overload, shed lower tiers and held other hosts back; and a refusal by the pool was retried against the pool's own word. New classes built a new pool that did not count running requests. Change: the pool refuses as unavailable with the time until the first return; a refusal before sending is final; the only upstream of a pool is not ejected; the dispatcher uses the pool's own change of classes. A plain answer has no time to first token. After: 0 s each, all unavailable, with one upstream and with two.

--- a/cmd/hickorypath/gauges.go
+++ b/cmd/hickorypath/gauges.go
@@ -28,6 +28,9 @@
 	}
 	labels := fmt.Sprintf(`class=%q,pool=%q`, e.Class, e.Pool)
 	g.set.GetOrCreateCounter(fmt.Sprintf(`hickorypath_requests_total{%s,kind=%q}`, labels, kind)).Inc()
+	if e.Hedged {
+		g.set.GetOrCreateCounter(fmt.Sprintf(`hickorypath_hedges_total{%s}`, labels)).Inc()
+	}
 	g.set.GetOrCreateCounter(fmt.Sprintf(`hickorypath_output_tokens_total{%s}`, labels)).Add(e.Output)
 	g.set.GetOrCreateCounter(fmt.Sprintf(`hickorypath_wasted_tokens_total{%s}`, labels)).Add(e.Wasted)
 	if e.First > 0 {
--- a/internal/caller/exchange/chat.go
+++ b/internal/caller/exchange/chat.go
@@ -95,11 +95,15 @@
 	budget := c.runner.deps.Retries
 	budget.Request(c.pool.Name())
 	for {
+		before := c.attempts
 		err := c.attempt(ctx)
 		if err == nil {
 			return nil
 		}
 		err = c.explain(ctx, err)
+		if c.attempts == before {
+			return refusal(err, c.ran)
+		}
 		v := budget.Next(c.pool.Name(), c.runner.deps.Clock.Now(), retry.Attempt{
 			Err:      err,
 			Ran:      c.ran,
@@ -194,7 +198,7 @@
 }
 
 func (c *chat) noteFirst(e engine.Event) {
-	if c.ending.First > 0 || (e.Tokens == 0 && !e.Done) {
+	if !c.body.IsStream() || c.ending.First > 0 || (e.Tokens == 0 && !e.Done) {
 		return
 	}
 	c.ending.First = c.runner.deps.Clock.Now().Sub(c.arrived)
--- a/internal/caller/exchange/exchange_test.go
+++ b/internal/caller/exchange/exchange_test.go
@@ -125,14 +125,12 @@
 }
 
 func (w *world) pool(name string, targets ...dispatch.Target) {
-	build := func(classes []pool.Class) *pool.Pool {
-		return pool.New(pool.Config{Host: "h1", Zone: "a", Classes: classes, Seed: 1})
-	}
 	classes := []pool.Class{
 		{Name: "query", First: 1100 * time.Millisecond, Wait: 5 * time.Second},
 		{Name: "brisk", First: 100 * time.Millisecond, Wait: 50 * time.Millisecond},
 	}
-	w.pools[name] = dispatch.New(name, classes, build, clock.NewWall())
+	core := pool.New(pool.Config{Host: "h1", Zone: "a", Classes: classes, Seed: 1})
+	w.pools[name] = dispatch.New(name, core, clock.NewWall())
 	w.pools[name].SetTargets(targets)
 	go w.pools[name].Run(w.ctx)
 }
--- a/internal/caller/exchange/fault_test.go
+++ b/internal/caller/exchange/fault_test.go
@@ -108,24 +108,33 @@
 func cutStore(w *world) { w.gate.Cut(true) }
 
 // refuse lists upstreams at whose addresses nothing listens.
-func refuse(w *world) {
-	w.pools["asesor"].SetTargets([]dispatch.Target{
-		dispatch.NewTarget("x", "a", "x:80", false, false).WithSlots(8),
-		dispatch.NewTarget("y", "a", "y:80", false, false).WithSlots(8),
-	})
+func refuse(w *world) { refuseAt(w, "x", "y") }
+
+func refuseAt(w *world, ids ...string) {
+	targets := make([]dispatch.Target, 0, len(ids))
+	for _, id := range ids {
+		targets = append(targets, dispatch.NewTarget(id, "a", id+":80", false, false).WithSlots(8))
+	}
+	w.pools["asesor"].SetTargets(targets)
 }
 
-// TestRefusedConnectionMakesNoSuspect checks that a refused connection ejects the upstream and blames
-// no request.
+// TestRefusedConnectionMakesNoSuspect checks that requests whose upstreams all refuse connections are
+// refused without waiting, also while the upstreams are ejected, and that no request is blamed.
 func TestRefusedConnectionMakesNoSuspect(t *testing.T) {
-	within(t, func(w *world) {
-		refuse(w)
-		w.Equal(kind.Of(w.chat(w.ctx, call{model: "again"}).err), kind.Unavailable)
-		for range 5 {
-			w.True(w.chat(w.ctx, call{model: "again"}).err != nil)
-		}
-		w.Equal(w.crashes.Load(), int64(0))
-	})
+	for _, ids := range [][]string{{"x"}, {"x", "y"}} {
+		within(t, func(w *world) {
+			refuseAt(w, ids...)
+			for range 6 {
+				sent := time.Now()
+				err := kind.From(w.chat(w.ctx, call{model: "again"}).err)
+				w.Equal(err.Kind(), kind.Unavailable)
+				w.Equal(err.Ran(), kind.RanNo)
+				w.True(err.RetryAfter() > 0)
+				w.Equal(time.Since(sent), time.Duration(0)) // in virtual time
+			}
+			w.Equal(w.crashes.Load(), int64(0))
+		})
+	}
 }
 
 // TestReplay resends a claimed call: the caller gets the same answer, nothing runs and nothing is billed.
--- a/internal/caller/exchange/forward.go
+++ b/internal/caller/exchange/forward.go
@@ -111,11 +111,15 @@
 	budget := f.runner.deps.Retries
 	budget.Request(f.pool.Name())
 	for {
+		before := f.attempts
 		err := f.attempt(ctx)
 		if err == nil {
 			return nil
 		}
 		err = f.explain(ctx, err)
+		if f.attempts == before {
+			return refusal(err, f.ran)
+		}
 		v := budget.Next(f.pool.Name(), f.runner.deps.Clock.Now(), retry.Attempt{
 			Err:      err,
 			Ran:      f.ran,
--- a/internal/caller/exchange/retries.go
+++ b/internal/caller/exchange/retries.go
@@ -142,11 +142,17 @@
 	s.book.MergeSuspicion(now, q)
 }
 
-// judge ends a run in the book of suspects and tells whether its upstream crashed. An upstream that
+// judge ends a run and tells whether its upstream is to be left alone for a while. The only upstream of a
+// pool is not: a request that finds it down fails at once, and the next one finds out when it is back.
+func (s *Session) judge(ctx context.Context, grant dispatch.Grant, run uint64, err error) bool {
+	return s.verdict(ctx, grant, run, err) && s.pool.HasOther([]string{grant.Target().ID()})
+}
+
+// verdict ends a run in the book of suspects and tells whether its upstream crashed. An upstream that
 // refuses connections is as good as crashed, and the request that finds it so did not cause it. The
 // question whether the upstream still answers outlives the caller, and until it is answered the run stays
 // in the book: a request that crashes upstreams cannot escape by a caller that hangs up.
-func (s *Session) judge(ctx context.Context, grant dispatch.Grant, run uint64, err error) (crashed bool) {
+func (s *Session) verdict(ctx context.Context, grant dispatch.Grant, run uint64, err error) (crashed bool) {
 	if kind.Of(err) != kind.Lost {
 		s.runner.deps.Suspects.Finish(s.runner.deps.Clock.Now(), run, err == nil)
 		return kind.Of(err) == kind.Unavailable && ctx.Err() == nil
@@ -180,6 +186,15 @@
 	return true
 }
 
+// refusal returns the final answer to a request that was refused before it was sent; ran tells what its
+// earlier attempts did.
+func refusal(err error, ran kind.Ran) error {
+	if ran == kind.RanNo {
+		return err
+	}
+	return kind.From(err).WithRan(ran)
+}
+
 // explain replaces the error of an attempt that was cut short by the reason for the cut, such as a
 // withdrawn key or the deadline.
 func (s *Session) explain(ctx context.Context, err error) error {
--- a/internal/policy/health/health.go
+++ b/internal/policy/health/health.go
@@ -238,5 +238,10 @@
 // forgetStep is the time up to which fading is put off.
 const forgetStep = time.Second
 
+// Crashed reports whether the upstream is ejected for a crash, and until when.
+func (s *State) Crashed(now time.Time) (until time.Time, out bool) {
+	return s.until, s.out && !s.slow && now.Before(s.until)
+}
+
 // Settled reports whether the weight is 1 and stays so until the next event.
 func (s *State) Settled() bool { return !s.out && s.back.IsZero() }
--- a/internal/policy/pool/arrive.go
+++ b/internal/policy/pool/arrive.go
@@ -72,13 +72,13 @@
 func (p *Pool) admit(now time.Time, c *call) bool {
 	tier := c.class.Tier
 	floor := p.queue.Want(c.Class, c.item.Cost)
+	if retry, out := p.isOut(now); out {
+		p.refuse(c, kind.Unavailable, retry)
+		return false
+	}
 	if c.Again {
 		return true
 	}
-	if p.slots == 0 {
-		p.refuse(c, kind.Unavailable, 0)
-		return false
-	}
 	if held := p.gate.Held(now); held != admit.None && held < tier {
 		if !floor {
 			p.gate.Shed(now, tier)
@@ -100,6 +100,18 @@
 	return true
 }
 
+// isOut reports whether no upstream is in service, and after how long one may be; 0 when that is not known.
+func (p *Pool) isOut(now time.Time) (retry time.Duration, out bool) {
+	if p.slots == 0 {
+		return 0, true
+	}
+	at, out := p.table.Returns(now)
+	if !out {
+		return 0, false
+	}
+	return at.Sub(now), true
+}
+
 // hurry lets a call wait on the floor of its class for the next free slot only.
 func (p *Pool) hurry(now time.Time, c *call) {
 	c.late = true
--- a/internal/policy/pool/dispatch.go
+++ b/internal/policy/pool/dispatch.go
@@ -201,8 +201,8 @@
 func (p *Pool) expire(now time.Time) {
 	for c := p.expiry.first(now); c != nil; c = p.expiry.first(now) {
 		p.drop(c)
-		if c.aside {
-			p.refuse(c, kind.Unavailable, 0)
+		if retry, out := p.isOut(now); out || c.aside {
+			p.refuse(c, kind.Unavailable, retry)
 			continue
 		}
 		if c.late {
--- /dev/null
+++ b/internal/policy/pool/out_test.go
@@ -0,0 +1,54 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/pool"
+	"hickorypath/internal/policy/route"
+)
+
+func TestNoUpstreamInServiceIsNoOverload(t *testing.T) {
+	cases := []struct {
+		name    string
+		crashed int // of two upstreams
+		want    pool.Action
+	}{
+		{"one in service", 1, pool.Start},
+		{"none in service", 2, pool.Refuse},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			p := pool.New(pool.Config{Host: "h", Classes: []pool.Class{{Name: "query", Wait: time.Second}}})
+			p.Upstreams(now, []route.Upstream{
+				route.NewUpstream("a", "", 1, false),
+				route.NewUpstream("b", "", 1, false),
+			})
+			for id := range uint64(2) {
+				p.Arrive(now, pool.Request{ID: id + 1, Customer: "x", Class: "query"})
+			}
+			waiting := p.Arrive(now, pool.Request{ID: 3, Customer: "x", Class: "query"})
+			is.Equal(waiting[0].Action, pool.Wait)
+			for id := range uint64(c.crashed) {
+				p.Finish(now, id+1, pool.Result{Failed: true, Crashed: true})
+			}
+			d := p.Arrive(now, pool.Request{ID: 4, Customer: "x", Class: "query"})
+			if c.want == pool.Start {
+				is.True(d[0].Action != pool.Refuse)
+				return
+			}
+			is.Equal(d[0].Action, pool.Refuse)
+			is.Equal(d[0].Kind, kind.Unavailable)
+			is.True(d[0].Retry > 0) // says when an upstream may be back
+			d = p.Tick(now.Add(time.Second))
+			is.Equal(d[0].ID, uint64(3))
+			is.Equal(d[0].Kind, kind.Unavailable)
+			is.Equal(p.Summary(now.Add(time.Second)).Shed, 0) // other hosts hold nothing back
+		})
+	}
+}
--- a/internal/upstream/dispatch/dispatch.go
+++ b/internal/upstream/dispatch/dispatch.go
@@ -93,39 +93,26 @@
 	ids   atomic.Uint64
 
 	mu      sync.Mutex
-	make    func([]pool.Class) *pool.Pool
-	classes []pool.Class
 	pool    *pool.Pool
-	older   map[uint64]*pool.Pool // of requests that were started before the classes changed
 	targets map[string]Target
-	waiting map[uint64]waiter
+	waiting map[uint64]chan outcome
 	running map[uint64]string // upstream by request
 }
 
-// waiter is a request that has no upstream yet.
-type waiter struct {
-	request pool.Request
-	wake    chan outcome
-}
-
 // outcome is the end of a wait: a refusal, or a start on target.
 type outcome struct {
 	decision pool.Decision
 	target   Target
 }
 
-// New returns a Dispatcher for the pool called name; build makes the pool's decision core for a set of
-// classes.
-func New(name string, classes []pool.Class, build func([]pool.Class) *pool.Pool, c clock.Clock) *Dispatcher {
+// New returns a Dispatcher for the pool called name, whose decisions p makes.
+func New(name string, p *pool.Pool, c clock.Clock) *Dispatcher {
 	return &Dispatcher{
 		name:    name,
 		clock:   c,
-		make:    build,
-		classes: classes,
-		pool:    build(classes),
-		older:   map[uint64]*pool.Pool{},
+		pool:    p,
 		targets: map[string]Target{},
-		waiting: map[uint64]waiter{},
+		waiting: map[uint64]chan outcome{},
 		running: map[uint64]string{},
 	}
 }
@@ -153,7 +140,7 @@
 	r.ID = d.ids.Add(1)
 	wake := make(chan outcome, 1)
 	d.mu.Lock()
-	d.waiting[r.ID] = waiter{request: r, wake: wake}
+	d.waiting[r.ID] = wake
 	d.apply(d.pool.Arrive(d.clock.Now(), r))
 	d.mu.Unlock()
 	select {
@@ -168,48 +155,20 @@
 func (d *Dispatcher) Token(g Grant, n int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.owner(g.id).Token(d.clock.Now(), g.id, n)
+	d.pool.Token(d.clock.Now(), g.id, n)
 }
 
 // Release ends the attempt of a grant.
 func (d *Dispatcher) Release(g Grant, r pool.Result) {
 	d.do(func(now time.Time) []pool.Decision {
-		owner := d.owner(g.id)
 		delete(d.running, g.id)
-		delete(d.older, g.id)
-		return owner.Finish(now, g.id, r)
+		return d.pool.Finish(now, g.id, r)
 	})
 }
 
-// owner returns the decision core that started a request; the caller holds the lock.
-func (d *Dispatcher) owner(id uint64) *pool.Pool {
-	if p, ok := d.older[id]; ok {
-		return p
-	}
-	return d.pool
-}
-
-// SetClasses puts new classes in force. Waiting requests are decided on anew; running ones end under
-// the classes that started them.
+// SetClasses puts new classes in force. What waits and runs stays.
 func (d *Dispatcher) SetClasses(classes []pool.Class) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if slices.Equal(classes, d.classes) {
-		return
-	}
-	now := d.clock.Now()
-	for id := range d.running {
-		if _, ok := d.older[id]; !ok {
-			d.older[id] = d.pool
-		}
-	}
-	d.classes = classes
-	d.pool = d.make(classes)
-	d.apply(d.pool.Upstreams(now, upstreams(lo.Values(d.targets))))
-	ids := slices.Sorted(maps.Keys(d.waiting))
-	for _, id := range ids {
-		d.apply(d.pool.Arrive(now, d.waiting[id].request))
-	}
+	d.do(func(now time.Time) []pool.Decision { return d.pool.SetClasses(now, classes) })
 }
 
 // SetTargets replaces the list of upstreams.
@@ -311,7 +270,7 @@
 		if dec.Action == pool.Wait {
 			continue
 		}
-		w, ok := d.waiting[dec.ID]
+		wake, ok := d.waiting[dec.ID]
 		if !ok {
 			continue
 		}
@@ -319,7 +278,7 @@
 		if dec.Action == pool.Start {
 			d.running[dec.ID] = dec.Upstream
 		}
-		w.wake <- outcome{decision: dec, target: d.targets[dec.Upstream]}
+		wake <- outcome{decision: dec, target: d.targets[dec.Upstream]}
 	}
 }
 
@@ -335,11 +294,9 @@
 func (d *Dispatcher) abandon(ctx context.Context, id uint64) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	owner := d.owner(id)
 	delete(d.waiting, id)
 	delete(d.running, id)
-	delete(d.older, id)
-	d.apply(owner.Cancel(d.clock.Now(), id))
+	d.apply(d.pool.Cancel(d.clock.Now(), id))
 	var cause *kind.Error
 	if errors.As(context.Cause(ctx), &cause) {
 		return cause.WithRan(kind.RanNo)
--- a/internal/upstream/dispatch/spare.go
+++ b/internal/upstream/dispatch/spare.go
@@ -20,7 +20,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	d.waiting[r.ID] = waiter{request: r, wake: wake}
+	d.waiting[r.ID] = wake
 	d.apply(d.pool.Arrive(now, r))
 	select {
 	case o := <-wake:
@@ -36,9 +36,7 @@
 // Cancel ends the attempt of a grant that was cut short on this side; its length tells nothing.
 func (d *Dispatcher) Cancel(g Grant) {
 	d.do(func(now time.Time) []pool.Decision {
-		owner := d.owner(g.id)
 		delete(d.running, g.id)
-		delete(d.older, g.id)
-		return owner.Cancel(now, g.id)
+		return d.pool.Cancel(now, g.id)
 	})
 }
--- a/internal/upstream/dispatch/spare_test.go
+++ b/internal/upstream/dispatch/spare_test.go
@@ -28,8 +28,8 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			build := func(classes []pool.Class) *pool.Pool { return pool.New(pool.Config{Host: "h1", Classes: classes}) }
-			d := dispatch.New("p", []pool.Class{{Name: "query"}}, build, clock.NewWall())
+			core := pool.New(pool.Config{Host: "h1", Classes: []pool.Class{{Name: "query"}}})
+			d := dispatch.New("p", core, clock.NewWall())
 			d.SetTargets([]dispatch.Target{
 				dispatch.NewTarget("a", "", "a:80", false, false).WithSlots(2),
 				dispatch.NewTarget("b", "", "b:80", false, false).WithSlots(2),
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -52,6 +52,7 @@
 	pools   map[string]*entry
 	targets map[string][]dispatch.Target // by pool
 	slots   map[string]int               // of one upstream, by pool
+	classes []pool.Class
 }
 
 // entry is one pool. Plain services report no load and have no poller.
@@ -115,10 +116,11 @@
 	for _, p := range doc.Pools() {
 		f.slots[p.Name()] = p.Slots()
 		e, ok := f.pools[p.Name()]
-		if ok {
-			e.SetClasses(classes)
-		} else {
+		switch {
+		case !ok:
 			e = f.newEntry(p, classes)
+		case !slices.Equal(classes, f.classes):
+			e.SetClasses(classes)
 		}
 		e.setTargets(f.sized(p.Name()))
 		next[p.Name()] = e
@@ -128,16 +130,14 @@
 			e.end()
 		}
 	}
-	f.pools = next
+	f.pools, f.classes = next, classes
 }
 
 // newEntry makes a pool and runs it when the Fleet runs; the caller holds the lock.
 func (f *Fleet) newEntry(p *document.Pool, classes []pool.Class) *entry {
-	build := func(classes []pool.Class) *pool.Pool {
-		return pool.New(pool.Config{Host: f.options.Host, Zone: f.options.Zone, Classes: classes, Seed: f.options.Seed})
-	}
+	core := pool.New(pool.Config{Host: f.options.Host, Zone: f.options.Zone, Classes: classes, Seed: f.options.Seed})
 	e := &entry{
-		Dispatcher: dispatch.New(p.Name(), classes, build, f.options.Clock),
+		Dispatcher: dispatch.New(p.Name(), core, f.options.Clock),
 		loads:      map[string]route.Load{},
 		peers:      map[string]peer{},
 		troubles:   map[string]trouble{},
