--- a/cmd/hickorypath/bench_test.go
+++ b/cmd/hickorypath/bench_test.go
@@ -20,7 +20,9 @@
 var fastOptions = standinengine.Options{Model: "asesor", Slots: 64, Gap: time.Microsecond, Prefill: time.Nanosecond}
 
 // BenchmarkAddedCost compares calls through one host with direct calls to the same stand-in in the same
-// run. It reports the time and the processor time of one call, of the whole process.
+// run. It reports the time and the processor time of one call, of the whole process: caller, router and
+// stand-in. The cost of one streamed event through the router is the difference of long and short through
+// the router, less that of direct calls, over the difference of their events.
 func BenchmarkAddedCost(b *testing.B) {
 	d, err := newDemo(&demoFlags{listen: anyPort, admin: anyPort, hosts: 1, zones: 1, engine: fastOptions, count: 1, lease: testLease, window: testWindow, source: withoutLimits(demoDocument)}, zap.NewNop(), io.Discard)
 	if err != nil {
@@ -35,14 +37,15 @@
 		b.Fatal(err)
 	}
 	direct := "http://" + d.site.Upstreams()[0].Addr
-	cases := []struct {
-		name, url string
-		stream    bool
-	}{
-		{"plain/direct", direct, false},
-		{"plain/router", d.callerURL(0), false},
-		{"stream/direct", direct, true},
-		{"stream/router", d.callerURL(0), true},
+	plain, long := chatBody("asesor", false, "bench"), chatBody("asesor", true, "bench")
+	short := strings.Replace(long, "{", `{"max_tokens":2,`, 1)
+	cases := []struct{ name, url, body string }{
+		{"plain/direct", direct, plain},
+		{"plain/router", d.callerURL(0), plain},
+		{"short/direct", direct, short},
+		{"short/router", d.callerURL(0), short},
+		{"long/direct", direct, long},
+		{"long/router", d.callerURL(0), long},
 	}
 	hc := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
 	defer hc.CloseIdleConnections()
@@ -51,7 +54,7 @@
 			events := 0
 			before := processorTime()
 			for b.Loop() {
-				events += benchCall(b, hc, c.url, keys[demoCustomer], c.stream)
+				events += benchCall(b, hc, c.url, keys[demoCustomer], c.body)
 			}
 			used := processorTime() - before
 			b.ReportMetric(float64(used.Microseconds())/float64(b.N), "cpu-us/op")
@@ -66,8 +69,8 @@
 }
 
 // benchCall makes one call and returns the number of its events.
-func benchCall(b *testing.B, hc *http.Client, url, key string, stream bool) int {
-	req, err := http.NewRequest(http.MethodPost, url+"/v1/chat/completions", strings.NewReader(chatBody("asesor", stream, "bench")))
+func benchCall(b *testing.B, hc *http.Client, url, key, body string) int {
+	req, err := http.NewRequest(http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
 		b.Fatal(err)
 	}
