--- a/cmd/hickorypath/demo.go
+++ b/cmd/hickorypath/demo.go
@@ -22,6 +22,7 @@
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/core/settings"
 	"hickorypath/internal/host/node"
+	"hickorypath/internal/operator/api"
 	"hickorypath/internal/operator/client"
 	"hickorypath/internal/platform/roster"
 	standinengine "hickorypath/internal/standin/engine"
@@ -277,20 +278,17 @@
 
 // inForce waits until every host applied the document, and shows the progress.
 func (d *demo) inForce(ctx context.Context, c *client.Client) error {
-	for {
+	for shown := 0; ; {
 		s, err := c.Status(ctx)
 		if err != nil {
 			return err
 		}
-		applied := 0
-		for _, h := range s.Hosts {
-			if h.Revision >= 1 {
-				applied++
-			}
+		applied := lo.CountBy(s.Hosts, func(h api.Host) bool { return h.Revision >= 1 })
+		if applied > shown {
+			shown = applied
+			fmt.Fprintf(d.out, "document in force on %d of %d hosts\n", applied, len(d.hosts))
 		}
-		fmt.Fprintf(d.out, "\rdocument in force on %d of %d hosts", applied, len(d.hosts))
 		if applied >= len(d.hosts) {
-			fmt.Fprintln(d.out)
 			return nil
 		}
 		select {
--- a/cmd/hickorypath/fault_test.go
+++ b/cmd/hickorypath/fault_test.go
@@ -3,14 +3,18 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
 	"github.com/tidwall/gjson"
 
 	"hickorypath/internal/core/kind"
+	"hickorypath/internal/operator/api"
 	standinengine "hickorypath/internal/standin/engine"
 )
 
@@ -151,3 +155,63 @@
 	}
 	is.Equal(min(crashes, 3), min(crashes, 2)) // at most two crashes, however often it is resent
 }
+
+// TestReclaimedZoneLosesNoRequest takes back the cheap upstreams of a zone while they run streams that are
+// longer than the notice.
+func TestReclaimedZoneLosesNoRequest(t *testing.T) {
+	is := is.New(t)
+	const (
+		streams = 12
+		notice  = 300 * time.Millisecond
+	)
+	slow := testEngine
+	slow.Gap = 20 * time.Millisecond
+	w := newWorldWith(t, slow, 2)
+	for range 2 {
+		is.NoErr(w.site.AddEngine("asesor", "norte-c", true))
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	w.until(ctx, t, func() bool { // the hosts have read the list
+		return len(w.listed(ctx, "asesor")) == 4
+	})
+	answers := make(chan answer, streams)
+	for n := range streams {
+		go func() {
+			c := call{http.MethodPost, "/v1/chat/completions", chatBody("asesor", true, fmt.Sprint("draft ", n)), w.keys[demoCustomer], http.Header{"Hickorypath-Class": {"draft"}}}
+			answers <- w.send(ctx, n%len(w.hosts), c)
+		}()
+	}
+	w.until(ctx, t, func() bool { return w.cheapRunning() > 0 })
+	w.site.Provision().Reclaim("norte-c", notice)
+	for range streams {
+		a := <-answers
+		is.NoErr(a.err)
+		is.Equal(a.status, http.StatusOK)
+		is.True(strings.HasSuffix(string(a.body), "data: [DONE]\n\n")) // whole
+	}
+}
+
+// listed returns the upstreams of a pool as the first host knows them.
+func (w *world) listed(ctx context.Context, pool string) []api.Upstream {
+	s, err := w.admin(0).Status(ctx)
+	if err != nil {
+		return nil
+	}
+	return lo.Filter(s.Upstreams, func(u api.Upstream, _ int) bool { return u.Pool == pool })
+}
+
+// cheapRunning returns how many requests the reclaimable upstreams run.
+func (w *world) cheapRunning() int {
+	reclaimable := map[string]bool{}
+	for _, u := range w.site.Provision().Upstreams() {
+		reclaimable[u.ID] = u.Reclaimable
+	}
+	n := 0
+	for id, e := range w.site.EnginesByID() {
+		if reclaimable[id] {
+			n += e.Load().Running
+		}
+	}
+	return n
+}
--- a/cmd/hickorypath/path_test.go
+++ b/cmd/hickorypath/path_test.go
@@ -47,10 +47,14 @@
 
 // newWorldOf runs three hosts before count engines of each pool.
 func newWorldOf(t *testing.T, count int) *world {
+	return newWorldWith(t, testEngine, count)
+}
+
+func newWorldWith(t *testing.T, engine standinengine.Options, count int) *world {
 	t.Helper()
 	t.Parallel()
 	is := is.New(t)
-	d, err := newDemo(&demoFlags{listen: anyPort, admin: anyPort, hosts: 3, zones: 3, engine: testEngine, count: count, lease: testLease, window: testWindow, source: demoDocument}, zap.NewNop(), io.Discard)
+	d, err := newDemo(&demoFlags{listen: anyPort, admin: anyPort, hosts: 3, zones: 3, engine: engine, count: count, lease: testLease, window: testWindow, source: demoDocument}, zap.NewNop(), io.Discard)
 	is.NoErr(err)
 	d.start()
 	t.Cleanup(d.close)
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -161,6 +161,17 @@
 	return lo.FilterMap(s.sorted(), func(u *upstream, _ int) (*standinengine.Engine, bool) { return u.engine, u.engine != nil })
 }
 
+// EnginesByID returns the running engines by their names.
+func (s *Site) EnginesByID() map[string]*standinengine.Engine {
+	engines := map[string]*standinengine.Engine{}
+	for _, u := range s.sorted() {
+		if u.engine != nil {
+			engines[u.ID] = u.engine
+		}
+	}
+	return engines
+}
+
 func (s *Site) sorted() []*upstream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
