Charge token limits with the learned length, and notice callers that went silent

An output without max_tokens was charged as nothing until its end. Callers' sockets now give up on unacknowledged data as upstream sockets do.

--- a/cmd/hickorypath/host.go
+++ b/cmd/hickorypath/host.go
@@ -31,6 +31,7 @@
 	"hickorypath/internal/platform/usage"
 	"hickorypath/internal/upstream/dispatch"
 	"hickorypath/internal/upstream/fleet"
+	"hickorypath/internal/upstream/wire"
 )
 
 // watchersPerZone is how many hosts of a zone watch the store for all.
@@ -72,7 +73,10 @@
 }
 
 func listen(l settings.Listener) (net.Listener, error) {
-	conf := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepInterval, Count: keepCount}}
+	conf := net.ListenConfig{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepInterval, Count: keepCount},
+		Control:         wire.SetUserTimeout,
+	}
 	ln, err := conf.Listen(context.Background(), "tcp", l.Listen)
 	if err != nil {
 		return nil, kind.Wrap(err, kind.Settings, "the address %s cannot be used", l.Listen)
--- a/internal/caller/exchange/chat.go
+++ b/internal/caller/exchange/chat.go
@@ -52,7 +52,7 @@
 	}
 	c := &chat{Session: s, body: body, data: data, out: out, ran: kind.RanNo}
 	c.print = suspect.Fingerprint(s.customer, s.route.Name(), body.messages)
-	estimate := body.PromptTokens() + body.max
+	estimate := body.PromptTokens() + s.pool.Expected(c.request(false))
 	done, err := s.runner.deps.Admit(s.customer, s.class.Name(), estimate)
 	if err != nil {
 		return err
--- a/internal/caller/exchange/exchange.go
+++ b/internal/caller/exchange/exchange.go
@@ -227,10 +227,4 @@
 }
 
 // deadline returns when the answer must have ended.
-func (s *Session) deadline() time.Time {
-	limit := s.route.Timeout()
-	if limit <= 0 {
-		limit = s.class.Whole()
-	}
-	return s.arrived.Add(limit)
-}
+func (s *Session) deadline() time.Time { return s.arrived.Add(s.route.Timeout()) }
--- a/internal/caller/exchange/retries.go
+++ b/internal/caller/exchange/retries.go
@@ -189,10 +189,8 @@
 // refusal returns the final answer to a request that was refused before it was sent; ran tells what its
 // earlier attempts did.
 func refusal(err error, ran kind.Ran) error {
-	if ran == kind.RanNo {
-		return err
-	}
-	return kind.From(err).WithRan(ran)
+	e := kind.From(err)
+	return e.WithRan(stronger(ran, e.Ran()))
 }
 
 // explain replaces the error of an attempt that was cut short by the reason for the cut, such as a
--- a/internal/upstream/dispatch/dispatch.go
+++ b/internal/upstream/dispatch/dispatch.go
@@ -171,6 +171,13 @@
 	d.do(func(now time.Time) []pool.Decision { return d.pool.SetClasses(now, classes) })
 }
 
+// Expected returns how many output tokens a request is expected to produce.
+func (d *Dispatcher) Expected(r pool.Request) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pool.Expected(r)
+}
+
 // SetTargets replaces the list of upstreams.
 func (d *Dispatcher) SetTargets(targets []Target) {
 	ups := upstreams(targets)
--- a/internal/upstream/wire/conn.go
+++ b/internal/upstream/wire/conn.go
@@ -30,12 +30,14 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepIdle, Interval: keepInterval, Count: keepCount,
 		},
-		Control: setUserTimeout,
+		Control: SetUserTimeout,
 	}
 	return d.DialContext
 }
 
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
+// SetUserTimeout bounds how long a socket waits for the other end to acknowledge what was sent. It has the
+// form of net.Dialer.Control and net.ListenConfig.Control.
+func SetUserTimeout(_, _ string, c syscall.RawConn) error {
 	var failed error
 	err := c.Control(func(fd uintptr) {
 		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedExpiry.Milliseconds()))
