--- /dev/null
+++ b/cmd/hickorypath/handover.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/host/node"
+	"hickorypath/internal/host/spread"
+	"hickorypath/internal/platform/usage"
+)
+
+// Times of the handover of usage.
+const (
+	handoverExpiry = 24 * time.Hour  // how long it may wait for the store
+	handoverPause  = 2 * time.Second // lets it reach the other hosts before this one ends
+)
+
+// settleUsage commits the last usage, or hands it over to the other hosts while the store is down.
+func (h *host) settleUsage(ctx context.Context) {
+	r := get[*usage.Recorder](h.injector)
+	err := r.Flush(ctx)
+	if err == nil {
+		return
+	}
+	h.log.Warn("usage is handed over to other hosts", zap.Int("increments", r.Waiting()), zap.Error(err))
+	now := get[clock.Clock](h.injector).Now()
+	id := get[identity](h.injector)
+	sp := get[*node.Node](h.injector).Spread()
+	sp.Put(spread.Usage, id.host+"/"+id.incarnation, uint64(now.UnixNano()), r.Export(), now.Add(handoverExpiry))
+	pause(ctx, handoverPause)
+}
+
+// takeUsage takes over the usage of a host that left, on the few hosts that are candidates for it.
+func (h *host) takeUsage(r spread.Record) {
+	host, _, _ := strings.Cut(r.Key(), "/")
+	if host == h.settings.Host() || !isCandidate(liveHosts(get[*node.Node](h.injector).Members()), h.settings.Host(), r.Key()) {
+		return
+	}
+	if err := get[*usage.Recorder](h.injector).Import(r.Value()); err != nil {
+		h.log.Error("handed-over usage cannot be read", zap.String("from", r.Key()), zap.Error(err))
+	}
+}
--- a/cmd/hickorypath/host.go
+++ b/cmd/hickorypath/host.go
@@ -28,7 +28,6 @@
 	"hickorypath/internal/host/spread"
 	"hickorypath/internal/operator/follow"
 	"hickorypath/internal/operator/meter"
-	"hickorypath/internal/platform/usage"
 	"hickorypath/internal/upstream/dispatch"
 	"hickorypath/internal/upstream/fleet"
 	"hickorypath/internal/upstream/wire"
@@ -193,27 +192,6 @@
 	return err
 }
 
-// handoverExpiry is how long the usage that a leaving host hands over may wait for the store.
-const handoverExpiry = 24 * time.Hour
-
-// settleUsage commits the last usage, or hands it over to the other hosts while the store is down.
-func (h *host) settleUsage(ctx context.Context) {
-	r := get[*usage.Recorder](h.injector)
-	err := r.Flush(ctx)
-	if err == nil {
-		return
-	}
-	h.log.Warn("usage is handed over to other hosts", zap.Int("increments", r.Waiting()), zap.Error(err))
-	now := get[clock.Clock](h.injector).Now()
-	id := get[identity](h.injector)
-	sp := get[*node.Node](h.injector).Spread()
-	sp.Put(spread.Usage, id.host+"/"+id.incarnation, uint64(now.UnixNano()), r.Export(), now.Add(handoverExpiry))
-	pause(ctx, handoverPause)
-}
-
-// handoverPause lets the handed-over usage reach the other hosts before this one ends.
-const handoverPause = 2 * time.Second
-
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -223,17 +201,6 @@
 	}
 }
 
-// takeUsage takes over the usage of a host that left, on the few hosts that are candidates for it.
-func (h *host) takeUsage(r spread.Record) {
-	host, _, _ := strings.Cut(r.Key(), "/")
-	if host == h.settings.Host() || !isCandidate(liveHosts(get[*node.Node](h.injector).Members()), h.settings.Host(), r.Key()) {
-		return
-	}
-	if err := get[*usage.Recorder](h.injector).Import(r.Value()); err != nil {
-		h.log.Error("handed-over usage cannot be read", zap.String("from", r.Key()), zap.Error(err))
-	}
-}
-
 // staticTargets returns the plain services that the settings list.
 func staticTargets(services []settings.Service) map[string][]dispatch.Target {
 	byPool := lo.GroupBy(services, func(s settings.Service) string { return s.Pool })
--- a/cmd/hickorypath/path_test.go
+++ b/cmd/hickorypath/path_test.go
@@ -294,12 +294,14 @@
 	w.until(ctx, t, func() bool { return w.seen() == len(w.hosts) })
 	keys, err := w.admin(0).Keys(ctx, demoCustomer)
 	is.NoErr(err)
+	withdrawn := time.Now()
 	_, err = w.admin(1).Withdraw(ctx, keys[0].ID)
 	is.NoErr(err)
 	for range w.hosts {
 		a := <-ended
 		is.True(a.err != nil || a.refusal().Error.Kind == kind.Withdrawn)
 	}
+	t.Logf("the streams of all hosts ended within %s of the withdrawal", time.Since(withdrawn))
 	for host := range w.hosts {
 		a := w.send(ctx, host, call{http.MethodPost, "/v1/chat/completions", chatBody("asesor", false, "x"), w.keys[demoCustomer], nil})
 		is.Equal(a.status, http.StatusUnauthorized)
