Stop no upstream of a zone that is cut off

Cause: the lease holder counted what the hosts that it hears run; in a cut it took the upstreams of the other side for idle, drained and stopped them under their requests. Change: an upstream's own report counts as well, and an unheard upstream in a zone of which no host is heard counts as running.

--- a/cmd/hickorypath/duties.go
+++ b/cmd/hickorypath/duties.go
@@ -86,6 +86,7 @@
 		Fleet:     get[*fleet.Fleet](i),
 		Upstreams: list.get,
 		Zones:     func() []string { return zonesOf(n, list) },
+		Reached:   func(zone string) bool { return isReached(n.Members(), zone) },
 		Candidate: func(name string) bool { return isCandidate(liveHosts(n.Members()), s.Host(), name) },
 		Spend:     get[*meter.Meter](i).Spend,
 	}), nil
@@ -101,6 +102,11 @@
 	return slices.Compact(zones)
 }
 
+// isReached reports whether a host of a zone is heard.
+func isReached(members []member.Member, zone string) bool {
+	return lo.SomeBy(members, func(m member.Member) bool { return m.Zone() == zone && m.Alive() })
+}
+
 // isCandidate reports whether a host is among the few that try to get a lease, by rendezvous hashing
 // over the live hosts.
 func isCandidate(hosts []string, self, name string) bool {
--- a/internal/upstream/duty/duty.go
+++ b/internal/upstream/duty/duty.go
@@ -40,6 +40,7 @@
 	Fleet     *fleet.Fleet
 	Upstreams func() []provision.Upstream
 	Zones     func() []string
+	Reached   func(zone string) bool // whether a host of the zone is heard
 	// Candidate reports whether this host should try to get the lease of that name.
 	Candidate func(lease string) bool
 	// Spend counts the time for which upstreams of a pool were paid.
@@ -111,16 +112,29 @@
 // start runs the lease and the scaler of one pool; the caller holds the lock.
 func (d *Duty) start(name string) {
 	ctx, stop := context.WithCancel(d.ctx)
+	l := d.newLease(name)
+	s := d.newScaler(name, l)
+	d.leases[name], d.stops[name] = l, stop
+	d.done.Go(func() { l.Run(ctx) })
+	d.done.Go(func() { s.Run(ctx) })
+}
+
+func (d *Duty) newLease(name string) *lease.Lease {
 	o := d.options
-	l := lease.New(o.Store, o.Clock, lease.Options{
+	return lease.New(o.Store, o.Clock, lease.Options{
 		Name:      leasePrefix + name,
 		Holder:    o.Holder,
 		TTL:       o.Lease,
 		Candidate: func() bool { return o.Candidate(leasePrefix + name) },
 		Log:       o.Log,
 	})
+}
+
+// newScaler returns the scaler of a pool, whose orders go out under l.
+func (d *Duty) newScaler(name string, l *lease.Lease) *scaler.Scaler {
+	o := d.options
 	orderer := provision.NewOrderer(o.Store, o.Clock, l, o.Backend, provision.OrdererOptions{Timeout: o.Timeout, Log: o.Log})
-	s := scaler.New(scaler.Options{
+	return scaler.New(scaler.Options{
 		Pool:  name,
 		Clock: o.Clock,
 		Log:   o.Log,
@@ -138,9 +152,6 @@
 		Leave: o.Fleet.Leave,
 		Spend: func(reclaimable bool, paid time.Duration) { o.Spend(name, reclaimable, paid) },
 	})
-	d.leases[name], d.stops[name] = l, stop
-	d.done.Go(func() { l.Run(ctx) })
-	d.done.Go(func() { s.Run(ctx) })
 }
 
 // plan returns the bounds of a pool in the document in force.
@@ -170,11 +181,26 @@
 			Zone:        u.Zone,
 			Reclaimable: u.Reclaimable,
 			State:       d.state(u),
-			Running:     d.options.Fleet.Running(name, u.ID),
+			Running:     d.running(name, u),
 		}
 	})
 }
 
+// running returns how many requests an upstream runs as far as this host can tell.
+func (d *Duty) running(name string, u provision.Upstream) int {
+	n, heard := d.options.Fleet.Running(name, u.ID)
+	return busy(n, heard || d.options.Reached(u.Zone))
+}
+
+// busy returns the requests that an upstream must be taken to run. One that is not heard, in a zone that
+// cannot be reached, may serve the hosts of that zone: it counts as running, so that it is not stopped.
+func busy(counted int, known bool) int {
+	if known {
+		return counted
+	}
+	return max(1, counted)
+}
+
 func (d *Duty) state(u provision.Upstream) scale.State {
 	switch {
 	case u.State == provision.StateLeaving || d.options.Fleet.IsLeaving(u.ID):
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -22,6 +22,9 @@
 	"hickorypath/internal/upstream/poll"
 )
 
+// reportExpiry is how long an upstream's report of its own load counts.
+const reportExpiry = 30 * time.Second
+
 // peerExpiry is how long the last word of a silent host counts.
 const peerExpiry = 30 * time.Second
 
@@ -64,7 +67,8 @@
 	mu       sync.Mutex
 	loads    map[string]route.Load // polled here since the last summary
 	peers    map[string]peer
-	troubles map[string]trouble // by upstream
+	troubles map[string]trouble    // by upstream
+	last     map[string]route.Load // the last report of each upstream
 }
 
 // peer is what another host runs.
@@ -141,6 +145,7 @@
 		loads:      map[string]route.Load{},
 		peers:      map[string]peer{},
 		troubles:   map[string]trouble{},
+		last:       map[string]route.Load{},
 		stop:       func() {},
 	}
 	if p.Kind() == document.Engine {
@@ -204,6 +209,18 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.loads[id] = l
+	e.last[id] = l
+}
+
+// reported returns how many requests an upstream had by its last report, and whether that is recent.
+func (e *entry) reported(upstream string, now time.Time) (n int, heard bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l, ok := e.last[upstream]
+	if !ok || now.Sub(l.At) > reportExpiry {
+		return 0, false
+	}
+	return l.Running + l.Waiting, true
 }
 
 // runningElsewhere returns how many requests of other hosts an upstream runs.
@@ -304,13 +321,16 @@
 	return e.Want()
 }
 
-// Running returns how many requests of all hosts an upstream runs.
-func (f *Fleet) Running(name, upstream string) int {
+// Running returns how many requests an upstream runs: those that the known hosts count, or those that it
+// reports itself if they are more. Heard tells whether it reported lately.
+func (f *Fleet) Running(name, upstream string) (n int, heard bool) {
 	e, ok := f.entry(name)
 	if !ok {
-		return 0
+		return 0, false
 	}
-	return e.Running(upstream) + e.runningElsewhere(upstream, f.options.Clock.Now())
+	now := f.options.Clock.Now()
+	reported, heard := e.reported(upstream, now)
+	return max(reported, e.Running(upstream)+e.runningElsewhere(upstream, now)), heard
 }
 
 // Pools returns all dispatchers in the order of their names.
--- a/internal/upstream/fleet/summary.go
+++ b/internal/upstream/fleet/summary.go
@@ -74,9 +74,17 @@
 	e.Peer(s.Host, s.Body)
 	e.notePeer(s.Host, peer{counts: s.Body.Counts, heard: f.options.Clock.Now()})
 	for id, l := range s.Loads {
-		e.Report(id, l)
+		e.heard(id, l)
 		if e.noteUp(id, l.At) {
 			f.refreshPool(s.Pool)
 		}
 	}
 }
+
+// heard takes the load of an upstream that another host polled.
+func (e *entry) heard(id string, l route.Load) {
+	e.Report(id, l)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.last[id] = l
+}
