--- a/cmd/hickorypath/usage_test.go
+++ b/cmd/hickorypath/usage_test.go
@@ -80,6 +80,7 @@
 				want[customer] = want[customer].plus(b)
 			}
 			w.stops[0]()
+			t.Cleanup(func() { t.Logf("reported %v, delivered %v", w.reported(), want) })
 			w.until(ctx, t, func() bool { return reflect.DeepEqual(w.reported(), want) })
 			is.Equal(w.reported(), want) // exact, to the token
 			is.Equal(conflicting(w), 0)  // no window with two sets of figures
--- a/internal/policy/route/trial.go
+++ b/internal/policy/route/trial.go
@@ -14,9 +14,10 @@
 	turnGuard  = 500 * time.Millisecond // for clocks that differ, at the begin of a turn
 )
 
-// rank numbers the members in the order of their ids, which is the same on all hosts.
+// rank numbers the members that may take work in the order of their ids, which is the same on all hosts.
+// Members that may not take any would leave some host without one in its turn.
 func (t *Table) rank() {
-	all := lo.Values(t.byID)
+	all := lo.Filter(lo.Values(t.byID), func(m *member, _ int) bool { return !m.leaving })
 	slices.SortFunc(all, func(a, b *member) int { return cmp.Compare(a.id, b.id) })
 	for i, m := range all {
 		m.rank = i
