--- a/cmd/hickorypath/path_test.go
+++ b/cmd/hickorypath/path_test.go
@@ -229,6 +229,29 @@
 		is.Equal(apiErr.StatusCode, http.StatusUnauthorized)
 		is.Equal(apiErr.Type, "authentication_error")
 	})
+	t.Run("retried", func(t *testing.T) {
+		is := is.New(t)
+		for _, e := range w.site.Engines() {
+			e.Reject(-1)
+		}
+		var statuses []int
+		restore := func(r *http.Request, next option.MiddlewareNext) (*http.Response, error) {
+			res, err := next(r)
+			if err == nil {
+				statuses = append(statuses, res.StatusCode)
+			}
+			for _, e := range w.site.Engines() {
+				e.Restore()
+			}
+			return res, err
+		}
+		c := openai.NewClient(option.WithBaseURL(w.callerURL(0)+"/v1"), option.WithAPIKey(w.keys[demoCustomer]), option.WithMiddleware(restore))
+		res, err := c.Chat.Completions.New(t.Context(), params)
+		is.NoErr(err)
+		is.True(res.Choices[0].Message.Content != "")
+		is.Equal(statuses[0], http.StatusServiceUnavailable)
+		is.Equal(statuses[len(statuses)-1], http.StatusOK)
+	})
 	t.Run("models", func(t *testing.T) {
 		is := is.New(t)
 		c := newClient(w.keys[demoOther])
