Commit what is left when a flush meets a conflict

Cause: a conflicting write counted its increments as committed. A host that shut down while the reporter sealed its part ended its flush without an error and without its last increments: they were never billed. Ruled out: budgets of the store (26 calls a second), a reporter without its lease (it was held for the 28 s of a logged failing run, without errors). Change: only a write that succeeded counts. The test fails before and passes after.

--- /dev/null
+++ b/internal/platform/usage/flush_test.go
@@ -0,0 +1,53 @@
+package usage_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/platform/store"
+	"hickorypath/internal/platform/usage"
+)
+
+// TestFlushAfterConflict changes the part of a host in the store, as the reporter does when it seals it,
+// between a commit and the flush of the shutdown.
+func TestFlushAfterConflict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		k := clock.NewWall()
+		client := store.New(store.NewMemory(k).Backend(), store.Options{Clock: k})
+		r := usage.New(client, k, usage.Options{Host: "h1", Incarnation: "i1", Window: time.Hour})
+		ctx, cancel := context.WithCancel(t.Context())
+		go r.Run(ctx)
+		r.Add(usage.Record{Request: "a", Customer: "laredo", Output: 1})
+		time.Sleep(time.Minute)
+		cancel()
+		synctest.Wait()
+		touch(t, client)
+		r.Add(usage.Record{Request: "b", Customer: "laredo", Output: 1})
+		is.NoErr(r.Flush(t.Context()))
+		is.Equal(r.Waiting(), 0) // nothing is left behind by a flush without an error
+	})
+}
+
+// touch writes each part again as it is, so that its revision rises.
+func touch(t *testing.T, client *store.Client) {
+	t.Helper()
+	is := is.New(t)
+	entries, _, err := client.List(t.Context(), "usage/")
+	is.NoErr(err)
+	touched := 0
+	for _, e := range entries {
+		if strings.Contains(e.Key(), "h1") {
+			_, err := client.Put(t.Context(), e.Key(), e.Value(), store.At(e.Revision()))
+			is.NoErr(err)
+			touched++
+		}
+	}
+	is.Equal(touched, 1)
+}
--- a/internal/platform/usage/recorder.go
+++ b/internal/platform/usage/recorder.go
@@ -157,19 +157,22 @@
 		if !due {
 			return nil
 		}
-		if err := r.write(ctx, s, p, revision); err != nil {
+		written, err := r.write(ctx, s, p, revision)
+		if err != nil {
 			return err
 		}
-		left -= taken
+		if written {
+			left -= taken
+		}
 	}
 }
 
-// write stores a part. After a conflict or without a clear outcome the stream is read before
-// the next write.
-func (r *Recorder) write(ctx context.Context, s *stream, p part, revision uint64) error {
+// write stores a part and reports whether it did. After a conflict, when it did not, or without a clear
+// outcome the stream is read before the next write.
+func (r *Recorder) write(ctx context.Context, s *stream, p part, revision uint64) (done bool, err error) {
 	data, err := encode(p)
 	if err != nil {
-		return err
+		return false, err
 	}
 	cond := store.Absent()
 	if revision != 0 {
@@ -181,14 +184,14 @@
 	switch kind.Of(err) {
 	case "":
 		s.adopt(p, written)
-		return nil
+		return true, nil
 	case kind.Conflict:
 		s.unsure = true
-		return nil
+		return false, nil
 	case kind.Unknown:
 		s.unsure = true
 	}
-	return err
+	return false, err
 }
 
 // sync reads what the store holds of a stream that is unsure.
