--- a/internal/caller/exchange/exchange.go
+++ b/internal/caller/exchange/exchange.go
@@ -93,9 +93,6 @@
 	keyID    string
 }
 
-// Customer returns the name of the customer, empty without a key.
-func (i Identity) Customer() string { return i.customer }
-
 // NewID returns a random request id.
 func NewID() string {
 	return strings.ToLower(rand.Text())
@@ -199,9 +196,6 @@
 // BodyLimit returns the largest body in bytes that the route takes.
 func (s *Session) BodyLimit() int64 { return int64(s.route.Body()) }
 
-// Context returns the context that ends with the caller or with the key.
-func (s *Session) Context() context.Context { return s.ctx }
-
 // Close frees the session and accounts for how it ended.
 func (s *Session) Close(err error) {
 	s.unwatch()
--- a/internal/caller/openai/openai.go
+++ b/internal/caller/openai/openai.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -84,7 +85,7 @@
 		return data, nil
 	}
 	var large *http.MaxBytesError
-	if asLarge(err, &large) {
+	if errors.As(err, &large) {
 		return nil, kind.New(kind.Large, "the body has more than %d bytes", large.Limit)
 	}
 	return nil, kind.Wrap(err, kind.Canceled, "the body did not arrive whole").WithRan(kind.RanNo)
--- a/internal/caller/openai/writer.go
+++ b/internal/caller/openai/writer.go
@@ -1,7 +1,6 @@
 package openai
 
 import (
-	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -114,7 +113,3 @@
 	close(w.stop)
 	w.beats.Wait()
 }
-
-func asLarge(err error, target **http.MaxBytesError) bool {
-	return errors.As(err, target)
-}
--- a/internal/upstream/scaler/scaler.go
+++ b/internal/upstream/scaler/scaler.go
@@ -89,17 +89,13 @@
 
 // adopt starts a planner, anew when the document changed the pool's bounds.
 func (s *Scaler) adopt(conf scale.Config) {
-	if s.planner != nil && isSame(s.conf, conf) {
+	if s.planner != nil && reflect.DeepEqual(s.conf, conf) {
 		return
 	}
 	s.conf = conf
 	s.planner = scale.New(conf)
 }
 
-func isSame(a, b scale.Config) bool {
-	return reflect.DeepEqual(a, b)
-}
-
 func (s *Scaler) order(ctx context.Context, o scale.Order) {
 	if o.Action == scale.Drain {
 		s.options.Leave(o.Upstream)
