Give the stand-ins of engines and services one fault switch

Engine and service each had their own switches, records of calls and silent connections, and five stand-ins each their own decoding of a fault. internal/standin/upstream and internal/standin/web now hold these once. Faults take durations as text such as "300ms" and refuse unknown fields.

--- a/cmd/hickorypath/fault_test.go
+++ b/cmd/hickorypath/fault_test.go
@@ -59,7 +59,7 @@
 func (w *world) running(mark string) []*standinengine.Engine {
 	var list []*standinengine.Engine
 	for _, e := range w.site.Engines() {
-		for _, r := range e.Seen() {
+		for _, r := range e.Calls() {
 			if r.Ran() && !r.Done() && strings.Contains(string(r.Body()), mark) {
 				list = append(list, e)
 			}
@@ -106,8 +106,8 @@
 		ran   kind.Ran
 		times int
 	}{
-		{"answer cut", func(w *world) { w.ledger.Cut(1) }, kind.Lost, kind.RanMaybe, 1},
-		{"rejected", func(w *world) { w.ledger.Reject(-1) }, kind.Rejected, kind.RanNo, 0},
+		{"answer cut", func(w *world) { w.ledger.Strike("cut", 1) }, kind.Lost, kind.RanMaybe, 1},
+		{"rejected", func(w *world) { w.ledger.Strike("reject", -1) }, kind.Rejected, kind.RanNo, 0},
 		{"crashed before", func(w *world) { w.ledger.Crash() }, kind.Lost, kind.RanMaybe, 0},
 	}
 	for _, c := range cases {
@@ -147,7 +147,7 @@
 	}
 	crashes := 0
 	for _, e := range w.site.Engines() {
-		for _, r := range e.Seen() {
+		for _, r := range e.Calls() {
 			if strings.Contains(string(r.Body()), mark) {
 				crashes++
 			}
--- a/cmd/hickorypath/path_test.go
+++ b/cmd/hickorypath/path_test.go
@@ -134,7 +134,7 @@
 func (w *world) seen() int {
 	n := len(w.ledger.Calls())
 	for _, e := range w.site.Engines() {
-		n += len(e.Seen())
+		n += len(e.Calls())
 	}
 	return n
 }
@@ -232,7 +232,7 @@
 	t.Run("retried", func(t *testing.T) {
 		is := is.New(t)
 		for _, e := range w.site.Engines() {
-			e.Reject(-1)
+			e.Strike("reject", -1)
 		}
 		var statuses []int
 		restore := func(r *http.Request, next option.MiddlewareNext) (*http.Response, error) {
@@ -282,7 +282,7 @@
 		is.Equal(a.status, http.StatusOK)
 	}
 	for _, e := range w.site.Engines() {
-		for _, r := range e.Seen() {
+		for _, r := range e.Calls() {
 			is.True(!holds(key, r.Query(), r.Header(), r.Body()))
 		}
 	}
--- a/cmd/hickorypath/process_test.go
+++ b/cmd/hickorypath/process_test.go
@@ -260,7 +260,7 @@
 	is := is.New(t)
 	p := newProcesses(t, 2)
 	dues := call{http.MethodPost, "/dues", `{"member":"Ana"}`, p.keys[demoCustomer], http.Header{"Idempotency-Key": {"k1"}}}
-	p.ledger.Hang(1)
+	p.ledger.Strike("hang", 1)
 	go p.send(p.hosts[0], dues)
 	p.until(func() bool { return p.ledger.Executed("/dues", dues.body) == 1 })
 	is.NoErr(p.hosts[0].cmd.Process.Kill())
--- a/internal/caller/exchange/exchange_test.go
+++ b/internal/caller/exchange/exchange_test.go
@@ -234,7 +234,7 @@
 func (w *world) seen() int {
 	n := 0
 	for _, e := range w.engines {
-		n += len(e.Seen())
+		n += len(e.Calls())
 	}
 	return n
 }
--- a/internal/caller/exchange/fault_test.go
+++ b/internal/caller/exchange/fault_test.go
@@ -101,7 +101,7 @@
 
 func rejectAll(w *world) {
 	for _, e := range w.engines {
-		e.Reject(-1)
+		e.Strike("reject", -1)
 	}
 }
 
--- a/internal/host/capacity/usage_test.go
+++ b/internal/host/capacity/usage_test.go
@@ -59,8 +59,7 @@
 		wg.Go(func() { l.Run(ctx) })
 		taken := sink.New()
 		report := usage.NewReporter(client, c, l, usage.Sink{Report: func(_ context.Context, r usage.Report, _ func() error) error {
-			_, err := taken.Accept(r)
-			return err
+			return taken.Accept(r)
 		}}, usage.ReporterOptions{Window: window})
 		time.Sleep(window + time.Minute)
 		before := cpu()
--- a/internal/platform/usage/world_test.go
+++ b/internal/platform/usage/world_test.go
@@ -98,23 +98,23 @@
 		return err
 	}
 	time.Sleep(time.Duration(h.rand.Int64N(int64(2 * time.Second))))
-	lost, err := h.world.accept(r)
+	err := h.world.accept(r)
 	h.gate.Pass()
-	if lost || ctx.Err() != nil {
+	if ctx.Err() != nil {
 		return kind.New(kind.Lost, "no answer")
 	}
 	return err
 }
 
-func (w *world) accept(r usage.Report) (bool, error) {
+func (w *world) accept(r usage.Report) error {
 	_, fence, ok := w.memory.Read("lease/usage")
-	lost, err := w.sink.Accept(r)
-	if err == nil && w.strict && (!ok || fence != r.Fence) {
+	err := w.sink.Accept(r)
+	if kept := err == nil || kind.Of(err) == kind.Lost; kept && w.strict && (!ok || fence != r.Fence) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.unfenced = append(w.unfenced, fmt.Sprintf("%s fence %d, lease at %d", r.ID, r.Fence, fence))
 	}
-	return lost, err
+	return err
 }
 
 func (w *world) deliver(h *host, customer string, tokens int) {
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -1,54 +1,45 @@
 package engine
 
-import "sort"
+import (
+	"cmp"
+	"slices"
+)
 
 // batch admits requests to a bounded number of slots in order of priority, then arrival.
 type batch struct {
 	slots   int
 	running int
 	waiting []*waiter
-	last    uint64
 }
 
+// waiter is the place of one request; ready is closed when it runs.
 type waiter struct {
 	priority int
-	order    uint64
 	ready    chan struct{}
 }
 
-func newBatch(slots int) *batch {
-	return &batch{slots: slots}
-}
-
 func (b *batch) enter(priority int) *waiter {
-	b.last++
-	w := &waiter{priority: priority, order: b.last, ready: make(chan struct{})}
-	if b.running < b.slots {
-		b.running++
-		close(w.ready)
-		return w
-	}
-	at := sort.Search(len(b.waiting), func(i int) bool { return b.waiting[i].priority > priority })
-	b.waiting = append(b.waiting, nil)
-	copy(b.waiting[at+1:], b.waiting[at:])
-	b.waiting[at] = w
+	w := &waiter{priority: priority, ready: make(chan struct{})}
+	b.waiting = append(b.waiting, w)
+	slices.SortStableFunc(b.waiting, func(x, y *waiter) int { return cmp.Compare(x.priority, y.priority) })
+	b.fill()
 	return w
 }
 
 // leave ends the stay of w, whether it runs or still waits.
 func (b *batch) leave(w *waiter) {
-	for i, other := range b.waiting {
-		if other == w {
-			b.waiting = append(b.waiting[:i], b.waiting[i+1:]...)
-			return
-		}
+	if i := slices.Index(b.waiting, w); i >= 0 {
+		b.waiting = slices.Delete(b.waiting, i, i+1)
+		return
 	}
 	b.running--
-	if len(b.waiting) == 0 {
-		return
+	b.fill()
+}
+
+func (b *batch) fill() {
+	for b.running < b.slots && len(b.waiting) > 0 {
+		close(b.waiting[0].ready)
+		b.waiting = b.waiting[1:]
+		b.running++
 	}
-	next := b.waiting[0]
-	b.waiting = b.waiting[1:]
-	b.running++
-	close(next.ready)
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -3,11 +3,16 @@
 package engine
 
 import (
+	"cmp"
+	"context"
 	"net/http"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
-	"hickorypath/internal/policy/route"
+	"hickorypath/internal/standin/upstream"
+	"hickorypath/internal/standin/web"
 )
 
 // Options are the properties of an Engine; zero values get defaults.
@@ -27,119 +32,120 @@
 	defaultCache = 4096
 )
 
-func (o Options) withDefaults() Options {
-	if o.Model == "" {
-		o.Model = "standin"
-	}
-	if o.Slots == 0 {
-		o.Slots = defaultSlots
-	}
-	if o.Gap == 0 {
-		o.Gap = defaultGap
-	}
-	if o.Cache == 0 {
-		o.Cache = defaultCache
-	}
-	return o
-}
-
 // Engine is one stand-in.
 type Engine struct {
+	*upstream.Base
 	options Options
 
 	mu      sync.Mutex
 	batch   *batch
 	cache   *cache
-	faults  faults
-	seen    []*Request
-	running map[string]*Request
-	conns   map[string]bool // remote address of each connection seen; true when silent
-}
-
-// Request is a request that the engine has read, whether or not it ran.
-type Request struct {
-	id       string
-	header   http.Header
-	query    string
-	body     []byte
-	priority int
-	offset   int
-	tokens   int
-	ran      bool
-	done     bool
-	cancel   chan struct{}
+	last    *upstream.Call                // the call before
+	running map[string]context.CancelFunc // by attempt id
 }
 
-// ID returns the attempt id of the request.
-func (r Request) ID() string { return r.id }
-
-// Header returns the request's header.
-func (r Request) Header() http.Header { return r.header }
-
-// Query returns the request's raw query.
-func (r Request) Query() string { return r.query }
-
-// Body returns the request's body.
-func (r Request) Body() []byte { return r.body }
-
-// Priority returns the request's priority, 0 being the highest.
-func (r Request) Priority() int { return r.priority }
-
-// Offset returns the offset in tokens from which the request resumed.
-func (r Request) Offset() int { return r.offset }
-
-// Tokens returns the number of output tokens produced, the offset not counted.
-func (r Request) Tokens() int { return r.tokens }
-
-// Ran reports whether the engine began to run the request.
-func (r Request) Ran() bool { return r.ran }
-
-// Done reports whether the engine produced the whole answer.
-func (r Request) Done() bool { return r.done }
-
 // New returns an Engine.
 func New(o Options) *Engine {
-	o = o.withDefaults()
-	return &Engine{
+	o.Gap = cmp.Or(o.Gap, defaultGap)
+	e := &Engine{
 		options: o,
-		batch:   newBatch(o.Slots),
-		cache:   newCache(o.Cache),
-		faults:  newFaults(),
-		running: map[string]*Request{},
-		conns:   map[string]bool{},
+		batch:   &batch{slots: cmp.Or(o.Slots, defaultSlots)},
+		cache:   &cache{size: cmp.Or(o.Cache, defaultCache)},
+		running: map[string]context.CancelFunc{},
 	}
+	e.Base = upstream.New(e.clear, upstream.Crash, upstream.Restore, upstream.Stall, upstream.Silence, upstream.Slow,
+		upstream.Mark, upstream.Reject, upstream.Cross, upstream.Late, upstream.Splice, upstream.Forget)
+	return e
 }
 
 // Handler returns the engine's HTTP interface.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/chat/completions", e.guard(e.chat))
-	mux.HandleFunc("GET /load", e.guard(e.load))
-	mux.HandleFunc("GET /events", e.guard(e.events))
-	mux.HandleFunc("POST /cancel", e.guard(e.stop))
-	mux.HandleFunc("POST /fault", e.fault)
+	mux.HandleFunc("POST /v1/chat/completions", e.Guard(e.chat))
+	mux.HandleFunc("GET /load", e.Guard(e.load))
+	mux.HandleFunc("GET /events", e.Guard(e.events))
+	mux.HandleFunc("POST /cancel", e.Guard(e.cancel))
+	mux.HandleFunc("POST /fault", web.Take(e.Set))
 	return mux
 }
 
-// Seen returns copies of all chat requests that the engine has read.
-func (e *Engine) Seen() []Request {
+// Load returns the present load, without the lag of a report.
+func (e *Engine) Load() upstream.Load {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	all := make([]Request, 0, len(e.seen))
-	for _, r := range e.seen {
-		all = append(all, *r)
+	return upstream.Load{Running: e.batch.running, Waiting: len(e.batch.waiting), KV: e.cache.fill()}
+}
+
+func (e *Engine) load(w http.ResponseWriter, r *http.Request) {
+	out := e.Load()
+	if id := r.URL.Query().Get("id"); id != "" {
+		out.Offset = e.progress(id)
 	}
-	return all
+	web.Write(w, out)
 }
 
-// Load returns the present load, without the lag of a report.
-func (e *Engine) Load() route.Load {
+// progress returns the offset that a request has reached, -1 for one that never arrived.
+func (e *Engine) progress(id string) *int {
+	at := -1
+	for _, c := range e.Calls() {
+		if c.ID() == id {
+			at = number(c, headerOffset) + c.Tokens()
+			break
+		}
+	}
+	return &at
+}
+
+// news is the answer to `GET /events`.
+type news struct {
+	Next    int      `json:"next"`
+	Gap     bool     `json:"gap"`
+	Added   []uint64 `json:"added"`
+	Removed []uint64 `json:"removed"`
+}
+
+func (e *Engine) events(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return route.Load{
-		Running: e.batch.running,
-		Waiting: len(e.batch.waiting),
-		KV:      e.cache.fill(),
-		At:      time.Now(),
+	if e.Take(upstream.Forget) {
+		e.cache.drop()
+	}
+	changes, next, gap := e.cache.since(after)
+	last := map[uint64]bool{}
+	for _, c := range changes {
+		last[c.block] = c.added
+	}
+	out := news{Next: next, Gap: gap, Added: []uint64{}, Removed: []uint64{}}
+	for block, added := range last {
+		if added {
+			out.Added = append(out.Added, block)
+		} else {
+			out.Removed = append(out.Removed, block)
+		}
 	}
+	slices.Sort(out.Added)
+	slices.Sort(out.Removed)
+	web.Write(w, out)
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if cancel := e.running[r.URL.Query().Get("id")]; cancel != nil {
+		cancel()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) clear() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cache.clear()
+}
+
+// number returns a header of a call as a number, 0 when it is none.
+func number(c *upstream.Call, header string) int {
+	n, _ := strconv.Atoi(c.Header().Get(header))
+	return n
 }
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -95,7 +95,7 @@
 	_, _, second := s.post("/v1/chat/completions", "t1", body)
 	s.Equal(first, second)
 	s.True(strings.Contains(first, `"completion_tokens":4`))
-	seen := s.engine.Seen()
+	seen := s.engine.Calls()
 	s.Equal(len(seen), 2)
 	s.True(seen[1].Ran() && seen[1].Done())
 	s.Equal(seen[1].Tokens(), 4)
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -1,24 +1,68 @@
 package engine
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
 	"time"
+
+	"hickorypath/internal/policy/route"
+	"hickorypath/internal/standin/upstream"
+)
+
+// Header names of the engine protocol.
+const (
+	headerPriority = "X-Priority"
+	headerOffset   = "Last-Event-ID"
+	headerSalt     = "X-Cache-Salt"
 )
 
 // run is the life of one chat request.
 type run struct {
 	engine     *Engine
-	req        *Request
-	answer     answer
+	call       *upstream.Call
 	completion completion
+	answer     answer
+	ctx        context.Context // ends with the caller's or by a cancel
+	cancel     context.CancelFunc
 	w          http.ResponseWriter
 	r          *http.Request
 	text       strings.Builder
 }
 
+func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
+	call := e.Read(w, r)
+	if call == nil {
+		return
+	}
+	var c completion
+	if err := json.Unmarshal(call.Body(), &c); err != nil || len(c.Messages) == 0 {
+		upstream.Refuse(w, http.StatusBadRequest, "body cannot be read")
+		return
+	}
+	run := &run{engine: e, call: call, completion: c, answer: newAnswer(call.ID(), c), w: w, r: r}
+	run.swap()
+	run.serve()
+}
+
+// swap replaces the answer by another's when a fault asks for it.
+func (r *run) swap() {
+	e := r.engine
+	e.mu.Lock()
+	before := e.last
+	e.last = r.call
+	e.mu.Unlock()
+	switch {
+	case e.Take(upstream.Cross):
+		r.answer.id, r.answer.seed = "other-"+r.answer.id, hash([]byte("other"))
+	case before != nil && e.Take(upstream.Late):
+		r.answer.id, r.answer.seed = before.ID(), hash(before.Body())
+	}
+	r.w.Header().Set(upstream.HeaderID, r.answer.id)
+}
+
 func (r *run) serve() {
 	place := r.enter()
 	defer r.leave(place)
@@ -27,12 +71,15 @@
 		r.w.WriteHeader(http.StatusOK)
 		r.flush()
 	}
-	r.wait(place.ready)
-	r.engine.crashOn(r.req.body)
-	r.sleep(r.engine.prefill(r.req, r.completion, r.answer.prompt))
-	for i := r.req.offset; i < r.answer.length; i++ {
-		if i > r.req.offset {
-			r.sleep(r.engine.gap())
+	r.engine.Wait(r.ctx, place.ready)
+	if r.engine.CrashOn(r.call.Body()) && r.engine.options.Restart > 0 {
+		time.AfterFunc(r.engine.options.Restart, r.engine.Restore)
+	}
+	r.engine.Sleep(r.ctx, r.prefill())
+	offset := number(r.call, headerOffset)
+	for i := offset; i < r.answer.length; i++ {
+		if i > offset {
+			r.engine.Sleep(r.ctx, r.engine.gap())
 		}
 		r.produce(i)
 	}
@@ -43,142 +90,78 @@
 	e := r.engine
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r.req.ran = true
-	e.running[r.req.id] = r.req
-	return e.batch.enter(r.req.priority)
+	r.call.Start()
+	r.ctx, r.cancel = context.WithCancel(r.r.Context())
+	e.running[r.call.ID()] = r.cancel
+	return e.batch.enter(number(r.call, headerPriority))
 }
 
 func (r *run) leave(place *waiter) {
 	e := r.engine
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	delete(e.running, r.req.id)
+	r.cancel()
+	delete(e.running, r.call.ID())
 	e.batch.leave(place)
 }
 
-// wait blocks until ready is closed; a crash, a cancel or a lost caller end the request.
-func (r *run) wait(ready <-chan struct{}) {
-	r.engine.mu.Lock()
-	down := r.engine.faults.down
-	r.engine.mu.Unlock()
-	select {
-	case <-ready:
-	case <-down:
-		panic(http.ErrAbortHandler)
-	case <-r.req.cancel:
-		panic(http.ErrAbortHandler)
-	case <-r.r.Context().Done():
-		panic(http.ErrAbortHandler)
+// prefill caches the prompt and returns the time to the first token.
+func (r *run) prefill() time.Duration {
+	e := r.engine
+	blocks := route.Blocks(r.call.Header().Get(headerSalt), r.completion.Messages)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	hits := e.cache.use(blocks)
+	missing := r.answer.prompt
+	if len(blocks) > 0 {
+		missing = missing * (len(blocks) - hits) / len(blocks)
 	}
+	return e.options.Gap + time.Duration(missing)*e.options.Prefill
 }
 
-func (r *run) sleep(d time.Duration) {
-	done := make(chan struct{})
-	timer := time.AfterFunc(d, func() { close(done) })
-	defer timer.Stop()
-	r.wait(done)
-	r.engine.mu.Lock()
-	stall := r.engine.faults.stall
-	r.engine.mu.Unlock()
-	if stall != nil {
-		r.wait(stall)
-	}
+// gap returns the time to the next token at the present batch size.
+func (e *Engine) gap() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	others := float64(max(0, e.batch.running-1))
+	return time.Duration(float64(e.options.Gap) * (1 + e.options.Batch*others))
 }
 
 // produce makes output token i and sends it if the call is streamed.
 func (r *run) produce(i int) {
-	token := r.answer.token(i)
-	r.engine.mu.Lock()
-	r.req.tokens++
-	if r.req.tokens > 1 && r.completion.Stream && take(&r.engine.faults.splice) {
-		r.answer.id = "spliced-" + r.answer.id
-	}
-	r.engine.mu.Unlock()
+	r.call.Produce()
 	if !r.completion.Stream {
-		r.text.WriteString(token)
+		r.text.WriteString(r.answer.token(i))
 		return
 	}
-	delta := &message{Content: token}
+	if r.call.Tokens() > 1 && r.engine.Take(upstream.Splice) {
+		r.answer.id = "spliced-" + r.answer.id
+	}
+	delta := &message{Content: r.answer.token(i)}
 	if i == 0 {
 		delta.Role = "assistant"
 	}
-	r.send(i+1, r.chunk(delta, ""))
+	r.send(i+1, r.answer.chunk(delta, ""))
 }
 
 func (r *run) finish() {
-	r.engine.mu.Lock()
-	r.req.done = true
-	r.engine.mu.Unlock()
+	r.call.Finish()
 	if !r.completion.Stream {
-		r.whole()
+		r.w.Header().Set("Content-Type", "application/json")
+		data, _ := json.Marshal(r.answer.whole(r.text.String()))
+		r.write(string(data))
 		return
 	}
-	r.send(r.answer.length, r.chunk(&message{}, r.answer.finish))
+	r.send(r.answer.length, r.answer.chunk(&message{}, r.answer.finish))
 	if r.completion.Options.Usage {
-		last := r.chunk(nil, "")
+		last := r.answer.chunk(nil, "")
 		last.Choices = []choice{}
-		last.Usage = r.usage()
+		last.Usage = r.answer.usage()
 		r.send(r.answer.length, last)
 	}
 	r.write("data: [DONE]\n\n")
 }
 
-func (r *run) whole() {
-	r.w.Header().Set("Content-Type", "application/json")
-	all := r.chunk(nil, r.answer.finish)
-	all.Object = "chat.completion"
-	all.Choices[0].Message = &message{Role: "assistant", Content: r.text.String()}
-	all.Usage = r.usage()
-	data, _ := json.Marshal(all)
-	r.write(string(data))
-}
-
-// chunk is one event of a streamed answer or the whole answer.
-type chunk struct {
-	ID      string   `json:"id"`
-	Object  string   `json:"object"`
-	Created int64    `json:"created"`
-	Model   string   `json:"model"`
-	Choices []choice `json:"choices"`
-	Usage   *usage   `json:"usage,omitempty"`
-}
-
-type choice struct {
-	Index   int      `json:"index"`
-	Delta   *message `json:"delta,omitempty"`
-	Message *message `json:"message,omitempty"`
-	Finish  *string  `json:"finish_reason"`
-}
-
-type message struct {
-	Role    string `json:"role,omitempty"`
-	Content string `json:"content,omitempty"`
-}
-
-type usage struct {
-	Prompt int `json:"prompt_tokens"`
-	Output int `json:"completion_tokens"`
-	Total  int `json:"total_tokens"`
-}
-
-func (r *run) chunk(delta *message, finish string) chunk {
-	c := chunk{
-		ID:      "chatcmpl-" + r.answer.id,
-		Object:  "chat.completion.chunk",
-		Model:   r.answer.model,
-		Choices: []choice{{Delta: delta}},
-	}
-	if finish != "" {
-		c.Choices[0].Finish = &finish
-	}
-	return c
-}
-
-func (r *run) usage() *usage {
-	a := r.answer
-	return &usage{Prompt: a.prompt, Output: a.length, Total: a.prompt + a.length}
-}
-
 func (r *run) send(offset int, event chunk) {
 	data, _ := json.Marshal(event)
 	r.write(fmt.Sprintf("id: %d\ndata: %s\n\n", offset, data))
@@ -186,7 +169,7 @@
 
 // write sends text unless the connection has gone silent, in which case it is lost.
 func (r *run) write(text string) {
-	if r.engine.isSilent(r.r.RemoteAddr) {
+	if r.engine.IsSilent(r.r) {
 		return
 	}
 	if _, err := r.w.Write([]byte(text)); err != nil {
@@ -195,8 +178,4 @@
 	r.flush()
 }
 
-func (r *run) flush() {
-	if f, ok := r.w.(http.Flusher); ok {
-		f.Flush()
-	}
-}
+func (r *run) flush() { _ = http.NewResponseController(r.w).Flush() }
--- a/internal/standin/provision/provision.go
+++ b/internal/standin/provision/provision.go
@@ -3,24 +3,29 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"hickorypath/internal/core/kind"
+	"hickorypath/internal/core/settings"
 	"hickorypath/internal/platform/provision"
+	"hickorypath/internal/standin/web"
 )
 
 // Faults are the faults of a Platform.
 type Faults struct {
-	Down   bool          `json:"down"`   // calls fail
-	Slow   time.Duration `json:"slow"`   // delay of each order
-	Lose   int           `json:"lose"`   // so many coming orders are carried out and their answers are lost
-	Drop   int           `json:"drop"`   // so many coming orders are lost before they arrive
-	Refuse int           `json:"refuse"` // so many coming orders are refused
-	Rate   bool          `json:"rate"`   // orders exceed the rate
-	Empty  []string      `json:"empty"`  // zones without free upstreams
-	Ignore bool          `json:"ignore"` // old fences are not refused
+	Down   bool              `json:"down"`   // calls fail
+	Slow   settings.Duration `json:"slow"`   // delay of each order
+	Lose   int               `json:"lose"`   // so many coming orders are carried out and their answers are lost
+	Drop   int               `json:"drop"`   // so many coming orders are lost before they arrive
+	Refuse int               `json:"refuse"` // so many coming orders are refused
+	Rate   bool              `json:"rate"`   // orders exceed the rate
+	Empty  []string          `json:"empty"`  // zones without free upstreams
+	Ignore bool              `json:"ignore"` // old fences are not refused
 }
 
 // Options are the function fields of a Platform.
@@ -36,8 +41,7 @@
 	mu        sync.Mutex
 	faults    Faults
 	fence     map[string]uint64 // highest by pool
-	accepted  map[string]provision.Command
-	order     []string
+	accepted  []provision.Command
 	wrong     []string
 	upstreams []provision.Upstream
 	started   int
@@ -45,7 +49,7 @@
 
 // New returns a Platform without upstreams.
 func New(o Options) *Platform {
-	return &Platform{opts: o, fence: map[string]uint64{}, accepted: map[string]provision.Command{}}
+	return &Platform{opts: o, fence: map[string]uint64{}}
 }
 
 // Set replaces the faults.
@@ -88,23 +92,14 @@
 func (p *Platform) Reclaim(zone string, notice time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i, u := range p.upstreams {
-		if u.Zone == zone && u.Reclaimable {
-			p.upstreams[i].State = provision.StateLeaving
-			p.upstreams[i].Deadline = time.Now().Add(notice)
-		}
-	}
+	p.leave(time.Now().Add(notice), func(u provision.Upstream) bool { return u.Zone == zone && u.Reclaimable })
 }
 
 // Accepted returns the commands that were carried out, in order.
 func (p *Platform) Accepted() []provision.Command {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := make([]provision.Command, 0, len(p.order))
-	for _, id := range p.order {
-		out = append(out, p.accepted[id])
-	}
-	return out
+	return slices.Clone(p.accepted)
 }
 
 // Wrong returns the orders that were carried out under an old fence or with two contents.
@@ -121,7 +116,7 @@
 	if p.faults.Down {
 		return false, kind.New(kind.Unavailable, "provisioning is down")
 	}
-	_, ok := p.accepted[id]
+	_, ok := p.find(id)
 	return ok, nil
 }
 
@@ -161,30 +156,21 @@
 	return nil
 }
 
+// carryOut does what an order asks for, once for each id.
 func (p *Platform) carryOut(c provision.Command) {
 	if c.Fence < p.fence[c.Pool] {
 		p.wrong = append(p.wrong, c.ID+": old fence")
 	}
 	p.fence[c.Pool] = max(p.fence[c.Pool], c.Fence)
-	if was, ok := p.accepted[c.ID]; ok {
+	if was, ok := p.find(c.ID); ok {
 		if was.Order != c.Order {
 			p.wrong = append(p.wrong, c.ID+": other content")
 		}
 		return
 	}
-	p.accepted[c.ID] = c
-	p.order = append(p.order, c.ID)
-	p.apply(c)
-}
-
-// apply changes the list of upstreams.
-func (p *Platform) apply(c provision.Command) {
+	p.accepted = append(p.accepted, c)
 	if c.Action == provision.ActionStop {
-		for i, u := range p.upstreams {
-			if u.ID == c.Upstream {
-				p.upstreams[i].State, p.upstreams[i].Deadline = provision.StateLeaving, time.Now()
-			}
-		}
+		p.leave(time.Now(), func(u provision.Upstream) bool { return u.ID == c.Upstream })
 		return
 	}
 	p.started++
@@ -197,3 +183,72 @@
 	}
 	p.upstreams = append(p.upstreams, u)
 }
+
+func (p *Platform) find(id string) (provision.Command, bool) {
+	return lo.Find(p.accepted, func(c provision.Command) bool { return c.ID == id })
+}
+
+// leave lets some upstreams go at a deadline.
+func (p *Platform) leave(deadline time.Time, which func(provision.Upstream) bool) {
+	for i, u := range p.upstreams {
+		if which(u) {
+			p.upstreams[i].State = provision.StateLeaving
+			p.upstreams[i].Deadline = deadline
+		}
+	}
+}
+
+// Fault is the body of `POST /fault`: the faults that replace those in force, and a zone to reclaim.
+type Fault struct {
+	Faults
+	Reclaim string            `json:"reclaim"` // zone
+	Notice  settings.Duration `json:"notice"`
+}
+
+// Handler returns the HTTP interface: `GET /upstreams`, `POST /orders`, `GET /orders/ID`, `POST /fault`.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /upstreams", web.Show(p.list))
+	mux.HandleFunc("POST /orders", web.Take(p.take))
+	mux.HandleFunc("GET /orders/{id}", p.serveFind)
+	mux.HandleFunc("POST /fault", web.Take(web.Always(p.strike)))
+	return mux
+}
+
+func (p *Platform) list() ([]provision.Upstream, error) {
+	if f := p.inForce(); f.Down {
+		return nil, kind.New(kind.Store, "provisioning is down")
+	}
+	return p.Upstreams(), nil
+}
+
+func (p *Platform) take(c provision.Command) error {
+	f := p.inForce()
+	time.Sleep(time.Duration(f.Slow))
+	return p.Accept(c)
+}
+
+func (p *Platform) serveFind(w http.ResponseWriter, r *http.Request) {
+	known, err := p.Find(r.PathValue("id"))
+	switch {
+	case err != nil:
+		web.Fail(w, err)
+	case !known:
+		http.NotFound(w, r)
+	default:
+		web.Write(w, struct{}{})
+	}
+}
+
+func (p *Platform) strike(f Fault) {
+	p.Set(f.Faults)
+	if f.Reclaim != "" {
+		p.Reclaim(f.Reclaim, time.Duration(f.Notice))
+	}
+}
+
+func (p *Platform) inForce() Faults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
+}
--- a/internal/standin/roster/roster.go
+++ b/internal/standin/roster/roster.go
@@ -2,21 +2,26 @@
 package roster
 
 import (
-	"encoding/json"
+	"cmp"
+	"maps"
 	"net/http"
-	"sort"
+	"slices"
 	"sync"
 	"time"
 
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/core/settings"
 	"hickorypath/internal/platform/roster"
+	"hickorypath/internal/standin/web"
 )
 
-// Fault is the body of POST /fault.
-type Fault struct {
-	Lag  string `json:"lag,omitempty"` // delay before a change shows, as a Go duration
-	Down bool   `json:"down"`          // answer every list with status 503
+// Faults are the faults of a Roster.
+type Faults struct {
+	Lag  settings.Duration `json:"lag"`  // before a change shows, such as "30s"
+	Down bool              `json:"down"` // the list cannot be read
 }
 
+// change is a host that is put on the list, or removed when host is nil.
 type change struct {
 	at   time.Time
 	id   string
@@ -27,15 +32,18 @@
 type Roster struct {
 	mu      sync.Mutex
 	now     func() time.Time
-	lag     time.Duration
-	down    bool
-	hosts   map[string]roster.Host
-	pending []change
+	faults  Faults
+	changes []change
 }
 
 // New returns an empty list that reads time from now.
-func New(now func() time.Time) *Roster {
-	return &Roster{now: now, hosts: map[string]roster.Host{}}
+func New(now func() time.Time) *Roster { return &Roster{now: now} }
+
+// Set replaces the faults.
+func (r *Roster) Set(f Faults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = f
 }
 
 // Put adds or replaces a host after the lag.
@@ -44,105 +52,49 @@
 // Remove takes a host off the list after the lag.
 func (r *Roster) Remove(id string) { r.change(id, nil) }
 
-// SetLag sets the delay before later changes show.
-func (r *Roster) SetLag(d time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.lag = d
-}
-
-// SetDown makes the list fail or answer again.
-func (r *Roster) SetDown(down bool) {
+func (r *Roster) change(id string, h *roster.Host) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.down = down
+	r.changes = append(r.changes, change{at: r.now().Add(time.Duration(r.faults.Lag)), id: id, host: h})
 }
 
 // Hosts returns the list as it shows now.
 func (r *Roster) Hosts() []roster.Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.apply()
-	all := make([]roster.Host, 0, len(r.hosts))
-	for _, h := range r.hosts {
-		all = append(all, h)
+	hosts := map[string]roster.Host{}
+	for _, c := range r.changes {
+		if c.at.After(r.now()) {
+			continue
+		}
+		if c.host == nil {
+			delete(hosts, c.id)
+		} else {
+			hosts[c.id] = *c.host
+		}
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i].ID() < all[j].ID() })
-	return all
+	return slices.SortedFunc(maps.Values(hosts), func(a, b roster.Host) int { return cmp.Compare(a.ID(), b.ID()) })
 }
 
-// Handler serves the list, changes to it and the fault switch.
+// Handler serves the list, changes to it and `POST /fault`.
 func (r *Roster) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/hosts", r.serveList)
-	mux.HandleFunc("PUT /v1/hosts/{id}", r.servePut)
+	mux.HandleFunc("GET /v1/hosts", web.Show(r.list))
+	mux.HandleFunc("PUT /v1/hosts/{id}", web.Take(web.Always(r.Put)))
 	mux.HandleFunc("DELETE /v1/hosts/{id}", func(w http.ResponseWriter, req *http.Request) {
 		r.Remove(req.PathValue("id"))
 		w.WriteHeader(http.StatusNoContent)
 	})
-	mux.HandleFunc("POST /fault", r.serveFault)
+	mux.HandleFunc("POST /fault", web.Take(web.Always(r.Set)))
 	return mux
 }
 
-func (r *Roster) change(id string, h *roster.Host) {
+func (r *Roster) list() (roster.List, error) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.pending = append(r.pending, change{at: r.now().Add(r.lag), id: id, host: h})
-}
-
-func (r *Roster) apply() {
-	now := r.now()
-	rest := r.pending[:0]
-	for _, c := range r.pending {
-		if c.at.After(now) {
-			rest = append(rest, c)
-			continue
-		}
-		if c.host == nil {
-			delete(r.hosts, c.id)
-			continue
-		}
-		r.hosts[c.id] = *c.host
-	}
-	r.pending = rest
-}
-
-func (r *Roster) serveList(w http.ResponseWriter, _ *http.Request) {
-	r.mu.Lock()
-	down := r.down
+	down := r.faults.Down
 	r.mu.Unlock()
 	if down {
-		http.Error(w, "unavailable", http.StatusServiceUnavailable)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(roster.List{Hosts: r.Hosts()})
-}
-
-func (r *Roster) servePut(w http.ResponseWriter, req *http.Request) {
-	var h roster.Host
-	if err := json.NewDecoder(req.Body).Decode(&h); err != nil || h.ID() != req.PathValue("id") {
-		http.Error(w, "host cannot be read", http.StatusBadRequest)
-		return
-	}
-	r.Put(h)
-	w.WriteHeader(http.StatusNoContent)
-}
-
-func (r *Roster) serveFault(w http.ResponseWriter, req *http.Request) {
-	var f Fault
-	if err := json.NewDecoder(req.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	if f.Lag != "" {
-		d, err := time.ParseDuration(f.Lag)
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		r.SetLag(d)
+		return roster.List{}, kind.New(kind.Store, "the list is down")
 	}
-	r.SetDown(f.Down)
-	w.WriteHeader(http.StatusNoContent)
+	return roster.List{Hosts: r.Hosts()}, nil
 }
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -4,10 +4,13 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"hickorypath/internal/core/clock"
 	"hickorypath/internal/core/kind"
+	"hickorypath/internal/core/settings"
 	"hickorypath/internal/platform/store"
+	"hickorypath/internal/standin/web"
 )
 
 // Server serves a key-value service in memory, `POST /v1/OP`, with faults set by `POST /fault`.
@@ -18,8 +21,9 @@
 // Fault is the body of `POST /fault`: the faults that replace those in force, and faults that strike once.
 type Fault struct {
 	store.Faults
-	Lapse   bool `json:"lapse"`   // end all leases now
-	Compact bool `json:"compact"` // forget all events now
+	Slow    settings.Duration `json:"slow"`    // delay of each call
+	Lapse   bool              `json:"lapse"`   // end all leases now
+	Compact bool              `json:"compact"` // forget all events now
 }
 
 // New returns an empty Server.
@@ -32,28 +36,29 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/{op}", s.call)
-	mux.HandleFunc("POST /fault", s.fault)
+	mux.HandleFunc("POST /fault", web.Take(web.Always(s.strike)))
 	return mux
 }
 
 func (s *Server) call(w http.ResponseWriter, r *http.Request) {
 	var body store.Request
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
-		write(w, store.Reply{Kind: kind.Invalid, Text: err.Error()})
+		web.Fail(w, kind.Wrap(err, kind.Invalid, "body cannot be read"))
 		return
 	}
 	answer := store.Serve(r.Context(), s.memory.Backend(), r.PathValue("op"), body)
-	if r.Context().Err() == nil {
-		write(w, answer)
+	if r.Context().Err() != nil {
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if answer.Kind != "" {
+		w.WriteHeader(answer.Kind.Answer().Status())
 	}
+	web.Write(w, answer)
 }
 
-func (s *Server) fault(w http.ResponseWriter, r *http.Request) {
-	var f Fault
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		write(w, store.Reply{Kind: kind.Invalid, Text: err.Error()})
-		return
-	}
+func (s *Server) strike(f Fault) {
+	f.Faults.Slow = time.Duration(f.Slow)
 	s.memory.Set(f.Faults)
 	if f.Lapse {
 		s.memory.Lapse()
@@ -61,15 +66,4 @@
 	if f.Compact {
 		s.memory.Compact()
 	}
-	write(w, store.Reply{})
-}
-
-func write(w http.ResponseWriter, r store.Reply) {
-	w.Header().Set("Content-Type", "application/json")
-	if r.Kind != "" {
-		w.WriteHeader(r.Kind.Answer().Status())
-	}
-	if err := json.NewEncoder(w).Encode(r); err != nil {
-		return
-	}
 }
--- a/internal/standin/usage/usage.go
+++ b/internal/standin/usage/usage.go
@@ -2,23 +2,26 @@
 package usage
 
 import (
-	"encoding/json"
+	"maps"
 	"net/http"
 	"reflect"
+	"slices"
 	"sync"
 	"time"
 
 	"hickorypath/internal/core/kind"
+	"hickorypath/internal/core/settings"
 	"hickorypath/internal/platform/usage"
+	"hickorypath/internal/standin/web"
 )
 
 // Faults are the faults of a Sink.
 type Faults struct {
-	Down   bool          `json:"down"`   // reports fail without effect
-	Slow   time.Duration `json:"slow"`   // delay of each report
-	Lose   int           `json:"lose"`   // so many coming reports are kept and their answers are lost
-	Refuse int           `json:"refuse"` // so many coming reports are refused
-	Ignore bool          `json:"ignore"` // old fences are not refused
+	Down   bool              `json:"down"`   // reports fail without effect
+	Slow   settings.Duration `json:"slow"`   // delay of each report
+	Lose   int               `json:"lose"`   // so many coming reports are kept and their answers are lost
+	Refuse int               `json:"refuse"` // so many coming reports are refused
+	Ignore bool              `json:"ignore"` // old fences are not refused
 }
 
 // Sink keeps all reports and tells what no reporter may do.
@@ -45,49 +48,44 @@
 func (s *Sink) Received() []usage.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]usage.Report(nil), s.received...)
+	return slices.Clone(s.received)
 }
 
 // Wrong returns the windows that were reported with other figures or under an old fence.
 func (s *Sink) Wrong() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]string(nil), s.wrong...)
+	return slices.Clone(s.wrong)
 }
 
 // Reports returns the first report of each window.
 func (s *Sink) Reports() map[int64]usage.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[int64]usage.Report, len(s.first))
-	for w, r := range s.first {
-		out[w] = r
-	}
-	return out
+	return maps.Clone(s.first)
 }
 
-// Accept takes a report as the interface does. Lost means that it was kept and the answer is lost.
-func (s *Sink) Accept(r usage.Report) (lost bool, err error) {
+// Accept takes a report as the interface does. The kind Lost means that it was kept and the answer is lost.
+func (s *Sink) Accept(r usage.Report) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.faults.Down {
-		return false, kind.New(kind.Unavailable, "the interface is down")
-	}
-	if s.faults.Refuse > 0 {
-		s.faults.Refuse--
-		return false, kind.New(kind.Refused, "refused")
-	}
-	if r.Fence < s.fence && !s.faults.Ignore {
-		return false, kind.New(kind.Fenced, "fence %d is older than %d", r.Fence, s.fence)
+	switch f := &s.faults; {
+	case f.Down:
+		return kind.New(kind.Refused, "the interface is down")
+	case f.Refuse > 0:
+		f.Refuse--
+		return kind.New(kind.Refused, "refused")
+	case r.Fence < s.fence && !f.Ignore:
+		return kind.New(kind.Fenced, "fence %d is older than %d", r.Fence, s.fence)
 	}
 	if err := s.keep(r); err != nil {
-		return false, err
+		return err
 	}
-	lost = s.faults.Lose > 0
-	if lost {
+	if s.faults.Lose > 0 {
 		s.faults.Lose--
+		return kind.New(kind.Lost, "the answer is lost")
 	}
-	return lost, nil
+	return nil
 }
 
 // keep records a report and what is wrong with it.
@@ -112,55 +110,16 @@
 // Handler returns the HTTP interface: `PUT /reports/ID`, `GET /reports`, `POST /fault`.
 func (s *Sink) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("PUT /reports/{id}", s.put)
-	mux.HandleFunc("GET /reports", func(w http.ResponseWriter, _ *http.Request) { write(w, s.Received()) })
-	mux.HandleFunc("POST /fault", s.fault)
+	mux.HandleFunc("PUT /reports/{id}", web.Take(s.put))
+	mux.HandleFunc("GET /reports", web.Show(func() ([]usage.Report, error) { return s.Received(), nil }))
+	mux.HandleFunc("POST /fault", web.Take(web.Always(s.Set)))
 	return mux
 }
 
-func (s *Sink) put(w http.ResponseWriter, r *http.Request) {
-	var report usage.Report
-	if err := json.NewDecoder(r.Body).Decode(&report); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
+func (s *Sink) put(r usage.Report) error {
 	s.mu.Lock()
 	slow := s.faults.Slow
 	s.mu.Unlock()
-	time.Sleep(slow)
-	lost, err := s.Accept(report)
-	if lost {
-		panic(http.ErrAbortHandler)
-	}
-	if err != nil {
-		http.Error(w, err.Error(), status(kind.Of(err)))
-	}
-}
-
-func status(k kind.Kind) int {
-	switch k {
-	case kind.Fenced:
-		return http.StatusPreconditionFailed
-	case kind.Conflict:
-		return http.StatusConflict
-	default:
-		return http.StatusServiceUnavailable
-	}
-}
-
-func (s *Sink) fault(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.Set(f)
-	write(w, struct{}{})
-}
-
-func write(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(v); err != nil {
-		return
-	}
+	time.Sleep(time.Duration(slow))
+	return s.Accept(r)
 }
--- a/internal/upstream/engine/fault_test.go
+++ b/internal/upstream/engine/fault_test.go
@@ -24,9 +24,9 @@
 	}{
 		{"none", nil, nil, "", "", 1},
 		{"down", (*standin.Engine).Crash, nil, kind.Lost, kind.RanMaybe, 0},
-		{"rejects", func(e *standin.Engine) { e.Reject(1) }, nil, kind.Rejected, kind.RanNo, 1},
-		{"crossed", func(e *standin.Engine) { e.Cross(1) }, nil, kind.Crossed, kind.RanMaybe, 1},
-		{"crossed mid-stream", func(e *standin.Engine) { e.Splice(1) }, nil, kind.Crossed, kind.RanMaybe, 1},
+		{"rejects", func(e *standin.Engine) { e.Strike("reject", 1) }, nil, kind.Rejected, kind.RanNo, 1},
+		{"crossed", func(e *standin.Engine) { e.Strike("cross", 1) }, nil, kind.Crossed, kind.RanMaybe, 1},
+		{"crossed mid-stream", func(e *standin.Engine) { e.Strike("splice", 1) }, nil, kind.Crossed, kind.RanMaybe, 1},
 		{"marked request", func(e *standin.Engine) { e.Mark("club") }, nil, kind.Lost, kind.RanMaybe, 1},
 		{"crash mid-stream", nil, (*standin.Engine).Crash, kind.Lost, kind.RanMaybe, 1},
 		{"silent mid-stream", nil, (*standin.Engine).Silence, kind.Silent, kind.RanMaybe, 1},
@@ -48,7 +48,7 @@
 				if err != nil {
 					b.Equal(kind.From(err).Ran(), c.ran)
 				}
-				b.Equal(len(b.engine.Seen()), c.seen)
+				b.Equal(len(b.engine.Calls()), c.seen)
 			})
 		})
 	}
@@ -100,7 +100,7 @@
 		_, err = b.chat(engine.Call{Attempt: "t2", Body: []byte(prompt), Stream: true})
 		b.Equal(kind.Of(err), kind.Silent)
 		b.True(time.Since(began) < 1500*time.Millisecond)
-		b.Equal(len(b.engine.Seen()), 1)
+		b.Equal(len(b.engine.Calls()), 1)
 		_, err = b.chat(engine.Call{Attempt: "t3", Body: []byte(prompt), Stream: true})
 		b.NoErr(err)
 	})
@@ -112,7 +112,7 @@
 	within(t, func(b *bench) {
 		_, err := b.chat(engine.Call{Attempt: "t1", Body: []byte(prompt), Stream: true})
 		b.NoErr(err)
-		b.engine.Late(1)
+		b.engine.Strike("late", 1)
 		events, err := b.chat(engine.Call{Attempt: "t2", Body: []byte(other), Stream: true})
 		b.Equal(kind.Of(err), kind.Crossed)
 		b.Equal(len(events), 0)
@@ -220,7 +220,7 @@
 				b.Equal(kind.From(err).Ran(), kind.RanMaybe)
 				time.Sleep(time.Second)
 				b.Equal(b.engine.Load().Running, 0)
-				b.True(!b.engine.Seen()[0].Done())
+				b.True(!b.engine.Calls()[0].Done())
 			})
 		})
 	}
--- a/internal/upstream/engine/golden_test.go
+++ b/internal/upstream/engine/golden_test.go
@@ -60,7 +60,7 @@
 			_, _ = b.chat(engine.Call{Attempt: "t1", Body: []byte(plain), Priority: 2, Salt: "club"})
 		}},
 		{"rejected", func(b *bench) {
-			b.engine.Reject(1)
+			b.engine.Strike("reject", 1)
 			_, _ = b.chat(engine.Call{Attempt: "t1", Body: []byte(prompt), Stream: true, Header: carriers(), Secret: secret})
 		}},
 		{"resumed", func(b *bench) {
--- a/internal/upstream/engine/key_test.go
+++ b/internal/upstream/engine/key_test.go
@@ -46,7 +46,7 @@
 				c.call.Attempt, c.call.Header, c.call.Secret = "t1", carriers(), secret
 				_, err := b.chat(c.call)
 				b.NoErr(err)
-				seen := b.engine.Seen()
+				seen := b.engine.Calls()
 				b.Equal(len(seen), 1)
 				b.True(!strings.Contains(fmt.Sprint(seen[0].Header(), seen[0].Query()), secret))
 				b.Equal(seen[0].ID(), "t1")
--- a/internal/upstream/engine/resume_test.go
+++ b/internal/upstream/engine/resume_test.go
@@ -37,7 +37,7 @@
 				time.AfterFunc(70*time.Millisecond, func() { c.fault(b.engine) })
 				events, err := b.persist(c.repeat, addr, "a2:80")
 				b.Equal(kind.Of(err), c.kind)
-				b.Equal(len(b.engine.Seen())-1+len(second.Seen()), c.runs)
+				b.Equal(len(b.engine.Calls())-1+len(second.Calls()), c.runs)
 				if err != nil {
 					b.Equal(kind.From(err).Ran(), kind.RanMaybe)
 					return
