--- a/internal/platform/lease/lease_test.go
+++ b/internal/platform/lease/lease_test.go
@@ -1,7 +1,9 @@
 package lease_test
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -104,29 +106,54 @@
 }
 
 func TestSendChecksAtEachWrite(t *testing.T) {
+	lapsed := kind.New(kind.Lapsed, "paused")
 	cases := []struct {
 		name string
-		err  error
+		errs []error // of the checks, in order; the last one is repeated
+		size int     // of the body, bytes
 		want kind.Kind
-		hits int
+		hits int // whole requests that arrive
 	}{
-		{"held", nil, "", 1},
-		{"lapsed before the write", kind.New(kind.Lapsed, "paused"), kind.Lapsed, 0},
+		{"held", []error{nil}, 0, "", 1},
+		{"lapsed before the write", []error{lapsed}, 0, kind.Lapsed, 0},
+		{"lapsed between two writes", []error{nil, lapsed}, 1 << 20, kind.Lapsed, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			hits := 0
-			srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { hits++ }))
-			defer srv.Close()
-			req, err := http.NewRequest(http.MethodPost, srv.URL, http.NoBody)
+			srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				if _, err := io.Copy(io.Discard, r.Body); err == nil {
+					hits++
+				}
+			}))
+			req, err := http.NewRequest(http.MethodPost, srv.URL, bytes.NewReader(make([]byte, c.size)))
 			is.NoErr(err)
-			resp, err := lease.Send(req, time.Second, func() error { return c.err })
+			checks := 0
+			resp, err := lease.Send(req, time.Minute, func() error {
+				i := min(checks, len(c.errs)-1)
+				checks++
+				return c.errs[i]
+			})
 			is.Equal(kind.Of(err), c.want)
 			if err == nil {
 				resp.Body.Close()
 			}
+			srv.Close()
 			is.Equal(hits, c.hits)
 		})
 	}
 }
+
+func TestSendGivenUpBeforeDialingIsNotSent(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://127.0.0.1:1", http.NoBody)
+	is.NoErr(err)
+	resp, err := lease.Send(req, time.Minute, func() error { return nil })
+	if err == nil {
+		resp.Body.Close()
+	}
+	is.Equal(kind.Of(err), kind.Unavailable)
+}
