--- a/cmd/hickorypath/path_test.go
+++ b/cmd/hickorypath/path_test.go
@@ -288,7 +288,7 @@
 	}
 	is.Equal(len(w.ledger.Calls()), 3)
 	for _, c := range w.ledger.Calls() {
-		is.True(!holds(key, c.Path()+c.Query(), c.Header(), []byte(c.Body())))
+		is.True(!holds(key, c.Path()+c.Query(), c.Header(), c.Body()))
 	}
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -106,9 +106,10 @@
 
 func (e *Engine) events(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
+	forget := e.Take(upstream.Forget)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.Take(upstream.Forget) {
+	if forget {
 		e.cache.drop()
 	}
 	changes, next, gap := e.cache.since(after)
--- a/internal/standin/pipe/pipe.go
+++ b/internal/standin/pipe/pipe.go
@@ -7,26 +7,22 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"syscall"
 )
 
 // Net is a set of listeners by address.
 type Net struct {
 	mu        sync.Mutex
-	listeners map[string]*Listener
-	last      atomic.Int64
+	listeners map[address]*Listener
+	dialed    int
 }
 
 // New returns an empty Net.
-func New() *Net {
-	return &Net{listeners: map[string]*Listener{}}
-}
+func New() *Net { return &Net{listeners: map[address]*Listener{}} }
 
-// Listener accepts the connections that are dialed to its address.
+// Listener accepts the connections that are dialed to its address until it is closed.
 type Listener struct {
-	net    *Net
-	addr   address
+	address
 	conns  chan net.Conn
 	closed chan struct{}
 	once   sync.Once
@@ -34,10 +30,10 @@
 
 // Listen returns a listener at addr.
 func (n *Net) Listen(addr string) *Listener {
-	l := &Listener{net: n, addr: address(addr), conns: make(chan net.Conn), closed: make(chan struct{})}
+	l := &Listener{address: address(addr), conns: make(chan net.Conn), closed: make(chan struct{})}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.listeners[addr] = l
+	n.listeners[l.address] = l
 	return l
 }
 
@@ -52,18 +48,20 @@
 // Dial connects to the listener at addr; its form suits http.Transport.DialContext.
 func (n *Net) Dial(ctx context.Context, _, addr string) (net.Conn, error) {
 	n.mu.Lock()
-	l := n.listeners[addr]
+	l := n.listeners[address(addr)]
+	n.dialed++
+	id := address(fmt.Sprintf("pipe:%d", n.dialed))
 	n.mu.Unlock()
+	refused := &net.OpError{Op: "dial", Net: "pipe", Addr: address(addr), Err: syscall.ECONNREFUSED}
 	if l == nil {
-		return nil, &net.OpError{Op: "dial", Net: "pipe", Addr: address(addr), Err: syscall.ECONNREFUSED}
+		return nil, refused
 	}
 	near, far := net.Pipe()
-	id := address(fmt.Sprintf("pipe:%d", n.last.Add(1)))
 	select {
-	case l.conns <- &conn{Conn: far, local: l.addr, remote: id}:
-		return &conn{Conn: near, local: id, remote: l.addr}, nil
+	case l.conns <- &conn{Conn: far, local: l.address, remote: id}:
+		return &conn{Conn: near, local: id, remote: l.address}, nil
 	case <-l.closed:
-		return nil, &net.OpError{Op: "dial", Net: "pipe", Addr: address(addr), Err: syscall.ECONNREFUSED}
+		return nil, refused
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -81,19 +79,12 @@
 
 // Close implements net.Listener.
 func (l *Listener) Close() error {
-	l.once.Do(func() {
-		close(l.closed)
-		l.net.mu.Lock()
-		defer l.net.mu.Unlock()
-		if l.net.listeners[string(l.addr)] == l {
-			delete(l.net.listeners, string(l.addr))
-		}
-	})
+	l.once.Do(func() { close(l.closed) })
 	return nil
 }
 
 // Addr implements net.Listener.
-func (l *Listener) Addr() net.Addr { return l.addr }
+func (l *Listener) Addr() net.Addr { return l.address }
 
 type address string
 
--- a/internal/standin/store/gate.go
+++ b/internal/standin/store/gate.go
@@ -62,63 +62,61 @@
 	return time.Until(g.until)
 }
 
+// call makes one call with a step before and after it. What the host wrote before a pause is on
+// its way; so the call is made by the network, and its answer waits.
+func (g *Gate) call(ctx context.Context, fn func() error) error {
+	g.Pass()
+	defer g.Pass()
+	g.mu.Lock()
+	cut := g.cut
+	g.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return fn()
+}
+
 // Backend returns b as the host behind the gate reaches it.
 func (g *Gate) Backend(b store.Backend) store.Backend {
 	return store.Backend{
-		Get: func(ctx context.Context, key string) (store.Entry, error) {
-			return through(ctx, g, func() (store.Entry, error) { return b.Get(ctx, key) })
-		},
-		Put: func(ctx context.Context, w store.Write) (uint64, error) {
-			return through(ctx, g, func() (uint64, error) { return b.Put(ctx, w) })
-		},
+		Get:    answering(g, b.Get),
+		Put:    answering(g, b.Put),
+		Grant:  answering(g, b.Grant),
+		Renew:  plain(g, b.Renew),
+		Revoke: plain(g, b.Revoke),
 		Delete: func(ctx context.Context, key string, cond store.Condition) error {
-			return g.plain(ctx, func() error { return b.Delete(ctx, key, cond) })
+			return g.call(ctx, func() error { return b.Delete(ctx, key, cond) })
 		},
 		List: func(ctx context.Context, prefix string) (list []store.Entry, rev uint64, err error) {
-			err = g.plain(ctx, func() error {
+			err = g.call(ctx, func() error {
 				list, rev, err = b.List(ctx, prefix)
 				return err
 			})
 			return list, rev, err
 		},
 		Watch: func(ctx context.Context, prefix string, after uint64) (list []store.Event, rev uint64, err error) {
-			err = g.plain(ctx, func() error {
+			err = g.call(ctx, func() error {
 				list, rev, err = b.Watch(ctx, prefix, after)
 				return err
 			})
 			return list, rev, err
 		},
-		Grant: func(ctx context.Context, ttl time.Duration) (uint64, error) {
-			return through(ctx, g, func() (uint64, error) { return b.Grant(ctx, ttl) })
-		},
-		Renew: func(ctx context.Context, lease uint64) error {
-			return g.plain(ctx, func() error { return b.Renew(ctx, lease) })
-		},
-		Revoke: func(ctx context.Context, lease uint64) error {
-			return g.plain(ctx, func() error { return b.Revoke(ctx, lease) })
-		},
 	}
 }
 
-func (g *Gate) plain(ctx context.Context, fn func() error) error {
-	_, err := through(ctx, g, func() (struct{}, error) { return struct{}{}, fn() })
-	return err
+func plain[T any](g *Gate, fn func(context.Context, T) error) func(context.Context, T) error {
+	return func(ctx context.Context, v T) error {
+		return g.call(ctx, func() error { return fn(ctx, v) })
+	}
 }
 
-// through makes one call with a step before and after it. What the host wrote before a pause is on
-// its way; so the call is made by the network, and its answer waits.
-func through[T any](ctx context.Context, g *Gate, fn func() (T, error)) (T, error) {
-	var zero T
-	g.Pass()
-	g.mu.Lock()
-	cut := g.cut
-	g.mu.Unlock()
-	if cut {
-		<-ctx.Done()
-		g.Pass()
-		return zero, ctx.Err()
+func answering[T, A any](g *Gate, fn func(context.Context, T) (A, error)) func(context.Context, T) (A, error) {
+	return func(ctx context.Context, v T) (answer A, err error) {
+		err = g.call(ctx, func() error {
+			answer, err = fn(ctx, v)
+			return err
+		})
+		return answer, err
 	}
-	out, err := fn()
-	g.Pass()
-	return out, err
 }
--- a/internal/standin/upstream/fault.go
+++ b/internal/standin/upstream/fault.go
@@ -43,26 +43,31 @@
 	Mark  string  `json:"mark"`
 }
 
-// Base is the part of a stand-in that keeps calls and faults.
-type Base struct {
-	known   []Fault
-	crashed func() // called after a crash
-
-	mu      sync.Mutex
-	calls   []*Call
-	conns   map[string]bool // remote address of each connection seen; true when silent
-	counts  map[Fault]int
+// faults are the faults in force.
+type faults struct {
 	down    chan struct{} // closed while crashed
 	resumed chan struct{} // open while stalled
 	factor  float64
 	mark    []byte
+	counts  map[Fault]int
+}
+
+// Base is the part of a stand-in that keeps calls and faults.
+type Base struct {
+	known   []Fault
+	crashed func() // called by a crash
+
+	mu     sync.Mutex
+	calls  []*Call
+	conns  map[string]bool // remote address of each connection seen; true when silent
+	faults faults
 }
 
 // New returns a Base that takes orders for the known faults.
 func New(crashed func(), known ...Fault) *Base {
-	b := &Base{known: known, crashed: crashed, conns: map[string]bool{}, down: make(chan struct{}), resumed: make(chan struct{})}
-	close(b.resumed)
-	b.Restore()
+	b := &Base{known: known, crashed: crashed, conns: map[string]bool{}}
+	b.faults = faults{down: make(chan struct{}), resumed: make(chan struct{}), factor: 1, counts: map[Fault]int{}}
+	close(b.faults.resumed)
 	return b
 }
 
@@ -71,116 +76,77 @@
 	if !slices.Contains(b.known, o.Fault) {
 		return kind.New(kind.Invalid, "unknown fault %q; known are %q", o.Fault, b.known)
 	}
-	switch o.Fault {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch f := &b.faults; o.Fault {
 	case Crash:
-		b.Crash()
+		shut(f.down)
+		b.crashed()
 	case Restore:
-		b.Restore()
+		shut(f.resumed)
+		f.down, f.counts, f.factor = reopen(f.down), map[Fault]int{}, 1
 	case Stall:
-		b.Stall()
+		f.resumed = reopen(f.resumed)
 	case Silence:
-		b.Silence()
+		for c := range b.conns {
+			b.conns[c] = true
+		}
 	case Slow:
-		b.Slow(o.Value)
+		f.factor = o.Value
 	case Mark:
-		b.Mark(o.Mark)
+		f.mark = []byte(o.Mark)
 	default:
-		b.Strike(o.Fault, cmp.Or(o.Count, 1))
+		f.counts[o.Fault] = cmp.Or(o.Count, 1)
 	}
 	return nil
 }
 
 // Crash drops all connections and answers none until Restore.
-func (b *Base) Crash() {
-	b.mu.Lock()
-	if !isClosed(b.down) {
-		close(b.down)
-	}
-	b.mu.Unlock()
-	b.crashed()
-}
+func (b *Base) Crash() { _ = b.Set(Order{Fault: Crash}) }
 
 // Restore ends all faults but silent connections and the mark.
-func (b *Base) Restore() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if isClosed(b.down) {
-		b.down = make(chan struct{})
-	}
-	if !isClosed(b.resumed) {
-		close(b.resumed)
-	}
-	b.counts, b.factor = map[Fault]int{}, 1
-}
+func (b *Base) Restore() { _ = b.Set(Order{Fault: Restore}) }
 
 // Stall stops the progress of all calls until Restore.
-func (b *Base) Stall() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if isClosed(b.resumed) {
-		b.resumed = make(chan struct{})
-	}
-}
+func (b *Base) Stall() { _ = b.Set(Order{Fault: Stall}) }
 
 // Silence makes all open connections silent for good; new ones work.
-func (b *Base) Silence() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for c := range b.conns {
-		b.conns[c] = true
-	}
-}
+func (b *Base) Silence() { _ = b.Set(Order{Fault: Silence}) }
 
 // Slow multiplies all times of the upstream by factor.
-func (b *Base) Slow(factor float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.factor = factor
-}
+func (b *Base) Slow(factor float64) { _ = b.Set(Order{Fault: Slow, Value: factor}) }
 
 // Mark makes each call whose body contains mark crash the upstream; an empty mark ends that.
-func (b *Base) Mark(mark string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.mark = []byte(mark)
-}
+func (b *Base) Mark(mark string) { _ = b.Set(Order{Fault: Mark, Mark: mark}) }
 
 // Strike makes a fault strike the next n calls; -1 strikes all.
-func (b *Base) Strike(f Fault, n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.counts[f] = n
-}
+func (b *Base) Strike(f Fault, n int) { _ = b.Set(Order{Fault: f, Count: n}) }
 
 // Take reports whether a fault strikes now, and counts it.
 func (b *Base) Take(f Fault) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	n := b.counts[f]
+	n := b.faults.counts[f]
 	if n > 0 {
-		b.counts[f]--
+		b.faults.counts[f]--
 	}
 	return n != 0
 }
 
 // CrashOn crashes the upstream if body is marked, and reports whether it did.
 func (b *Base) CrashOn(body []byte) bool {
-	b.mu.Lock()
-	marked := len(b.mark) > 0 && bytes.Contains(body, b.mark)
-	b.mu.Unlock()
-	if marked {
-		b.Crash()
+	mark := b.inForce().mark
+	if len(mark) == 0 || !bytes.Contains(body, mark) {
+		return false
 	}
-	return marked
+	b.Crash()
+	return true
 }
 
 // Guard keeps the calls from next that a crashed upstream or a silent connection would not answer.
 func (b *Base) Guard(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		b.mu.Lock()
-		down := isClosed(b.down)
-		b.mu.Unlock()
-		if down {
+		if isShut(b.inForce().down) {
 			panic(http.ErrAbortHandler)
 		}
 		if !b.IsSilent(r) {
@@ -210,13 +176,10 @@
 
 // Wait blocks until ready is closed; it ends the call when ctx ends or the upstream crashes.
 func (b *Base) Wait(ctx context.Context, ready <-chan struct{}) {
-	b.mu.Lock()
-	down := b.down
-	b.mu.Unlock()
 	select {
 	case <-ready:
 		return
-	case <-down:
+	case <-b.inForce().down:
 	case <-ctx.Done():
 	}
 	panic(http.ErrAbortHandler)
@@ -224,20 +187,20 @@
 
 // Sleep waits for d, lengthened by Slow, and for the end of a stall.
 func (b *Base) Sleep(ctx context.Context, d time.Duration) {
-	b.mu.Lock()
-	d = time.Duration(float64(d) * b.factor)
-	b.mu.Unlock()
 	done := make(chan struct{})
-	timer := time.AfterFunc(d, func() { close(done) })
+	timer := time.AfterFunc(time.Duration(float64(d)*b.inForce().factor), func() { close(done) })
 	defer timer.Stop()
 	b.Wait(ctx, done)
+	b.Wait(ctx, b.inForce().resumed)
+}
+
+func (b *Base) inForce() faults {
 	b.mu.Lock()
-	resumed := b.resumed
-	b.mu.Unlock()
-	b.Wait(ctx, resumed)
+	defer b.mu.Unlock()
+	return b.faults
 }
 
-func isClosed(c <-chan struct{}) bool {
+func isShut(c <-chan struct{}) bool {
 	select {
 	case <-c:
 		return true
@@ -245,3 +208,18 @@
 		return false
 	}
 }
+
+// shut closes c unless it is closed.
+func shut(c chan struct{}) {
+	if !isShut(c) {
+		close(c)
+	}
+}
+
+// reopen returns c, or a new channel when c is closed.
+func reopen(c chan struct{}) chan struct{} {
+	if isShut(c) {
+		return make(chan struct{})
+	}
+	return c
+}
