--- a/cmd/hickorypath/demo.go
+++ b/cmd/hickorypath/demo.go
@@ -162,7 +162,7 @@
 		}
 	}
 	var err error
-	d.ledger, err = d.site.StartService("ledger", d.zone(0), anyPort)
+	d.ledger, err = d.site.AddService("ledger", d.zone(0))
 	return err
 }
 
--- a/cmd/hickorypath/fault_test.go
+++ b/cmd/hickorypath/fault_test.go
@@ -208,9 +208,9 @@
 		reclaimable[u.ID] = u.Reclaimable
 	}
 	n := 0
-	for id, e := range w.site.EnginesByID() {
-		if reclaimable[id] {
-			n += e.Load().Running
+	for _, u := range w.site.Upstreams() {
+		if reclaimable[u.ID] {
+			n += u.Engine.Load().Running
 		}
 	}
 	return n
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -20,61 +20,62 @@
 
 // Properties of the engines.
 const (
-	slots     = 8
-	gap       = 15 * time.Millisecond
-	prefill   = 50 * time.Microsecond
-	anyPort   = "127.0.0.1:0"
-	zoneNames = "abcdefghijklmno"
+	slots   = 8
+	gap     = 15 * time.Millisecond
+	prefill = 50 * time.Microsecond
 )
 
+const help = `Stand-ins of the platform, engines and a plain service.
+
+It lists the upstreams with the path of each. Faults are switched by POST to /store/fault, /roster/fault,
+/provision/fault, /usage/fault and /upstream/ID/fault; docs/operate/standin.md names them.`
+
+// flags are the flags of the command.
+type flags struct {
+	listen  string
+	pools   []string
+	engines int
+	zones   int
+	checks  bool
+}
+
 func main() {
-	app := kingpin.New("standin", "Stand-ins of the platform, engines and a plain service. Faults are switched by POST to /SERVICE/fault.")
-	listen := app.Flag("listen", "Address of the platform's services.").Default("127.0.0.1:9000").String()
-	engines := app.Flag("engines", "Engines of each pool.").Default("3").Int()
-	zones := app.Flag("zones", "Availability zones.").Default("3").Int()
-	checks := app.Flag("checks", "Refuse orders with an old fencing number.").Default("true").Bool()
-	pools := app.Flag("pool", "Pool of engines; repeat for more.").Default("asesor", "libro").Strings()
+	var f flags
+	app := kingpin.New("standin", help)
+	app.Flag("listen", "Address of the platform's services.").Default("127.0.0.1:9000").StringVar(&f.listen)
+	app.Flag("pool", "Pool of engines; repeat for more.").Default("asesor", "libro").StringsVar(&f.pools)
+	app.Flag("engines", "Engines of each pool.").Default("3").IntVar(&f.engines)
+	app.Flag("zones", "Availability zones, norte-a and on.").Default("3").IntVar(&f.zones)
+	app.Flag("checks", "Refuse orders with an old fencing number; --no-checks takes them.").Default("true").BoolVar(&f.checks)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := run(ctx, *listen, *pools, *engines, min(*zones, len(zoneNames)), *checks); err != nil {
-		fmt.Fprintln(os.Stderr, "standin:", err)
-		os.Exit(1)
-	}
+	app.FatalIfError(run(ctx, f), "")
 }
 
-func run(ctx context.Context, listen string, pools []string, engines, zones int, checks bool) error {
-	s := site.New(site.Options{
-		Engine: func(pool string) standinengine.Options {
-			return standinengine.Options{Model: pool, Slots: slots, Gap: gap, Prefill: prefill}
-		},
-		Checks: checks,
-	})
+func run(ctx context.Context, f flags) error {
+	s := site.New(site.Options{Checks: f.checks, Engine: func(pool string) standinengine.Options {
+		return standinengine.Options{Model: pool, Slots: slots, Gap: gap, Prefill: prefill}
+	}})
 	defer s.Close()
-	for _, pool := range pools {
-		for n := range engines {
-			if err := s.AddEngine(pool, zone(n, zones), false); err != nil {
+	for _, pool := range f.pools {
+		for n := range f.engines {
+			if err := s.AddEngine(pool, "norte-"+string(rune('a'+n%max(1, f.zones))), false); err != nil {
 				return err
 			}
 		}
 	}
-	if _, err := s.StartService("ledger", zone(0, zones), anyPort); err != nil {
+	if _, err := s.AddService("ledger", "norte-a"); err != nil {
 		return err
 	}
-	ln, err := net.Listen("tcp", listen)
+	ln, err := net.Listen("tcp", f.listen)
 	if err != nil {
 		return err
 	}
-	enc := json.NewEncoder(os.Stdout)
+	lines := json.NewEncoder(os.Stdout)
 	for _, u := range s.Upstreams() {
-		if err := enc.Encode(u); err != nil {
-			return err
-		}
+		_ = lines.Encode(u)
 	}
 	fmt.Printf("platform at http://%s: /store /roster /provision /usage\n", ln.Addr())
 	return s.Serve(ctx, ln)
 }
-
-func zone(n, zones int) string {
-	return "norte-" + string(zoneNames[n%zones])
-}
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"hickorypath/internal/standin/engine"
+	"hickorypath/internal/standin/pipe"
 )
 
 const body = `{"model":"m","messages":[{"role":"user","content":"Who paid?"}],"max_tokens":4}`
@@ -124,3 +125,45 @@
 		is.Equal(<-done, "low")
 	})
 }
+
+// TestStallAndSilenceByHTTP checks that a stall ends with the fault, and that a silent connection answers nothing
+// while a new one does.
+func TestStallAndSilenceByHTTP(t *testing.T) {
+	cases := []struct {
+		order     string
+		old, anew bool // whether the open connection and a new one answer
+	}{
+		{`{"fault":"restore"}`, true, true},
+		{`{"fault":"stall"}`, false, false},
+		{`{"fault":"silence"}`, false, true},
+	}
+	for _, c := range cases {
+		t.Run(c.order, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				net := pipe.New()
+				defer net.Serve("engine:80", engine.New(engine.Options{}).Handler())()
+				answers := func(client *http.Client, path, text string) bool {
+					res, err := client.Post("http://engine:80"+path, "application/json", strings.NewReader(text))
+					if err != nil {
+						return false
+					}
+					_, err = io.Copy(io.Discard, res.Body)
+					return err == nil && res.Body.Close() == nil
+				}
+				newClient := func() *http.Client {
+					return &http.Client{Transport: &http.Transport{DialContext: net.Dial}, Timeout: time.Minute}
+				}
+				first, second := newClient(), newClient()
+				defer first.CloseIdleConnections()
+				defer second.CloseIdleConnections()
+				is.True(answers(first, "/v1/chat/completions", body))
+				is.True(answers(first, "/fault", c.order))
+				is.Equal(answers(first, "/v1/chat/completions", body), c.old)
+				is.Equal(answers(second, "/v1/chat/completions", body), c.anew)
+				is.True(answers(second, "/fault", `{"fault":"restore"}`))
+				is.True(answers(second, "/v1/chat/completions", body))
+			})
+		})
+	}
+}
--- a/internal/standin/provision/provision.go
+++ b/internal/standin/provision/provision.go
@@ -116,8 +116,8 @@
 	if p.faults.Down {
 		return false, kind.New(kind.Unavailable, "provisioning is down")
 	}
-	_, ok := p.find(id)
-	return ok, nil
+	_, known := p.find(id)
+	return known, nil
 }
 
 // Accept takes an order as the interface does; the kind Lost means that the answer is lost.
@@ -216,27 +216,24 @@
 }
 
 func (p *Platform) list() ([]provision.Upstream, error) {
-	if f := p.inForce(); f.Down {
+	if p.inForce().Down {
 		return nil, kind.New(kind.Store, "provisioning is down")
 	}
 	return p.Upstreams(), nil
 }
 
 func (p *Platform) take(c provision.Command) error {
-	f := p.inForce()
-	time.Sleep(time.Duration(f.Slow))
+	time.Sleep(time.Duration(p.inForce().Slow))
 	return p.Accept(c)
 }
 
 func (p *Platform) serveFind(w http.ResponseWriter, r *http.Request) {
 	known, err := p.Find(r.PathValue("id"))
-	switch {
-	case err != nil:
+	if err == nil && !known {
+		err = kind.New(kind.Missing, "no such order")
+	}
+	if err != nil {
 		web.Fail(w, err)
-	case !known:
-		http.NotFound(w, r)
-	default:
-		web.Write(w, struct{}{})
 	}
 }
 
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -3,8 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -23,6 +21,7 @@
 	standinservice "hickorypath/internal/standin/service"
 	standinstore "hickorypath/internal/standin/store"
 	standinusage "hickorypath/internal/standin/usage"
+	"hickorypath/internal/standin/web"
 )
 
 // anyPort lets the system choose a port.
@@ -33,12 +32,13 @@
 
 // Upstream is one running stand-in of an engine or a plain service.
 type Upstream struct {
-	ID   string `json:"id"`
-	Pool string `json:"pool"`
-	Zone string `json:"zone"`
-	Addr string `json:"addr"`
-	// Path is where the upstream's own faults are switched on the site's address.
-	Path string `json:"path"`
+	ID     string                `json:"id"`
+	Pool   string                `json:"pool"`
+	Zone   string                `json:"zone"`
+	Addr   string                `json:"addr"`
+	Path   string                `json:"path"` // where its faults are switched on the site's address
+	Engine *standinengine.Engine `json:"-"`    // nil for a plain service
+	server *http.Server
 }
 
 // Options are the properties of a Site.
@@ -60,14 +60,7 @@
 
 	mu      sync.Mutex
 	started int
-	running map[string]*upstream
-}
-
-// upstream is one running stand-in with its server.
-type upstream struct {
-	Upstream
-	server *http.Server
-	engine *standinengine.Engine
+	running map[string]Upstream
 }
 
 // New returns a Site without upstreams.
@@ -78,22 +71,19 @@
 		roster:  standinroster.New(time.Now),
 		usage:   standinusage.New(),
 		mux:     http.NewServeMux(),
-		running: map[string]*upstream{},
+		running: map[string]Upstream{},
 	}
-	s.provision = standinprovision.New(standinprovision.Options{Launch: s.launchListed, Halt: func(u provision.Upstream) { s.Halt(u.ID) }})
+	s.provision = standinprovision.New(standinprovision.Options{Launch: s.launch, Halt: func(u provision.Upstream) { s.Halt(u.ID) }})
 	s.provision.Set(standinprovision.Faults{Ignore: !o.Checks})
-	s.mount("/store", s.store.Handler())
-	s.mount("/roster", s.roster.Handler())
-	s.mount("/provision", s.provision.Handler())
-	s.mount("/usage", s.usage.Handler())
+	s.mux.Handle("/store/", http.StripPrefix("/store", s.store.Handler()))
+	s.mux.Handle("/roster/", http.StripPrefix("/roster", s.roster.Handler()))
+	s.mux.Handle("/provision/", http.StripPrefix("/provision", s.provision.Handler()))
+	s.mux.Handle("/usage/", http.StripPrefix("/usage", s.usage.Handler()))
 	s.mux.HandleFunc("/upstream/{id}/", s.forward)
-	s.mux.HandleFunc("GET /{$}", s.index)
+	s.mux.HandleFunc("GET /{$}", web.Show(func() ([]Upstream, error) { return s.Upstreams(), nil }))
 	return s
 }
 
-// Handler returns the platform's services, each under its own path, and the faults of all stand-ins.
-func (s *Site) Handler() http.Handler { return s.mux }
-
 // Store returns the key-value service.
 func (s *Site) Store() *standinstore.Server { return s.store }
 
@@ -119,25 +109,41 @@
 	return nil
 }
 
-// StartService runs a plain service at addr and returns it.
-func (s *Site) StartService(pool, zone, addr string) (*standinservice.Service, error) {
+// AddService runs a plain service and returns it.
+func (s *Site) AddService(pool, zone string) (*standinservice.Service, error) {
 	v := standinservice.New()
-	_, err := s.start("", pool, zone, addr, v.Handler(), nil)
+	_, err := s.start(Upstream{Pool: pool, Zone: zone}, v.Handler())
 	return v, err
 }
 
-// launchListed starts the engine of an order and returns its address, empty when it cannot listen.
-func (s *Site) launchListed(listed provision.Upstream) string {
-	u, err := s.startEngine(listed.ID, listed.Pool, listed.Zone)
-	if err != nil {
-		return ""
-	}
-	return u.Addr
+// launch starts the engine of an order and returns its address, empty when it cannot listen.
+func (s *Site) launch(u provision.Upstream) string {
+	started, _ := s.startEngine(u.ID, u.Pool, u.Zone)
+	return started.Addr
 }
 
 func (s *Site) startEngine(id, pool, zone string) (Upstream, error) {
 	e := standinengine.New(s.options.Engine(pool))
-	return s.start(id, pool, zone, anyPort, e.Handler(), e)
+	return s.start(Upstream{ID: id, Pool: pool, Zone: zone, Engine: e}, e.Handler())
+}
+
+// start runs a stand-in under its id, or under one made here.
+func (s *Site) start(u Upstream, handler http.Handler) (Upstream, error) {
+	ln, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return Upstream{}, fmt.Errorf("stand-in of pool %s: %w", u.Pool, err)
+	}
+	u.server = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = u.server.Serve(ln) }()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.started++
+	if u.ID == "" {
+		u.ID = fmt.Sprintf("%s-%02d", u.Pool, s.started)
+	}
+	u.Addr, u.Path = ln.Addr().String(), "/upstream/"+u.ID
+	s.running[u.ID] = u
+	return u, nil
 }
 
 // Halt ends an upstream at once.
@@ -153,69 +159,33 @@
 
 // Upstreams returns the running upstreams in the order of their names.
 func (s *Site) Upstreams() []Upstream {
-	return lo.Map(s.sorted(), func(u *upstream, _ int) Upstream { return u.Upstream })
-}
-
-// Engines returns the running engines in the order of their names.
-func (s *Site) Engines() []*standinengine.Engine {
-	return lo.FilterMap(s.sorted(), func(u *upstream, _ int) (*standinengine.Engine, bool) { return u.engine, u.engine != nil })
-}
-
-// EnginesByID returns the running engines by their names.
-func (s *Site) EnginesByID() map[string]*standinengine.Engine {
-	engines := map[string]*standinengine.Engine{}
-	for _, u := range s.sorted() {
-		if u.engine != nil {
-			engines[u.ID] = u.engine
-		}
-	}
-	return engines
-}
-
-func (s *Site) sorted() []*upstream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := lo.Values(s.running)
-	slices.SortFunc(list, func(a, b *upstream) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(list, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
 	return list
 }
 
+// Engines returns the running engines in the order of their names.
+func (s *Site) Engines() []*standinengine.Engine {
+	return lo.FilterMap(s.Upstreams(), func(u Upstream, _ int) (*standinengine.Engine, bool) { return u.Engine, u.Engine != nil })
+}
+
 // Close ends all upstreams at once.
 func (s *Site) Close() {
-	for _, u := range s.sorted() {
+	for _, u := range s.Upstreams() {
 		s.Halt(u.ID)
 	}
 }
 
-// Serve serves the platform at addr until ctx ends.
+// Serve serves the platform on ln until ctx ends.
 func (s *Site) Serve(ctx context.Context, ln net.Listener) error {
 	server := &http.Server{Handler: s.mux, ReadHeaderTimeout: headerTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	err := server.Serve(ln)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
-// start runs a stand-in under an id, or under one made here.
-func (s *Site) start(id, pool, zone, addr string, handler http.Handler, e *standinengine.Engine) (Upstream, error) {
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return Upstream{}, fmt.Errorf("stand-in of pool %s: %w", pool, err)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	go func() { _ = server.Serve(ln) }()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.started++
-	if id == "" {
-		id = fmt.Sprintf("%s-%02d", pool, s.started)
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	if err := server.Serve(ln); ctx.Err() == nil {
+		return err
 	}
-	u := Upstream{ID: id, Pool: pool, Zone: zone, Addr: ln.Addr().String(), Path: "/upstream/" + id}
-	s.running[id] = &upstream{Upstream: u, server: server, engine: e}
-	return u, nil
+	return nil
 }
 
 // forward passes a call under an upstream's path on to it, so that its faults can be switched there.
@@ -229,12 +199,3 @@
 	}
 	http.StripPrefix(u.Path, u.server.Handler).ServeHTTP(w, r)
 }
-
-func (s *Site) mount(path string, h http.Handler) {
-	s.mux.Handle(path+"/", http.StripPrefix(path, h))
-}
-
-func (s *Site) index(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(s.Upstreams())
-}
