Pass over a customer that leaves room, not its whole class

The late requests showed why: when the first customer of a class held more than a third of the host's slots, the class was blocked for the round, with the customers behind it for whom the slots were left free. And its requests in a quiet class waited for those of its burst in another.

Change: the queue passes over a customer and serves the next one of the class (queue.Filter). What a customer holds is counted by class, and it leaves room from 0.17 of the slots on in place of 0.33.

A flood in two classes at once is left.

--- a/internal/policy/model/burst_test.go
+++ b/internal/policy/model/burst_test.go
@@ -34,37 +34,26 @@
 	return all[:4]
 }
 
-// TestBurst triples one class: over four seeds the classes of its own and of higher tiers lose at
-// most one point.
+// TestBurst triples one class: for each of nine seeds the classes of its own and of higher tiers lose
+// at most one point.
 func TestBurst(t *testing.T) {
 	t.Parallel()
 	classes := burstClasses()
 	for _, c := range choices(classes) {
-		calm, loud := map[string]*tally{}, map[string]*tally{}
-		for seed := uint64(1); seed <= c.seeds(4); seed++ {
-			merge(calm, burst(seed, 1, classes, c.decide).classes)
-			merge(loud, burst(seed, 3, classes, c.decide).classes)
-		}
-		for _, name := range []string{"t0", "t1a"} {
-			loss := calm[name].attainment() - loud[name].attainment()
-			t.Logf("%s: %s loses %.2f points of %d requests", c.name, name, 100*loss, loud[name].offered)
-			if c.name == "pool" {
-				is := is.New(t)
-				is.True(loss <= 0.01)
+		for seed := uint64(1); seed <= c.seeds(9); seed++ {
+			calm, loud := burst(seed, 1, classes, c.decide).classes, burst(seed, 3, classes, c.decide).classes
+			for _, name := range []string{"t0", "t1a"} {
+				loss := calm[name].attainment() - loud[name].attainment()
+				t.Logf("%s, seed %d: %s loses %.2f points of %d requests", c.name, seed, name, 100*loss, loud[name].offered)
+				if c.name == "pool" {
+					is := is.New(t)
+					is.True(loss <= 0.01)
+				}
 			}
 		}
 	}
 }
 
-// merge adds what from counts of offered and attained requests to to.
-func merge(to, from map[string]*tally) {
-	for name, t := range from {
-		sum := lookup(to, name)
-		sum.offered += t.offered
-		sum.attained += t.attained
-	}
-}
-
 // equal offers load requests a second over ten equal customers and the classes.
 func equal(classes []pool.Class, load float64) []stream {
 	streams := make([]stream, 0, 10*len(classes))
@@ -91,13 +80,13 @@
 	return w.stats
 }
 
-// TestFlood lets one customer flood: for each of three seeds the worst-served other one keeps 95% of
+// TestFlood lets one customer flood: for each of six seeds the worst-served other one keeps 95% of
 // its attainment.
 func TestFlood(t *testing.T) {
 	t.Parallel()
 	classes := sevenTiers()[:1]
 	for _, c := range choices(classes) {
-		for seed := uint64(1); seed <= c.seeds(3); seed++ {
+		for seed := uint64(1); seed <= c.seeds(6); seed++ {
 			calm, loud := flood(seed, 1, classes, c.decide), flood(seed, 20, classes, c.decide)
 			before, after := fractions(calm.customers, "c0"), fractions(loud.customers, "c0")
 			worst := 1.0
--- a/internal/policy/pool/bench_test.go
+++ b/internal/policy/pool/bench_test.go
@@ -83,7 +83,7 @@
 			b.ResetTimer()
 			for i := range b.N {
 				push(i)
-				q.Next(nil)
+				q.Next(queue.Filter{})
 			}
 		})
 	}
--- a/internal/policy/pool/classes.go
+++ b/internal/policy/pool/classes.go
@@ -52,7 +52,7 @@
 	if !ok {
 		gone := *c.class
 		gone.Tier = max(0, p.queue.Tiers()-1)
-		gone.running, gone.solid = 0, 0
+		gone.running, gone.solid, gone.holds = 0, 0, make(map[string]int)
 		k = &gone
 	}
 	c.class = k
@@ -61,6 +61,7 @@
 	}
 	p.running[k.Tier]++
 	k.running++
+	k.holds[c.Customer]++
 	if c.solid {
 		k.solid++
 	}
--- a/internal/policy/pool/dispatch.go
+++ b/internal/policy/pool/dispatch.go
@@ -32,16 +32,12 @@
 	p.round++
 	p.retryAside(now)
 	for p.total < p.limit {
-		it, floor := p.queue.Peek(p.isAllowed)
+		it, floor := p.queue.Peek(p.allowed)
 		if it == nil {
 			return
 		}
 		c := p.calls[it.ID]
 		c.floor = c.late || floor
-		if p.leavesRoom(c) {
-			c.class.blocked = p.round
-			continue
-		}
 		up, cheap, ok := p.pick(now, c)
 		switch {
 		case ok:
@@ -95,7 +91,7 @@
 	c.started, c.upstream, c.solid = now, up, !p.cheap[up]
 	p.table.Start(now, up, c.ID, c.work(cheap))
 	p.counts[up]++
-	p.holds[c.Customer]++
+	c.class.holds[c.Customer]++
 	p.running[c.class.Tier]++
 	p.total++
 	c.class.running++
@@ -111,8 +107,8 @@
 	if p.counts[c.upstream]--; p.counts[c.upstream] == 0 {
 		delete(p.counts, c.upstream)
 	}
-	if p.holds[c.Customer]--; p.holds[c.Customer] == 0 {
-		delete(p.holds, c.Customer)
+	if c.class.holds[c.Customer]--; c.class.holds[c.Customer] == 0 {
+		delete(c.class.holds, c.Customer)
 	}
 	p.running[c.class.Tier]--
 	p.total--
--- a/internal/policy/pool/pool.go
+++ b/internal/policy/pool/pool.go
@@ -31,8 +31,8 @@
 	floorWait = 150 * time.Millisecond
 	// spareFactor scales the slots that are left free for the arrivals of higher tiers.
 	spareFactor = 1
-	// largePart is the part of a host's slots above which a customer leaves room for the others.
-	largePart = 0.33
+	// largePart is the part of a host's slots above which a customer of a class leaves room for the others.
+	largePart = 0.17
 	// maxSpare is the largest part of the slots that is left free.
 	maxSpare = 0.25
 	// lookAhead is the time whose arrivals a host asks slots for in advance.
@@ -92,7 +92,6 @@
 	counts  map[string]int     // running by upstream
 	cheap   map[string]bool    // reclaimable upstreams
 	outside map[string]outside // by upstream
-	holds   map[string]int     // running by customer
 
 	slots   int       // of all upstreams
 	limit   int       // of slots, the part for this host
@@ -102,15 +101,16 @@
 	first   time.Duration
 	peers   map[string]peer
 
-	round     uint64
-	isAllowed func(class string, floor bool) bool
-	out       []Decision
+	round   uint64
+	allowed queue.Filter
+	out     []Decision
 }
 
 type class struct {
 	Class
 	running int
-	solid   int // of running, those on durable upstreams
+	holds   map[string]int // running by customer
+	solid   int            // of running, those on durable upstreams
 	blocked uint64
 	part    float64 // share of its tier, by weight
 }
@@ -129,11 +129,10 @@
 		expect:  conf.Expect,
 		calls:   make(map[uint64]*call),
 		counts:  make(map[string]int),
-		holds:   make(map[string]int),
 		peers:   make(map[string]peer),
 	}
 	p.setClasses(conf.Classes)
-	p.isAllowed = p.allows
+	p.allowed = queue.Filter{Class: p.allows, Customer: p.mayStart}
 	return p
 }
 
@@ -155,7 +154,7 @@
 	if c.Weight <= 0 {
 		c.Weight = 1
 	}
-	return &class{Class: c}
+	return &class{Class: c, holds: make(map[string]int)}
 }
 
 // Upstreams replaces the set of upstreams and starts what can run on new ones.
--- a/internal/policy/pool/spare.go
+++ b/internal/policy/pool/spare.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"hickorypath/internal/policy/queue"
 )
 
 // A slot comes free only when a request ends, so a host whose slots are all busy makes the next
@@ -42,10 +44,14 @@
 	return p.room(float64(others))
 }
 
-// leavesRoom reports whether a call's customer leaves the free slots to the others.
+// mayStart reports whether the customer of a waiting request may start one.
+func (p *Pool) mayStart(it *queue.Item) bool { return !p.leavesRoom(p.calls[it.ID]) }
+
+// leavesRoom reports whether a call's customer leaves the free slots to the others. What it runs in
+// other classes does not count: its requests are not held up by a burst of its own elsewhere.
 func (p *Pool) leavesRoom(c *call) bool {
-	own := p.holds[c.Customer]
-	if c.floor || float64(own) <= largePart*float64(p.limit) {
+	own := c.class.holds[c.Customer]
+	if c.late || float64(own) <= largePart*float64(p.limit) {
 		return false
 	}
 	return p.total+p.spare[c.class.Tier]+p.room(float64(p.total-own)) >= p.limit
--- a/internal/policy/queue/class.go
+++ b/internal/policy/queue/class.go
@@ -45,6 +45,15 @@
 
 func (c *class) head() *Item { return c.heap[0].first }
 
+// next returns the first request of the first customer that allowed lets pass, or nil.
+func (c *class) next(allowed Filter) *Item {
+	f := c.heap.least(0, allowed)
+	if f == nil {
+		return nil
+	}
+	return f.first
+}
+
 func (c *class) push(it *Item) {
 	f := c.flow(it)
 	it.flow, it.owner = f, f
@@ -212,6 +221,22 @@
 // flowHeap is a min-heap of flows by start tag.
 type flowHeap []*flow
 
+// least returns the flow with the least tag that allowed lets pass, among the one at i and those below
+// it in the heap. It looks below a flow that is passed over only.
+func (h flowHeap) least(i int, allowed Filter) *flow {
+	if i >= len(h) {
+		return nil
+	}
+	if allowed.customer(h[i].first) {
+		return h[i]
+	}
+	left, right := h.least(2*i+1, allowed), h.least(2*i+2, allowed)
+	if left == nil || (right != nil && right.tag < left.tag) {
+		return right
+	}
+	return left
+}
+
 // Len implements heap.Interface.
 func (h flowHeap) Len() int { return len(h) }
 
--- a/internal/policy/queue/queue.go
+++ b/internal/policy/queue/queue.go
@@ -86,11 +86,22 @@
 	return true
 }
 
-// Peek returns the request to serve next, or nil, and leaves it in the queue; floor tells
-// that it is served on the floor of its class. A class for which
-// allowed reports false is passed over; floor tells it that the class would be served on its floor.
-// A nil function allows every class.
-func (q *Queue) Peek(allowed func(class string, floor bool) bool) (it *Item, floor bool) {
+// Filter tells which requests may be served now. A nil function allows all.
+type Filter struct {
+	// Class reports whether a class may be served; floor tells that it would be on its floor.
+	Class func(class string, floor bool) bool
+	// Customer reports whether the customer of it may be served otherwise than on the floor of its class.
+	// One that may not is passed over, and the next one of the class is served.
+	Customer func(it *Item) bool
+}
+
+func (f Filter) class(name string, floor bool) bool { return f.Class == nil || f.Class(name, floor) }
+
+func (f Filter) customer(it *Item) bool { return f.Customer == nil || f.Customer(it) }
+
+// Peek returns the request to serve next among those that allowed lets pass, or nil, and leaves it in
+// the queue; floor tells that it is served on the floor of its class.
+func (q *Queue) Peek(allowed Filter) (it *Item, floor bool) {
 	if q.length == 0 {
 		return nil, false
 	}
@@ -101,20 +112,20 @@
 		if it := t.firstUrgent(allowed); it != nil {
 			return it, false
 		}
-		if c := t.first(allowed); c != nil {
-			return c.head(), false
+		if it := t.first(allowed); it != nil {
+			return it, false
 		}
 	}
 	return nil, false
 }
 
-func (q *Queue) peekFloor(allowed func(class string, floor bool) bool) *Item {
+func (q *Queue) peekFloor(allowed Filter) *Item {
 	for i := len(q.tiers) - 1; i > 0; i-- {
 		for _, c := range q.tiers[i].classes {
 			if c.length == 0 || c.credit < c.head().Cost {
 				continue
 			}
-			if allowed == nil || allowed(c.conf.Name, true) {
+			if allowed.class(c.conf.Name, true) {
 				return c.head()
 			}
 		}
@@ -123,7 +134,7 @@
 }
 
 // Next removes and returns the request to serve next, or nil.
-func (q *Queue) Next(allowed func(class string, floor bool) bool) *Item {
+func (q *Queue) Next(allowed Filter) *Item {
 	it, _ := q.Peek(allowed)
 	if it != nil {
 		q.Take(it)
@@ -147,20 +158,24 @@
 	q.serve(c, it.Cost)
 }
 
-func (t *tier) first(allowed func(class string, floor bool) bool) *class {
+func (t *tier) first(allowed Filter) *Item {
 	if t.length == 0 {
 		return nil
 	}
 	var best *class
+	var first *Item
 	for _, c := range t.classes {
 		if c.length == 0 || (best != nil && c.tag >= best.tag) {
 			continue
 		}
-		if allowed == nil || allowed(c.conf.Name, false) {
-			best = c
+		if !allowed.class(c.conf.Name, false) {
+			continue
+		}
+		if it := c.next(allowed); it != nil {
+			best, first = c, it
 		}
 	}
-	return best
+	return first
 }
 
 // serve accounts cost units of service given to c and accrues the floor credit of waiting classes.
--- a/internal/policy/queue/queue_test.go
+++ b/internal/policy/queue/queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -18,7 +19,7 @@
 	q.Push(&queue.Item{ID: 3, Class: "live", Customer: "c1", Cost: 10})
 	q.Push(&queue.Item{ID: 4, Class: "live", Customer: "c2", Cost: 10})
 	for q.Len() > 0 {
-		fmt.Println(q.Next(nil).ID)
+		fmt.Println(q.Next(queue.Filter{}).ID)
 	}
 	// Output:
 	// 2
@@ -46,7 +47,7 @@
 		}
 	}
 	for range 20_000 {
-		it := q.Next(nil)
+		it := q.Next(queue.Filter{})
 		cost := it.Cost
 		if correct {
 			cost = 50 + 300*r.Float64()*r.Float64()
@@ -97,6 +98,37 @@
 	is.Equal(q.Depth(0), 10)
 }
 
+// TestPassedOver lets some customers of a class wait while the others are served in their order.
+func TestPassedOver(t *testing.T) {
+	cases := []struct {
+		name    string
+		blocked []string
+		want    []uint64
+	}{
+		{"none", nil, []uint64{1, 2, 3, 4, 5}},
+		{"first", []string{"a"}, []uint64{2, 3, 4, 5}},
+		{"first two", []string{"a", "b"}, []uint64{3, 4, 5}},
+		{"all", []string{"a", "b", "c", "d", "e"}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			q := queue.New([]queue.Class{{Name: "x"}})
+			for i, customer := range []string{"a", "b", "c", "d", "e"} {
+				q.Push(&queue.Item{ID: uint64(i + 1), Customer: customer, Class: "x", Cost: 10})
+			}
+			allowed := queue.Filter{Customer: func(it *queue.Item) bool { return !slices.Contains(c.blocked, it.Customer) }}
+			var got []uint64
+			for it := q.Next(allowed); it != nil; it = q.Next(allowed) {
+				got = append(got, it.ID)
+			}
+			slices.Sort(got)
+			is.Equal(got, c.want)
+			is.Equal(q.Len(), len(c.blocked))
+		})
+	}
+}
+
 // TestBooks checks the sums against a plain count under random operations.
 func TestBooks(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -113,7 +145,7 @@
 				q.Push(it)
 				waiting[id] = it
 			case 2:
-				if it := q.Next(nil); it != nil {
+				if it := q.Next(queue.Filter{}); it != nil {
 					delete(waiting, it.ID)
 					q.Charge(it, float64(rapid.IntRange(-20, 90).Draw(t, "delta")))
 				}
--- a/internal/policy/queue/urgent.go
+++ b/internal/policy/queue/urgent.go
@@ -20,9 +20,9 @@
 }
 
 // firstUrgent returns the oldest urgent request of a class that is allowed, or nil.
-func (t *tier) firstUrgent(allowed func(class string, floor bool) bool) *Item {
+func (t *tier) firstUrgent(allowed Filter) *Item {
 	for _, it := range t.urgent {
-		if allowed == nil || allowed(it.Class, true) {
+		if allowed.class(it.Class, true) {
 			return it
 		}
 	}
