Give periodic work and pauses one function each

Cause: eight packages repeated the same ticker loop, and three the same pause.

Change: clock.Every and clock.Pause. The saving of burn counts keeps its last save after the loop.

--- a/cmd/hickorypath/duties.go
+++ b/cmd/hickorypath/duties.go
@@ -194,21 +194,14 @@
 
 // sweep removes the texts of old documents while this host holds the lease.
 func (h *host) sweep(ctx context.Context, l *lease.Lease) {
-	tick := time.NewTicker(sweepInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	clock.Every(ctx, sweepInterval, func() {
 		if _, err := l.Hold(0); err != nil {
-			continue
+			return
 		}
 		if _, err := get[*vault.Vault](h.injector).Sweep(ctx, vault.DefaultKeep); err != nil {
 			h.log.Warn("old documents not removed", zap.Error(err))
 		}
-	}
+	})
 }
 
 // windows returns the usage windows for the operators' API.
--- a/cmd/hickorypath/handover.go
+++ b/cmd/hickorypath/handover.go
@@ -31,7 +31,7 @@
 	id := get[identity](h.injector)
 	sp := get[*node.Node](h.injector).Spread()
 	sp.Put(spread.Usage, id.host+"/"+id.incarnation, uint64(now.UnixNano()), r.Export(), now.Add(handoverExpiry))
-	pause(ctx, handoverPause)
+	clock.Pause(ctx, handoverPause)
 }
 
 // takeUsage takes over the usage of a host that left, on the few hosts that are candidates for it.
--- a/cmd/hickorypath/host.go
+++ b/cmd/hickorypath/host.go
@@ -184,7 +184,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), h.settings.ShutdownTimeout())
 	defer cancel()
 	get[*node.Node](h.injector).Leave(ctx)
-	pause(ctx, h.settings.DrainNotice())
+	clock.Pause(ctx, h.settings.DrainNotice())
 	err := h.caller.Shutdown(ctx)
 	h.settleUsage(ctx)
 	_ = h.admin.Shutdown(ctx)
@@ -192,15 +192,6 @@
 	return err
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // staticTargets returns the plain services that the settings list.
 func staticTargets(services []settings.Service) map[string][]dispatch.Target {
 	byPool := lo.GroupBy(services, func(s settings.Service) string { return s.Pool })
--- a/internal/caller/quota/quota.go
+++ b/internal/caller/quota/quota.go
@@ -53,16 +53,7 @@
 func (q *Quota) Run(ctx context.Context) {
 	stop := q.options.Spread.Watch(spread.Load, q.take)
 	defer stop()
-	tick := time.NewTicker(shareInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			q.share()
-		}
-	}
+	clock.Every(ctx, shareInterval, q.share)
 }
 
 // Admit takes a request that is expected to cost tokens, or refuses it with kind Rate, Tokens or
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -20,6 +20,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"hickorypath/internal/core/clock"
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/operator/api"
 )
@@ -50,18 +51,11 @@
 		c.http = &http.Client{Timeout: 60 * time.Second}
 	}
 	if c.pause == nil {
-		c.pause = pause
+		c.pause = clock.Pause
 	}
 	return c
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // URL returns the address of the API.
 func (c *Client) URL() string { return c.url }
 
--- a/internal/operator/follow/follow.go
+++ b/internal/operator/follow/follow.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"hickorypath/internal/core/clock"
 	"hickorypath/internal/host/spread"
 	"hickorypath/internal/operator/document"
 	"hickorypath/internal/operator/key"
@@ -64,7 +65,7 @@
 		if f.options.IsWatcher() {
 			f.watch(ctx)
 		}
-		pause(ctx, roleInterval)
+		clock.Pause(ctx, roleInterval)
 	}
 }
 
@@ -87,7 +88,7 @@
 		if err := f.load(ctx); err == nil {
 			return
 		}
-		pause(ctx, retryDelay)
+		clock.Pause(ctx, retryDelay)
 	}
 }
 
@@ -142,7 +143,7 @@
 	go f.watchPrefix(ctx, cancel, store.UseDocument, documentPrefix, f.rootChanged)
 	go f.watchPrefix(ctx, cancel, store.UseKey, vault.ShardPrefix, f.shardChanged)
 	for ctx.Err() == nil && f.options.IsWatcher() {
-		pause(ctx, roleInterval)
+		clock.Pause(ctx, roleInterval)
 	}
 }
 
@@ -165,7 +166,7 @@
 			return
 		}
 		f.options.Log.Warn("document not fetched", zap.Uint64("revision", rev.Number()), zap.Error(fetchErr))
-		pause(ctx, retryDelay)
+		clock.Pause(ctx, retryDelay)
 	}
 	if err != nil {
 		f.options.Log.Error("document root cannot be read", zap.Error(err))
@@ -219,12 +220,3 @@
 		f.options.Changed(doc, revision)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/operator/meter/meter.go
+++ b/internal/operator/meter/meter.go
@@ -65,16 +65,7 @@
 	var saving sync.WaitGroup
 	saving.Go(func() { m.saved.Run(ctx) })
 	defer saving.Wait()
-	tick := time.NewTicker(shareInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			m.share()
-		}
-	}
+	clock.Every(ctx, shareInterval, m.share)
 }
 
 // Apply takes the targets of the classes of doc.
--- a/internal/operator/tally/tally.go
+++ b/internal/operator/tally/tally.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"hickorypath/internal/core/clock"
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/platform/store"
 	"hickorypath/internal/policy/burn"
@@ -63,15 +64,9 @@
 
 // Run saves the counts until ctx ends, and once more then.
 func (t *Tally) Run(ctx context.Context) {
-	tick := time.NewTicker(t.options.Every)
-	defer tick.Stop()
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-tick.C:
-		}
-		t.saveLogged(context.WithoutCancel(ctx))
-	}
+	last := context.WithoutCancel(ctx)
+	clock.Every(ctx, t.options.Every, func() { t.saveLogged(last) })
+	t.saveLogged(last)
 }
 
 func (t *Tally) saveLogged(ctx context.Context) {
--- a/internal/platform/usage/reporter.go
+++ b/internal/platform/usage/reporter.go
@@ -58,19 +58,12 @@
 
 // Run makes a pass every interval until ctx ends.
 func (r *Reporter) Run(ctx context.Context) {
-	tick := time.NewTicker(r.opts.Every)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	clock.Every(ctx, r.opts.Every, func() {
 		err := r.Pass(ctx)
 		if err != nil && kind.Of(err) != kind.Lapsed {
 			r.opts.Log.Warn("usage not reported", zap.Error(err))
 		}
-	}
+	})
 }
 
 // Pass freezes and reports all that is due. The error has kind Lapsed on a host without the lease.
--- a/internal/upstream/dispatch/dispatch.go
+++ b/internal/upstream/dispatch/dispatch.go
@@ -122,16 +122,7 @@
 
 // Run drives the pool's timers until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) {
-	tick := time.NewTicker(tickInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			d.do(func(now time.Time) []pool.Decision { return d.pool.Tick(now) })
-		}
-	}
+	clock.Every(ctx, tickInterval, func() { d.do(d.pool.Tick) })
 }
 
 // Acquire waits until an upstream may take the request and returns the grant.
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -99,16 +99,7 @@
 	defer stop()
 	stopLeave := f.options.Spread.Watch(leaveTopic, f.takeLeave)
 	defer stopLeave()
-	tick := time.NewTicker(summaryInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			f.publish()
-		}
-	}
+	clock.Every(ctx, summaryInterval, f.publish)
 }
 
 // Apply makes the pools those of doc. A pool that stays keeps its queue and running requests.
--- a/internal/upstream/scaler/scaler.go
+++ b/internal/upstream/scaler/scaler.go
@@ -53,16 +53,7 @@
 
 // Run plans and orders until ctx ends.
 func (s *Scaler) Run(ctx context.Context) {
-	tick := time.NewTicker(interval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			s.Pass(ctx)
-		}
-	}
+	clock.Every(ctx, interval, func() { s.Pass(ctx) })
 }
 
 // Pass looks at the demand once and gives the orders that follow from it.
