--- a/internal/caller/exchange/chat.go
+++ b/internal/caller/exchange/chat.go
@@ -136,7 +136,7 @@
 		Class:    c.class.Name(),
 		Weight:   c.weight,
 		Prompt:   c.body.PromptTokens(),
-		Max:      c.body.max,
+		Max:      c.body.OutputLimit(),
 		Prefix:   c.body.Prefix(c.customer),
 		Deadline: c.deadline(),
 		Exclude:  c.avoid,
