Drop the unused verdict paths of the book of suspects, and set defaults in one line each

Cause: Book.Lost, Book.Alive and lostExpiry were called by tests only. Each lost request asks by itself whether its upstream answers and stays in the book as running until then (Session.verdict), so nothing in the product needs a second wait. health, retry, suspect and engine each repeated an if for each default. Change: the three are removed; withDefaults is one cmp.Or for each field. Tests: TestTrial ended its lost run by Alive; it now ends it by Finish, as the product does, and still checks that one trial runs at a time and that the next may follow. Conclusion: no change of behavior.

--- a/internal/policy/health/health.go
+++ b/internal/policy/health/health.go
@@ -3,6 +3,7 @@
 package health
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -17,35 +18,13 @@
 	Stale   time.Duration // age from which a load report is ignored
 }
 
-// Defaults of Config.
-const (
-	defaultOutlier = 3.0
-	defaultCap     = 0.34
-	defaultEject   = 5 * time.Second
-	defaultLongest = 60 * time.Second
-	defaultRamp    = 10 * time.Second
-	defaultStale   = 15 * time.Second
-)
-
 func (c Config) withDefaults() Config {
-	if c.Outlier == 0 {
-		c.Outlier = defaultOutlier
-	}
-	if c.Cap == 0 {
-		c.Cap = defaultCap
-	}
-	if c.Eject == 0 {
-		c.Eject = defaultEject
-	}
-	if c.Longest == 0 {
-		c.Longest = defaultLongest
-	}
-	if c.Ramp == 0 {
-		c.Ramp = defaultRamp
-	}
-	if c.Stale == 0 {
-		c.Stale = defaultStale
-	}
+	c.Outlier = cmp.Or(c.Outlier, 3)
+	c.Cap = cmp.Or(c.Cap, 0.34)
+	c.Eject = cmp.Or(c.Eject, 5*time.Second)
+	c.Longest = cmp.Or(c.Longest, 60*time.Second)
+	c.Ramp = cmp.Or(c.Ramp, 10*time.Second)
+	c.Stale = cmp.Or(c.Stale, 15*time.Second)
 	return c
 }
 
--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -4,6 +4,7 @@
 package retry
 
 import (
+	"cmp"
 	"time"
 
 	"hickorypath/internal/core/kind"
@@ -49,31 +50,15 @@
 	Hedge    float64       // hedges allowed for each request, over time
 }
 
-const (
-	defaultShare    = 0.1
-	defaultBurst    = 20
-	defaultAttempts = 4
-	defaultDelay    = 20 * time.Millisecond
-	defaultHedge    = 0.02
-	maxDelay        = 500 * time.Millisecond
-)
+// maxDelay bounds the growing delay between retries.
+const maxDelay = 500 * time.Millisecond
 
 func (c Config) withDefaults() Config {
-	if c.Share == 0 {
-		c.Share = defaultShare
-	}
-	if c.Burst == 0 {
-		c.Burst = defaultBurst
-	}
-	if c.Attempts == 0 {
-		c.Attempts = defaultAttempts
-	}
-	if c.Delay == 0 {
-		c.Delay = defaultDelay
-	}
-	if c.Hedge == 0 {
-		c.Hedge = defaultHedge
-	}
+	c.Share = cmp.Or(c.Share, 0.1)
+	c.Burst = cmp.Or(c.Burst, 20)
+	c.Attempts = cmp.Or(c.Attempts, 4)
+	c.Delay = cmp.Or(c.Delay, 20*time.Millisecond)
+	c.Hedge = cmp.Or(c.Hedge, 0.02)
 	return c
 }
 
--- a/internal/policy/suspect/book.go
+++ b/internal/policy/suspect/book.go
@@ -1,6 +1,7 @@
 package suspect
 
 import (
+	"cmp"
 	"time"
 
 	"hickorypath/internal/core/kind"
@@ -15,27 +16,15 @@
 }
 
 const (
-	defaultSuspect    = 10 * time.Minute
-	defaultQuarantine = 10 * time.Minute
-	defaultLongest    = 24 * time.Hour
-	defaultSize       = 10_000
-	maxDoublings      = 10
-	trialRetry        = 500 * time.Millisecond
+	maxDoublings = 10
+	trialRetry   = 500 * time.Millisecond
 )
 
 func (c Config) withDefaults() Config {
-	if c.Suspect == 0 {
-		c.Suspect = defaultSuspect
-	}
-	if c.Quarantine == 0 {
-		c.Quarantine = defaultQuarantine
-	}
-	if c.Longest == 0 {
-		c.Longest = defaultLongest
-	}
-	if c.Size == 0 {
-		c.Size = defaultSize
-	}
+	c.Suspect = cmp.Or(c.Suspect, 10*time.Minute)
+	c.Quarantine = cmp.Or(c.Quarantine, 10*time.Minute)
+	c.Longest = cmp.Or(c.Longest, 24*time.Hour)
+	c.Size = cmp.Or(c.Size, 10_000)
 	return c
 }
 
@@ -67,8 +56,7 @@
 	upstream string
 	print    Print
 	started  time.Time
-	trial    bool      // started as a suspect
-	lost     time.Time // when its connection was lost, zero before
+	trial    bool // started as a suspect
 }
 
 // New returns an empty Book.
@@ -106,7 +94,6 @@
 // Start notes that a request was sent to an upstream. A suspect is taken to be placed as the only
 // suspect there.
 func (b *Book) Start(now time.Time, p Print, upstream string, request uint64) {
-	b.release(now, upstream)
 	e := b.entries[p]
 	trial := e != nil && now.Before(e.suspect)
 	if trial {
@@ -139,36 +126,6 @@
 	}
 }
 
-// Lost notes that a request's connection was lost, while it is not known yet why. The request counts
-// as running until Crash or Alive, for a short time at most.
-func (b *Book) Lost(now time.Time, request uint64) {
-	if r, ok := b.runs[request]; ok {
-		r.lost = now
-		b.runs[request] = r
-	}
-}
-
-// lostExpiry bounds the time in which a lost request waits for the verdict on its upstream.
-const lostExpiry = 3 * time.Second
-
-// release lets go of the requests that were lost long ago on an upstream.
-func (b *Book) release(now time.Time, upstream string) {
-	for request := range b.on[upstream] {
-		if r := b.runs[request]; !r.lost.IsZero() && now.Sub(r.lost) > lostExpiry {
-			b.take(request)
-		}
-	}
-}
-
-// Alive notes that an upstream answers: the requests that were lost there did not crash it.
-func (b *Book) Alive(upstream string) {
-	for request := range b.on[upstream] {
-		if !b.runs[request].lost.IsZero() {
-			b.take(request)
-		}
-	}
-}
-
 func (b *Book) take(request uint64) (run, bool) {
 	r, ok := b.runs[request]
 	if !ok {
@@ -190,7 +147,6 @@
 // were sent to an upstream which was down before are neither. Both results are for the other hosts,
 // too, before any of the requests gets its answer.
 func (b *Book) Crash(now time.Time, upstream string) ([]Suspicion, []Quarantine) {
-	b.release(now, upstream)
 	since, known := b.downSince(now, upstream)
 	var trials []Print
 	all := make([]Print, 0, len(b.on[upstream]))
--- a/internal/policy/suspect/book_test.go
+++ b/internal/policy/suspect/book_test.go
@@ -103,7 +103,6 @@
 		}
 		delete(f.running, id)
 		lost = append(lost, j)
-		f.books[j.host].Lost(f.now, id)
 		f.tables[j.host].Finish(f.now, upstream, id, route.Result{Crashed: true})
 	}
 	for h, b := range f.books {
@@ -208,15 +207,11 @@
 	b := suspect.New(suspect.Config{})
 	p := suspect.Fingerprint("club", "ask", []byte("innocent"))
 	b.Start(start, p, "e0", 1)
-	b.Lost(start, 1)
 	b.Crash(start, "e0")
 	b.Start(start, p, "e1", 2)
 	_, err := b.Check(start, p)
 	is.Equal(kind.Of(err), kind.Unavailable) // one trial at a time
-	b.Lost(start, 2)
-	_, err = b.Check(start, p)
-	is.Equal(kind.Of(err), kind.Unavailable) // until it is known why it was lost
-	b.Alive("e1")
+	b.Finish(start, 2, false) // its connection was lost, and the engine still answers
 	trial, err := b.Check(start, p)
 	is.NoErr(err)
 	is.True(trial)
--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"net/http"
 	"strconv"
@@ -30,11 +31,6 @@
 }
 
 const (
-	defaultQuiet = 300 * time.Millisecond
-	defaultFirst = 1 * time.Second
-	defaultStall = 10 * time.Second
-	defaultProbe = 500 * time.Millisecond
-
 	idleTimeout = 30 * time.Second
 	maxIdle     = 64 // idle connections for each engine
 )
@@ -43,23 +39,14 @@
 	if o.Dial == nil {
 		o.Dial = wire.NewDial()
 	}
-	if o.Log == nil {
-		o.Log = zap.NewNop()
-	}
-	o.Quiet = orDefault(o.Quiet, defaultQuiet)
-	o.First = orDefault(o.First, defaultFirst)
-	o.Stall = orDefault(o.Stall, defaultStall)
-	o.Probe = orDefault(o.Probe, defaultProbe)
+	o.Log = cmp.Or(o.Log, zap.NewNop())
+	o.Quiet = cmp.Or(o.Quiet, 300*time.Millisecond)
+	o.First = cmp.Or(o.First, time.Second)
+	o.Stall = cmp.Or(o.Stall, 10*time.Second)
+	o.Probe = cmp.Or(o.Probe, 500*time.Millisecond)
 	return o
 }
 
-func orDefault(d, standard time.Duration) time.Duration {
-	if d == 0 {
-		return standard
-	}
-	return d
-}
-
 // Client calls engines by their address.
 type Client struct {
 	options Options
