Try suspects one at a time on each engine in lines that all hosts know

Cause: after an engine crash all that ran there was tried again in turns of hosts, 10 s each, and a try kept its engine until its answer was whole. Copies of one request sent at one moment each crashed an engine. A host that heard of a crash before its own connections broke made no suspects of its requests (reportCrash returned when the upstream was down). The neighbors of a quarantined request were suspects on the other hosts. Change: a suspect joins the line of one engine, tells the other hosts, and runs when it is first there. Its turn ends when its output is past the point of the crash. A quarantine takes back what its crash made suspects. Copies go the same way by a hash in place of a random factor, and are stopped when their request becomes a suspect. Route and pool know only the one upstream that may take a request; their turns of hosts, Lone and loneWait are gone. An upstream that the platform takes back makes no suspects. Reports of crashes keep times to the nanosecond; whole seconds let two hosts wait for each other.

--- a/cmd/hickorypath/crash.go
+++ b/cmd/hickorypath/crash.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/samber/lo"
 
 	"hickorypath/internal/caller/exchange"
 	"hickorypath/internal/core/clock"
@@ -13,22 +14,39 @@
 	"hickorypath/internal/upstream/fleet"
 )
 
-// crashReport is what hosts tell each other about a crash: the upstream, or one request that ran there.
+// crashReport is what hosts tell each other about a crash: the upstream, one request that ran there, or
+// the turn of such a request.
 type crashReport struct {
 	Pool       string              `cbor:"p,omitempty"`
 	Upstream   string              `cbor:"u,omitempty"`
 	Suspicion  *suspect.Suspicion  `cbor:"s,omitempty"`
 	Quarantine *suspect.Quarantine `cbor:"q,omitempty"`
+	Turn       *suspect.Turn       `cbor:"t,omitempty"`
+}
+
+// crashEncoding keeps times to the nanosecond: the turns of suspects are ordered by them.
+var crashEncoding = lo.Must(cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode())
+
+// putReport spreads a report under a key.
+func putReport(sp *spread.Spread, c clock.Clock, key string, r crashReport, until time.Time) {
+	data, err := crashEncoding.Marshal(r)
+	if err != nil {
+		return
+	}
+	sp.Put(spread.Suspect, key, uint64(c.Now().UnixNano()), data, until)
+}
+
+// tellTurn spreads the turns of this host's suspects to all hosts.
+func tellTurn(sp *spread.Spread, c clock.Clock) func(suspect.Turn) {
+	return func(t suspect.Turn) {
+		putReport(sp, c, "t/"+t.Host+"/"+nameOf(t.Print), crashReport{Turn: &t}, t.Until)
+	}
 }
 
 // tellCrash spreads suspicions and quarantines to all hosts.
 func tellCrash(sp *spread.Spread, c clock.Clock, f *fleet.Fleet) func(string, string, []suspect.Suspicion, []suspect.Quarantine) {
 	put := func(key string, r crashReport, until time.Time) {
-		data, err := cbor.Marshal(r)
-		if err != nil {
-			return
-		}
-		sp.Put(spread.Suspect, key, uint64(c.Now().UnixNano()), data, until)
+		putReport(sp, c, key, r, until)
 	}
 	return func(pool, upstream string, suspicions []suspect.Suspicion, quarantines []suspect.Quarantine) {
 		f.Down(pool, upstream)
@@ -50,8 +68,8 @@
 // takeCrash merges what other hosts tell about crashes.
 func takeCrash(s *exchange.Suspects, c clock.Clock, f *fleet.Fleet) func(spread.Record) {
 	return func(r spread.Record) {
-		var report crashReport
-		if err := cbor.Unmarshal(r.Value(), &report); err != nil {
+		report, ok := decodeCrash(r)
+		if !ok {
 			return
 		}
 		if report.Upstream != "" {
@@ -60,8 +78,16 @@
 		if report.Suspicion != nil {
 			s.MergeSuspicion(c.Now(), *report.Suspicion)
 		}
+		if report.Turn != nil {
+			s.MergeTurn(c.Now(), *report.Turn)
+		}
 		if report.Quarantine != nil {
 			s.Merge(c.Now(), *report.Quarantine)
 		}
 	}
 }
+
+func decodeCrash(r spread.Record) (report crashReport, ok bool) {
+	err := cbor.Unmarshal(r.Value(), &report)
+	return report, err == nil
+}
--- a/cmd/hickorypath/wire.go
+++ b/cmd/hickorypath/wire.go
@@ -197,8 +197,10 @@
 	return service.New(service.Options{Dial: wire.NewDial()}), nil
 }
 
-func provideSuspects(do.Injector) (*exchange.Suspects, error) {
-	return exchange.NewSuspects(suspect.Config{}), nil
+func provideSuspects(i do.Injector) (*exchange.Suspects, error) {
+	n := get[*node.Node](i)
+	config := suspect.Config{Host: get[*settings.Settings](i).Host()}
+	return exchange.NewSuspects(config, tellTurn(n.Spread(), get[clock.Clock](i))), nil
 }
 
 func provideRetries(do.Injector) (*exchange.Retries, error) {
--- a/internal/caller/exchange/chat.go
+++ b/internal/caller/exchange/chat.go
@@ -52,7 +52,7 @@
 	}
 	c := &chat{Session: s, body: body, data: data, out: out, ran: kind.RanNo}
 	c.print = suspect.Fingerprint(s.customer, s.route.Name(), body.messages)
-	estimate := body.PromptTokens() + s.pool.Expected(c.request(false))
+	estimate := body.PromptTokens() + s.pool.Expected(c.request(""))
 	done, err := s.runner.deps.Admit(s.customer, s.class.Name(), estimate)
 	if err != nil {
 		return err
@@ -130,7 +130,7 @@
 	}
 }
 
-func (c *chat) request(isSuspect bool) pool.Request {
+func (c *chat) request(only string) pool.Request {
 	return pool.Request{
 		Customer: c.customer,
 		Class:    c.class.Name(),
@@ -140,8 +140,8 @@
 		Prefix:   c.body.Prefix(c.customer),
 		Deadline: c.deadline(),
 		Exclude:  c.avoid,
-		Lone:     isSuspect,
-		Suspect:  isSuspect,
+		Only:     only,
+		Print:    uint64(c.print),
 		Again:    c.attempts > 0,
 	}
 }
--- a/internal/caller/exchange/forward.go
+++ b/internal/caller/exchange/forward.go
@@ -142,7 +142,7 @@
 }
 
 func (f *forward) attempt(ctx context.Context) error {
-	isSuspect, err := f.runner.deps.Suspects.Check(f.runner.deps.Clock.Now(), f.print)
+	turn, err := f.turn(ctx, f.print, f.avoid)
 	if err != nil {
 		return err
 	}
@@ -152,16 +152,18 @@
 		Weight:   f.weight,
 		Deadline: f.deadline(),
 		Exclude:  f.avoid,
-		Lone:     isSuspect,
-		Suspect:  isSuspect,
+		Only:     turn.Upstream,
+		Print:    uint64(f.print),
 		Again:    f.attempts > 0,
 	})
 	if err != nil {
+		f.runner.deps.Suspects.Leave(f.runner.deps.Clock.Now(), turn)
 		return err
 	}
 	f.attempts++
 	f.ending.Upstream = grant.Target().ID()
-	run := f.runner.deps.Suspects.Start(f.runner.deps.Clock.Now(), f.print, f.ending.Upstream)
+	run := f.runner.deps.Suspects.Start(f.runner.deps.Clock.Now(), f.print, f.ending.Upstream, Run{})
+	f.runner.deps.Suspects.PassLater(f.runner.deps.Clock.Now, run)
 	f.first = 0
 	err = f.send(ctx, grant.Target().Addr())
 	result := pool.Result{Failed: err != nil && ctx.Err() == nil, Crashed: f.judge(ctx, grant, run, err)}
--- a/internal/caller/exchange/lane.go
+++ b/internal/caller/exchange/lane.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"hickorypath/internal/core/kind"
@@ -18,6 +19,9 @@
 	grant  dispatch.Grant
 	call   engine.Call
 	run    uint64 // in the book of suspects
+	trial  bool   // in the turn of a suspect
+	recall atomic.Bool
+	offset atomic.Int64 // tokens received
 	sent   time.Time
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -28,16 +32,21 @@
 
 // attempt waits for an upstream and runs the request there once.
 func (c *chat) attempt(ctx context.Context) error {
-	isSuspect, err := c.runner.deps.Suspects.Check(c.runner.deps.Clock.Now(), c.print)
+	turn, err := c.turn(ctx, c.print, c.avoid)
 	if err != nil {
 		return err
 	}
-	grant, err := c.pool.Acquire(ctx, c.request(isSuspect))
+	grant, err := c.pool.Acquire(ctx, c.request(turn.Upstream))
 	if err != nil {
+		c.runner.deps.Suspects.Leave(c.runner.deps.Clock.Now(), turn)
 		return err
 	}
 	l := c.newLane(ctx, grant)
-	if c.mayHedge(isSuspect) {
+	l.trial = turn.Upstream != ""
+	if l.trial && !c.body.IsStream() {
+		c.runner.deps.Suspects.PassLater(c.runner.deps.Clock.Now, l.run)
+	}
+	if c.mayHedge(l.trial) {
 		l = c.race(ctx, l)
 	} else {
 		c.open(l)
@@ -48,6 +57,9 @@
 		l.err = c.follow(l)
 	}
 	c.end(ctx, l, c.tokens-before)
+	if l.recall.Load() && kind.Of(l.err) == kind.Canceled && ctx.Err() == nil {
+		return kind.New(kind.Silent, "a copy of the request crashed another upstream").WithRan(kind.RanMaybe)
+	}
 	return l.err
 }
 
@@ -55,11 +67,22 @@
 	c.attempts++
 	now := c.runner.deps.Clock.Now()
 	l := &lane{grant: grant, sent: now, call: c.call(fmt.Sprintf("%s-%d", c.req.ID, c.attempts))}
-	l.run = c.runner.deps.Suspects.Start(now, c.print, grant.Target().ID())
 	l.ctx, l.cancel = context.WithCancel(ctx)
+	l.offset.Store(int64(c.tokens))
+	r := Run{Offset: func() int { return int(l.offset.Load()) }}
+	if c.route.Repeat() {
+		r.Recall = l.stop
+	}
+	l.run = c.runner.deps.Suspects.Start(now, c.print, grant.Target().ID(), r)
 	return l
 }
 
+// stop ends an attempt because a copy of the request crashed another upstream.
+func (l *lane) stop() {
+	l.recall.Store(true)
+	l.cancel()
+}
+
 // open sends the attempt and waits for its first event.
 func (c *chat) open(l *lane) {
 	if l.err = c.checkClaim(); l.err != nil {
@@ -80,6 +103,8 @@
 		if err := c.pass(l.grant, event); err != nil {
 			return err
 		}
+		l.offset.Store(int64(event.Offset))
+		l.trial = l.trial && !c.runner.deps.Suspects.Pass(c.runner.deps.Clock.Now(), l.run, event.Offset)
 		c.noteFirst(event)
 		var err error
 		event, err = l.stream.Next()
--- a/internal/caller/exchange/retries.go
+++ b/internal/caller/exchange/retries.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,7 +10,6 @@
 
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/policy/retry"
-	"hickorypath/internal/policy/suspect"
 	"hickorypath/internal/upstream/dispatch"
 )
 
@@ -86,62 +86,6 @@
 	return b
 }
 
-// Suspects is the book of suspect requests, safe for concurrent use.
-type Suspects struct {
-	mu   sync.Mutex
-	book *suspect.Book
-	runs uint64
-}
-
-// NewSuspects returns an empty book.
-func NewSuspects(config suspect.Config) *Suspects {
-	return &Suspects{book: suspect.New(config)}
-}
-
-// Check tells whether a request is a suspect, or refuses it.
-func (s *Suspects) Check(now time.Time, p suspect.Print) (bool, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.book.Check(now, p)
-}
-
-// Start notes that a request was sent to an upstream and returns the number of the run.
-func (s *Suspects) Start(now time.Time, p suspect.Print, upstream string) uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.runs++
-	s.book.Start(now, p, upstream, s.runs)
-	return s.runs
-}
-
-// Finish notes the end of a run.
-func (s *Suspects) Finish(now time.Time, run uint64, whole bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.book.Finish(now, run, whole)
-}
-
-// Crash notes that an upstream crashed and returns what other hosts must know.
-func (s *Suspects) Crash(now time.Time, upstream string) ([]suspect.Suspicion, []suspect.Quarantine) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.book.Crash(now, upstream)
-}
-
-// Merge takes a quarantine from another host.
-func (s *Suspects) Merge(now time.Time, q suspect.Quarantine) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.book.Merge(now, q)
-}
-
-// MergeSuspicion takes a suspicion from another host.
-func (s *Suspects) MergeSuspicion(now time.Time, q suspect.Suspicion) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.book.MergeSuspicion(now, q)
-}
-
 // judge ends a run and tells whether its upstream is to be left alone for a while. The only upstream of a
 // pool is not: a request that finds it down fails at once, and the next one finds out when it is back.
 func (s *Session) judge(ctx context.Context, grant dispatch.Grant, run uint64, err error) bool {
@@ -172,20 +116,27 @@
 }
 
 // reportCrash asks an upstream whether it still answers; when it does not, the requests that ran there
-// become suspects on all hosts. A connection that was merely cut makes none, nor does an upstream that
-// was down before: the request did not crash it.
+// become suspects on all hosts. A connection that was merely cut makes none. Nor does an upstream that was
+// down before the requests were sent, which the book knows; that another host found the crash first says
+// nothing of that.
 func (r *Runner) reportCrash(ctx context.Context, pool string, t dispatch.Target) bool {
-	if r.deps.IsDown(pool, t.ID()) {
-		return true
-	}
-	if r.deps.Alive(ctx, pool, t.Addr()) {
+	if !r.deps.IsDown(pool, t.ID()) && r.deps.Alive(ctx, pool, t.Addr()) {
 		return false
 	}
+	if r.isTakenBack(pool, t.ID()) {
+		return true
+	}
 	suspicions, quarantines := r.deps.Suspects.Crash(r.deps.Clock.Now(), t.ID())
 	r.deps.Crashed(pool, t.ID(), suspicions, quarantines)
 	return true
 }
 
+// isTakenBack reports whether the platform stops an upstream: no request crashed it.
+func (r *Runner) isTakenBack(pool, upstream string) bool {
+	d, ok := r.deps.Pool(pool)
+	return ok && slices.ContainsFunc(d.Targets(), func(t dispatch.Target) bool { return t.ID() == upstream && t.Leaving() })
+}
+
 // refusal returns the final answer to a request that was refused before it was sent; ran tells what its
 // earlier attempts did.
 func refusal(err error, ran kind.Ran) error {
--- a/internal/caller/exchange/suspect_test.go
+++ b/internal/caller/exchange/suspect_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
+
 	"hickorypath/internal/core/kind"
 	standinengine "hickorypath/internal/standin/engine"
+	"hickorypath/internal/upstream/dispatch"
 )
 
 // TestVerdictOutlivesCaller lets a caller hang up while its lost upstream is asked whether it answers.
@@ -46,6 +50,68 @@
 	}
 }
 
+// TestRecall sends one request twice at one moment; the upstream of one copy crashes while both run.
+func TestRecall(t *testing.T) {
+	within(t, func(w *world) {
+		want := w.chat(w.ctx, call{model: "again"})
+		w.NoErr(want.err)
+		w.bills = nil
+		answers := make(chan answer, 2)
+		var tokens atomic.Int64
+		for range 2 {
+			go func() {
+				answers <- w.chat(w.ctx, call{model: "again", write: func() {
+					if tokens.Add(1) == 6 {
+						w.Equal(len(w.running()), 2) // on an engine each
+						w.engines["asesor-0"].Crash()
+					}
+				}})
+			}()
+		}
+		for range 2 {
+			a := <-answers
+			w.NoErr(a.err)
+			w.Equal(a.text, want.text)
+		}
+		w.Equal(w.crashes.Load(), int64(1))
+		w.Equal(w.suspects.Load(), int64(1))
+		w.Equal(len(w.bills), 2)
+		stopped := lo.CountBy(w.engines["asesor-1"].Seen(), func(r standinengine.Request) bool { return !r.Done() })
+		w.Equal(stopped, 1) // the other copy
+	})
+}
+
+// TestTakenBack checks that an upstream which the platform takes back makes no suspects.
+func TestTakenBack(t *testing.T) {
+	within(t, func(w *world) {
+		tokens := 0
+		a := w.chat(w.ctx, call{model: "again", write: func() {
+			if tokens++; tokens != 4 {
+				return
+			}
+			for id, e := range w.engines {
+				if e.Load().Running > 0 {
+					w.leave(id)
+					e.Crash()
+				}
+			}
+		}})
+		w.NoErr(a.err)
+		w.Equal(a.tokens, length)
+		w.Equal(w.suspects.Load(), int64(0))
+	})
+}
+
+// leave tells the pool that the platform takes an engine back.
+func (w *world) leave(id string) {
+	w.pools["asesor"].SetTargets(lo.Map(w.pools["asesor"].Targets(), func(t dispatch.Target, _ int) dispatch.Target {
+		if t.ID() == id {
+			return t.WithLeaving()
+		}
+		return t
+	}))
+}
+
 func crashFor(e *standinengine.Engine, d time.Duration) {
 	e.Crash()
 	time.AfterFunc(d, e.Restore)
--- a/internal/policy/pool/arrive.go
+++ b/internal/policy/pool/arrive.go
@@ -49,9 +49,6 @@
 	c.item.Urgent = r.Again
 	c.item.Cost = c.charged + promptCost*float64(r.Prompt)
 	c.expires = now.Add(k.Wait)
-	if r.Lone {
-		c.expires = now.Add(max(k.Wait, loneWait))
-	}
 	if !r.Deadline.IsZero() && r.Deadline.Before(c.expires) {
 		c.expires = r.Deadline
 	}
--- a/internal/policy/pool/pool.go
+++ b/internal/policy/pool/pool.go
@@ -41,9 +41,6 @@
 	splitPeriod = 500 * time.Microsecond
 	// sharePeriod is the least time between two divisions of each upstream's slots.
 	sharePeriod = 100 * time.Millisecond
-	// loneWait is the longest queueing of a request that runs only where no other suspect does: hosts take
-	// turns to run such requests.
-	loneWait = 30 * time.Second
 	// peerTime is how long the summary of another host counts.
 	peerTime = 1800 * time.Millisecond
 )
--- a/internal/policy/pool/request.go
+++ b/internal/policy/pool/request.go
@@ -21,8 +21,8 @@
 	Prefix   []uint64  // hashes of the prompt's prefix blocks, salted per customer
 	Deadline time.Time // after which an answer is of no use, zero for none
 	Exclude  []string  // upstreams that must not run it
-	Lone     bool      // run it only where no other suspect runs
-	Suspect  bool      // ran on an upstream that crashed
+	Only     string    // the one upstream that may run it, beyond this host's limit there; empty for any
+	Print    uint64    // copies of a request have the same one; zero for none
 	Again    bool      // a retry or resume of a request that was started before
 }
 
@@ -83,10 +83,10 @@
 		Prefix:  c.Prefix,
 		Tokens:  c.Prompt,
 		Exclude: c.Exclude,
-		Lone:    c.Lone,
-		Suspect: c.Suspect,
+		Only:    c.Only,
+		Print:   c.Print,
 	}
 }
 
 // isPicky reports whether the call has placement constraints that others of its class have not.
-func (c *call) isPicky() bool { return len(c.Exclude) > 0 || c.Lone }
+func (c *call) isPicky() bool { return len(c.Exclude) > 0 || c.Only != "" }
--- a/internal/policy/route/pick.go
+++ b/internal/policy/route/pick.go
@@ -28,6 +28,9 @@
 // none may take the work now.
 func (t *Table) Pick(now time.Time, w Work) (id string, ok bool) {
 	t.advance(now)
+	if w.Only != "" {
+		return w.Only, t.takes(w)
+	}
 	c := &t.choice
 	*c = choice{table: t, now: now, work: w, match: t.prefixes.match(w.Prefix)}
 	c.findHomes()
@@ -46,6 +49,13 @@
 	return c.best.id, true
 }
 
+// takes reports whether the one upstream of the work takes it. One request at a time may run there beyond
+// this host's limit, which can be 0 where hosts are many.
+func (t *Table) takes(w Work) bool {
+	m := t.byID[w.Only]
+	return m != nil && !m.leaving && !slices.Contains(w.Exclude, m.id) && (w.Cheap || !m.reclaimable)
+}
+
 func (t *Table) openCount(cheap bool) int {
 	n := len(t.open[groupNear]) + len(t.open[groupFar])
 	if cheap {
@@ -123,7 +133,7 @@
 		return
 	}
 	cost := c.table.cost(c.now, m, &c.work, blocks)
-	cost *= c.table.scatter()
+	cost *= c.scatter(m)
 	if c.best == nil || cost < c.cost {
 		c.best, c.cost = m, cost
 	}
@@ -134,21 +144,22 @@
 	switch {
 	case m.reclaimable && !w.Cheap:
 		return false
-	case w.Lone && !c.table.canTry(c.now, m):
-		return false
-	case w.Suspect && m.lone > 0:
-		return false
 	}
 	return !slices.Contains(w.Exclude, m.id)
 }
 
-// scatter returns a random factor, so that hosts which know the same do not all choose the same
-// upstream between two exchanges. A host on its own needs none.
-func (t *Table) scatter() float64 {
-	if len(t.hosts) < 2 {
+// scatter returns a factor that differs by request and upstream, so that hosts which know the same do not
+// all choose the same upstream between two exchanges, and copies of one request through several hosts
+// tend to the same. A host on its own needs none.
+func (c *choice) scatter(m *member) float64 {
+	if len(c.table.hosts) < 2 {
 		return 1
 	}
-	return 1 + scatterRange*float64(t.rand.Uint64()%scatterSteps)/scatterSteps
+	h := c.work.Print
+	if h == 0 {
+		h = c.table.rand.Uint64()
+	}
+	return 1 + scatterRange*float64(mix(m.hash^h)%scatterSteps)/scatterSteps
 }
 
 const (
@@ -183,3 +194,12 @@
 	}
 	return 0
 }
+
+// mix is the finalizer of MurmurHash3.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
--- a/internal/policy/route/table.go
+++ b/internal/policy/route/table.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hickorypath/internal/policy/health"
 )
 
@@ -41,8 +43,6 @@
 type running struct {
 	member *member
 	start  time.Time
-	lone   bool
-	sus    bool
 }
 
 // Groups of members by nearness and durability.
@@ -85,7 +85,6 @@
 			t.drop(m)
 		}
 	}
-	t.rank()
 	t.reshare(now)
 }
 
@@ -96,6 +95,7 @@
 	m := &member{
 		Upstream: u,
 		index:    len(t.members),
+		hash:     xxhash.Sum64String(u.id),
 		place:    -1,
 		near:     u.zone == t.config.Zone,
 		health:   t.health.Join(),
@@ -184,7 +184,7 @@
 	if m == nil {
 		return
 	}
-	t.requests[request] = running{member: m, start: now, lone: w.Lone, sus: w.Suspect || w.Lone}
+	t.requests[request] = running{member: m, start: now}
 	missing := w.Tokens - t.cachedTokens(now, m, w)
 	m.first = append(m.first, pending{request: request, start: now, tokens: missing, ahead: m.ahead})
 	m.ahead += missing
@@ -192,12 +192,6 @@
 		t.prefixes.add(b, uint16(m.index))
 	}
 	t.occupy(now, m, +1)
-	if w.Suspect || w.Lone {
-		m.suspects++
-	}
-	if w.Lone {
-		m.lone++
-	}
 }
 
 // First notes that a request on an upstream had its first token after d.
@@ -240,12 +234,6 @@
 	delete(t.requests, request)
 	m := run.member
 	m.forgetFirst(request)
-	if run.sus {
-		m.suspects--
-	}
-	if run.lone {
-		m.lone--
-	}
 	t.occupy(now, m, -1)
 	if m != t.byID[id] {
 		return
--- a/internal/policy/route/upstream.go
+++ b/internal/policy/route/upstream.go
@@ -59,8 +59,8 @@
 	Prefix  []uint64 // hashes of the prompt's prefix blocks, see Blocks
 	Tokens  int      // tokens of the prompt
 	Exclude []string // upstreams that were tried already
-	Lone    bool     // only where no suspect runs
-	Suspect bool     // keep away from where a lone suspect runs
+	Only    string   // the one upstream that may take it, beyond this host's limit; empty for any
+	Print   uint64   // of the request, so that copies of it through several hosts go the same way
 }
 
 // Result tells how a request ended.
@@ -73,7 +73,7 @@
 type member struct {
 	Upstream
 	index  int
-	rank   int // among the ids of all members in order
+	hash   uint64 // of the id
 	group  int
 	place  int // position in the group's open list, -1 when closed
 	near   bool
@@ -85,9 +85,6 @@
 	ahead  int // prompt tokens of the pending requests
 	health *health.State
 
-	suspects int
-	lone     int
-
 	report   Load
 	reported bool
 	ownAt    int // own requests when the report was taken
--- a/internal/policy/suspect/book.go
+++ b/internal/policy/suspect/book.go
@@ -9,6 +9,7 @@
 
 // Config holds the times of a Book; zero values get defaults.
 type Config struct {
+	Host       string        // id of this host
 	Suspect    time.Duration // how long a request stays a suspect after a crash
 	Quarantine time.Duration // first quarantine; each further one lasts twice as long
 	Longest    time.Duration // longest quarantine
@@ -36,6 +37,10 @@
 	on      map[string]map[uint64]Print // requests by upstream
 	order   []Print                     // entries by age, for the bound on size
 	down    map[string]outage           // of crashed upstreams
+	turns   map[Print]Turn              // of all hosts
+	changed []Turn                      // of this host, not yet told
+
+	recalled []uint64 // runs to be stopped
 }
 
 // entry is what is known of one suspect.
@@ -44,19 +49,36 @@
 	suspect     time.Time // until when it is a suspect
 	quarantine  time.Time // until when it is quarantined
 	quarantines int
-	running     int // runs of it on this host
+	last        crash
+	running     int           // runs of it on this host
+	offset      int           // tokens received of it until a crash, at most
+	ran         time.Duration // the longest that it ran until a crash
+}
+
+// crash names one crash of an upstream as one host saw it.
+type crash struct {
+	upstream string
+	at       time.Time
+}
+
+// isOf reports whether two hosts' words are of the same crash.
+func (c crash) isOf(o crash) bool {
+	return c.upstream == o.upstream && c.at.Sub(o.at).Abs() < downExpiry
 }
 
 // outage is the time in which an upstream was found down.
 type outage struct {
 	since, seen time.Time
+	blamed      bool // the request that caused it is known
 }
 
 type run struct {
 	upstream string
 	print    Print
 	started  time.Time
-	trial    bool // started as a suspect
+	trial    bool       // started as a suspect, and not past the point of the crash
+	passed   bool       // past that point
+	offset   func() int // tokens received, nil when not known
 }
 
 // New returns an empty Book.
@@ -67,13 +89,12 @@
 		runs:    map[uint64]run{},
 		on:      map[string]map[uint64]Print{},
 		down:    map[string]outage{},
+		turns:   map[Print]Turn{},
 	}
 }
 
-// Check tells whether a request is a suspect, which must be placed where no other suspect runs. The
-// error is of kind Quarantined when the request must not run at all, and of kind Unavailable when the
-// same request already runs as a suspect: one more run of it would tell nothing and could crash one
-// more upstream.
+// Check tells whether a request is a suspect, which must wait for its turn. The error is of kind
+// Quarantined when the request must not run at all.
 func (b *Book) Check(now time.Time, p Print) (suspect bool, err error) {
 	e := b.entries[p]
 	if e == nil {
@@ -82,24 +103,21 @@
 	if left := e.quarantine.Sub(now); left > 0 {
 		return true, kind.New(kind.Quarantined, "the request crashed the upstreams that ran it").WithRetry(left)
 	}
-	if !now.Before(e.suspect) {
-		return false, nil
-	}
-	if e.running > 0 {
-		return true, kind.New(kind.Unavailable, "the same request is on trial after a crash").WithRetry(trialRetry)
-	}
-	return true, nil
+	return now.Before(e.suspect), nil
 }
 
-// Start notes that a request was sent to an upstream. A suspect is taken to be placed as the only
-// suspect there.
-func (b *Book) Start(now time.Time, p Print, upstream string, request uint64) {
+// Start notes that a request was sent to an upstream, a suspect in its turn. Offset returns how many tokens
+// of its answer were received; it is nil when that is not known.
+func (b *Book) Start(now time.Time, p Print, upstream string, request uint64, offset func() int) {
 	e := b.entries[p]
 	trial := e != nil && now.Before(e.suspect)
 	if trial {
 		e.running++
+		b.runTurn(now, p)
+	} else {
+		b.endTurn(now, p) // the suspicion was taken back
 	}
-	b.runs[request] = run{upstream: upstream, print: p, started: now, trial: trial}
+	b.runs[request] = run{upstream: upstream, print: p, started: now, trial: trial, offset: offset}
 	here := b.on[upstream]
 	if here == nil {
 		here = map[uint64]Print{}
@@ -111,14 +129,14 @@
 // Finish notes the end of a request on an upstream that goes on. A suspect whose answer was whole is
 // cleared.
 func (b *Book) Finish(now time.Time, request uint64, whole bool) {
-	r, ok := b.take(request)
+	r, ok := b.take(now, request)
 	if !ok || !whole {
 		return
 	}
 	if r.started.After(b.down[r.upstream].since) {
 		delete(b.down, r.upstream)
 	}
-	if !r.trial {
+	if !r.trial && !r.passed {
 		return
 	}
 	if e := b.entries[r.print]; e != nil && now.After(e.quarantine) {
@@ -126,7 +144,7 @@
 	}
 }
 
-func (b *Book) take(request uint64) (run, bool) {
+func (b *Book) take(now time.Time, request uint64) (run, bool) {
 	r, ok := b.runs[request]
 	if !ok {
 		return run{}, false
@@ -136,40 +154,50 @@
 	if len(b.on[r.upstream]) == 0 {
 		delete(b.on, r.upstream)
 	}
-	if e := b.entries[r.print]; r.trial && e != nil && e.running > 0 {
+	if e := b.entries[r.print]; (r.trial || r.passed) && e != nil && e.running > 0 {
 		e.running--
 	}
+	if r.trial {
+		b.endTurn(now, r.print)
+	}
 	return r, true
 }
 
-// Crash notes that an upstream crashed. Each request that ran there becomes a suspect; if exactly one
-// of them was a suspect already, it is quarantined and its neighbours are not suspects. Requests that
-// were sent to an upstream which was down before are neither. Both results are for the other hosts,
-// too, before any of the requests gets its answer.
+// Crash notes that an upstream crashed. Each request that ran there becomes a suspect; if exactly one of
+// them was on trial, on this host or another, it is quarantined by its host and its neighbours are not
+// suspects. Requests that were sent to an upstream which was down before are neither. Both results are
+// for the other hosts, too, before any of the requests gets its answer.
 func (b *Book) Crash(now time.Time, upstream string) ([]Suspicion, []Quarantine) {
 	since, known := b.downSince(now, upstream)
+	blamed := known && b.down[upstream].blamed
 	var trials []Print
-	all := make([]Print, 0, len(b.on[upstream]))
+	all := make([]run, 0, len(b.on[upstream]))
 	for request, p := range b.on[upstream] {
-		r, ok := b.take(request)
+		r, ok := b.take(now, request)
 		if !ok || (known && r.started.After(since)) {
 			continue
 		}
 		if r.trial {
 			trials = append(trials, p)
 		}
-		all = append(all, p)
+		all = append(all, r)
 	}
 	if !known {
 		since = now
 	}
-	b.down[upstream] = outage{since: since, seen: now}
-	if len(trials) == 1 {
+	elsewhere := b.triedElsewhere(now, upstream)
+	own := len(trials) == 1 && elsewhere == 0 && !blamed
+	blamed = blamed || own || (len(trials) == 0 && elsewhere == 1)
+	b.down[upstream] = outage{since: since, seen: now, blamed: blamed}
+	switch {
+	case own:
 		return nil, []Quarantine{b.quarantine(now, trials[0], upstream)}
+	case blamed:
+		return nil, nil
 	}
 	out := make([]Suspicion, 0, len(all))
-	for _, p := range all {
-		out = append(out, b.suspect(now, p, upstream))
+	for _, r := range all {
+		out = append(out, b.suspect(now, r))
 	}
 	return out, nil
 }
@@ -188,18 +216,38 @@
 // downExpiry is below the time that an engine takes to load its model again.
 const downExpiry = 15 * time.Second
 
-// crashed takes another host's word that an upstream crashed.
-func (b *Book) crashed(upstream string, at time.Time) {
-	if upstream != "" && at.After(b.down[upstream].since) {
-		b.down[upstream] = outage{since: at, seen: at}
+// crashed takes another host's word that an upstream crashed, and whether it knows the cause.
+func (b *Book) crashed(upstream string, at time.Time, blamed bool) {
+	if upstream == "" {
+		return
+	}
+	o := b.down[upstream]
+	if at.After(o.seen.Add(downExpiry)) {
+		o = outage{since: at}
 	}
+	o.seen, o.blamed = maxTime(o.seen, at), o.blamed || blamed
+	b.down[upstream] = o
 }
 
-func (b *Book) suspect(now time.Time, p Print, upstream string) Suspicion {
-	e := b.entry(p)
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (b *Book) suspect(now time.Time, r run) Suspicion {
+	e := b.entry(r.print)
 	e.crashes++
 	e.suspect = now.Add(b.config.Suspect)
-	return Suspicion{Print: p, Crashes: e.crashes, Until: e.suspect, Upstream: upstream, At: now}
+	e.ran = max(e.ran, now.Sub(r.started))
+	e.last = crash{upstream: r.upstream, at: now}
+	if r.offset != nil {
+		e.offset = max(e.offset, r.offset())
+	}
+	s := Suspicion{Print: r.print, Crashes: e.crashes, Until: e.suspect, Upstream: r.upstream, At: now, Ran: e.ran, Offset: e.offset}
+	b.recall(now, s)
+	return s
 }
 
 func (b *Book) quarantine(now time.Time, p Print, upstream string) Quarantine {
@@ -209,9 +257,23 @@
 	e.quarantines++
 	e.quarantine = now.Add(length)
 	e.suspect = e.quarantine.Add(b.config.Suspect)
+	b.exonerate(crash{upstream: upstream, at: now})
 	return Quarantine{Print: p, Until: e.quarantine, Upstream: upstream, At: now}
 }
 
+// exonerate takes back the suspicions of a crash whose cause is known.
+func (b *Book) exonerate(c crash) {
+	for p, e := range b.entries {
+		if !e.last.isOf(c) {
+			continue
+		}
+		e.crashes, e.last = e.crashes-1, crash{}
+		if e.crashes <= 0 && e.quarantines == 0 {
+			delete(b.entries, p)
+		}
+	}
+}
+
 // entry returns the entry of p, making room for it when the Book is full.
 func (b *Book) entry(p Print) *entry {
 	if e := b.entries[p]; e != nil {
@@ -232,7 +294,8 @@
 	if !now.Before(q.Until) {
 		return
 	}
-	b.crashed(q.Upstream, q.At)
+	b.crashed(q.Upstream, q.At, true)
+	b.exonerate(crash{upstream: q.Upstream, at: q.At})
 	e := b.entry(q.Print)
 	if q.Until.After(e.quarantine) {
 		e.quarantine = q.Until
@@ -246,9 +309,15 @@
 	if !now.Before(s.Until) {
 		return
 	}
-	b.crashed(s.Upstream, s.At)
+	b.crashed(s.Upstream, s.At, false)
+	if b.down[s.Upstream].blamed {
+		return
+	}
 	e := b.entry(s.Print)
+	e.last = crash{upstream: s.Upstream, at: s.At}
 	e.crashes = max(e.crashes, s.Crashes)
+	e.ran, e.offset = max(e.ran, s.Ran), max(e.offset, s.Offset)
+	b.recall(now, s)
 	if s.Until.After(e.suspect) {
 		e.suspect = s.Until
 	}
--- a/internal/policy/suspect/suspect.go
+++ b/internal/policy/suspect/suspect.go
@@ -39,9 +39,11 @@
 
 // Suspicion tells the other hosts of a request that ran on an upstream when it crashed.
 type Suspicion struct {
-	Print    Print     `cbor:"print"`
-	Crashes  int       `cbor:"crashes"`
-	Until    time.Time `cbor:"until"`
-	Upstream string    `cbor:"upstream"` // that crashed
-	At       time.Time `cbor:"at"`       // when it was found crashed
+	Print    Print         `cbor:"print"`
+	Crashes  int           `cbor:"crashes"`
+	Until    time.Time     `cbor:"until"`
+	Upstream string        `cbor:"upstream"` // that crashed
+	At       time.Time     `cbor:"at"`       // when it was found crashed
+	Ran      time.Duration `cbor:"ran"`      // until the crash
+	Offset   int           `cbor:"offset"`   // tokens received until the crash
 }
