Ask the late upstream whether it answers before a hedge

Cause: a request that crashes engines could reach a second one by a hedge while the first was already dead and nobody had noticed. Change: before the second attempt the upstream of the first is asked on a new connection; without an answer there is no hedge. The first attempt's answer is taken while the question runs. Tests: TestHedge gets a case with an upstream that answers no question; its fault functions take the world as well.

--- a/internal/caller/exchange/hedge.go
+++ b/internal/caller/exchange/hedge.go
@@ -39,6 +39,14 @@
 		return l
 	case <-timer.C:
 	}
+	select {
+	case l := <-opened:
+		return l
+	case alive := <-c.ask(ctx, first):
+		if !alive {
+			return <-opened
+		}
+	}
 	second := c.hedge(ctx, first)
 	if second == nil {
 		return <-opened
@@ -47,11 +55,19 @@
 	return c.decide(ctx, opened, first, second)
 }
 
+// ask asks the upstream of an attempt whether it still answers. One that does not may have been crashed by
+// the request, which must not crash a second one.
+func (c *chat) ask(ctx context.Context, l *lane) <-chan bool {
+	answer := make(chan bool, 1)
+	go func() { answer <- c.runner.deps.Alive(ctx, c.pool.Name(), l.grant.Target().Addr()) }()
+	return answer
+}
+
 // hedge returns a second attempt on another upstream, or nil when none may start now.
 func (c *chat) hedge(ctx context.Context, first *lane) *lane {
 	deps := c.runner.deps
 	now := deps.Clock.Now()
-	r := c.request(false)
+	r := c.request("")
 	r.Exclude = append(slices.Clone(c.avoid), first.grant.Target().ID())
 	if isSuspect, err := deps.Suspects.Check(now, c.print); isSuspect || err != nil || !c.pool.HasOther(r.Exclude) {
 		return nil
--- a/internal/caller/exchange/hedge_test.go
+++ b/internal/caller/exchange/hedge_test.go
@@ -15,18 +15,19 @@
 	cases := []struct {
 		name   string
 		call   call
-		fault  func(e *standinengine.Engine)
+		fault  func(w *world, e *standinengine.Engine)
 		crash  bool // the late engine crashes while both run
 		hedged bool
 		slow   bool // the answer takes longer than three times the usual
 		seen   int  // attempts that engines read
 	}{
-		{"stalled", call{model: "again"}, (*standinengine.Engine).Stall, false, true, false, 2},
+		{"stalled", call{model: "again"}, stallEngine, false, true, false, 2},
 		{"ten times slower", call{model: "again"}, slow, false, true, false, 2},
-		{"not slow", call{model: "again"}, func(*standinengine.Engine) {}, false, false, false, 1},
+		{"not slow", call{model: "again"}, func(*world, *standinengine.Engine) {}, false, false, false, 1},
 		{"not repeatable", call{model: "once"}, slow, false, false, true, 1},
 		{"not streamed", call{model: "again", plain: true}, slow, false, false, true, 1},
-		{"crashes while both run", call{model: "again"}, (*standinengine.Engine).Stall, true, true, false, 3},
+		{"ten times slower, answers no question", call{model: "again"}, slowAndMute, false, false, true, 1},
+		{"crashes while both run", call{model: "again"}, stallEngine, true, true, false, 3},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -39,7 +40,7 @@
 				usual := w.endings[warm-1].Whole()
 				w.bills, w.endings = nil, nil
 				for _, e := range w.engines {
-					c.fault(e)
+					c.fault(w, e)
 				}
 				late := w.afterRestore(15 * time.Millisecond)
 				if c.crash {
@@ -64,7 +65,14 @@
 	}
 }
 
-func slow(e *standinengine.Engine) { e.Slow(10) }
+func stallEngine(_ *world, e *standinengine.Engine) { e.Stall() }
+
+func slow(_ *world, e *standinengine.Engine) { e.Slow(10) }
+
+func slowAndMute(w *world, e *standinengine.Engine) {
+	e.Slow(10)
+	w.mute = true
+}
 
 // afterRestore ends, after d, the faults of the engines that run nothing; the result then names the other one.
 func (w *world) afterRestore(d time.Duration) *atomic.Pointer[standinengine.Engine] {
