Give up a caller that reads nothing, and test silent and crossed answers through the whole exchange

Cause: a write to a caller that reads nothing had no end on the side of the router: the answer, and with it the slot of its upstream, was kept for as long as the connection lived. A heartbeat that was due meanwhile waited for the same lock. Change: each write of an answer is bounded by 15 s, also that of what the server still buffers at the end; the next request on the connection begins without a bound. A heartbeat is left out while an event is being written. TestFaults of exchange adds a connection that goes silent before the first token and answers of other requests, for calls that may be repeated and those that may not: seen once, ran maybe. TestDecode adds end marks, events and usage that come twice. These found nothing to mend.

--- a/cmd/hickorypath/host.go
+++ b/cmd/hickorypath/host.go
@@ -96,6 +96,7 @@
 	chat := openai.New(runner)
 	services := callerservice.New(runner)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		reply.UnboundWrite(http.NewResponseController(w))
 		switch {
 		case strings.HasPrefix(r.URL.Path, "/v1/"):
 			chat.ServeHTTP(w, r)
--- a/internal/caller/exchange/fault_test.go
+++ b/internal/caller/exchange/fault_test.go
@@ -39,6 +39,13 @@
 		{"connection silent, stream resumed", call{model: "again"}, nil, silence, "", "", 2, length, 0},
 		{"engine crashed, not repeatable", call{model: "once"}, nil, crash, kind.Lost, kind.RanMaybe, 1, 0, 4},
 		{"engine crashed, claimed call", call{model: "once", key: "k1"}, nil, crash, kind.Lost, kind.RanMaybe, 1, 0, 4},
+		{"silent before the first token, not repeatable", call{model: "once"}, silenceEarly, nil, kind.Silent, kind.RanMaybe, 1, 0, 0},
+		{"silent before the first token, claimed call", call{model: "once", key: "k1"}, silenceEarly, nil, kind.Silent, kind.RanMaybe, 1, 0, 0},
+		{"silent before the first token", call{model: "again"}, silenceEarly, nil, "", "", 2, length, 0},
+		{"silent, not streamed, not repeatable", call{model: "once", plain: true}, silenceEarly, nil, kind.Silent, kind.RanMaybe, 1, 0, 0},
+		{"answer of another request, not repeatable", call{model: "once"}, crossAll, nil, kind.Crossed, kind.RanMaybe, 1, 0, 0},
+		{"answers of other requests only", call{model: "again"}, crossAll, nil, kind.Crossed, kind.RanMaybe, 2, 0, 0},
+		{"stream changes to another answer, not repeatable", call{model: "once"}, spliceAll, nil, kind.Crossed, kind.RanMaybe, 1, 0, 1},
 		{"connections refused", call{model: "once"}, refuse, nil, kind.Unavailable, kind.RanNo, 0, 0, 0},
 		{"all reject", call{model: "once"}, rejectAll, nil, kind.Rejected, kind.RanNo, 2, 0, 0},
 	}
@@ -91,6 +98,23 @@
 	}
 }
 
+// silenceEarly makes the connections silent after the request was read and before its first token.
+func silenceEarly(w *world) {
+	time.AfterFunc(gap/2, func() { silence(w, nil) })
+}
+
+func crossAll(w *world) {
+	for _, e := range w.engines {
+		e.Cross(-1)
+	}
+}
+
+func spliceAll(w *world) {
+	for _, e := range w.engines {
+		e.Splice(-1)
+	}
+}
+
 func withdraw(w *world, _ func()) { w.True(w.keys.Put(w.record.Withdraw(time.Now()))) }
 
 func stallAll(w *world) {
--- a/internal/caller/openai/writer.go
+++ b/internal/caller/openai/writer.go
@@ -38,6 +38,7 @@
 		w.start()
 	}
 	if !w.stream {
+		reply.BoundWrite(w.rc)
 		_, err := w.w.Write(data)
 		return err
 	}
@@ -60,6 +61,7 @@
 
 // send writes one line and the blank line that ends an event; the caller holds the lock.
 func (w *writer) send(field string, data []byte) error {
+	reply.BoundWrite(w.rc)
 	w.line = append(append(append(w.line[:0], field...), data...), "\n\n"...)
 	if _, err := w.w.Write(w.line); err != nil {
 		return err
@@ -82,8 +84,11 @@
 	}
 }
 
+// beat sends a comment unless an event is under way.
 func (w *writer) beat() {
-	w.mu.Lock()
+	if !w.mu.TryLock() {
+		return
+	}
 	defer w.mu.Unlock()
 	if time.Since(w.last) >= heartbeatInterval {
 		_ = w.send(": ", []byte("waiting"))
@@ -97,6 +102,7 @@
 	if !w.started {
 		return err
 	}
+	defer reply.BoundWrite(w.rc) // what is still buffered
 	if !w.stream {
 		return nil
 	}
--- a/internal/caller/service/service.go
+++ b/internal/caller/service/service.go
@@ -75,10 +75,12 @@
 // copyFlush passes each part of a body on as it comes.
 func copyFlush(w http.ResponseWriter, body io.Reader) error {
 	rc := http.NewResponseController(w)
+	defer reply.BoundWrite(rc) // what is still buffered
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
+			reply.BoundWrite(rc)
 			if _, err := w.Write(buf[:n]); err != nil {
 				return kind.Wrap(err, kind.Canceled, "the caller stopped reading").WithRan(kind.RanYes)
 			}
--- a/internal/upstream/engine/fault_test.go
+++ b/internal/upstream/engine/fault_test.go
@@ -157,6 +157,7 @@
 	}
 	at := func(id, s string) string { return "id: " + id + "\n" + text(s) }
 	end := "data: [DONE]\n\n"
+	usage := `data: {"id":"c","choices":[],"usage":{"prompt_tokens":3,"completion_tokens":1}}` + "\n\n"
 	cases := []struct {
 		name   string
 		stream string
@@ -169,6 +170,10 @@
 		{"several tokens in one event", at("3", "abc") + at("5", "de") + end, 5, ""},
 		{"duplicate dropped", at("1", "a") + at("1", "a") + at("2", "b") + end, 2, ""},
 		{"older dropped", at("1", "a") + at("2", "b") + at("1", "a") + end, 2, ""},
+		{"end mark twice", text("a") + end + end, 1, ""},
+		{"event after the end", text("a") + end + text("b") + end, 1, ""},
+		{"another answer after the end", text("a") + end + strings.Replace(text("b"), `"c"`, `"d"`, 1) + end, 1, ""},
+		{"usage twice", text("a") + usage + usage + end, 1, ""},
 		{"comments and returns", ": hi\r\n\r\n" + strings.ReplaceAll(at("1", "a"), "\n", "\r\n") + end, 1, ""},
 		{"another answer", text("a") + strings.Replace(text("b"), `"c"`, `"d"`, 1) + end, 1, kind.Crossed},
 		{"cut before its end", text("a"), 1, kind.Lost},
