Draw the random factor of a choice as before where a request has no hash

Change: the draw is used as it is; only a hash is mixed with that of the upstream. Figures: go test -run TestBurst ./internal/policy/model passes as before.

--- a/internal/policy/route/pick.go
+++ b/internal/policy/route/pick.go
@@ -155,11 +155,11 @@
 	if len(c.table.hosts) < 2 {
 		return 1
 	}
-	h := c.work.Print
-	if h == 0 {
-		h = c.table.rand.Uint64()
+	h := c.table.rand.Uint64()
+	if c.work.Print != 0 {
+		h = mix(m.hash ^ c.work.Print)
 	}
-	return 1 + scatterRange*float64(mix(m.hash^h)%scatterSteps)/scatterSteps
+	return 1 + scatterRange*float64(h%scatterSteps)/scatterSteps
 }
 
 const (
