--- a/internal/caller/exchange/fault_test.go
+++ b/internal/caller/exchange/fault_test.go
@@ -105,13 +105,13 @@
 
 func crossAll(w *world) {
 	for _, e := range w.engines {
-		e.Cross(-1)
+		e.Strike("cross", -1)
 	}
 }
 
 func spliceAll(w *world) {
 	for _, e := range w.engines {
-		e.Splice(-1)
+		e.Strike("splice", -1)
 	}
 }
 
--- a/internal/caller/exchange/suspect_test.go
+++ b/internal/caller/exchange/suspect_test.go
@@ -10,6 +10,7 @@
 
 	"hickorypath/internal/core/kind"
 	standinengine "hickorypath/internal/standin/engine"
+	"hickorypath/internal/standin/upstream"
 	"hickorypath/internal/upstream/dispatch"
 )
 
@@ -76,7 +77,7 @@
 		w.Equal(w.crashes.Load(), int64(1))
 		w.Equal(w.suspects.Load(), int64(1))
 		w.Equal(len(w.bills), 2)
-		stopped := lo.CountBy(w.engines["asesor-1"].Seen(), func(r standinengine.Request) bool { return !r.Done() })
+		stopped := lo.CountBy(w.engines["asesor-1"].Calls(), func(c *upstream.Call) bool { return !c.Done() })
 		w.Equal(stopped, 1) // the other copy
 	})
 }
