Draw one more candidate for each lease, so that a cut zone cannot keep it free

Cause: three hosts try to get each lease, chosen among the hosts that are heard. A zone that is cut off from the platform alone is still heard by the others. If the three lie in it, nobody takes the lease: nothing is ordered and no usage is reported for as long as the cut lasts. With 7 hosts in 3 zones that is one cut zone; in a region of several zones it is one cut region.

Ruled out: hosts of different zones, which a cut region holds as well; all hosts, whose reads grow with the fleet (70 a second for each free lease at 350 hosts).

Change: one host more is drawn for each 2/3 of the time to live. The choice moves from the command to package lease, where it is tested. Usage that a leaving host hands over goes to the preferred hosts, as before.

--- a/cmd/hickorypath/duties.go
+++ b/cmd/hickorypath/duties.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
@@ -32,9 +31,6 @@
 // usageLease is the name of the lease under which usage is reported.
 const usageLease = "usage"
 
-// candidates is how many hosts try to get each lease.
-const candidates = 3
-
 // Bounds of the reporter's times, which follow the length of a window.
 const (
 	maxGrace = 10 * time.Second // for hosts to seal their parts
@@ -75,9 +71,10 @@
 	n := get[*node.Node](i)
 	id := get[identity](i)
 	list := get[*listing](i)
+	k := get[clock.Clock](i)
 	return duty.New(duty.Options{
 		Holder:    id.host + "/" + id.incarnation,
-		Clock:     get[clock.Clock](i),
+		Clock:     k,
 		Log:       get[*zap.Logger](i),
 		Store:     get[*store.Client](i),
 		Backend:   provision.NewHTTP(s.Platform().Provision, &http.Client{}),
@@ -87,8 +84,10 @@
 		Upstreams: list.get,
 		Zones:     func() []string { return zonesOf(n, list) },
 		Reached:   func(zone string) bool { return isReached(n.Members(), zone) },
-		Candidate: func(name string) bool { return isCandidate(liveHosts(n.Members()), s.Host(), name) },
-		Spend:     get[*meter.Meter](i).Spend,
+		Candidate: func(name string) bool {
+			return lease.IsCandidate(liveHosts(n.Members()), s.Host(), name, k.Now(), s.Lease())
+		},
+		Spend: get[*meter.Meter](i).Spend,
 	}), nil
 }
 
@@ -107,14 +106,6 @@
 	return lo.SomeBy(members, func(m member.Member) bool { return m.Zone() == zone && m.Alive() })
 }
 
-// isCandidate reports whether a host is among the few that try to get a lease, by rendezvous hashing
-// over the live hosts.
-func isCandidate(hosts []string, self, name string) bool {
-	rank := func(host string) uint64 { return xxhash.Sum64String(name + "\x00" + host) }
-	better := lo.CountBy(hosts, func(h string) bool { return rank(h) > rank(self) })
-	return better < candidates
-}
-
 func provideRecorder(i do.Injector) (*usage.Recorder, error) {
 	s := get[*settings.Settings](i)
 	id := get[identity](i)
@@ -139,11 +130,13 @@
 	c := get[*store.Client](i)
 	k := get[clock.Clock](i)
 	l := lease.New(c, k, lease.Options{
-		Name:      usageLease,
-		TTL:       s.Lease(),
-		Holder:    id.host + "/" + id.incarnation,
-		Candidate: func() bool { return isCandidate(liveHosts(n.Members()), s.Host(), usageLease) },
-		Log:       get[*zap.Logger](i),
+		Name:   usageLease,
+		TTL:    s.Lease(),
+		Holder: id.host + "/" + id.incarnation,
+		Candidate: func() bool {
+			return lease.IsCandidate(liveHosts(n.Members()), s.Host(), usageLease, k.Now(), s.Lease())
+		},
+		Log: get[*zap.Logger](i),
 	})
 	sink := usage.NewHTTP(s.Platform().Usage, s.OrderTimeout())
 	r := usage.NewReporter(c, k, l, sink, usage.ReporterOptions{
--- a/cmd/hickorypath/handover.go
+++ b/cmd/hickorypath/handover.go
@@ -10,6 +10,7 @@
 	"hickorypath/internal/core/clock"
 	"hickorypath/internal/host/node"
 	"hickorypath/internal/host/spread"
+	"hickorypath/internal/platform/lease"
 	"hickorypath/internal/platform/usage"
 )
 
@@ -34,10 +35,10 @@
 	clock.Pause(ctx, handoverPause)
 }
 
-// takeUsage takes over the usage of a host that left, on the few hosts that are candidates for it.
+// takeUsage takes over the usage of a host that left, on the few hosts that care for it.
 func (h *host) takeUsage(r spread.Record) {
 	host, _, _ := strings.Cut(r.Key(), "/")
-	if host == h.settings.Host() || !isCandidate(liveHosts(get[*node.Node](h.injector).Members()), h.settings.Host(), r.Key()) {
+	if host == h.settings.Host() || !lease.IsPreferred(liveHosts(get[*node.Node](h.injector).Members()), h.settings.Host(), r.Key()) {
 		return
 	}
 	if err := get[*usage.Recorder](h.injector).Import(r.Value()); err != nil {
--- a/internal/host/capacity/role.go
+++ b/internal/host/capacity/role.go
@@ -20,7 +20,7 @@
 	pollWatchers = 2  // hosts that poll an upstream
 	splitPeriod  = 0.1
 	leaseRenew   = 5   // seconds, lease
-	candidates   = 3   // hosts that try to get each lease
+	candidates   = 4   // hosts that try to get each lease, one of them drawn
 	burnSave     = 300 // seconds between savings of a host's counts, tally
 	limitIdle    = 120 // seconds after which a customer is forgotten, limit
 	claimBuckets = 256 // claim
