Let a host start while its zone is cut off from the platform

Cause: a host that starts learns of other hosts and of the upstreams from the platform alone. In a zone that is cut off from it, a replaced host served nothing, though hosts and upstreams of the zone ran. The test that restarts a host stopped the key-value service only.

Ruled out: upstreams in the settings, which orders would make wrong; the list in the key-value service, out of reach in the same case.

Change: settings name other hosts (peer.hosts), which count as the list until the platform's was read once. The list of upstreams becomes a record among the hosts, published by the two watching hosts of each zone. A host takes it while it cannot read the platform's; what it reads itself always counts. In a fleet of more than 16 hosts those that do not publish follow the record and read every 30 s. Reading and keeping the list moves from the command and package provision to package listing; the test of its watch moves along with the same expectations.

--- a/cmd/hickorypath/duties.go
+++ b/cmd/hickorypath/duties.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -26,6 +25,7 @@
 	"hickorypath/internal/upstream/dispatch"
 	"hickorypath/internal/upstream/duty"
 	"hickorypath/internal/upstream/fleet"
+	"hickorypath/internal/upstream/listing"
 )
 
 // usageLease is the name of the lease under which usage is reported.
@@ -46,31 +46,11 @@
 	incarnation string
 }
 
-// listing holds the platform's last list of upstreams. It is safe for concurrent use.
-type listing struct {
-	mu   sync.Mutex
-	list []provision.Upstream
-}
-
-func newListing() *listing { return &listing{} }
-
-func (l *listing) set(list []provision.Upstream) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.list = list
-}
-
-func (l *listing) get() []provision.Upstream {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.list
-}
-
 func provideDuty(i do.Injector) (*duty.Duty, error) {
 	s := get[*settings.Settings](i)
 	n := get[*node.Node](i)
 	id := get[identity](i)
-	list := get[*listing](i)
+	list := get[*listing.Listing](i)
 	k := get[clock.Clock](i)
 	return duty.New(duty.Options{
 		Holder:    id.host + "/" + id.incarnation,
@@ -81,7 +61,7 @@
 		Timeout:   s.OrderTimeout(),
 		Lease:     s.Lease(),
 		Fleet:     get[*fleet.Fleet](i),
-		Upstreams: list.get,
+		Upstreams: list.Upstreams,
 		Zones:     func() []string { return zonesOf(n, list) },
 		Reached:   func(zone string) bool { return isReached(n.Members(), zone) },
 		Candidate: func(name string) bool {
@@ -92,9 +72,9 @@
 }
 
 // zonesOf returns the availability zones that have hosts or upstreams.
-func zonesOf(n *node.Node, l *listing) []string {
+func zonesOf(n *node.Node, l *listing.Listing) []string {
 	zones := lo.Map(n.Members(), func(m member.Member, _ int) string { return m.Zone() })
-	for _, u := range l.get() {
+	for _, u := range l.Upstreams() {
 		zones = append(zones, u.Zone)
 	}
 	slices.Sort(zones)
@@ -157,19 +137,24 @@
 	h.loop(func() { get[*duty.Duty](h.injector).Run(ctx) })
 	h.loop(func() { get[*usage.Recorder](h.injector).Run(ctx) })
 	h.loop(func() { h.sweep(ctx, r.lease) })
-	h.loop(func() { h.watchUpstreams(ctx) })
+	h.loop(func() { get[*listing.Listing](h.injector).Run(ctx) })
 }
 
-// watchUpstreams follows the platform's list of upstreams.
-func (h *host) watchUpstreams(ctx context.Context) {
-	s := h.settings
+func provideListing(i do.Injector) (*listing.Listing, error) {
+	s := get[*settings.Settings](i)
+	n := get[*node.Node](i)
+	f := get[*fleet.Fleet](i)
+	log := get[*zap.Logger](i)
 	backend := provision.NewHTTP(s.Platform().Provision, &http.Client{})
-	list := get[*listing](h.injector)
-	f := get[*fleet.Fleet](h.injector)
-	_ = provision.New(backend, provision.Options{Log: h.log}).Watch(ctx, func(ups []provision.Upstream) {
-		list.set(ups)
-		f.SetTargets(targetsOf(ups, s.Services()))
-	})
+	return listing.New(listing.Options{
+		Clock:     get[clock.Clock](i),
+		Log:       log,
+		List:      backend.List,
+		Spread:    n.Spread(),
+		Publishes: func() bool { return isWatcher(n.Members(), s.Host(), s.Zone()) },
+		Follows:   func() bool { return len(n.Members()) > member.MeshFleet },
+		Changed:   func(list []provision.Upstream) { f.SetTargets(targetsOf(list, s.Services())) },
+	}), nil
 }
 
 // targetsOf returns the upstreams that may take requests, by pool.
--- a/cmd/hickorypath/process_test.go
+++ b/cmd/hickorypath/process_test.go
@@ -14,8 +14,10 @@
 	"slices"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
 
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/core/settings"
@@ -23,10 +25,14 @@
 	"hickorypath/internal/platform/roster"
 	"hickorypath/internal/platform/store"
 	standinengine "hickorypath/internal/standin/engine"
+	standinroster "hickorypath/internal/standin/roster"
 	standinservice "hickorypath/internal/standin/service"
 	"hickorypath/internal/standin/site"
 )
 
+// nowhere is the base URL of a platform that cannot be reached.
+const nowhere = "http://127.0.0.1:1"
+
 // serveVariable makes the test's own program run one host with the settings file that it names.
 const serveVariable = "HICKORYPATH_TEST_SERVE"
 
@@ -49,6 +55,7 @@
 	keys     map[string]string
 	http     *http.Client
 	started  int
+	known    []settings.Host // that the settings of a host name, to join without the platform
 }
 
 func newProcesses(t *testing.T, hosts int) *processes {
@@ -105,7 +112,7 @@
 	data, _ := json.Marshal(map[string]any{
 		"host": name, "zone": "norte-a", "environment": "test",
 		"caller": settings.Listener{Listen: anyPort}, "admin": settings.Listener{Listen: anyPort},
-		"operators": []settings.Operator{{Name: "demo", Token: demoToken}}, "peer": settings.Peer{Listen: anyPort, Secret: demoSecret},
+		"operators": []settings.Operator{{Name: "demo", Token: demoToken}}, "peer": settings.Peer{Listen: anyPort, Secret: demoSecret, Hosts: p.known},
 		"platform": settings.Platform{
 			Store: p.platform + "/store", Provision: p.platform + "/provision",
 			Usage: p.platform + "/usage", Roster: p.platform + "/roster",
@@ -256,6 +263,21 @@
 	is.Equal(p.send(h, call{method: http.MethodGet, path: "/help"}).status, http.StatusOK)
 }
 
+// TestHostStartsWhileItsZoneIsCutOff starts a host that reaches other hosts and upstreams, and nothing of the platform.
+func TestHostStartsWhileItsZoneIsCutOff(t *testing.T) {
+	is := is.New(t)
+	p := newProcesses(t, 3)
+	p.platform = nowhere
+	p.known = lo.Map(p.hosts, func(h *process, _ int) settings.Host {
+		return settings.Host{Host: h.name, Zone: "norte-a", Addr: h.peer}
+	})
+	is.NoErr(p.hosts[0].cmd.Process.Kill())
+	p.site.Roster().Set(standinroster.Faults{Lag: settings.Duration(time.Hour)}) // the others do not read of it either
+	h := p.start()
+	p.until(func() bool { return p.ask(h, "with the other hosts' lists").status == http.StatusOK })
+	is.Equal(p.send(h, call{method: http.MethodGet, path: "/help"}).status, http.StatusOK)
+}
+
 func TestResendAfterItsHostDiedRunsAtMostOnce(t *testing.T) {
 	is := is.New(t)
 	p := newProcesses(t, 2)
--- a/cmd/hickorypath/wire.go
+++ b/cmd/hickorypath/wire.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/samber/do/v2"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"hickorypath/internal/caller/exchange"
@@ -44,7 +45,7 @@
 	do.ProvideValue(i, key.NewTable())
 	do.ProvideValue(i, metrics.NewSet())
 	do.ProvideValue(i, identity{host: s.Host(), incarnation: exchange.NewID()})
-	do.ProvideValue(i, newListing())
+	do.Provide(i, provideListing)
 	do.Provide(i, provideStore)
 	do.Provide(i, provideVault)
 	do.Provide(i, provideNode)
@@ -94,7 +95,7 @@
 		Zone:   s.Zone(),
 		Addr:   s.Peer().Listen,
 		TLS:    conf,
-		Roster: roster.NewHTTP(s.Platform().Roster, &http.Client{Timeout: s.StoreTimeout()}).List,
+		Roster: provideRoster(s).List,
 		Clock:  get[clock.Clock](i),
 		Log:    get[*zap.Logger](i),
 		Revision: func() uint64 {
@@ -104,6 +105,14 @@
 	})
 }
 
+// provideRoster returns the list of hosts, with those of the settings until the platform's was read.
+func provideRoster(s *settings.Settings) *roster.Roster {
+	seeds := lo.Map(s.Peer().Hosts, func(h settings.Host, _ int) roster.Host {
+		return roster.New(h.Host, h.Zone, h.Addr, roster.Live)
+	})
+	return roster.NewHTTP(s.Platform().Roster, &http.Client{Timeout: s.StoreTimeout()}).WithFallback(seeds...)
+}
+
 func peerTLS(p settings.Peer) (*tls.Config, error) {
 	if p.Cert == "" {
 		return peer.NewTLSSecret(p.Secret)
--- a/internal/core/settings/check.go
+++ b/internal/core/settings/check.go
@@ -67,6 +67,12 @@
 	if f.Peer.Secret == "" && f.Peer.Cert == "" {
 		c.fault("/peer", "hosts need a shared secret or certificates", "set \"secret\": \"env:NAME\", or cert, key and ca")
 	}
+	for i, h := range f.Peer.Hosts {
+		at := fmt.Sprintf("/peer/hosts/%d", i)
+		c.need(at+"/host", h.Host, "name the host as its own settings do")
+		c.need(at+"/zone", h.Zone, "name the host's availability zone")
+		c.address(at+"/addr", h.Addr)
+	}
 	c.url("/platform/store", f.Platform.Store)
 	c.url("/platform/provision", f.Platform.Provision)
 	c.url("/platform/usage", f.Platform.Usage)
--- a/internal/core/settings/settings.go
+++ b/internal/core/settings/settings.go
@@ -52,6 +52,14 @@
 	Cert   string `json:"cert"`
 	Key    string `json:"key"`
 	CA     string `json:"ca"`
+	Hosts  []Host `json:"hosts"` // to join while the platform's list of hosts cannot be read
+}
+
+// Host is another host of the system.
+type Host struct {
+	Host string `json:"host"`
+	Zone string `json:"zone"`
+	Addr string `json:"addr"`
 }
 
 // Platform holds the base URLs of the platform's services.
--- a/internal/core/settings/settings_test.go
+++ b/internal/core/settings/settings_test.go
@@ -52,6 +52,8 @@
 		{"bad duration", `"1s"`, `"soon"`, []string{"soon"}},
 		{"order outlasts lease", `"1s"`, `"1s", "order": "20s"`, []string{"timeout.order", "shorter than the lease"}},
 		{"two faults", `"norte-a", "environment": "trial"`, `"", "environment": ""`, []string{"2 faults", "zone", "environment"}},
+		{"other host by name", `"secret": "env:SECRET"`, `"secret": "env:SECRET", "hosts": [{"host": "h2", "zone": "a", "addr": "h2:1"}]`, []string{"peer.hosts.0.addr", "IP number"}},
+		{"other host without a zone", `"secret": "env:SECRET"`, `"secret": "env:SECRET", "hosts": [{"host": "h2", "addr": "10.0.0.2:1"}]`, []string{"peer.hosts.0", "zone"}},
 		{"not JSON", `{`, ``, []string{"host.jsonc"}},
 	}
 	for _, c := range cases {
--- a/internal/host/spread/record.go
+++ b/internal/host/spread/record.go
@@ -13,6 +13,7 @@
 	Key      = "key"      // key records, by their version
 	Suspect  = "suspect"  // quarantined requests, with expiry
 	Load     = "load"     // soft load summaries, with expiry
+	Upstream = "upstream" // the platform's list of upstreams, by the time of its reading
 	Usage    = "usage"    // usage handed over by a host that shuts down
 	Member   = "member"   // hosts
 )
--- a/internal/platform/provision/order_test.go
+++ b/internal/platform/provision/order_test.go
@@ -125,31 +125,6 @@
 	is.Equal(list[0].Addr, "127.0.0.1:1")
 }
 
-func TestWatchAndReclaim(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		p := platform.New(platform.Options{})
-		p.Add(provision.Upstream{ID: "cheap", Zone: "a", Reclaimable: true, State: provision.StateReady})
-		p.Add(provision.Upstream{ID: "solid", Zone: "a", State: provision.StateReady})
-		c := provision.New(provision.Backend{
-			List: func(context.Context) ([]provision.Upstream, error) { return p.Upstreams(), nil },
-		}, provision.Options{})
-		ctx, cancel := context.WithCancel(t.Context())
-		var states []string
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			_ = c.Watch(ctx, func(list []provision.Upstream) { states = append(states, list[0].ID+" "+list[0].State) })
-		}()
-		time.Sleep(1500 * time.Millisecond)
-		p.Reclaim("a", 10*time.Second)
-		time.Sleep(time.Minute)
-		cancel()
-		<-done
-		is.Equal(states, []string{"cheap ready", "cheap leaving", "solid ready"})
-	})
-}
-
 // A new holder resolves the open intent of a host that died after sending, without ordering it again.
 func TestNewHolderResolvesIntent(t *testing.T) {
 	cases := []struct {
--- a/internal/platform/provision/provision.go
+++ b/internal/platform/provision/provision.go
@@ -2,14 +2,8 @@
 package provision
 
 import (
-	"cmp"
 	"context"
-	"reflect"
 	"time"
-
-	"go.uber.org/zap"
-
-	"hickorypath/internal/core/kind"
 )
 
 // The states of an Upstream.
@@ -31,6 +25,13 @@
 	Checks      bool      `json:"checks,omitempty"`  // it refuses orders with an old fence
 }
 
+// Equal reports whether two lines of the list say the same.
+func (u Upstream) Equal(other Upstream) bool {
+	same := u.Deadline.Equal(other.Deadline)
+	u.Deadline, other.Deadline = time.Time{}, time.Time{}
+	return same && u == other
+}
+
 // The actions of an Order.
 const (
 	ActionStart = "start"
@@ -64,55 +65,3 @@
 	// Find tells whether a command was accepted.
 	Find func(ctx context.Context, id string) (bool, error)
 }
-
-// Options are the settings of a Client; zero durations get defaults.
-type Options struct {
-	Every time.Duration // between readings of the list
-	Log   *zap.Logger
-}
-
-const defaultEvery = time.Second
-
-// Client reads the list of upstreams.
-type Client struct {
-	backend Backend
-	opts    Options
-}
-
-// New returns a Client.
-func New(b Backend, o Options) *Client {
-	o.Every = cmp.Or(o.Every, defaultEvery)
-	if o.Log == nil {
-		o.Log = zap.NewNop()
-	}
-	return &Client{backend: b, opts: o}
-}
-
-// List reads the list of upstreams.
-func (c *Client) List(ctx context.Context) ([]Upstream, error) {
-	ctx, cancel := context.WithTimeout(ctx, defaultTimeout)
-	defer cancel()
-	return c.backend.List(ctx)
-}
-
-// Watch calls fn with the list whenever it changed, until ctx ends. While the platform cannot be
-// reached the last list stays in force.
-func (c *Client) Watch(ctx context.Context, fn func([]Upstream)) error {
-	tick := time.NewTicker(c.opts.Every)
-	defer tick.Stop()
-	var last []Upstream
-	for first := true; ; first = false {
-		list, err := c.List(ctx)
-		if err != nil {
-			c.opts.Log.Warn("list of upstreams not read", zap.Error(err))
-		} else if first || !reflect.DeepEqual(list, last) {
-			last = list
-			fn(list)
-		}
-		select {
-		case <-ctx.Done():
-			return kind.Wrap(ctx.Err(), kind.Canceled, "watch of upstreams")
-		case <-tick.C:
-		}
-	}
-}
--- a/internal/platform/roster/roster.go
+++ b/internal/platform/roster/roster.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	"hickorypath/internal/core/kind"
 )
@@ -93,6 +94,23 @@
 	return NewFunc(func(ctx context.Context) ([]Host, error) { return get(ctx, client, url) })
 }
 
+// WithFallback returns a Roster that lists hosts instead until the list was read once, so that a host which
+// starts while the platform cannot be reached finds others.
+func (r *Roster) WithFallback(hosts ...Host) *Roster {
+	var known atomic.Bool
+	return NewFunc(func(ctx context.Context) ([]Host, error) {
+		list, err := r.list(ctx)
+		if err == nil {
+			known.Store(true)
+			return list, nil
+		}
+		if known.Load() || len(hosts) == 0 {
+			return nil, err
+		}
+		return hosts, nil
+	})
+}
+
 // List returns the hosts that the platform knows.
 func (r *Roster) List(ctx context.Context) ([]Host, error) { return r.list(ctx) }
 
--- /dev/null
+++ b/internal/upstream/listing/bench_test.go
@@ -0,0 +1,30 @@
+package listing_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hickorypath/internal/host/spread"
+	"hickorypath/internal/platform/provision"
+	platform "hickorypath/internal/standin/provision"
+)
+
+// BenchmarkPass measures a reading of 1,300 upstreams that did not change, and the size of their record.
+func BenchmarkPass(b *testing.B) {
+	p := platform.New(platform.Options{})
+	for i := range 1300 {
+		p.Add(provision.Upstream{
+			ID: fmt.Sprintf("upstream-%d", i), Pool: fmt.Sprintf("pool-%d", i%8), Zone: fmt.Sprintf("zone-%d", i%15),
+			Addr: fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250), State: provision.StateReady,
+		})
+	}
+	sp := newSpread()
+	h := newHost(p, sp, 0, true)
+	for b.Loop() {
+		h.skew += time.Second
+		h.Pass(b.Context())
+	}
+	r, _ := sp.Get(spread.Upstream, "list")
+	b.ReportMetric(float64(len(r.Value())), "bytes/record")
+}
--- /dev/null
+++ b/internal/upstream/listing/listing_test.go
@@ -0,0 +1,182 @@
+package listing_test
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/host/spread"
+	"hickorypath/internal/platform/provision"
+	platform "hickorypath/internal/standin/provision"
+	"hickorypath/internal/upstream/listing"
+)
+
+// host is one host's listing and the lists that it put in force.
+type host struct {
+	*listing.Listing
+	spread  *spread.Spread
+	skew    time.Duration // by which its clock is ahead
+	cut     atomic.Bool   // off from the platform
+	follows bool
+	reads   atomic.Int64 // of the platform's list
+	lists   [][]provision.Upstream
+}
+
+// newHost returns a host whose clock is ahead by skew. Its records are those of sp.
+func newHost(p *platform.Platform, sp *spread.Spread, skew time.Duration, publishes bool) *host {
+	h := &host{spread: sp, skew: skew}
+	h.Listing = listing.New(listing.Options{
+		Clock: clock.New(func() time.Time { return time.Now().Add(h.skew) }, clock.NewWall().Boot),
+		Log:   zap.NewNop(),
+		List: func(context.Context) ([]provision.Upstream, error) {
+			if h.cut.Load() {
+				return nil, kind.New(kind.Unavailable, "cut off")
+			}
+			h.reads.Add(1)
+			return p.Upstreams(), nil
+		},
+		Spread:    sp,
+		Publishes: func() bool { return publishes },
+		Follows:   func() bool { return h.follows },
+		Changed:   func(list []provision.Upstream) { h.lists = append(h.lists, slices.Clone(list)) },
+	})
+	return h
+}
+
+func newSpread() *spread.Spread {
+	return spread.New(spread.NewTable(spread.Config{Self: "h1", Zone: "a"}), time.Now, func([]spread.Send) {})
+}
+
+func states(h *host) []string {
+	return lo.Map(h.lists, func(list []provision.Upstream, _ int) string { return list[0].ID + " " + list[0].State })
+}
+
+func ids(list []provision.Upstream) []string {
+	return lo.Map(list, func(u provision.Upstream, _ int) string { return u.ID })
+}
+
+func ready(id string) provision.Upstream {
+	return provision.Upstream{ID: id, Zone: "a", State: provision.StateReady}
+}
+
+func TestChangesAndReclaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := platform.New(platform.Options{})
+		p.Add(provision.Upstream{ID: "cheap", Zone: "a", Reclaimable: true, State: provision.StateReady})
+		p.Add(ready("solid"))
+		h := newHost(p, newSpread(), 0, true)
+		ctx, cancel := context.WithCancel(t.Context())
+		go h.Run(ctx)
+		time.Sleep(1500 * time.Millisecond)
+		p.Reclaim("a", 10*time.Second)
+		time.Sleep(time.Minute)
+		cancel()
+		synctest.Wait()
+		is.Equal(states(h), []string{"cheap ready", "cheap leaving", "solid ready"})
+	})
+}
+
+func TestPlatformCannotBeReached(t *testing.T) {
+	cases := []struct {
+		name  string
+		skew  time.Duration // of the clock of the host that publishes
+		start bool          // the other host starts while it is cut off
+		want  []string      // in force on the other host while it is cut off
+		later []string      // when it reads the platform's list again
+	}{
+		{"host starts", 0, true, []string{"e1", "e2"}, []string{"e1", "e2", "e3"}},
+		{"host runs", 0, false, []string{"e1", "e2"}, []string{"e1", "e2", "e3"}},
+		{"publisher's clock is ahead", time.Hour, false, []string{"e1", "e2"}, []string{"e1", "e2", "e3"}},
+		{"publisher's clock is behind", -time.Hour, false, []string{"e1", "e2"}, []string{"e1", "e2", "e3"}},
+		{"publisher's clock is behind, host starts", -time.Hour, true, []string{"e1", "e2"}, []string{"e1", "e2", "e3"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx := t.Context()
+				p := platform.New(platform.Options{})
+				p.Add(ready("e1"))
+				sp := newSpread()
+				one := newHost(p, sp, c.skew, true)
+				two := newHost(p, sp, 0, false)
+				one.Pass(ctx)
+				if !c.start {
+					two.Pass(ctx)
+				}
+				two.cut.Store(true)
+				time.Sleep(time.Minute)
+				p.Add(ready("e2"))
+				one.Pass(ctx)
+				two.Pass(ctx)
+				is.Equal(ids(two.Upstreams()), c.want)
+
+				one.cut.Store(true) // its last list stays published
+				p.Add(ready("e3"))
+				two.cut.Store(false)
+				time.Sleep(time.Second)
+				two.Pass(ctx)
+				is.Equal(ids(two.Upstreams()), c.later)
+			})
+		})
+	}
+}
+
+// TestFollower checks that a follower has each change at once with few readings, and goes on by itself
+// when nobody publishes.
+func TestFollower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := platform.New(platform.Options{})
+		p.Add(ready("e1"))
+		sp := newSpread()
+		one := newHost(p, sp, 0, true)
+		two := newHost(p, sp, 0, false)
+		two.follows = true
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go one.Run(ctx)
+		go two.Run(ctx)
+		time.Sleep(9500 * time.Millisecond)
+		p.Add(ready("e2"))
+		time.Sleep(time.Second)
+		is.Equal(ids(two.Upstreams()), []string{"e1", "e2"})
+		time.Sleep(time.Hour)
+		is.Equal(two.reads.Load(), int64(121)) // one each 30 s
+
+		one.cut.Store(true)
+		p.Add(ready("e3"))
+		time.Sleep(30 * time.Second)
+		is.Equal(ids(two.Upstreams()), []string{"e1", "e2", "e3"})
+	})
+}
+
+// TestUnchangedListIsPublishedSeldom counts versions of the record over two days.
+func TestUnchangedListIsPublishedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := platform.New(platform.Options{})
+		p.Add(ready("e1"))
+		sp := newSpread()
+		one := newHost(p, sp, 0, true)
+		two := newHost(p, sp, time.Second, true)
+		versions := map[uint64]bool{}
+		for range 2 * 24 * 60 {
+			one.Pass(t.Context())
+			two.Pass(t.Context())
+			versions[sp.Version(spread.Upstream, "list")] = true
+			time.Sleep(time.Minute)
+		}
+		is.Equal(len(versions), 8) // one each 6 hours
+	})
+}
