--- a/internal/caller/exchange/exchange.go
+++ b/internal/caller/exchange/exchange.go
@@ -68,12 +68,13 @@
 
 // Runner runs requests.
 type Runner struct {
-	deps Deps
+	deps  Deps
+	zones zones
 }
 
 // New returns a Runner over deps.
 func New(deps Deps) *Runner {
-	return &Runner{deps: deps}
+	return &Runner{deps: deps, zones: zones{lost: map[string]time.Time{}}}
 }
 
 // Request is what a caller asks for, independent of its protocol.
--- a/internal/caller/exchange/exchange_test.go
+++ b/internal/caller/exchange/exchange_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -72,8 +73,10 @@
 	gate    *standinstore.Gate
 	client  *engine.Client
 	runner  *exchange.Runner
+	mu      sync.Mutex // guards what follows
 	bills   []exchange.Bill
 	endings []exchange.Ending
+
 	crashes atomic.Int64
 	// suspects counts the suspicions that were told to other hosts.
 	suspects atomic.Int64
@@ -170,8 +173,16 @@
 			w.crashes.Add(1)
 			w.suspects.Add(int64(len(s)))
 		},
-		Bill:    func(b exchange.Bill) { w.bills = append(w.bills, b) },
-		Observe: func(e exchange.Ending) { w.endings = append(w.endings, e) },
+		Bill: func(b exchange.Bill) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.bills = append(w.bills, b)
+		},
+		Observe: func(e exchange.Ending) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.endings = append(w.endings, e)
+		},
 	})
 }
 
--- a/internal/caller/exchange/suspect_test.go
+++ b/internal/caller/exchange/suspect_test.go
@@ -102,6 +102,34 @@
 	})
 }
 
+// TestZoneLost takes all engines of a zone away at once, and one of them alone.
+func TestZoneLost(t *testing.T) {
+	cases := []struct {
+		name     string
+		all      bool
+		suspects int64
+	}{{"the zone", true, 0}, {"one engine of two", false, 1}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			within(t, func(w *world) {
+				tokens := 0
+				a := w.chat(w.ctx, call{model: "again", write: func() {
+					if tokens++; tokens != 4 {
+						return
+					}
+					for _, e := range w.engines {
+						if c.all || e.Load().Running > 0 {
+							e.Crash()
+						}
+					}
+				}})
+				w.Equal(a.err != nil, c.all)
+				w.Equal(w.suspects.Load(), c.suspects)
+			})
+		})
+	}
+}
+
 // leave tells the pool that the platform takes an engine back.
 func (w *world) leave(id string) {
 	w.pools["asesor"].SetTargets(lo.Map(w.pools["asesor"].Targets(), func(t dispatch.Target, _ int) dispatch.Target {
