Tell the routing table of gaps while tokens arrive

Cause: the pool told the table of an answer's mean gap when it ended. An upstream at 5 times the usual time took 12 s to speak of it by gaps, and a request on trial there blocked the next finding until its end.

Change: each 16 tokens of an answer are one sample; the mean at the end counts for shorter answers only. TestStraggler judges each of eight seeds where it judged four together.

--- a/internal/policy/model/fault_test.go
+++ b/internal/policy/model/fault_test.go
@@ -43,24 +43,22 @@
 	return w.stats
 }
 
-// TestStraggler slows one engine of nine down: over four seeds p99 of the first token stays within
-// 1.3 times.
+// TestStraggler slows one engine of nine down: for each of eight seeds p99 of the first token stays
+// within 1.3 times.
 func TestStraggler(t *testing.T) {
 	t.Parallel()
 	classes := sevenTiers()[:2]
 	for _, c := range choices(classes) {
-		var calm, slow []time.Duration
-		for seed := uint64(1); seed <= c.seeds(4); seed++ {
-			calm = append(calm, straggle(seed, 1, classes, c.decide).firsts...)
-			slow = append(slow, straggle(seed, 5, classes, c.decide).firsts...)
-		}
-		without, with := quantile(calm, 0.99), quantile(slow, 0.99)
-		ratio := float64(with) / float64(without)
-		t.Logf("%s: p99 of the first token %v, without the straggler %v, ratio %.2f", c.name,
-			with.Round(time.Millisecond), without.Round(time.Millisecond), ratio)
-		if c.name == "pool" {
-			is := is.New(t)
-			is.True(ratio <= 1.3)
+		for seed := uint64(1); seed <= c.seeds(8); seed++ {
+			without := quantile(straggle(seed, 1, classes, c.decide).firsts, 0.99)
+			with := quantile(straggle(seed, 5, classes, c.decide).firsts, 0.99)
+			ratio := float64(with) / float64(without)
+			t.Logf("%s, seed %d: p99 of the first token %v, without the straggler %v, ratio %.2f", c.name, seed,
+				with.Round(time.Millisecond), without.Round(time.Millisecond), ratio)
+			if c.name == "pool" {
+				is := is.New(t)
+				is.True(ratio <= 1.3)
+			}
 		}
 	}
 }
--- a/internal/policy/pool/dispatch.go
+++ b/internal/policy/pool/dispatch.go
@@ -128,8 +128,13 @@
 	}
 	if c.emitted == 0 {
 		p.seen(now, c, now.Sub(c.started))
+		c.marked, c.mark = now, n
 	}
 	c.emitted += n
+	if sum := c.emitted - c.mark; sum >= gapTokens {
+		p.table.Gap(now, c.upstream, now.Sub(c.marked)/time.Duration(sum))
+		c.marked, c.mark = now, c.emitted
+	}
 	if float64(c.emitted) > c.charged {
 		total := float64(c.emitted) + c.flow.Remaining(c.emitted, c.Max)
 		p.queue.Charge(&c.item, total-c.charged)
@@ -151,7 +156,7 @@
 	if c.emitted == 0 && r.First > 0 {
 		p.seen(now, c, r.First)
 	}
-	if r.Gap > 0 {
+	if r.Gap > 0 && c.emitted < gapTokens {
 		p.table.Gap(now, c.upstream, r.Gap)
 	}
 	p.queue.Charge(&c.item, float64(r.Output)-c.charged)
--- a/internal/policy/pool/pool.go
+++ b/internal/policy/pool/pool.go
@@ -37,6 +37,8 @@
 	maxSpare = 0.25
 	// lookAhead is the time whose arrivals a host asks slots for in advance.
 	lookAhead = 400 * time.Millisecond
+	// gapTokens is the number of tokens whose mean gap is one sample of an upstream's speed.
+	gapTokens = 16
 	// splitPeriod is the least time, per other host, between two divisions of the slots among hosts.
 	splitPeriod = 500 * time.Microsecond
 	// sharePeriod is the least time between two divisions of each upstream's slots.
--- a/internal/policy/pool/request.go
+++ b/internal/policy/pool/request.go
@@ -71,7 +71,9 @@
 	aside    bool    // no upstream could take it because of its constraints
 	charged  float64 // output tokens charged so far
 	emitted  int
-	index    int // in the expiry heap, -1 when absent
+	mark     int       // of emitted, those told in gaps already
+	marked   time.Time // of the last of them
+	index    int       // in the expiry heap, -1 when absent
 }
 
 func (c *call) isRunning() bool { return c.upstream != "" }
