Give no floor to a class that is served its share

Cause: service lowers a class's credit to a debt of one request at most, but corrections for short answers were given back whole, also when the debit had been cut. So a class that was served at 99% earned credit and ran on its floor while higher tiers were shed. The tests counted floors apart and did not print how many.

Change: a request remembers what its class was debited, a correction gives back no more, and a debt stays within the limit of what is saved up. The model counts the starts on a floor while a higher tier is shed and the sheds with a lower tier waiting on its floor; the overload test prints them. TestLastingOverload runs four times the capacity for two minutes and checks that each class progresses in the second, with shares and with the least floor.

--- a/internal/policy/model/overload_test.go
+++ b/internal/policy/model/overload_test.go
@@ -63,6 +63,8 @@
 	for seed := uint64(1); seed <= all[2].seeds(4); seed++ {
 		s := overloaded(seed, 2, classes, withPool(classes, nil))
 		t.Logf("pool, seed %d:      %v", seed, s)
+		t.Logf("floors included: started while a higher was shed %d, sheds with a lower one waiting %d of %d",
+			s.onFloor, s.floorWaits, s.shedCount())
 		t.Logf("lower waited behind a shed %d, lower started while a higher was shed %d, floor tokens %.2f%%",
 			s.behind, s.overtaken, 100*float64(s.floored)/float64(s.tokens))
 		is := is.New(t)
@@ -74,3 +76,28 @@
 		}
 	}
 }
+
+// TestLastingOverload offers four times the capacity for two minutes, so that the third tier is shed all
+// the time: in the second minute each class still completes requests, whether it has a share or the least
+// floor.
+func TestLastingOverload(t *testing.T) {
+	t.Parallel()
+	for _, share := range []float64{0.01, 0} {
+		classes := sevenTiers()
+		for i := range classes {
+			classes[i].Share = share
+		}
+		w := newWorld(1, classes, newEngines(9, 3, 32))
+		w.addHosts(7, withPool(classes, nil))
+		w.stats.from, w.stats.to = 60*time.Second, 120*time.Second
+		w.play(120*time.Second, mixed(classes, 4*capacity(9))...)
+		w.run(120 * time.Second)
+		t.Logf("share %v: %v", share, w.stats)
+		t.Logf("started on a floor while a higher was shed %d of %d sheds", w.stats.onFloor, w.stats.shedCount())
+		is := is.New(t)
+		is.Equal(w.stats.overtaken, 0)
+		for _, c := range classes {
+			is.True(w.stats.classes[c.Name].completed > 0)
+		}
+	}
+}
--- a/internal/policy/model/stats_test.go
+++ b/internal/policy/model/stats_test.go
@@ -47,6 +47,8 @@
 	overtaken  int    // lower requests started, outside their floor, while a higher tier was shed
 	back       [2]int // callers that came back, and of them those refused again
 	floored    int    // tokens asked by requests started on a floor
+	onFloor    int    // requests started on a floor while a higher tier was shed
+	floorWaits int    // sheds after which a lower tier still waited, its floor included
 	from       time.Duration
 	to         time.Duration
 }
@@ -154,6 +156,9 @@
 // had the time to learn that tier is shed.
 func (s *stats) lookBehind(tier int) {
 	w := s.world
+	if s.isLowerQueued(tier) {
+		s.floorWaits++
+	}
 	for _, other := range w.jobs {
 		if other.queued && other.tries == 0 && w.classes[other.Class].Tier > tier && w.now-other.arrived > window {
 			s.behind++
@@ -162,16 +167,30 @@
 	}
 }
 
+// isLowerQueued reports whether a request of a lower tier waits anywhere, on its floor or not.
+func (s *stats) isLowerQueued(tier int) bool {
+	for _, j := range s.world.jobs {
+		if j.queued && j.tries == 0 && s.world.classes[j.Class].Tier > tier {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *stats) started(j *job, d pool.Decision) {
 	if j.tries > 0 {
 		return
 	}
+	shedding := s.isShedding(s.world.classes[j.Class].Tier)
 	if d.Floor {
+		if shedding {
+			s.onFloor++
+		}
 		s.floored += j.output
 		s.each(j, func(t *tally) { t.floor++ })
 		return
 	}
-	if s.isShedding(s.world.classes[j.Class].Tier) {
+	if shedding {
 		s.overtaken++
 	}
 }
@@ -191,6 +210,14 @@
 	return false
 }
 
+// shedCount returns how many requests were shed.
+func (s *stats) shedCount() (n int) {
+	for _, times := range s.sheds {
+		n += len(times)
+	}
+	return n
+}
+
 func (s *stats) goodTokens() int { return s.good }
 
 func (s *stats) goodput() (n int) {
--- a/internal/policy/queue/class.go
+++ b/internal/policy/queue/class.go
@@ -184,6 +184,22 @@
 	c.credit = math.Min(c.credit+cost*c.conf.Floor, c.limit)
 }
 
+// debit lowers the credit by cost, to no less than a debt of cost, and returns by how much.
+func (c *class) debit(cost float64) float64 {
+	debit := math.Max(0, math.Min(cost, c.credit+cost))
+	c.credit -= debit
+	return debit
+}
+
+// correct follows a correction of the charge of it by delta. The debt stays within the limit, and what was
+// not debited is not given back: a class that is served well would else earn credit from each short answer.
+func (c *class) correct(it *Item, delta float64) {
+	room := c.credit + math.Max(c.limit, it.Cost)
+	debit := math.Max(-it.debit, math.Min(delta, math.Max(0, room)))
+	it.debit += debit
+	c.credit -= debit
+}
+
 // patience is the service after its last arrival during which a class counts as waiting.
 func (c *class) patience(cost float64) float64 {
 	if c.conf.Floor <= 0 {
--- a/internal/policy/queue/queue.go
+++ b/internal/policy/queue/queue.go
@@ -27,6 +27,7 @@
 
 	flow       *flow // while it waits
 	owner      *flow
+	debit      float64 // of the credit of its class
 	prev, next *Item
 }
 
@@ -155,7 +156,7 @@
 	}
 	c.tag += it.Cost / c.conf.Weight
 	q.removed(t, it)
-	q.serve(c, it.Cost)
+	it.debit = q.serve(c, it.Cost)
 }
 
 func (t *tier) first(allowed Filter) *Item {
@@ -178,15 +179,17 @@
 	return first
 }
 
-// serve accounts cost units of service given to c and accrues the floor credit of waiting classes.
-func (q *Queue) serve(c *class, cost float64) {
+// serve accounts cost units of service given to c and accrues the floor credit of waiting classes. It
+// returns what the credit of c was lowered by.
+func (q *Queue) serve(c *class, cost float64) (debit float64) {
 	q.served += cost
-	c.credit = math.Max(c.credit-cost, -cost)
+	debit = c.debit(cost)
 	for _, t := range q.tiers {
 		for _, other := range t.classes {
 			other.accrue(cost, q.served)
 		}
 	}
+	return debit
 }
 
 // Remove takes a waiting request out of the queue. It reports false when the request does not wait.
@@ -220,7 +223,7 @@
 	}
 	c := it.owner.class
 	c.tag += delta / c.conf.Weight
-	c.credit -= delta
+	c.correct(it, delta)
 	c.charge(it, delta)
 }
 
--- a/internal/policy/queue/queue_test.go
+++ b/internal/policy/queue/queue_test.go
@@ -85,6 +85,23 @@
 	is.Equal(names["none"], 0.0)
 }
 
+// TestShortAnswersEarnNoFloor serves a class with answers that are shorter than charged: its floor owes it
+// nothing when a higher tier comes.
+func TestShortAnswersEarnNoFloor(t *testing.T) {
+	is := is.New(t)
+	q := queue.New([]queue.Class{{Name: "top"}, {Name: "low", Tier: 1, Floor: 0.02}})
+	for id := range uint64(50) {
+		q.Want("low", 100)
+		q.Push(&queue.Item{ID: id, Class: "low", Customer: "c1", Cost: 100})
+		q.Charge(q.Next(queue.Filter{}), -90)
+	}
+	q.Push(&queue.Item{ID: 100, Class: "low", Customer: "c1", Cost: 100})
+	q.Push(&queue.Item{ID: 101, Class: "top", Customer: "c1", Cost: 100})
+	it, floor := q.Peek(queue.Filter{})
+	is.Equal(it.Class, "top")
+	is.True(!floor)
+}
+
 func TestAhead(t *testing.T) {
 	is := is.New(t)
 	q := queue.New([]queue.Class{{Name: "a"}, {Name: "b", Tier: 1}})
