Keep the times of load reports to the microsecond between hosts

Cause: summaries carried the time of a load report in whole seconds, the default of the encoding. A report that another host made right after a crash looked older than the crash, so the upstream stayed out of service on hosts that did not poll it themselves until a later second; ages of reports were up to a second too high. Change: summaries are encoded with times to the microsecond, four bytes more for each report. Tests: TestChanges gets the case; it fails with the former encoding. Conclusion: an upstream that is back serves again at the first report of any host.

--- a/internal/upstream/fleet/fleet_test.go
+++ b/internal/upstream/fleet/fleet_test.go
@@ -52,16 +52,17 @@
 	own, other *fleet.Fleet
 	spreads    [2]*spread.Spread
 	held       dispatch.Grant // of a request that runs on a
+	polled     chan struct{}  // gets a value when the other host polls a and the test waits for it
 
 	mu    sync.Mutex
-	loads map[string]func() (route.Load, error) // by address
+	loads map[string]func() (route.Load, error) // by address, of the host whose fleet is tested
 }
 
 func within(t *testing.T, f func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		w := &world{I: is.New(t), loads: map[string]func() (route.Load, error){}}
+		w := &world{I: is.New(t), loads: map[string]func() (route.Load, error){}, polled: make(chan struct{})}
 		w.own, w.other = w.host(ctx, 0, "h0"), w.host(ctx, 1, "h1")
 		w.list(engineAt("a"), engineAt("b"))
 		synctest.Wait()
@@ -79,7 +80,15 @@
 	w.spreads[n] = spread.New(spread.NewTable(spread.Config{}), c.Now, func([]spread.Send) {})
 	f := fleet.New(fleet.Options{
 		Host: name, Zone: "z", Seed: 1, Clock: c, Log: zap.NewNop(), Spread: w.spreads[n],
-		Load: w.load,
+		Load: func(_ context.Context, addr string) (route.Load, error) {
+			if n != 0 {
+				if addr == "a:80" {
+					w.notePoll()
+				}
+				return route.Load{At: time.Now()}, nil
+			}
+			return w.load(addr)
+		},
 		Events: func(context.Context, string, int) (engine.Events, error) {
 			return engine.Events{}, nil
 		},
@@ -107,7 +116,7 @@
 	}
 }
 
-func (w *world) load(_ context.Context, addr string) (route.Load, error) {
+func (w *world) load(addr string) (route.Load, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if f := w.loads[addr]; f != nil {
@@ -125,14 +134,23 @@
 
 func dead() (route.Load, error) { return route.Load{}, errors.New("connection refused") }
 
+func (w *world) notePoll() {
+	select {
+	case w.polled <- struct{}{}:
+	default:
+	}
+}
+
 // pass hands the records of a topic from one host to the other.
 func (w *world) pass(from, to int, topic string) {
-	w.spreads[from].Range(topic, func(r spread.Record) {
-		w.spreads[to].Load(topic, r.Key(), r.Version(), r.Value(), r.Expires())
-	})
+	w.spreads[from].Range(topic, func(r spread.Record) { w.hand(to, r) })
 	synctest.Wait()
 }
 
+func (w *world) hand(to int, r spread.Record) {
+	w.spreads[to].Load(r.Topic(), r.Key(), r.Version(), r.Value(), r.Expires())
+}
+
 func (w *world) acquire(only string) dispatch.Grant {
 	d, ok := w.own.Pool("asesor")
 	w.True(ok)
@@ -205,6 +223,16 @@
 			w.answer("a:80", func() (route.Load, error) { return route.Load{At: old}, nil })
 			time.Sleep(pollTime)
 		}, []string{"b"}, 1},
+		{"another host polls it right after the crash", func(w *world) {
+			const period, before = time.Second, 50 * time.Millisecond
+			old := time.Now()
+			w.answer("a:80", func() (route.Load, error) { return route.Load{At: old}, nil })
+			<-w.polled
+			time.Sleep(period - before)
+			w.own.Down("asesor", "a")
+			defer w.spreads[1].Watch(spread.Load, func(r spread.Record) { w.hand(0, r) })()
+			time.Sleep(period / 2) // the other host polls and publishes
+		}, []string{"a", "b"}, 1},
 		{"the document drops the pool", func(w *world) { w.apply(w.own, without) }, nil, 0},
 		{"the document drops the pool and brings it back", func(w *world) {
 			w.apply(w.own, without)
@@ -260,7 +288,7 @@
 		n, _ = w.own.Running("asesor", "a")
 		w.Equal(n, own)
 		for _, r := range old { // an old summary comes late
-			w.spreads[0].Load(spread.Load, r.Key(), r.Version(), r.Value(), r.Expires())
+			w.hand(0, r)
 		}
 		synctest.Wait()
 		n, _ = w.own.Running("asesor", "a")
--- a/internal/upstream/fleet/summary.go
+++ b/internal/upstream/fleet/summary.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"hickorypath/internal/host/spread"
@@ -29,6 +30,10 @@
 	Loads map[string]route.Load `cbor:"l,omitempty"`
 }
 
+// encoding keeps the times of load reports to the microsecond; whole seconds would make a report older than
+// the failure after which it was made.
+var encoding = lo.Must(cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode())
+
 // takeLoads returns the loads polled here since the last call.
 func (e *entry) takeLoads() map[string]route.Load {
 	e.mu.Lock()
@@ -48,7 +53,7 @@
 func (f *Fleet) publish() {
 	now := f.options.Clock.Now()
 	for _, e := range f.entries() {
-		data, err := cbor.Marshal(summary{Pool: e.Name(), Host: f.options.Host, Body: e.Summary(), Loads: e.takeLoads()})
+		data, err := encoding.Marshal(summary{Pool: e.Name(), Host: f.options.Host, Body: e.Summary(), Loads: e.takeLoads()})
 		if err != nil {
 			f.options.Log.Error("summary cannot be encoded", zap.Error(err))
 			continue
