--- a/cmd/hickorypath/process_test.go
+++ b/cmd/hickorypath/process_test.go
@@ -14,6 +14,7 @@
 	"slices"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -270,6 +271,48 @@
 	is.Equal(p.ledger.Executed("/dues", dues.body), 1)
 }
 
+// TestWithdrawnKeyOverProcesses reports the time from the withdrawal's answer; the bound on it is asserted in
+// virtual time, by the tests of follow and exchange.
+func TestWithdrawnKeyOverProcesses(t *testing.T) {
+	is := is.New(t)
+	p := newProcesses(t, 3)
+	for _, e := range p.site.Engines() {
+		e.Stall() // every stream stays open
+	}
+	ended := make(chan answer, len(p.hosts))
+	for _, h := range p.hosts {
+		stream := call{http.MethodPost, "/v1/chat/completions", chatBody("asesor", true, "stream at "+h.name), p.keys[demoCustomer], nil}
+		go func() { ended <- p.send(h, stream) }()
+	}
+	p.until(func() bool {
+		open := 0
+		for _, e := range p.site.Engines() {
+			open += e.Load().Running
+		}
+		return open == len(p.hosts)
+	})
+	c := p.client(p.hosts[1])
+	keys, err := c.Keys(t.Context(), demoCustomer)
+	is.NoErr(err)
+	_, err = c.Withdraw(t.Context(), keys[0].ID)
+	is.NoErr(err)
+	withdrawn := time.Now()
+	for range p.hosts {
+		a := <-ended
+		is.True(a.err != nil || a.refusal().Error.Kind == kind.Withdrawn)
+	}
+	t.Logf("the streams of all hosts ended within %s", time.Since(withdrawn))
+	for _, h := range p.hosts {
+		p.until(func() bool { return p.ask(h, "after the withdrawal").status == http.StatusUnauthorized })
+	}
+	t.Logf("all hosts refuse the key within %s", time.Since(withdrawn))
+	for _, h := range p.hosts {
+		a := p.ask(h, "later")
+		is.Equal(a.refusal().Error.Kind, kind.Withdrawn)
+		is.Equal(a.refusal().Error.Ran, kind.RanNo)
+	}
+}
+
 func TestMissingUpstreamsAreOrdered(t *testing.T) {
 	is := is.New(t)
 	p := newProcesses(t, 2)
--- /dev/null
+++ b/internal/operator/follow/follow_test.go
@@ -0,0 +1,198 @@
+package follow_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/host/node"
+	"hickorypath/internal/host/peer"
+	"hickorypath/internal/operator/document"
+	"hickorypath/internal/operator/follow"
+	"hickorypath/internal/operator/key"
+	"hickorypath/internal/operator/vault"
+	"hickorypath/internal/platform/roster"
+	"hickorypath/internal/platform/store"
+)
+
+const (
+	inForce = 2 * time.Second      // bound on withdrawals, from the stated needs
+	latency = 2 * time.Millisecond // one way between availability zones
+	settle  = 15 * time.Second
+)
+
+// network carries datagrams between sockets in virtual time and loses a part of them.
+type network struct {
+	mu    sync.Mutex
+	rand  *rand.Rand
+	loss  float64
+	conns map[string]*conn
+}
+
+// conn takes the place of a socket and keeps its address.
+type conn struct {
+	net.PacketConn
+	network *network
+	packets chan packet
+	expired chan struct{} // closed by a read deadline that has passed
+	once    sync.Once
+}
+
+type packet struct {
+	data []byte
+	from net.Addr
+}
+
+func (n *network) wrap(socket net.PacketConn) net.PacketConn {
+	c := &conn{PacketConn: socket, network: n, packets: make(chan packet, 1<<12), expired: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns[socket.LocalAddr().String()] = c
+	return c
+}
+
+func (c *conn) WriteTo(data []byte, to net.Addr) (int, error) {
+	n := c.network
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	target, lost := n.conns[to.String()], n.rand.Float64() < n.loss
+	if target != nil && !lost {
+		p := packet{append([]byte(nil), data...), c.LocalAddr()}
+		time.AfterFunc(latency, func() { target.packets <- p })
+	}
+	return len(data), nil
+}
+
+func (c *conn) ReadFrom(data []byte) (int, net.Addr, error) {
+	select {
+	case p := <-c.packets:
+		return copy(data, p.data), p.from, nil
+	case <-c.expired:
+		return 0, nil, os.ErrDeadlineExceeded
+	}
+}
+
+// SetReadDeadline ends reading; only the closing of a connection sets a deadline.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	if !t.IsZero() && !t.After(time.Now()) {
+		c.once.Do(func() { close(c.expired) })
+	}
+	return nil
+}
+
+func (c *conn) Close() error {
+	c.once.Do(func() { close(c.expired) })
+	return c.PacketConn.Close()
+}
+
+// host is one host with what it knows of keys.
+type host struct {
+	node   *node.Node
+	keys   *key.Table
+	vault  *vault.Vault
+	follow *follow.Follower
+}
+
+// fleet runs hosts, one in each zone, until ctx ends.
+func fleet(ctx context.Context, t *testing.T, wg *sync.WaitGroup, n *network, hosts int) []*host {
+	t.Helper()
+	is := is.New(t)
+	config, err := peer.NewTLSSecret("a secret of more than 16 bytes")
+	is.NoErr(err)
+	clk := clock.NewWall()
+	memory := store.NewMemory(clk)
+	listed := make([]roster.Host, 0, hosts)
+	list := make([]*host, 0, hosts)
+	for i := range hosts {
+		id := fmt.Sprintf("host-%d", i)
+		h := &host{keys: key.NewTable()}
+		h.node, err = node.New(node.Options{
+			ID: id, Zone: "zone-" + id, Addr: "127.0.0.1:0", TLS: config, Clock: clk, Log: zap.NewNop(), Wrap: n.wrap,
+			Roster: func(context.Context) ([]roster.Host, error) { return listed, nil },
+		})
+		is.NoErr(err)
+		listed = append(listed, roster.New(id, "zone-"+id, h.node.Addr(), roster.Live))
+		client := store.New(memory.Backend(), store.Options{Clock: clk, Rand: rand.New(rand.NewPCG(uint64(i), 1))})
+		h.vault = vault.New(vault.Options{Store: vault.NewStore(client), Now: time.Now})
+		h.follow = follow.New(follow.Options{
+			Vault: h.vault, Store: client, Spread: h.node.Spread(), Document: document.NewLive(), Keys: h.keys,
+			Log: zap.NewNop(), IsWatcher: func() bool { return false }, // the other hosts alone bring the news
+		})
+		list = append(list, h)
+	}
+	for _, h := range list {
+		wg.Go(func() { _ = h.node.Run(ctx) })
+		wg.Go(func() { h.follow.Run(ctx) })
+	}
+	return list
+}
+
+// TestWithdrawnKeyIsRefusedEverywhereWithinTwoSeconds counts from the answer to the operator until every host
+// refuses the key and has told its running calls.
+func TestWithdrawnKeyIsRefusedEverywhereWithinTwoSeconds(t *testing.T) {
+	const seeds = 8
+	cases := []struct {
+		name string
+		loss float64
+	}{
+		{"no loss", 0},
+		{"a fifth of the datagrams lost", 0.2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var worst time.Duration
+			for seed := range uint64(seeds) {
+				n := &network{rand: rand.New(rand.NewPCG(seed, 2)), conns: map[string]*conn{}}
+				synctest.Test(t, func(t *testing.T) { worst = max(worst, withdraw(t, n, c.loss)) })
+			}
+			t.Logf("worst of %d seeds: %s", seeds, worst)
+			is.New(t).True(worst <= inForce)
+		})
+	}
+}
+
+// withdraw issues a key and withdraws it, and returns the time from the answer until it is refused everywhere.
+func withdraw(t *testing.T, n *network, loss float64) time.Duration {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	hosts := fleet(ctx, t, &wg, n, 7)
+	time.Sleep(settle)
+	clear, rec, err := hosts[0].vault.Issue(ctx, "laredo")
+	is.NoErr(err)
+	hosts[0].follow.AcceptKey(rec)
+	time.Sleep(settle)
+	n.mu.Lock()
+	n.loss = loss
+	n.mu.Unlock()
+	running := make([]<-chan struct{}, 0, len(hosts))
+	for _, h := range hosts {
+		_, _, err := h.keys.Lookup(clear)
+		is.NoErr(err)
+		gone, _ := h.keys.Watch(rec.ID())
+		running = append(running, gone)
+	}
+	rec, err = hosts[0].vault.Withdraw(ctx, rec.ID())
+	is.NoErr(err)
+	hosts[0].follow.AcceptKey(rec)
+	answered := time.Now()
+	for i, h := range hosts {
+		<-running[i]
+		_, _, err := h.keys.Lookup(clear)
+		is.Equal(kind.Of(err), kind.Withdrawn)
+	}
+	return time.Since(answered)
+}
