Give wrong usage an exit code of its own

Wrong usage and a failure both ended with 1, so a script could not tell a typing error from a fault of the environment. Help goes to standard output, where a pager finds it; the script test of it looks there, and runs the whole program in place of the operators' commands alone.

--- a/cmd/hickorypath/demo.go
+++ b/cmd/hickorypath/demo.go
@@ -9,10 +9,8 @@
 	"net"
 	"net/netip"
 	"os"
-	"os/signal"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -79,11 +77,7 @@
 	cmd.Flag("hosts", "Number of hosts.").Default("3").IntVar(&f.hosts)
 	cmd.Flag("zones", "Number of availability zones.").Default("3").IntVar(&f.zones)
 	cmd.Flag("log", "Log level: debug, info, warn or error.").Default("error").StringVar(&f.log)
-	cmd.Action(func(*kingpin.ParseContext) error {
-		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-		defer stop()
-		return runDemo(ctx, f)
-	})
+	cmd.Action(action(new(bool), func(ctx context.Context) error { return runDemo(ctx, f) }))
 }
 
 func runDemo(ctx context.Context, f *demoFlags) error {
@@ -124,7 +118,7 @@
 
 func newDemo(f *demoFlags, log *zap.Logger, out io.Writer) (*demo, error) {
 	if f.hosts < 1 || f.zones < 1 {
-		return nil, fmt.Errorf("--hosts and --zones must be at least 1")
+		return nil, &exitError{exitUsage, "hickorypath: --hosts and --zones must be at least 1"}
 	}
 	d := &demo{out: out, flags: f, log: log}
 	d.site = site.New(site.Options{Engine: d.engine, Checks: true})
@@ -316,7 +310,7 @@
 func shift(addr string, n int) (string, error) {
 	a, err := netip.ParseAddrPort(addr)
 	if err != nil {
-		return "", fmt.Errorf("%q is not an IP number with a port, such as 127.0.0.1:8080", addr)
+		return "", &exitError{exitUsage, fmt.Sprintf("hickorypath: %q is not an IP number with a port, such as 127.0.0.1:8080", addr)}
 	}
 	if a.Port() == 0 {
 		return addr, nil
--- a/cmd/hickorypath/main.go
+++ b/cmd/hickorypath/main.go
@@ -8,14 +8,19 @@
 	"github.com/alecthomas/kingpin/v2"
 )
 
-func main() {
+func main() { run(os.Args[1:]) }
+
+// run runs one command. The commands end the process themselves when they fail, so what parsing
+// returns is wrong usage.
+func run(args []string) {
 	app := kingpin.New("hickorypath", "A router for language-model traffic with service levels and priorities.")
 	app.HelpFlag.Short('h')
+	app.UsageWriter(os.Stdout)
 	addServe(app)
 	addDemo(app)
 	registerOperator(app)
-	if _, err := app.Parse(os.Args[1:]); err != nil {
-		fmt.Fprintln(os.Stderr, "hickorypath:", err)
-		os.Exit(exitFailed)
+	if _, err := app.Parse(args); err != nil {
+		fmt.Fprintf(os.Stderr, "hickorypath: %v; see hickorypath --help\n", err)
+		os.Exit(exitUsage)
 	}
 }
--- a/cmd/hickorypath/operator.go
+++ b/cmd/hickorypath/operator.go
@@ -18,9 +18,10 @@
 	"hickorypath/internal/operator/document"
 )
 
-// Exit codes of the operators' commands.
+// Exit codes of the commands.
 const (
-	exitFailed   = 1 // failed or wrongly used, with the reason on standard error
+	exitFailed   = 1 // failed, with the reason on standard error
+	exitUsage    = 2 // unknown command or flag, or a missing or wrong value; nothing was done
 	exitFaults   = 3 // the document has faults
 	exitConflict = 4 // another operator changed the document first
 	exitUnknown  = 5 // the outcome is not known; the message gives the id to ask by
@@ -30,7 +31,7 @@
 )
 
 const exitHelp = `
-Exit codes of the operators' commands: 0 done; 1 failed, or wrong usage; 3 the document has faults; 4 another operator changed it first;
+Exit codes: 0 done; 1 failed; 2 wrong usage, nothing was done; 3 the document has faults; 4 another operator changed it first;
 5 the outcome is not known and the message gives the id to ask by; 6 the API cannot be reached or refuses the token;
 7 accepted but not in force on all hosts in time; 8 the documents differ.`
 
--- a/cmd/hickorypath/script_test.go
+++ b/cmd/hickorypath/script_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
+	"os/exec"
+	"strconv"
 	"testing"
 
-	"github.com/alecthomas/kingpin/v2"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -18,22 +20,28 @@
 		}
 		return
 	}
-	testscript.Main(m, map[string]func(){"hickorypath": runOperator})
-}
-
-// runOperator runs the operators' commands alone.
-func runOperator() {
-	app := kingpin.New("hickorypath", "A router for language-model traffic.")
-	registerOperator(app)
-	kingpin.MustParse(app.Parse(os.Args[1:]))
+	testscript.Main(m, map[string]func(){"hickorypath": main})
 }
 
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script", RequireExplicitExec: true,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exits": exits},
 		Setup: func(e *testscript.Env) error {
 			e.Setenv("GORACE", "atexit_sleep_ms=0")
 			return nil
 		},
 	})
 }
+
+// exits runs a command and checks its exit code: `exits CODE COMMAND [ARG...]`.
+func exits(ts *testscript.TestScript, _ bool, args []string) {
+	code := 0
+	var failed *exec.ExitError
+	if err := ts.Exec(args[1], args[2:]...); errors.As(err, &failed) {
+		code = failed.ExitCode()
+	}
+	if strconv.Itoa(code) != args[0] {
+		ts.Fatalf("%v: exit code %d, want %s", args[1:], code, args[0])
+	}
+}
--- a/cmd/hickorypath/serve.go
+++ b/cmd/hickorypath/serve.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 	"go.uber.org/zap"
@@ -17,11 +14,7 @@
 func addServe(app *kingpin.Application) {
 	cmd := app.Command("serve", "Run one host of the router until SIGTERM or SIGINT, and then end without cutting a request.")
 	path := cmd.Flag("settings", "File with the host's settings, JSON with comments.").Short('s').Required().ExistingFile()
-	cmd.Action(func(*kingpin.ParseContext) error {
-		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-		defer stop()
-		return runServe(ctx, *path)
-	})
+	cmd.Action(action(new(bool), func(ctx context.Context) error { return runServe(ctx, *path) }))
 }
 
 func runServe(ctx context.Context, path string) error {
