Freeze a usage window without all parts in memory; empty what a dead reporter left

Change: keys of parts begin with a hash of their host; the reporter lists by as many of its digits as the size of the fleet asks for, decodes a part at a time into the sum and keeps heads only. Parts below a mark that still have their rows are emptied by the next window. Sums share their strings.

--- a/cmd/hickorypath/duties.go
+++ b/cmd/hickorypath/duties.go
@@ -151,6 +151,7 @@
 		Grace:   min(s.Window(), maxGrace),
 		Every:   min(s.Window(), maxPass),
 		Timeout: s.OrderTimeout(),
+		Hosts:   func() int { return len(n.Members()) },
 		Log:     get[*zap.Logger](i),
 	})
 	return &reporting{lease: l, reporter: r}, nil
--- /dev/null
+++ b/internal/host/capacity/report_test.go
@@ -0,0 +1,109 @@
+package capacity_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/platform/lease"
+	"hickorypath/internal/platform/store"
+	"hickorypath/internal/platform/usage"
+)
+
+const (
+	reportRows   = 5_000 // customers that a host meets in a window
+	reportWindow = 5 * time.Minute
+	reportAhead  = 2 * time.Minute // to the end of the window and its grace
+	partRows     = 500
+	reportTime   = 10 * time.Second
+	mebi         = 1 << 20
+)
+
+// probe keeps the largest heap in use at any call of the reporter.
+type probe struct{ peak float64 }
+
+func (p *probe) look() { p.peak = max(p.peak, heap()) }
+
+// around returns a store that looks at the heap after listings and before writes other than of parts.
+func (p *probe) around(b store.Backend) store.Backend {
+	list, put := b.List, b.Put
+	b.List = func(ctx context.Context, prefix string) ([]store.Entry, uint64, error) {
+		found, rev, err := list(ctx, prefix)
+		p.look()
+		return found, rev, err
+	}
+	b.Put = func(ctx context.Context, w store.Write) (uint64, error) {
+		if !strings.HasPrefix(w.Key, "usage/part/") && strings.HasPrefix(w.Key, "usage/") {
+			p.look()
+		}
+		return put(ctx, w)
+	}
+	return b
+}
+
+// BenchmarkReport freezes and reports one window of 350 hosts, and prints the heap that it needs beyond
+// that of the store, and its calls. Its reports go over HTTP to a stand-in that forgets them.
+func BenchmarkReport(b *testing.B) {
+	wall := clock.NewWall()
+	var ahead time.Duration
+	c := clock.New(func() time.Time { return start.Add(ahead) }, wall.Boot)
+	memory := store.NewMemory(wall)
+	options := store.Options{Clock: wall, Rate: 1e6, Attempt: time.Minute, Whole: time.Hour, Budgets: map[store.Use]float64{store.UseUsage: 1e6}}
+	fill(b, store.New(memory.Backend(), options), c)
+	ahead = reportAhead
+
+	var p probe
+	client := store.New(p.around(memory.Backend()), options)
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		p.look()
+		_, _ = io.Copy(io.Discard, r.Body)
+	}))
+	defer srv.Close()
+	l := lease.New(client, wall, lease.Options{Name: "usage", Holder: "host-0", TTL: time.Minute})
+	go l.Run(b.Context())
+	r := usage.NewReporter(client, c, l, usage.NewHTTP(srv.URL, reportTime), usage.ReporterOptions{
+		Window: reportWindow, Timeout: reportTime, Hosts: func() int { return hosts },
+	})
+	before := heap()
+	for err := error(kind.New(kind.Lapsed, "")); kind.Of(err) == kind.Lapsed; {
+		time.Sleep(10 * time.Millisecond)
+		err = r.Pass(b.Context())
+		if err != nil && kind.Of(err) != kind.Lapsed {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric((p.peak-before)/mebi, "peak-MiB")
+	calls := map[string]uint64{}
+	for count, n := range client.Counts() {
+		if count.Use() == store.UseUsage {
+			calls[count.Op()] += n
+		}
+	}
+	for op, n := range calls {
+		b.ReportMetric(float64(n), op+"s")
+	}
+}
+
+// fill commits the usage of one window on all hosts.
+func fill(b *testing.B, client *store.Client, c clock.Clock) {
+	for h := range hosts {
+		r := usage.New(client, c, usage.Options{Host: fmt.Sprint("host-", h), Incarnation: "0123456789abcdef", Window: reportWindow})
+		for i := range reportRows {
+			who := customer((h*reportRows + i) % customers)
+			r.Add(usage.Record{Customer: who, Class: "live", Route: "chat", Model: "asesor-1", Prompt: 3000 + i, Output: 300 + i})
+			if (i+1)%partRows != 0 {
+				continue
+			}
+			if err := r.Flush(b.Context()); err != nil { // seals a part
+				b.Fatal(err)
+			}
+		}
+	}
+}
--- a/internal/platform/usage/clean.go
+++ b/internal/platform/usage/clean.go
@@ -8,23 +8,20 @@
 )
 
 // clean empties the parts that a window counted, and removes what is old. It may stop at any point:
-// the marks of the window keep a part from counting twice.
-func (r *Reporter) clean(ctx context.Context, index int64, parts, counted []stored) error {
-	for _, p := range counted {
-		p.Counted, p.Rows = true, nil
+// the marks of the window keep a part from counting twice, and the next window empties the rest.
+func (r *Reporter) clean(ctx context.Context, f *figures) error {
+	for _, p := range f.counted {
+		p.Counted = true
 		if err := r.put(ctx, p.key(), p.part, store.At(p.revision)); err != nil {
 			return err
 		}
 	}
-	for _, p := range parts {
-		if !p.Counted || p.Window > index-r.windows(keepParts) {
-			continue
-		}
+	for _, p := range f.old {
 		if err := r.remove(ctx, p.key(), store.At(p.revision)); err != nil {
 			return err
 		}
 	}
-	return r.removeWindow(ctx, index-r.windows(keepWindows))
+	return r.removeWindow(ctx, f.index-r.windows(keepWindows))
 }
 
 // removeWindow deletes the figures of a window that is no longer kept.
--- a/internal/platform/usage/crash_test.go
+++ b/internal/platform/usage/crash_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http/httptest"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,6 +84,35 @@
 	}))
 }
 
+// A reporter that dies between freezing a window and emptying its parts leaves them behind. They are not
+// counted again, also not when the marks of their hosts are forgotten.
+func TestReporterDiesBeforeClean(t *testing.T) {
+	is := is.New(t)
+	const days = 24 * time.Hour
+	is.NoErr(bubble(t, 1, func(t *testing.T, w *world) {
+		w.length, w.pass = time.Hour, time.Minute
+		w.start(t, nil)
+		w.start(t, nil)
+		w.traffic(time.Minute)
+		w.leave(t, 1, 1) // its part is not written again
+		w.start(t, nil)
+		var once sync.Once
+		w.onPut = func(host, key string) {
+			if !strings.HasPrefix(key, "usage/window/") {
+				return
+			}
+			once.Do(func() {
+				for _, h := range w.hosts {
+					if h.name == host {
+						h.gate.Pause(9 * days)
+					}
+				}
+			})
+		}
+		time.Sleep(10 * days)
+	}))
+}
+
 // What a host handed over counts once, also when it reaches another host long after it was counted.
 func TestLateImport(t *testing.T) {
 	cases := []struct {
--- a/internal/platform/usage/freeze.go
+++ b/internal/platform/usage/freeze.go
@@ -1,7 +1,6 @@
 package usage
 
 import (
-	"cmp"
 	"context"
 	"crypto/sha256"
 	"fmt"
@@ -17,10 +16,13 @@
 // chunkRows is the number of rows from which figures are stored in keys of their own.
 const chunkRows = 2000
 
-// stored is a part with its revision.
-type stored struct {
-	part
-	revision uint64
+// figures are those of a window while its parts are added up. Of the parts only the heads are kept.
+type figures struct {
+	index   int64
+	marks   map[string]mark
+	sums    table
+	counted []stored // parts in this window or an earlier one that still have their rows
+	old     []stored // emptied parts that are no longer needed
 }
 
 // freeze writes the figures of a window, once. A part that is not sealed by now is sealed here; the
@@ -30,41 +32,46 @@
 	if err != nil {
 		return err
 	}
-	parts, err := r.parts(ctx)
+	f := &figures{index: index, marks: marks, sums: table{}}
+	err = r.eachPart(ctx, len(marks), func(p stored) error { return r.count(ctx, f, p) })
 	if err != nil {
 		return err
 	}
-	sums := table{}
-	var counted []stored
-	for _, p := range parts {
-		if !p.belongs(index, marks) {
-			continue
-		}
-		p, err := r.seal(ctx, p)
-		if err != nil {
-			return err
-		}
-		sums.addRows(p.Rows)
-		marks[p.stream()] = mark{Number: p.Number, Seq: p.Seq, Window: index}
-		counted = append(counted, p)
-	}
 	if err := token.Valid(r.opts.Timeout); err != nil {
 		return err
 	}
-	won, err := r.store(ctx, window{
-		Index: index, Length: r.opts.Window, Fence: token.Fence(), Marks: marks,
-	}, sums.rows())
+	rows := f.sums.rows()
+	f.sums = nil
+	won, err := r.store(ctx, window{Index: index, Length: r.opts.Window, Fence: token.Fence(), Marks: f.marks}, rows)
 	if err != nil || !won {
 		return err
 	}
-	return r.clean(ctx, index, parts, counted)
+	return r.clean(ctx, f)
 }
 
-// belongs reports whether a part is due for a window and is not in an earlier one. Parts come in
-// the order of their numbers and windows.
-func (p stored) belongs(index int64, marks map[string]mark) bool {
-	m, ok := marks[p.stream()]
-	return p.Window <= index && !p.Counted && (!ok || p.Number > m.Number)
+// count adds a part to the figures when it is due and in no earlier window.
+func (r *Reporter) count(ctx context.Context, f *figures, p stored) error {
+	m, ok := f.marks[p.stream()]
+	switch {
+	case p.Counted:
+		if p.Window <= f.index-r.windows(keepParts) {
+			f.old = append(f.old, p)
+		}
+		return nil
+	case ok && p.Number <= m.Number: // the reporter of its window died before it emptied the part
+		f.counted = append(f.counted, p.bare())
+		return nil
+	case p.Window > f.index:
+		return nil
+	}
+	p, err := r.seal(ctx, p)
+	if err != nil {
+		return err
+	}
+	f.sums.addRows(p.Rows)
+	f.marks[p.stream()] = mark{Number: p.Number, Seq: p.Seq, Window: f.index}
+	f.counted = append(f.counted, p.bare())
+	return nil
 }
 
 // marks returns the marks after a window, without those of hosts that are long gone.
@@ -79,26 +86,6 @@
 	return marks, nil
 }
 
-// parts reads all parts, those of one host in the order of their numbers.
-func (r *Reporter) parts(ctx context.Context) ([]stored, error) {
-	list, _, err := r.client.List(ctx, partPrefix)
-	if err != nil {
-		return nil, err
-	}
-	out := make([]stored, 0, len(list))
-	for _, e := range list {
-		p, err := decode[part](e.Value())
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, stored{p, e.Revision()})
-	}
-	slices.SortFunc(out, func(a, b stored) int {
-		return cmp.Or(cmp.Compare(a.stream(), b.stream()), cmp.Compare(a.Number, b.Number))
-	})
-	return out, nil
-}
-
 // seal makes a part immutable, with what the host committed until then.
 func (r *Reporter) seal(ctx context.Context, p stored) (stored, error) {
 	for !p.Sealed {
--- a/internal/platform/usage/part.go
+++ b/internal/platform/usage/part.go
@@ -32,8 +32,9 @@
 
 func (p part) key() string { return partKey(p.stream(), p.Number) }
 
+// partKey returns the key of a part. Keys of one stream sort by number.
 func partKey(stream string, number uint64) string {
-	return fmt.Sprintf("%s%s/%d", partPrefix, stream, number)
+	return fmt.Sprintf("%s%s/%s/%010d", partPrefix, shardOf(stream), stream, number)
 }
 
 // mark is the last part of a host that is in a frozen window.
--- a/internal/platform/usage/race_test.go
+++ b/internal/platform/usage/race_test.go
@@ -15,12 +15,16 @@
 	raceStep = 100 * time.Millisecond // between two requests while it waits
 )
 
-// watchSeals returns the store as a host reaches it. It tells of each write to another host's part.
-func (w *world) watchSeals(name string) store.Backend {
+// watched returns the store as a host reaches it. It tells onPut of each write, and sealed of those to
+// another host's part.
+func (w *world) watched(name string) store.Backend {
 	b := w.memory.Backend()
 	put := b.Put
 	b.Put = func(ctx context.Context, wr store.Write) (uint64, error) {
 		rev, err := put(ctx, wr)
+		if w.onPut != nil && err == nil {
+			w.onPut(name, wr.Key)
+		}
 		if owner := partOwner(wr.Key); owner != "" && owner != name {
 			select {
 			case w.sealed <- owner:
--- a/internal/platform/usage/reporter.go
+++ b/internal/platform/usage/reporter.go
@@ -19,6 +19,7 @@
 	Grace   time.Duration // after the end of a window, for the hosts to seal their parts
 	Every   time.Duration // between passes
 	Timeout time.Duration // of one report
+	Hosts   func() int    // size of the fleet; nil for a small one
 	Log     *zap.Logger
 }
 
@@ -50,6 +51,9 @@
 	o.Grace = cmp.Or(o.Grace, defaultGrace)
 	o.Every = cmp.Or(o.Every, defaultPass)
 	o.Timeout = cmp.Or(o.Timeout, defaultTimeout)
+	if o.Hosts == nil {
+		o.Hosts = smallFleet
+	}
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
@@ -151,13 +155,13 @@
 		return cur, revision, err
 	}
 	first := indexAt(r.clock.Now(), r.opts.Window)
-	parts, err := r.parts(ctx)
+	err = r.eachPart(ctx, 0, func(p stored) error {
+		first = min(first, p.Window)
+		return nil
+	})
 	if err != nil {
 		return cursor{}, 0, err
 	}
-	for _, p := range parts {
-		first = min(first, p.Window)
-	}
 	return cursor{Frozen: first - 1, Reported: first - 1}, 0, nil
 }
 
@@ -182,3 +186,5 @@
 	}
 	return err
 }
+
+func smallFleet() int { return 1 }
--- a/internal/platform/usage/row.go
+++ b/internal/platform/usage/row.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"unique"
 )
 
 // Record is the usage of one request.
@@ -39,6 +40,12 @@
 	return sum{s.requests + o.requests, s.prompt + o.prompt, s.output + o.output, s.wasted + o.wasted}
 }
 
+// interned returns the cell with strings that are shared by all rows, since decoded ones are not.
+func (c cell) interned() cell {
+	share := func(s string) string { return unique.Make(s).Value() }
+	return cell{share(c.customer), share(c.class), share(c.route), share(c.model)}
+}
+
 // table sums usage by cell.
 type table map[cell]sum
 
@@ -69,7 +76,11 @@
 func (t table) addRows(rows []Row) {
 	for _, r := range rows {
 		c := cell{r.Customer, r.Class, r.Route, r.Model}
-		t[c] = t[c].plus(sum{r.Requests, r.Prompt, r.Output, r.Wasted})
+		before, ok := t[c]
+		if !ok {
+			c = c.interned()
+		}
+		t[c] = before.plus(sum{r.Requests, r.Prompt, r.Output, r.Wasted})
 	}
 }
 
--- a/internal/platform/usage/view.go
+++ b/internal/platform/usage/view.go
@@ -13,11 +13,11 @@
 	if err != nil {
 		return nil, err
 	}
-	parts, err := r.parts(ctx)
+	open, err := r.openWindows(ctx)
 	if err != nil {
 		return nil, err
 	}
-	out = append(out, r.openWindows(parts)...)
+	out = append(out, open...)
 	slices.SortFunc(out, func(a, b Window) int { return cmp.Compare(a.index, b.index) })
 	return out, nil
 }
@@ -42,27 +42,35 @@
 	return out, nil
 }
 
+// opening is a window that is not frozen.
+type opening struct {
+	sums table
+	open bool // a host may still commit to it
+}
+
 // openWindows sums the parts that no frozen window counts.
-func (r *Reporter) openWindows(parts []stored) []Window {
-	sums := map[int64]table{}
-	open := map[int64]bool{}
-	for _, p := range parts {
+func (r *Reporter) openWindows(ctx context.Context) ([]Window, error) {
+	found := map[int64]*opening{}
+	err := r.eachPart(ctx, 0, func(p stored) error {
 		if p.Counted {
-			continue
+			return nil
 		}
-		if sums[p.Window] == nil {
-			sums[p.Window] = table{}
+		w, ok := found[p.Window]
+		if !ok {
+			w = &opening{sums: table{}}
+			found[p.Window] = w
 		}
-		sums[p.Window].addRows(p.Rows)
-		open[p.Window] = open[p.Window] || !p.Sealed
-	}
-	out := make([]Window, 0, len(sums))
-	for index, t := range sums {
+		w.sums.addRows(p.Rows)
+		w.open = w.open || !p.Sealed
+		return nil
+	})
+	out := make([]Window, 0, len(found))
+	for index, w := range found {
 		state := stateSealed
-		if open[index] {
+		if w.open {
 			state = stateOpen
 		}
-		out = append(out, Window{index: index, length: r.opts.Window, state: state, rows: t.rows()})
+		out = append(out, Window{index: index, length: r.opts.Window, state: state, rows: w.sums.rows()})
 	}
-	return out
+	return out, err
 }
--- a/internal/platform/usage/world_test.go
+++ b/internal/platform/usage/world_test.go
@@ -44,6 +44,7 @@
 	pass      time.Duration // between passes of the reporters
 	strict    bool          // look at the lease key when a report arrives
 	sealed    chan string   // hosts whose parts another host wrote
+	onPut     func(host, key string)
 }
 
 type host struct {
@@ -78,7 +79,7 @@
 	h.rand = rand.New(rand.NewPCG(w.rand.Uint64(), 3))
 	ctx, cancel := context.WithCancel(t.Context())
 	h.cancel = cancel
-	h.client = store.New(h.gate.Backend(w.watchSeals(h.name)), store.Options{
+	h.client = store.New(h.gate.Backend(w.watched(h.name)), store.Options{
 		Clock: w.clock, Rand: rand.New(rand.NewPCG(w.rand.Uint64(), 2)),
 	})
 	clk := clock.New(func() time.Time { return time.Now().Add(time.Duration(h.offset.Load())) }, w.clock.Boot)
