Let the interval between commits of usage follow the size of the fleet

Cause: one write for each host and second is 350 of the store's 300 writes a second at 350 hosts. Change: the interval is 1 s up to 100 hosts and a hundredth of a second for each host beyond; the number of hosts comes from the members, silent ones included. Measured: go test -run IntervalFollowsFleet: 60 commits of a host in a minute at 7 and 100 hosts, 17 at 350, 6 at 1,000, one more or less. Conclusion: 100 writes a second for any fleet; a crash loses up to 3.5 s of a host's finished requests at 350 hosts.

--- a/cmd/hickorypath/duties.go
+++ b/cmd/hickorypath/duties.go
@@ -118,10 +118,12 @@
 func provideRecorder(i do.Injector) (*usage.Recorder, error) {
 	s := get[*settings.Settings](i)
 	id := get[identity](i)
+	n := get[*node.Node](i)
 	return usage.New(get[*store.Client](i), get[clock.Clock](i), usage.Options{
 		Host:        id.host,
 		Incarnation: id.incarnation,
 		Window:      s.Window(),
+		Hosts:       func() int { return len(n.Members()) },
 		Log:         get[*zap.Logger](i),
 	}), nil
 }
--- a/internal/platform/usage/crash_test.go
+++ b/internal/platform/usage/crash_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"hickorypath/internal/core/clock"
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/platform/store"
 	"hickorypath/internal/platform/usage"
@@ -72,6 +73,55 @@
 	return lost
 }
 
+// The commits of all hosts together stay within 100 a second, also when the fleet grows while they run.
+func TestIntervalFollowsFleet(t *testing.T) {
+	cases := []struct {
+		hosts   int
+		every   time.Duration
+		commits int // in a minute
+	}{
+		{7, time.Second, 60},
+		{100, time.Second, 60},
+		{350, 3500 * time.Millisecond, 17},
+		{1000, 10 * time.Second, 6},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c.hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				k := clock.NewWall()
+				client := store.New(store.NewMemory(k).Backend(), store.Options{Clock: k})
+				fleet := 1
+				r := usage.New(client, k, usage.Options{Host: "h", Incarnation: "1", Window: 24 * time.Hour, Hosts: func() int { return fleet }})
+				fleet = c.hosts // known after the start
+				is.Equal(r.Interval(), c.every)
+				go r.Run(t.Context())
+				puts := func() (n uint64) {
+					for count, calls := range client.Counts() {
+						if count.IsWrite() {
+							n += calls
+						}
+					}
+					return n
+				}
+				add(r, 2*c.every)
+				before := puts()
+				add(r, time.Minute)
+				made := int(puts() - before)
+				is.True(made >= c.commits-1 && made <= c.commits+1) // by where the minute begins
+			})
+		})
+	}
+}
+
+// add records a request each tenth of a second.
+func add(r *usage.Recorder, span time.Duration) {
+	for range span / (100 * time.Millisecond) {
+		r.Add(usage.Record{Customer: "c", Output: 1})
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 func TestRequestIsRecordedOnce(t *testing.T) {
 	is := is.New(t)
 	is.NoErr(bubble(t, 1, func(t *testing.T, w *world) {
--- a/internal/platform/usage/recorder.go
+++ b/internal/platform/usage/recorder.go
@@ -18,13 +18,16 @@
 	Host        string
 	Incarnation string        // unique for each start of the process
 	Window      time.Duration // length of a window
-	Every       time.Duration // between group commits
+	Every       time.Duration // between group commits, at least
+	Hosts       func() int    // size of the fleet, silent hosts included; nil for a small one
 	Log         *zap.Logger
 }
 
 const (
 	defaultWindow = 5 * time.Minute
 	defaultEvery  = time.Second
+	// commitRate is the number of commits a second that all hosts together may make.
+	commitRate = 100
 )
 
 // Recorder takes the usage of one host and commits it to the store in groups.
@@ -46,6 +49,9 @@
 func New(client *store.Client, c clock.Clock, o Options) *Recorder {
 	o.Window = cmp.Or(o.Window, defaultWindow)
 	o.Every = cmp.Or(o.Every, defaultEvery)
+	if o.Hosts == nil {
+		o.Hosts = smallFleet
+	}
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
@@ -71,9 +77,17 @@
 	r.own.add(rec, window)
 }
 
+// Interval returns the time between commits. It grows with the fleet, so that the commits of all hosts stay
+// within their share of the store's writes. A host that sees part of the fleet counts the silent hosts too.
+func (r *Recorder) Interval() time.Duration {
+	share := time.Duration(r.opts.Hosts()) * time.Second / commitRate
+	return max(r.opts.Every, share)
+}
+
 // Run commits every interval until ctx ends.
 func (r *Recorder) Run(ctx context.Context) {
-	tick := time.NewTicker(r.opts.Every)
+	every := r.Interval()
+	tick := time.NewTicker(every)
 	defer tick.Stop()
 	for {
 		select {
@@ -82,6 +96,10 @@
 		case <-tick.C:
 		case <-r.kick:
 		}
+		if next := r.Interval(); next != every {
+			every = next
+			tick.Reset(next)
+		}
 		if err := r.commit(ctx); err != nil {
 			r.opts.Log.Warn("usage not committed", zap.Error(err))
 		}
