Work out which upstreams a host polls once a change of hosts

The hosts are now looked at once a second, the ranking is kept until they change, and the period is worked out once a second.

With up to 8 hosts each host polls each upstream as before; a change of the list of hosts counts within a second.

--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -49,6 +49,7 @@
 // Fleet is the set of dispatchers of one host. It is safe for concurrent use.
 type Fleet struct {
 	options Options
+	turns   *poll.Turns
 
 	mu      sync.Mutex
 	ctx     context.Context
@@ -81,6 +82,7 @@
 func New(o Options) *Fleet {
 	return &Fleet{
 		options: o,
+		turns:   poll.NewTurns(o.Host, o.Hosts, o.Clock.Now),
 		pools:   map[string]*entry{},
 		targets: map[string][]dispatch.Target{},
 		slots:   map[string]int{},
@@ -174,7 +176,7 @@
 		},
 		Cached: e.Cached,
 		Mine: func(id string) bool {
-			return poll.Mine(f.options.Host, f.options.Hosts(), id)
+			return f.turns.Mine(id)
 		},
 	})
 }
--- a/internal/upstream/poll/poll.go
+++ b/internal/upstream/poll/poll.go
@@ -47,6 +47,8 @@
 	mu      sync.Mutex
 	targets map[string]*target
 	wake    chan struct{}
+	every   time.Duration // between two polls of an upstream, as of counted
+	counted time.Time
 }
 
 type target struct {
@@ -69,6 +71,7 @@
 func (p *Poller) Set(list []Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.counted = time.Time{}
 	seen := make(map[string]bool, len(list))
 	for _, t := range list {
 		seen[t.ID] = true
@@ -129,6 +132,14 @@
 func (p *Poller) period() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if now := time.Now(); p.counted.IsZero() || now.Sub(p.counted) >= turnPeriod {
+		p.counted = now
+		p.every = p.computePeriod()
+	}
+	return p.every
+}
+
+func (p *Poller) computePeriod() time.Duration {
 	mine := 0
 	for id := range p.targets {
 		if p.isMine(id) {
--- a/internal/upstream/poll/turn.go
+++ b/internal/upstream/poll/turn.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -13,6 +15,51 @@
 // the hosts that poll, and a host without them finds far fewer cached prefixes.
 const smallFleet = 8
 
+// turnPeriod is the time between looks at the list of hosts.
+const turnPeriod = time.Second
+
+// Turns remembers which upstreams a host polls, until the list of hosts changes. It is safe for concurrent use.
+type Turns struct {
+	host string
+	list func() []string
+	now  func() time.Time
+
+	mu    sync.Mutex
+	at    time.Time
+	hosts []string
+	mine  map[string]bool
+}
+
+// NewTurns returns the Turns of host; list returns the live hosts.
+func NewTurns(host string, list func() []string, now func() time.Time) *Turns {
+	return &Turns{host: host, list: list, now: now, mine: map[string]bool{}}
+}
+
+// Mine reports whether the host polls an upstream.
+func (t *Turns) Mine(upstream string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refresh()
+	mine, ok := t.mine[upstream]
+	if !ok {
+		mine = Mine(t.host, t.hosts, upstream)
+		t.mine[upstream] = mine
+	}
+	return mine
+}
+
+func (t *Turns) refresh() {
+	now := t.now()
+	if !t.at.IsZero() && now.Sub(t.at) < turnPeriod {
+		return
+	}
+	t.at = now
+	if hosts := t.list(); !slices.Equal(hosts, t.hosts) {
+		t.hosts = hosts
+		clear(t.mine)
+	}
+}
+
 // Mine reports whether host polls an upstream: in a small fleet always, in a larger one if it is among
 // the Watchers of the upstream by rendezvous hashing.
 func Mine(host string, hosts []string, upstream string) bool {
