Keep limits by the sums of the other hosts in a large fleet

Limits need the demand of all hosts on a customer. 350 hosts cannot tell each other every customer's demand several times a second, and what they tell every 12 s used to expire after 5 s.

A digest names 12 limits at most: those of which more than half is in use, and then the largest demands. Its sums count what is not named too low and never too high, so that no customer is refused for others' demand. While the demand is above the limit, a host's part follows its demand of 1.5 to 2.5 periods ago: the parts add up to the limit.

Until all have heard of a new demand, up to 40 s, an evenly spread one is admitted as offered.

The benchmark now measures a large one.

--- a/internal/host/capacity/bench_test.go
+++ b/internal/host/capacity/bench_test.go
@@ -53,12 +53,16 @@
 	measure(b, func() any {
 		rule := limit.Rule{Rate: 10, Tokens: 10_000, Open: 10}
 		l := limit.New(limit.Config{Host: "h", Customer: func(string) limit.Rule { return rule }})
+		l.Crowd(start, "rest:z0", limit.Digest{Hosts: hosts - 1, Period: 12_000})
 		for i := range customers {
 			if err := l.Take(start, customer(i), "live", 10); err != nil {
 				b.Fatal(err)
 			}
 			l.Done(start, customer(i), "live", 10, 12)
 		}
+		for i := range 20 {
+			l.Digest(start.Add(time.Duration(i)*1500*time.Millisecond), 12*time.Second)
+		}
 		return l
 	})
 }
--- /dev/null
+++ b/internal/policy/limit/digest.go
@@ -0,0 +1,125 @@
+package limit
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// digestSize is how many customers and classes a digest names at most.
+	digestSize = 12
+	// trackPart is the part of a limit above which all hosts tell their demand on it.
+	trackPart = 0.5
+	// digestRate is the parts of a request a second that digests count in.
+	digestRate = 100
+)
+
+// Use is the demand of some hosts on one limit.
+type Use struct {
+	_       struct{} `cbor:",toarray"`
+	Key     uint32   // digest of the name
+	Rate    int      // requests asked for a second, in 1/digestRate
+	Tokens  int      // tokens asked for a second
+	Want    int      // requests that would be open
+	Tracked int      // 1 when all hosts tell their demand
+}
+
+// Digest is the demand of some hosts of a large fleet, made small to travel. It names the tracked limits and the
+// others with the largest demand; what it does not name is counted too low, never too high.
+type Digest struct {
+	_      struct{} `cbor:",toarray"`
+	Hosts  int
+	Period int // milliseconds between digests
+	Uses   []Use
+}
+
+// Digest returns this host's demand as a Digest that is sent once a period.
+func (l *Limiter) Digest(now time.Time, period time.Duration) Digest {
+	l.period = period
+	l.forget(now)
+	d := Digest{Hosts: 1, Period: int(period.Milliseconds())}
+	for _, s := range l.order {
+		l.update(s)
+		e := s.slowDemand(now)
+		if s.isTracked(e) && !s.isQuiet(e) || s.partOf(e)*float64(s.hosts) > trackPart {
+			d.Uses = append(d.Uses, s.use(e))
+		}
+	}
+	d.Uses = choose(d.Uses)
+	l.remember(now, d.Uses)
+	return d
+}
+
+// remember notes the demand on the limits of which the other hosts hear, or have heard.
+func (l *Limiter) remember(now time.Time, told []Use) {
+	isTold := make(map[uint32]bool, len(told))
+	for _, u := range told {
+		isTold[u.Key] = true
+	}
+	for _, s := range l.order {
+		if !isTold[s.crowd.hash] && !s.isKnown() {
+			s.crowd.past = nil
+			continue
+		}
+		s.remember(now, l.period, s.slowDemand(now))
+	}
+}
+
+// MergeDigests returns the sum of digests of different hosts.
+func MergeDigests(all []Digest) Digest {
+	sum := Digest{}
+	byKey := map[uint32]Use{}
+	for _, d := range all {
+		sum.Hosts += d.Hosts
+		sum.Period = max(sum.Period, d.Period)
+		for _, u := range d.Uses {
+			byKey[u.Key] = u.plus(byKey[u.Key])
+		}
+	}
+	for _, u := range byKey {
+		sum.Uses = append(sum.Uses, u)
+	}
+	sum.Uses = choose(sum.Uses)
+	return sum
+}
+
+func (u Use) plus(v Use) Use {
+	u.Rate += v.Rate
+	u.Tokens += v.Tokens
+	u.Want += v.Want
+	u.Tracked = max(u.Tracked, v.Tracked)
+	return u
+}
+
+// entry returns the demand as hosts of a small fleet tell it.
+func (u Use) entry() Entry {
+	return Entry{Rate: float64(u.Rate) / digestRate, Tokens: float64(u.Tokens), Want: float64(u.Want)}
+}
+
+// use returns the demand e for a digest.
+func (s *scope) use(e Entry) Use {
+	u := Use{
+		Key: s.crowd.hash, Rate: int(math.Round(e.Rate * digestRate)), Tokens: int(math.Round(e.Tokens)),
+		Want: int(math.Round(e.Want)),
+	}
+	if s.isTracked(e) {
+		u.Tracked = 1
+	}
+	return u
+}
+
+// choose returns the uses that fit a digest: the tracked ones first, then those with the largest demand.
+func choose(uses []Use) []Use {
+	slices.SortFunc(uses, func(a, b Use) int {
+		return cmp.Or(cmp.Compare(b.Tracked, a.Tracked), cmp.Compare(b.Tokens, a.Tokens), cmp.Compare(b.Rate, a.Rate),
+			cmp.Compare(a.Key, b.Key))
+	})
+	return uses[:min(len(uses), digestSize)]
+}
+
+// hashOf returns the digest of a limit's name.
+func hashOf(key string) uint32 { return uint32(xxhash.Sum64String(key)) } //nolint:gosec // half of a hash
--- a/internal/policy/limit/limit.go
+++ b/internal/policy/limit/limit.go
@@ -45,6 +45,8 @@
 	order  []*scope // for sweeping
 	sweep  int
 	hosts  map[string]*peer
+	crowds map[string]*crowd // by source
+	period time.Duration     // between their sums, zero in a small fleet
 }
 
 // peer is another host.
@@ -55,7 +57,7 @@
 
 // New returns a Limiter without peers.
 func New(conf Config) *Limiter {
-	return &Limiter{config: conf, scopes: make(map[string]*scope), hosts: make(map[string]*peer)}
+	return &Limiter{config: conf, scopes: make(map[string]*scope), hosts: make(map[string]*peer), crowds: make(map[string]*crowd)}
 }
 
 // Take admits a request that is expected to cost tokens, or returns an error of kind Rate, Tokens or
@@ -113,19 +115,31 @@
 	if rule.isEmpty() {
 		return nil
 	}
+	s := l.known(key, now)
+	l.update(s)
+	s.set(now, rule)
+	return s
+}
+
+// known returns the scope under a key, a new one if there is none.
+func (l *Limiter) known(key string, now time.Time) *scope {
 	s, ok := l.scopes[key]
 	if !ok {
 		s = newScope(key, now)
 		l.scopes[key] = s
 		l.order = append(l.order, s)
 	}
-	s.hosts = l.count()
-	s.set(now, rule)
 	return s
 }
 
-// count returns the number of hosts, this one included. Share drops those that fell silent.
-func (l *Limiter) count() int { return len(l.hosts) + 1 }
+// count returns the number of hosts, this one included. Share and Digest drop those that fell silent.
+func (l *Limiter) count() int {
+	n := len(l.hosts) + 1
+	for _, c := range l.crowds {
+		n += c.hosts
+	}
+	return n
+}
 
 // Len returns the number of scopes in memory.
 func (l *Limiter) Len() int { return len(l.scopes) }
--- a/internal/policy/limit/scope.go
+++ b/internal/policy/limit/scope.go
@@ -38,11 +38,15 @@
 	costs    float64   // tokens a second asked for at the peers
 	part     int       // of the limit of concurrency
 	parted   time.Time // when part was computed
+
+	crowd *crowdScope
 }
 
 func newScope(key string, now time.Time) *scope {
 	rate := admit.NewRate(demandWindow)
-	return &scope{key: key, used: now, asked: rate, wanted: rate, refused: rate, peers: make(map[string]Entry)}
+	return &scope{
+		key: key, used: now, asked: rate, wanted: rate, refused: rate, peers: make(map[string]Entry),
+	}
 }
 
 func (s *scope) set(now time.Time, r Rule) {
@@ -51,6 +55,10 @@
 		s.rule, s.parted = r, time.Time{}
 	}
 	s.used = now
+	if s.isKnown() {
+		s.setCrowd(now, r)
+		return
+	}
 	own := s.demand(now)
 	part, burst := s.divide(r.Rate, own.Rate, s.rates)
 	s.requests.refill(now, part, burst*requestBurst.Seconds())
@@ -105,6 +113,10 @@
 func (s *scope) ask(now time.Time, tokens float64) {
 	s.asked.Add(now, 1)
 	s.wanted.Add(now, tokens)
+	if s.crowd != nil {
+		s.crowd.asked.Add(now, 1)
+		s.crowd.wanted.Add(now, tokens)
+	}
 }
 
 func (s *scope) check(now time.Time, host string, tokens float64) error {
@@ -139,6 +151,9 @@
 // openPart returns how many requests this host may have open: its part by demand, as far as the
 // others have given up what they hold of it.
 func (s *scope) openPart(now time.Time, host string) int {
+	if s.isKnown() {
+		return s.crowdPart(now, host)
+	}
 	if len(s.peers) == 0 {
 		return s.rule.Open
 	}
--- a/internal/policy/limit/share.go
+++ b/internal/policy/limit/share.go
@@ -22,6 +22,7 @@
 
 // Share returns this host's demand on every limit that it uses to a notable part.
 func (l *Limiter) Share(now time.Time) Summary {
+	l.period = 0
 	l.forget(now)
 	var sum Summary
 	for _, s := range l.order {
@@ -38,16 +39,12 @@
 	if host == l.config.Host {
 		return
 	}
+	clear(l.crowds)
 	l.drop(host)
 	p := &peer{at: now, keys: make([]string, 0, len(sum.Entries))}
 	l.hosts[host] = p
 	for _, e := range sum.Entries {
-		s, ok := l.scopes[e.Key]
-		if !ok {
-			s = newScope(e.Key, now)
-			l.scopes[e.Key] = s
-			l.order = append(l.order, s)
-		}
+		s := l.known(e.Key, now)
 		s.hear(host, e)
 		s.used = now
 		p.keys = append(p.keys, e.Key)
@@ -75,6 +72,7 @@
 			l.drop(host)
 		}
 	}
+	l.forgetCrowds(now)
 	for range min(sweepCount, len(l.order)) {
 		l.sweep = (l.sweep + 1) % len(l.order)
 		s := l.order[l.sweep]
