Combine load summaries by zone in a fleet of more than 16 hosts

The daemon set no Merge, so that a fleet of more than 16 hosts passed every host's summary on, and the receivers' fixed lifetimes of 1.8 to 5 s had ended long before the next exchange at 12 s.

Hosts of such a fleet now publish digests of pools and limits, several times a period. Relays add them up: host to primary relay, relays of a zone to each other, zone to zone, and back to each host the sum of the other hosts of its zone and that of the other zones. A combined value names the hosts or zones that it is made of; while relays change and two values name the same one, the last sum stands until it expires. What a host that is no relay any more has combined does not count.

The period is 200 ms up to 16 hosts, as before, 1 s up to 64, and then grows with the fleet, to 12 s at 350. It travels in each digest; sums count for three periods. Watchers hear of single hosts or of sums, never of both. Loads of single upstreams do not travel in a large fleet: an upstream that answers again is told to all, and one that leaves is asked by the host that would stop it, as other hosts' requests are not known.

--- a/cmd/hickorypath/host.go
+++ b/cmd/hickorypath/host.go
@@ -28,6 +28,7 @@
 	"hickorypath/internal/host/spread"
 	"hickorypath/internal/operator/follow"
 	"hickorypath/internal/operator/meter"
+	"hickorypath/internal/policy/route"
 	"hickorypath/internal/upstream/dispatch"
 	"hickorypath/internal/upstream/fleet"
 	"hickorypath/internal/upstream/wire"
@@ -216,6 +217,13 @@
 	return lo.FilterMap(members, func(m member.Member, _ int) (string, bool) { return m.ID(), m.Alive() })
 }
 
+// zonedHosts returns the live hosts with their zones and equal demand.
+func zonedHosts(members []member.Member) []route.Host {
+	return lo.FilterMap(members, func(m member.Member, _ int) (route.Host, bool) {
+		return route.Host{ID: m.ID(), Zone: m.Zone(), Demand: 1}, m.Alive()
+	})
+}
+
 // isWatcher reports whether a host is among the first live ones of its zone, by name.
 func isWatcher(members []member.Member, self, zone string) bool {
 	names := lo.FilterMap(members, func(m member.Member, _ int) (string, bool) {
--- a/cmd/hickorypath/wire.go
+++ b/cmd/hickorypath/wire.go
@@ -26,6 +26,7 @@
 	"hickorypath/internal/platform/store"
 	"hickorypath/internal/platform/usage"
 	"hickorypath/internal/policy/retry"
+	"hickorypath/internal/policy/route"
 	"hickorypath/internal/policy/suspect"
 	"hickorypath/internal/upstream/duty"
 	"hickorypath/internal/upstream/engine"
@@ -97,6 +98,7 @@
 		Roster: roster.NewHTTP(s.Platform().Roster, &http.Client{Timeout: s.StoreTimeout()}).List,
 		Clock:  get[clock.Clock](i),
 		Log:    get[*zap.Logger](i),
+		Merge:  mergeLoads,
 		Revision: func() uint64 {
 			_, revision := live.Load()
 			return revision
@@ -104,6 +106,14 @@
 	})
 }
 
+// mergeLoads combines what the hosts of a zone tell the others.
+func mergeLoads(_, name string, values [][]byte) []byte {
+	if data, ok := fleet.Merge(name, values); ok {
+		return data
+	}
+	return quota.Merge(values)
+}
+
 func peerTLS(p settings.Peer) (*tls.Config, error) {
 	if p.Cert == "" {
 		return peer.NewTLSSecret(p.Secret)
@@ -133,6 +143,7 @@
 		Load:   engines.Load,
 		Events: engines.Events,
 		Hosts:  func() []string { return liveHosts(n.Members()) },
+		Zoned:  func() []route.Host { return zonedHosts(n.Members()) },
 	}), nil
 }
 
--- a/internal/caller/quota/quota.go
+++ b/internal/caller/quota/quota.go
@@ -40,6 +40,8 @@
 	options Options
 	mu      sync.Mutex
 	limiter *limit.Limiter
+
+	digested time.Time // when the digest was published last; used by Run alone
 }
 
 // New returns a Quota that has heard of no other host.
@@ -110,6 +112,10 @@
 
 func (q *Quota) share() {
 	now := q.options.Clock.Now()
+	if period, combined := q.options.Spread.Period(); combined {
+		q.shareDigest(now, period)
+		return
+	}
 	q.mu.Lock()
 	sum := q.limiter.Share(now)
 	q.mu.Unlock()
@@ -122,6 +128,10 @@
 }
 
 func (q *Quota) take(r spread.Record) {
+	if spread.IsResult(r.Key()) {
+		q.takeDigest(r)
+		return
+	}
 	host, ok := strings.CutPrefix(r.Key(), keyPrefix)
 	if !ok || host == q.options.Host {
 		return
--- a/internal/host/node/core.go
+++ b/internal/host/node/core.go
@@ -89,7 +89,7 @@
 		return nil
 	}
 	c.shareAt = now.Add(every - every/8) // heartbeats do not fall due to the millisecond
-	return c.spread.Share(hosts > fastFleet, softLife*every)
+	return c.spread.Share(hosts > fastFleet, every)
 }
 
 // sendAll sends heartbeats and soft records, those for the same host in one packet.
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -24,11 +24,10 @@
 	listTimeout = 2 * time.Second
 	leaveWait   = 500 * time.Millisecond
 	shareFast   = 200 * time.Millisecond
-	softLife    = 5                // exchanges that a combined soft record outlives
 	fastFleet   = member.MeshFleet // hosts up to which soft records are shared at the fast rate
 	shareMedium = 1 * time.Second
 	mediumFleet = 64
-	shareSlow   = 12 * time.Second
+	shareHost   = 12 * time.Second / 350 // for each host of a larger fleet, so that the bytes stay bounded
 )
 
 // Options are the dependencies of a Node.
@@ -41,9 +40,9 @@
 	Log      *zap.Logger
 	// Revision, when set, returns the applied revision of the document, for heartbeats.
 	Revision func() uint64
-	// Merge, when set, combines the values of one soft topic, so that a large fleet exchanges one for
-	// each zone.
-	Merge func(topic string, values [][]byte) []byte
+	// Merge, when set, combines the values of one name of a soft topic, so that a large fleet exchanges
+	// one for each zone.
+	Merge func(topic, name string, values [][]byte) []byte
 	// Wrap, when set, wraps the sockets; it serves counters and fault injection.
 	Wrap func(net.PacketConn) net.PacketConn
 }
@@ -162,6 +161,6 @@
 	case hosts <= mediumFleet:
 		return shareMedium
 	default:
-		return shareSlow
+		return time.Duration(hosts) * shareHost
 	}
 }
--- a/internal/host/node/scale_test.go
+++ b/internal/host/node/scale_test.go
@@ -1,11 +1,16 @@
 package node
 
 import (
-	"bytes"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
+	"hickorypath/internal/caller/quota"
 	"hickorypath/internal/host/spread"
+	"hickorypath/internal/policy/limit"
+	"hickorypath/internal/policy/pool"
+	"hickorypath/internal/upstream/fleet"
 )
 
 // The stated size of two years from now.
@@ -15,12 +20,13 @@
 	scaleRegions = 4
 	scalePools   = 8
 	scaleForce   = 14 * time.Second
-	scaleSummary = 80 // bytes of one pool's load summary
+	scaleTiers   = 7
+	scaleUses    = 12 // customers that a host names
 )
 
 func newScaleFleet() *sim {
 	s := newSim(11)
-	s.merge = func(_ string, values [][]byte) []byte { return values[0] }
+	s.merge = mergeLoads
 	for i := range scaleHosts {
 		s.list(hostID(i), zoneID(i%scaleZones))
 	}
@@ -58,15 +64,59 @@
 
 func zoneID(i int) string { return "zone-" + string([]byte{'a' + byte(i)}) }
 
-// putLoads gives every host fresh load summaries at the interval of exchanges.
-func (s *sim) putLoads(value []byte) {
+// mergeLoads combines load summaries as the daemon does.
+func mergeLoads(_, name string, values [][]byte) []byte {
+	if data, ok := fleet.Merge(name, values); ok {
+		return data
+	}
+	return quota.Merge(values)
+}
+
+// putLoads gives every host fresh load summaries, several times between exchanges.
+func (s *sim) putLoads() {
+	period := shareEvery(scaleHosts)
 	for _, h := range s.living() {
+		put := func(key string, value any) {
+			data, err := cbor.Marshal(value)
+			if err != nil {
+				panic(err)
+			}
+			h.core.spread.Put(spread.Load, spread.SoftKey(key, h.id), uint64(s.now.UnixMilli()), data, s.now.Add(spread.Life(period)))
+		}
 		for p := range scalePools {
-			key := spread.SoftKey("pool-"+string([]byte{'a' + byte(p)}), h.id)
-			h.core.spread.Put(spread.Load, key, uint64(s.now.UnixMilli()), value, s.now.Add(60*time.Second))
+			put("pool/model-"+string([]byte{'a' + byte(p)}), s.poolDigest(period))
 		}
+		put("limit", s.limitDigest(period))
+	}
+	s.at(period/4, s.putLoads)
+}
+
+// poolDigest is the load of one host in one pool: 15 slots, of which three quarters are busy, and a queue of the
+// two lowest tiers.
+func (s *sim) poolDigest(period time.Duration) pool.Digest {
+	d := pool.Digest{Hosts: 1, Period: int(period.Milliseconds()), Durable: s.rand.IntN(100), Pace: 30_000 + s.rand.IntN(3_000), Spell: 6_000 + s.rand.IntN(600)}
+	for t := range scaleTiers {
+		d.Running = append(d.Running, s.rand.IntN(4))
+		d.Offered = append(d.Offered, s.rand.IntN(40))
+		queued := 0
+		if t >= scaleTiers-2 {
+			queued = s.rand.IntN(10)
+		}
+		d.Queued = append(d.Queued, queued)
+		d.Weight = append(d.Weight, 10*min(queued, 5))
+	}
+	return d
+}
+
+// limitDigest is the demand of one host on the limits of the customers that it names.
+func (s *sim) limitDigest(period time.Duration) limit.Digest {
+	d := limit.Digest{Hosts: 1, Period: int(period.Milliseconds())}
+	for range scaleUses {
+		d.Uses = append(d.Uses, limit.Use{
+			Key: s.rand.Uint32(), Rate: s.rand.IntN(100), Tokens: s.rand.IntN(1_000), Want: s.rand.IntN(10), Tracked: s.rand.IntN(2),
+		})
 	}
-	s.at(shareSlow, func() { s.putLoads(value) })
+	return d
 }
 
 // TestTwoYearSize puts a key and a document on a fleet of 350 hosts that loses datagrams and a relay.
@@ -90,10 +140,10 @@
 		s := newScaleFleet()
 		s.tick = 200 * time.Millisecond
 		s.run(8 * time.Second)
-		s.putLoads(bytes.Repeat([]byte{7}, scaleSummary))
-		s.run(2 * shareSlow)
-		s.logSteady(b, 2*shareSlow)
-		rest := spread.SoftKey("pool-a", spread.RestSource+zoneID(99%scaleZones))
+		s.putLoads()
+		s.run(4 * shareEvery(scaleHosts))
+		s.logSteady(b, 2*shareEvery(scaleHosts))
+		rest := spread.SoftKey("pool/model-a", spread.RestSource+zoneID(99%scaleZones))
 		if s.hosts[hostID(99)].core.spread.Version(spread.Load, rest) == 0 {
 			b.Error("the load of the other zones did not arrive")
 		}
--- a/internal/host/node/sim_test.go
+++ b/internal/host/node/sim_test.go
@@ -29,7 +29,7 @@
 	loss    float64
 	cut     func(from, to *simHost) bool
 	delay   func(from, to string) time.Duration // beyond simDelay
-	merge   func(topic string, values [][]byte) []byte
+	merge   func(topic, name string, values [][]byte) []byte
 	roster  []roster.Host
 	tick    time.Duration
 	version uint64 // of the last record put
--- a/internal/host/spread/message.go
+++ b/internal/host/spread/message.go
@@ -5,13 +5,14 @@
 // Wire is a record as it travels. Value holds the bytes, or Refs and Levels tell how to assemble
 // them from chunks.
 type Wire struct {
-	Topic   string `cbor:"1,keyasint"`
-	Key     string `cbor:"2,keyasint"`
-	Version uint64 `cbor:"3,keyasint"`
-	Value   []byte `cbor:"4,keyasint,omitempty"`
-	Expires int64  `cbor:"5,keyasint,omitempty"`
-	Refs    []byte `cbor:"6,keyasint,omitempty"`
-	Levels  int    `cbor:"7,keyasint,omitempty"`
+	Topic   string   `cbor:"1,keyasint"`
+	Key     string   `cbor:"2,keyasint"`
+	Version uint64   `cbor:"3,keyasint"`
+	Value   []byte   `cbor:"4,keyasint,omitempty"`
+	Expires int64    `cbor:"5,keyasint,omitempty"`
+	Refs    []byte   `cbor:"6,keyasint,omitempty"`
+	Levels  int      `cbor:"7,keyasint,omitempty"`
+	Parts   []uint32 `cbor:"8,keyasint,omitempty"` // what a soft record is combined from
 }
 
 // Message is what one host's table sends to another's. All parts are optional.
@@ -27,7 +28,7 @@
 	Soft   []Soft   `cbor:"9,keyasint,omitempty"` // soft records, not acknowledged
 }
 
-// Soft is the records of one topic and source that share a version and an expiry.
+// Soft is the records of one topic and source that share a version, an expiry and parts.
 type Soft struct {
 	Topic   string   `cbor:"1,keyasint"`
 	Source  string   `cbor:"2,keyasint"`
@@ -35,6 +36,7 @@
 	Expires int64    `cbor:"4,keyasint"`
 	Names   []string `cbor:"5,keyasint"`
 	Values  [][]byte `cbor:"6,keyasint"`
+	Parts   []uint32 `cbor:"7,keyasint,omitempty"` // hosts or zones that the records are combined from
 }
 
 // Send is a message and the host that it goes to.
--- a/internal/host/spread/record.go
+++ b/internal/host/spread/record.go
@@ -50,9 +50,10 @@
 	key     string
 	value   []byte
 	version uint64
-	expires int64  // milliseconds since 1970, 0 for never
-	refs    []byte // references of the chunks when the value is chunked
-	levels  int    // levels of references above the chunks
+	expires int64    // milliseconds since 1970, 0 for never
+	refs    []byte   // references of the chunks when the value is chunked
+	levels  int      // levels of references above the chunks
+	parts   []uint32 // what a soft record is combined from
 }
 
 func (e *entry) isExpired(now time.Time) bool {
--- a/internal/host/spread/soft.go
+++ b/internal/host/spread/soft.go
@@ -13,13 +13,15 @@
 const (
 	partSource = "part:" // a relay and the hosts whose primary relay it is
 	farSource  = "far:"  // the zones whose totals a relay gets itself
-	ZoneSource = "zone:" // all hosts of a zone
+	zoneSource = "zone:" // all hosts of a zone
+	NearSource = "near:" // all other hosts of a host's zone
 	RestSource = "rest:" // all hosts of all other zones, as seen from a zone
 )
 
 const (
 	maxSoft  = 850 // bytes of soft records in one message, so that it fits a datagram with a heartbeat
 	softCost = 4   // bytes of framing for each
+	softLife = 3   // periods that a soft record outlives
 )
 
 // SoftKey returns the key of a soft record: what it tells about, as a pool, and where it comes from.
@@ -59,25 +61,29 @@
 	h := hash(w.Topic, w.Key)
 	t.soft.fresh[h] = origin{w.Topic, from}
 	_, source := SplitSoftKey(w.Key)
-	if zone, ok := strings.CutPrefix(source, ZoneSource); ok {
+	if zone, ok := strings.CutPrefix(source, zoneSource); ok {
 		t.soft.heard[h], t.soft.zones[h] = from, zone
 	}
-	if t.isCombining() && !isTotal(w.Key) {
-		t.events = t.events[:known] // part of a total that the watchers get
+	if t.isCombining() != IsResult(w.Key) {
+		t.events = t.events[:known] // the watchers get either combined records or those of single hosts
 	}
 }
 
-func isTotal(key string) bool {
+// IsResult reports whether a key is that of a combined record for the watchers.
+func IsResult(key string) bool {
 	_, source := SplitSoftKey(key)
-	return strings.HasPrefix(source, ZoneSource) || strings.HasPrefix(source, RestSource)
+	return strings.HasPrefix(source, NearSource) || strings.HasPrefix(source, RestSource)
 }
 
 func (t *Table) isCombining() bool { return t.large && t.config.Merge != nil }
 
-// Share exchanges soft records. Hosts of a small fleet are all linked and send their own records; those of
-// a large one combine them by zone, or pass them on if they cannot be combined. Life is how long combined records are valid.
-func (t *Table) Share(now time.Time, large bool, life time.Duration) {
-	t.large = large
+// Life returns how long a soft record counts that is sent each period.
+func Life(period time.Duration) time.Duration { return softLife * period }
+
+// Share exchanges soft records and is called once a period. Hosts of a small fleet are all linked and send
+// their own records; those of a large one combine them by zone, or pass them on if they cannot be combined.
+func (t *Table) Share(now time.Time, large bool, period time.Duration) {
+	t.large, t.period = large, period
 	if !t.isCombining() {
 		t.flood(now)
 		return
@@ -89,7 +95,7 @@
 	}
 	for name, tp := range t.topics {
 		if tp.soft {
-			t.combine(now, name, tp, now.Add(life))
+			t.combine(now, name, tp)
 		}
 	}
 }
@@ -129,15 +135,15 @@
 	}
 }
 
-// group puts records of the same source, version and expiry together.
+// group puts records of the same source, version, expiry and parts together.
 func group(wires []Wire) []Soft {
 	var all []Soft
 	for _, w := range wires {
 		name, source := SplitSoftKey(w.Key)
 		last := len(all) - 1
 		if last < 0 || all[last].Topic != w.Topic || all[last].Source != source ||
-			all[last].Version != w.Version || all[last].Expires != w.Expires {
-			all = append(all, Soft{Topic: w.Topic, Source: source, Version: w.Version, Expires: w.Expires})
+			all[last].Version != w.Version || all[last].Expires != w.Expires || !slices.Equal(all[last].Parts, w.Parts) {
+			all = append(all, Soft{Topic: w.Topic, Source: source, Version: w.Version, Expires: w.Expires, Parts: w.Parts})
 			last++
 		}
 		all[last].Names = append(all[last].Names, name)
@@ -153,7 +159,7 @@
 	}
 	wires := make([]Wire, len(s.Names))
 	for i, name := range s.Names {
-		wires[i] = Wire{Topic: s.Topic, Key: SoftKey(name, s.Source), Version: s.Version, Value: s.Values[i], Expires: s.Expires}
+		wires[i] = Wire{Topic: s.Topic, Key: SoftKey(name, s.Source), Version: s.Version, Value: s.Values[i], Expires: s.Expires, Parts: s.Parts}
 	}
 	return wires
 }
@@ -187,73 +193,3 @@
 	slices.SortFunc(wires, func(a, b Wire) int { return strings.Compare(a.Key, b.Key) })
 	return wires
 }
-
-// combine merges the records of this relay's hosts into its part and the parts into the zone's total, and
-// likewise the totals of other zones, and sends each where it is needed.
-func (t *Table) combine(now time.Time, name string, tp *topic, expires time.Time) {
-	mine, far := t.carried()
-	merge := func(source string, accept func(string) bool) []Wire {
-		return t.mergeInto(now, name, source, expires, t.softOf(now, name, tp, accept))
-	}
-	zone := ZoneSource + t.config.Zone
-	part := merge(partSource+t.config.Self, func(s string) bool { return mine[s] })
-	farPart := merge(farSource+t.config.Self, func(s string) bool { return far[strings.TrimPrefix(s, ZoneSource)] && s != zone })
-	total := merge(zone, hasPrefix(partSource))
-	rest := merge(RestSource+t.config.Zone, hasPrefix(farSource))
-	for _, l := range t.order {
-		switch {
-		case l.Role() == member.Near:
-			t.sendSoft(l.ID(), slices.Concat(part, farPart))
-		case l.Role() == member.Far && l.IsPrimary():
-			t.sendSoft(l.ID(), total)
-		case l.Role() == member.Down && l.IsPrimary():
-			t.sendSoft(l.ID(), slices.Concat(total, rest))
-		}
-	}
-}
-
-func hasPrefix(prefix string) func(string) bool {
-	return func(s string) bool { return strings.HasPrefix(s, prefix) }
-}
-
-// carried returns the hosts and the zones whose records this relay carries.
-func (t *Table) carried() (hosts, zones map[string]bool) {
-	hosts, zones = map[string]bool{t.config.Self: true}, map[string]bool{}
-	carriers := map[string]bool{}
-	for _, l := range t.order {
-		switch {
-		case l.Role() == member.Down && l.IsPrimary():
-			hosts[l.ID()] = true
-		case l.Role() == member.Far && l.IsPrimary():
-			carriers[l.ID()] = true
-		}
-	}
-	for h, from := range t.soft.heard {
-		if zone, ok := t.soft.zones[h]; ok && carriers[from] {
-			zones[zone] = true
-		}
-	}
-	return hosts, zones
-}
-
-// mergeInto combines records with the same name and stores the results under source.
-func (t *Table) mergeInto(now time.Time, name, source string, expires time.Time, wires []Wire) []Wire {
-	values := map[string][][]byte{}
-	for _, w := range wires {
-		item, _ := SplitSoftKey(w.Key)
-		values[item] = append(values[item], w.Value)
-	}
-	merged := make([]Wire, 0, len(values))
-	for _, item := range slices.Sorted(maps.Keys(values)) {
-		w := Wire{
-			Topic: name, Key: SoftKey(item, source), Version: uint64(now.UnixMilli()),
-			Value: t.config.Merge(name, values[item]), Expires: milli(expires),
-		}
-		known := len(t.events)
-		if t.accept(now, w, "", false) && !isTotal(w.Key) {
-			t.events = t.events[:known]
-		}
-		merged = append(merged, w)
-	}
-	return merged
-}
--- a/internal/host/spread/spread.go
+++ b/internal/host/spread/spread.go
@@ -119,10 +119,18 @@
 	})
 }
 
-// Share returns the soft records to send; a large fleet combines them by zone.
-func (s *Spread) Share(large bool, life time.Duration) []Send {
+// Period returns the time between exchanges of soft records, zero before the first, and whether they are
+// combined by zone.
+func (s *Spread) Period() (period time.Duration, combined bool) {
 	s.mu.Lock()
-	s.table.Share(s.now(), large, life)
+	defer s.mu.Unlock()
+	return s.table.period, s.table.isCombining()
+}
+
+// Share returns the soft records to send, once a period; a large fleet combines them by zone.
+func (s *Spread) Share(large bool, period time.Duration) []Send {
+	s.mu.Lock()
+	s.table.Share(s.now(), large, period)
 	out := s.drain()
 	s.mu.Unlock()
 	s.deliver()
--- a/internal/host/spread/table.go
+++ b/internal/host/spread/table.go
@@ -26,9 +26,9 @@
 	Self string   // ID of this host
 	Zone string   // availability zone of this host
 	Soft []string // topics whose records are not acknowledged or repaired
-	// Merge, when set, combines the values of one soft topic for a zone, so that large fleets exchange
-	// one value for each zone.
-	Merge func(topic string, values [][]byte) []byte
+	// Merge, when set, combines the values of one name of a soft topic, so that large fleets exchange one
+	// value for each zone.
+	Merge func(topic, name string, values [][]byte) []byte
 }
 
 type topic struct {
@@ -68,7 +68,8 @@
 	links    map[string]*link
 	order    []member.Link
 	soft     softState
-	large    bool // the fleet is large
+	large    bool          // the fleet is large
+	period   time.Duration // between exchanges of soft records
 	out      []Send
 	events   []Record
 }
@@ -261,7 +262,7 @@
 	if w.Levels > 0 && !t.collect(now, h, w, from) {
 		return false
 	}
-	e := &entry{key: w.Key, value: w.Value, version: w.Version, expires: w.Expires, refs: w.Refs, levels: w.Levels}
+	e := &entry{key: w.Key, value: w.Value, version: w.Version, expires: w.Expires, refs: w.Refs, levels: w.Levels, parts: w.Parts}
 	t.install(now, w.Topic, h, old, e)
 	if forward && !tp.soft {
 		t.forward(now, w.Topic, h, w.Version, from)
@@ -322,7 +323,7 @@
 }
 
 func (t *Table) wireOf(name string, e *entry) Wire {
-	return Wire{Topic: name, Key: e.key, Version: e.version, Value: e.value, Expires: e.expires, Refs: e.refs, Levels: e.levels}
+	return Wire{Topic: name, Key: e.key, Version: e.version, Value: e.value, Expires: e.expires, Refs: e.refs, Levels: e.levels, Parts: e.parts}
 }
 
 func (t *Table) send(to string, m Message) { t.out = append(t.out, Send{To: to, Message: m}) }
--- a/internal/upstream/dispatch/dispatch.go
+++ b/internal/upstream/dispatch/dispatch.go
@@ -251,6 +251,20 @@
 	return d.pool.Summary(d.clock.Now())
 }
 
+// Digest returns what the hosts of a large fleet need to know, once a period.
+func (d *Dispatcher) Digest(period time.Duration) pool.Digest {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pool.Digest(d.clock.Now(), period)
+}
+
+// Crowd takes the sum of the other hosts of a large fleet from one source.
+func (d *Dispatcher) Crowd(source string, sum pool.Digest, hosts []route.Host) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pool.Crowd(d.clock.Now(), source, sum, hosts)
+}
+
 // Want returns the demand of the pool as this host sees it.
 func (d *Dispatcher) Want() pool.Demand {
 	d.mu.Lock()
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -44,6 +44,8 @@
 	Events func(ctx context.Context, addr string, after int) (engine.Events, error)
 	// Hosts returns the live hosts, among whom the polling of engines is shared.
 	Hosts func() []string
+	// Zoned returns the live hosts with their zones, among which the slots of a large fleet are divided.
+	Zoned func() []route.Host
 }
 
 // Fleet is the set of dispatchers of one host. It is safe for concurrent use.
@@ -57,6 +59,8 @@
 	targets map[string][]dispatch.Target // by pool
 	slots   map[string]int               // of one upstream, by pool
 	classes []pool.Class
+
+	digested time.Time // when the digests were published last; used by Run alone
 }
 
 // entry is one pool. Plain services report no load and have no poller.
@@ -70,6 +74,8 @@
 	peers    map[string]peer
 	troubles map[string]trouble    // by upstream
 	last     map[string]route.Load // the last report of each upstream
+
+	inquiries map[string]inquiry // by upstream
 }
 
 // peer is what another host runs.
@@ -101,6 +107,8 @@
 	defer stop()
 	stopLeave := f.options.Spread.Watch(leaveTopic, f.takeLeave)
 	defer stopLeave()
+	stopUp := f.options.Spread.Watch(upTopic, f.takeUp)
+	defer stopUp()
 	tick := time.NewTicker(summaryInterval)
 	defer tick.Stop()
 	for {
@@ -148,6 +156,7 @@
 		peers:      map[string]peer{},
 		troubles:   map[string]trouble{},
 		last:       map[string]route.Load{},
+		inquiries:  map[string]inquiry{},
 		stop:       func() {},
 	}
 	if p.Kind() == document.Engine {
@@ -167,6 +176,7 @@
 			e.loaded(id, l)
 			if e.noteUp(id, l.At) {
 				f.refreshPool(name)
+				f.tellUp(name, id, l.At)
 			}
 		},
 		Failed: func(id string, _ error) {
@@ -176,7 +186,7 @@
 		},
 		Cached: e.Cached,
 		Mine: func(id string) bool {
-			return f.turns.Mine(id)
+			return f.turns.Mine(id) || e.isInquiring(id, f.options.Clock.Now())
 		},
 	})
 }
@@ -324,7 +334,8 @@
 }
 
 // Running returns how many requests an upstream runs: those that the known hosts count, or those that it
-// reports itself if they are more. Heard tells whether it reported lately.
+// reports itself if they are more. Heard tells whether it reported lately. In a large fleet, where hosts do not
+// know each other's requests, an upstream that leaves is asked.
 func (f *Fleet) Running(name, upstream string) (n int, heard bool) {
 	e, ok := f.entry(name)
 	if !ok {
@@ -332,7 +343,11 @@
 	}
 	now := f.options.Clock.Now()
 	reported, heard := e.reported(upstream, now)
-	return max(reported, e.Running(upstream)+e.runningElsewhere(upstream, now)), heard
+	n = max(reported, e.Running(upstream)+e.runningElsewhere(upstream, now))
+	if f.isLarge() && f.IsLeaving(upstream) && e.inquire(upstream, now) && !heard {
+		n = max(1, n) // other hosts' requests are not known before the upstream tells
+	}
+	return n, heard
 }
 
 // Pools returns all dispatchers in the order of their names.
--- /dev/null
+++ b/internal/upstream/fleet/large_test.go
@@ -0,0 +1,129 @@
+package fleet_test
+
+import (
+	"context"
+	"os"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/host/member"
+	"hickorypath/internal/host/spread"
+	"hickorypath/internal/operator/document"
+	"hickorypath/internal/policy/pool"
+	"hickorypath/internal/policy/route"
+	"hickorypath/internal/upstream/dispatch"
+	"hickorypath/internal/upstream/fleet"
+)
+
+const sharePeriod = 2 * time.Second
+
+// zone is the relay and two hosts of one zone of a large fleet.
+type zone struct {
+	spreads map[string]*spread.Spread
+	fleets  map[string]*fleet.Fleet
+	dead    atomic.Value // the ID of the host that sends and receives nothing
+}
+
+func newZone(t *testing.T, doc *document.Document) *zone {
+	t.Helper()
+	z := &zone{spreads: map[string]*spread.Spread{}, fleets: map[string]*fleet.Fleet{}}
+	hosts := []string{"relay", "h1", "h2"}
+	for _, id := range hosts {
+		merge := func(_, name string, values [][]byte) []byte {
+			data, _ := fleet.Merge(name, values)
+			return data
+		}
+		sp := spread.New(spread.NewTable(spread.Config{Self: id, Zone: "z1", Merge: merge}), time.Now, func(out []spread.Send) { z.deliver(id, out) })
+		z.spreads[id] = sp
+		f := fleet.New(fleet.Options{
+			Host: id, Zone: "z1", Clock: clock.NewWall(), Log: zap.NewNop(), Spread: sp,
+			Hosts: func() []string { return hosts },
+			Zoned: func() []route.Host {
+				return []route.Host{{ID: "h1", Zone: "z1"}, {ID: "h2", Zone: "z1"}, {ID: "relay", Zone: "z1"}}
+			},
+		})
+		f.Apply(doc)
+		f.SetTargets(map[string][]dispatch.Target{"libro": {dispatch.NewTarget("u1", "z1", "10.0.0.1:80", false, false)}})
+		z.fleets[id] = f
+	}
+	z.spreads["relay"].Tick([]member.Link{member.NewLink("h1", member.Down, true), member.NewLink("h2", member.Down, true)})
+	for _, id := range hosts[1:] {
+		z.spreads[id].Tick([]member.Link{member.NewLink("relay", member.Up, true)})
+	}
+	return z
+}
+
+func (z *zone) deliver(from string, out []spread.Send) {
+	for _, s := range out {
+		if dead := z.dead.Load(); dead != from && dead != s.To {
+			z.spreads[s.To].Receive(from, s.Message)
+		}
+	}
+}
+
+// run exchanges load until ctx ends.
+func (z *zone) run(ctx context.Context) {
+	for _, f := range z.fleets {
+		go f.Run(ctx)
+	}
+	for ctx.Err() == nil {
+		for _, id := range []string{"h1", "h2", "relay"} {
+			z.deliver(id, z.spreads[id].Share(true, sharePeriod))
+		}
+		time.Sleep(sharePeriod)
+	}
+}
+
+// TestLargeFleet checks that each host counts the requests of all hosts once, until they are heard no more.
+func TestLargeFleet(t *testing.T) {
+	data, err := os.ReadFile("../../operator/document/testdata/sample.hujson")
+	if err != nil {
+		t.Fatal(err)
+	}
+	doc, err := document.Parse(data, "sample")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name string
+		dead string // from when the load is known
+		want map[string]int
+	}{
+		{"all run", "", map[string]int{"relay": 3, "h1": 3, "h2": 3}},
+		{"a host dies", "h1", map[string]int{"relay": 1, "h2": 1}},
+		{"the relay dies", "relay", map[string]int{"h1": 2, "h2": 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				z := newZone(t, doc)
+				ctx, cancel := context.WithCancel(t.Context())
+				go z.run(ctx)
+				time.Sleep(time.Second)
+				for _, id := range []string{"h1", "h1", "h2"} {
+					d, _ := z.fleets[id].Pool("libro")
+					_, err := d.Acquire(ctx, pool.Request{Customer: "laredo", Class: "query"})
+					is.NoErr(err)
+				}
+				time.Sleep(4 * sharePeriod)
+				for id := range z.fleets {
+					is.Equal(z.fleets[id].Want("libro").Running, 3)
+				}
+				z.dead.Store(c.dead)
+				time.Sleep(spread.Life(sharePeriod)*2 + 2*sharePeriod)
+				for id, want := range c.want {
+					is.Equal(z.fleets[id].Want("libro").Running, want)
+				}
+				cancel()
+				time.Sleep(sharePeriod)
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/internal/upstream/fleet/summary.go
+++ b/internal/upstream/fleet/summary.go
@@ -47,6 +47,10 @@
 // publish tells the other hosts what waits and runs here.
 func (f *Fleet) publish() {
 	now := f.options.Clock.Now()
+	if period, combined := f.options.Spread.Period(); combined {
+		f.publishDigests(now, period)
+		return
+	}
 	for _, e := range f.entries() {
 		data, err := cbor.Marshal(summary{Pool: e.Name(), Host: f.options.Host, Body: e.Summary(), Loads: e.takeLoads()})
 		if err != nil {
@@ -62,13 +66,17 @@
 	if !strings.HasPrefix(r.Key(), keyPrefix) {
 		return
 	}
+	if name, source := spread.SplitSoftKey(r.Key()); spread.IsResult(r.Key()) {
+		f.takeDigest(strings.TrimPrefix(name, keyPrefix), source, r.Value())
+		return
+	}
 	var s summary
 	if err := cbor.Unmarshal(r.Value(), &s); err != nil {
 		f.options.Log.Warn("summary of a peer cannot be read", zap.Error(err))
 		return
 	}
 	e, ok := f.entry(s.Pool)
-	if !ok || s.Host == f.options.Host {
+	if !ok || s.Pool == "" || s.Host == f.options.Host {
 		return
 	}
 	e.Peer(s.Host, s.Body)
