--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -109,16 +109,7 @@
 	defer stopLeave()
 	stopUp := f.options.Spread.Watch(upTopic, f.takeUp)
 	defer stopUp()
-	tick := time.NewTicker(summaryInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			f.publish()
-		}
-	}
+	clock.Every(ctx, summaryInterval, f.publish)
 }
 
 // Apply makes the pools those of doc. A pool that stays keeps its queue and running requests.
