Write down how load is combined, and what it costs at two years' size

The capacity page assumed summaries of 80 bytes for a pool, combined by a function that the daemon did not set, and left out limits.

The division of upstreams' slots happens when a host comes or goes; the row had reckoned one every 35 s, while pools with 349 summaries divided them every 175 ms. The choice of what to poll is a row of its own. The combining itself is not in it yet.

--- a/internal/host/capacity/model.go
+++ b/internal/host/capacity/model.go
@@ -111,6 +111,7 @@
 	routeDecision  = "route.decision"
 	routeShare     = "route.share"
 	upstreamPoll   = "upstream.poll"
+	pollTurn       = "poll.turn"
 	requestCPU     = "request.cpu" // microseconds that the router adds to a request
 	eventCPU       = "event.cpu"   // microseconds that it adds to a streamed event
 	usageCommits   = "usage.commits"
@@ -128,7 +129,7 @@
 var slopes = []string{
 	packetOverhead, packetCPU, hostTick, relayPackets, relayPayload, hostPackets, hostPayload, changePackets, changePayload,
 	changeLink, changeSmall, changeCPU, changeTime, changeFault, keyPackets, keyPayload, spreadKeyHeap, spreadDocHeap,
-	documentHeap, documentParse, keyHeap, memberHeap, limitHeap, poolHeap, keyLookup, poolTick, poolArrive, routeDecision, routeShare, upstreamPoll,
+	documentHeap, documentParse, keyHeap, memberHeap, limitHeap, poolHeap, keyLookup, poolTick, poolArrive, routeDecision, routeShare, upstreamPoll, pollTurn,
 	requestCPU, eventCPU, usageCommits, usageRow, usageReport, claimWrites, claimReads, claimKept, leaseWrites, startReads, changeWrites, changeReads,
 }
 
--- a/internal/host/capacity/role.go
+++ b/internal/host/capacity/role.go
@@ -12,13 +12,12 @@
 
 // Times of the mechanisms, as set in the packages named.
 const (
-	hostTicks    = 20 // a second, node
-	poolTicks    = 40 // a second, dispatch
-	watchTime    = 50 // seconds that a watch waits, store
-	watchHosts   = 2  // hosts in each zone that watch the store at most
-	watches      = 2  // prefixes that they watch: documents and keys
-	pollWatchers = 2  // hosts that poll an upstream
-	splitPeriod  = 0.1
+	hostTicks    = 20  // a second, node
+	poolTicks    = 40  // a second, dispatch
+	watchTime    = 50  // seconds that a watch waits, store
+	watchHosts   = 2   // hosts in each zone that watch the store at most
+	watches      = 2   // prefixes that they watch: documents and keys
+	pollWatchers = 2   // hosts that poll an upstream
 	leaseRenew   = 5   // seconds, lease
 	candidates   = 4   // hosts that try to get each lease, one of them drawn
 	burnSave     = 300 // seconds between savings of a host's counts, tally
@@ -76,7 +75,7 @@
 			m.heartbeats("heartbeats and load, to hosts, relays and zones (member, spread)", m.slope(relayPackets), m.slope(relayPayload)),
 			m.changes("changes, passed on (spread)", m.fanout()),
 		}, m.common()...),
-		Breaks: "bytes, by the load summaries: 80 bytes for each pool and zone every 12 s",
+		Breaks: "bytes, by the load summaries of pools and limits every 12 s",
 	}
 	return []Role{entry, relay}
 }
@@ -126,7 +125,8 @@
 			Heap: m.slope(documentHeap) * kibi / mega},
 		{Mechanism: "copies for hosts that start (spread)", Bytes: 2 * s.Starts / secondsPerDay * copyBytes / s.Hosts},
 		{Mechanism: "expiry and ageing in queues (pool)", CPU: s.Pools * poolTicks * m.slope(poolTick) * micro * percent},
-		{Mechanism: "division of slots among hosts (route)", CPU: s.Pools * m.slope(routeShare) / (s.Hosts * splitPeriod) * micro * percent},
+		{Mechanism: "division of slots when a host comes or goes (route)", CPU: s.Pools * m.slope(routeShare) * 2 * s.Starts / secondsPerDay * micro * percent},
+		{Mechanism: "choice of the upstreams to read (poll)", CPU: s.Upstreams * m.slope(pollTurn) * micro * percent},
 		{Mechanism: "reading the load of upstreams (poll)", Messages: polls, CPU: polls * m.slope(upstreamPoll) * micro * percent},
 	}
 }
