--- a/internal/policy/pool/pool.go
+++ b/internal/policy/pool/pool.go
@@ -99,6 +99,8 @@
 	spare   []int     // by tier, free slots that are kept for higher tiers
 	first   time.Duration
 	peers   map[string]peer
+	crowds  crowds
+	sized   map[string]int // slots by upstream, those that leave excepted
 
 	round   uint64
 	allowed queue.Filter
@@ -129,6 +131,8 @@
 		calls:   make(map[uint64]*call),
 		counts:  make(map[string]int),
 		peers:   make(map[string]peer),
+		crowds:  newCrowds(conf.Host),
+		sized:   make(map[string]int),
 	}
 	p.setClasses(conf.Classes)
 	p.allowed = queue.Filter{Class: p.allows, Customer: p.mayStart}
@@ -161,12 +165,14 @@
 	p.table.Set(now, ups)
 	p.slots = 0
 	clear(p.cheap)
+	clear(p.sized)
 	for _, u := range ups {
 		if u.Reclaimable() {
 			p.cheap[u.ID()] = true
 		}
 		if !u.Leaving() {
 			p.slots += u.Slots()
+			p.sized[u.ID()] = u.Slots()
 		}
 	}
 	p.split(now)
