--- a/cmd/hickorypath/host.go
+++ b/cmd/hickorypath/host.go
@@ -28,6 +28,7 @@
 	"hickorypath/internal/host/spread"
 	"hickorypath/internal/operator/follow"
 	"hickorypath/internal/operator/meter"
+	"hickorypath/internal/policy/route"
 	"hickorypath/internal/upstream/dispatch"
 	"hickorypath/internal/upstream/fleet"
 	"hickorypath/internal/upstream/wire"
@@ -96,6 +97,7 @@
 	chat := openai.New(runner)
 	services := callerservice.New(runner)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		reply.UnboundWrite(http.NewResponseController(w))
 		switch {
 		case strings.HasPrefix(r.URL.Path, "/v1/"):
 			chat.ServeHTTP(w, r)
@@ -184,7 +186,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), h.settings.ShutdownTimeout())
 	defer cancel()
 	get[*node.Node](h.injector).Leave(ctx)
-	pause(ctx, h.settings.DrainNotice())
+	clock.Pause(ctx, h.settings.DrainNotice())
 	err := h.caller.Shutdown(ctx)
 	h.settleUsage(ctx)
 	_ = h.admin.Shutdown(ctx)
@@ -192,15 +194,6 @@
 	return err
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // staticTargets returns the plain services that the settings list.
 func staticTargets(services []settings.Service) map[string][]dispatch.Target {
 	byPool := lo.GroupBy(services, func(s settings.Service) string { return s.Pool })
@@ -216,6 +209,13 @@
 	return lo.FilterMap(members, func(m member.Member, _ int) (string, bool) { return m.ID(), m.Alive() })
 }
 
+// zonedHosts returns the live hosts with their zones and equal demand.
+func zonedHosts(members []member.Member) []route.Host {
+	return lo.FilterMap(members, func(m member.Member, _ int) (route.Host, bool) {
+		return route.Host{ID: m.ID(), Zone: m.Zone(), Demand: 1}, m.Alive()
+	})
+}
+
 // isWatcher reports whether a host is among the first live ones of its zone, by name.
 func isWatcher(members []member.Member, self, zone string) bool {
 	names := lo.FilterMap(members, func(m member.Member, _ int) (string, bool) {
--- a/cmd/hickorypath/wire.go
+++ b/cmd/hickorypath/wire.go
@@ -26,6 +26,7 @@
 	"hickorypath/internal/platform/store"
 	"hickorypath/internal/platform/usage"
 	"hickorypath/internal/policy/retry"
+	"hickorypath/internal/policy/route"
 	"hickorypath/internal/policy/suspect"
 	"hickorypath/internal/upstream/duty"
 	"hickorypath/internal/upstream/engine"
@@ -97,6 +98,7 @@
 		Roster: roster.NewHTTP(s.Platform().Roster, &http.Client{Timeout: s.StoreTimeout()}).List,
 		Clock:  get[clock.Clock](i),
 		Log:    get[*zap.Logger](i),
+		Merge:  mergeLoads,
 		Revision: func() uint64 {
 			_, revision := live.Load()
 			return revision
@@ -104,6 +106,14 @@
 	})
 }
 
+// mergeLoads combines what the hosts of a zone tell the others.
+func mergeLoads(_, name string, values [][]byte) []byte {
+	if data, ok := fleet.Merge(name, values); ok {
+		return data
+	}
+	return quota.Merge(values)
+}
+
 func peerTLS(p settings.Peer) (*tls.Config, error) {
 	if p.Cert == "" {
 		return peer.NewTLSSecret(p.Secret)
@@ -133,6 +143,7 @@
 		Load:   engines.Load,
 		Events: engines.Events,
 		Hosts:  func() []string { return liveHosts(n.Members()) },
+		Zoned:  func() []route.Host { return zonedHosts(n.Members()) },
 	}), nil
 }
 
@@ -197,8 +208,10 @@
 	return service.New(service.Options{Dial: wire.NewDial()}), nil
 }
 
-func provideSuspects(do.Injector) (*exchange.Suspects, error) {
-	return exchange.NewSuspects(suspect.Config{}), nil
+func provideSuspects(i do.Injector) (*exchange.Suspects, error) {
+	n := get[*node.Node](i)
+	config := suspect.Config{Host: get[*settings.Settings](i).Host()}
+	return exchange.NewSuspects(config, tellTurn(n.Spread(), get[clock.Clock](i))), nil
 }
 
 func provideRetries(do.Injector) (*exchange.Retries, error) {
--- a/internal/caller/exchange/exchange_test.go
+++ b/internal/caller/exchange/exchange_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -72,12 +73,15 @@
 	gate    *standinstore.Gate
 	client  *engine.Client
 	runner  *exchange.Runner
+	mu      sync.Mutex // guards what follows
 	bills   []exchange.Bill
 	endings []exchange.Ending
+
 	crashes atomic.Int64
 	// suspects counts the suspicions that were told to other hosts.
 	suspects atomic.Int64
 	latency  time.Duration // of the question whether an upstream answers
+	mute     bool          // no upstream answers that question
 }
 
 // within runs f in a world with two engines and a plain service.
@@ -150,7 +154,7 @@
 	backend := store.New(w.gate.Backend(store.NewMemory(c).Backend()), store.Options{Clock: c, Rand: rand.New(rand.NewPCG(1, 2))})
 	w.runner = exchange.New(exchange.Deps{
 		Clock: c, Log: zap.NewNop(), Document: live, Keys: w.keys, Engines: w.client, Services: services,
-		Suspects: exchange.NewSuspects(suspect.Config{}), Retries: exchange.NewRetries(retry.Config{}),
+		Suspects: exchange.NewSuspects(suspect.Config{Host: "h1"}, func(suspect.Turn) {}), Retries: exchange.NewRetries(retry.Config{}),
 		Pool: func(name string) (*dispatch.Dispatcher, bool) {
 			if name != "ledger" {
 				name = "asesor" // the engines serve every model
@@ -162,15 +166,23 @@
 		Alive: func(ctx context.Context, _, addr string) bool {
 			time.Sleep(w.latency)
 			_, err := w.client.Load(ctx, addr)
-			return err == nil
+			return err == nil && !w.mute
 		},
 		IsDown: func(string, string) bool { return false },
 		Crashed: func(_, _ string, s []suspect.Suspicion, _ []suspect.Quarantine) {
 			w.crashes.Add(1)
 			w.suspects.Add(int64(len(s)))
 		},
-		Bill:    func(b exchange.Bill) { w.bills = append(w.bills, b) },
-		Observe: func(e exchange.Ending) { w.endings = append(w.endings, e) },
+		Bill: func(b exchange.Bill) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.bills = append(w.bills, b)
+		},
+		Observe: func(e exchange.Ending) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.endings = append(w.endings, e)
+		},
 	})
 }
 
@@ -234,7 +246,7 @@
 func (w *world) seen() int {
 	n := 0
 	for _, e := range w.engines {
-		n += len(e.Seen())
+		n += len(e.Calls())
 	}
 	return n
 }
--- a/internal/caller/exchange/fault_test.go
+++ b/internal/caller/exchange/fault_test.go
@@ -39,6 +39,13 @@
 		{"connection silent, stream resumed", call{model: "again"}, nil, silence, "", "", 2, length, 0},
 		{"engine crashed, not repeatable", call{model: "once"}, nil, crash, kind.Lost, kind.RanMaybe, 1, 0, 4},
 		{"engine crashed, claimed call", call{model: "once", key: "k1"}, nil, crash, kind.Lost, kind.RanMaybe, 1, 0, 4},
+		{"silent before the first token, not repeatable", call{model: "once"}, silenceEarly, nil, kind.Silent, kind.RanMaybe, 1, 0, 0},
+		{"silent before the first token, claimed call", call{model: "once", key: "k1"}, silenceEarly, nil, kind.Silent, kind.RanMaybe, 1, 0, 0},
+		{"silent before the first token", call{model: "again"}, silenceEarly, nil, "", "", 2, length, 0},
+		{"silent, not streamed, not repeatable", call{model: "once", plain: true}, silenceEarly, nil, kind.Silent, kind.RanMaybe, 1, 0, 0},
+		{"answer of another request, not repeatable", call{model: "once"}, crossAll, nil, kind.Crossed, kind.RanMaybe, 1, 0, 0},
+		{"answers of other requests only", call{model: "again"}, crossAll, nil, kind.Crossed, kind.RanMaybe, 2, 0, 0},
+		{"stream changes to another answer, not repeatable", call{model: "once"}, spliceAll, nil, kind.Crossed, kind.RanMaybe, 1, 0, 1},
 		{"connections refused", call{model: "once"}, refuse, nil, kind.Unavailable, kind.RanNo, 0, 0, 0},
 		{"all reject", call{model: "once"}, rejectAll, nil, kind.Rejected, kind.RanNo, 2, 0, 0},
 	}
@@ -91,6 +98,23 @@
 	}
 }
 
+// silenceEarly makes the connections silent after the request was read and before its first token.
+func silenceEarly(w *world) {
+	time.AfterFunc(gap/2, func() { silence(w, nil) })
+}
+
+func crossAll(w *world) {
+	for _, e := range w.engines {
+		e.Strike("cross", -1)
+	}
+}
+
+func spliceAll(w *world) {
+	for _, e := range w.engines {
+		e.Strike("splice", -1)
+	}
+}
+
 func withdraw(w *world, _ func()) { w.True(w.keys.Put(w.record.Withdraw(time.Now()))) }
 
 func stallAll(w *world) {
@@ -101,7 +125,7 @@
 
 func rejectAll(w *world) {
 	for _, e := range w.engines {
-		e.Reject(-1)
+		e.Strike("reject", -1)
 	}
 }
 
@@ -191,3 +215,35 @@
 	w.NoErr(err)
 	return string(got)
 }
+
+// TestWithdrawnKeyEndsItsCallAtOnce withdraws the key while a call streams, waits for its whole answer, or stalls.
+func TestWithdrawnKeyEndsItsCallAtOnce(t *testing.T) {
+	cases := []struct {
+		name   string
+		call   call
+		before func(w *world)
+	}{
+		{"streams", call{model: "again"}, nil},
+		{"not streamed", call{model: "again", plain: true}, nil},
+		{"not repeatable", call{model: "once", key: "k1"}, nil},
+		{"stalled", call{model: "again"}, stallAll},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			within(t, func(w *world) {
+				if c.before != nil {
+					c.before(w)
+				}
+				var withdrawn time.Time
+				time.AfterFunc(gap*3/2, func() {
+					withdrawn = time.Now()
+					withdraw(w, nil)
+				})
+				a := w.chat(w.ctx, c.call)
+				w.Equal(kind.Of(a.err), kind.Withdrawn)
+				w.Equal(time.Now(), withdrawn)
+				w.Equal(w.billed(), 0)
+			})
+		})
+	}
+}
--- a/internal/policy/pool/dispatch.go
+++ b/internal/policy/pool/dispatch.go
@@ -32,16 +32,12 @@
 	p.round++
 	p.retryAside(now)
 	for p.total < p.limit {
-		it, floor := p.queue.Peek(p.isAllowed)
+		it, floor := p.queue.Peek(p.allowed)
 		if it == nil {
 			return
 		}
 		c := p.calls[it.ID]
 		c.floor = c.late || floor
-		if p.leavesRoom(c) {
-			c.class.blocked = p.round
-			continue
-		}
 		up, cheap, ok := p.pick(now, c)
 		switch {
 		case ok:
@@ -95,7 +91,7 @@
 	c.started, c.upstream, c.solid = now, up, !p.cheap[up]
 	p.table.Start(now, up, c.ID, c.work(cheap))
 	p.counts[up]++
-	p.holds[c.Customer]++
+	c.class.holds[c.Customer]++
 	p.running[c.class.Tier]++
 	p.total++
 	c.class.running++
@@ -111,8 +107,8 @@
 	if p.counts[c.upstream]--; p.counts[c.upstream] == 0 {
 		delete(p.counts, c.upstream)
 	}
-	if p.holds[c.Customer]--; p.holds[c.Customer] == 0 {
-		delete(p.holds, c.Customer)
+	if c.class.holds[c.Customer]--; c.class.holds[c.Customer] == 0 {
+		delete(c.class.holds, c.Customer)
 	}
 	p.running[c.class.Tier]--
 	p.total--
@@ -132,8 +128,13 @@
 	}
 	if c.emitted == 0 {
 		p.seen(now, c, now.Sub(c.started))
+		c.marked, c.mark = now, n
 	}
 	c.emitted += n
+	if sum := c.emitted - c.mark; sum >= gapTokens {
+		p.table.Gap(now, c.upstream, now.Sub(c.marked)/time.Duration(sum))
+		c.marked, c.mark = now, c.emitted
+	}
 	if float64(c.emitted) > c.charged {
 		total := float64(c.emitted) + c.flow.Remaining(c.emitted, c.Max)
 		p.queue.Charge(&c.item, total-c.charged)
@@ -155,7 +156,7 @@
 	if c.emitted == 0 && r.First > 0 {
 		p.seen(now, c, r.First)
 	}
-	if r.Gap > 0 {
+	if r.Gap > 0 && c.emitted < gapTokens {
 		p.table.Gap(now, c.upstream, r.Gap)
 	}
 	p.queue.Charge(&c.item, float64(r.Output)-c.charged)
@@ -191,13 +192,21 @@
 	if held := p.gate.Held(now); held >= 0 {
 		p.shedBelow(now, held)
 	}
-	if now.Sub(p.divided) >= time.Duration(len(p.peers))*splitPeriod {
+	if now.Sub(p.divided) >= p.splitEvery() {
 		p.split(now)
 	}
 	p.dispatch(now)
 	return p.flush()
 }
 
+// splitEvery returns the least time between two divisions of the slots among hosts.
+func (p *Pool) splitEvery() time.Duration {
+	if len(p.crowds.known) > 0 {
+		return crowdPeriod
+	}
+	return time.Duration(len(p.peers)) * splitPeriod
+}
+
 func (p *Pool) expire(now time.Time) {
 	for c := p.expiry.first(now); c != nil; c = p.expiry.first(now) {
 		p.drop(c)
--- a/internal/policy/pool/pool.go
+++ b/internal/policy/pool/pool.go
@@ -31,19 +31,18 @@
 	floorWait = 150 * time.Millisecond
 	// spareFactor scales the slots that are left free for the arrivals of higher tiers.
 	spareFactor = 1
-	// largePart is the part of a host's slots above which a customer leaves room for the others.
-	largePart = 0.33
+	// largePart is the part of a host's slots above which a customer of a class leaves room for the others.
+	largePart = 0.17
 	// maxSpare is the largest part of the slots that is left free.
 	maxSpare = 0.25
 	// lookAhead is the time whose arrivals a host asks slots for in advance.
 	lookAhead = 400 * time.Millisecond
+	// gapTokens is the number of tokens whose mean gap is one sample of an upstream's speed.
+	gapTokens = 16
 	// splitPeriod is the least time, per other host, between two divisions of the slots among hosts.
 	splitPeriod = 500 * time.Microsecond
 	// sharePeriod is the least time between two divisions of each upstream's slots.
 	sharePeriod = 100 * time.Millisecond
-	// loneWait is the longest queueing of a request that runs only where no other suspect does: hosts take
-	// turns to run such requests.
-	loneWait = 30 * time.Second
 	// peerTime is how long the summary of another host counts.
 	peerTime = 1800 * time.Millisecond
 )
@@ -92,7 +91,6 @@
 	counts  map[string]int     // running by upstream
 	cheap   map[string]bool    // reclaimable upstreams
 	outside map[string]outside // by upstream
-	holds   map[string]int     // running by customer
 
 	slots   int       // of all upstreams
 	limit   int       // of slots, the part for this host
@@ -101,16 +99,19 @@
 	spare   []int     // by tier, free slots that are kept for higher tiers
 	first   time.Duration
 	peers   map[string]peer
+	crowds  crowds
+	sized   map[string]int // slots by upstream, those that leave excepted
 
-	round     uint64
-	isAllowed func(class string, floor bool) bool
-	out       []Decision
+	round   uint64
+	allowed queue.Filter
+	out     []Decision
 }
 
 type class struct {
 	Class
 	running int
-	solid   int // of running, those on durable upstreams
+	holds   map[string]int // running by customer
+	solid   int            // of running, those on durable upstreams
 	blocked uint64
 	part    float64 // share of its tier, by weight
 }
@@ -129,11 +130,12 @@
 		expect:  conf.Expect,
 		calls:   make(map[uint64]*call),
 		counts:  make(map[string]int),
-		holds:   make(map[string]int),
 		peers:   make(map[string]peer),
+		crowds:  newCrowds(conf.Host),
+		sized:   make(map[string]int),
 	}
 	p.setClasses(conf.Classes)
-	p.isAllowed = p.allows
+	p.allowed = queue.Filter{Class: p.allows, Customer: p.mayStart}
 	return p
 }
 
@@ -155,7 +157,7 @@
 	if c.Weight <= 0 {
 		c.Weight = 1
 	}
-	return &class{Class: c}
+	return &class{Class: c, holds: make(map[string]int)}
 }
 
 // Upstreams replaces the set of upstreams and starts what can run on new ones.
@@ -163,12 +165,14 @@
 	p.table.Set(now, ups)
 	p.slots = 0
 	clear(p.cheap)
+	clear(p.sized)
 	for _, u := range ups {
 		if u.Reclaimable() {
 			p.cheap[u.ID()] = true
 		}
 		if !u.Leaving() {
 			p.slots += u.Slots()
+			p.sized[u.ID()] = u.Slots()
 		}
 	}
 	p.split(now)
--- a/internal/policy/queue/class.go
+++ b/internal/policy/queue/class.go
@@ -45,6 +45,15 @@
 
 func (c *class) head() *Item { return c.heap[0].first }
 
+// next returns the first request of the first customer that allowed lets pass, or nil.
+func (c *class) next(allowed Filter) *Item {
+	f := c.heap.least(0, allowed)
+	if f == nil {
+		return nil
+	}
+	return f.first
+}
+
 func (c *class) push(it *Item) {
 	f := c.flow(it)
 	it.flow, it.owner = f, f
@@ -175,6 +184,22 @@
 	c.credit = math.Min(c.credit+cost*c.conf.Floor, c.limit)
 }
 
+// debit lowers the credit by cost, to no less than a debt of cost, and returns by how much.
+func (c *class) debit(cost float64) float64 {
+	debit := math.Max(0, math.Min(cost, c.credit+cost))
+	c.credit -= debit
+	return debit
+}
+
+// correct follows a correction of the charge of it by delta. The debt stays within the limit, and what was
+// not debited is not given back: a class that is served well would else earn credit from each short answer.
+func (c *class) correct(it *Item, delta float64) {
+	room := c.credit + math.Max(c.limit, it.Cost)
+	debit := math.Max(-it.debit, math.Min(delta, math.Max(0, room)))
+	it.debit += debit
+	c.credit -= debit
+}
+
 // patience is the service after its last arrival during which a class counts as waiting.
 func (c *class) patience(cost float64) float64 {
 	if c.conf.Floor <= 0 {
@@ -212,6 +237,22 @@
 // flowHeap is a min-heap of flows by start tag.
 type flowHeap []*flow
 
+// least returns the flow with the least tag that allowed lets pass, among the one at i and those below
+// it in the heap. It looks below a flow that is passed over only.
+func (h flowHeap) least(i int, allowed Filter) *flow {
+	if i >= len(h) {
+		return nil
+	}
+	if allowed.customer(h[i].first) {
+		return h[i]
+	}
+	left, right := h.least(2*i+1, allowed), h.least(2*i+2, allowed)
+	if left == nil || (right != nil && right.tag < left.tag) {
+		return right
+	}
+	return left
+}
+
 // Len implements heap.Interface.
 func (h flowHeap) Len() int { return len(h) }
 
