--- a/internal/platform/usage/crash_test.go
+++ b/internal/platform/usage/crash_test.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"net/http/httptest"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"hickorypath/internal/core/clock"
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/platform/store"
 	"hickorypath/internal/platform/usage"
@@ -70,6 +73,55 @@
 	return lost
 }
 
+// The commits of all hosts together stay within 100 a second, also when the fleet grows while they run.
+func TestIntervalFollowsFleet(t *testing.T) {
+	cases := []struct {
+		hosts   int
+		every   time.Duration
+		commits int // in a minute
+	}{
+		{7, time.Second, 60},
+		{100, time.Second, 60},
+		{350, 3500 * time.Millisecond, 17},
+		{1000, 10 * time.Second, 6},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c.hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				k := clock.NewWall()
+				client := store.New(store.NewMemory(k).Backend(), store.Options{Clock: k})
+				fleet := 1
+				r := usage.New(client, k, usage.Options{Host: "h", Incarnation: "1", Window: 24 * time.Hour, Hosts: func() int { return fleet }})
+				fleet = c.hosts // known after the start
+				is.Equal(r.Interval(), c.every)
+				go r.Run(t.Context())
+				puts := func() (n uint64) {
+					for count, calls := range client.Counts() {
+						if count.IsWrite() {
+							n += calls
+						}
+					}
+					return n
+				}
+				add(r, 2*c.every)
+				before := puts()
+				add(r, time.Minute)
+				made := int(puts() - before)
+				is.True(made >= c.commits-1 && made <= c.commits+1) // by where the minute begins
+			})
+		})
+	}
+}
+
+// add records a request each tenth of a second.
+func add(r *usage.Recorder, span time.Duration) {
+	for range span / (100 * time.Millisecond) {
+		r.Add(usage.Record{Customer: "c", Output: 1})
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 func TestRequestIsRecordedOnce(t *testing.T) {
 	is := is.New(t)
 	is.NoErr(bubble(t, 1, func(t *testing.T, w *world) {
@@ -82,6 +134,35 @@
 	}))
 }
 
+// A reporter that dies between freezing a window and emptying its parts leaves them behind. They are not
+// counted again, also not when the marks of their hosts are forgotten.
+func TestReporterDiesBeforeClean(t *testing.T) {
+	is := is.New(t)
+	const days = 24 * time.Hour
+	is.NoErr(bubble(t, 1, func(t *testing.T, w *world) {
+		w.length, w.pass = time.Hour, time.Minute
+		w.start(t, nil)
+		w.start(t, nil)
+		w.traffic(time.Minute)
+		w.leave(t, 1, 1) // its part is not written again
+		w.start(t, nil)
+		var once sync.Once
+		w.onPut = func(host, key string) {
+			if !strings.HasPrefix(key, "usage/window/") {
+				return
+			}
+			once.Do(func() {
+				for _, h := range w.hosts {
+					if h.name == host {
+						h.gate.Pause(9 * days)
+					}
+				}
+			})
+		}
+		time.Sleep(10 * days)
+	}))
+}
+
 // What a host handed over counts once, also when it reaches another host long after it was counted.
 func TestLateImport(t *testing.T) {
 	cases := []struct {
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -44,11 +44,14 @@
 	Events func(ctx context.Context, addr string, after int) (engine.Events, error)
 	// Hosts returns the live hosts, among whom the polling of engines is shared.
 	Hosts func() []string
+	// Zoned returns the live hosts with their zones, among which the slots of a large fleet are divided.
+	Zoned func() []route.Host
 }
 
 // Fleet is the set of dispatchers of one host. It is safe for concurrent use.
 type Fleet struct {
 	options Options
+	turns   *poll.Turns
 
 	mu      sync.Mutex
 	ctx     context.Context
@@ -56,6 +59,8 @@
 	targets map[string][]dispatch.Target // by pool
 	slots   map[string]int               // of one upstream, by pool
 	classes []pool.Class
+
+	digested time.Time // when the digests were published last; used by Run alone
 }
 
 // entry is one pool. Plain services report no load and have no poller.
@@ -69,6 +74,8 @@
 	peers    map[string]peer
 	troubles map[string]trouble    // by upstream
 	last     map[string]route.Load // the last report of each upstream
+
+	inquiries map[string]inquiry // by upstream
 }
 
 // peer is what another host runs.
@@ -81,6 +88,7 @@
 func New(o Options) *Fleet {
 	return &Fleet{
 		options: o,
+		turns:   poll.NewTurns(o.Host, o.Hosts, o.Clock.Now),
 		pools:   map[string]*entry{},
 		targets: map[string][]dispatch.Target{},
 		slots:   map[string]int{},
@@ -99,6 +107,8 @@
 	defer stop()
 	stopLeave := f.options.Spread.Watch(leaveTopic, f.takeLeave)
 	defer stopLeave()
+	stopUp := f.options.Spread.Watch(upTopic, f.takeUp)
+	defer stopUp()
 	clock.Every(ctx, summaryInterval, f.publish)
 }
 
@@ -137,6 +147,7 @@
 		peers:      map[string]peer{},
 		troubles:   map[string]trouble{},
 		last:       map[string]route.Load{},
+		inquiries:  map[string]inquiry{},
 		stop:       func() {},
 	}
 	if p.Kind() == document.Engine {
@@ -156,6 +167,7 @@
 			e.loaded(id, l)
 			if e.noteUp(id, l.At) {
 				f.refreshPool(name)
+				f.tellUp(name, id, l.At)
 			}
 		},
 		Failed: func(id string, _ error) {
@@ -165,7 +177,7 @@
 		},
 		Cached: e.Cached,
 		Mine: func(id string) bool {
-			return poll.Mine(f.options.Host, f.options.Hosts(), id)
+			return f.turns.Mine(id) || e.isInquiring(id, f.options.Clock.Now())
 		},
 	})
 }
@@ -313,7 +325,8 @@
 }
 
 // Running returns how many requests an upstream runs: those that the known hosts count, or those that it
-// reports itself if they are more. Heard tells whether it reported lately.
+// reports itself if they are more. Heard tells whether it reported lately. In a large fleet, where hosts do not
+// know each other's requests, an upstream that leaves is asked.
 func (f *Fleet) Running(name, upstream string) (n int, heard bool) {
 	e, ok := f.entry(name)
 	if !ok {
@@ -321,7 +334,11 @@
 	}
 	now := f.options.Clock.Now()
 	reported, heard := e.reported(upstream, now)
-	return max(reported, e.Running(upstream)+e.runningElsewhere(upstream, now)), heard
+	n = max(reported, e.Running(upstream)+e.runningElsewhere(upstream, now))
+	if f.isLarge() && f.IsLeaving(upstream) && e.inquire(upstream, now) && !heard {
+		n = max(1, n) // other hosts' requests are not known before the upstream tells
+	}
+	return n, heard
 }
 
 // Pools returns all dispatchers in the order of their names.
