--- a/cmd/hickorypath/duties.go
+++ b/cmd/hickorypath/duties.go
@@ -89,10 +89,12 @@
 func provideRecorder(i do.Injector) (*usage.Recorder, error) {
 	s := get[*settings.Settings](i)
 	id := get[identity](i)
+	n := get[*node.Node](i)
 	return usage.New(get[*store.Client](i), get[clock.Clock](i), usage.Options{
 		Host:        id.host,
 		Incarnation: id.incarnation,
 		Window:      s.Window(),
+		Hosts:       func() int { return len(n.Members()) },
 		Log:         get[*zap.Logger](i),
 	}), nil
 }
@@ -124,6 +126,7 @@
 		Grace:   min(s.Window(), maxGrace),
 		Every:   min(s.Window(), maxPass),
 		Timeout: s.OrderTimeout(),
+		Hosts:   func() int { return len(n.Members()) },
 		Log:     get[*zap.Logger](i),
 	})
 	return &reporting{lease: l, reporter: r}, nil
--- a/internal/upstream/fleet/summary.go
+++ b/internal/upstream/fleet/summary.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"hickorypath/internal/host/spread"
@@ -29,6 +30,10 @@
 	Loads map[string]route.Load `cbor:"l,omitempty"`
 }
 
+// encoding keeps the times of load reports to the microsecond; whole seconds would make a report older than
+// the failure after which it was made.
+var encoding = lo.Must(cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode())
+
 // takeLoads returns the loads polled here since the last call.
 func (e *entry) takeLoads() map[string]route.Load {
 	e.mu.Lock()
@@ -47,8 +52,12 @@
 // publish tells the other hosts what waits and runs here.
 func (f *Fleet) publish() {
 	now := f.options.Clock.Now()
+	if period, combined := f.options.Spread.Period(); combined {
+		f.publishDigests(now, period)
+		return
+	}
 	for _, e := range f.entries() {
-		data, err := cbor.Marshal(summary{Pool: e.Name(), Host: f.options.Host, Body: e.Summary(), Loads: e.takeLoads()})
+		data, err := encoding.Marshal(summary{Pool: e.Name(), Host: f.options.Host, Body: e.Summary(), Loads: e.takeLoads()})
 		if err != nil {
 			f.options.Log.Error("summary cannot be encoded", zap.Error(err))
 			continue
@@ -62,13 +71,17 @@
 	if !strings.HasPrefix(r.Key(), keyPrefix) {
 		return
 	}
+	if name, source := spread.SplitSoftKey(r.Key()); spread.IsResult(r.Key()) {
+		f.takeDigest(strings.TrimPrefix(name, keyPrefix), source, r.Value())
+		return
+	}
 	var s summary
 	if err := cbor.Unmarshal(r.Value(), &s); err != nil {
 		f.options.Log.Warn("summary of a peer cannot be read", zap.Error(err))
 		return
 	}
 	e, ok := f.entry(s.Pool)
-	if !ok || s.Host == f.options.Host {
+	if !ok || s.Pool == "" || s.Host == f.options.Host {
 		return
 	}
 	e.Peer(s.Host, s.Body)
