Refuse no good key while a host starts

Cause: a host that started served at once, and refused every key that it had not got yet with 401. From the store the document came before the keys, from other hosts they came in any order; the balancer saw the host healthy all the time. Client libraries do not repeat after 401. The tests that start hosts asked until they got an answer, which hid it.

Ruled out: waiting for the store, during whose outage a started host must serve; a marker after the last key, which may arrive first.

Change: a host is ready when it has read keys and then document from the store, or when its digest of all records equals that in the heartbeat of a host with an applied revision; hosts that are not ready send revision 0. Until then an unknown key gets kind "unavailable" and the health check fails. The tests that start processes now fail on any answer but 503 before the first 200; the restart of a whole fleet without store now also runs with a fifth of the datagrams lost and with three hosts at once, and checks that each host has all keys when it is ready.

--- a/cmd/hickorypath/host.go
+++ b/cmd/hickorypath/host.go
@@ -122,6 +122,9 @@
 	if h.leaving.Load() {
 		return kind.New(kind.Draining, "the host is shutting down")
 	}
+	if !get[*follow.Readiness](h.injector).IsReady() {
+		return kind.New(kind.Unavailable, "the host does not have all keys and the document yet")
+	}
 	return nil
 }
 
--- a/cmd/hickorypath/process_test.go
+++ b/cmd/hickorypath/process_test.go
@@ -178,6 +178,18 @@
 	return p.send(h, call{http.MethodPost, "/v1/chat/completions", chatBody("asesor", false, text), p.keys[demoCustomer], nil})
 }
 
+// untilServed asks a host that starts until it answers. Before, it may only say that it is not ready.
+func (p *processes) untilServed(h *process, text string) {
+	p.t.Helper()
+	p.until(func() bool {
+		a := p.ask(h, text)
+		if a.status != http.StatusOK && a.status != http.StatusServiceUnavailable {
+			p.t.Fatalf("a host that starts answered %d: %s", a.status, a.body)
+		}
+		return a.status == http.StatusOK
+	})
+}
+
 // holder returns the host that holds a lease.
 func (p *processes) holder(name string, among []*process) *process {
 	for _, h := range among {
@@ -255,7 +267,7 @@
 	p.site.Store().Memory().Set(store.Faults{Down: true})
 	is.NoErr(p.hosts[0].cmd.Process.Kill())
 	h := p.start()
-	p.until(func() bool { return p.ask(h, "from a peer's copy").status == http.StatusOK })
+	p.untilServed(h, "from a peer's copy")
 	a := p.send(h, call{http.MethodPost, "/dues", `{"member":"Ana"}`, p.keys[demoCustomer], http.Header{"Idempotency-Key": {"k1"}}})
 	is.Equal(a.refusal().Error.Kind, kind.Claimless)
 	is.Equal(a.refusal().Error.Ran, kind.RanNo)
@@ -274,7 +286,7 @@
 	is.NoErr(p.hosts[0].cmd.Process.Kill())
 	p.site.Roster().Set(standinroster.Faults{Lag: settings.Duration(time.Hour)}) // the others do not read of it either
 	h := p.start()
-	p.until(func() bool { return p.ask(h, "with the other hosts' lists").status == http.StatusOK })
+	p.untilServed(h, "with the other hosts' lists")
 	is.Equal(p.send(h, call{method: http.MethodGet, path: "/help"}).status, http.StatusOK)
 }
 
--- a/cmd/hickorypath/wire.go
+++ b/cmd/hickorypath/wire.go
@@ -46,6 +46,7 @@
 	do.ProvideValue(i, key.NewTable())
 	do.ProvideValue(i, metrics.NewSet())
 	do.ProvideValue(i, identity{host: s.Host(), incarnation: exchange.NewID()})
+	do.ProvideValue(i, follow.NewReadiness())
 	do.Provide(i, provideListing)
 	do.Provide(i, provideStore)
 	do.Provide(i, provideVault)
@@ -91,6 +92,7 @@
 		return nil, err
 	}
 	live := get[*document.Live](i)
+	ready := get[*follow.Readiness](i)
 	return node.New(node.Options{
 		ID:     s.Host(),
 		Zone:   s.Zone(),
@@ -100,7 +102,11 @@
 		Clock:  get[clock.Clock](i),
 		Log:    get[*zap.Logger](i),
 		Merge:  mergeLoads,
+		Synced: ready.Set,
 		Revision: func() uint64 {
+			if !ready.IsReady() {
+				return 0
+			}
 			_, revision := live.Load()
 			return revision
 		},
@@ -176,6 +182,7 @@
 		Document:  get[*document.Live](i),
 		Keys:      get[*key.Table](i),
 		Log:       get[*zap.Logger](i),
+		Readiness: get[*follow.Readiness](i),
 		IsWatcher: func() bool { return isWatcher(n.Members(), s.Host(), s.Zone()) },
 		Changed: func(doc *document.Document, _ uint64) {
 			f.Apply(doc)
@@ -243,6 +250,7 @@
 		Retries:  get[*exchange.Retries](i),
 		Engines:  get[*engine.Client](i),
 		Services: get[*service.Client](i),
+		IsReady:  get[*follow.Readiness](i).IsReady,
 		Pool:     f.Pool,
 		Admit:    get[*quota.Quota](i).Admit,
 		Claim:    claimer(get[*claim.Book](i)),
--- a/internal/caller/exchange/exchange.go
+++ b/internal/caller/exchange/exchange.go
@@ -36,6 +36,8 @@
 	Engines  *engine.Client
 	Services *service.Client
 
+	// IsReady reports whether this host has all keys.
+	IsReady func() bool
 	// Pool returns the dispatcher of a pool of the document.
 	Pool func(name string) (*dispatch.Dispatcher, bool)
 	// Admit takes a request's share of its customer's and class's limits; done gives back what was not used.
@@ -106,6 +108,9 @@
 		return Identity{}, nil
 	}
 	customer, id, err := r.deps.Keys.Lookup(bearer)
+	if kind.Of(err) == kind.BadKey && !r.deps.IsReady() {
+		return Identity{}, kind.New(kind.Unavailable, "this host does not have all keys yet")
+	}
 	if err != nil {
 		return Identity{}, err
 	}
--- a/internal/caller/exchange/exchange_test.go
+++ b/internal/caller/exchange/exchange_test.go
@@ -62,20 +62,21 @@
 // world is one host's request path before stand-ins, on a network in memory and in virtual time.
 type world struct {
 	*is.I
-	ctx     context.Context
-	net     *pipe.Net
-	engines map[string]*standinengine.Engine
-	ledger  *standinservice.Service
-	pools   map[string]*dispatch.Dispatcher
-	keys    *key.Table
-	key     string
-	record  key.Record
-	gate    *standinstore.Gate
-	client  *engine.Client
-	runner  *exchange.Runner
-	mu      sync.Mutex // guards what follows
-	bills   []exchange.Bill
-	endings []exchange.Ending
+	ctx      context.Context
+	net      *pipe.Net
+	engines  map[string]*standinengine.Engine
+	ledger   *standinservice.Service
+	pools    map[string]*dispatch.Dispatcher
+	keys     *key.Table
+	key      string
+	record   key.Record
+	starting bool // not all keys are known yet
+	gate     *standinstore.Gate
+	client   *engine.Client
+	runner   *exchange.Runner
+	mu       sync.Mutex // guards what follows
+	bills    []exchange.Bill
+	endings  []exchange.Ending
 
 	crashes atomic.Int64
 	// suspects counts the suspicions that were told to other hosts.
@@ -155,6 +156,7 @@
 	w.runner = exchange.New(exchange.Deps{
 		Clock: c, Log: zap.NewNop(), Document: live, Keys: w.keys, Engines: w.client, Services: services,
 		Suspects: exchange.NewSuspects(suspect.Config{Host: "h1"}, func(suspect.Turn) {}), Retries: exchange.NewRetries(retry.Config{}),
+		IsReady: func() bool { return !w.starting },
 		Pool: func(name string) (*dispatch.Dispatcher, bool) {
 			if name != "ledger" {
 				name = "asesor" // the engines serve every model
--- a/internal/host/node/bench_test.go
+++ b/internal/host/node/bench_test.go
@@ -21,7 +21,7 @@
 	for _, h := range hosts {
 		c := newCore(
 			coreOptions{id: h.ID(), now: func() time.Time { return now }, send: func(_, _ string, p Packet) { _ = encode(p) },
-				reset: func(string) {}, revision: func() uint64 { return 1 }},
+				reset: func(string) {}, revision: func() uint64 { return 1 }, synced: func() {}},
 			member.Config{ID: h.ID(), Zone: h.Zone(), Addr: h.Addr(), Incarnation: 1},
 			spread.Config{Self: h.ID(), Zone: h.Zone()},
 		)
--- a/internal/host/node/core.go
+++ b/internal/host/node/core.go
@@ -17,6 +17,7 @@
 	send     func(to, addr string, p Packet)
 	reset    func(id string) // opens the connection to a host anew
 	revision func() uint64
+	synced   func() // the records are those of a host that has a document in force
 }
 
 // core ties membership and records together without I/O, so that tests can run many in virtual time.
@@ -60,6 +61,9 @@
 	}
 	if p.Beat != nil && p.Beat.Sum != 0 {
 		c.spread.Compare(p.From, p.Beat.Sum)
+		if p.Beat.Revision != 0 && p.Beat.Sum == c.spread.Sum() {
+			c.synced()
+		}
 	}
 	c.publish()
 }
--- a/internal/host/node/fault_test.go
+++ b/internal/host/node/fault_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
 
 	"hickorypath/internal/host/member"
 	"hickorypath/internal/host/spread"
@@ -127,8 +128,25 @@
 // document and the keys.
 func TestRestartsWithoutStore(t *testing.T) {
 	t.Parallel()
+	cases := []struct {
+		name  string
+		loss  float64
+		hosts int // to start at once
+	}{
+		{"one by one", 0, 1},
+		{"one by one, losses", 0.2, 1},
+		{"three at once, losses", 0.2, 3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { restart(t, c.loss, c.hosts) })
+	}
+}
+
+// restart starts all hosts anew, a few at once, and checks that each has all records before it says so.
+func restart(t *testing.T, loss float64, atOnce int) {
 	is := is.New(t)
 	s := newFleet(4, 7, 3)
+	s.loss = loss
 	s.hosts["h000"].core.spread.Put(spread.Document, "", 9, document(300_000), time.Time{})
 	for k := range 2_000 {
 		s.hosts["h000"].core.spread.Load(spread.Key, fmt.Sprint("k", k), 1, []byte("record"), time.Time{})
@@ -136,14 +154,23 @@
 	s.run(20 * time.Second)
 	is.True(s.has(spread.Key, "k1999", 1, everyHost)())
 	var worst time.Duration
-	for _, h := range s.living() {
-		s.stop(h.id)
+	for some := range slices.Chunk(s.living(), atOnce) {
+		for _, h := range some {
+			s.stop(h.id)
+		}
 		s.run(5 * time.Second)
-		h = s.start(h.id, h.zone)
+		for i, h := range some {
+			some[i] = s.start(h.id, h.zone)
+		}
 		took, ok := s.until(20*time.Second, func() bool {
-			return h.core.spread.Version(spread.Document, "") == 9 && h.core.spread.Sum() == s.living()[0].core.spread.Sum()
+			return lo.EveryBy(some, func(h *simHost) bool {
+				return h.synced && h.core.spread.Version(spread.Document, "") == 9 && h.core.spread.Sum() == s.living()[0].core.spread.Sum()
+			})
 		})
 		is.True(ok)
+		for _, h := range some {
+			is.Equal(h.keys, 2_000) // no host says that it is ready with a part
+		}
 		worst = max(worst, took)
 		s.run(81 * time.Second)
 	}
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -40,6 +40,8 @@
 	Log      *zap.Logger
 	// Revision, when set, returns the applied revision of the document, for heartbeats.
 	Revision func() uint64
+	// Synced, when set, is called when this host holds the same records as one that has a document in force.
+	Synced func()
 	// Merge, when set, combines the values of one name of a soft topic, so that a large fleet exchanges
 	// one for each zone.
 	Merge func(topic, name string, values [][]byte) []byte
@@ -59,6 +61,9 @@
 	if opts.Revision == nil {
 		opts.Revision = func() uint64 { return 0 }
 	}
+	if opts.Synced == nil {
+		opts.Synced = func() {}
+	}
 	n := &Node{opts: opts}
 	p, err := peer.New(peer.Options{Addr: opts.Addr, TLS: opts.TLS, Log: opts.Log, Receive: n.receive, Wrap: opts.Wrap})
 	if err != nil {
@@ -67,7 +72,7 @@
 	n.peer = p
 	now := opts.Clock.Now
 	n.core = newCore(
-		coreOptions{id: opts.ID, now: now, send: n.send, reset: p.Reset, revision: opts.Revision},
+		coreOptions{id: opts.ID, now: now, send: n.send, reset: p.Reset, revision: opts.Revision, synced: opts.Synced},
 		member.Config{ID: opts.ID, Zone: opts.Zone, Addr: p.Addr(), Incarnation: uint64(now().UnixMilli())},
 		spread.Config{Self: opts.ID, Zone: opts.Zone, Merge: opts.Merge},
 	)
--- a/internal/host/node/sim_test.go
+++ b/internal/host/node/sim_test.go
@@ -42,6 +42,8 @@
 	alive    bool
 	start    int
 	revision uint64
+	synced   bool // it held the same records as a host with a document
+	keys     int  // that it held then
 	sent     int
 	bytes    int
 	received int
@@ -142,8 +144,19 @@
 	h.core = newCore(
 		coreOptions{
 			id: id, now: func() time.Time { return s.now }, reset: func(id string) { h.resets[id]++ },
-			send:     func(to, _ string, p Packet) { s.send(h, to, p) },
-			revision: func() uint64 { return h.revision },
+			send: func(to, _ string, p Packet) { s.send(h, to, p) },
+			revision: func() uint64 {
+				if h.start > 0 && !h.synced {
+					return 0
+				}
+				return h.revision
+			},
+			synced: func() {
+				if !h.synced {
+					h.synced = true
+					h.core.spread.Range(spread.Key, func(spread.Record) { h.keys++ })
+				}
+			},
 		},
 		member.Config{ID: id, Zone: zone, Addr: h.addr, Incarnation: uint64(s.now.UnixMilli())},
 		spread.Config{Self: id, Zone: zone, Merge: s.merge},
--- a/internal/operator/follow/follow.go
+++ b/internal/operator/follow/follow.go
@@ -38,6 +38,8 @@
 	Document *document.Live
 	Keys     *key.Table
 	Log      *zap.Logger
+	// Readiness is set once document and keys were read from the store.
+	Readiness *Readiness
 	// IsWatcher reports whether this host is one that watches the store for its zone.
 	IsWatcher func() bool
 	// Changed, when set, is told of each document that came into force here.
@@ -86,16 +88,15 @@
 func (f *Follower) loadUntilDone(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := f.load(ctx); err == nil {
+			f.options.Readiness.Set()
 			return
 		}
 		clock.Pause(ctx, retryDelay)
 	}
 }
 
+// load reads the keys before the document, so that a host with a document has the keys too.
 func (f *Follower) load(ctx context.Context) error {
-	if err := f.loadDocument(ctx); err != nil {
-		return err
-	}
 	records, err := f.options.Vault.Keys(ctx)
 	if err != nil {
 		return err
@@ -104,7 +105,7 @@
 		f.options.Keys.Put(rec)
 		f.options.Spread.Load(spread.Key, rec.ID(), rec.Version(), rec.Encode(), time.Time{})
 	}
-	return nil
+	return f.loadDocument(ctx)
 }
 
 func (f *Follower) loadDocument(ctx context.Context) error {
