Report a usage window before its parts are emptied, on a budget of its own

Cause: emptying and removing 3,500 parts takes 7,000 writes a window at 350 hosts; on the budget of 26 calls a second, shared with the host's commits, that is 269 s of the 300 s of a window, and the report waited for it. Change: each window is reported directly after it is frozen; the reporter has the use report with 40 calls a second (175 s by reckoning), and the limit of the process rises from 80 to 120 by as much. Test: the write after the frozen and the reported window is that of an emptied part; the test fails without the report in between. TestUsageSize and the benchmark name the new use beside the old one in their budgets, no check changed. The test of a dead reporter waits for the frozen window by a channel, since its hook raced with the setting of the hook under the race detector; it still fails without the emptying (9,348 billed of 4,674).

--- a/internal/host/capacity/usage_test.go
+++ b/internal/host/capacity/usage_test.go
@@ -36,7 +36,7 @@
 		is := is.New(t)
 		c := clock.NewWall()
 		memory := store.NewMemory(c)
-		client := store.New(memory.Backend(), store.Options{Clock: c, Rate: 1e6, Budgets: map[store.Use]float64{store.UseUsage: 1e6}})
+		client := store.New(memory.Backend(), store.Options{Clock: c, Rate: 1e6, Budgets: map[store.Use]float64{store.UseUsage: 1e6, store.UseReport: 1e6}})
 		for h := range recorders {
 			r := usage.New(client, c, usage.Options{Host: fmt.Sprint("host-", h), Incarnation: "1", Window: window})
 			for i := range rows {
--- a/internal/platform/store/options.go
+++ b/internal/platform/store/options.go
@@ -20,6 +20,7 @@
 	UseKey      Use = "key"
 	UseClaim    Use = "claim"
 	UseUsage    Use = "usage"
+	UseReport   Use = "report"
 	UseLease    Use = "lease"
 	UseOrder    Use = "order"
 	UseOther    Use = "other"
@@ -42,7 +43,7 @@
 	defaultAttempt = 500 * time.Millisecond
 	defaultWhole   = 3 * time.Second
 	defaultPoll    = 50 * time.Second
-	defaultRate    = 80
+	defaultRate    = 120
 	backoffBase    = 50 * time.Millisecond
 	backoffLimit   = 2 * time.Second
 	burstSeconds   = 2
@@ -54,6 +55,7 @@
 	UseKey:      6,
 	UseClaim:    24,
 	UseUsage:    26,
+	UseReport:   40, // of the one host that reports usage
 	UseLease:    10,
 	UseOrder:    4,
 	UseOther:    4,
--- a/internal/platform/usage/crash_test.go
+++ b/internal/platform/usage/crash_test.go
@@ -140,29 +140,50 @@
 	is := is.New(t)
 	const days = 24 * time.Hour
 	is.NoErr(bubble(t, 1, func(t *testing.T, w *world) {
-		w.length, w.pass = time.Hour, time.Minute
+		w.length, w.pass, w.every = time.Hour, time.Minute, time.Minute
+		frozen, paused := make(chan string), make(chan struct{})
+		var once sync.Once
+		w.onPut = func(host, key string) {
+			if strings.HasPrefix(key, "usage/window/") {
+				once.Do(func() {
+					frozen <- host
+					<-paused
+				})
+			}
+		}
 		w.start(t, nil)
 		w.start(t, nil)
 		w.traffic(time.Minute)
 		w.leave(t, 1, 1) // its part is not written again
 		w.start(t, nil)
-		var once sync.Once
-		w.onPut = func(host, key string) {
-			if !strings.HasPrefix(key, "usage/window/") {
-				return
+		reporter := <-frozen
+		for _, h := range w.hosts {
+			if h.name == reporter {
+				h.gate.Pause(9 * days)
 			}
-			once.Do(func() {
-				for _, h := range w.hosts {
-					if h.name == host {
-						h.gate.Pause(9 * days)
-					}
-				}
-			})
 		}
+		close(paused)
 		time.Sleep(10 * days)
 	}))
 }
 
+// A window is reported before its parts are emptied, which takes most of a window in a large fleet.
+func TestReportBeforeClean(t *testing.T) {
+	is := is.New(t)
+	var keys []string // of the writes of usage, from the first frozen window on
+	is.NoErr(bubble(t, 1, func(t *testing.T, w *world) {
+		w.onPut = func(_, key string) {
+			if strings.HasPrefix(key, "usage/window/") || len(keys) > 0 && strings.HasPrefix(key, "usage/") {
+				keys = append(keys, key)
+			}
+		}
+		w.deliver(w.start(t, nil), "c", 1)
+		time.Sleep(windowLength + 30*time.Second)
+	}))
+	is.Equal(keys[0], keys[1]) // frozen, then reported
+	is.True(strings.HasPrefix(keys[2], "usage/part/"))
+}
+
 // What a host handed over counts once, also when it reaches another host long after it was counted.
 func TestLateImport(t *testing.T) {
 	cases := []struct {
--- a/internal/platform/usage/freeze.go
+++ b/internal/platform/usage/freeze.go
@@ -25,28 +25,31 @@
 	old     []stored // emptied parts that are no longer needed
 }
 
-// freeze writes the figures of a window, once. A part that is not sealed by now is sealed here; the
+// freeze writes the figures of a window, once, and returns what is to be cleaned. A part that is not sealed by now is sealed here; the
 // host's later increments go to its next part, and so to a later window.
-func (r *Reporter) freeze(ctx context.Context, token lease.Token, index int64) error {
+func (r *Reporter) freeze(ctx context.Context, token lease.Token, index int64) (*figures, error) {
 	marks, err := r.marks(ctx, index-1)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	f := &figures{index: index, marks: marks, sums: table{}}
 	err = r.eachPart(ctx, len(marks), func(p stored) error { return r.count(ctx, f, p) })
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if err := token.Valid(r.opts.Timeout); err != nil {
-		return err
+		return nil, err
 	}
 	rows := f.sums.rows()
 	f.sums = nil
 	won, err := r.store(ctx, window{Index: index, Length: r.opts.Window, Fence: token.Fence(), Marks: f.marks}, rows)
-	if err != nil || !won {
-		return err
+	if err != nil {
+		return nil, err
+	}
+	if !won { // the other reporter cleans
+		return &figures{index: index}, nil
 	}
-	return r.clean(ctx, f)
+	return f, nil
 }
 
 // count adds a part to the figures when it is due and in no earlier window.
--- a/internal/platform/usage/race_test.go
+++ b/internal/platform/usage/race_test.go
@@ -22,9 +22,7 @@
 	put := b.Put
 	b.Put = func(ctx context.Context, wr store.Write) (uint64, error) {
 		rev, err := put(ctx, wr)
-		if w.onPut != nil && err == nil {
-			w.onPut(name, wr.Key)
-		}
+		w.notePut(name, wr.Key, err)
 		if owner := partOwner(wr.Key); owner != "" && owner != name {
 			select {
 			case w.sealed <- owner:
@@ -36,6 +34,15 @@
 	return b
 }
 
+// notePut tells onPut of a write, one at a time.
+func (w *world) notePut(host, key string, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.onPut != nil && err == nil {
+		w.onPut(host, key)
+	}
+}
+
 // partOwner returns the host of a part, empty for other keys.
 func partOwner(key string) string {
 	if !strings.HasPrefix(key, "usage/part/") {
--- a/internal/platform/usage/reporter.go
+++ b/internal/platform/usage/reporter.go
@@ -5,6 +5,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"hickorypath/internal/core/clock"
@@ -57,7 +58,7 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	return &Reporter{client: client.For(store.UseUsage), clock: c, lease: l, sink: s, opts: o}
+	return &Reporter{client: client.For(store.UseReport), clock: c, lease: l, sink: s, opts: o}
 }
 
 // Run makes a pass every interval until ctx ends.
@@ -91,14 +92,25 @@
 	return err
 }
 
-// advance freezes, then reports; cur follows.
+// advance freezes and reports window by window; cur follows. Parts are emptied after their window was
+// reported, or after the try.
 func (r *Reporter) advance(ctx context.Context, token lease.Token, cur *cursor) error {
 	for r.over(cur.Frozen + 1) {
-		if err := r.freeze(ctx, token, cur.Frozen+1); err != nil {
+		f, err := r.freeze(ctx, token, cur.Frozen+1)
+		if err != nil {
 			return err
 		}
 		cur.Frozen++
+		reported := r.reportFrozen(ctx, token, cur)
+		if err := r.clean(ctx, f); err != nil {
+			return errors.CombineErrors(reported, err)
+		}
 	}
+	return r.reportFrozen(ctx, token, cur)
+}
+
+// reportFrozen reports the frozen windows in order.
+func (r *Reporter) reportFrozen(ctx context.Context, token lease.Token, cur *cursor) error {
 	for cur.Reported < cur.Frozen {
 		if err := r.report(ctx, token, cur.Reported+1); err != nil {
 			return err
