Reckon reporting, claims and orders as they are now in the capacity page

Cause: the page had the reporter over its memory, claims in 256 buckets and a fixed commit each 3 s, and left out the writes that empty and remove parts and those of orders. ChangelogCosts now commits each 3.5 s like a host of 350, its check is the same.

--- a/internal/host/capacity/model.go
+++ b/internal/host/capacity/model.go
@@ -23,7 +23,7 @@
 	Once      float64 `json:"once"`     // part of the requests that may not be repeated
 	Changes   float64 `json:"changes"`  // a day
 	Starts    float64 `json:"starts"`   // crashes and restarts a day
-	Commit    float64 `json:"commit"`   // seconds between commits of usage
+	Orders    float64 `json:"orders"`   // of upstreams, a day
 }
 
 // Bound is what one daemon or the store may spend.
@@ -118,8 +118,13 @@
 	claimWrites    = "claim.writes"
 	claimReads     = "claim.reads"
 	claimKept      = "claim.kept"   // bytes
+	claimBytes     = "claim.bytes"  // of one write
 	usageRow       = "usage.row"    // bytes
 	usageReport    = "usage.report" // microseconds a row
+	usageHeap      = "usage.heap"   // MB of the reporter
+	usageBytes     = "usage.bytes"  // of the commits of a host in a window
+	orderWrites    = "order.writes"
+	orderReads     = "order.reads"
 	leaseWrites    = "lease.writes"
 	startReads     = "start.reads"
 	changeWrites   = "change.writes"
@@ -130,7 +135,7 @@
 	packetOverhead, packetCPU, hostTick, relayPackets, relayPayload, hostPackets, hostPayload, changePackets, changePayload,
 	changeLink, changeSmall, changeCPU, changeTime, changeFault, keyPackets, keyPayload, spreadKeyHeap, spreadDocHeap,
 	documentHeap, documentParse, keyHeap, memberHeap, limitHeap, poolHeap, keyLookup, poolTick, poolArrive, routeDecision, routeShare, upstreamPoll, pollTurn,
-	requestCPU, eventCPU, usageCommits, usageRow, usageReport, claimWrites, claimReads, claimKept, leaseWrites, startReads, changeWrites, changeReads,
+	requestCPU, eventCPU, usageCommits, usageRow, usageReport, claimWrites, claimReads, claimKept, claimBytes, usageHeap, usageBytes, orderWrites, orderReads, leaseWrites, startReads, changeWrites, changeReads,
 }
 
 // slope returns the value under one of the names above.
--- a/internal/host/capacity/page.go
+++ b/internal/host/capacity/page.go
@@ -47,28 +47,55 @@
 	return m.slope(keyPayload) + m.slope(keyPackets)*m.slope(packetOverhead)
 }
 
-// ClaimHours returns the longest expiry of claims, in hours, that fits into their buckets.
-func (m *Model) ClaimHours() float64 {
-	const secondsPerHour = 3600
-	claims := claimBuckets * bucketBytes / m.slope(claimKept)
-	return claims / (m.Size.Requests * m.Size.Once) / secondsPerHour
+// ClaimBytes returns the bytes a second that claims write and, in GB, what a day of them keeps.
+func (m *Model) ClaimBytes() (written, kept float64) {
+	claims := m.Size.Requests * m.Size.Once
+	return claims * m.slope(claimWrites) * m.slope(claimBytes), claims * secondsPerDay * m.slope(claimKept) / giga
 }
 
+// ClaimWritten returns the bytes a second that claims write from one host.
+func (m *Model) ClaimWritten() float64 {
+	written, _ := m.ClaimBytes()
+	return written / m.Size.Hosts
+}
+
+// ClaimKept returns what a day's claims keep in the store, in GB.
+func (m *Model) ClaimKept() float64 {
+	_, kept := m.ClaimBytes()
+	return kept
+}
+
+// UsageWritten returns the bytes a second that the commits of one host write.
+func (m *Model) UsageWritten() float64 { return m.slope(usageBytes) / usageWindow }
+
+// Interval returns the seconds between two commits of usage by one host.
+func (s Size) Interval() float64 { return max(commitLeast, s.Hosts/commitRate) }
+
 // Reporting is what one window of usage costs the reporter.
 type Reporting struct {
-	Rows  float64 // one for each host and customer
-	Bytes float64 // read from the store, MB
-	CPU   float64 // percent of a core over the window
+	Rows     float64 // one for each host and customer
+	Bytes    float64 // read from the store, MB
+	CPU      float64 // percent of a core over the window
+	Parts    float64 // of all hosts
+	Listings float64
+	Chunks   float64 // of the frozen figures
 }
 
-// Reporting returns the cost of the usage reporter, with customers that meet hosts at random.
-func (m *Model) Reporting() Reporting {
-	s := m.Size
+// Reporting returns the cost of the usage reporter.
+func (m *Model) Reporting() Reporting { return m.reportingAt(m.Size) }
+
+// reportingAt returns the cost of the usage reporter at a size, with customers that meet hosts at random.
+func (m *Model) reportingAt(s Size) Reporting {
 	requests := s.Requests / s.Hosts * usageWindow
 	rows := s.Hosts * s.Customers * -math.Expm1(-requests/s.Customers)
+	listings := 1.0
+	for n := s.Hosts; n > listed; n /= listed {
+		listings *= listed
+	}
 	return Reporting{
 		Rows: rows, Bytes: rows * m.slope(usageRow) / mega,
-		CPU: rows * m.slope(usageReport) * micro / usageWindow * percent,
+		CPU:   rows * m.slope(usageReport) * micro / usageWindow * percent,
+		Parts: s.Hosts * math.Ceil(rows/s.Hosts/partRows), Listings: listings, Chunks: math.Ceil(s.Customers / chunkRows),
 	}
 }
 
--- a/internal/host/capacity/role.go
+++ b/internal/host/capacity/role.go
@@ -7,6 +7,7 @@
 	percent       = 100
 	kilo          = 1e3
 	mega          = 1e6
+	giga          = 1e9
 	kibi          = 1 << 10
 )
 
@@ -22,9 +23,13 @@
 	candidates   = 4   // hosts that try to get each lease, one of them drawn
 	burnSave     = 300 // seconds between savings of a host's counts, tally
 	limitIdle    = 120 // seconds after which a customer is forgotten, limit
-	claimBuckets = 256 // claim
-	bucketBytes  = 1e6 // most in one value, store
 	usageWindow  = 300 // seconds, usage
+	commitLeast  = 1   // seconds between commits of usage, usage
+	commitRate   = 100 // commits of usage a second of all hosts, usage
+	partRows     = 500 // rows of a part, usage
+	partWrites   = 2   // to empty and to remove a part, usage
+	listed       = 16  // parts of hosts in one listing at most, usage
+	chunkRows    = 2000
 	keyWire      = 160
 )
 
@@ -77,7 +82,19 @@
 		}, m.common()...),
 		Breaks: "bytes, by the load summaries of pools and limits every 12 s",
 	}
-	return []Role{entry, relay}
+	reporter := Role{
+		Name:   "usage reporter (one entry host)",
+		Holds:  "as an entry host; the sum of a window by customer and class, the parts of one or two hosts",
+		Rows:   append([]Row{m.reporting()}, entry.Rows...),
+		Breaks: "writes that empty and remove parts: 175 s of each window on the reporter's budget of 40 calls a second",
+	}
+	return []Role{entry, relay, reporter}
+}
+
+// reporting returns what freezing and reporting usage costs.
+func (m *Model) reporting() Row {
+	r := m.Reporting()
+	return Row{Mechanism: "freezing and reporting a window (usage)", Messages: r.Listings / usageWindow, CPU: r.CPU, Heap: m.slope(usageHeap)}
 }
 
 // heartbeats returns the steady traffic of a host.
@@ -156,13 +173,18 @@
 	leases := s.Pools + 1
 	watching := min(s.Hosts, s.Zones*watchHosts)
 	changes := s.Changes / secondsPerDay
+	orders := s.Orders / secondsPerDay
+	usage := m.reportingAt(s)
 	return []Call{
-		{Mechanism: "usage increments, one group commit by each host", Writes: s.Hosts * m.slope(usageCommits) / s.Commit},
+		{Mechanism: "usage increments, one group commit by each host", Writes: s.Hosts * m.slope(usageCommits) / s.Interval()},
 		{Mechanism: "sealing the part of each host in each window of usage", Writes: s.Hosts / usageWindow},
+		{Mechanism: "freezing, reporting and emptying the parts of a window of usage",
+			Writes: (usage.Parts*partWrites + usage.Chunks) / usageWindow, Reads: (usage.Listings + usage.Chunks) / usageWindow},
 		{Mechanism: "claims of requests that may not be repeated", Writes: s.Requests * s.Once * m.slope(claimWrites),
 			Reads: s.Requests * s.Once * m.slope(claimReads)},
 		{Mechanism: "renewal of leases: one for each pool, one for reports", Writes: leases / leaseRenew * m.slope(leaseWrites)},
 		{Mechanism: "candidates that look whether a lease is free", Reads: min(s.Hosts, candidates) * leases / leaseRenew},
+		{Mechanism: "intents and outcomes of orders of upstreams", Writes: orders * m.slope(orderWrites), Reads: orders * m.slope(orderReads)},
 		{Mechanism: "saved counts of the burn report", Writes: s.Hosts / burnSave},
 		{Mechanism: "waiting watches of document and keys, two hosts in a zone", Reads: watching * watches / watchTime},
 		{Mechanism: "changes", Writes: changes * m.slope(changeWrites), Reads: changes * watching * m.slope(changeReads)},
--- a/internal/platform/usage/changelog_test.go
+++ b/internal/platform/usage/changelog_test.go
@@ -7,12 +7,12 @@
 )
 
 // The trial is one host of 350 at 6,400 requests a second over one window of five minutes, with a
-// commit every five seconds, for 29,000 customers of unequal weight.
+// commit every 3.5 seconds, for 29,000 customers of unequal weight.
 const (
-	trialCommits     = 60
-	trialRequests    = 91 // per commit
+	trialCommits     = 86
+	trialRequests    = 64 // per commit
 	trialCustomers   = 29000
-	trialMaterialise = 12 // commits between two totals of the changelog
+	trialMaterialise = 17 // commits between two totals of the changelog
 )
 
 // tally is what a way of keeping usage costs in a window.
