Let a suspect that had run for a short time outlast that run before its turn ends

Cause: a suspect passed eight tokens after the point of the crash. A request that crashes engines a fixed time after each start, say a second, had resumed and passed by then, and crashed a third engine. Change: one that had run for at most 1.5 s must also run 0.25 s longer than that. Tests: TestCrashingRequest gets the case, a second after each start; its hosts tell the book of each token. TestTurns checks both conditions.

--- a/internal/policy/suspect/sim_test.go
+++ b/internal/policy/suspect/sim_test.go
@@ -24,7 +24,6 @@
 	books   []*suspect.Book
 	engines []*simEngine
 	runs    uint64
-	points  map[suspect.Print]time.Duration // output of a request at a crash
 	crashes int
 	waits   []time.Duration // of innocents, from the loss of a run until the next one
 	refused int             // innocents
@@ -44,6 +43,7 @@
 	print  suspect.Print
 	bad    bool
 	point  time.Duration // of the crash, from sending
+	timed  bool          // the point is a time after each start, not a point of the output
 	left   time.Duration // of the answer
 	spread time.Duration // by which the times to first token differ
 	output time.Duration // so far; a run after a loss resumes from there
@@ -57,14 +57,13 @@
 }
 
 const (
-	maxDelay   = 100 * time.Millisecond // of a message between hosts
-	loadTime   = 40 * time.Second       // of an engine that comes back
-	firstTime  = 300 * time.Millisecond // to the first token
-	passTime   = 240 * time.Millisecond // for the tokens that clear a suspect
-	tokenTime  = 30 * time.Millisecond
-	passTokens = 8
-	pollTime   = 25 * time.Millisecond
-	patience   = 30 * time.Second
+	maxDelay  = 100 * time.Millisecond // of a message between hosts
+	loadTime  = 40 * time.Second       // of an engine that comes back
+	firstTime = 300 * time.Millisecond // to the first token
+	passTime  = 240 * time.Millisecond // for the tokens that clear a suspect
+	tokenTime = 30 * time.Millisecond
+	pollTime  = 25 * time.Millisecond
+	patience  = 30 * time.Second
 )
 
 type event struct {
@@ -85,7 +84,7 @@
 }
 
 func newSim(t *testing.T, seed uint64, hosts, engines int) *sim {
-	s := &sim{I: is.New(t), rand: rand.New(rand.NewPCG(seed, 1)), now: start, points: map[suspect.Print]time.Duration{}}
+	s := &sim{I: is.New(t), rand: rand.New(rand.NewPCG(seed, 1)), now: start}
 	for h := range hosts {
 		s.books = append(s.books, suspect.New(suspect.Config{Host: fmt.Sprintf("h%03d", h)}))
 	}
@@ -222,13 +221,8 @@
 	if j.bad {
 		s.after(j.crashTime(), still(func() { s.crash(e) }))
 	}
-	pass := j.prompt + max(0, s.points[j.print]-j.output) + passTime
-	s.after(pass, still(func() {
-		j.passed = true
-		s.books[j.host].Pass(s.now, run, int(s.points[j.print]/tokenTime)+passTokens)
-		s.tell(j.host)
-	}))
-	s.after(pass+j.left, still(func() {
+	s.after(j.prompt, still(func() { s.pass(j, e, run) }))
+	s.after(j.prompt+passTime+j.left, still(func() {
 		delete(e.running, run)
 		s.books[j.host].Finish(s.now, run, true)
 		s.tell(j.host)
@@ -236,9 +230,21 @@
 	}))
 }
 
+// pass tells the book of each token of a run until it is on trial no longer.
+func (s *sim) pass(j *job, e *simEngine, run uint64) {
+	if e.running[run] != j {
+		return
+	}
+	j.passed = s.books[j.host].Pass(s.now, run, int(s.outputOf(j)/tokenTime))
+	s.tell(j.host)
+	if !j.passed {
+		s.after(tokenTime, func() { s.pass(j, e, run) })
+	}
+}
+
 // crashTime returns when a run of a bad job crashes its engine.
 func (j *job) crashTime() time.Duration {
-	if j.point < firstTime {
+	if j.point < firstTime || j.timed {
 		return j.point
 	}
 	return j.prompt + max(0, j.point-firstTime-j.output)
@@ -265,7 +271,6 @@
 	for _, run := range slices.Sorted(maps.Keys(e.running)) {
 		j := e.running[run]
 		s.lose(j)
-		s.points[j.print] = max(s.points[j.print], j.output)
 		lost[j.host] = append(lost[j.host], j)
 	}
 	clear(e.running)
@@ -331,14 +336,16 @@
 	cases := []struct {
 		hosts, engines, running int
 		point                   time.Duration
+		timed                   bool
 	}{
-		{1, 9, 7, 50 * time.Millisecond},
-		{7, 9, 7, 50 * time.Millisecond},
-		{7, 9, 64, 50 * time.Millisecond},
-		{7, 9, 64, 500 * time.Millisecond},
-		{7, 4, 8, 50 * time.Millisecond},
-		{3, 9, 0, 50 * time.Millisecond},
-		{350, 30, 16, 50 * time.Millisecond},
+		{1, 9, 7, 50 * time.Millisecond, false},
+		{7, 9, 7, 50 * time.Millisecond, false},
+		{7, 9, 64, 50 * time.Millisecond, false},
+		{7, 9, 64, 500 * time.Millisecond, false},
+		{7, 9, 64, time.Second, true},
+		{7, 4, 8, 50 * time.Millisecond, false},
+		{3, 9, 0, 50 * time.Millisecond, false},
+		{350, 30, 16, 50 * time.Millisecond, false},
 	}
 	for _, c := range cases {
 		t.Run(fmt.Sprint(c), func(t *testing.T) {
@@ -348,7 +355,11 @@
 				s := newSim(t, seed, c.hosts, c.engines)
 				s.fill(c.running)
 				for n := range sends {
-					s.after(time.Duration(n)*time.Second, func() { s.send(s.bad(n, c.point)) })
+					s.after(time.Duration(n)*time.Second, func() {
+						j := s.bad(n, c.point)
+						j.timed = c.timed
+						s.send(j)
+					})
 				}
 				s.run(time.Minute)
 				crashes = max(crashes, s.crashes)
--- a/internal/policy/suspect/turn.go
+++ b/internal/policy/suspect/turn.go
@@ -159,23 +159,26 @@
 }
 
 // Pass notes how far the output of a run has come, in tokens. Past the point at which the request's
-// upstream crashed its turn ends and the next suspect may follow. A request that ran at two crashes must
-// be answered whole before. Done reports whether the run is on trial no longer.
+// upstream crashed its turn ends and the next suspect may follow; one that had run for a short time only must
+// also outlast it. A request that ran at two crashes must be answered whole before. Done reports whether the run is on trial no longer.
 func (b *Book) Pass(now time.Time, request uint64, offset int) (done bool) {
 	r := b.runs[request]
 	e := b.entries[r.print]
 	if !r.trial || e == nil {
 		return true
 	}
-	if offset < e.offset+passTokens {
+	if offset < e.offset+passTokens || (e.ran <= shortRun && now.Sub(r.started) < e.ran+passSlack) {
 		return false
 	}
 	b.pass(now, request)
 	return true
 }
 
-// passTokens is how many tokens may have been under way when an upstream crashed.
-const passTokens = 8
+const (
+	passTokens = 8                       // that may have been under way when an upstream crashed
+	shortRun   = 1500 * time.Millisecond // a request that ran no longer may crash after a time, not at a token
+	passSlack  = 250 * time.Millisecond  // added to the time of a short run
+)
 
 // PassTime returns how long a run on trial that shows no tokens must last to pass; ok is false for one
 // that is not on trial.
--- a/internal/policy/suspect/turn_test.go
+++ b/internal/policy/suspect/turn_test.go
@@ -54,8 +54,10 @@
 		{"the first one left", func(l *line, t suspect.Turn) { l.a.Leave(start, t) }, settled, true},
 		{"the first one passed", func(l *line, _ suspect.Turn) {
 			l.a.Start(start, 1, "e", 1, nil)
-			l.Equal(l.a.Pass(start, 1, 7), false) // tokens that may have been under way
-			l.Equal(l.a.Pass(start, 1, 8), true)
+			later := start.Add(2 * time.Second)
+			l.Equal(l.a.Pass(later, 1, 7), false)                  // tokens that may have been under way
+			l.Equal(l.a.Pass(start.Add(time.Second), 1, 8), false) // no longer than the run that crashed
+			l.Equal(l.a.Pass(later, 1, 8), true)
 		}, settled, true},
 		{"the first one lasted long enough", func(l *line, _ suspect.Turn) {
 			l.a.Start(start, 1, "e", 1, nil)
