--- a/cmd/hickorypath/wire.go
+++ b/cmd/hickorypath/wire.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/samber/do/v2"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"hickorypath/internal/caller/exchange"
@@ -45,7 +46,7 @@
 	do.ProvideValue(i, key.NewTable())
 	do.ProvideValue(i, metrics.NewSet())
 	do.ProvideValue(i, identity{host: s.Host(), incarnation: exchange.NewID()})
-	do.ProvideValue(i, newListing())
+	do.Provide(i, provideListing)
 	do.Provide(i, provideStore)
 	do.Provide(i, provideVault)
 	do.Provide(i, provideNode)
@@ -95,7 +96,7 @@
 		Zone:   s.Zone(),
 		Addr:   s.Peer().Listen,
 		TLS:    conf,
-		Roster: roster.NewHTTP(s.Platform().Roster, &http.Client{Timeout: s.StoreTimeout()}).List,
+		Roster: provideRoster(s).List,
 		Clock:  get[clock.Clock](i),
 		Log:    get[*zap.Logger](i),
 		Merge:  mergeLoads,
@@ -106,6 +107,14 @@
 	})
 }
 
+// provideRoster returns the list of hosts, with those of the settings until the platform's was read.
+func provideRoster(s *settings.Settings) *roster.Roster {
+	seeds := lo.Map(s.Peer().Hosts, func(h settings.Host, _ int) roster.Host {
+		return roster.New(h.Host, h.Zone, h.Addr, roster.Live)
+	})
+	return roster.NewHTTP(s.Platform().Roster, &http.Client{Timeout: s.StoreTimeout()}).WithFallback(seeds...)
+}
+
 // mergeLoads combines what the hosts of a zone tell the others.
 func mergeLoads(_, name string, values [][]byte) []byte {
 	if data, ok := fleet.Merge(name, values); ok {
