--- a/internal/caller/exchange/fault_test.go
+++ b/internal/caller/exchange/fault_test.go
@@ -255,3 +255,35 @@
 	s.Close(err)
 	return string(got), err
 }
+
+// TestWithdrawnKeyEndsItsCallAtOnce withdraws the key while a call streams, waits for its whole answer, or stalls.
+func TestWithdrawnKeyEndsItsCallAtOnce(t *testing.T) {
+	cases := []struct {
+		name   string
+		call   call
+		before func(w *world)
+	}{
+		{"streams", call{model: "again"}, nil},
+		{"not streamed", call{model: "again", plain: true}, nil},
+		{"not repeatable", call{model: "once", key: "k1"}, nil},
+		{"stalled", call{model: "again"}, stallAll},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			within(t, func(w *world) {
+				if c.before != nil {
+					c.before(w)
+				}
+				var withdrawn time.Time
+				time.AfterFunc(gap*3/2, func() {
+					withdrawn = time.Now()
+					withdraw(w, nil)
+				})
+				a := w.chat(w.ctx, c.call)
+				w.Equal(kind.Of(a.err), kind.Withdrawn)
+				w.Equal(time.Now(), withdrawn)
+				w.Equal(w.billed(), 0)
+			})
+		})
+	}
+}
