Count what a customer holds by tier, and leave room from a third of the slots on

Cause: a customer with more than 0.17 of a host's slots in a class left room for the others. When the highest tier came to 90% of the capacity, with 30% of it from one customer, this kept a tenth of the slots idle while that tier was shed.

Change: the count is by tier and the part a third again. Two classes of one tier count together, and a customer's burst in one tier does not hold up its requests in others.

--- a/internal/policy/model/burst_test.go
+++ b/internal/policy/model/burst_test.go
@@ -122,3 +122,40 @@
 	}
 	return all
 }
+
+// topBurst offers 1.5 times the capacity, of which the highest tier makes up 45% of the capacity and twice
+// that for 20 s.
+func topBurst(seed uint64) *stats {
+	classes := sevenTiers()
+	w := newWorld(seed, classes, newEngines(9, 3, 32))
+	w.addHosts(7, withPool(classes, nil))
+	streams := mixed(classes, 1.5*capacity(9))
+	for i := range streams {
+		if streams[i].class == "t0" {
+			streams[i].rate *= 0.3 * 7
+			streams[i].factor, streams[i].peak = during(20*time.Second, 40*time.Second, 2), 2
+			continue
+		}
+		streams[i].rate *= 0.7 * 7 / 6
+	}
+	w.stats.from, w.stats.to = 20*time.Second, 40*time.Second
+	w.play(60*time.Second, streams...)
+	w.run(60 * time.Second)
+	return w.stats
+}
+
+// TestTopBurst doubles the highest tier to 90% of the capacity while lower ones fill the rest: over four
+// seeds 95 in 100 of its requests attain their targets.
+func TestTopBurst(t *testing.T) {
+	t.Parallel()
+	offered, attained := 0, 0
+	for seed := uint64(1); seed <= 4; seed++ {
+		s := topBurst(seed)
+		t.Logf("seed %d: %v", seed, s)
+		offered += s.classes["t0"].offered
+		attained += s.classes["t0"].attained
+	}
+	t.Logf("highest tier attains %.2f%%", 100*float64(attained)/float64(offered))
+	is := is.New(t)
+	is.True(float64(attained) >= 0.95*float64(offered))
+}
--- a/internal/policy/pool/classes.go
+++ b/internal/policy/pool/classes.go
@@ -41,6 +41,10 @@
 	p.queue = queue.New(queued)
 	p.gate.Resize(p.queue.Tiers())
 	p.running = make([]int, p.queue.Tiers())
+	p.holds = make([]map[string]int, p.queue.Tiers())
+	for t := range p.holds {
+		p.holds[t] = make(map[string]int)
+	}
 	p.spare = make([]int, p.queue.Tiers())
 	p.weigh()
 }
@@ -52,7 +56,7 @@
 	if !ok {
 		gone := *c.class
 		gone.Tier = max(0, p.queue.Tiers()-1)
-		gone.running, gone.solid, gone.holds = 0, 0, make(map[string]int)
+		gone.running, gone.solid = 0, 0
 		k = &gone
 	}
 	c.class = k
@@ -61,7 +65,7 @@
 	}
 	p.running[k.Tier]++
 	k.running++
-	k.holds[c.Customer]++
+	p.holds[k.Tier][c.Customer]++
 	if c.solid {
 		k.solid++
 	}
--- a/internal/policy/pool/dispatch.go
+++ b/internal/policy/pool/dispatch.go
@@ -91,7 +91,7 @@
 	c.started, c.upstream, c.solid = now, up, !p.cheap[up]
 	p.table.Start(now, up, c.ID, c.work(cheap))
 	p.counts[up]++
-	c.class.holds[c.Customer]++
+	p.holds[c.class.Tier][c.Customer]++
 	p.running[c.class.Tier]++
 	p.total++
 	c.class.running++
@@ -107,8 +107,9 @@
 	if p.counts[c.upstream]--; p.counts[c.upstream] == 0 {
 		delete(p.counts, c.upstream)
 	}
-	if c.class.holds[c.Customer]--; c.class.holds[c.Customer] == 0 {
-		delete(c.class.holds, c.Customer)
+	holds := p.holds[c.class.Tier]
+	if holds[c.Customer]--; holds[c.Customer] == 0 {
+		delete(holds, c.Customer)
 	}
 	p.running[c.class.Tier]--
 	p.total--
--- a/internal/policy/pool/pool.go
+++ b/internal/policy/pool/pool.go
@@ -31,8 +31,8 @@
 	floorWait = 150 * time.Millisecond
 	// spareFactor scales the slots that are left free for the arrivals of higher tiers.
 	spareFactor = 1
-	// largePart is the part of a host's slots above which a customer of a class leaves room for the others.
-	largePart = 0.17
+	// largePart is the part of a host's slots above which a customer leaves room in a tier for the others.
+	largePart = 0.33
 	// maxSpare is the largest part of the slots that is left free.
 	maxSpare = 0.25
 	// lookAhead is the time whose arrivals a host asks slots for in advance.
@@ -85,8 +85,9 @@
 
 	calls   map[uint64]*call
 	expiry  expiryHeap
-	aside   []*call // requests with placement constraints that no upstream meets now
-	running []int   // by tier
+	aside   []*call          // requests with placement constraints that no upstream meets now
+	running []int            // by tier
+	holds   []map[string]int // running by tier and customer
 	total   int
 	counts  map[string]int     // running by upstream
 	cheap   map[string]bool    // reclaimable upstreams
@@ -108,8 +109,7 @@
 type class struct {
 	Class
 	running int
-	holds   map[string]int // running by customer
-	solid   int            // of running, those on durable upstreams
+	solid   int // of running, those on durable upstreams
 	blocked uint64
 	part    float64 // share of its tier, by weight
 }
@@ -153,7 +153,7 @@
 	if c.Weight <= 0 {
 		c.Weight = 1
 	}
-	return &class{Class: c, holds: make(map[string]int)}
+	return &class{Class: c}
 }
 
 // Upstreams replaces the set of upstreams and starts what can run on new ones.
--- a/internal/policy/pool/spare.go
+++ b/internal/policy/pool/spare.go
@@ -48,9 +48,9 @@
 func (p *Pool) mayStart(it *queue.Item) bool { return !p.leavesRoom(p.calls[it.ID]) }
 
 // leavesRoom reports whether a call's customer leaves the free slots to the others. What it runs in
-// other classes does not count: its requests are not held up by a burst of its own elsewhere.
+// other tiers does not count: its requests are not held up by a burst of its own elsewhere.
 func (p *Pool) leavesRoom(c *call) bool {
-	own := c.class.holds[c.Customer]
+	own := p.holds[c.class.Tier][c.Customer]
 	if c.late || float64(own) <= largePart*float64(p.limit) {
 		return false
 	}
