--- a/cmd/hickorypath/process_test.go
+++ b/cmd/hickorypath/process_test.go
@@ -14,8 +14,10 @@
 	"slices"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
 
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/core/settings"
@@ -23,10 +25,14 @@
 	"hickorypath/internal/platform/roster"
 	"hickorypath/internal/platform/store"
 	standinengine "hickorypath/internal/standin/engine"
+	standinroster "hickorypath/internal/standin/roster"
 	standinservice "hickorypath/internal/standin/service"
 	"hickorypath/internal/standin/site"
 )
 
+// nowhere is the base URL of a platform that cannot be reached.
+const nowhere = "http://127.0.0.1:1"
+
 // serveVariable makes the test's own program run one host with the settings file that it names.
 const serveVariable = "HICKORYPATH_TEST_SERVE"
 
@@ -49,6 +55,7 @@
 	keys     map[string]string
 	http     *http.Client
 	started  int
+	known    []settings.Host // that the settings of a host name, to join without the platform
 }
 
 func newProcesses(t *testing.T, hosts int) *processes {
@@ -105,7 +112,7 @@
 	data, _ := json.Marshal(map[string]any{
 		"host": name, "zone": "norte-a", "environment": "test",
 		"caller": settings.Listener{Listen: anyPort}, "admin": settings.Listener{Listen: anyPort},
-		"operators": []settings.Operator{{Name: "demo", Token: demoToken}}, "peer": settings.Peer{Listen: anyPort, Secret: demoSecret},
+		"operators": []settings.Operator{{Name: "demo", Token: demoToken}}, "peer": settings.Peer{Listen: anyPort, Secret: demoSecret, Hosts: p.known},
 		"platform": settings.Platform{
 			Store: p.platform + "/store", Provision: p.platform + "/provision",
 			Usage: p.platform + "/usage", Roster: p.platform + "/roster",
@@ -256,6 +263,21 @@
 	is.Equal(p.send(h, call{method: http.MethodGet, path: "/help"}).status, http.StatusOK)
 }
 
+// TestHostStartsWhileItsZoneIsCutOff starts a host that reaches other hosts and upstreams, and nothing of the platform.
+func TestHostStartsWhileItsZoneIsCutOff(t *testing.T) {
+	is := is.New(t)
+	p := newProcesses(t, 3)
+	p.platform = nowhere
+	p.known = lo.Map(p.hosts, func(h *process, _ int) settings.Host {
+		return settings.Host{Host: h.name, Zone: "norte-a", Addr: h.peer}
+	})
+	is.NoErr(p.hosts[0].cmd.Process.Kill())
+	p.site.Roster().Set(standinroster.Faults{Lag: settings.Duration(time.Hour)}) // the others do not read of it either
+	h := p.start()
+	p.until(func() bool { return p.ask(h, "with the other hosts' lists").status == http.StatusOK })
+	is.Equal(p.send(h, call{method: http.MethodGet, path: "/help"}).status, http.StatusOK)
+}
+
 func TestResendAfterItsHostDiedRunsAtMostOnce(t *testing.T) {
 	is := is.New(t)
 	p := newProcesses(t, 2)
@@ -270,6 +292,48 @@
 	is.Equal(p.ledger.Executed("/dues", dues.body), 1)
 }
 
+// TestWithdrawnKeyOverProcesses reports the time from the withdrawal's answer; the bound on it is asserted in
+// virtual time, by the tests of follow and exchange.
+func TestWithdrawnKeyOverProcesses(t *testing.T) {
+	is := is.New(t)
+	p := newProcesses(t, 3)
+	for _, e := range p.site.Engines() {
+		e.Stall() // every stream stays open
+	}
+	ended := make(chan answer, len(p.hosts))
+	for _, h := range p.hosts {
+		stream := call{http.MethodPost, "/v1/chat/completions", chatBody("asesor", true, "stream at "+h.name), p.keys[demoCustomer], nil}
+		go func() { ended <- p.send(h, stream) }()
+	}
+	p.until(func() bool {
+		open := 0
+		for _, e := range p.site.Engines() {
+			open += e.Load().Running
+		}
+		return open == len(p.hosts)
+	})
+	c := p.client(p.hosts[1])
+	keys, err := c.Keys(t.Context(), demoCustomer)
+	is.NoErr(err)
+	_, err = c.Withdraw(t.Context(), keys[0].ID)
+	is.NoErr(err)
+	withdrawn := time.Now()
+	for range p.hosts {
+		a := <-ended
+		is.True(a.err != nil || a.refusal().Error.Kind == kind.Withdrawn)
+	}
+	t.Logf("the streams of all hosts ended within %s", time.Since(withdrawn))
+	for _, h := range p.hosts {
+		p.until(func() bool { return p.ask(h, "after the withdrawal").status == http.StatusUnauthorized })
+	}
+	t.Logf("all hosts refuse the key within %s", time.Since(withdrawn))
+	for _, h := range p.hosts {
+		a := p.ask(h, "later")
+		is.Equal(a.refusal().Error.Kind, kind.Withdrawn)
+		is.Equal(a.refusal().Error.Ran, kind.RanNo)
+	}
+}
+
 func TestMissingUpstreamsAreOrdered(t *testing.T) {
 	is := is.New(t)
 	p := newProcesses(t, 2)
--- a/cmd/hickorypath/wire.go
+++ b/cmd/hickorypath/wire.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/samber/do/v2"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"hickorypath/internal/caller/exchange"
@@ -26,6 +27,7 @@
 	"hickorypath/internal/platform/store"
 	"hickorypath/internal/platform/usage"
 	"hickorypath/internal/policy/retry"
+	"hickorypath/internal/policy/route"
 	"hickorypath/internal/policy/suspect"
 	"hickorypath/internal/upstream/duty"
 	"hickorypath/internal/upstream/engine"
@@ -44,7 +46,7 @@
 	do.ProvideValue(i, key.NewTable())
 	do.ProvideValue(i, metrics.NewSet())
 	do.ProvideValue(i, identity{host: s.Host(), incarnation: exchange.NewID()})
-	do.ProvideValue(i, newListing())
+	do.Provide(i, provideListing)
 	do.Provide(i, provideStore)
 	do.Provide(i, provideVault)
 	do.Provide(i, provideNode)
@@ -94,9 +96,10 @@
 		Zone:   s.Zone(),
 		Addr:   s.Peer().Listen,
 		TLS:    conf,
-		Roster: roster.NewHTTP(s.Platform().Roster, &http.Client{Timeout: s.StoreTimeout()}).List,
+		Roster: provideRoster(s).List,
 		Clock:  get[clock.Clock](i),
 		Log:    get[*zap.Logger](i),
+		Merge:  mergeLoads,
 		Revision: func() uint64 {
 			_, revision := live.Load()
 			return revision
@@ -104,6 +107,22 @@
 	})
 }
 
+// provideRoster returns the list of hosts, with those of the settings until the platform's was read.
+func provideRoster(s *settings.Settings) *roster.Roster {
+	seeds := lo.Map(s.Peer().Hosts, func(h settings.Host, _ int) roster.Host {
+		return roster.New(h.Host, h.Zone, h.Addr, roster.Live)
+	})
+	return roster.NewHTTP(s.Platform().Roster, &http.Client{Timeout: s.StoreTimeout()}).WithFallback(seeds...)
+}
+
+// mergeLoads combines what the hosts of a zone tell the others.
+func mergeLoads(_, name string, values [][]byte) []byte {
+	if data, ok := fleet.Merge(name, values); ok {
+		return data
+	}
+	return quota.Merge(values)
+}
+
 func peerTLS(p settings.Peer) (*tls.Config, error) {
 	if p.Cert == "" {
 		return peer.NewTLSSecret(p.Secret)
@@ -133,6 +152,7 @@
 		Load:   engines.Load,
 		Events: engines.Events,
 		Hosts:  func() []string { return liveHosts(n.Members()) },
+		Zoned:  func() []route.Host { return zonedHosts(n.Members()) },
 	}), nil
 }
 
--- a/internal/host/spread/record.go
+++ b/internal/host/spread/record.go
@@ -13,6 +13,7 @@
 	Key      = "key"      // key records, by their version
 	Suspect  = "suspect"  // quarantined requests, with expiry
 	Load     = "load"     // soft load summaries, with expiry
+	Upstream = "upstream" // the platform's list of upstreams, by the time of its reading
 	Usage    = "usage"    // usage handed over by a host that shuts down
 	Member   = "member"   // hosts
 )
@@ -50,9 +51,10 @@
 	key     string
 	value   []byte
 	version uint64
-	expires int64  // milliseconds since 1970, 0 for never
-	refs    []byte // references of the chunks when the value is chunked
-	levels  int    // levels of references above the chunks
+	expires int64    // milliseconds since 1970, 0 for never
+	refs    []byte   // references of the chunks when the value is chunked
+	levels  int      // levels of references above the chunks
+	parts   []uint32 // what a soft record is combined from
 }
 
 func (e *entry) isExpired(now time.Time) bool {
