--- a/internal/operator/follow/follow_test.go
+++ b/internal/operator/follow/follow_test.go
@@ -126,7 +126,8 @@
 		client := store.New(memory.Backend(), store.Options{Clock: clk, Rand: rand.New(rand.NewPCG(uint64(i), 1))})
 		h.vault = vault.New(vault.Options{Store: vault.NewStore(client), Now: time.Now})
 		h.follow = follow.New(follow.Options{
-			Vault: h.vault, Store: client, Spread: h.node.Spread(), Document: document.NewLive(), Keys: h.keys,
+			Readiness: follow.NewReadiness(),
+			Vault:     h.vault, Store: client, Spread: h.node.Spread(), Document: document.NewLive(), Keys: h.keys,
 			Log: zap.NewNop(), IsWatcher: func() bool { return false }, // the other hosts alone bring the news
 		})
 		list = append(list, h)
