--- a/cmd/hickorypath/demo.go
+++ b/cmd/hickorypath/demo.go
@@ -156,7 +156,7 @@
 		}
 	}
 	var err error
-	d.ledger, err = d.site.AddService("ledger", d.zone(0))
+	d.ledger, err = d.site.AddService("ledger", d.zone(0), "")
 	return err
 }
 
--- a/cmd/hickorypath/operator.go
+++ b/cmd/hickorypath/operator.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/url"
 	"os"
 	"os/signal"
 	"syscall"
@@ -59,7 +60,7 @@
 
 func addRemote(cmd *kingpin.CmdClause) *remote {
 	r := &remote{}
-	cmd.Flag("admin", "Admin address of a host of the environment.").Envar("HICKORYPATH_ADMIN").Default("http://127.0.0.1:8090").StringVar(&r.url)
+	cmd.Flag("admin", "Admin address of a host of the environment.").Envar("HICKORYPATH_ADMIN").Default("http://127.0.0.1:8090").SetValue((*address)(&r.url))
 	cmd.Flag("token", "Operator's token; rather set the variable, which other users of the machine cannot see.").Envar("HICKORYPATH_TOKEN").StringVar(&r.token)
 	addJSON(cmd, &r.json)
 	return r
@@ -69,6 +70,22 @@
 	cmd.Flag("json", "Print JSON for programs.").BoolVar(target)
 }
 
+// address is a flag with the address of an API.
+type address string
+
+// String implements kingpin.Value.
+func (a *address) String() string { return string(*a) }
+
+// Set implements kingpin.Value.
+func (a *address) Set(text string) error {
+	u, err := url.Parse(text)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return fmt.Errorf("%q is not the address of an API, such as http://127.0.0.1:8090", text)
+	}
+	*a = address(text)
+	return nil
+}
+
 func (r *remote) client() *client.Client {
 	return client.New(client.Options{URL: r.url, Token: r.token})
 }
@@ -116,28 +133,43 @@
 
 // printError prints one fault to a line, or the error as JSON.
 func printError(w io.Writer, err error, jsonOutput bool) {
+	var own *exitError
+	if errors.As(err, &own) && own.text == "" {
+		return
+	}
 	if jsonOutput {
 		_ = json.NewEncoder(w).Encode(map[string]api.Detail{"error": detailOf(err)})
 		return
 	}
-	var own *exitError
 	var faults *document.Faults
 	var answer *client.Failure
 	switch {
-	case errors.As(err, &own):
-		if own.text != "" {
-			fmt.Fprintln(w, own.text)
-		}
+	case own != nil:
+		fmt.Fprintln(w, own.text)
 	case errors.As(err, &faults):
 		fmt.Fprintf(w, "%v\n%d faults; nothing was changed\n", err, len(faults.List()))
 	case errors.As(err, &answer) && len(answer.Faults()) > 0:
 		fmt.Fprintf(w, "%v\n%d faults; nothing was changed\n", answer, len(answer.Faults()))
 	default:
 		fmt.Fprintln(w, "hickorypath:", err)
+		if remedy := remedies[kind.Of(err)]; remedy != "" {
+			fmt.Fprintln(w, remedy)
+		}
 	}
 }
 
+// remedies tell what to do about errors that the API cannot know the command's flags for.
+var remedies = map[kind.Kind]string{
+	kind.Unauthorized: "set HICKORYPATH_TOKEN or --token to an operator's token of that environment",
+	kind.NoRoute:      "HICKORYPATH_ADMIN or --admin must be the operators' address of a host, not the callers'",
+	kind.Unavailable:  "check that the host runs and that HICKORYPATH_ADMIN or --admin is its operators' address",
+}
+
 func detailOf(err error) api.Detail {
+	var own *exitError
+	if errors.As(err, &own) && own.code == exitLate {
+		return api.Detail{Kind: kind.Timeout, Message: own.text, Ran: kind.RanYes}
+	}
 	e := kind.From(err)
 	d := api.Detail{Kind: e.Kind(), Message: e.Message(), Ran: e.Ran()}
 	var faults *document.Faults
--- a/cmd/hickorypath/process_test.go
+++ b/cmd/hickorypath/process_test.go
@@ -72,7 +72,7 @@
 	for range 2 {
 		is.NoErr(p.site.AddEngine("asesor", "norte-a", false))
 	}
-	p.ledger, err = p.site.AddService("ledger", "norte-a")
+	p.ledger, err = p.site.AddService("ledger", "norte-a", "")
 	is.NoErr(err)
 	for range hosts {
 		p.start()
--- a/cmd/hickorypath/promote.go
+++ b/cmd/hickorypath/promote.go
@@ -23,8 +23,8 @@
 func addPromote(app *kingpin.Application) {
 	p := &promotion{}
 	cmd := app.Command("promote", "Copy the document that one environment accepted to another, byte for byte. Exits like apply.")
-	cmd.Flag("from", "Admin address in the environment where the document was tried.").Required().StringVar(&p.from)
-	cmd.Flag("to", "Admin address in the environment that is to take it.").Required().StringVar(&p.to)
+	cmd.Flag("from", "Admin address in the environment where the document was tried.").Required().SetValue((*address)(&p.from))
+	cmd.Flag("to", "Admin address in the environment that is to take it.").Required().SetValue((*address)(&p.to))
 	cmd.Flag("digest", "Digest of the document; the newest of the first environment without it.").StringVar(&p.digest)
 	cmd.Flag("from-token", "Operator's token in the first environment; the same as in the second without it.").Envar("HICKORYPATH_FROM_TOKEN").StringVar(&p.fromToken)
 	cmd.Flag("token", "Operator's token in the second environment.").Envar("HICKORYPATH_TOKEN").StringVar(&p.token)
--- a/cmd/hickorypath/serve.go
+++ b/cmd/hickorypath/serve.go
@@ -48,5 +48,6 @@
 	conf.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	conf.EncoderConfig.TimeKey = "time"
 	conf.EncoderConfig.MessageKey = "text"
+	conf.EncoderConfig.CallerKey = "source" // "caller" is the callers' address
 	return conf.Build()
 }
--- a/cmd/hickorypath/version.go
+++ b/cmd/hickorypath/version.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"runtime/debug"
+	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/samber/lo"
 )
 
 // build describes the program.
@@ -25,7 +27,7 @@
 		if json {
 			return printJSON(b)
 		}
-		fmt.Printf("hickorypath %s %s %s\n", b.Version, shortDigest(b.Revision), b.Go)
+		fmt.Println(strings.Join(lo.Compact([]string{"hickorypath", b.Version, shortDigest(b.Revision), b.Go}), " "))
 		return nil
 	}))
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -33,6 +33,7 @@
 // flags are the flags of the command.
 type flags struct {
 	listen  string
+	service string
 	pools   []string
 	engines int
 	zones   int
@@ -43,6 +44,7 @@
 	var f flags
 	app := kingpin.New("standin", help)
 	app.Flag("listen", "Address of the platform's services.").Default("127.0.0.1:9000").StringVar(&f.listen)
+	app.Flag("service", "Address of the plain service, pool ledger.").Default("127.0.0.1:9100").StringVar(&f.service)
 	app.Flag("pool", "Pool of engines; repeat for more.").Default("asesor", "libro").StringsVar(&f.pools)
 	app.Flag("engines", "Engines of each pool.").Default("3").IntVar(&f.engines)
 	app.Flag("zones", "Availability zones, norte-a and on.").Default("3").IntVar(&f.zones)
@@ -65,7 +67,7 @@
 			}
 		}
 	}
-	if _, err := s.AddService("ledger", "norte-a"); err != nil {
+	if _, err := s.AddService("ledger", "norte-a", f.service); err != nil {
 		return err
 	}
 	ln, err := net.Listen("tcp", f.listen)
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -2,6 +2,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -109,10 +110,10 @@
 	return nil
 }
 
-// AddService runs a plain service and returns it.
-func (s *Site) AddService(pool, zone string) (*standinservice.Service, error) {
+// AddService runs a plain service at addr, or at any free port for an empty one, and returns it.
+func (s *Site) AddService(pool, zone, addr string) (*standinservice.Service, error) {
 	v := standinservice.New()
-	_, err := s.start(Upstream{Pool: pool, Zone: zone}, v.Handler())
+	_, err := s.start(Upstream{Pool: pool, Zone: zone, Addr: addr}, v.Handler())
 	return v, err
 }
 
@@ -129,7 +130,7 @@
 
 // start runs a stand-in under its id, or under one made here.
 func (s *Site) start(u Upstream, handler http.Handler) (Upstream, error) {
-	ln, err := net.Listen("tcp", anyPort)
+	ln, err := net.Listen("tcp", cmp.Or(u.Addr, anyPort))
 	if err != nil {
 		return Upstream{}, fmt.Errorf("stand-in of pool %s: %w", u.Pool, err)
 	}
