Refuse a suspect at once when no upstream is in service

Cause: a suspect without any upstream to join waited its whole 30 s for a turn, while every other request is refused at once with the time to come back. Change: the wait ends when there is no candidate. Tests: TestSuspectWithoutUpstream; it waited 30.025 s of virtual time before, and none now. Conclusion: as for requests that are not suspects.

--- a/internal/caller/exchange/suspect_test.go
+++ b/internal/caller/exchange/suspect_test.go
@@ -131,14 +131,36 @@
 	}
 }
 
+// TestSuspectWithoutUpstream sends a suspect again while no upstream is in service: it is refused at once.
+func TestSuspectWithoutUpstream(t *testing.T) {
+	within(t, func(w *world) {
+		first := w.chat(w.ctx, call{model: "once", write: func() { crash(w, nil) }})
+		w.Equal(kind.Of(first.err), kind.Lost)
+		w.Equal(w.suspects.Load(), int64(1))
+		w.retarget(func(t dispatch.Target) dispatch.Target { return t.WithDown() })
+		sent := time.Now()
+		again := kind.From(w.chat(w.ctx, call{model: "once"}).err)
+		w.Equal(again.Kind(), kind.Unavailable)
+		w.Equal(again.Ran(), kind.RanNo)
+		w.True(again.RetryAfter() > 0)
+		w.Equal(time.Since(sent), time.Duration(0))
+	})
+}
+
 // leave tells the pool that the platform takes an engine back.
 func (w *world) leave(id string) {
-	w.pools["asesor"].SetTargets(lo.Map(w.pools["asesor"].Targets(), func(t dispatch.Target, _ int) dispatch.Target {
+	w.retarget(func(t dispatch.Target) dispatch.Target {
 		if t.ID() == id {
 			return t.WithLeaving()
 		}
 		return t
-	}))
+	})
+}
+
+// retarget changes the list of engines.
+func (w *world) retarget(change func(dispatch.Target) dispatch.Target) {
+	p := w.pools["asesor"]
+	p.SetTargets(lo.Map(p.Targets(), func(t dispatch.Target, _ int) dispatch.Target { return change(t) }))
 }
 
 func crashFor(e *standinengine.Engine, d time.Duration) {
--- a/internal/caller/exchange/turn.go
+++ b/internal/caller/exchange/turn.go
@@ -23,7 +23,11 @@
 func (s *Session) turn(ctx context.Context, p suspect.Print, avoid []string) (suspect.Turn, error) {
 	deps := s.runner.deps
 	end := deps.Clock.Now().Add(turnWait)
-	candidates := func() []string { return s.candidates(avoid) }
+	var list []string
+	candidates := func() []string {
+		list = s.candidates(avoid)
+		return list
+	}
 	var t suspect.Turn
 	for {
 		now := deps.Clock.Now()
@@ -31,6 +35,9 @@
 		if ready || kind.Of(err) == kind.Quarantined {
 			return next, err
 		}
+		if err != nil && len(list) == 0 {
+			return suspect.Turn{}, err
+		}
 		t = next
 		if now.After(end) {
 			deps.Suspects.Leave(deps.Clock.Now(), t)
