Count the store's calls with the interval that a fleet of 350 gives

Cause: FleetCalls set the interval of commits to 5 s by hand. Change: the recorders of the test follow the size of the fleet themselves, 3.5 s at 350 hosts; the limits are the same.

--- a/internal/platform/store/fleet_test.go
+++ b/internal/platform/store/fleet_test.go
@@ -31,12 +31,14 @@
 // fleet is what a run of the counting has.
 type fleet struct {
 	hosts  int
-	leases int           // duties; each has at most three candidates
-	claims float64       // per second and host
-	commit time.Duration // of usage
+	leases int     // duties; each has at most three candidates
+	claims float64 // per second and host
+	size   int     // hosts that the interval of commits follows
 	load   load
 }
 
+func (f fleet) fleet() int { return f.size }
+
 // load is the traffic of one host.
 type load struct {
 	requests  int // per second
@@ -99,7 +101,7 @@
 // run starts all of one host that calls the store.
 func (f fleet) run(ctx context.Context, c *store.Client, clk clock.Clock, i int) {
 	name := fmt.Sprint("h", i)
-	rec := usage.New(c, clk, usage.Options{Host: name, Incarnation: "1", Every: f.commit})
+	rec := usage.New(c, clk, usage.Options{Host: name, Incarnation: "1", Hosts: f.fleet})
 	go rec.Run(ctx)
 	draw := rand.NewZipf(rand.New(rand.NewPCG(uint64(i), 2)), zipfSkew, zipfShift, uint64(f.load.customers-1))
 	go every(ctx, time.Second/time.Duration(f.load.requests), func(int) {
@@ -131,7 +133,7 @@
 	go l.Run(ctx)
 	if number == 0 {
 		sink := usage.Sink{Report: func(context.Context, usage.Report, func() error) error { return nil }}
-		go usage.NewReporter(c, clk, l, sink, usage.ReporterOptions{}).Run(ctx)
+		go usage.NewReporter(c, clk, l, sink, usage.ReporterOptions{Hosts: f.fleet}).Run(ctx)
 	}
 }
 
@@ -157,7 +159,7 @@
 	laterHosts  = 350
 	laterLeases = 4*8 + 1 // 8 models in 4 regions and the reporter
 	laterClaims = 64      // per second, fleet: 1 in 100 of 6,400 requests
-	laterCommit = 5 * time.Second
+	laterCommit = 3500 * time.Millisecond
 
 	todayLimit       = 50.0
 	laterWriteLimit  = 300.0
@@ -169,8 +171,8 @@
 // TestFleetCalls counts the calls of a fleet of today's size and works out those of the later one
 // from slopes: per host, per duty and per claim.
 func TestFleetCalls(t *testing.T) {
-	now := fleet{hosts: todayHosts, leases: todayLeases, claims: todayClaims / float64(todayHosts), commit: time.Second, load: load{10, 10}}
-	base := fleet{hosts: 4, leases: 1, commit: laterCommit, load: load{18, 29000}}
+	now := fleet{hosts: todayHosts, leases: todayLeases, claims: todayClaims / float64(todayHosts), size: todayHosts, load: load{10, 10}}
+	base := fleet{hosts: 4, leases: 1, size: laterHosts, load: load{18, 29000}}
 	hosts, duties, claims := base, base, base
 	hosts.hosts, duties.leases, claims.claims = 8, 5, 1
 	got := countAll(t, []fleet{now, base, hosts, duties, claims})
