--- a/cmd/hickorypath/demo.go
+++ b/cmd/hickorypath/demo.go
@@ -178,7 +178,7 @@
 	}
 	h, err := newHost(s, d.log)
 	if err != nil {
-		return err
+		return fmt.Errorf("%w; choose other addresses with --listen and --admin", err)
 	}
 	addr := get[*node.Node](h.injector).Addr()
 	d.site.Roster().Put(roster.New(s.Host(), s.Zone(), addr, roster.Live))
--- a/cmd/hickorypath/demotext.go
+++ b/cmd/hickorypath/demotext.go
@@ -30,6 +30,11 @@
   curl -s $HICKORYPATH_ADMIN/v1/status -H "Authorization: Bearer $HICKORYPATH_TOKEN"
   go run ./cmd/hickorypath status
   go run ./cmd/hickorypath key issue --customer santona
+  go run ./cmd/hickorypath key list     # and: key withdraw ID, which ends the running calls of the key
+
+In a browser, with any name and the password {{.Token}}:
+  {{.Admin}}/burn   service-level burn
+  {{.Admin}}/docs   the operators' API
 
 Ctrl-C ends the demo.
 `))
--- a/cmd/hickorypath/script_test.go
+++ b/cmd/hickorypath/script_test.go
@@ -7,11 +7,15 @@
 	"os"
 	"os/exec"
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
+// argsVariable makes the test's own program run the command that it holds.
+const argsVariable = "HICKORYPATH_TEST_ARGS"
+
 func TestMain(m *testing.M) {
 	if path := os.Getenv(serveVariable); path != "" {
 		if err := runServe(context.Background(), path); err != nil {
@@ -20,6 +24,10 @@
 		}
 		return
 	}
+	if args := os.Getenv(argsVariable); args != "" {
+		run(strings.Fields(args))
+		return
+	}
 	testscript.Main(m, map[string]func(){"hickorypath": main})
 }
 
