Give the tests of the operators' client time that a slow machine does not use up

Cause: store calls of the test's API had 100 ms with all retries. Five lost answers of 20 ms each with their back-off take most of that, so that a loaded machine got kind "store" in place of a success. TestLostAnswers failed in a loaded run now and then.

Ruled out: a wrong answer of the client; kind "store" says that nothing was written, and the lost writes were those of chunks before the root.

Change: a minute for all cases but the one in which the store is silent, which has a second to run out of.

--- a/internal/operator/client/client_test.go
+++ b/internal/operator/client/client_test.go
@@ -35,12 +35,22 @@
 	wrap   func(http.Handler) http.Handler // faults on the way to the API
 }
 
+// patience is the time for a store call with its retries. It is long, so that a slow machine does not
+// decide a test; only one that is to run out of time takes less.
+const patience = time.Minute
+
 func newEnvironment(t *testing.T) *environment {
+	t.Helper()
+	return newEnvironmentWithin(t, patience)
+}
+
+// newEnvironmentWithin is newEnvironment with another time for a store call with its retries.
+func newEnvironmentWithin(t *testing.T, whole time.Duration) *environment {
 	t.Helper()
 	e := &environment{memory: store.NewMemory(clock.NewSystem()), live: document.NewLive(), table: key.NewTable()}
 	backend := store.New(e.memory.Backend(), store.Options{
 		Clock: clock.NewSystem(), Rand: rand.New(rand.NewPCG(1, 2)),
-		Attempt: 20 * time.Millisecond, Whole: 100 * time.Millisecond, Rate: 10_000,
+		Attempt: 20 * time.Millisecond, Whole: whole, Rate: 10_000,
 		Budgets: map[store.Use]float64{store.UseDocument: 10_000, store.UseKey: 10_000},
 	})
 	v := vault.New(vault.Options{Store: vault.NewStore(backend), Now: time.Now})
@@ -186,19 +196,20 @@
 	}
 	cases := []struct {
 		name  string
+		whole time.Duration // for a store call with its retries
 		fault func(e *environment)
 		want  kind.Kind
 		state string
 	}{
-		{"store answers lost after taking effect", func(e *environment) { e.memory.Set(store.Faults{Lose: 5}) }, "", "applied"},
-		{"store silent", func(e *environment) { e.memory.Set(store.Faults{Silent: true}) }, kind.Store, ""},
-		{"API answer cut after taking effect", cutAnswer(true), "", "applied"},
-		{"API call cut before taking effect", cutAnswer(false), kind.Unknown, "open"},
+		{"store answers lost after taking effect", patience, func(e *environment) { e.memory.Set(store.Faults{Lose: 5}) }, "", "applied"},
+		{"store silent", time.Second, func(e *environment) { e.memory.Set(store.Faults{Silent: true}) }, kind.Store, ""},
+		{"API answer cut after taking effect", patience, cutAnswer(true), "", "applied"},
+		{"API call cut before taking effect", patience, cutAnswer(false), kind.Unknown, "open"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			e := newEnvironment(t)
+			e := newEnvironmentWithin(t, c.whole)
 			operator := e.client("m-secret")
 			_, err := operator.Put(ctx, client.Put{Source: text("laredo")})
 			is.NoErr(err)
