--- a/cmd/hickorypath/process_test.go
+++ b/cmd/hickorypath/process_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
 
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/core/settings"
@@ -24,10 +25,14 @@
 	"hickorypath/internal/platform/roster"
 	"hickorypath/internal/platform/store"
 	standinengine "hickorypath/internal/standin/engine"
+	standinroster "hickorypath/internal/standin/roster"
 	standinservice "hickorypath/internal/standin/service"
 	"hickorypath/internal/standin/site"
 )
 
+// nowhere is the base URL of a platform that cannot be reached.
+const nowhere = "http://127.0.0.1:1"
+
 // serveVariable makes the test's own program run one host with the settings file that it names.
 const serveVariable = "HICKORYPATH_TEST_SERVE"
 
@@ -50,6 +55,7 @@
 	keys     map[string]string
 	http     *http.Client
 	started  int
+	known    []settings.Host // that the settings of a host name, to join without the platform
 }
 
 func newProcesses(t *testing.T, hosts int) *processes {
@@ -72,7 +78,7 @@
 	for range 2 {
 		is.NoErr(p.site.AddEngine("asesor", "norte-a", false))
 	}
-	p.ledger, err = p.site.AddService("ledger", "norte-a")
+	p.ledger, err = p.site.AddService("ledger", "norte-a", "")
 	is.NoErr(err)
 	for range hosts {
 		p.start()
@@ -106,7 +112,7 @@
 	data, _ := json.Marshal(map[string]any{
 		"host": name, "zone": "norte-a", "environment": "test",
 		"caller": settings.Listener{Listen: anyPort}, "admin": settings.Listener{Listen: anyPort},
-		"operators": []settings.Operator{{Name: "demo", Token: demoToken}}, "peer": settings.Peer{Listen: anyPort, Secret: demoSecret},
+		"operators": []settings.Operator{{Name: "demo", Token: demoToken}}, "peer": settings.Peer{Listen: anyPort, Secret: demoSecret, Hosts: p.known},
 		"platform": settings.Platform{
 			Store: p.platform + "/store", Provision: p.platform + "/provision",
 			Usage: p.platform + "/usage", Roster: p.platform + "/roster",
@@ -172,6 +178,18 @@
 	return p.send(h, call{http.MethodPost, "/v1/chat/completions", chatBody("asesor", false, text), p.keys[demoCustomer], nil})
 }
 
+// untilServed asks a host that starts until it answers. Before, it may only say that it is not ready.
+func (p *processes) untilServed(h *process, text string) {
+	p.t.Helper()
+	p.until(func() bool {
+		a := p.ask(h, text)
+		if a.status != http.StatusOK && a.status != http.StatusServiceUnavailable {
+			p.t.Fatalf("a host that starts answered %d: %s", a.status, a.body)
+		}
+		return a.status == http.StatusOK
+	})
+}
+
 // holder returns the host that holds a lease.
 func (p *processes) holder(name string, among []*process) *process {
 	for _, h := range among {
@@ -249,7 +267,7 @@
 	p.site.Store().Memory().Set(store.Faults{Down: true})
 	is.NoErr(p.hosts[0].cmd.Process.Kill())
 	h := p.start()
-	p.until(func() bool { return p.ask(h, "from a peer's copy").status == http.StatusOK })
+	p.untilServed(h, "from a peer's copy")
 	a := p.send(h, call{http.MethodPost, "/dues", `{"member":"Ana"}`, p.keys[demoCustomer], http.Header{"Idempotency-Key": {"k1"}}})
 	is.Equal(a.refusal().Error.Kind, kind.Claimless)
 	is.Equal(a.refusal().Error.Ran, kind.RanNo)
@@ -257,6 +275,21 @@
 	is.Equal(p.send(h, call{method: http.MethodGet, path: "/help"}).status, http.StatusOK)
 }
 
+// TestHostStartsWhileItsZoneIsCutOff starts a host that reaches other hosts and upstreams, and nothing of the platform.
+func TestHostStartsWhileItsZoneIsCutOff(t *testing.T) {
+	is := is.New(t)
+	p := newProcesses(t, 3)
+	p.platform = nowhere
+	p.known = lo.Map(p.hosts, func(h *process, _ int) settings.Host {
+		return settings.Host{Host: h.name, Zone: "norte-a", Addr: h.peer}
+	})
+	is.NoErr(p.hosts[0].cmd.Process.Kill())
+	p.site.Roster().Set(standinroster.Faults{Lag: settings.Duration(time.Hour)}) // the others do not read of it either
+	h := p.start()
+	p.untilServed(h, "with the other hosts' lists")
+	is.Equal(p.send(h, call{method: http.MethodGet, path: "/help"}).status, http.StatusOK)
+}
+
 func TestResendAfterItsHostDiedRunsAtMostOnce(t *testing.T) {
 	is := is.New(t)
 	p := newProcesses(t, 2)
--- a/cmd/hickorypath/wire.go
+++ b/cmd/hickorypath/wire.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/samber/do/v2"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"hickorypath/internal/caller/exchange"
@@ -45,7 +46,8 @@
 	do.ProvideValue(i, key.NewTable())
 	do.ProvideValue(i, metrics.NewSet())
 	do.ProvideValue(i, identity{host: s.Host(), incarnation: exchange.NewID()})
-	do.ProvideValue(i, newListing())
+	do.ProvideValue(i, follow.NewReadiness())
+	do.Provide(i, provideListing)
 	do.Provide(i, provideStore)
 	do.Provide(i, provideVault)
 	do.Provide(i, provideNode)
@@ -90,22 +92,35 @@
 		return nil, err
 	}
 	live := get[*document.Live](i)
+	ready := get[*follow.Readiness](i)
 	return node.New(node.Options{
 		ID:     s.Host(),
 		Zone:   s.Zone(),
 		Addr:   s.Peer().Listen,
 		TLS:    conf,
-		Roster: roster.NewHTTP(s.Platform().Roster, &http.Client{Timeout: s.StoreTimeout()}).List,
+		Roster: provideRoster(s).List,
 		Clock:  get[clock.Clock](i),
 		Log:    get[*zap.Logger](i),
 		Merge:  mergeLoads,
+		Synced: ready.Set,
 		Revision: func() uint64 {
+			if !ready.IsReady() {
+				return 0
+			}
 			_, revision := live.Load()
 			return revision
 		},
 	})
 }
 
+// provideRoster returns the list of hosts, with those of the settings until the platform's was read.
+func provideRoster(s *settings.Settings) *roster.Roster {
+	seeds := lo.Map(s.Peer().Hosts, func(h settings.Host, _ int) roster.Host {
+		return roster.New(h.Host, h.Zone, h.Addr, roster.Live)
+	})
+	return roster.NewHTTP(s.Platform().Roster, &http.Client{Timeout: s.StoreTimeout()}).WithFallback(seeds...)
+}
+
 // mergeLoads combines what the hosts of a zone tell the others.
 func mergeLoads(_, name string, values [][]byte) []byte {
 	if data, ok := fleet.Merge(name, values); ok {
@@ -167,6 +182,7 @@
 		Document:  get[*document.Live](i),
 		Keys:      get[*key.Table](i),
 		Log:       get[*zap.Logger](i),
+		Readiness: get[*follow.Readiness](i),
 		IsWatcher: func() bool { return isWatcher(n.Members(), s.Host(), s.Zone()) },
 		Changed: func(doc *document.Document, _ uint64) {
 			f.Apply(doc)
@@ -234,6 +250,7 @@
 		Retries:  get[*exchange.Retries](i),
 		Engines:  get[*engine.Client](i),
 		Services: get[*service.Client](i),
+		IsReady:  get[*follow.Readiness](i).IsReady,
 		Pool:     f.Pool,
 		Admit:    get[*quota.Quota](i).Admit,
 		Claim:    claimer(get[*claim.Book](i)),
--- a/internal/platform/usage/reporter.go
+++ b/internal/platform/usage/reporter.go
@@ -5,6 +5,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"hickorypath/internal/core/clock"
@@ -19,6 +20,7 @@
 	Grace   time.Duration // after the end of a window, for the hosts to seal their parts
 	Every   time.Duration // between passes
 	Timeout time.Duration // of one report
+	Hosts   func() int    // size of the fleet; nil for a small one
 	Log     *zap.Logger
 }
 
@@ -50,10 +52,13 @@
 	o.Grace = cmp.Or(o.Grace, defaultGrace)
 	o.Every = cmp.Or(o.Every, defaultPass)
 	o.Timeout = cmp.Or(o.Timeout, defaultTimeout)
+	if o.Hosts == nil {
+		o.Hosts = smallFleet
+	}
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	return &Reporter{client: client.For(store.UseUsage), clock: c, lease: l, sink: s, opts: o}
+	return &Reporter{client: client.For(store.UseReport), clock: c, lease: l, sink: s, opts: o}
 }
 
 // Run makes a pass every interval until ctx ends.
@@ -87,14 +92,25 @@
 	return err
 }
 
-// advance freezes, then reports; cur follows.
+// advance freezes and reports window by window; cur follows. Parts are emptied after their window was
+// reported, or after the try.
 func (r *Reporter) advance(ctx context.Context, token lease.Token, cur *cursor) error {
 	for r.over(cur.Frozen + 1) {
-		if err := r.freeze(ctx, token, cur.Frozen+1); err != nil {
+		f, err := r.freeze(ctx, token, cur.Frozen+1)
+		if err != nil {
 			return err
 		}
 		cur.Frozen++
+		reported := r.reportFrozen(ctx, token, cur)
+		if err := r.clean(ctx, f); err != nil {
+			return errors.CombineErrors(reported, err)
+		}
 	}
+	return r.reportFrozen(ctx, token, cur)
+}
+
+// reportFrozen reports the frozen windows in order.
+func (r *Reporter) reportFrozen(ctx context.Context, token lease.Token, cur *cursor) error {
 	for cur.Reported < cur.Frozen {
 		if err := r.report(ctx, token, cur.Reported+1); err != nil {
 			return err
@@ -144,13 +160,13 @@
 		return cur, revision, err
 	}
 	first := indexAt(r.clock.Now(), r.opts.Window)
-	parts, err := r.parts(ctx)
+	err = r.eachPart(ctx, 0, func(p stored) error {
+		first = min(first, p.Window)
+		return nil
+	})
 	if err != nil {
 		return cursor{}, 0, err
 	}
-	for _, p := range parts {
-		first = min(first, p.Window)
-	}
 	return cursor{Frozen: first - 1, Reported: first - 1}, 0, nil
 }
 
@@ -175,3 +191,5 @@
 	}
 	return err
 }
+
+func smallFleet() int { return 1 }
