Name the place of a shared secret that is too short

Cause: a secret of fewer than 16 bytes was refused when the listener opened, without file, line and column.

Change: the check of the settings refuses it with place and remedy, along with all other faults. The secrets of the tests and of the sample are long enough now.

Measured: TestNewNamesPlaceAndRemedy has the case; it failed before.

--- a/internal/core/settings/settings_test.go
+++ b/internal/core/settings/settings_test.go
@@ -25,7 +25,7 @@
 }`
 
 func env(name string) string {
-	return map[string]string{"TOKEN": "t", "SECRET": "s"}[name]
+	return map[string]string{"TOKEN": "t", "SECRET": "sixteen bytes ok", "SHORT": "fifteen bytes !"}[name]
 }
 
 func TestNew(t *testing.T) {
@@ -34,7 +34,7 @@
 	is.NoErr(err)
 	is.Equal(s.Host(), "h1")
 	is.Equal(s.Operators(), []settings.Operator{{Name: "maria", Token: "t"}})
-	is.Equal(s.Peer().Secret, "s")
+	is.Equal(s.Peer().Secret, "sixteen bytes ok")
 	is.Equal(s.StoreTimeout(), time.Second)
 	is.Equal(s.Window(), time.Minute)
 }
@@ -48,6 +48,7 @@
 		{"host name for address", `"127.0.0.1:8080"`, `"localhost:8080"`, []string{":4:23: caller.listen", "IP number"}},
 		{"half of TLS", `"127.0.0.1:8090"`, `"127.0.0.1:8090", "cert": "a.pem"`, []string{":5:11: admin", "cert and key"}},
 		{"unset variable", `env:TOKEN`, `env:NONE`, []string{":6:43: operators.0.token", "NONE"}},
+		{"short secret", `env:SECRET`, `env:SHORT`, []string{":7:49: peer.secret", "15 bytes", "at least 16"}},
 		{"unknown field", `"zone"`, `"zoen"`, []string{"unknown field", "zoen"}},
 		{"bad duration", `"1s"`, `"soon"`, []string{"soon"}},
 		{"order outlasts lease", `"1s"`, `"1s", "order": "20s"`, []string{"timeout.order", "shorter than the lease"}},
@@ -72,6 +73,6 @@
 	is := is.New(t)
 	data, err := os.ReadFile("../../../docs/operate/host.sample.jsonc")
 	is.NoErr(err)
-	_, err = settings.New(data, "host.sample.jsonc", func(string) string { return "secret" })
+	_, err = settings.New(data, "host.sample.jsonc", func(string) string { return "secret of a sample" })
 	is.NoErr(err)
 }
--- a/internal/host/peer/tls.go
+++ b/internal/host/peer/tls.go
@@ -12,12 +12,12 @@
 	"time"
 
 	"hickorypath/internal/core/kind"
+	"hickorypath/internal/core/settings"
 )
 
 const (
 	protocol   = "hickorypath/1" // ALPN
 	secretInfo = "hickorypath host certificate"
-	minSecret  = 16 // bytes
 )
 
 // NewTLS returns the mutual TLS configuration from PEM texts: the host's certificate and key, and the
@@ -37,8 +37,8 @@
 // NewTLSSecret returns the mutual TLS configuration of hosts that share a secret: all hosts derive the
 // same self-signed certificate and accept no other.
 func NewTLSSecret(secret string) (*tls.Config, error) {
-	if len(secret) < minSecret {
-		return nil, kind.New(kind.Settings, "the hosts' shared secret has fewer than %d bytes", minSecret)
+	if len(secret) < settings.MinSecret {
+		return nil, kind.New(kind.Settings, "the hosts' shared secret has fewer than %d bytes", settings.MinSecret)
 	}
 	seed, err := hkdf.Key(sha256.New, []byte(secret), nil, secretInfo, ed25519.SeedSize)
 	if err != nil {
