--- a/internal/platform/usage/freeze.go
+++ b/internal/platform/usage/freeze.go
@@ -25,8 +25,8 @@
 	old     []stored // emptied parts that are no longer needed
 }
 
-// freeze writes the figures of a window, once, and returns what is to be cleaned. A part that is not sealed by now is sealed here; the
-// host's later increments go to its next part, and so to a later window.
+// freeze writes the figures of a window, once, and returns what is to be cleaned. A part that is not
+// sealed by now is sealed here; the host's later increments go to its next part, and so to a later window.
 func (r *Reporter) freeze(ctx context.Context, token lease.Token, index int64) (*figures, error) {
 	marks, err := r.marks(ctx, index-1)
 	if err != nil {
--- a/internal/policy/pool/digest.go
+++ b/internal/policy/pool/digest.go
@@ -1,8 +1,6 @@
 package pool
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	digestPart = 10   // parts of a slot or weight that digests count in
--- a/internal/policy/suspect/turn.go
+++ b/internal/policy/suspect/turn.go
@@ -158,9 +158,10 @@
 	}
 }
 
-// Pass notes how far the output of a run has come, in tokens. Past the point at which the request's
-// upstream crashed its turn ends and the next suspect may follow; one that had run for a short time only must
-// also outlast it. A request that ran at two crashes must be answered whole before. Done reports whether the run is on trial no longer.
+// Pass notes how far the output of a run has come, in tokens, and reports whether the run is on trial no
+// longer. Past the point at which the request's upstream crashed its turn ends and the next suspect may
+// follow; one that had run for a short time only must also outlast it. A request that ran at two crashes
+// must be answered whole before.
 func (b *Book) Pass(now time.Time, request uint64, offset int) (done bool) {
 	r := b.runs[request]
 	e := b.entries[r.print]
