Keep the relays of a large fleet from taking leases

Cause: a relay that reports usage as well is reckoned at more than the 2.2% of a core that a host may spend on control; nothing kept the two apart.

Change: hosts that try to get leases are the live ones, in a fleet of more than 16 without the relays, if others are there. All hosts work out the same ones. A host that is not among them comes last.

Measured: TestCandidates, fleets of 7, 20 and 45 hosts in virtual time: all hosts agree, no relay of the 45 is among the 36 candidates, and zones of one host keep their candidates.

--- /dev/null
+++ b/internal/host/node/candidate_test.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/samber/lo"
+
+	"hickorypath/internal/host/member"
+)
+
+// TestCandidates checks who may take leases, as every host sees it.
+func TestCandidates(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name         string
+		hosts, zones int
+		dead         string
+		want         int
+	}{
+		{"small fleet", 7, 3, "", 7},
+		{"one host dead", 7, 3, "h000", 6},
+		{"large fleet", 45, 3, "", 36},             // three relays in each zone of 15
+		{"a relay in every place", 20, 20, "", 20}, // zones of one host
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newFleet(1, c.hosts, c.zones)
+			s.run(time.Minute)
+			if c.dead != "" {
+				s.stop(c.dead)
+				s.run(time.Minute)
+			}
+			first := sorted(s.living()[0])
+			is.Equal(len(first), c.want)
+			for _, h := range s.living() {
+				is.Equal(sorted(h), first) // all hosts agree
+				is.True(c.hosts <= member.MeshFleet || c.want == c.hosts || !h.core.table.IsRelay() || !slices.Contains(first, h.id))
+			}
+			is.True(!lo.Contains(first, c.dead))
+		})
+	}
+}
+
+func sorted(h *simHost) []string {
+	list := h.core.candidates()
+	slices.Sort(list)
+	return list
+}
--- a/internal/host/node/core.go
+++ b/internal/host/node/core.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"hickorypath/internal/host/member"
 	"hickorypath/internal/host/spread"
 	"hickorypath/internal/platform/roster"
@@ -122,6 +124,23 @@
 	return c.table.Members(c.now())
 }
 
+// candidates returns the live hosts, in a large fleet those that are no relays if there are any.
+func (c *core) candidates() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	live := lo.Filter(c.table.Members(c.now()), func(m member.Member, _ int) bool { return m.Alive() })
+	all := lo.Map(live, func(m member.Member, _ int) string { return m.ID() })
+	if len(all) <= member.MeshFleet {
+		return all
+	}
+	zones := lo.UniqMap(live, func(m member.Member, _ int) string { return m.Zone() })
+	rest, _ := lo.Difference(all, lo.FlatMap(zones, func(zone string, _ int) []string { return c.table.Relays(zone) }))
+	if len(rest) == 0 {
+		return all
+	}
+	return rest
+}
+
 func (c *core) leave() {
 	c.mu.Lock()
 	beats := c.table.Leave(c.now())
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -88,6 +88,10 @@
 // Members returns this host and all that it knows.
 func (n *Node) Members() []member.Member { return n.core.members() }
 
+// Candidates returns the hosts that should try to get leases: the live ones, in a large fleet without the
+// relays, which have work enough.
+func (n *Node) Candidates() []string { return n.core.candidates() }
+
 // Run exchanges messages with the other hosts until ctx ends, and then closes the listener.
 func (n *Node) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
--- a/internal/platform/lease/candidate.go
+++ b/internal/platform/lease/candidate.go
@@ -1,6 +1,8 @@
 package lease
 
 import (
+	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -27,8 +29,11 @@
 	return rank(hosts, self, name) < preferred
 }
 
-// rank returns how many hosts come before self for a name.
+// rank returns how many hosts come before self for a name; one that is not among them comes last.
 func rank(hosts []string, self, name string) int {
+	if !slices.Contains(hosts, self) {
+		return math.MaxInt
+	}
 	weight := func(host string) uint64 { return xxhash.Sum64String(name + "\x00" + host) }
 	own := weight(self)
 	return lo.CountBy(hosts, func(h string) bool { return weight(h) > own })
