Bound what one look at the usage windows reads

Change: a query names a time, the last hour if it does not, and a customer. Windows are listed in blocks of 100, keys of rows are read one at a time, and only rows that are wanted are kept. More than 50,000 are refused with the remedy.

Measured: TestWindowsOfAQuery, seven queries over frozen and open windows; TestTooManyRowsAreRefused with 60,000 rows.

--- a/cmd/hickorypath/duties.go
+++ b/cmd/hickorypath/duties.go
@@ -186,8 +186,8 @@
 }
 
 // windows returns the usage windows for the operators' API.
-func (h *host) windows(ctx context.Context) ([]api.Window, error) {
-	list, err := get[*reporting](h.injector).reporter.Windows(ctx)
+func (h *host) windows(ctx context.Context, q api.UsageQuery) ([]api.Window, error) {
+	list, err := get[*reporting](h.injector).reporter.Windows(ctx, usage.Query{From: q.From, To: q.To, Customer: q.Customer})
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/hickorypath/session_test.go
+++ b/cmd/hickorypath/session_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/samber/lo"
 	"github.com/sebdah/goldie/v2"
 
 	"hickorypath/internal/core/clock"
@@ -39,7 +40,7 @@
 		Accepted: func(doc *document.Document, rev vault.Revision) { live.Apply(doc, rev.Number()) },
 		Issue:    v.Issue, Withdraw: v.Withdraw, Key: v.Key, Keys: v.Keys,
 		Status: func(context.Context) (api.Status, error) { return newStatus(live), nil },
-		Usage:  func(context.Context) ([]api.Window, error) { return newWindows(), nil },
+		Usage:  func(_ context.Context, q api.UsageQuery) ([]api.Window, error) { return newWindows(q.Customer), nil },
 		Burn:   func(_ context.Context, limit int) (burn.Report, error) { return newBurn(limit), nil },
 	}})
 	server := httptest.NewServer(a.Handler())
@@ -58,10 +59,12 @@
 	}
 }
 
-func newWindows() []api.Window {
-	return []api.Window{{Start: epoch.Add(-time.Hour), End: epoch, State: "reported", Rows: []api.Usage{
-		{Customer: "laredo", Class: "query", Calls: 2, Prompt: 30, Output: 50},
-	}}}
+func newWindows(customer string) []api.Window {
+	rows := []api.Usage{{Customer: "laredo", Class: "query", Calls: 2, Prompt: 30, Output: 50}}
+	if customer != "" {
+		rows = lo.Filter(rows, func(u api.Usage, _ int) bool { return u.Customer == customer })
+	}
+	return []api.Window{{Start: epoch.Add(-time.Hour), End: epoch, State: "reported", Rows: rows}}
 }
 
 func newBurn(limit int) burn.Report {
--- a/cmd/hickorypath/usage.go
+++ b/cmd/hickorypath/usage.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -9,12 +11,14 @@
 )
 
 func addUsage(app *kingpin.Application) {
-	var customer string
-	cmd := app.Command("usage", "Show the usage windows by customer.")
-	cmd.Flag("customer", "Show only this customer.").StringVar(&customer)
+	var q api.UsageQuery
+	cmd := app.Command("usage", "Show the usage windows of the last hour, or of another time, by customer.")
+	cmd.Flag("customer", "Show only this customer.").StringVar(&q.Customer)
+	cmd.Flag("from", "Show windows that end after this time, such as 2026-03-01T12:00:00Z.").SetValue(&instant{&q.From})
+	cmd.Flag("to", "Show windows that start before this time; now if left out.").SetValue(&instant{&q.To})
 	r := addRemote(cmd)
 	cmd.Action(action(&r.json, func(ctx context.Context) error {
-		windows, err := r.client().Usage(ctx, customer)
+		windows, err := r.client().Usage(ctx, q)
 		if err != nil {
 			return err
 		}
@@ -25,6 +29,26 @@
 	}))
 }
 
+// instant is the value of a flag that takes a time.
+type instant struct{ at *time.Time }
+
+// Set implements kingpin.Value.
+func (i *instant) Set(text string) (err error) {
+	*i.at, err = time.Parse(time.RFC3339, text)
+	if err != nil {
+		return fmt.Errorf("%q is not a time such as 2026-03-01T12:00:00Z", text)
+	}
+	return nil
+}
+
+// String implements kingpin.Value.
+func (i *instant) String() string {
+	if i.at.IsZero() {
+		return ""
+	}
+	return i.at.Format(time.RFC3339)
+}
+
 func printUsage(windows []api.Window) error {
 	t := newTable("start", "end", "state", "customer", "class", "calls", "prompt", "output", "wasted")
 	for _, w := range windows {
--- a/internal/operator/admin/admin.go
+++ b/internal/operator/admin/admin.go
@@ -42,7 +42,7 @@
 	KeyChanged func(rec key.Record)
 
 	Status func(ctx context.Context) (api.Status, error)
-	Usage  func(ctx context.Context) ([]api.Window, error)
+	Usage  func(ctx context.Context, q api.UsageQuery) ([]api.Window, error)
 	Burn   func(ctx context.Context, limit int) (burn.Report, error)
 
 	Ready   func() error // nil when the host takes requests
--- a/internal/operator/admin/state.go
+++ b/internal/operator/admin/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/danielgtaylor/huma/v2"
 
@@ -36,31 +37,27 @@
 	return &statusOutput{Body: s}, err
 }
 
-type usageInput struct {
-	Customer string `query:"customer" doc:"Only rows of this customer"`
-}
-
 type usageOutput struct{ Body []api.Window }
 
-func (a *Admin) listUsage(ctx context.Context, in *usageInput) (*usageOutput, error) {
+// usageSpan is the time before its end that a query without a start covers.
+const usageSpan = time.Hour
+
+func (a *Admin) listUsage(ctx context.Context, in *api.UsageQuery) (*usageOutput, error) {
 	if a.fn.Usage == nil {
 		return nil, notServed("usage")
 	}
-	list, err := a.fn.Usage(ctx)
-	if err != nil {
-		return nil, err
+	q := *in
+	if q.To.IsZero() {
+		q.To = time.Now()
+	}
+	if q.From.IsZero() {
+		q.From = q.To.Add(-usageSpan)
 	}
-	out := &usageOutput{Body: make([]api.Window, len(list))}
-	for i, w := range list {
-		out.Body[i] = w
-		out.Body[i].Rows = []api.Usage{}
-		for _, row := range w.Rows {
-			if in.Customer == "" || row.Customer == in.Customer {
-				out.Body[i].Rows = append(out.Body[i].Rows, row)
-			}
-		}
+	if !q.From.Before(q.To) {
+		return nil, kind.New(kind.Invalid, "the time asked for ends before it starts; set from to an earlier time than to")
 	}
-	return out, nil
+	list, err := a.fn.Usage(ctx, q)
+	return &usageOutput{Body: list}, err
 }
 
 type burnInput struct {
--- a/internal/operator/api/api.go
+++ b/internal/operator/api/api.go
@@ -95,6 +95,13 @@
 	Rows  []Usage   `json:"rows" doc:"Usage by customer"`
 }
 
+// UsageQuery selects usage windows and their rows.
+type UsageQuery struct {
+	Customer string    `query:"customer" doc:"Only rows of this customer"`
+	From     time.Time `query:"from" doc:"Only windows that end after this time; an hour before to if left out"`
+	To       time.Time `query:"to" doc:"Only windows that start before this time; now if left out"`
+}
+
 // Usage is what one customer used in one window.
 type Usage struct {
 	Customer string `json:"customer" doc:"Customer"`
--- a/internal/operator/client/state.go
+++ b/internal/operator/client/state.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"time"
 
 	"hickorypath/internal/operator/api"
 	"hickorypath/internal/policy/burn"
@@ -50,10 +51,20 @@
 	return out, err
 }
 
-// Usage returns the usage windows, with the rows of one customer or of all for the empty name.
-func (c *Client) Usage(ctx context.Context, customer string) ([]api.Window, error) {
+// Usage returns the usage windows that a query selects.
+func (c *Client) Usage(ctx context.Context, q api.UsageQuery) ([]api.Window, error) {
+	query := url.Values{}
+	if q.Customer != "" {
+		query.Set("customer", q.Customer)
+	}
+	if !q.From.IsZero() {
+		query.Set("from", q.From.Format(time.RFC3339))
+	}
+	if !q.To.IsZero() {
+		query.Set("to", q.To.Format(time.RFC3339))
+	}
 	var out []api.Window
-	_, err := c.do(ctx, call{method: http.MethodGet, path: "/v1/usage", query: optional("customer", customer)}, &out)
+	_, err := c.do(ctx, call{method: http.MethodGet, path: "/v1/usage", query: query}, &out)
 	return out, err
 }
 
--- a/internal/platform/usage/crash_test.go
+++ b/internal/platform/usage/crash_test.go
@@ -227,7 +227,7 @@
 		}
 		w.heal()
 		is.NoErr(w.verify())
-		windows, err := h.reporter.Windows(t.Context())
+		windows, err := h.reporter.Windows(t.Context(), usage.Query{To: time.Now()})
 		is.NoErr(err)
 		rows := 0
 		for _, win := range windows {
--- a/internal/platform/usage/freeze.go
+++ b/internal/platform/usage/freeze.go
@@ -161,20 +161,37 @@
 }
 
 // load returns the rows of a window.
-func (r *Reporter) load(ctx context.Context, w window) ([]Row, error) {
-	rows := w.Rows
+func (r *Reporter) load(ctx context.Context, w window) (rows []Row, err error) {
+	err = r.eachRow(ctx, w, func(row Row) error {
+		rows = append(rows, row)
+		return nil
+	})
+	return rows, err
+}
+
+// eachRow calls fn with the rows of a window. One key of rows is read at a time.
+func (r *Reporter) eachRow(ctx context.Context, w window, fn func(Row) error) error {
+	for _, row := range w.Rows {
+		if err := fn(row); err != nil {
+			return err
+		}
+	}
 	for _, key := range w.Chunks {
 		e, err := r.client.Get(ctx, key)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		chunk, err := decode[[]Row](e.Value())
 		if err != nil {
-			return nil, err
+			return err
+		}
+		for _, row := range chunk {
+			if err := fn(row); err != nil {
+				return err
+			}
 		}
-		rows = append(rows, chunk...)
 	}
-	return rows, nil
+	return nil
 }
 
 // windows returns how many windows a time spans.
--- a/internal/platform/usage/view.go
+++ b/internal/platform/usage/view.go
@@ -3,17 +3,59 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
+	"time"
+
+	"hickorypath/internal/core/kind"
+)
+
+const (
+	// viewBlock is how many windows are listed at once.
+	viewBlock = 100
+	// maxViewed bounds the rows of one answer, and with it the memory of the host that gives it.
+	maxViewed = 50_000
 )
 
+// Query selects windows and their rows.
+type Query struct {
+	From, To time.Time // windows of which a part lies between
+	Customer string    // whose rows are wanted, empty for all
+}
+
+// view is the answer to a Query while it is put together.
+type view struct {
+	query       Query
+	first, last int64 // windows
+	rows        int
+}
+
+// add takes a row that the query wants.
+func (v *view) add(rows []Row, r Row) ([]Row, error) {
+	if v.query.Customer != "" && r.Customer != v.query.Customer {
+		return rows, nil
+	}
+	if v.rows++; v.rows > maxViewed {
+		return nil, kind.New(kind.Invalid, "the answer has more than %d rows; ask for one customer or a shorter time", maxViewed)
+	}
+	return append(rows, r), nil
+}
+
+func (v *view) holds(index int64) bool { return index >= v.first && index <= v.last }
+
 // Windows returns the windows that the store holds, in order; the open ones with what hosts have
-// committed so far.
-func (r *Reporter) Windows(ctx context.Context) ([]Window, error) {
-	out, err := r.frozenWindows(ctx)
+// committed so far. The error has kind Invalid when the query wants too many rows.
+func (r *Reporter) Windows(ctx context.Context, q Query) ([]Window, error) {
+	oldest := r.clock.Now().Add(-keepWindows)
+	if q.From.Before(oldest) {
+		q.From = oldest
+	}
+	v := &view{query: q, first: indexAt(q.From, r.opts.Window), last: indexAt(q.To, r.opts.Window)}
+	out, err := r.frozenWindows(ctx, v)
 	if err != nil {
 		return nil, err
 	}
-	open, err := r.openWindows(ctx)
+	open, err := r.openWindows(ctx, v)
 	if err != nil {
 		return nil, err
 	}
@@ -22,22 +64,31 @@
 	return out, nil
 }
 
-func (r *Reporter) frozenWindows(ctx context.Context) ([]Window, error) {
-	list, _, err := r.client.List(ctx, windowPrefix)
-	if err != nil {
-		return nil, err
-	}
-	out := make([]Window, 0, len(list))
-	for _, e := range list {
-		w, err := decode[window](e.Value())
+func (r *Reporter) frozenWindows(ctx context.Context, v *view) ([]Window, error) {
+	var out []Window
+	for block := v.first / viewBlock; block <= v.last/viewBlock; block++ {
+		list, _, err := r.client.List(ctx, fmt.Sprintf("%s%010d", windowPrefix, block))
 		if err != nil {
 			return nil, err
 		}
-		rows, err := r.load(ctx, w)
-		if err != nil {
-			return nil, err
+		for _, e := range list {
+			w, err := decode[window](e.Value())
+			if err != nil {
+				return nil, err
+			}
+			if !v.holds(w.Index) {
+				continue
+			}
+			shown := Window{index: w.Index, length: w.Length, state: w.State, fence: w.Fence}
+			err = r.eachRow(ctx, w, func(row Row) (err error) {
+				shown.rows, err = v.add(shown.rows, row)
+				return err
+			})
+			if err != nil {
+				return nil, err
+			}
+			out = append(out, shown)
 		}
-		out = append(out, Window{index: w.Index, length: w.Length, state: w.State, fence: w.Fence, rows: rows})
 	}
 	return out, nil
 }
@@ -49,10 +100,10 @@
 }
 
 // openWindows sums the parts that no frozen window counts.
-func (r *Reporter) openWindows(ctx context.Context) ([]Window, error) {
+func (r *Reporter) openWindows(ctx context.Context, v *view) ([]Window, error) {
 	found := map[int64]*opening{}
 	err := r.eachPart(ctx, 0, func(p stored) error {
-		if p.Counted {
+		if p.Counted || !v.holds(p.Window) {
 			return nil
 		}
 		w, ok := found[p.Window]
@@ -64,13 +115,21 @@
 		w.open = w.open || !p.Sealed
 		return nil
 	})
+	if err != nil {
+		return nil, err
+	}
 	out := make([]Window, 0, len(found))
 	for index, w := range found {
-		state := stateSealed
+		shown := Window{index: index, length: r.opts.Window, state: stateSealed}
 		if w.open {
-			state = stateOpen
+			shown.state = stateOpen
 		}
-		out = append(out, Window{index: index, length: r.opts.Window, state: state, rows: w.sums.rows()})
+		for _, row := range w.sums.rows() {
+			if shown.rows, err = v.add(shown.rows, row); err != nil {
+				return nil, err
+			}
+		}
+		out = append(out, shown)
 	}
-	return out, err
+	return out, nil
 }
--- /dev/null
+++ b/internal/platform/usage/view_test.go
@@ -0,0 +1,82 @@
+package usage_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/samber/lo"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/platform/usage"
+)
+
+// TestWindowsOfAQuery asks for parts of four minutes in each of which two customers got 10 tokens; the
+// last minute is not frozen.
+func TestWindowsOfAQuery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(1)
+		h := w.start(t, nil)
+		time.Sleep(time.Until(time.Now().Truncate(windowLength).Add(windowLength)))
+		start := time.Now()
+		for range 4 {
+			time.Sleep(windowLength / 2)
+			w.deliver(h, "laredo", 10)
+			w.deliver(h, "noja", 10)
+			time.Sleep(windowLength / 2)
+		}
+		end := time.Now()
+		cases := []struct {
+			name     string
+			query    usage.Query
+			windows  int
+			customer int // rows of laredo
+			all      int // rows
+		}{
+			{"all", usage.Query{To: end}, 4, 4, 8},
+			{"one customer", usage.Query{To: end, Customer: "laredo"}, 4, 4, 4},
+			{"unknown customer", usage.Query{To: end, Customer: "santona"}, 4, 0, 0},
+			{"first two", usage.Query{From: start, To: start.Add(2*windowLength - 1)}, 2, 2, 4},
+			{"part of the second", usage.Query{From: start.Add(windowLength + 1), To: start.Add(windowLength + 2)}, 1, 1, 2},
+			{"the open one", usage.Query{From: end.Add(-1), To: end}, 1, 1, 2},
+			{"before all", usage.Query{From: start.Add(-2 * windowLength), To: start.Add(-1)}, 0, 0, 0},
+		}
+		for _, c := range cases {
+			list, err := h.reporter.Windows(t.Context(), c.query)
+			is.NoErr(err)
+			rows := lo.FlatMap(list, func(w usage.Window, _ int) []usage.Row { return w.Rows() })
+			used := lo.CountBy(list, func(w usage.Window) bool { return len(w.Rows()) > 0 || c.all == 0 })
+			is.Equal(used, c.windows) // c.name
+			is.Equal(len(rows), c.all)
+			is.Equal(lo.CountBy(rows, func(r usage.Row) bool { return r.Customer == "laredo" }), c.customer)
+		}
+		w.heal()
+		w.stop()
+	})
+}
+
+// TestTooManyRowsAreRefused has 30,000 customers in each of two windows.
+func TestTooManyRowsAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(1)
+		h := w.start(t, nil)
+		for range 2 {
+			for i := range 30_000 {
+				w.deliver(h, fmt.Sprintf("customer-%05d", i), 1)
+			}
+			time.Sleep(2 * windowLength)
+		}
+		_, err := h.reporter.Windows(t.Context(), usage.Query{To: time.Now()})
+		is.Equal(kind.Of(err), kind.Invalid)
+		list, err := h.reporter.Windows(t.Context(), usage.Query{To: time.Now(), Customer: "customer-00007"})
+		is.NoErr(err)
+		rows := lo.FlatMap(list, func(w usage.Window, _ int) []usage.Row { return w.Rows() })
+		is.Equal(len(rows), 2)
+		w.heal()
+		w.stop()
+	})
+}
