--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -30,6 +30,9 @@
 It lists the upstreams with the path of each. Faults are switched by POST to /store/fault, /roster/fault,
 /provision/fault, /usage/fault and /upstream/ID/fault; docs/operate/standin.md names them.`
 
+// exitUsage is the exit code of wrong usage.
+const exitUsage = 2
+
 // flags are the flags of the command.
 type flags struct {
 	listen  string
@@ -49,7 +52,10 @@
 	app.Flag("engines", "Engines of each pool.").Default("3").IntVar(&f.engines)
 	app.Flag("zones", "Availability zones, norte-a and on.").Default("3").IntVar(&f.zones)
 	app.Flag("checks", "Refuse orders with an old fencing number; --no-checks takes them.").Default("true").BoolVar(&f.checks)
-	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if _, err := app.Parse(os.Args[1:]); err != nil {
+		app.Errorf("%s, try --help", err)
+		os.Exit(exitUsage)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	app.FatalIfError(run(ctx, f), "")
