Leave room by class only while no customer of the tier leaves it

Cause: a customer that floods two classes of one tier makes each of them hold more than its share at times. Such a class leaves free slots for the other one, and its other customers wait for them, though the flooding customer already leaves room for all.

Ruled out: the order among classes.

--- a/internal/policy/pool/classes.go
+++ b/internal/policy/pool/classes.go
@@ -42,6 +42,7 @@
 	p.gate.Resize(p.queue.Tiers())
 	p.running = make([]int, p.queue.Tiers())
 	p.holds = make([]map[string]int, p.queue.Tiers())
+	p.top = make([]string, p.queue.Tiers())
 	for t := range p.holds {
 		p.holds[t] = make(map[string]int)
 	}
@@ -65,7 +66,7 @@
 	}
 	p.running[k.Tier]++
 	k.running++
-	p.holds[k.Tier][c.Customer]++
+	p.hold(c)
 	if c.solid {
 		k.solid++
 	}
--- a/internal/policy/pool/dispatch.go
+++ b/internal/policy/pool/dispatch.go
@@ -91,7 +91,7 @@
 	c.started, c.upstream, c.solid = now, up, !p.cheap[up]
 	p.table.Start(now, up, c.ID, c.work(cheap))
 	p.counts[up]++
-	p.holds[c.class.Tier][c.Customer]++
+	p.hold(c)
 	p.running[c.class.Tier]++
 	p.total++
 	c.class.running++
--- a/internal/policy/pool/pool.go
+++ b/internal/policy/pool/pool.go
@@ -88,6 +88,7 @@
 	aside   []*call          // requests with placement constraints that no upstream meets now
 	running []int            // by tier
 	holds   []map[string]int // running by tier and customer
+	top     []string         // by tier, the customer that held the most when it last started a request
 	total   int
 	counts  map[string]int     // running by upstream
 	cheap   map[string]bool    // reclaimable upstreams
--- a/internal/policy/pool/spare.go
+++ b/internal/policy/pool/spare.go
@@ -35,8 +35,13 @@
 	return floor || p.total+p.spare[k.Tier]+p.classRoom(k) < p.limit
 }
 
-// classRoom returns the slots that a class with more than its share leaves for its tier.
+// classRoom returns the slots that a class with more than its share leaves for its tier. While a customer
+// leaves room for all others of the tier, no class does so as well: in a flood of several classes each of
+// them has more than its share at times, and the other customers would wait for it.
 func (p *Pool) classRoom(k *class) int {
+	if p.isLarge(k.Tier, p.top[k.Tier]) {
+		return 0
+	}
 	others := p.running[k.Tier] - k.running
 	if others == 0 || float64(k.running) <= k.part*float64(p.running[k.Tier]) {
 		return 0
@@ -50,9 +55,24 @@
 // leavesRoom reports whether a call's customer leaves the free slots to the others. What it runs in
 // other tiers does not count: its requests are not held up by a burst of its own elsewhere.
 func (p *Pool) leavesRoom(c *call) bool {
-	own := p.holds[c.class.Tier][c.Customer]
-	if c.late || float64(own) <= largePart*float64(p.limit) {
+	if c.late || !p.isLarge(c.class.Tier, c.Customer) {
 		return false
 	}
+	own := p.holds[c.class.Tier][c.Customer]
 	return p.total+p.spare[c.class.Tier]+p.room(float64(p.total-own)) >= p.limit
 }
+
+// isLarge reports whether a customer holds so many slots in a tier that it leaves room for the others.
+func (p *Pool) isLarge(tier int, customer string) bool {
+	return float64(p.holds[tier][customer]) > largePart*float64(p.limit)
+}
+
+// hold counts a slot for the customer of a call, and notes the one that holds the most in the tier.
+func (p *Pool) hold(c *call) {
+	tier := c.class.Tier
+	holds := p.holds[tier]
+	holds[c.Customer]++
+	if holds[c.Customer] >= holds[p.top[tier]] {
+		p.top[tier] = c.Customer
+	}
+}
