Let the check of a flood in two classes fail when the fault is not listed

Cause: the test passed over each seed under its bound, so that it could not fail.

Change: it passes over them only while KNOWN-RED.txt names it.

--- a/internal/policy/model/burst_test.go
+++ b/internal/policy/model/burst_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -114,8 +116,8 @@
 	return worst
 }
 
-// TestFloodInTwoClasses lets one customer flood two classes of one tier. A seed under the bound is a known
-// fault, see KNOWN-RED.txt.
+// TestFloodInTwoClasses lets one customer flood two classes of one tier. A seed under the bound is passed
+// over only while KNOWN-RED.txt names this test.
 func TestFloodInTwoClasses(t *testing.T) {
 	classes := burstClasses()[1:3]
 	for seed := uint64(1); seed <= 4; seed++ {
@@ -123,13 +125,25 @@
 			t.Parallel()
 			worst := worstUnderFlood(seed, classes, withPool(classes, nil))
 			t.Logf("worst-served other customer keeps %.1f%%, bound %.0f%%", 100*worst, 100*floodBound)
-			if worst < floodBound {
+			if worst < floodBound && isKnownRed(t, "TestFloodInTwoClasses") {
 				t.Skip("known fault, see KNOWN-RED.txt")
 			}
+			is := is.New(t)
+			is.True(worst >= floodBound)
 		})
 	}
 }
 
+// isKnownRed reports whether the list of known faults names a test; without the file there is none.
+func isKnownRed(t *testing.T, name string) bool {
+	t.Helper()
+	list, err := os.ReadFile("../../../KNOWN-RED.txt")
+	if err != nil && !os.IsNotExist(err) {
+		t.Fatal(err)
+	}
+	return strings.Contains(string(list), name)
+}
+
 // during is a factor of high between from and to, and of 1 otherwise.
 func during(from, to time.Duration, high float64) func(time.Duration) float64 {
 	return func(t time.Duration) float64 {
