Log what decided the placing of an attempt

A request line named the upstream and the age of its load, but not the tokens that were to be read before it, those expected in its memory, or the instance it was to copy from, so a late first event could not be traced to its placing. TestBeginningIsCopied reads them from the log.

--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -18,6 +18,9 @@
 type attempt struct {
 	upstream string
 	age      time.Duration // since the last load that the upstream told; negative for never
+	ahead    int           // prompt tokens known to be unread there before this request
+	held     int           // tokens of the prompt expected in its memory, copied ones included
+	source   string        // instance that it was told to copy from
 	sent     bool          // any byte was written
 	failed   bool
 	result   kind.Kind
@@ -27,7 +30,10 @@
 // try makes one attempt. The error states whether the request may have run.
 func (e *exchange) try(ctx context.Context, i *upstream.Instance, r *reservation) error {
 	begin := e.x.opts.Now()
-	a := attempt{upstream: i.ID(), age: -1}
+	a := attempt{upstream: i.ID(), age: -1, ahead: r.ahead, held: r.held}
+	if r.source != nil {
+		a.source = r.source.ID()
+	}
 	if l := i.Load(); !l.At.IsZero() {
 		a.age = begin.Sub(l.At)
 	}
--- a/internal/gateway/exchange/journal.go
+++ b/internal/gateway/exchange/journal.go
@@ -106,6 +106,15 @@
 	enc.AddString("upstream", a.upstream)
 	enc.AddFloat64("age", ms(a.age))
 	enc.AddFloat64("ms", ms(a.took))
+	if a.ahead > 0 {
+		enc.AddInt("ahead", a.ahead)
+	}
+	if a.held > 0 {
+		enc.AddInt("held", a.held)
+	}
+	if a.source != "" {
+		enc.AddString("source", a.source)
+	}
 	if a.result != "" {
 		enc.AddString("kind", string(a.result))
 		enc.AddBool("sent", a.sent)
--- a/internal/gateway/exchange/place.go
+++ b/internal/gateway/exchange/place.go
@@ -170,6 +170,8 @@
 	work   *place.Load
 	id     string
 	source *upstream.Instance // that holds more of the prompt, nil for none
+	held   int                // tokens of the prompt that need not be read
+	ahead  int                // tokens that are read before
 	unread int
 	tokens int
 	sent   time.Time
@@ -184,7 +186,8 @@
 // reserve notes that a request is sent to an instance. The caller holds the lock.
 func (x *Exchanger) reserve(s *service, e *exchange, c choice) *reservation {
 	now, id := x.opts.Now(), c.instance.ID()
-	r := &reservation{x: x, s: s, work: s.work(id), id: id, tokens: e.tokens(), source: c.source}
+	r := &reservation{x: x, s: s, work: s.work(id), id: id, tokens: e.tokens(), source: c.source, held: c.held}
+	r.ahead = r.work.Unread + x.opts.Others(now, id).Unread
 	r.unread = max(e.call.Prompt-c.held, 0)
 	r.sent = now
 	if m := model(e.service); m.Read > 0 {
