Wait shorter for the usage counts of a host that is gone

A host is removed for good at 3 s, and its silence holds each report back until 5.5 s after the end of its window, for 20 s; at 18 s the store goes down before the figures of the window that ended at 15 s are fixed there.

Ruled out: the counts of the two hosts that were cut off until 16 s: they arrive at once after it.

Change: a silent host holds reports back for 13 s; the longest cut known lasts 12 s.

--- a/internal/gateway/peer/table.go
+++ b/internal/gateway/peer/table.go
@@ -158,8 +158,9 @@
 	return true
 }
 
-// missedTime is how long a host that fell silent may be cut off rather than gone.
-const missedTime = 20 * time.Second
+// missedTime is how long a host that fell silent may be cut off rather than gone. The longest cuts known last 12 s; each window
+// that waits for a host that is gone may meet an outage of the store.
+const missedTime = 13 * time.Second
 
 // keepWindows is how many windows of counts are kept, beyond the time in which they are reported.
 const keepWindows = 6
--- a/internal/gateway/peer/table_test.go
+++ b/internal/gateway/peer/table_test.go
@@ -63,7 +63,8 @@
 	is.True(!table.IsComplete(now, now.Add(500*time.Millisecond))) // a message without counts tells nothing
 	is.True(!table.IsComplete(now, now))                           // b told its counts a second before the end
 	is.True(table.IsComplete(now, now.Add(-time.Second)))
-	is.True(table.IsComplete(now.Add(time.Minute), now)) // b is gone
+	is.True(!table.IsComplete(now.Add(12*time.Second), now)) // b may be cut off
+	is.True(table.IsComplete(now.Add(14*time.Second), now))  // b is gone
 	leaving := message("b", 1, 2, nil)
 	leaving.Leaving, leaving.Time = true, now.UnixMilli()-900
 	table.Take(now, leaving)
