--- a/cmd/hickorypath/process_test.go
+++ b/cmd/hickorypath/process_test.go
@@ -43,6 +43,7 @@
 	}
 	is.NoErr(first.cmd.Process.Signal(syscall.SIGCONT))
 	if !p.reached(func() bool { return p.ask(first, "after the pause").status == http.StatusOK }) {
+		p.dump(first)
 		if isKnownRed(t, "TestPausedHolderNeitherOrdersNorReports") {
 			t.Skip("known fault, see KNOWN-RED.txt")
 		}
--- a/cmd/hickorypath/processes_test.go
+++ b/cmd/hickorypath/processes_test.go
@@ -13,6 +13,8 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -40,6 +42,30 @@
 	caller string
 	admin  string
 	peer   string
+	log    tail
+}
+
+// tail keeps the end of what is written to it.
+type tail struct {
+	mu   sync.Mutex
+	data []byte
+}
+
+// tailBytes is the size of the log that a failed test shows: all goroutines of a host.
+const tailBytes = 256 << 10
+
+func (l *tail) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.data = append(l.data, p...)
+	l.data = l.data[max(len(l.data)-tailBytes, 0):]
+	return len(p), nil
+}
+
+func (l *tail) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return string(l.data)
 }
 
 // processes is a set of hosts as processes, before stand-ins in the test's process.
@@ -128,7 +154,7 @@
 		var line struct{ Text, Caller, Admin, Peer string }
 		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Text == "host serves" {
 			h.caller, h.admin, h.peer = line.Caller, line.Admin, line.Peer
-			go func() { _, _ = io.Copy(io.Discard, log) }()
+			go func() { _, _ = io.Copy(&h.log, log) }()
 			return nil
 		}
 	}
@@ -177,6 +203,16 @@
 	return true
 }
 
+// dump ends a host and logs what all its goroutines did, with the end of its log.
+func (p *processes) dump(h *process) {
+	p.t.Helper()
+	_ = h.cmd.Process.Signal(syscall.SIGQUIT)
+	_ = p.reached(func() bool {
+		return strings.Contains(h.log.String(), "rip ") || strings.Contains(h.log.String(), "pc ")
+	})
+	p.t.Logf("%s", h.log.String())
+}
+
 // isKnownRed reports whether the list of known faults names a test; without the file there is none.
 func isKnownRed(t *testing.T, name string) bool {
 	t.Helper()
