--- a/internal/gateway/exchange/exchanger.go
+++ b/internal/gateway/exchange/exchanger.go
@@ -20,7 +20,6 @@
 
 // Options are what an Exchanger works with.
 type Options struct {
-	Host   string
 	Zone   string
 	Codec  Codec
 	Live   *config.Live
--- a/internal/gateway/exchange/place.go
+++ b/internal/gateway/exchange/place.go
@@ -48,7 +48,7 @@
 	doubt := x.opts.Table.Doubt(now)
 	list := x.opts.Table.Service(e.service.Name)
 	model := model(e.service)
-	w := place.Work{Parts: e.call.Parts, Prompt: e.call.Prompt, Output: e.call.Output, Zone: x.opts.Zone,
+	w := place.Work{Parts: e.call.Parts, Prompt: e.call.Prompt, Zone: x.opts.Zone,
 		Tokens: e.tokens(), Urgent: e.isUrgent(), Objective: e.route.Objective}
 	keep := x.keepers(s, list, w.Parts, now)
 	express := x.express(s, e.service, list)
@@ -119,7 +119,7 @@
 func (x *Exchanger) view(s *service, i *upstream.Instance, now time.Time, room int) place.View {
 	entry, told := i.Entry(), i.Load()
 	v := place.View{
-		ID: entry.ID, Zone: entry.Zone, Slots: entry.Slots, Load: s.work(entry.ID).Add(x.opts.Others(now, entry.ID)),
+		Zone: entry.Zone, Slots: entry.Slots, Load: s.work(entry.ID).Add(x.opts.Others(now, entry.ID)),
 		Room: room, Cold: entry.Cold > 0, Slow: s.pace.Slow(entry.ID),
 	}
 	if now.Sub(told.At) < loadAge {
--- a/internal/gateway/settings/settings.go
+++ b/internal/gateway/settings/settings.go
@@ -17,41 +17,31 @@
 	Bounds  Bounds
 	Store   Store
 	Control Control
-	// Heartbeat is the interval of the upstreams' heartbeats in the store.
-	Heartbeat time.Duration
 }
 
 // Machine is this host's part of its machine.
 type Machine struct {
 	Share       float64 // of one core
-	Cores       int
-	Memory      int64 // bytes
+	Memory      int64   // bytes
 	Descriptors int
 }
 
 // Bounds are the deployment's promises that the host has to know.
 type Bounds struct {
-	Contact      time.Duration // without trouble after which time bounds hold again
 	Drain        time.Duration // until a leaving upstream must get no request
 	Grace        time.Duration // from SIGTERM to SIGKILL
-	Apply        time.Duration // until an accepted configuration is in force
 	RetryRatio   float64       // retries of the fleet per request
 	RetryWindow  time.Duration
 	RetryMinimum int           // retries of the fleet in a window beyond the ratio
 	Lease        time.Duration // time to live of leases
-	Thaw         time.Duration
 	UsageWindow  time.Duration
 	UsageLate    time.Duration // after the end of a window, until its report is due
-	Pass         time.Duration // from an upstream's event to the caller
-	CacheRetry   time.Duration // for which a prefix that was read again is charged
 }
 
 // Store is how to reach the key-value service.
 type Store struct {
 	Address string
-	Writes  float64 // calls a second of the whole fleet
-	Reads   float64
-	MinTTL  time.Duration
+	MinTTL  time.Duration // least time to live of leases
 }
 
 // Control is how to reach the interface for usage reports and orders.
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -20,7 +20,6 @@
 type Work struct {
 	Parts   []Part // of the prompt in order; the last one is the request's own or its session's
 	Prompt  int    // tokens
-	Output  int    // tokens at most
 	Zone    string // of the host
 	Express bool   // some upstreams are kept for short prompts
 	Tokens  int    // of memory that it is expected to take
@@ -51,7 +50,6 @@
 
 // View is what a host knows of one upstream when it chooses.
 type View struct {
-	ID      string
 	Zone    string
 	Slots   int
 	Load            // of all hosts as far as known
