Answer 401 to an unknown model without a key, and 400 to an empty list of messages

Found while walking the list of the platform's issue: the first was answered 404, which told which models exist to anyone, and the second ran. TestRefusalsReachNoUpstream has both cases and failed before; TestParseChat used the empty list as its shortest good body, which is now a list with one message, and has the empty one as a bad one. The demo's text shows bodies that are good.

--- a/cmd/hickorypath/demotext.go
+++ b/cmd/hickorypath/demotext.go
@@ -21,9 +21,9 @@
   curl -s {{.Caller}}/help
 
 Refusals: no key, another customer's route, an unknown model:
-  curl -s {{.Caller}}/v1/chat/completions -d '{"model":"asesor","messages":[]}'
-  curl -s {{.Caller}}/v1/chat/completions -H "Authorization: Bearer {{.Other}}" -d '{"model":"libro","messages":[]}'
-  curl -s {{.Caller}}/v1/chat/completions -H "Authorization: Bearer $KEY" -d '{"model":"none","messages":[]}'
+  curl -s {{.Caller}}/v1/chat/completions -d '{"model":"asesor","messages":[{"role":"user","content":"hello"}]}'
+  curl -s {{.Caller}}/v1/chat/completions -H "Authorization: Bearer {{.Other}}" -d '{"model":"libro","messages":[{"role":"user","content":"hello"}]}'
+  curl -s {{.Caller}}/v1/chat/completions -H "Authorization: Bearer $KEY" -d '{"model":"none","messages":[{"role":"user","content":"hello"}]}'
 
 Operators:
   export HICKORYPATH_ADMIN={{.Admin}} HICKORYPATH_TOKEN={{.Token}}
--- a/cmd/hickorypath/path_test.go
+++ b/cmd/hickorypath/path_test.go
@@ -156,6 +156,7 @@
 		kind   kind.Kind
 	}{
 		{"no key", call{http.MethodPost, chat, good, "", nil}, 401, kind.NoKey},
+		{"no key and an unknown model", call{http.MethodPost, chat, chatBody("none", false, "x"), "", nil}, 401, kind.NoKey},
 		{"unknown key", call{http.MethodPost, chat, good, "hp-none", nil}, 401, kind.BadKey},
 		{"unknown key on an open route", call{http.MethodGet, "/help", "", "hp-none", nil}, 401, kind.BadKey},
 		{"another customer's route", call{http.MethodPost, chat, chatBody("libro", false, "x"), w.keys[demoOther], nil}, 403, kind.Forbidden},
@@ -165,6 +166,7 @@
 		{"wrong method", call{http.MethodGet, chat, "", w.keys[demoCustomer], nil}, 405, kind.Method},
 		{"wrong method of a service", call{http.MethodDelete, "/dues", "", w.keys[demoCustomer], nil}, 405, kind.Method},
 		{"not JSON", call{http.MethodPost, chat, "{", w.keys[demoCustomer], nil}, 400, kind.Invalid},
+		{"no messages", call{http.MethodPost, chat, `{"model":"asesor","messages":[]}`, w.keys[demoCustomer], nil}, 400, kind.Invalid},
 		{"no model", call{http.MethodPost, chat, `{"messages":[]}`, w.keys[demoCustomer], nil}, 400, kind.Invalid},
 		{"body over the limit", call{http.MethodPost, "/help", strings.Repeat("x", 65537), "", nil}, 413, kind.Large},
 	}
--- a/internal/caller/exchange/body.go
+++ b/internal/caller/exchange/body.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"strings"
@@ -36,6 +37,9 @@
 	fieldUsage    = "include_usage" // of the stream options
 )
 
+// jsonSpace is the white space that JSON allows between tokens.
+const jsonSpace = " \t\r\n"
+
 var fieldNames = []string{fieldModel, fieldMessages, fieldStream, fieldOptions, fieldMax, fieldMaxNew, fieldChoices}
 
 // ChatBody is a parsed chat completion request.
@@ -89,6 +93,9 @@
 	if len(b.messages) == 0 || b.messages[0] != '[' {
 		return nil, kind.New(kind.Invalid, "the body has no list of messages; set %q", fieldMessages)
 	}
+	if bytes.HasPrefix(bytes.TrimLeft(b.messages[1:], jsonSpace), []byte("]")) {
+		return nil, kind.New(kind.Invalid, "the list of messages is empty; put one into %q", fieldMessages)
+	}
 	if err := b.setLimit(max(oldMax, newMax), min(oldMax, newMax), choices); err != nil {
 		return nil, err
 	}
--- a/internal/caller/exchange/body_test.go
+++ b/internal/caller/exchange/body_test.go
@@ -18,23 +18,24 @@
 		model string
 		limit int // of output tokens, over all choices
 	}{
-		{"plain", `{"model":"a","messages":[]}`, "", "a", 0},
-		{"nulls count as left out", `{"model":"a","messages":[],"max_tokens":null,"n":null,"stream_options":null}`, "", "a", 0},
-		{"several choices", `{"model":"a","messages":[],"max_tokens":100,"n":8}`, "", "a", 800},
-		{"the last of equal names counts", `{"model":"a","model":"b","messages":[]}`, "", "b", 0},
-		{"longest limit", `{"model":"a","messages":[],"max_tokens":9223372036854775807,"n":128}`, "", "a", 128 << 30},
+		{"plain", `{"model":"a","messages":[{}]}`, "", "a", 0},
+		{"nulls count as left out", `{"model":"a","messages":[{}],"max_tokens":null,"n":null,"stream_options":null}`, "", "a", 0},
+		{"several choices", `{"model":"a","messages":[{}],"max_tokens":100,"n":8}`, "", "a", 800},
+		{"the last of equal names counts", `{"model":"a","model":"b","messages":[{}]}`, "", "b", 0},
+		{"longest limit", `{"model":"a","messages":[{}],"max_tokens":9223372036854775807,"n":128}`, "", "a", 128 << 30},
 		{"no object", `[]`, kind.Invalid, "", 0},
 		{"null", `null`, kind.Invalid, "", 0},
-		{"no model", `{"messages":[]}`, kind.Invalid, "", 0},
+		{"no model", `{"messages":[{}]}`, kind.Invalid, "", 0},
 		{"no messages", `{"model":"a"}`, kind.Invalid, "", 0},
+		{"empty messages", `{"model":"a","messages":[ ]}`, kind.Invalid, "", 0},
 		{"messages of another type", `{"model":"a","messages":{}}`, kind.Invalid, "", 0},
-		{"a second model in capitals", `{"model":"a","Model":"b","messages":[]}`, kind.Invalid, "", 0},
-		{"a name under another case", `{"model":"a","messages":[],"STREAM":true}`, kind.Invalid, "", 0},
-		{"no choices", `{"model":"a","messages":[],"n":0}`, kind.Invalid, "", 0},
-		{"negative choices", `{"model":"a","messages":[],"max_tokens":100,"n":-8}`, kind.Invalid, "", 0},
-		{"too many choices", `{"model":"a","messages":[],"n":129}`, kind.Invalid, "", 0},
-		{"negative limit", `{"model":"a","messages":[],"max_tokens":-1}`, kind.Invalid, "", 0},
-		{"stream options of another type", `{"model":"a","messages":[],"stream":true,"stream_options":[]}`, kind.Invalid, "", 0},
+		{"a second model in capitals", `{"model":"a","Model":"b","messages":[{}]}`, kind.Invalid, "", 0},
+		{"a name under another case", `{"model":"a","messages":[{}],"STREAM":true}`, kind.Invalid, "", 0},
+		{"no choices", `{"model":"a","messages":[{}],"n":0}`, kind.Invalid, "", 0},
+		{"negative choices", `{"model":"a","messages":[{}],"max_tokens":100,"n":-8}`, kind.Invalid, "", 0},
+		{"too many choices", `{"model":"a","messages":[{}],"n":129}`, kind.Invalid, "", 0},
+		{"negative limit", `{"model":"a","messages":[{}],"max_tokens":-1}`, kind.Invalid, "", 0},
+		{"stream options of another type", `{"model":"a","messages":[{}],"stream":true,"stream_options":[]}`, kind.Invalid, "", 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/operator/document/match.go
+++ b/internal/operator/document/match.go
@@ -11,6 +11,9 @@
 // caller without a key, the empty class for the route's own. The error is of kind NoModel, NoKey or Forbidden.
 func (d *Document) RouteModel(model, customer, class string) (*Route, *Class, error) {
 	routes := d.index.models[model]
+	if len(routes) == 0 && customer == "" {
+		return nil, nil, kind.New(kind.NoKey, "the model needs a key") // which models exist is told to customers only
+	}
 	if len(routes) == 0 {
 		return nil, nil, kind.New(kind.NoModel, "no route serves the model %q", model)
 	}
