--- a/internal/gateway/exchange/place.go
+++ b/internal/gateway/exchange/place.go
@@ -62,8 +62,10 @@
 		usable = true
 		view := x.view(s, i, now, room(e.service))
 		view.Express = express[i.ID()]
-		held := keep.held(i, s.cache.Tokens(now, i.ID(), w.Parts))
-		known := held.Here + model.Copied(held)
+		here := s.cache.Tokens(now, i.ID(), w.Parts)
+		held := keep.held(i, here)
+		// What a home is only expected to hold decides the place, but is not relied on in the loads.
+		known := here + model.Copied(held)
 		if keep.large && keep.home == i {
 			held.Here = max(held.Here, keep.shared) // hosts of other zones sent it there
 		}
@@ -80,7 +82,7 @@
 		if best.instance == nil || cost < bestCost {
 			best, bestCost = choice{instance: i, held: known}, cost
 			if model.Copy > 0 {
-				best.source = keep.source(i, s.cache.Tokens(now, i.ID(), w.Parts))
+				best.source = keep.source(i, here)
 			}
 		}
 	}
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -84,8 +84,8 @@
 	queueShare = 1.5
 )
 
-// MayTake reports whether an upstream that holds a part of its prompt should get the request.
-func (m Model) MayTake(v View, w Work, h Held) bool {
+// MayTake reports whether an upstream should get the request now, where held tells what it has of the prompt.
+func (m Model) MayTake(v View, w Work, held Held) bool {
 	if v.Running == 0 {
 		return true
 	}
@@ -96,7 +96,7 @@
 	if w.Urgent {
 		wait, share = urgentTime, urgentShare
 	}
-	if h.Here*2 > w.Prompt {
+	if held.Here*2 > w.Prompt {
 		wait = max(wait, time.Duration(keeperShare*float64(w.Objective)))
 	}
 	if v.Slots > 0 && v.Running >= v.Slots {
@@ -125,9 +125,9 @@
 
 // Cost returns the expected delay of the request on an upstream, in milliseconds, with what the
 // request costs the others there.
-func (m Model) Cost(v View, w Work, h Held) float64 {
-	cost, copied := 0.0, m.Copied(h)
-	cached := h.Here + copied
+func (m Model) Cost(v View, w Work, held Held) float64 {
+	cost, copied := 0.0, m.Copied(held)
+	cached := held.Here + copied
 	if m.Read > 0 {
 		cost = (float64(v.Unread) + readWeight*float64(max(w.Prompt-cached, 0))) / m.Read
 	}
