Let a new holder of the duty hear all hosts before it fixes usage figures

The duty had moved 0.8 s before the figures were fixed; in a large fleet hosts send their counts to the holder only, every 0.6 s.

Change: incomplete figures are fixed 2 s after the duty was taken over at the earliest, unless the report is due within 1 s.

--- a/internal/gateway/duty/duty_test.go
+++ b/internal/gateway/duty/duty_test.go
@@ -222,3 +222,22 @@
 	h.reporter.Step(t.Context())
 	is.Equal(w.sink.count, before+1)
 }
+
+// TestNewHolderWaitsForCounts covers a host that took over the duty when a report was due soon, and fixed figures before
+// all other hosts had told it their counts.
+func TestNewHolderWaitsForCounts(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.cut = true
+	w.pass(window + 2*time.Second) // the window before has ended 7 s ago
+	h := w.host(t, "a", func(int64) map[string]int { return map[string]int{"club": 1} })
+	w.hold(t, h)
+	h.reporter.Step(t.Context())
+	is.Equal(w.sink.count, 0)
+	w.pass(time.Second)
+	h.reporter.Step(t.Context())
+	is.Equal(w.sink.count, 0)
+	w.pass(time.Second)
+	h.reporter.Step(t.Context()) // as complete as it will be
+	is.Equal(w.sink.count, 1)
+}
--- a/internal/gateway/duty/reporter.go
+++ b/internal/gateway/duty/reporter.go
@@ -33,9 +33,11 @@
 // Reporter reports the usage of each window once, with figures that are fixed in the store before they are sent: a
 // successor sends the same ones.
 type Reporter struct {
-	opts ReporterOptions
-	done map[int64]bool // reported windows
-	kept figures
+	opts  ReporterOptions
+	done  map[int64]bool // reported windows
+	kept  figures
+	fence uint64    // of the lease when it was last held
+	since time.Time // when it was first held with that fence
 }
 
 // figures are the fixed figures of the last windows, as the store holds them.
@@ -54,6 +56,11 @@
 	// reportReserve is the time before a report is due in which it is sent even if some hosts are cut off; it is enough
 	// for another host to take over.
 	reportReserve = 4500 * time.Millisecond
+	// gatherTime is the time in which a new holder hears the counts of all hosts: they are sent to the holder of the duty
+	// every 600 ms in a large fleet, and single messages are lost.
+	gatherTime = 2 * time.Second
+	// lastReserve is the time before a report is due in which nothing is waited for.
+	lastReserve = time.Second
 	// keepWindows is how many windows of figures are kept, beyond the time in which they may be sent.
 	keepWindows = 8
 	// minValid is the validity that the lease must have for a call and its answer.
@@ -69,6 +76,9 @@
 func (r *Reporter) Step(ctx context.Context) {
 	now := r.opts.Now()
 	newest := r.opts.Window(now.Add(-settleTime)) - 1
+	if token, err := r.opts.Lease.Hold(minValid); err == nil && (r.since.IsZero() || token.Fence() != r.fence) {
+		r.fence, r.since = token.Fence(), now
+	}
 	for w := newest; r.opts.End(w).Add(r.opts.Late).After(now); w-- {
 		if r.done[w] || !r.isSettled(w, now) {
 			continue
@@ -90,7 +100,11 @@
 // isSettled reports whether the figures of a window can be fixed: all hosts have told theirs, or the time is short.
 func (r *Reporter) isSettled(w int64, now time.Time) bool {
 	end := r.opts.End(w)
-	return r.opts.IsComplete(end) || now.Sub(end) >= r.opts.Late-reportReserve
+	due := end.Add(r.opts.Late)
+	if r.opts.IsComplete(end) || due.Sub(now) <= lastReserve {
+		return true
+	}
+	return due.Sub(now) <= reportReserve && now.Sub(r.since) >= gatherTime
 }
 
 func (r *Reporter) report(ctx context.Context, token lease.Token, w int64) error {
