--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -114,7 +114,7 @@
 	g.exchange = g.newExchanger()
 	g.server = client.New(g.exchange.Handle, g.limits, s.Machine.Descriptors-reservedDescriptors, clk.Now, log)
 	g.lease = lease.New(g.store, clk, lease.Options{
-		Name: dutyLease, Holder: s.Host, TTL: max(s.Bounds.Lease, s.Store.MinTTL), Settle: dutySettle, Log: log, Candidate: g.isCandidate,
+		Name: dutyLease, Holder: s.Host, TTL: s.LeaseTime(), Settle: dutySettle, Log: log, Candidate: g.isCandidate,
 	})
 	var err error
 	g.link, err = peer.New(peer.Options{
@@ -154,7 +154,7 @@
 		Zone: g.settings.Zone, Codec: platform.Codec(), Live: g.live, Table: g.table,
 		Budget:   budget.Config{Ratio: b.RetryRatio, Minimum: b.RetryMinimum, Window: b.RetryWindow},
 		Hosts:    g.peers.Most,
-		Others:   g.peers.Load,
+		Others:   g.peers.Loads,
 		Tell:     func() { g.link.Tell(false) },
 		Began:    func(customer, _ string) { g.usage.Add(customer) },
 		Draining: g.drainTime,
--- a/cmd/hickorypath/gatewayfleet_test.go
+++ b/cmd/hickorypath/gatewayfleet_test.go
@@ -47,10 +47,11 @@
 	log      *lockedBuffer
 }
 
-// lockedBuffer keeps what a process writes.
+// lockedBuffer keeps what a process writes, or the end of it.
 type lockedBuffer struct {
-	mu   sync.Mutex
-	data []byte
+	limit int // bytes; 0 for all
+	mu    sync.Mutex
+	data  []byte
 }
 
 // Write implements io.Writer.
@@ -58,6 +59,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.data = append(b.data, p...)
+	if b.limit > 0 {
+		b.data = b.data[max(len(b.data)-b.limit, 0):]
+	}
 	return len(p), nil
 }
 
--- a/cmd/hickorypath/processes_test.go
+++ b/cmd/hickorypath/processes_test.go
@@ -13,7 +13,6 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -35,6 +34,9 @@
 // serveVariable makes the test's own program run one host with the settings file that it names.
 const serveVariable = "HICKORYPATH_TEST_SERVE"
 
+// dumpBytes is the part of a host's log that a failed test shows: all its goroutines.
+const dumpBytes = 256 << 10
+
 // process is one host as a process of its own.
 type process struct {
 	name   string
@@ -42,30 +44,7 @@
 	caller string
 	admin  string
 	peer   string
-	log    tail
-}
-
-// tail keeps the end of what is written to it.
-type tail struct {
-	mu   sync.Mutex
-	data []byte
-}
-
-// tailBytes is the size of the log that a failed test shows: all goroutines of a host.
-const tailBytes = 256 << 10
-
-func (l *tail) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.data = append(l.data, p...)
-	l.data = l.data[max(len(l.data)-tailBytes, 0):]
-	return len(p), nil
-}
-
-func (l *tail) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return string(l.data)
+	log    lockedBuffer // the end of it
 }
 
 // processes is a set of hosts as processes, before stand-ins in the test's process.
@@ -115,7 +94,7 @@
 	p.t.Helper()
 	is := is.New(p.t)
 	p.started++
-	h := &process{name: fmt.Sprintf("host-%d", p.started)}
+	h := &process{name: fmt.Sprintf("host-%d", p.started), log: lockedBuffer{limit: dumpBytes}}
 	path := filepath.Join(p.t.TempDir(), h.name+".json")
 	is.NoErr(os.WriteFile(path, p.settings(h.name), 0o600))
 	h.cmd = exec.Command(os.Args[0])
--- a/internal/gateway/client/conn.go
+++ b/internal/gateway/client/conn.go
@@ -13,9 +13,9 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"hickorypath/internal/core/sock"
 	"hickorypath/internal/gateway/config"
 	"hickorypath/internal/gateway/h1"
-	"hickorypath/internal/gateway/upstream"
 )
 
 const (
@@ -52,23 +52,30 @@
 
 func newConn(s *Server, raw net.Conn) *conn {
 	if t, ok := raw.(*net.TCPConn); ok {
-		boundSilence(t)
+		if err := boundSilence(t); err != nil {
+			s.log.Warn("a caller that vanishes is noticed late", zap.Error(err))
+		}
 	}
 	return &conn{server: s, raw: raw, reader: bufio.NewReaderSize(raw, readBuffer), since: s.now()}
 }
 
 // boundSilence lets the kernel notice a caller that vanished without closing.
-func boundSilence(t *net.TCPConn) {
-	_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: callerProbe, Interval: callerProbe, Count: 3})
+func boundSilence(t *net.TCPConn) error {
+	probes := net.KeepAliveConfig{Enable: true, Idle: callerProbe, Interval: callerProbe, Count: callerProbes}
 	raw, err := t.SyscallConn()
 	if err != nil {
-		return // the connection is closed already
+		return err
 	}
-	_ = raw.Control(func(fd uintptr) { _ = upstream.BoundSilence(int(fd)) })
+	return errors.CombineErrors(t.SetKeepAliveConfig(probes), sock.BoundUnacked(raw, callerAck))
 }
 
-// callerProbe is the interval of the probes that find vanished callers.
-const callerProbe = 2 * time.Second
+const (
+	// callerProbe and callerProbes are the interval and number of the probes that find vanished callers.
+	callerProbe  = 2 * time.Second
+	callerProbes = 3
+	// callerAck is how long bytes of an answer may stay unacknowledged, as towards upstreams.
+	callerAck = 2500 * time.Millisecond
+)
 
 func (c *conn) isBusy() bool {
 	c.mu.Lock()
--- a/internal/gateway/config/config.go
+++ b/internal/gateway/config/config.go
@@ -8,8 +8,6 @@
 	"sort"
 	"strings"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Kind tells what may be repeated of a route's requests.
@@ -41,7 +39,6 @@
 	Gap       time.Duration // latency objective between events, zero for none
 	Priority  int           // 0 is the most urgent
 	Open      bool          // no key is asked for
-	Sticky    bool          // requests name the parts of their prompt
 	Resumable bool          // a broken stream may go on at another upstream
 }
 
@@ -61,12 +58,9 @@
 // Engine holds the figures of a service that runs a model with continuous batching.
 type Engine struct {
 	Slots      int
-	Tokens     int           // memory for tokens of running requests and cached prefixes
-	TokenBytes float64       // bytes that one token occupies in the memory
-	Mbps       float64       // link for transfers of memory
-	Moves      bool          // runs can be moved
-	Backups    bool          // runs can be copied while they go on
-	Handle     time.Duration // how long a copy is kept
+	Tokens     int     // memory for tokens of running requests and cached prefixes
+	TokenBytes float64 // bytes that one token occupies in the memory
+	Mbps       float64 // link for transfers of memory
 }
 
 // Scaling holds the limits of orders for more or fewer upstreams.
@@ -79,11 +73,9 @@
 
 // Service is a set of interchangeable upstreams.
 type Service struct {
-	Name     string
-	Health   string // path of the health check
-	MaxConns int    // connections that one upstream accepts from all hosts together
-	Engine   *Engine
-	Scaling  *Scaling
+	Name    string
+	Engine  *Engine
+	Scaling *Scaling
 }
 
 // Limits bound the messages of callers.
@@ -97,7 +89,6 @@
 // Config is one version of the configuration.
 type Config struct {
 	version  int64
-	digest   uint64
 	source   []byte
 	limits   Limits
 	hosts    map[string][]*Route // by virtual host, longest prefix first
@@ -109,7 +100,7 @@
 // New returns a Config; source is the encoded form from which other hosts can decode it.
 func New(version int64, routes []*Route, customers []*Customer, services []*Service, limits Limits, source []byte) *Config {
 	c := &Config{
-		version: version, digest: xxhash.Sum64(source), source: source, limits: limits, routes: routes,
+		version: version, source: source, limits: limits, routes: routes,
 		hosts: map[string][]*Route{}, keys: map[string]*Customer{}, services: map[string]*Service{},
 	}
 	for _, r := range routes {
--- a/internal/gateway/duty/duty_test.go
+++ b/internal/gateway/duty/duty_test.go
@@ -18,8 +18,11 @@
 
 	"hickorypath/internal/core/clock"
 	"hickorypath/internal/core/kind"
+	"hickorypath/internal/gateway/config"
 	"hickorypath/internal/gateway/duty"
+	"hickorypath/internal/gateway/upstream"
 	"hickorypath/internal/gateway/usage"
+	"hickorypath/internal/policy/sizing"
 	"hickorypath/internal/state/lease"
 	"hickorypath/internal/state/store"
 )
@@ -241,3 +244,34 @@
 	h.reporter.Step(t.Context()) // as complete as it will be
 	is.Equal(w.sink.count, 1)
 }
+
+// TestScalerFollowsLimits changes the limits of a busy service.
+func TestScalerFollowsLimits(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	h := w.host(t, "a", func(int64) map[string]int { return nil })
+	w.hold(t, h)
+	most := 0
+	live := config.NewLive()
+	limit := func(version int64, n int) {
+		scaling := &config.Scaling{Min: 1, Max: n, Boot: 4 * time.Second, SpotPrice: 0.2}
+		service := &config.Service{Name: "s", Engine: &config.Engine{Slots: 64}, Scaling: scaling}
+		live.Offer(config.New(version, nil, nil, []*config.Service{service}, config.Limits{}, nil))
+	}
+	control := w.sink.control()
+	control.Order = func(ctx context.Context, _ duty.Holder, o duty.Order) (*http.Request, error) {
+		most = max(most, o.Count)
+		return http.NewRequestWithContext(ctx, http.MethodPost, w.sink.server.URL+"?window=-1", strings.NewReader(""))
+	}
+	scaler := duty.NewScaler(duty.ScalerOptions{
+		Host: "a", Lease: h.lease, Control: control, Live: live, Table: upstream.NewTable(upstream.NewDialer(), zap.NewNop()), Zones: []string{"z"},
+		Demand: func(string) sizing.Demand { return sizing.Demand{Reading: 500000, Running: 400} }, Coverage: func() float64 { return 1 },
+		Rate: func(string) float64 { return 45000 }, Now: w.time, Log: zap.NewNop(),
+	})
+	limit(1, 2)
+	scaler.Step(t.Context())
+	is.Equal(most, 2)
+	limit(2, 6)
+	scaler.Step(t.Context())
+	is.Equal(most, 6)
+}
--- a/internal/gateway/duty/scaler.go
+++ b/internal/gateway/duty/scaler.go
@@ -67,12 +67,12 @@
 }
 
 func (s *Scaler) plan(ctx context.Context, token lease.Token, name string, service *config.Service) {
-	p := s.planners[name]
+	conf, p := s.config(name, service), s.planners[name]
 	if p == nil {
-		p = sizing.New(s.config(name, service))
+		p = sizing.New(conf)
 		s.planners[name] = p
 	}
-	p.Configure(s.config(name, service))
+	p.Configure(conf)
 	have := map[sizing.Place]int{}
 	now := s.opts.Now()
 	for _, i := range s.opts.Table.Service(name) {
--- a/internal/gateway/exchange/admit.go
+++ b/internal/gateway/exchange/admit.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"hickorypath/internal/core/clock"
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/gateway/config"
 	"hickorypath/internal/gateway/upstream"
@@ -51,15 +52,14 @@
 		err = kind.New(kind.Overload, "no upstream of %s took the request in time", e.service.Name).WithRetry(e.retryAfter(patience))
 	}
 	x.mu.Lock()
-	defer x.mu.Unlock()
-	if s.line.Leave(item) {
+	waits := s.line.Leave(item)
+	x.mu.Unlock()
+	if waits {
 		return nil, nil, err
 	}
 	a := <-e.admitted // admitted at the same moment
 	if ctx.Err() != nil {
-		x.mu.Unlock()
 		a.reservation.end()
-		x.mu.Lock()
 		return nil, nil, err
 	}
 	return a.instance, a.reservation, nil
@@ -87,20 +87,13 @@
 
 // Run places waiting requests until ctx ends.
 func (x *Exchanger) Run(ctx context.Context) {
-	tick := time.NewTicker(dispatchEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	clock.Every(ctx, dispatchEvery, func() {
 		x.mu.Lock()
+		defer x.mu.Unlock()
 		for _, s := range x.services {
 			x.dispatch(s)
 		}
-		x.mu.Unlock()
-	}
+	})
 }
 
 // expectedWait returns how long the requests before this one take to be read by all instances together.
--- a/internal/gateway/exchange/call.go
+++ b/internal/gateway/exchange/call.go
@@ -18,7 +18,6 @@
 	Path   string        // without the query
 	Wait   time.Duration // that the caller will wait; 0 if it does not tell
 	Key    string
-	Model  string
 	Prompt int // tokens
 	Output int // tokens at most
 	Hint   int // output tokens that the caller expects; 0 if it does not tell
--- a/internal/gateway/exchange/exchanger.go
+++ b/internal/gateway/exchange/exchanger.go
@@ -25,9 +25,9 @@
 	Live   *config.Live
 	Table  *upstream.Table
 	Budget budget.Config
-	Hosts  func() int                                      // hosts that share the retry budgets
-	Others func(now time.Time, instance string) place.Load // what the other hosts have under way there
-	Began  func(customer, service string)                  // counts a request that an upstream began
+	Hosts  func() int                                // hosts that share the retry budgets
+	Others func(now time.Time) map[string]place.Load // what the other hosts have under way, by instance
+	Began  func(customer, service string)            // counts a request that an upstream began
 	Log    *zap.Logger
 	Now    func() time.Time
 	// Tell lets the other hosts know soon what this one has under way.
@@ -58,6 +58,7 @@
 	listed  []*upstream.Instance // for which express was chosen
 	express map[string]bool      // instances that are kept for short prompts
 	notes   []timedNote          // what was sent lately, for the other hosts
+	tokens  []int                // room for those of keepers
 }
 
 // New returns an Exchanger.
--- a/internal/gateway/exchange/keepers.go
+++ b/internal/gateway/exchange/keepers.go
@@ -23,6 +23,7 @@
 	home, before *upstream.Instance // where hosts expect the shared parts, and where they were before home came; nil if it does not matter
 	large        bool               // the home is taken to hold the shared parts
 	shared       int                // tokens of the shared parts
+	tokens       []int              // known at each instance of the list; valid until the next call of keepers
 }
 
 type keeper struct {
@@ -32,15 +33,17 @@
 
 // keepers returns the instances that hold the beginning of a prompt.
 func (x *Exchanger) keepers(s *service, list []*upstream.Instance, parts []place.Part, now time.Time) keepers {
-	k := keepers{large: len(list) >= largeService, shared: shared(parts)}
+	s.tokens = append(s.tokens[:0], make([]int, len(list))...)
+	k := keepers{large: len(list) >= largeService, shared: shared(parts), tokens: s.tokens}
 	if len(parts) == 0 {
 		return k
 	}
-	for _, i := range list {
+	for n, i := range list {
+		k.tokens[n] = s.cache.Tokens(now, i.ID(), parts)
 		if i.IsGone() || i.Status(now, 0) == upstream.Down {
 			continue // one that is draining still gives its memory
 		}
-		switch h := (keeper{i, s.cache.Tokens(now, i.ID(), parts)}); {
+		switch h := (keeper{i, k.tokens[n]}); {
 		case h.tokens > k.most.tokens:
 			k.most, k.second = h, k.most
 		case h.tokens > k.second.tokens:
--- a/internal/gateway/exchange/place.go
+++ b/internal/gateway/exchange/place.go
@@ -39,6 +39,7 @@
 	instance *upstream.Instance
 	source   *upstream.Instance // whose memory holds more of the prompt, nil for none
 	held     int                // tokens of the prompt that need not be read
+	ahead    int                // tokens that are read before
 }
 
 // place returns the best instance for a request, none when none takes it. Usable is false when there is
@@ -53,16 +54,17 @@
 	keep := x.keepers(s, list, w.Parts, now)
 	express := x.express(s, e.service, list)
 	w.Express = len(express) > 0
+	others := x.opts.Others(now)
 	bestCost := 0.0
-	for _, i := range list {
+	for n, i := range list {
 		status := i.Status(now, doubt)
 		if status == upstream.Leaving || status == upstream.Down || e.tried(i) {
 			continue
 		}
 		usable = true
-		view := x.view(s, i, now, room(e.service))
-		view.Express = express[i.ID()]
-		here := s.cache.Tokens(now, i.ID(), w.Parts)
+		view := view(s, i, now, others[i.ID()])
+		view.Room, view.Express = room(e.service), express[i.ID()]
+		here := keep.tokens[n]
 		held := keep.held(i, here)
 		// What a home is only expected to hold decides the place, but is not relied on in the loads.
 		known := here + model.Copied(held)
@@ -80,7 +82,7 @@
 			cost -= homeGain
 		}
 		if best.instance == nil || cost < bestCost {
-			best, bestCost = choice{instance: i, held: known}, cost
+			best, bestCost = choice{instance: i, held: known, ahead: view.Unread}, cost
 			if model.Copy > 0 {
 				best.source = keep.source(i, here)
 			}
@@ -117,12 +119,12 @@
 	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
 }
 
-// view returns what this host knows of an instance.
-func (x *Exchanger) view(s *service, i *upstream.Instance, now time.Time, room int) place.View {
+// view returns what this host knows of an instance at which other hosts have a load under way.
+func view(s *service, i *upstream.Instance, now time.Time, others place.Load) place.View {
 	entry, told := i.Entry(), i.Load()
 	v := place.View{
-		Zone: entry.Zone, Slots: entry.Slots, Load: s.work(entry.ID).Add(x.opts.Others(now, entry.ID)),
-		Room: room, Cold: entry.Cold > 0, Slow: s.pace.Slow(entry.ID),
+		Zone: entry.Zone, Slots: entry.Slots, Load: s.work(entry.ID).Add(others),
+		Cold: entry.Cold > 0, Slow: s.pace.Slow(entry.ID),
 	}
 	if now.Sub(told.At) < loadAge {
 		v.Running = max(v.Running, told.Running+told.Waiting)
@@ -188,8 +190,7 @@
 // reserve notes that a request is sent to an instance. The caller holds the lock.
 func (x *Exchanger) reserve(s *service, e *exchange, c choice) *reservation {
 	now, id := x.opts.Now(), c.instance.ID()
-	r := &reservation{x: x, s: s, work: s.work(id), id: id, tokens: e.tokens(), source: c.source, held: c.held}
-	r.ahead = r.work.Unread + x.opts.Others(now, id).Unread
+	r := &reservation{x: x, s: s, work: s.work(id), id: id, tokens: e.tokens(), source: c.source, held: c.held, ahead: c.ahead}
 	r.unread = max(e.call.Prompt-c.held, 0)
 	r.sent = now
 	if m := model(e.service); m.Read > 0 {
--- /dev/null
+++ b/internal/gateway/exchange/place_bench_test.go
@@ -0,0 +1,53 @@
+package exchange
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hickorypath/internal/gateway/config"
+	"hickorypath/internal/gateway/peer"
+	"hickorypath/internal/gateway/upstream"
+	"hickorypath/internal/policy/budget"
+	"hickorypath/internal/policy/place"
+)
+
+// BenchmarkPlace chooses among 94 engines on a host that hears 22 hosts of its zone and 64 others.
+func BenchmarkPlace(b *testing.B) {
+	const engines, near, far, beginnings = 94, 22, 64, 200
+	now := time.Unix(1_800_000_000, 0)
+	table := upstream.NewTable(upstream.NewDialer(), zap.NewNop())
+	for n := range engines {
+		table.Put(now, upstream.Entry{ID: fmt.Sprintf("i-%04x", n), Service: "s", Address: "10.0.0.1:80", Zone: string(rune('a' + n%4)), Slots: 48})
+	}
+	peers := peer.NewTable("self", "a", 1)
+	for h := range near + far {
+		m := peer.Message{Host: fmt.Sprint("h", h), Address: fmt.Sprint("10.1.0.", h, ":1"), Zone: "b", Start: 1, Number: 1, Loads: map[string]place.Load{}}
+		if h < near {
+			m.Zone = "a"
+			for n := range 12 {
+				m.Loads[fmt.Sprintf("i-%04x", (h*7+n*5)%engines)] = place.Load{Running: 1, Unread: 100 * n, Tokens: 9000}
+			}
+		}
+		peers.Take(now, m)
+	}
+	x := New(Options{
+		Zone: "a", Table: table, Live: config.NewLive(), Budget: budget.Config{Window: time.Second}, Log: zap.NewNop(), Now: func() time.Time { return now },
+		Hosts: peers.Most, Others: peers.Loads, Tell: func() {},
+	})
+	s := x.service("s")
+	service := &config.Service{Name: "s", Engine: &config.Engine{Slots: 48, Tokens: 576788, TokenBytes: 35136, Mbps: 180000}}
+	e := &exchange{x: x, service: service, route: &config.Route{Priority: 2, Objective: 2500 * time.Millisecond}}
+	for n := range 4 * beginnings {
+		s.cache.Note(now, fmt.Sprintf("i-%04x", n%engines), []place.Part{{ID: uint64(n % beginnings), Tokens: 13300}}, 400000)
+	}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		e.call = Call{Prompt: 17000, Output: 120, Parts: []place.Part{{ID: uint64(n % beginnings), Tokens: 13300}, {ID: 1 << 40, Tokens: 3700}}}
+		if c, _ := x.place(s, e); c.instance == nil {
+			b.Fatal("no engine takes the request")
+		}
+	}
+}
--- a/internal/gateway/h1/head.go
+++ b/internal/gateway/h1/head.go
@@ -82,9 +82,6 @@
 	return false
 }
 
-// Size returns the bytes of the head as received.
-func (h *Head) Size() int { return len(h.buf) }
-
 // maxEmpty is how many empty lines before a request line are ignored, as RFC 9112 asks of servers.
 const maxEmpty = 2
 
--- a/internal/gateway/h1/request.go
+++ b/internal/gateway/h1/request.go
@@ -41,9 +41,6 @@
 	return r.framing != framingNone && r.HasToken("Expect", "100-continue")
 }
 
-// Length returns the announced length of the body in bytes, zero when it comes in chunks.
-func (r *Request) Length() int64 { return r.length }
-
 // Read reads the head of the next request, of limit bytes at most.
 func (r *Request) Read(br *bufio.Reader, limit int) error {
 	if err := r.read(br, limit); err != nil {
--- a/internal/gateway/h1/response.go
+++ b/internal/gateway/h1/response.go
@@ -58,11 +58,6 @@
 	return r.framing != framingClose && bytes.Equal(r.first, []byte("HTTP/1.1")) && !r.HasToken("Connection", "close")
 }
 
-// Length returns the length of the body in bytes; ok is false when the head does not tell it.
-func (r *Response) Length() (n int64, ok bool) {
-	return r.length, r.framing == framingLength || r.framing == framingNone
-}
-
 // Body returns the reader of the body that follows the head.
 func (r *Response) Body(br *bufio.Reader) *Body {
 	return &Body{br: br, framing: r.framing, left: r.length}
--- a/internal/gateway/peer/fuzz_test.go
+++ b/internal/gateway/peer/fuzz_test.go
@@ -27,7 +27,7 @@
 		now := time.Unix(1_800_000_000, 0)
 		table := NewTable("self", "z", 7)
 		table.Take(now, m)
-		table.Load(now, "u")
+		table.Loads(now)
 		table.Demand(now, "s")
 		table.Counts(7)
 		table.Newer(now, 1)
--- a/internal/gateway/peer/table.go
+++ b/internal/gateway/peer/table.go
@@ -213,19 +213,22 @@
 // large fleet a host is heard every few seconds only.
 const freshTime = 400 * time.Millisecond
 
-// Load returns what the other hosts have under way at an instance.
-func (t *Table) Load(now time.Time, instance string) (sum place.Load) {
+// Loads returns what the other hosts have under way, by instance.
+func (t *Table) Loads(now time.Time) map[string]place.Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	sum := map[string]place.Load{}
 	for _, e := range t.hosts {
 		if !t.isLive(now, e) {
 			continue
 		}
-		l := e.message.Loads[instance]
-		if now.Sub(e.heard) > freshTime {
-			l.Unread = 0
+		isFresh := now.Sub(e.heard) <= freshTime
+		for instance, l := range e.message.Loads {
+			if !isFresh {
+				l.Unread = 0
+			}
+			sum[instance] = sum[instance].Add(l)
 		}
-		sum = sum.Add(l)
 	}
 	return sum
 }
--- a/internal/gateway/peer/table_test.go
+++ b/internal/gateway/peer/table_test.go
@@ -40,8 +40,8 @@
 	m.Loads, m.Version, m.Fetch = map[string]place.Load{"u": {Running: 2, Unread: 30}}, 5, "a:2"
 	table.Take(now, m)
 	table.Take(now, message("self", 1, 1, nil)) // an own one that came back
-	is.Equal(table.Load(now, "u"), place.Load{Running: 2, Unread: 30})
-	is.Equal(table.Load(now.Add(time.Second), "u"), place.Load{Running: 2}) // prompts are read by then
+	is.Equal(table.Loads(now)["u"], place.Load{Running: 2, Unread: 30})
+	is.Equal(table.Loads(now.Add(time.Second))["u"], place.Load{Running: 2}) // prompts are read by then
 	is.Equal(table.Newer(now, 4), "a:2")
 	is.Equal(table.Newer(now, 5), "")
 	is.Equal(table.Newer(now.Add(peer.Life+1), 4), "") // not heard lately
--- a/internal/gateway/settings/settings.go
+++ b/internal/gateway/settings/settings.go
@@ -38,6 +38,9 @@
 	UsageLate    time.Duration // after the end of a window, until its report is due
 }
 
+// LeaseTime returns the time to live of leases: that of the deployment, or the least that the store grants.
+func (s Settings) LeaseTime() time.Duration { return max(s.Bounds.Lease, s.Store.MinTTL) }
+
 // Store is how to reach the key-value service.
 type Store struct {
 	Address string
--- /dev/null
+++ b/internal/gateway/settings/settings_test.go
@@ -0,0 +1,22 @@
+package settings_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/gateway/settings"
+)
+
+func TestLeaseTime(t *testing.T) {
+	cases := []struct{ deployment, least, want time.Duration }{
+		{3 * time.Second, time.Second, 3 * time.Second},
+		{3 * time.Second, 5 * time.Second, 5 * time.Second},
+		{3 * time.Second, 0, 3 * time.Second},
+	}
+	for _, c := range cases {
+		s := settings.Settings{Bounds: settings.Bounds{Lease: c.deployment}, Store: settings.Store{MinTTL: c.least}}
+		is.New(t).Equal(s.LeaseTime(), c.want)
+	}
+}
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -36,17 +36,10 @@
 	reader   *bufio.Reader
 	used     time.Time
 	keep     time.Duration
-	reused   bool
 	closed   atomic.Bool
 	response h1.Response
 }
 
-// Instance returns the other end.
-func (c *Conn) Instance() *Instance { return c.instance }
-
-// IsReused reports whether the connection carried an exchange before.
-func (c *Conn) IsReused() bool { return c.reused }
-
 // Close closes the connection.
 func (c *Conn) Close() {
 	if c.closed.Swap(true) {
@@ -64,7 +57,6 @@
 	for c := i.takeIdle(); c != nil; c = i.takeIdle() {
 		age := now.Sub(c.used)
 		if age < c.keep && (repeatable || age < recentUse) && c.isQuiet() {
-			c.reused = true
 			return c, nil
 		}
 		c.Close()
--- a/internal/gateway/upstream/dialer.go
+++ b/internal/gateway/upstream/dialer.go
@@ -6,8 +6,7 @@
 	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
+	"hickorypath/internal/core/sock"
 )
 
 const (
@@ -30,19 +29,10 @@
 	return &Dialer{dialer: net.Dialer{
 		Timeout:         dialTime,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: probeCount},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var set error
-			err := raw.Control(func(fd uintptr) { set = BoundSilence(int(fd)) })
-			return errors.CombineErrors(err, set)
-		},
+		Control:         func(_, _ string, raw syscall.RawConn) error { return sock.BoundUnacked(raw, ackTime) },
 	}}
 }
 
-// BoundSilence makes the kernel give up a socket whose sent bytes stay unacknowledged.
-func BoundSilence(fd int) error {
-	return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTime.Milliseconds()))
-}
-
 // Dial opens a connection to an IP and port.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
 	return d.dialer.DialContext(ctx, "tcp4", address)
--- a/internal/gateway/upstream/instance.go
+++ b/internal/gateway/upstream/instance.go
@@ -9,7 +9,6 @@
 type Instance struct {
 	mu      sync.Mutex
 	entry   Entry
-	seen    time.Time // when the entry was read first
 	gone    time.Time // when the entry was removed, zero while it exists
 	idle    []*Conn   // most recently used last
 	open    int       // connections, busy ones included
@@ -25,8 +24,8 @@
 }
 
 // newInstance returns an instance without connections.
-func newInstance(e Entry, d *Dialer, now time.Time) *Instance {
-	return &Instance{entry: e, dialer: d, seen: now}
+func newInstance(e Entry, d *Dialer) *Instance {
+	return &Instance{entry: e, dialer: d}
 }
 
 // Entry returns what the instance last said of itself.
@@ -39,9 +38,6 @@
 // ID returns the identifier.
 func (i *Instance) ID() string { return i.entry.ID }
 
-// Age returns for how long this host has known the instance.
-func (i *Instance) Age(now time.Time) time.Duration { return now.Sub(i.seen) }
-
 // Load returns the load that the instance last told.
 func (i *Instance) Load() Load {
 	i.mu.Lock()
--- a/internal/gateway/upstream/table.go
+++ b/internal/gateway/upstream/table.go
@@ -15,13 +15,12 @@
 	mu       sync.RWMutex
 	byID     map[string]*Instance
 	byName   map[string][]*Instance // by service
-	changed  chan struct{}          // closed at each change
 	troubled time.Time              // when the store last failed to answer
 }
 
 // NewTable returns an empty Table.
 func NewTable(d *Dialer, log *zap.Logger) *Table {
-	return &Table{dialer: d, log: log, byID: map[string]*Instance{}, byName: map[string][]*Instance{}, changed: make(chan struct{})}
+	return &Table{dialer: d, log: log, byID: map[string]*Instance{}, byName: map[string][]*Instance{}}
 }
 
 // Put takes an entry that the store holds. Another address, or another start time, is another incarnation.
@@ -34,18 +33,16 @@
 			t.log.Info("upstream changes", zap.String("upstream", e.ID), zap.Bool("draining", e.Draining), zap.Duration("leaves", e.Leaves))
 		}
 		old.update(e)
-		t.wake()
 		return
 	}
 	if old != nil {
 		t.drop(now, old)
 	}
-	i := newInstance(e, t.dialer, now)
+	i := newInstance(e, t.dialer)
 	t.byID[e.ID] = i
 	t.byName[e.Service] = append(t.byName[e.Service], i)
 	t.log.Info("upstream joins", zap.String("upstream", e.ID), zap.String("service", e.Service), zap.String("zone", e.Zone),
 		zap.String("address", e.Address), zap.Bool("draining", e.Draining), zap.Bool("spot", e.Spot))
-	t.wake()
 }
 
 // keepGone is how long a removed instance is kept for the doubt about its removal.
@@ -61,7 +58,6 @@
 	}
 	i.leave(now)
 	t.log.Info("upstream entry removed", zap.String("upstream", id), zap.Bool("trouble", now.Sub(t.troubled) < keepGone))
-	t.wake()
 }
 
 // Sweep forgets the instances whose entries were removed a while ago.
@@ -144,15 +140,3 @@
 	}
 	return all
 }
-
-// Changed returns a channel that is closed at the next change.
-func (t *Table) Changed() <-chan struct{} {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	return t.changed
-}
-
-func (t *Table) wake() {
-	close(t.changed)
-	t.changed = make(chan struct{})
-}
--- a/internal/state/lease/send.go
+++ b/internal/state/lease/send.go
@@ -8,8 +8,7 @@
 	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
+	"hickorypath/internal/core/sock"
 )
 
 // Send sends a request on a connection of its own and checks the lease again directly before
@@ -42,13 +41,7 @@
 
 // dial opens a connection that drops data which stays unacknowledged for timeout.
 func dial(ctx context.Context, network, addr string, timeout time.Duration) (net.Conn, error) {
-	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		var set error
-		err := raw.Control(func(fd uintptr) {
-			set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-		})
-		return errors.CombineErrors(err, set)
-	}}
+	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error { return sock.BoundUnacked(raw, timeout) }}
 	return d.DialContext(ctx, network, addr)
 }
 
--- a/internal/state/store/client.go
+++ b/internal/state/store/client.go
@@ -67,7 +67,7 @@
 
 // Get reads a key; the error has kind Missing when it does not exist.
 func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
-	e, _, err := c.look(ctx, key)
+	e, _, err := c.look(ctx, key, c.retry)
 	return e, err
 }
 
@@ -113,10 +113,13 @@
 	return err
 }
 
-// look reads a key with its envelope.
-func (c *Client) look(ctx context.Context, key string) (Entry, envelope, error) {
+// caller makes a call of the store; name is that of the operation.
+type caller func(ctx context.Context, name string, f func(ctx context.Context) error) error
+
+// look reads a key with its envelope; do decides about retries.
+func (c *Client) look(ctx context.Context, key string, do caller) (Entry, envelope, error) {
 	var raw Entry
-	err := c.retry(ctx, "get", func(ctx context.Context) (err error) {
+	err := do(ctx, "get", func(ctx context.Context) (err error) {
 		raw, err = c.core.backend.Get(ctx, key)
 		return err
 	})
--- a/internal/state/store/put.go
+++ b/internal/state/store/put.go
@@ -78,7 +78,7 @@
 // readBack tells whether a write in doubt took effect. Neither final nor an error means that the
 // write had no effect yet and may be repeated.
 func (c *Client) readBack(ctx context.Context, w Write, nonce string) (rev uint64, final bool, err error) {
-	e, env, err := c.lookOnce(ctx, w.Key)
+	e, env, err := c.look(ctx, w.Key, c.call)
 	if kind.Of(err) == kind.Missing {
 		if w.Cond.mode == ModeAbsent {
 			return 0, false, nil
@@ -100,20 +100,6 @@
 	return 0, true, lost(w.Key)
 }
 
-// lookOnce is one read without retries.
-func (c *Client) lookOnce(ctx context.Context, key string) (Entry, envelope, error) {
-	var raw Entry
-	err := c.call(ctx, "get", func(ctx context.Context) (err error) {
-		raw, err = c.core.backend.Get(ctx, key)
-		return err
-	})
-	if err != nil {
-		return Entry{}, envelope{}, err
-	}
-	e, env := c.core.unwrap(raw)
-	return e, env, nil
-}
-
 // Delete removes a key under a condition; a key that is gone already counts as removed.
 func (c *Client) Delete(ctx context.Context, key string, cond Condition) error {
 	ctx, wait := c.core.wait(ctx)
--- a/internal/upstream/wire/conn.go
+++ b/internal/upstream/wire/conn.go
@@ -8,7 +8,7 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"hickorypath/internal/core/sock"
 )
 
 // Dial opens a connection; it has the form of net.Dialer.DialContext.
@@ -38,14 +38,7 @@
 // SetUserTimeout bounds how long a socket waits for the other end to acknowledge what was sent. It has the
 // form of net.Dialer.Control and net.ListenConfig.Control.
 func SetUserTimeout(_, _ string, c syscall.RawConn) error {
-	var failed error
-	err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedExpiry.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return failed
+	return sock.BoundUnacked(c, unackedExpiry)
 }
 
 // Conn counts the bytes that were handed to the connection.
