Wait for the log lines that are on their way at the end of a process

Sync returned as soon as no line was pending, also while the last ones were being written, so the end of a log could be lost. The old check of Sync could not fail. TestSyncWaitsForTheLastLine fails before.

--- a/internal/core/lines/lines.go
+++ b/internal/core/lines/lines.go
@@ -27,6 +27,7 @@
 	mu      sync.Mutex
 	pending []byte
 	spare   []byte
+	writing bool // lines that were pending are on their way
 	wake    chan struct{}
 	idle    chan struct{} // receives when everything was written
 }
@@ -64,9 +65,9 @@
 	defer until.Stop()
 	for {
 		w.mu.Lock()
-		empty := len(w.pending) == 0
+		done := len(w.pending) == 0 && !w.writing
 		w.mu.Unlock()
-		if empty {
+		if done {
 			return nil
 		}
 		select {
@@ -81,11 +82,11 @@
 	for range w.wake {
 		w.mu.Lock()
 		batch := w.pending
-		w.pending = w.spare[:0]
+		w.pending, w.writing = w.spare[:0], true
 		w.mu.Unlock()
 		_, _ = w.out.Write(batch) // nobody is left to be told
 		w.mu.Lock()
-		w.spare = batch[:0]
+		w.spare, w.writing = batch[:0], false
 		w.mu.Unlock()
 		select {
 		case w.idle <- struct{}{}:
--- a/internal/core/lines/lines_test.go
+++ b/internal/core/lines/lines_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"io"
+	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -46,3 +48,35 @@
 	is.NoErr(err)
 	is.True(bytes.Equal(first, line))
 }
+
+// held is a reader of the log that takes a line only after a while.
+type held struct {
+	entered, release chan struct{}
+	taken            atomic.Bool
+}
+
+// Write implements io.Writer.
+func (h *held) Write(p []byte) (int, error) {
+	close(h.entered)
+	<-h.release
+	h.taken.Store(true)
+	return len(p), nil
+}
+
+// TestSyncWaitsForTheLastLine ends a process while its last line is on the way to the reader.
+func TestSyncWaitsForTheLastLine(t *testing.T) {
+	is := is.New(t)
+	h := &held{entered: make(chan struct{}), release: make(chan struct{})}
+	w := lines.New(h)
+	_, err := w.Write([]byte("stopped\n"))
+	is.NoErr(err)
+	<-h.entered
+	go func() {
+		for range 1000 {
+			runtime.Gosched()
+		}
+		close(h.release)
+	}()
+	is.NoErr(w.Sync())
+	is.True(h.taken.Load())
+}
