Log the request rate that an upstream names

The codec now decodes Server-Limit, and internal/policy/advisory keeps what an upstream stated last: a withdrawal counts only in a response to a request that was sent after the limit was stated, and a value that is no rate leaves an earlier limit in force or stands for one request a second. Hosts log each change, attempts carry the limit in force when they were sent, and hickorypath_limited_attempts_total counts them. Nothing is decided by it yet.

--- a/internal/gateway/exchange/accesslog.go
+++ b/internal/gateway/exchange/accesslog.go
@@ -118,6 +118,9 @@
 	if a.copySource != "" {
 		enc.AddString("source", a.copySource)
 	}
+	if a.limit.IsNamed() {
+		enc.AddFloat64("limit", a.limit.Rate())
+	}
 	if a.framing != "" {
 		enc.AddString("framing", a.framing)
 	}
--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -14,18 +14,20 @@
 	"hickorypath/internal/gateway/config"
 	"hickorypath/internal/gateway/h1"
 	"hickorypath/internal/gateway/upstream"
+	"hickorypath/internal/policy/advisory"
 )
 
 // attempt records one attempt of a request for the access log and the metrics.
 type attempt struct {
 	upstream     string
-	reportAge    time.Duration // age of the load that the upstream last reported; negative if it never reported one
-	tokensAhead  int           // unread prompt tokens known to be at the instance before this request
-	cachedTokens int           // prompt tokens expected in the instance's cache, copied ones included
-	copySource   string        // instance from which the upstream was told to copy cached tokens; empty for none
-	sent         bool          // at least one byte was written
-	framing      string        // how the response is delimited; empty without a response
-	unfinished   int           // bytes of the event in which a stream ended
+	reportAge    time.Duration  // age of the load that the upstream last reported; negative if it never reported one
+	tokensAhead  int            // unread prompt tokens known to be at the instance before this request
+	cachedTokens int            // prompt tokens expected in the instance's cache, copied ones included
+	limit        advisory.Limit // request rate that the upstream had named when the request was sent
+	copySource   string         // instance from which the upstream was told to copy cached tokens; empty for none
+	sent         bool           // at least one byte was written
+	framing      string         // how the response is delimited; empty without a response
+	unfinished   int            // bytes of the event in which a stream ended
 	failed       bool
 	result       kind.Kind
 	duration     time.Duration
@@ -35,7 +37,7 @@
 // have run.
 func (e *exchange) try(ctx context.Context, i *upstream.Instance, r *reservation) error {
 	begin := e.x.opts.Now()
-	a := attempt{upstream: i.ID(), reportAge: -1, tokensAhead: r.tokensAhead, cachedTokens: r.cachedTokens}
+	a := attempt{upstream: i.ID(), reportAge: -1, tokensAhead: r.tokensAhead, cachedTokens: r.cachedTokens, limit: i.Limit()}
 	if r.copySource != nil {
 		a.copySource = r.copySource.ID()
 	}
@@ -66,6 +68,7 @@
 		return kind.Wrap(err, kind.Unavailable, "no connection to %s", i.ID())
 	}
 	msg := e.x.opts.Codec.EncodeRequest(nil, &e.request.Request, e.request.Body(), e.forwardInfo(i, r.copySource))
+	sentAt := e.x.opts.Now()
 	n, err := c.Send(msg, e.deadline)
 	a.sent = n > 0
 	if n < len(msg) {
@@ -73,7 +76,7 @@
 		e.blame(ctx, i, err)
 		return kind.Wrap(err, kind.Unavailable, "request not sent to %s", i.ID())
 	}
-	err = e.receive(ctx, c, i, a, r.firstEvent)
+	err = e.receive(ctx, c, i, sentAt, a, r.firstEvent)
 	if err != nil {
 		c.Close()
 		return err
@@ -118,7 +121,7 @@
 }
 
 // receive reads the response of an instance and relays it to the client.
-func (e *exchange) receive(ctx context.Context, c *upstream.Conn, i *upstream.Instance, a *attempt, first func()) error {
+func (e *exchange) receive(ctx context.Context, c *upstream.Conn, i *upstream.Instance, sentAt time.Time, a *attempt, first func()) error {
 	resp, body, err := c.Receive(e.request.Method())
 	if err != nil {
 		return e.broken(ctx, i, err)
@@ -128,6 +131,7 @@
 	if answer.HasLoad {
 		i.SetLoad(upstream.Load{Running: answer.Running, Waiting: answer.Waiting, Slots: answer.Slots, At: e.x.opts.Now()})
 	}
+	e.x.recordAdvisory(i, sentAt, answer.Advisory)
 	if answer.NotExecuted {
 		_ = e.discard(body)
 		return kind.New(kind.Rejected, "%s did not run the request: status %d", i.ID(), resp.Status()).WithRetry(e.retryAfter(rejectedRetryAfter))
--- a/internal/gateway/exchange/codec.go
+++ b/internal/gateway/exchange/codec.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hickorypath/internal/gateway/h1"
+	"hickorypath/internal/policy/advisory"
 	"hickorypath/internal/policy/place"
 )
 
@@ -44,6 +45,7 @@
 	Waiting     int
 	Slots       int
 	HasLoad     bool
+	Advisory    advisory.Statement
 }
 
 // Codec translates between HTTP messages and their metadata.
--- a/internal/gateway/exchange/metrics.go
+++ b/internal/gateway/exchange/metrics.go
@@ -35,6 +35,9 @@
 			result = string(a.result)
 		}
 		metrics.GetOrCreateCounter(fmt.Sprintf(`hickorypath_attempts_total{service=%q,result=%q}`, service, result)).Inc()
+		if a.sent && a.limit.IsNamed() {
+			metrics.GetOrCreateCounter(fmt.Sprintf(`hickorypath_limited_attempts_total{service=%q}`, service)).Inc()
+		}
 		if a.framing != "" {
 			metrics.GetOrCreateCounter(fmt.Sprintf(`hickorypath_responses_total{service=%q,framing=%q,unfinished="%t"}`, service, a.framing, a.unfinished > 0)).Inc()
 		}
--- a/internal/gateway/h1/head.go
+++ b/internal/gateway/h1/head.go
@@ -59,6 +59,16 @@
 	return nil
 }
 
+// Values returns the values of all fields with the given name, nil if there is none.
+func (h *Head) Values(name string) (values []string) {
+	for i := range h.fields {
+		if h.fields[i].Is(name) {
+			values = append(values, string(h.fields[i].value))
+		}
+	}
+	return values
+}
+
 // Count returns the number of fields with the given name.
 func (h *Head) Count(name string) (n int) {
 	for i := range h.fields {
