Count the hosts of a large fleet through their zone

Cause: a host of a large fleet sends to one host of another zone each 200 ms, so that it is heard directly about once in 70 s, and is forgotten after 60 s. Its address is forgotten as well, since the addresses that hosts pass on are those of their own zone.

Every 600 ms a host now tells its zone the addresses from which messages of other zones have come, about three. Whoever is heard by the zone counts as alive, and its address is kept.

--- a/internal/gateway/peer/fleet.go
+++ b/internal/gateway/peer/fleet.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -8,13 +9,19 @@
 	"hickorypath/internal/policy/advisory"
 )
 
-// recordAlive records that the host at an address may be alive. The caller holds t.mu.
-func (t *Table) recordAlive(now time.Time, address string) {
-	t.addresses[address] = now
-	if _, known := t.alive[address]; !known {
-		t.fleet = nil
+// recordAlive records that the sender of a message may be alive, and the hosts that the sender has heard of. The caller holds
+// t.mu.
+func (t *Table) recordAlive(now time.Time, m Message) {
+	if m.Zone != t.zone && !slices.Contains(t.heard, m.Address) {
+		t.heard = append(t.heard, m.Address)
+	}
+	for _, address := range append([]string{m.Address}, m.Heard...) {
+		t.addresses[address] = now
+		if _, known := t.alive[address]; !known {
+			t.fleet = nil
+		}
+		t.alive[address] = now
 	}
-	t.alive[address] = now
 }
 
 // sweepAlive forgets the hosts that have been silent for expiryTime. The caller holds t.mu.
@@ -27,6 +34,16 @@
 	}
 }
 
+// TakeHeard returns the addresses of the hosts of other zones of which a message has arrived since the last call. In a large
+// fleet a host hears of a host of another zone about once a minute; the hosts of a zone together hear of it every few seconds.
+func (t *Table) TakeHeard() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	heard := t.heard
+	t.heard = nil
+	return heard
+}
+
 // Fleet returns the hosts that may be alive, this one included.
 func (t *Table) Fleet() *advisory.Fleet {
 	t.mu.Lock()
--- a/internal/gateway/peer/message.go
+++ b/internal/gateway/peer/message.go
@@ -36,6 +36,7 @@
 	Crashes        map[uint64]int                  `cbor:"x,omitempty"` // number of upstream crashes by fingerprint of the request that was running
 	Advisories     map[string]upstream.Advisory    `cbor:"g,omitempty"` // what upstream instances stated about themselves
 	KnownAddresses []string                        `cbor:"p,omitempty"` // addresses of some other hosts
+	Heard          []string                        `cbor:"j,omitempty"` // addresses of hosts of other zones whose messages arrived lately
 	WatchesStore   bool                            `cbor:"w,omitempty"` // the host watches the store itself
 	EntryRevision  uint64                          `cbor:"r,omitempty"` // store revision of the newest upstream entry that the host knows
 	StoreFailing   bool                            `cbor:"q,omitempty"` // the host's calls to the store failed lately
@@ -83,13 +84,13 @@
 // versions and revisions that this host knows.
 func (m Message) forOtherHosts() Message {
 	m = m.forSameZone()
-	m.Loads, m.CachedPrefixes, m.OmitsLoads = nil, nil, true
+	m.Loads, m.CachedPrefixes, m.OmitsLoads, m.Heard = nil, nil, true, nil
 	return m
 }
 
 // forLeader returns the message for the leader, with usage counts and demand but without loads and cached prefixes.
 func (m Message) forLeader() Message {
-	m.Loads, m.CachedPrefixes, m.OmitsLoads = nil, nil, true
+	m.Loads, m.CachedPrefixes, m.OmitsLoads, m.Heard = nil, nil, true, nil
 	return m
 }
 
--- a/internal/gateway/peer/table.go
+++ b/internal/gateway/peer/table.go
@@ -26,6 +26,7 @@
 	fixedCounts         map[int64]map[string]int                 // usage counts of the whole fleet that a leader has fixed
 	leader              Leader
 	alive               map[string]time.Time // hosts that may be alive, by address, with the time of the last sign of it
+	heard               []string             // addresses of hosts of other zones of which a message has arrived since the last call of TakeHeard
 	fleet               *advisory.Fleet      // the hosts in alive and this one, nil after a change
 }
 
@@ -64,7 +65,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.recordAlive(now, m.Address)
+	t.recordAlive(now, m)
 	for _, a := range m.KnownAddresses {
 		if _, ok := t.addresses[a]; !ok {
 			t.addresses[a] = now
@@ -332,6 +333,6 @@
 	return ""
 }
 
-// MaxHosts returns the number of hosts that may be alive, this one included: those whose last message arrived within
-// expiryTime.
+// MaxHosts returns the number of hosts that may be alive, this one included: those of which this host, or another one of its
+// zone, got a message within expiryTime.
 func (t *Table) MaxHosts() int { return t.Fleet().Size() }
--- a/internal/gateway/peer/transport.go
+++ b/internal/gateway/peer/transport.go
@@ -103,6 +103,9 @@
 	to := t.opts.Table.Targets(t.opts.Now(), wholeZone && m.WatchesStore)
 	m.Address, m.Leader = t.opts.Address, t.opts.Table.Leader()
 	m.KnownAddresses = knownAddresses(to)
+	if wholeZone && len(to.All) == 0 {
+		m.Heard = t.opts.Table.TakeHeard()
+	}
 	t.write(m, to.All)
 	t.write(m.forSameZone(), to.SameZone)
 	t.write(m.forOtherHosts(), to.Others)
