Refuse at once what the limits of upstreams leave no time for

Callers of a service whose upstreams all name limits would have waited for up to 0.4 of their time and then got 503: the wait was estimated from prompt tokens only.

A host knows when the slots are that it owns, so it counts them up to the end of the request's time to wait, and refuses the request on arrival, with Retry-After, if the requests ahead of it take them all.

--- a/internal/gateway/exchange/admit.go
+++ b/internal/gateway/exchange/admit.go
@@ -37,6 +37,10 @@
 		x.mu.Unlock()
 		return nil, nil, kind.New(kind.Overload, "the expected wait is %s", wait.Round(time.Millisecond)).WithRetry(e.retryAfter(wait))
 	}
+	if x.isBeyondLimits(s, e, maxWait) {
+		x.mu.Unlock()
+		return nil, nil, kind.New(kind.Overload, "the upstreams of %s accept no further request in time", e.service.Name).WithRetry(e.retryAfter(maxWait))
+	}
 	e.admitted = make(chan admission, 1)
 	item := s.queue.Push(x.opts.Now(), e, e.rank(), max(e.info.PromptTokens-sharedTokens(e.info.PromptParts), 1))
 	x.mu.Unlock()
@@ -115,6 +119,24 @@
 	return time.Duration(ahead / (readTokensPerMs * float64(max(n, 1))) * float64(time.Millisecond))
 }
 
+// isBeyondLimits reports whether the limits of the instances that may take the request keep it waiting for longer than
+// maxWait, behind the requests that wait already. The caller holds x.mu.
+func (x *Exchanger) isBeyondLimits(s *serviceState, e *exchange, maxWait time.Duration) bool {
+	now, fleet := x.opts.Now(), x.opts.Fleet()
+	grace := x.opts.Table.RemovalGrace(now)
+	ahead, sends, usable := s.queue.Ahead(e.rank()), 0, false
+	for _, i := range x.opts.Table.Service(e.service.Name) {
+		if status := i.Status(now, grace); status == upstream.Leaving || status == upstream.Down || e.hasFailedAt(i) {
+			continue
+		}
+		usable = true
+		if sends += i.SendsWithin(x.opts.FleetTime(), fleet, maxWait, ahead+1); sends > ahead {
+			return false
+		}
+	}
+	return usable
+}
+
 const (
 	// routePriorities is the number of route priorities that are distinguished within one customer priority.
 	routePriorities = 3
--- a/internal/gateway/upstream/advisory.go
+++ b/internal/gateway/upstream/advisory.go
@@ -35,6 +35,13 @@
 	return i.advisory.MaySend(now, f)
 }
 
+// SendsWithin returns how many requests this host's part of the instance's limit allows within d from now, but at most limit.
+func (i *Instance) SendsWithin(now time.Time, f *advisory.Fleet, d time.Duration, limit int) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.advisory.SendsWithin(now, f, d, limit)
+}
+
 // RecordSend counts a request against the instance's limit.
 func (i *Instance) RecordSend() {
 	i.mu.Lock()
--- a/internal/policy/advisory/advisory.go
+++ b/internal/policy/advisory/advisory.go
@@ -55,6 +55,15 @@
 	return len(s.pacer.unused) > 0
 }
 
+// SendsWithin returns how many requests this host may send to the upstream within d from now, but at most limit.
+func (s *State) SendsWithin(now time.Time, f *Fleet, d time.Duration, limit int) int {
+	s.MaySend(now, f)
+	if !s.limit.IsNamed() {
+		return limit
+	}
+	return s.pacer.countUntil(now.Add(d), s.upstream, f, limit)
+}
+
 // RecordSend counts a request that MaySend has allowed.
 func (s *State) RecordSend() {
 	if len(s.pacer.unused) > 0 {
--- a/internal/policy/advisory/pace.go
+++ b/internal/policy/advisory/pace.go
@@ -97,6 +97,17 @@
 	return time.Unix(0, int64(float64(slot)*p.slotLength()*float64(time.Second)))
 }
 
+// countUntil returns how many requests this host may send until a time, but at most limit.
+func (p *pacer) countUntil(until time.Time, upstream uint64, f *Fleet, limit int) int {
+	n, last := len(p.unused), p.slotAt(until)
+	for slot := p.next; slot <= last && n < limit; slot++ {
+		if f.ownsSlot(upstream, slot) {
+			n += p.requestsPerSlot()
+		}
+	}
+	return min(n, limit)
+}
+
 // refill adds the slots of this host that have begun and drops those that have expired.
 func (p *pacer) refill(now time.Time, upstream uint64, f *Fleet) {
 	current, oldest := p.slotAt(now), p.slotAt(now.Add(-p.validity()))
--- a/internal/policy/waitqueue/waitqueue.go
+++ b/internal/policy/waitqueue/waitqueue.go
@@ -75,6 +75,16 @@
 	return tokens
 }
 
+// Ahead returns the number of requests that would go before a new request with the given rank.
+func (q *Queue[T]) Ahead(rank int) (n int) {
+	for _, i := range q.items {
+		if i.rank <= rank {
+			n++
+		}
+	}
+	return n
+}
+
 // Dispatch offers the requests in order to take, which reports whether the request could be placed. Placed
 // requests leave the queue. A request that could not be placed blocks all later requests, so that large requests
 // are not starved by small ones, unless skip reports that the request cannot use the capacity that the others
--- a/internal/policy/waitqueue/waitqueue_test.go
+++ b/internal/policy/waitqueue/waitqueue_test.go
@@ -19,6 +19,8 @@
 	removed := q.Push(start.Add(3), "leaving", 1, 40)
 	is.Equal(q.TokensAhead(0), 20)
 	is.Equal(q.TokensAhead(1), 60)
+	is.Equal(q.Ahead(0), 1)
+	is.Equal(q.Ahead(1), 2)
 	is.True(q.Remove(removed))
 	is.True(!q.Remove(removed))
 	is.Equal(q.Tokens(), 60)
