Ascribe statements only to the instance that made them

When an address had passed to another instance, its 421 set the load, and now the limit, of the instance that had left; a surplus response to an earlier request did the same for the instance at an earlier time. Placing then went by the load of an instance that got none of the requests.

Statements count only in a response that bears the request's id, or says that the request was not executed and is no 421.

--- a/internal/gateway/exchange/advisory.go
+++ b/internal/gateway/exchange/advisory.go
@@ -6,12 +6,15 @@
 	"go.uber.org/zap"
 
 	"hickorypath/internal/gateway/upstream"
-	"hickorypath/internal/policy/advisory"
 )
 
-// recordAdvisory records what an instance stated about itself in the response to a request sent at sentAt.
-func (x *Exchanger) recordAdvisory(i *upstream.Instance, sentAt time.Time, s advisory.Statement) {
-	if !i.RecordAdvisory(x.opts.Now(), sentAt, s) {
+// recordStatements records what an instance stated about itself in its response to a request sent at sentAt.
+func (x *Exchanger) recordStatements(i *upstream.Instance, sentAt time.Time, r ResponseInfo) {
+	now, s := x.opts.Now(), r.Advisory
+	if r.HasLoad {
+		i.SetLoad(upstream.Load{Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, At: now})
+	}
+	if !i.RecordAdvisory(now, sentAt, s) {
 		return
 	}
 	if s.Limit.Unreadable() != "" {
--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -128,10 +128,9 @@
 	}
 	a.framing = resp.Framing()
 	answer := e.x.opts.Codec.DecodeResponse(resp)
-	if answer.HasLoad {
-		i.SetLoad(upstream.Load{Running: answer.Running, Waiting: answer.Waiting, Slots: answer.Slots, At: e.x.opts.Now()})
+	if !answer.Misdirected && (answer.NotExecuted || answer.ID == e.info.ID) {
+		e.x.recordStatements(i, sentAt, answer)
 	}
-	e.x.recordAdvisory(i, sentAt, answer.Advisory)
 	if answer.NotExecuted {
 		_ = e.discard(body)
 		return kind.New(kind.Rejected, "%s did not run the request: status %d", i.ID(), resp.Status()).WithRetry(e.retryAfter(rejectedRetryAfter))
--- a/internal/gateway/exchange/codec.go
+++ b/internal/gateway/exchange/codec.go
@@ -41,6 +41,7 @@
 	ID          string // id of the request that the response belongs to
 	Signed      bool
 	NotExecuted bool // the upstream did not run the request and will not run it
+	Misdirected bool // another instance answered, which has the upstream's address now
 	Running     int  // load of the instance; Running, Waiting and Slots are valid if HasLoad is set
 	Waiting     int
 	Slots       int
