Let stand-ins share the limit that they name and its check

The check moves from the stand-in of the gateway's upstreams to internal/standin/limitcheck, unchanged in its bounds.

--- a/cmd/hickorypath/gatewaylimit_test.go
+++ b/cmd/hickorypath/gatewaylimit_test.go
@@ -68,7 +68,7 @@
 	}
 	for _, s := range upstreams {
 		for _, h := range f.hosts {
-			f.waitUntil(func() bool { return s.HasCallFrom(h.name) })
+			f.waitUntil(func() bool { return s.Limit().HasCallFrom(h.name) })
 		}
 	}
 	var names sync.WaitGroup
@@ -76,23 +76,23 @@
 		names.Go(func() {
 			for _, n := range c.namings {
 				<-time.After(n.after)
-				upstreams[i].NameLimit(n.rate, n.values...)
+				upstreams[i].Limit().Name(n.rate, n.values...)
 			}
 		})
 	}
 	names.Wait()
 	for _, s := range upstreams {
-		f.waitUntil(s.IsLimitChecked)
+		f.waitUntil(s.Limit().IsChecked)
 	}
 	for i, c := range cases {
-		t.Run(c.service, func(t *testing.T) { is.New(t).Equal(upstreams[i].LimitViolation(), "") })
+		t.Run(c.service, func(t *testing.T) { is.New(t).Equal(upstreams[i].Limit().Violation(), "") })
 	}
 	before := lo.Map(upstreams, func(s *instance.Server, _ int) int {
-		s.NameLimit(0)
-		return len(s.Calls())
+		s.Limit().Name(0)
+		return s.Limit().Calls()
 	})
 	for i, s := range upstreams { // no limit stops the traffic to an upstream for good
-		f.waitUntil(func() bool { return len(s.Calls()) > before[i]+100 })
+		f.waitUntil(func() bool { return s.Limit().Calls() > before[i]+100 })
 	}
 }
 
@@ -102,12 +102,12 @@
 	s, err := instance.New()
 	is.NoErr(err)
 	t.Cleanup(s.Close)
-	s.NameLimit(3, "3")
+	s.Limit().Name(3, "3")
 	value := fmt.Sprintf(`{"service":"svc","address":%q,"zone":"z","slots":8,"state":"ready","seq":1}`, s.Addr())
 	is.NoErr(f.platform.Put(t.Context(), "servers/u0", []byte(value)))
 	f.waitUntil(func() bool { return f.hosts[0].ask("safe", "h1-a", "k1") == http.StatusOK })
 	f.waitUntil(func() bool {
 		return strings.Contains(f.hosts[1].log.String(), `"text":"upstream names a limit","host":"h2","upstream":"u0","peer":"h1","limit":3}`)
 	})
-	is.True(!s.HasCallFrom("h2"))
+	is.True(!s.Limit().HasCallFrom("h2"))
 }
