--- a/internal/gateway/peer/fleet.go
+++ b/internal/gateway/peer/fleet.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/samber/lo"
-
 	"hickorypath/internal/policy/advisory"
 )
 
@@ -17,20 +15,7 @@
 	}
 	for _, address := range append([]string{m.Address}, m.Heard...) {
 		t.addresses[address] = now
-		if _, known := t.alive[address]; !known {
-			t.fleet = nil
-		}
-		t.alive[address] = now
-	}
-}
-
-// sweepAlive forgets the hosts that have been silent for expiryTime. The caller holds t.mu.
-func (t *Table) sweepAlive(now time.Time) {
-	for address, at := range t.alive {
-		if now.Sub(at) > expiryTime {
-			delete(t.alive, address)
-			t.fleet = nil
-		}
+		t.members.Add(now, address)
 	}
 }
 
@@ -48,8 +33,5 @@
 func (t *Table) Fleet() *advisory.Fleet {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.fleet == nil {
-		t.fleet = advisory.NewFleet(advisory.HostID(t.address), lo.MapToSlice(t.alive, func(a string, _ time.Time) uint64 { return advisory.HostID(a) })...)
-	}
-	return t.fleet
+	return t.members.Fleet()
 }
--- a/internal/gateway/peer/table.go
+++ b/internal/gateway/peer/table.go
@@ -16,7 +16,6 @@
 type Table struct {
 	self           string
 	zone           string
-	address        string // of this host, for datagrams
 	ownIncarnation incarnation
 
 	mu                  sync.Mutex
@@ -25,9 +24,8 @@
 	countsByIncarnation map[incarnation]map[int64]map[string]int // usage counts by incarnation, window and customer
 	fixedCounts         map[int64]map[string]int                 // usage counts of the whole fleet that a leader has fixed
 	leader              Leader
-	alive               map[string]time.Time // hosts that may be alive, by address, with the time of the last sign of it
-	heard               []string             // addresses of hosts of other zones of which a message has arrived since the last call of TakeHeard
-	fleet               *advisory.Fleet      // the hosts in alive and this one, nil after a change
+	members             *advisory.Members // by address
+	heard               []string          // addresses of hosts of other zones of which a message has arrived since the last call of TakeHeard
 }
 
 type hostEntry struct {
@@ -54,7 +52,7 @@
 // NewTable returns an empty Table for the host with the name self, in an availability zone, that receives datagrams at address.
 // The start of the process, in Unix nanoseconds, identifies the host's incarnation.
 func NewTable(self, zone, address string, start int64) *Table {
-	return &Table{self: self, zone: zone, address: address, ownIncarnation: incarnation{self, start}, hosts: map[string]*hostEntry{}, addresses: map[string]time.Time{}, alive: map[string]time.Time{}, countsByIncarnation: map[incarnation]map[int64]map[string]int{}, fixedCounts: map[int64]map[string]int{}}
+	return &Table{self: self, zone: zone, ownIncarnation: incarnation{self, start}, hosts: map[string]*hostEntry{}, addresses: map[string]time.Time{}, members: advisory.NewMembers(address), countsByIncarnation: map[incarnation]map[int64]map[string]int{}, fixedCounts: map[int64]map[string]int{}}
 }
 
 // Record records a message of another host, unless a newer one has arrived. It reports whether the host joined: no
@@ -242,7 +240,7 @@
 	maps.DeleteFunc(t.fixedCounts, func(w int64, _ map[string]int) bool { return w < window-keepWindows })
 	maps.DeleteFunc(t.addresses, func(_ string, seen time.Time) bool { return now.Sub(seen) > expiryTime })
 	maps.DeleteFunc(t.hosts, func(_ string, e *hostEntry) bool { return now.Sub(e.receivedAt) > expiryTime })
-	t.sweepAlive(now)
+	t.members.Expire(now, expiryTime)
 }
 
 // AddAddress adds the address of a host, as found in the store or in the settings.
--- a/internal/policy/advisory/pace.go
+++ b/internal/policy/advisory/pace.go
@@ -8,21 +8,14 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Fleet is the set of hosts that share the limits of upstreams. It is immutable.
+// Fleet is the set of hosts that share the limits of upstreams, as one host knows it. It is immutable.
 type Fleet struct {
 	self  uint64
 	hosts []uint64 // identifiers, that of this host included
 }
 
-// HostID returns the identifier of a host in a Fleet.
-func HostID(name string) uint64 { return xxhash.Sum64String(name) }
-
-// NewFleet returns the Fleet of a host and the other hosts, which are given by their identifiers.
-func NewFleet(self uint64, others ...uint64) *Fleet {
-	hosts := append(slices.Clone(others), self)
-	slices.Sort(hosts)
-	return &Fleet{self: self, hosts: slices.Compact(hosts)}
-}
+// hostID returns the identifier of a host in a Fleet.
+func hostID(name string) uint64 { return xxhash.Sum64String(name) }
 
 // Size returns the number of hosts.
 func (f *Fleet) Size() int { return len(f.hosts) }
--- a/internal/policy/advisory/pace_test.go
+++ b/internal/policy/advisory/pace_test.go
@@ -25,13 +25,13 @@
 func newFleetTest(rng *rand.Rand, hosts int, skew time.Duration, known float64) *fleetTest {
 	f := &fleetTest{}
 	for n := range hosts {
-		var others []uint64
+		m := advisory.NewMembers(fmt.Sprint("h", n))
 		for o := range hosts {
 			if o != n && rng.Float64() < known {
-				others = append(others, advisory.HostID(fmt.Sprint("h", o)))
+				m.Add(testStart, fmt.Sprint("h", o))
 			}
 		}
-		f.fleets = append(f.fleets, advisory.NewFleet(advisory.HostID(fmt.Sprint("h", n)), others...))
+		f.fleets = append(f.fleets, m.Fleet())
 		f.hosts = append(f.hosts, advisory.NewState("u1"))
 		f.skews = append(f.skews, time.Duration((2*rng.Float64()-1)*float64(skew)))
 	}
@@ -168,3 +168,17 @@
 		})
 	}
 }
+
+func TestMembers(t *testing.T) {
+	is := is.New(t)
+	at := func(s int) time.Time { return testStart.Add(time.Duration(s) * time.Second) }
+	m := advisory.NewMembers("a")
+	is.Equal(m.Fleet().Size(), 1)
+	m.Add(at(0), "a", "b", "c") // the host itself may be among them
+	is.Equal(m.Fleet().Size(), 3)
+	m.Add(at(50), "c")
+	m.Expire(at(61), time.Minute)
+	is.Equal(m.Fleet().Size(), 2)
+	m.Expire(at(200), time.Minute)
+	is.Equal(m.Fleet().Size(), 1)
+}
