Keep the limits that engines and services of serve name

X-Limit in a response states it. The pool asks a route.Limiter before it picks an upstream and counts what it starts; an arrival that the limits leave no slot for within its time to wait is refused. Hosts tell each other in records of topic advisory. A statement belongs to one address of an upstream: one of an earlier address is not taken over (case of TestChanges, fails without the check).

--- a/cmd/hickorypath/injector.go
+++ b/cmd/hickorypath/injector.go
@@ -260,6 +260,8 @@
 		IsAlive:      f.Alive,
 		IsDown:       f.IsDown,
 		ReportCrash:  newCrashReplicator(replicator, c, f),
+
+		RecordAdvisory: f.RecordAdvisory,
 		Bill: func(b exchange.Bill) {
 			usages.Add(usage.Record{
 				RequestID: b.RequestID,
--- a/internal/caller/exchange/attempt.go
+++ b/internal/caller/exchange/attempt.go
@@ -90,6 +90,7 @@
 	if a.err = c.checkClaim(); a.err != nil {
 		return
 	}
+	a.call.OnAdvisory = c.runner.onAdvisory(a.grant.Target())
 	a.stream, a.err = c.runner.deps.Engines.Chat(a.ctx, a.grant.Target().Addr(), a.call)
 	if a.err == nil {
 		a.firstEvent, a.err = a.stream.Next()
--- a/internal/caller/exchange/forward.go
+++ b/internal/caller/exchange/forward.go
@@ -12,6 +12,7 @@
 	"hickorypath/internal/policy/pool"
 	"hickorypath/internal/policy/retry"
 	"hickorypath/internal/policy/suspect"
+	"hickorypath/internal/upstream/dispatch"
 	"hickorypath/internal/upstream/service"
 )
 
@@ -170,7 +171,7 @@
 	run := f.runner.deps.Suspects.Start(f.runner.deps.Clock.Now(), f.fingerprint, f.summary.Upstream, RunCallbacks{})
 	f.runner.deps.Suspects.ScheduleTrialPass(f.runner.deps.Clock.Now, run)
 	f.timeToResponse = 0
-	err = f.send(ctx, grant.Target().Addr())
+	err = f.send(ctx, grant.Target())
 	result := pool.Result{Failed: err != nil && ctx.Err() == nil, Crashed: f.finishRun(ctx, grant, run, err)}
 	if err == nil {
 		result.TimeToFirstToken = f.timeToResponse
@@ -181,12 +182,12 @@
 }
 
 // send makes one attempt and passes its response to the caller.
-func (f *forward) send(ctx context.Context, addr string) error {
+func (f *forward) send(ctx context.Context, target dispatch.Target) error {
 	if err := f.checkClaim(); err != nil {
 		return err
 	}
 	sent := f.runner.deps.Clock.Now()
-	res, err := f.runner.deps.Services.Do(ctx, addr, service.Call{
+	res, err := f.runner.deps.Services.Do(ctx, target.Addr(), service.Call{
 		AttemptID:  fmt.Sprintf("%s-%d", f.req.ID, f.attempts),
 		Method:     f.req.Method,
 		Path:       f.req.Path,
@@ -196,6 +197,7 @@
 		Body:       f.bodyReader(),
 		BodyLength: f.bodyLength(),
 		Repeatable: f.route.Repeatable() && f.buffered,
+		OnAdvisory: f.runner.onAdvisory(target),
 	})
 	if err != nil {
 		return err
--- a/internal/policy/pool/arrive.go
+++ b/internal/policy/pool/arrive.go
@@ -87,6 +87,11 @@
 		p.restrictToGuaranteedShare(now, c)
 		return guaranteed
 	}
+	if ahead := p.waitingAhead(tier); p.balancer.SendsWithin(now, c.expires.Sub(now), ahead+1) <= ahead {
+		p.recordOverload(now, tier)
+		p.refuse(c, kind.Overload, p.addJitter(c.expires.Sub(now)))
+		return false
+	}
 	wait := p.estimateWait(now, c)
 	if p.missesDeadline(now, c, wait) {
 		p.refuse(c, kind.Deadline, p.addJitter(wait))
@@ -100,6 +105,14 @@
 	return true
 }
 
+// waitingAhead returns the number of waiting requests of a tier and of the higher ones.
+func (p *Pool) waitingAhead(tier int) (n int) {
+	for level := 0; level <= tier; level++ {
+		n += p.queue.Depth(level)
+	}
+	return n
+}
+
 // isOutOfService reports whether no upstream is in service, and the time until one may return; zero if that
 // time is not known.
 func (p *Pool) isOutOfService(now time.Time) (retry time.Duration, out bool) {
--- a/internal/policy/pool/pool.go
+++ b/internal/policy/pool/pool.go
@@ -75,6 +75,7 @@
 	Classes        []Class
 	Seed           uint64
 	EstimateOutput func(Request) float64 // estimates the output tokens of a request; nil for estimates learned from earlier answers
+	Limiter        route.Limiter
 }
 
 // Pool is the scheduler of one pool of upstreams on one host.
@@ -133,7 +134,7 @@
 		reclaimable:       make(map[string]bool),
 		externalLoads:     make(map[string]externalLoad),
 		length:            length.New(0),
-		balancer:          route.New(route.Config{Host: conf.Host, Zone: conf.Zone, Seed: conf.Seed}),
+		balancer:          route.New(route.Config{Host: conf.Host, Zone: conf.Zone, Seed: conf.Seed, Limiter: conf.Limiter}),
 		rand:              rand.New(rand.NewPCG(conf.Seed, conf.Seed)),
 		estimateOutput:    conf.EstimateOutput,
 		calls:             make(map[uint64]*call),
--- a/internal/policy/route/balancer.go
+++ b/internal/policy/route/balancer.go
@@ -17,6 +17,7 @@
 	Seed            uint64 // of the random numbers by which candidates are sampled
 	MaxPrefixBlocks int    // prompt prefix blocks that are remembered
 	Health          health.Config
+	Limiter         Limiter
 }
 
 // Balancer selects upstreams of one pool for the requests of one host. It is not safe for concurrent use.
@@ -189,6 +190,7 @@
 		return
 	}
 	b.requests[requestID] = runningRequest{member: m, start: now}
+	b.config.Limiter.recordSend(id)
 	missing := r.PromptTokens - b.cachedTokens(now, m, r)
 	m.pending = append(m.pending, pendingRequest{requestID: requestID, start: now, uncachedTokens: missing, tokensAhead: m.pendingTokens})
 	m.pendingTokens += missing
--- a/internal/policy/route/pick.go
+++ b/internal/policy/route/pick.go
@@ -29,7 +29,7 @@
 func (b *Balancer) Pick(now time.Time, r Request) (id string, ok bool) {
 	b.refreshIfDue(now)
 	if r.PinnedUpstream != "" {
-		return r.PinnedUpstream, b.acceptsPinned(r)
+		return r.PinnedUpstream, b.acceptsPinned(r) && b.config.Limiter.maySend(now, r.PinnedUpstream)
 	}
 	c := &b.choice
 	*c = choice{balancer: b, now: now, request: r, match: b.prefixes.match(r.Prefix)}
@@ -148,6 +148,8 @@
 	switch {
 	case m.reclaimable && !r.AllowReclaimable:
 		return false
+	case !c.balancer.config.Limiter.maySend(c.now, m.id):
+		return false
 	}
 	return !slices.Contains(r.Exclude, m.id)
 }
--- a/internal/standin/upstream/call.go
+++ b/internal/standin/upstream/call.go
@@ -5,12 +5,16 @@
 	"net/http"
 	"slices"
 	"sync/atomic"
+
+	"hickorypath/internal/standin/limitcheck"
 )
 
 // HTTP header names of the protocol between the router and its upstreams.
 const (
 	HeaderID  = "X-Request-Id"
 	headerRan = "X-Ran"
+
+	headerLimit = "X-Limit"
 )
 
 const (
@@ -75,6 +79,9 @@
 	}
 	b.mu.Unlock()
 	w.Header().Set(HeaderID, call.id)
+	if values := b.limit.RecordCall(call.id); len(values) > 0 {
+		w.Header()[headerLimit] = values
+	}
 	if b.ConsumeFault(Reject) {
 		Refuse(w, http.StatusServiceUnavailable, "upstream is full")
 		return nil
@@ -88,6 +95,9 @@
 	http.Error(w, `{"error":{"message":"`+text+`"}}`, status)
 }
 
+// Limit returns the request limit that the upstream names.
+func (b *Base) Limit() *limitcheck.Limit { return &b.limit }
+
 // Calls returns the recorded calls, oldest first.
 func (b *Base) Calls() []*Call {
 	b.mu.Lock()
--- a/internal/standin/upstream/fault.go
+++ b/internal/standin/upstream/fault.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"hickorypath/internal/core/kind"
+	"hickorypath/internal/standin/limitcheck"
 )
 
 // Fault is the name of an upstream fault, as sent in FaultRequest.
@@ -58,6 +59,7 @@
 	supported []Fault
 	onCrash   func() // called with mu held when the upstream crashes
 
+	limit  limitcheck.Limit
 	mu     sync.Mutex
 	calls  []*Call
 	conns  map[string]bool // by remote address of each connection seen; true when the connection is silent
--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -16,6 +16,7 @@
 
 	"hickorypath/internal/core/clock"
 	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/advisory"
 	"hickorypath/internal/upstream/httpclient"
 )
 
@@ -98,6 +99,9 @@
 	Priority       int         // 0 is the highest
 	ResumeOffset   int         // output tokens already received; the answer resumes after them
 	PriorAttemptID string      // the attempt that this one resumes
+
+	// OnAdvisory receives what the engine states about itself in its answer; it may be nil.
+	OnAdvisory func(advisory.Statement)
 }
 
 // Chat sends the call and returns the answer as a Stream. Errors have kind Unavailable or Rejected (the
--- a/internal/upstream/engine/stream.go
+++ b/internal/upstream/engine/stream.go
@@ -86,6 +86,9 @@
 		s.client.counters.crossed.Add(1)
 		return kind.New(kind.ResponseMismatch, "engine %s answered for another attempt", s.addr)
 	}
+	if s.call.OnAdvisory != nil {
+		s.call.OnAdvisory(httpclient.Statement(s.res.Header))
+	}
 	if s.res.StatusCode == http.StatusOK {
 		return nil
 	}
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -56,6 +56,7 @@
 type Fleet struct {
 	options     Options
 	assignments *poll.Assignments
+	advisories  *advisories
 
 	mu      sync.Mutex
 	ctx     context.Context
@@ -93,6 +94,7 @@
 	return &Fleet{
 		options:     o,
 		assignments: poll.NewAssignments(o.Host, o.LiveHosts, o.Clock.Now),
+		advisories:  newAdvisories(o.Host),
 		pools:       map[string]*poolEntry{},
 		targets:     map[string][]dispatch.Target{},
 		slots:       map[string]int{},
@@ -113,6 +115,8 @@
 	defer stopDrain()
 	stopUp := f.options.Replicator.Watch(upTopic, f.receiveUp)
 	defer stopUp()
+	stopAdvisory := f.options.Replicator.Watch(advisoryTopic, f.receiveAdvisory)
+	defer stopAdvisory()
 	clock.Every(ctx, summaryInterval, f.publish)
 }
 
@@ -145,7 +149,7 @@
 
 // newPool creates a pool and starts it if the Fleet is running. The caller must hold f.mu.
 func (f *Fleet) newPool(p *document.Pool, classes []pool.Class) *poolEntry {
-	core := pool.New(pool.Config{Host: f.options.Host, Zone: f.options.Zone, Classes: classes, Seed: f.options.Seed})
+	core := pool.New(pool.Config{Host: f.options.Host, Zone: f.options.Zone, Classes: classes, Seed: f.options.Seed, Limiter: f.advisories.limiter()})
 	e := &poolEntry{
 		Dispatcher:  dispatch.New(p.Name(), core, f.options.Clock),
 		unsentLoads: map[string]route.Load{},
@@ -277,6 +281,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.targets = byPool
+	f.advisories.forget(byPool)
 	for name, e := range f.pools {
 		e.setTargets(f.currentTargets(name))
 	}
--- a/internal/upstream/fleet/fleet_test.go
+++ b/internal/upstream/fleet/fleet_test.go
@@ -16,6 +16,7 @@
 	"hickorypath/internal/core/clock"
 	"hickorypath/internal/host/replication"
 	"hickorypath/internal/operator/document"
+	"hickorypath/internal/policy/advisory"
 	"hickorypath/internal/policy/pool"
 	"hickorypath/internal/policy/route"
 	"hickorypath/internal/upstream/dispatch"
@@ -161,6 +162,11 @@
 	return g
 }
 
+// name makes engine a state a limit in a response to a host, with these values of the header.
+func (h *harness) name(f *fleet.Fleet, values ...string) {
+	f.RecordAdvisory(engineAt("a"), time.Now(), advisory.Statement{Limit: advisory.ParseLimit(values...)})
+}
+
 // acceptingEngines returns the engines that accept a new request on a host.
 func acceptingEngines(f *fleet.Fleet) []string {
 	d, ok := f.Pool("asesor")
@@ -235,6 +241,33 @@
 			defer h.spreads[1].Watch(replication.TopicLoad, func(r replication.Record) { h.deliverRecord(0, r) })()
 			time.Sleep(period / 2) // until the other host has polled and published
 		}, []string{"a", "b"}, 1},
+		{"an engine names a limit", func(h *harness) { h.name(h.own, "0") }, []string{"b"}, 1},
+		{"an engine names a limit that cannot be read", func(h *harness) { h.name(h.own, "?") }, []string{"b"}, 1},
+		{"an engine withdraws its limit", func(h *harness) {
+			h.name(h.own, "0")
+			time.Sleep(time.Millisecond)
+			h.name(h.own)
+		}, []string{"a", "b"}, 1},
+		{"an engine with a limit restarts at another address", func(h *harness) {
+			h.name(h.own, "0")
+			h.setEngines(dispatch.NewTarget("a", "z", "a:81", false, false), engineAt("b"))
+		}, []string{"a", "b"}, 1},
+		{"an engine names a limit to another host", func(h *harness) {
+			h.name(h.other, "0")
+			h.deliverAll(1, 0, "advisory")
+		}, []string{"b"}, 1},
+		{"an engine withdraws its limit at another host", func(h *harness) {
+			h.name(h.other, "0")
+			h.deliverAll(1, 0, "advisory")
+			time.Sleep(time.Second)
+			h.name(h.other)
+			h.deliverAll(1, 0, "advisory")
+		}, []string{"a", "b"}, 1},
+		{"another host has the limit of an earlier address", func(h *harness) {
+			h.name(h.other, "0")
+			h.setEngines(dispatch.NewTarget("a", "z", "a:81", false, false), engineAt("b"))
+			h.deliverAll(1, 0, "advisory")
+		}, []string{"a", "b"}, 1},
 		{"the document removes the pool", func(h *harness) { h.apply(h.own, documentWithoutPool) }, nil, 0},
 		{"the document removes the pool and adds it again", func(h *harness) {
 			h.apply(h.own, documentWithoutPool)
--- a/internal/upstream/fleet/summary.go
+++ b/internal/upstream/fleet/summary.go
@@ -52,6 +52,7 @@
 // publish sends the other hosts a summary of the queued and running requests of each pool on this host.
 func (f *Fleet) publish() {
 	now := f.options.Clock.Now()
+	f.advisories.addMembers(now, f.options.LiveHosts())
 	if period, combined := f.options.Replicator.SoftPeriod(); combined {
 		f.publishDigests(now, period)
 		return
--- a/internal/upstream/service/client.go
+++ b/internal/upstream/service/client.go
@@ -13,6 +13,7 @@
 
 	"hickorypath/internal/core/bodyend"
 	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/advisory"
 	"hickorypath/internal/upstream/httpclient"
 )
 
@@ -83,6 +84,9 @@
 	BodyLength    int64 // length of Body in bytes, -1 if unknown
 	Repeatable    bool  // the caller may send the same call again
 	NewConnection bool  // do not reuse a pooled connection
+
+	// OnAdvisory receives what the service states about itself in its response; it may be nil.
+	OnAdvisory func(advisory.Statement)
 }
 
 // Do sends the call once and returns the response, whose body the caller must close. Errors have kind
@@ -169,6 +173,9 @@
 		a.client.crossed.Add(1)
 		return kind.New(kind.ResponseMismatch, "service %s answered for another attempt", a.addr)
 	}
+	if a.call.OnAdvisory != nil {
+		a.call.OnAdvisory(httpclient.Statement(res.Header))
+	}
 	if res.Header.Get(httpclient.HeaderRan) == httpclient.RanNo && res.StatusCode >= http.StatusInternalServerError {
 		return kind.New(kind.Rejected, "service %s answered %d without running the call", a.addr, res.StatusCode)
 	}
