Log the software versions that a stream has been at

Entries of upstreams are decoded with their version. It is in the lines for joining and changing upstreams and in each attempt; a request line has the first request of the stream that its caller takes up, and the last event. Nothing is decided by it yet.

--- a/internal/gateway/exchange/accesslog.go
+++ b/internal/gateway/exchange/accesslog.go
@@ -69,6 +69,9 @@
 	if e.waited > 0 {
 		fields = append(fields, zap.Float64("waited", ms(e.waited)))
 	}
+	if e.info.Resumes != "" {
+		fields = append(fields, zap.String("resumes", e.info.Resumes), zap.String("after", e.info.LastEventID))
+	}
 	if e.progress.count > 0 {
 		fields = append(fields, zap.Int("events", e.progress.count))
 	}
@@ -107,6 +110,9 @@
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (a attempt) MarshalLogObject(enc zapcore.ObjectEncoder) error {
 	enc.AddString("upstream", a.upstream)
+	if a.version != "" {
+		enc.AddString("version", a.version)
+	}
 	enc.AddFloat64("age", ms(a.reportAge))
 	enc.AddFloat64("ms", ms(a.duration))
 	if a.tokensAhead > 0 {
--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -20,6 +20,7 @@
 // attempt records one attempt of a request for the access log and the metrics.
 type attempt struct {
 	upstream     string
+	version      string         // software version of the upstream
 	reportAge    time.Duration  // age of the load that the upstream last reported; negative if it never reported one
 	tokensAhead  int            // unread prompt tokens known to be at the instance before this request
 	cachedTokens int            // prompt tokens expected in the instance's cache, copied ones included
@@ -37,7 +38,7 @@
 // have run.
 func (e *exchange) try(ctx context.Context, i *upstream.Instance, r *reservation) error {
 	begin := e.x.opts.Now()
-	a := attempt{upstream: i.ID(), reportAge: -1, tokensAhead: r.tokensAhead, cachedTokens: r.cachedTokens, limit: i.Limit()}
+	a := attempt{upstream: i.ID(), version: i.Entry().Version, reportAge: -1, tokensAhead: r.tokensAhead, cachedTokens: r.cachedTokens, limit: i.Limit()}
 	if r.copySource != nil {
 		a.copySource = r.copySource.ID()
 	}
--- a/internal/gateway/exchange/codec.go
+++ b/internal/gateway/exchange/codec.go
@@ -24,6 +24,7 @@
 	ExpectedOutputTokens int // output length that the client expects; 0 if not stated
 	PromptParts          []place.PromptPart
 	LastEventID          string // id of the last event that the client received
+	Resumes              string // id of the request that brought the first event of the stream that the client takes up; empty for none
 }
 
 // ForwardInfo is the metadata that the router adds to a request sent to an upstream.
--- a/internal/gateway/upstream/entry.go
+++ b/internal/gateway/upstream/entry.go
@@ -10,6 +10,7 @@
 	Service  string
 	Address  string
 	Zone     string
+	Version  string // version of the instance's software; empty if not stated
 	Slots    int
 	Draining bool
 	Cold     time.Duration // how much longer the instance is slow after its start
--- a/internal/gateway/upstream/table.go
+++ b/internal/gateway/upstream/table.go
@@ -57,8 +57,8 @@
 	}
 	comesBack := restored && t.hasLeft(e)
 	if old != nil && old.entry.isSameIncarnation(e) {
-		if old.entry.Draining != e.Draining {
-			t.log.Info("upstream changes", zap.String("upstream", e.ID), zap.Bool("draining", e.Draining), zap.Duration("leaves", e.Leaves))
+		if old.entry.Draining != e.Draining || old.entry.Version != e.Version {
+			t.log.Info("upstream changes", zap.String("upstream", e.ID), zap.String("version", e.Version), zap.Bool("draining", e.Draining), zap.Duration("leaves", e.Leaves))
 		}
 		old.update(e)
 		if comesBack {
@@ -78,7 +78,7 @@
 	if comesBack {
 		i.holdUntil(now.Add(restoredEntryDelay))
 	}
-	t.log.Info("upstream joins", zap.String("upstream", e.ID), zap.String("service", e.Service), zap.String("zone", e.Zone),
+	t.log.Info("upstream joins", zap.String("upstream", e.ID), zap.String("service", e.Service), zap.String("zone", e.Zone), zap.String("version", e.Version),
 		zap.String("address", e.Address), zap.Bool("draining", e.Draining), zap.Bool("spot", e.Spot))
 }
 
