Reproduce streams that go on at another version in tests

- TestStreamIsTakenUpAtAnotherVersion: three gateway processes, two stand-in upstreams of each of two versions, 24 streams.

--- a/cmd/hickorypath/gatewayfleet_test.go
+++ b/cmd/hickorypath/gatewayfleet_test.go
@@ -145,11 +145,13 @@
 
 // tryConfigure writes the current version of the configuration once and reports whether the store acknowledged the write.
 func (f *gatewayFleet) tryConfigure(keys ...string) bool {
-	route := func(name, kind, service string) any {
+	route := func(name, kind, service string) map[string]any {
 		return map[string]any{"name": name, "host": "h.example", "prefix": "/" + name + "/", "kind": kind, "timeoutMs": 5000, "maxAttempts": 2, "service": service}
 	}
+	stream := route("talk", "streaming", "svc")
+	stream["resumable"], stream["targetLatencyMs"], stream["timeoutMs"] = true, 2000, 15000
 	names := append([]string{"svc"}, f.services...)
-	routes := append([]any{route("once", "non_idempotent", "svc"), route("safe", "idempotent", "svc")},
+	routes := append([]any{route("once", "non_idempotent", "svc"), route("safe", "idempotent", "svc"), stream},
 		lo.Map(f.services, func(name string, _ int) any { return route(name, "idempotent", name) })...)
 	data, err := json.Marshal(map[string]any{
 		"version": f.version,
--- a/cmd/hickorypath/gatewaylimit_test.go
+++ b/cmd/hickorypath/gatewaylimit_test.go
@@ -39,7 +39,7 @@
 	f := newGatewayFleet(t, 18, hosts, 0)
 	upstreams := make([]*instance.Server, 0, len(cases))
 	for i, c := range cases {
-		s, err := instance.New()
+		s, err := instance.New(instance.Options{})
 		is.NoErr(err)
 		t.Cleanup(s.Close)
 		upstreams = append(upstreams, s)
@@ -99,7 +99,7 @@
 func TestHostLearnsTheLimitOfAnUpstreamFromOthers(t *testing.T) {
 	is := is.New(t)
 	f := newGatewayFleet(t, 19, 2, 0)
-	s, err := instance.New()
+	s, err := instance.New(instance.Options{})
 	is.NoErr(err)
 	t.Cleanup(s.Close)
 	s.Limit().Name(3, "3")
--- /dev/null
+++ b/cmd/hickorypath/gatewayversion_test.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/standin/instance"
+	"hickorypath/internal/standin/knownfailure"
+)
+
+// stream is a stream of a caller.
+type stream struct {
+	id     string // of the request
+	conn   net.Conn
+	body   *bufio.Reader
+	events []instance.Event
+}
+
+// openStream sends a request for a stream to a host and reads the head of the response. A stream that is not nil is taken up.
+func (h *gatewayHost) openStream(id string, first *stream) (s *stream, status int) {
+	conn, err := net.DialTimeout("tcp4", h.ip+":8000", time.Second)
+	if err != nil {
+		return nil, 0
+	}
+	h.fleet.t.Cleanup(func() { _ = conn.Close() })
+	resume := ""
+	if first != nil {
+		resume = fmt.Sprintf("Resumes: %s\r\nLast-Event-Id: %d\r\n", first.id, first.last().ID)
+	}
+	_, err = fmt.Fprintf(conn, "POST /talk/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nAuthorization: Bearer k1\r\nDeadline-Ms: 15000\r\n%sContent-Length: 0\r\n\r\n", id, resume)
+	if err != nil {
+		return nil, 0
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return nil, 0
+	}
+	h.fleet.t.Cleanup(func() { _ = resp.Body.Close() })
+	return &stream{id: id, conn: conn, body: bufio.NewReader(resp.Body)}, resp.StatusCode
+}
+
+// read reads the next event.
+func (s *stream) read() error {
+	e, err := instance.ReadEvent(s.body)
+	if err == nil {
+		s.events = append(s.events, e)
+	}
+	return err
+}
+
+func (s *stream) last() instance.Event { return s.events[len(s.events)-1] }
+
+// versionFleet starts three hosts and two instances of each of two versions.
+func versionFleet(t *testing.T, net int) (*gatewayFleet, []*instance.Server) {
+	t.Helper()
+	is := is.New(t)
+	f := newGatewayFleet(t, net, 3, 0)
+	versions := []string{"v1", "v2", "v1", "v2"}
+	servers := make([]*instance.Server, 0, len(versions))
+	for i, version := range versions {
+		s, err := instance.New(instance.Options{Version: version, Events: 100, Interval: 20 * time.Millisecond})
+		is.NoErr(err)
+		t.Cleanup(s.Close)
+		servers = append(servers, s)
+		value := fmt.Sprintf(`{"service":"svc","address":%q,"zone":"z","version":%q,"slots":64,"state":"ready","seq":1}`, s.Addr(), version)
+		is.NoErr(f.platform.Put(t.Context(), fmt.Sprintf("servers/u%d", i), []byte(value)))
+	}
+	return f, servers
+}
+
+// TestStreamIsTakenUpAtAnotherVersion guards against a stream that goes on at another software version than the one that began
+// it, where a caller takes it up at another host, and against one that does not go on although its version serves.
+func TestStreamIsTakenUpAtAnotherVersion(t *testing.T) {
+	const streams, events, maxTries = 24, 100, 3
+	cases := []struct {
+		name   string
+		net    int
+		strike func(f *gatewayFleet, servers []*instance.Server) // after the first events
+		hosts  []int                                             // at which the callers take their streams up
+		goesOn bool
+	}{
+		{"its host is killed", 21, func(f *gatewayFleet, _ []*instance.Server) { f.hosts[0].kill() }, []int{1, 2}, true},
+		{"its host is killed, another one has restarted", 22, func(f *gatewayFleet, _ []*instance.Server) {
+			f.hosts[1].kill()
+			f.hosts[1].start()
+			f.waitUntil(f.hosts[1].ready)
+			f.hosts[0].kill()
+		}, []int{1}, true},
+		{"its instance crashes", 23, func(_ *gatewayFleet, servers []*instance.Server) { servers[0].Close(); servers[1].Close() }, []int{0, 1, 2}, true},
+		{"no host knows of it any more", 24, func(f *gatewayFleet, _ []*instance.Server) {
+			for _, h := range f.hosts {
+				h.kill()
+			}
+			f.hosts[0].start()
+			f.waitUntil(f.hosts[0].ready)
+		}, []int{0}, false},
+	}
+	known, err := knownfailure.IsListed("TestStreamIsTakenUpAtAnotherVersion")
+	is.New(t).NoErr(err)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f, servers := versionFleet(t, c.net)
+			begun := make([]*stream, 0, streams)
+			versions := map[string]int{}
+			for n := range streams {
+				var s *stream
+				f.waitUntil(func() bool {
+					var status int
+					s, status = f.hosts[0].openStream(fmt.Sprintf("h1-%d", n), nil)
+					return status == http.StatusOK
+				})
+				is.NoErr(s.read())
+				begun = append(begun, s)
+				versions[s.last().Version]++
+			}
+			is.True(len(versions) == 2) // both versions began streams
+			c.strike(f, servers)
+			var other, wentOn atomic.Int64
+			var callers sync.WaitGroup
+			for n, s := range begun {
+				h := f.hosts[c.hosts[n/2%len(c.hosts)]]
+				callers.Go(func() {
+					first := *s
+					for n := 0; s.read() == nil && n < events; n++ { // until the stream breaks or ends
+					}
+					for try := 0; s.last().ID < events && try < maxTries; try++ {
+						rest, status := h.openStream(fmt.Sprintf("%s-again-%d-%d", h.name, n, try), &stream{id: first.id, events: s.events})
+						if status == http.StatusOK {
+							for rest.read() == nil {
+							}
+							s.events = append(s.events, rest.events...)
+						} else if status != http.StatusServiceUnavailable {
+							t.Errorf("status %d", status)
+						}
+					}
+					for i, e := range s.events {
+						if e.ID != i+1 {
+							t.Errorf("event %d follows %d events", e.ID, i)
+						}
+					}
+					if s.last().ID == events {
+						wentOn.Add(1)
+					}
+					if slices.ContainsFunc(s.events, func(e instance.Event) bool { return e.Version != s.events[0].Version }) {
+						other.Add(1)
+					}
+				})
+			}
+			callers.Wait()
+			if other.Load() > 0 && known {
+				t.Skipf("known fault, see KNOWN-RED.txt: %d of %d streams went on at another version", other.Load(), streams)
+			}
+			is.Equal(other.Load(), int64(0))
+			is.Equal(wentOn.Load(), map[bool]int64{true: streams}[c.goesOn])
+		})
+	}
+}
--- a/internal/standin/instance/instance.go
+++ b/internal/standin/instance/instance.go
@@ -1,29 +1,46 @@
 // Package instance is a stand-in for an upstream instance on the users' platform that states something about itself in its
-// responses.
+// responses, and whose streams can be taken up again.
 package instance
 
 import (
+	"cmp"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"time"
 
 	"hickorypath/internal/standin/limitcheck"
 )
 
+// Options configures a Server.
+type Options struct {
+	Version  string        // version of the software; each event of a stream names it
+	Events   int           // number of events of a stream
+	Interval time.Duration // time between two events
+}
+
+// StreamPrefix is the prefix of the paths whose responses are streams.
+const StreamPrefix = "/talk/"
+
 // Server is a running instance. It is safe for concurrent use.
 type Server struct {
+	options  Options
 	listener net.Listener
 	server   *http.Server
 	limit    limitcheck.Limit
+
+	mu      sync.Mutex
+	resumes int // streams that were not asked for from their first event
 }
 
 // New returns a running Server that names no limit.
-func New() (*Server, error) {
+func New(o Options) (*Server, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{listener: l}
+	s := &Server{options: o, listener: l}
 	s.server = &http.Server{Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.server.Serve(l) }() // returns when the server is closed
 	return s, nil
@@ -32,18 +49,29 @@
 // Addr returns the address of the server.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Close closes the server and its connections.
+// Close closes the server and breaks its connections.
 func (s *Server) Close() { _ = s.server.Close() }
 
 // Limit returns the limit that the instance names.
 func (s *Server) Limit() *limitcheck.Limit { return &s.limit }
 
+// Resumes returns how many streams the instance was asked to continue.
+func (s *Server) Resumes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.resumes
+}
+
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	w.Header()["Request-Id"] = []string{id}
-	w.Header()["Response-Signature"] = []string{"s"}
+	w.Header()["Response-Signature"] = []string{cmp.Or(s.options.Version, "s")}
 	if values := s.limit.RecordCall(id); len(values) > 0 {
 		w.Header()["Server-Limit"] = values
 	}
+	if strings.HasPrefix(r.URL.Path, StreamPrefix) {
+		s.stream(w, r)
+		return
+	}
 	_, _ = w.Write([]byte("ok")) // the host may have closed the connection
 }
