--- a/cmd/hickorypath/gatewayversion_test.go
+++ b/cmd/hickorypath/gatewayversion_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -74,6 +75,9 @@
 		value := fmt.Sprintf(`{"service":"svc","address":%q,"zone":"z","version":%q,"slots":64,"state":"ready","seq":1}`, s.Addr(), version)
 		is.NoErr(f.platform.Put(t.Context(), fmt.Sprintf("servers/u%d", i), []byte(value)))
 	}
+	for _, h := range f.hosts {
+		f.waitUntil(func() bool { return strings.Count(h.log.String(), "upstream joins") == len(servers) })
+	}
 	return f, servers
 }
 
