Continue a stream of serve only at the software version that began it

Engines may state X-Version in their responses. An answer that has begun goes on only at an engine that states the same: those known to run another one are not asked, and the answer of one that was not known is refused before any of its events is passed on. Callers of serve cannot take streams up, so the version needs not travel between hosts.

--- a/cmd/hickorypath/injector.go
+++ b/cmd/hickorypath/injector.go
@@ -262,6 +262,7 @@
 		ReportCrash:  newCrashReplicator(replicator, c, f),
 
 		RecordAdvisory: f.RecordAdvisory,
+		Version:        f.Version,
 		Bill: func(b exchange.Bill) {
 			usages.Add(usage.Record{
 				RequestID: b.RequestID,
--- a/internal/caller/exchange/attempt.go
+++ b/internal/caller/exchange/attempt.go
@@ -101,6 +101,9 @@
 func (c *chat) relay(a *attempt) error {
 	c.priorAttemptID = a.call.AttemptID
 	c.resumed = a.call.ResumeOffset > 0
+	if !c.isBegun {
+		c.isBegun, c.version = true, a.stream.Version()
+	}
 	event := a.firstEvent
 	for {
 		if err := c.passEvent(a.grant, event); err != nil {
--- a/internal/caller/exchange/chat.go
+++ b/internal/caller/exchange/chat.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,8 +41,10 @@
 	ran             kind.Ran
 	excluded        []string
 	attempts        int
-	resumed         bool // the last attempt resumed the response of an earlier one
-	hedgeWaste      int  // tokens of attempts that were canceled because a parallel attempt was faster
+	isBegun         bool   // the caller has got events
+	version         string // software version that sent them
+	resumed         bool   // the last attempt resumed the response of an earlier one
+	hedgeWaste      int    // tokens of attempts that were canceled because a parallel attempt was faster
 	tokenGaps       gapMeter
 }
 
@@ -121,7 +124,7 @@
 		if decision.AvoidUpstream && c.summary.Upstream != "" {
 			c.excluded = append(c.excluded, c.summary.Upstream)
 		}
-		if decision.Action == retry.Stop || !c.pool.HasAlternative(c.excluded) {
+		if decision.Action == retry.Stop || !c.pool.HasAlternative(c.request("").ExcludedUpstreams) {
 			return kind.From(err).WithRan(decision.Ran)
 		}
 		if decision.Action == retry.Retry {
@@ -136,6 +139,10 @@
 // request returns the request to the pool for the next attempt. If requiredUpstream is not empty, only this
 // upstream may run the attempt.
 func (c *chat) request(requiredUpstream string) pool.Request {
+	excluded := c.excluded
+	if c.isBegun {
+		excluded = append(slices.Clone(excluded), c.otherVersions()...)
+	}
 	return pool.Request{
 		Customer:          c.customer,
 		Class:             c.class.Name(),
@@ -144,13 +151,26 @@
 		MaxTokens:         c.body.OutputLimit(),
 		PrefixHashes:      c.body.PrefixHashes(c.customer),
 		Deadline:          c.deadline(),
-		ExcludedUpstreams: c.excluded,
+		ExcludedUpstreams: excluded,
 		RequiredUpstream:  requiredUpstream,
 		Fingerprint:       uint64(c.fingerprint),
 		IsRetry:           c.attempts > 0,
 	}
 }
 
+// otherVersions returns the upstreams that are known to run another software version than the one that began the response.
+func (c *chat) otherVersions() (ids []string) {
+	if c.runner.deps.Version == nil {
+		return nil
+	}
+	for _, t := range c.pool.Targets() {
+		if version, ok := c.runner.deps.Version(t); ok && version != c.version {
+			ids = append(ids, t.ID())
+		}
+	}
+	return ids
+}
+
 // call returns the call to an engine for the attempt with the given id.
 func (c *chat) call(attemptID string) engine.Call {
 	return engine.Call{
@@ -163,6 +183,8 @@
 		Priority:       c.class.Tier(),
 		ResumeOffset:   c.deliveredTokens,
 		PriorAttemptID: c.priorAttemptID,
+		IsBegun:        c.isBegun,
+		Version:        c.version,
 	}
 }
 
--- a/internal/caller/exchange/exchange.go
+++ b/internal/caller/exchange/exchange.go
@@ -53,6 +53,8 @@
 	IsDown func(pool, upstream string) bool
 	// RecordAdvisory records what an upstream stated about itself in the response to a request sent at sentAt; it may be nil.
 	RecordAdvisory func(t dispatch.Target, sentAt time.Time, s advisory.Statement)
+	// Version returns the software version that an upstream stated last; ok is false if it has stated nothing. It may be nil.
+	Version func(t dispatch.Target) (version string, ok bool)
 	// ReportCrash reports to all hosts that an upstream crashed and which requests ran on it.
 	ReportCrash func(pool, upstream string, s []suspect.Suspicion, q []suspect.Quarantine)
 	// Bill adds the tokens of one response to the usage of its customer.
--- a/internal/caller/exchange/exchange_test.go
+++ b/internal/caller/exchange/exchange_test.go
@@ -83,6 +83,8 @@
 	suspects     atomic.Int64
 	probeLatency time.Duration // of a probe of an upstream
 	probesFail   bool          // all probes of upstreams fail
+
+	knownVersions map[string]string // software versions that this host knows, by upstream
 }
 
 // withHarness runs f with a harness that has two engines and a plain service.
@@ -171,6 +173,10 @@
 			return err == nil && !w.probesFail
 		},
 		IsDown: func(string, string) bool { return false },
+		Version: func(t dispatch.Target) (string, bool) {
+			v, ok := w.knownVersions[t.ID()]
+			return v, ok
+		},
 		ReportCrash: func(_, _ string, s []suspect.Suspicion, _ []suspect.Quarantine) {
 			w.crashes.Add(1)
 			w.suspects.Add(int64(len(s)))
--- a/internal/caller/exchange/hedge.go
+++ b/internal/caller/exchange/hedge.go
@@ -69,7 +69,7 @@
 	deps := c.runner.deps
 	now := deps.Clock.Now()
 	r := c.request("")
-	r.ExcludedUpstreams = append(slices.Clone(c.excluded), first.grant.Target().ID())
+	r.ExcludedUpstreams = append(slices.Clone(r.ExcludedUpstreams), first.grant.Target().ID())
 	if isSuspect, err := deps.Suspects.Check(now, c.fingerprint); isSuspect || err != nil || !c.pool.HasAlternative(r.ExcludedUpstreams) {
 		return nil
 	}
--- a/internal/policy/advisory/advisory.go
+++ b/internal/policy/advisory/advisory.go
@@ -11,7 +11,8 @@
 
 // Statement is what one response states about the upstream that sent it.
 type Statement struct {
-	Limit Limit
+	Limit   Limit
+	Version string // of the upstream's software, empty if not stated
 }
 
 // State is what an upstream stated last. It is not safe for concurrent use.
--- a/internal/standin/upstream/call.go
+++ b/internal/standin/upstream/call.go
@@ -14,7 +14,8 @@
 	HeaderID  = "X-Request-Id"
 	headerRan = "X-Ran"
 
-	headerLimit = "X-Limit"
+	headerLimit   = "X-Limit"
+	headerVersion = "X-Version"
 )
 
 const (
@@ -79,6 +80,9 @@
 	}
 	b.mu.Unlock()
 	w.Header().Set(HeaderID, call.id)
+	if v := b.Version(); v != "" {
+		w.Header().Set(headerVersion, v)
+	}
 	if values := b.limit.RecordCall(call.id); len(values) > 0 {
 		w.Header()[headerLimit] = values
 	}
@@ -98,6 +102,20 @@
 // Limit returns the request limit that the upstream names.
 func (b *Base) Limit() *limitcheck.Limit { return &b.limit }
 
+// SetVersion sets the software version that the upstream states in its responses.
+func (b *Base) SetVersion(v string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.version = v
+}
+
+// Version returns the software version that the upstream states, empty if none.
+func (b *Base) Version() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.version
+}
+
 // Calls returns the recorded calls, oldest first.
 func (b *Base) Calls() []*Call {
 	b.mu.Lock()
--- a/internal/standin/upstream/fault.go
+++ b/internal/standin/upstream/fault.go
@@ -59,11 +59,12 @@
 	supported []Fault
 	onCrash   func() // called with mu held when the upstream crashes
 
-	limit  limitcheck.Limit
-	mu     sync.Mutex
-	calls  []*Call
-	conns  map[string]bool // by remote address of each connection seen; true when the connection is silent
-	faults faults
+	limit   limitcheck.Limit
+	mu      sync.Mutex
+	version string // of the software, as stated in responses
+	calls   []*Call
+	conns   map[string]bool // by remote address of each connection seen; true when the connection is silent
+	faults  faults
 }
 
 // New returns a Base that supports the given faults and calls onCrash at each crash.
--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -99,6 +99,8 @@
 	Priority       int         // 0 is the highest
 	ResumeOffset   int         // output tokens already received; the answer resumes after them
 	PriorAttemptID string      // the attempt that this one resumes
+	IsBegun        bool        // the caller has got events of an engine of version Version, which only engines of that version continue
+	Version        string      // software version that began the answer, empty if the engine stated none
 
 	// OnAdvisory receives what the engine states about itself in its answer; it may be nil.
 	OnAdvisory func(advisory.Statement)
--- a/internal/upstream/engine/stream.go
+++ b/internal/upstream/engine/stream.go
@@ -89,10 +89,13 @@
 	if s.call.OnAdvisory != nil {
 		s.call.OnAdvisory(httpclient.Statement(s.res.Header))
 	}
-	if s.res.StatusCode == http.StatusOK {
-		return nil
+	if s.res.StatusCode != http.StatusOK {
+		return s.statusError()
 	}
-	return s.statusError()
+	if s.call.IsBegun && s.Version() != s.call.Version {
+		return kind.New(kind.Failed, "engine %s runs version %q and cannot continue an answer of version %q", s.addr, s.Version(), s.call.Version)
+	}
+	return nil
 }
 
 // Next returns the next event. After the event with Done set, Next returns io.EOF.
@@ -136,6 +139,9 @@
 // Offset returns the number of output tokens received, including those before a resume.
 func (s *Stream) Offset() int { return int(s.offset.Load()) }
 
+// Version returns the software version that the engine stated in its answer, empty if none.
+func (s *Stream) Version() string { return s.res.Header.Get(httpclient.HeaderVersion) }
+
 // FirstTokenLatency returns the time to the first token, or zero before its arrival.
 func (s *Stream) FirstTokenLatency() time.Duration { return s.timing.first }
 
--- a/internal/upstream/fleet/advisory.go
+++ b/internal/upstream/fleet/advisory.go
@@ -39,7 +39,10 @@
 type statedUpstream struct {
 	addr        string
 	state       *advisory.State
+	version     string // of its software, empty if it states none
 	publishedAt time.Time
+
+	isVersionKnown bool // the upstream has responded at this address
 }
 
 // advisoryRecord is the value of a record in advisoryTopic.
@@ -135,13 +138,13 @@
 // hosts if it is new.
 func (f *Fleet) RecordAdvisory(t dispatch.Target, sentAt time.Time, s advisory.Statement) {
 	a, now := f.advisories, f.options.Clock.Now()
-	if !s.Limit.IsNamed() && a.limited.Load() == 0 {
-		return
-	}
 	a.mu.Lock()
 	u := a.at(t.ID(), t.Addr())
+	u.version, u.isVersionKnown = s.Version, true
 	changed := u.state.Observe(now, sentAt, s)
-	a.countLimited()
+	if changed {
+		a.countLimited()
+	}
 	limit := u.state.Limit()
 	r, ok := u.state.Record(now)
 	if ok = ok && (changed || limit.IsNamed() && now.Sub(u.publishedAt) > advisoryInterval); ok {
@@ -162,6 +165,18 @@
 	f.options.Replicator.Put(advisoryTopic, t.ID(), uint64(now.UnixNano()), value, now.Add(advisoryExpiry))
 }
 
+// Version returns the software version that an upstream stated last; ok is false if it has not responded yet.
+func (f *Fleet) Version(t dispatch.Target) (version string, ok bool) {
+	a := f.advisories
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	u := a.upstreams[t.ID()]
+	if u == nil || u.addr != t.Addr() {
+		return "", false
+	}
+	return u.version, u.isVersionKnown
+}
+
 // receiveAdvisory records what another host has been told by an upstream.
 func (f *Fleet) receiveAdvisory(record replication.Record) {
 	var r advisoryRecord
--- a/internal/upstream/httpclient/header.go
+++ b/internal/upstream/httpclient/header.go
@@ -17,6 +17,7 @@
 	HeaderPriorID   = "X-Prior-Id"    // id of the attempt that a resumed stream continues
 	HeaderCacheSalt = "X-Cache-Salt"  // keeps the cached prefixes of customers apart
 	HeaderRan       = "X-Ran"         // in a response: RanNo if the upstream did not run the request
+	HeaderVersion   = "X-Version"     // in a response: version of the upstream's software
 	HeaderLimit     = "X-Limit"       // in a response: requests per second that the upstream takes from all hosts together
 )
 
