Log how long a configuration took to arrive and to be decoded

A host now logs since when it had known of a newer version and how long decoding took, a failed fetch says how many bytes came in which time, and metrics count and time the transfers between hosts.

--- a/cmd/hickorypath/gatewaypeers.go
+++ b/cmd/hickorypath/gatewaypeers.go
@@ -74,7 +74,10 @@
 	g.exchange.ApplyCacheUpdates(now, m.CachedPrefixes)
 	g.exchange.SetPeerFailureCounts(m.Host, m.Crashes)
 	g.exchange.ApplyAdvisories(now, m.Host, m.Advisories)
-	if c := g.live.Load(); m.EntryRevision > g.watcher.Revision() || c == nil || m.Version > c.Version() {
+	if m.Version > g.configVersion() {
+		g.watcher.RecordNewerConfig()
+	}
+	if m.EntryRevision > g.watcher.Revision() || m.Version > g.configVersion() {
 		select {
 		case g.newerData <- struct{}{}:
 		default: // a fetch is already pending
--- a/internal/gateway/peer/transport.go
+++ b/internal/gateway/peer/transport.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
@@ -186,6 +188,8 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
+		transfersActive.Inc()
+		defer transfersActive.Dec()
 		_, _ = w.Write(data) // a host that received no complete response asks again
 	})
 	mux.HandleFunc("GET /entries", func(w http.ResponseWriter, _ *http.Request) {
@@ -224,7 +228,18 @@
 	return t.fetch(ctx, address, "/document")
 }
 
-func (t *Transport) fetch(ctx context.Context, address, path string) ([]byte, error) {
+// transfersActive is the number of configurations that this host is sending to other hosts.
+var transfersActive = metrics.GetOrCreateGauge("hickorypath_peer_transfers_active", nil)
+
+func (t *Transport) fetch(ctx context.Context, address, path string) (data []byte, err error) {
+	start := time.Now()
+	defer func() {
+		result := "ok"
+		if err != nil {
+			result = "failed"
+		}
+		metrics.GetOrCreateHistogram(fmt.Sprintf(`hickorypath_peer_fetch_seconds{path=%q,result=%q}`, path, result)).Update(time.Since(start).Seconds())
+	}()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return nil, kind.Wrap(err, kind.Peer, "invalid address of a host")
@@ -237,9 +252,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, kind.New(kind.Peer, "unexpected response from %s: status %d", address, resp.StatusCode)
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxFetchBytes))
+	data, err = io.ReadAll(io.LimitReader(resp.Body, maxFetchBytes))
 	if err != nil {
-		return nil, kind.Wrap(err, kind.Peer, "incomplete response from %s", address)
+		return nil, kind.Wrap(err, kind.Peer, "incomplete response from %s: %d bytes in %s", address, len(data), time.Since(start).Round(time.Millisecond))
 	}
 	return data, nil
 }
--- a/internal/gateway/storewatch/watcher.go
+++ b/internal/gateway/storewatch/watcher.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,6 +44,9 @@
 	// to the goroutine that runs the watch.
 	syncing      bool
 	syncRevision uint64
+
+	mu         sync.Mutex
+	newerSince time.Time // when this host heard of a configuration newer than the active one; zero if it has not
 }
 
 // New returns a Watcher. Its Run method starts watching.
@@ -172,9 +176,31 @@
 	w.ApplyConfig(e.Value(), "store")
 }
 
+// RecordNewerConfig records that another host has a configuration newer than the active one.
+func (w *Watcher) RecordNewerConfig() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.newerSince.IsZero() {
+		w.newerSince = w.opts.Now()
+	}
+}
+
+// takeDelay returns for how long this host has known of a configuration newer than the active one, which is being replaced.
+func (w *Watcher) takeDelay() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.newerSince.IsZero() {
+		return 0
+	}
+	delay := w.opts.Now().Sub(w.newerSince)
+	w.newerSince = time.Time{}
+	return delay
+}
+
 // ApplyConfig decodes a configuration and puts it in force if it is newer than the active one. Source says where the
 // configuration came from, for the log.
 func (w *Watcher) ApplyConfig(data []byte, source string) {
+	start := w.opts.Now()
 	c, err := w.opts.DecodeConfig(data)
 	if err != nil {
 		w.opts.Log.Error("configuration refused; the previous one stays in force until a valid one is written", zap.String("source", source), zap.Error(err))
@@ -185,7 +211,8 @@
 	}
 	w.opts.OnChange()
 	w.opts.Log.Info("configuration in force", zap.Int64("version", c.Version()), zap.String("source", source),
-		zap.Int("routes", len(c.Routes())), zap.Int("bytes", len(data)))
+		zap.Int("routes", len(c.Routes())), zap.Int("bytes", len(data)),
+		zap.Duration("decoded", w.opts.Now().Sub(start)), zap.Duration("behind", w.takeDelay()))
 }
 
 func (w *Watcher) handleEntryEvent(e store.Event) {
