--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -15,11 +15,12 @@
 type Net struct {
 	mu        sync.Mutex
 	listeners map[address]*Listener
-	dialed    int // number of dials so far; gives each client connection a unique address
+	hosts     map[string]*Host // by IP address
+	dialed    int              // number of dials so far; gives each client connection a unique address
 }
 
 // New returns a Net without listeners.
-func New() *Net { return &Net{listeners: map[address]*Listener{}} }
+func New() *Net { return &Net{listeners: map[address]*Listener{}, hosts: map[string]*Host{}} }
 
 // Listener accepts connections that are dialed to its address until Close is called. It implements net.Listener.
 type Listener struct {
