--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -41,6 +41,7 @@
 type gateway struct {
 	settings         settings.Settings
 	clock            clock.Clock
+	machine          machine
 	log              *zap.Logger
 	live             *config.Live
 	table            *upstream.Table
@@ -75,7 +76,7 @@
 		return err
 	}
 	debug.SetMemoryLimit(s.Resources.MemoryBytes / memoryParts * heapParts)
-	g, err := newGateway(s, clock.NewSystem(), log)
+	g, err := newGateway(s, clock.NewSystem(), newMachine(), log)
 	if err != nil {
 		return err
 	}
@@ -104,18 +105,17 @@
 	idleSweepInterval = 500 * time.Millisecond
 )
 
-func newGateway(s settings.Settings, clk clock.Clock, log *zap.Logger) (*gateway, error) {
+func newGateway(s settings.Settings, clk clock.Clock, m machine, log *zap.Logger) (*gateway, error) {
 	log = log.With(zap.String("host", s.Host))
 	g := &gateway{
-		settings: s, clock: clk, log: log, startTime: clk.Now(), startBoot: clk.Boot(), fleetTime: truetime.New(clk), live: config.NewLive(),
+		settings: s, clock: clk, machine: m, log: log, startTime: clk.Now(), startBoot: clk.Boot(), fleetTime: truetime.New(clk), live: config.NewLive(),
 		draining: make(chan struct{}), newerData: make(chan struct{}, 1), restored: make(chan struct{}, 1),
 	}
-	dialer := upstream.NewDialer()
 	g.peers = peer.NewTable(s.Host, s.Zone, g.peerAddress(), g.startTime.UnixNano())
 	g.origins = peer.NewOrigins()
 	g.usage = usage.New(s.Bounds.UsageWindow, g.fleetTime.Now)
-	g.table = upstream.NewTable(dialer, log)
-	g.store = g.newStore(dialer)
+	g.table = upstream.NewTable(m.upstreams, log)
+	g.store = g.newStore()
 	g.watcher = g.newStoreWatcher()
 	g.exchange = g.newExchanger()
 	g.server = frontend.New(g.exchange.Handle, g.limits, s.Resources.FileDescriptors-reservedDescriptors, clk.Now, log)
@@ -125,15 +125,15 @@
 	var err error
 	g.transport, err = peer.New(peer.Options{
 		Address: g.peerAddress(), Table: g.peers, Origins: g.origins, LocalMessage: g.localMessage, OnMessage: g.handlePeerMessage, Entries: g.upstreamEntries, ConfigSource: g.configSource,
-		Log: log, Now: clk.Now,
+		Log: log, Now: clk.Now, Dial: m.dial, ListenPacket: m.listenPacket,
 	})
 	return g, err
 }
 
 // newStore returns the client of the key-value service.
-func (g *gateway) newStore(dialer *upstream.Dialer) *store.Client {
+func (g *gateway) newStore() *store.Client {
 	calls := &http.Client{Transport: &http.Transport{
-		DialContext:         func(ctx context.Context, _, addr string) (net.Conn, error) { return dialer.Dial(ctx, addr) },
+		DialContext:         func(ctx context.Context, _, addr string) (net.Conn, error) { return g.machine.dial(ctx, addr) },
 		MaxIdleConnsPerHost: storeIdleConns, IdleConnTimeout: storeIdleTimeout, DisableCompression: true,
 	}}
 	return store.New(platform.NewStore(g.settings.Store.Address, calls), store.Options{
@@ -146,7 +146,7 @@
 func (g *gateway) newStoreWatcher() *storewatch.Watcher {
 	return storewatch.New(storewatch.Options{
 		Store: g.store, Live: g.live, Table: g.table, ConfigKey: platform.ConfigKey, EntryPrefix: platform.EntryPrefix,
-		DecodeConfig: platform.DecodeConfig, DecodeEntry: platform.DecodeEntry,
+		DecodeConfig: g.machine.decodeConfig, DecodeEntry: platform.DecodeEntry,
 		OnOtherKey: g.handleStoreEvent, OnSync: g.handleStoreSync, OnChange: func() { g.transport.SendSoon(true) },
 		ShouldWatch: func() bool { return g.peers.ShouldWatchStore(g.clock.Now()) },
 		Log:         g.log, Now: g.clock.Now,
@@ -196,21 +196,15 @@
 		zap.Int64("memory", g.settings.Resources.MemoryBytes), zap.Float64("share", g.settings.Resources.CPUShare))
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	go g.watcher.Run(work)
+	if err := g.startSync(work); err != nil {
+		return err
+	}
 	go clock.Every(work, idleSweepInterval, g.checkStoreRecovery)
-	go g.transport.Run(work)
 	go g.exchange.Run(work)
 	duties, release := context.WithCancel(work)
 	defer release()
 	go g.runLeaderTasks(duties)
 	go clock.Every(work, leaderInterval, g.announceLeader)
-	go g.fetchFromPeers(work)
-	go g.registerAddress(work)
-	fetches, err := net.Listen("tcp4", g.fetchAddress())
-	if err != nil {
-		return kind.Wrap(err, kind.Settings, "cannot listen on the address for other hosts")
-	}
-	go g.servePeerFetches(fetches)
 	go g.sweepIdle(work)
 	go g.serveProbes(probes)
 	go g.serveMetrics()
@@ -222,6 +216,20 @@
 	return nil
 }
 
+// startSync starts what keeps the configuration and the upstream entries of this host up to date until ctx ends.
+func (g *gateway) startSync(ctx context.Context) error {
+	fetches, err := g.machine.listen(g.fetchAddress())
+	if err != nil {
+		return kind.Wrap(err, kind.Settings, "cannot listen on the address for other hosts")
+	}
+	go g.servePeerFetches(ctx, fetches)
+	go g.watcher.Run(ctx)
+	go g.transport.Run(ctx)
+	go g.fetchFromPeers(ctx)
+	go g.registerAddress(ctx)
+	return nil
+}
+
 // sweepIdle periodically closes connections that were idle for too long and removes expired state.
 func (g *gateway) sweepIdle(ctx context.Context) {
 	clock.Every(ctx, idleSweepInterval, func() {
--- a/cmd/hickorypath/gatewaypeers.go
+++ b/cmd/hickorypath/gatewaypeers.go
@@ -102,8 +102,11 @@
 	return nil
 }
 
-func (g *gateway) servePeerFetches(l net.Listener) {
-	if err := (&http.Server{Handler: g.transport.Handler(), ReadHeaderTimeout: time.Second}).Serve(l); err != nil {
+// servePeerFetches serves what other hosts fetch from this host until ctx ends.
+func (g *gateway) servePeerFetches(ctx context.Context, l net.Listener) {
+	server := &http.Server{Handler: g.transport.Handler(), ReadHeaderTimeout: time.Second}
+	defer context.AfterFunc(ctx, func() { _ = server.Close() })()
+	if err := server.Serve(l); err != nil && ctx.Err() == nil {
 		g.log.Error("server for fetches of other hosts stopped", zap.Error(err))
 	}
 }
--- a/internal/gateway/peer/origins_test.go
+++ b/internal/gateway/peer/origins_test.go
@@ -29,6 +29,7 @@
 		tr, err := New(Options{
 			Address: address, Table: NewTable(name, "z", address, 1), Origins: NewOrigins(), LocalMessage: func() Message { return Message{Host: name} },
 			OnMessage: func(time.Time, Message) {}, Log: zap.NewNop(), Now: time.Now,
+			ListenPacket: func(address string) (net.PacketConn, error) { return net.ListenPacket("udp4", address) },
 		})
 		is.NoErr(err)
 		list = append(list, tr)
--- a/internal/gateway/peer/transport.go
+++ b/internal/gateway/peer/transport.go
@@ -30,13 +30,15 @@
 	ConfigSource func() []byte                  // returns the active configuration in encoded form, nil if there is none
 	Log          *zap.Logger
 	Now          func() time.Time
+	Dial         func(ctx context.Context, address string) (net.Conn, error)
+	ListenPacket func(address string) (net.PacketConn, error)
 }
 
 // Transport sends the messages of this host and receives those of other hosts.
 type Transport struct {
 	opts         Options
 	sequence     uint64 // of the last message that was sent
-	conn         *net.UDPConn
+	conn         net.PacketConn
 	client       *http.Client
 	sendRequests chan bool // a value for each pending call of SendSoon: whether to send to the whole zone
 }
@@ -61,15 +63,15 @@
 
 // New opens the UDP socket of a Transport. Run starts sending and receiving.
 func New(o Options) (*Transport, error) {
-	addr, err := net.ResolveUDPAddr("udp4", o.Address)
-	if err != nil {
-		return nil, kind.Wrap(err, kind.Settings, "address for datagrams is invalid")
-	}
-	conn, err := net.ListenUDP("udp4", addr)
+	conn, err := o.ListenPacket(o.Address)
 	if err != nil {
 		return nil, kind.Wrap(err, kind.Settings, "cannot listen for datagrams")
 	}
-	return &Transport{opts: o, conn: conn, sendRequests: make(chan bool, 4), client: &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}, nil
+	client := &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{
+		DialContext:       func(ctx context.Context, _, address string) (net.Conn, error) { return o.Dial(ctx, address) },
+		DisableKeepAlives: true,
+	}}
+	return &Transport{opts: o, conn: conn, sendRequests: make(chan bool, 4), client: client}, nil
 }
 
 // Run sends and receives messages until ctx ends.
@@ -145,7 +147,7 @@
 		if err != nil || target == t.opts.Address {
 			continue
 		}
-		if _, err := t.conn.WriteToUDP(data, addr); err != nil && !errors.Is(err, net.ErrClosed) {
+		if _, err := t.conn.WriteTo(data, addr); err != nil && !errors.Is(err, net.ErrClosed) {
 			t.opts.Log.Debug("datagram not sent", zap.String("to", target), zap.Error(err))
 		}
 	}
@@ -155,7 +157,7 @@
 func (t *Transport) receive() {
 	buf := make([]byte, maxDatagramBytes)
 	for {
-		n, _, err := t.conn.ReadFromUDP(buf)
+		n, _, err := t.conn.ReadFrom(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
