Reproduce configurations that reach hosts with slow links late in a test

TestLargeConfigurationIsLateOnSomeHosts runs the store watch, the messages and the fetches of whole fleets in virtual time over links of 10 and 200 Mbit/s, as in the deployment of the incident. The bound is 2 s.

--- /dev/null
+++ b/cmd/hickorypath/gatewayspread_test.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/gateway/config"
+	"hickorypath/internal/gateway/settings"
+	"hickorypath/internal/gateway/upstream"
+	"hickorypath/internal/standin/memnet"
+	"hickorypath/internal/standin/platformapi"
+	"hickorypath/platform"
+)
+
+const (
+	megabit     = 1e6 / 8 // bytes
+	slowLink    = 10      // Mbit/s
+	fastLink    = 200     // Mbit/s
+	storeLink   = 1000    // Mbit/s
+	hostLatency = 700 * time.Microsecond
+)
+
+// configFleet is a fleet of gateway hosts in virtual time, which follow a store over links of limited bandwidth and serve no
+// requests.
+type configFleet struct {
+	t        *testing.T
+	net      *memnet.Net
+	platform *platformapi.Platform
+	hosts    []*gateway
+	links    []*memnet.Host
+	version  int
+	rand     *rand.Rand
+	routes   []map[string]any
+	decoded  sync.Map // *config.Config by hash of its encoded form
+}
+
+// newConfigFleet starts hosts in zones, of which the first fast ones of each zone have a fast link, and waits until they know
+// each other and a small configuration. It must be called in a synctest bubble.
+func newConfigFleet(t *testing.T, hosts, zones, fast int) *configFleet {
+	t.Helper()
+	f := &configFleet{t: t, net: memnet.New(), platform: platformapi.New(clock.NewWall()), rand: rand.New(rand.NewPCG(1, 2))}
+	f.net.AddHost("10.200.1.7", storeLink*megabit, hostLatency)
+	stop := f.net.Serve("10.200.1.7:80", f.platform)
+	t.Cleanup(func() {
+		stop()
+		time.Sleep(5 * time.Second) // until the goroutines of the hosts have ended
+	})
+	f.addRoutes(1)
+	f.put()
+	for i := range hosts {
+		mbps := slowLink
+		if i/zones < fast {
+			mbps = fastLink
+		}
+		f.start(i, i%zones, mbps)
+	}
+	time.Sleep(12 * time.Second)
+	return f
+}
+
+// start starts a host whose link has mbps Mbit/s.
+func (f *configFleet) start(i, zone, mbps int) {
+	is := is.New(f.t)
+	ip := fmt.Sprintf("10.%d.%d.%d", zone+1, i/250, i%250+1)
+	link := f.net.AddHost(ip, float64(mbps)*megabit, hostLatency)
+	s := settings.Settings{
+		Host: "host-" + strconv.Itoa(i), Zone: "zone-" + strconv.Itoa(zone), IP: ip, InternalPorts: [2]int{7000, 7015},
+		Bounds: settings.Bounds{UsageWindow: 5 * time.Second}, Store: settings.Store{Address: "10.200.1.7:80"},
+	}
+	g, err := newGateway(s, clock.NewWall(), machine{
+		dial: link.Dial, decodeConfig: f.decode, upstreams: upstream.NewDialer(),
+		listen:       func(address string) (net.Listener, error) { return f.net.Listen(address), nil },
+		listenPacket: func(address string) (net.PacketConn, error) { return link.ListenPacket(address), nil },
+	}, zap.NewNop())
+	is.NoErr(err)
+	is.NoErr(g.startSync(f.t.Context()))
+	f.hosts, f.links = append(f.hosts, g), append(f.links, link)
+}
+
+// decode decodes each configuration once for all hosts.
+func (f *configFleet) decode(data []byte) (*config.Config, error) {
+	hash := xxhash.Sum64(data)
+	if c, ok := f.decoded.Load(hash); ok {
+		return c.(*config.Config), nil
+	}
+	c, err := platform.DecodeConfig(data)
+	if err == nil {
+		f.decoded.Store(hash, c)
+	}
+	return c, err
+}
+
+// addRoutes adds routes to the next configuration.
+func (f *configFleet) addRoutes(n int) {
+	word := func(n int) string {
+		b := make([]byte, n)
+		for i := range b {
+			b[i] = "abcdefghijklmnopqrstuvwxyz0123456789"[f.rand.IntN(36)]
+		}
+		return string(b)
+	}
+	for range n {
+		f.routes = append(f.routes, map[string]any{
+			"name": "r-" + word(8), "host": "ficu95.example", "prefix": "/" + word(8) + "/", "kind": "idempotent", "timeoutMs": 1500, "targetLatencyMs": 300,
+			"priority": 2, "service": "svc", "maxAttempts": 2, "authExempt": false, "resumable": false,
+		})
+	}
+}
+
+// put writes the next configuration to the store and returns its size in bytes.
+func (f *configFleet) put() int {
+	is := is.New(f.t)
+	f.version++
+	data, err := json.Marshal(map[string]any{"version": f.version, "routes": f.routes, "services": []any{map[string]any{"name": "svc"}}})
+	is.NoErr(err)
+	is.NoErr(f.platform.Put(context.Background(), platform.ConfigKey, data))
+	return len(data)
+}
+
+// awaitVersion waits until all hosts have the latest configuration, but for at most limit. It returns the times after which
+// the hosts had it, in sorted order.
+func (f *configFleet) awaitVersion(limit time.Duration) []time.Duration {
+	const step = 10 * time.Millisecond
+	var took []time.Duration
+	done := make([]bool, len(f.hosts))
+	for d := time.Duration(0); d <= limit && len(took) < len(f.hosts); d += step {
+		for i, g := range f.hosts {
+			if !done[i] && g.configVersion() >= int64(f.version) {
+				done[i] = true
+				took = append(took, d)
+			}
+		}
+		time.Sleep(step)
+	}
+	slices.Sort(took)
+	return took
+}
+
+// TestLargeConfigurationIsLateOnSomeHosts guards against configurations that reach the hosts with slow links too late, or not at
+// all, the larger they are.
+func TestLargeConfigurationIsLateOnSomeHosts(t *testing.T) {
+	const bound = 2 * time.Second // from the acknowledgement until the configuration is in force on all hosts
+	cases := []struct {
+		name               string
+		hosts, zones, fast int
+		routes             int
+	}{
+		{"80 hosts, 12 KB", 80, 4, 2, 60},
+		{"80 hosts, 284 KB", 80, 4, 2, 1360},
+		{"80 hosts, 823 KB", 80, 4, 2, 3940},
+		{"350 hosts, 2.9 MB", 350, 15, 2, 13900},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if testing.Short() && c.hosts > 100 {
+				t.Skip("a fleet of 350 hosts takes too long under the race detector")
+			}
+			synctest.Test(t, func(t *testing.T) {
+				f := newConfigFleet(t, c.hosts, c.zones, c.fast)
+				for _, change := range []int{c.routes, 1} {
+					f.addRoutes(change)
+					size := f.put()
+					took := f.awaitVersion(10 * time.Second)
+					t.Logf("%d bytes: %d of %d hosts, median %s, last %s", size, len(took), len(f.hosts), took[len(took)/2], took[len(took)-1])
+					if len(took) < len(f.hosts) || took[len(took)-1] > bound {
+						t.Errorf("not in force on all hosts within %s", bound)
+					}
+				}
+			})
+		})
+	}
+}
