Send configurations between hosts compressed

Callers were served by a configuration that had been replaced more than 3 s before. 80 hosts, 72 of them with links of 10 Mbit/s, fetched 823 KB each from the few that had it; no link could carry that in the 0.7 s of a fetch.

A configuration says the same of each of its routes: zstd makes 47 KB of 823 KB and 168 KB of 2.9 MB, in 4 and 8 ms of a core. A host keeps the compressed form in place of the text, as it received it, so only the hosts that read the store compress.

A difference against the version that the receiver has (zstd with that version as dictionary) has 0.3 to 40 KB, but costs the sender the older version and up to 18 MB of memory for a moment; the receivers do not need it.

--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -124,7 +124,7 @@
 	})
 	var err error
 	g.transport, err = peer.New(peer.Options{
-		Address: g.peerAddress(), Table: g.peers, Origins: g.origins, LocalMessage: g.localMessage, OnMessage: g.handlePeerMessage, Entries: g.upstreamEntries, ConfigSource: g.configSource,
+		Address: g.peerAddress(), Table: g.peers, Origins: g.origins, LocalMessage: g.localMessage, OnMessage: g.handlePeerMessage, Entries: g.upstreamEntries, PackedConfig: g.packedConfig,
 		Log: log, Now: clk.Now, Dial: m.dial, ListenPacket: m.listenPacket,
 	})
 	return g, err
--- a/cmd/hickorypath/gatewaypeers.go
+++ b/cmd/hickorypath/gatewaypeers.go
@@ -59,7 +59,8 @@
 	m.WatchesStore, m.EntryRevision, m.StoreFailing = g.watcher.IsWatching(), g.watcher.Revision(), g.table.IsStoreFailing(g.clock.Now())
 	m.EndedCounts = g.peers.EndedCounts(g.clock.Now(), g.usage.Window(g.fleetTime.Now())-reportableWindows)
 	m.FixedCounts = g.peers.RecentFixedCounts(g.usage.Window(g.fleetTime.Now()) - reportableWindows)
-	m.Version, m.Synced = g.configVersion(), g.isSynced()
+	_, m.Version = g.watcher.PackedConfig()
+	m.Synced = g.isSynced()
 	select {
 	case <-g.draining:
 		m.Leaving = true
@@ -94,12 +95,10 @@
 	return peer.Entries{Revision: revision, List: list}
 }
 
-// configSource returns the encoded configuration in force, or nil before the first configuration.
-func (g *gateway) configSource() []byte {
-	if c := g.live.Load(); c != nil {
-		return c.Source()
-	}
-	return nil
+// packedConfig returns the compressed configuration, for peers that fetch it; nil before the first one.
+func (g *gateway) packedConfig() []byte {
+	packed, _ := g.watcher.PackedConfig()
+	return packed
 }
 
 // servePeerFetches serves what other hosts fetch from this host until ctx ends.
@@ -262,12 +261,12 @@
 }
 
 func (g *gateway) fetchConfig(ctx context.Context, address string) {
-	data, err := g.transport.FetchConfig(ctx, address)
+	packed, err := g.transport.FetchConfig(ctx, address)
 	if err != nil {
 		g.log.Warn("cannot fetch the newer configuration from another host; retrying", zap.String("from", address), zap.Error(err))
 		return
 	}
-	g.watcher.ApplyConfig(data, address)
+	g.watcher.ApplyPackedConfig(packed, address)
 }
 
 func (g *gateway) fetchEntries(ctx context.Context, m peer.Message) {
--- a/internal/gateway/config/config.go
+++ b/internal/gateway/config/config.go
@@ -89,7 +89,6 @@
 // Config is one version of the configuration.
 type Config struct {
 	version        int64
-	source         []byte
 	limits         Limits
 	routesByHost   map[string][]*Route // by virtual host, longest prefix first
 	routes         []*Route
@@ -97,10 +96,10 @@
 	services       map[string]*Service
 }
 
-// New returns a Config; source is the encoded form from which other hosts can decode it.
-func New(version int64, routes []*Route, customers []*Customer, services []*Service, limits Limits, source []byte) *Config {
+// New returns a Config.
+func New(version int64, routes []*Route, customers []*Customer, services []*Service, limits Limits) *Config {
 	c := &Config{
-		version: version, source: source, limits: limits, routes: routes,
+		version: version, limits: limits, routes: routes,
 		routesByHost: map[string][]*Route{}, customersByKey: map[string]*Customer{}, services: map[string]*Service{},
 	}
 	for _, r := range routes {
@@ -124,9 +123,6 @@
 // Version returns the version of the configuration. Newer configurations have higher versions.
 func (c *Config) Version() int64 { return c.version }
 
-// Source returns the encoded form of the configuration.
-func (c *Config) Source() []byte { return c.source }
-
 // Limits returns the limits of callers' requests and connections.
 func (c *Config) Limits() Limits { return c.limits }
 
--- a/internal/gateway/config/config_test.go
+++ b/internal/gateway/config/config_test.go
@@ -13,7 +13,7 @@
 	c := config.New(1, []*config.Route{
 		{Name: "all", Host: "h.example", Prefix: "/"},
 		{Name: "deep", Host: "h.example", Prefix: "/a/b/"},
-	}, nil, nil, config.Limits{}, nil)
+	}, nil, nil, config.Limits{})
 	fmt.Println(c.Match("h.example", "/a/b/c").Name)
 	fmt.Println(c.Match("H.example:80", "/a/b").Name)
 	fmt.Println(c.Match("other.example", "/a/b/c") == nil)
@@ -30,7 +30,7 @@
 		version int64
 		taken   bool
 	}{{3, true}, {2, false}, {3, false}, {11, true}, {4, false}} {
-		is.Equal(l.StoreIfNewer(config.New(c.version, nil, nil, nil, config.Limits{}, nil)), c.taken)
+		is.Equal(l.StoreIfNewer(config.New(c.version, nil, nil, nil, config.Limits{})), c.taken)
 	}
 	is.Equal(l.Load().Version(), int64(11))
 }
--- a/internal/gateway/leader/leader_test.go
+++ b/internal/gateway/leader/leader_test.go
@@ -261,7 +261,7 @@
 	limit := func(version int64, n int) {
 		scaling := &config.Scaling{MinPerZone: 1, MaxPerZone: n, BootTime: 4 * time.Second, SpotPrice: 0.2}
 		service := &config.Service{Name: "s", Engine: &config.Engine{Slots: 64}, Scaling: scaling}
-		live.StoreIfNewer(config.New(version, nil, nil, []*config.Service{service}, config.Limits{}, nil))
+		live.StoreIfNewer(config.New(version, nil, nil, []*config.Service{service}, config.Limits{}))
 	}
 	control := f.api.control()
 	control.NewScaleRequest = func(ctx context.Context, _ leader.LeaseHolder, r leader.ScaleRequest) (*http.Request, error) {
--- a/internal/gateway/peer/transport.go
+++ b/internal/gateway/peer/transport.go
@@ -2,21 +2,16 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"slices"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"hickorypath/internal/core/clock"
 	"hickorypath/internal/core/kind"
-	"hickorypath/internal/gateway/upstream"
 )
 
 // Options configures a Transport.
@@ -27,7 +22,7 @@
 	LocalMessage func() Message                 // returns the current message of this host
 	OnMessage    func(now time.Time, m Message) // called for each message of another host
 	Entries      func() Entries                 // returns the upstream entries that this host knows
-	ConfigSource func() []byte                  // returns the active configuration in encoded form, nil if there is none
+	PackedConfig func() []byte                  // returns the configuration in compressed form, nil if there is none
 	Log          *zap.Logger
 	Now          func() time.Time
 	Dial         func(ctx context.Context, address string) (net.Conn, error)
@@ -53,10 +48,6 @@
 	wholeZoneIntervals = 3
 	// maxDatagramBytes bounds the size of a received datagram; the rest of a longer datagram is dropped.
 	maxDatagramBytes = 16 << 10
-	// fetchTimeout bounds the time of an HTTP request to another host.
-	fetchTimeout = 700 * time.Millisecond
-	// maxFetchBytes bounds the body of a response of another host; the store holds values of up to 1 MiB.
-	maxFetchBytes = 2 << 20
 	// maxKnownAddresses bounds the number of other hosts' addresses in a message.
 	maxKnownAddresses = 6
 )
@@ -180,83 +171,3 @@
 		t.opts.OnMessage(now, m)
 	}
 }
-
-// Handler returns the HTTP handler from which other hosts fetch the configuration and the upstream entries.
-func (t *Transport) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /document", func(w http.ResponseWriter, _ *http.Request) {
-		data := t.opts.ConfigSource()
-		if data == nil {
-			w.WriteHeader(http.StatusNotFound)
-			return
-		}
-		transfersActive.Inc()
-		defer transfersActive.Dec()
-		_, _ = w.Write(data) // a host that received no complete response asks again
-	})
-	mux.HandleFunc("GET /entries", func(w http.ResponseWriter, _ *http.Request) {
-		data, err := cbor.Marshal(t.opts.Entries())
-		if err != nil {
-			t.opts.Log.Error("entries cannot be encoded", zap.Error(err))
-			w.WriteHeader(http.StatusInternalServerError)
-			return
-		}
-		_, _ = w.Write(data) // a host that received no complete response asks again
-	})
-	return mux
-}
-
-// Entries holds the upstream entries that a host knows, with the store revision of the newest one.
-type Entries struct {
-	Revision uint64           `cbor:"r"`
-	List     []upstream.Entry `cbor:"l"`
-}
-
-// FetchEntries fetches the upstream entries that another host knows.
-func (t *Transport) FetchEntries(ctx context.Context, address string) (Entries, error) {
-	data, err := t.fetch(ctx, address, "/entries")
-	if err != nil {
-		return Entries{}, err
-	}
-	var e Entries
-	if err := cbor.Unmarshal(data, &e); err != nil {
-		return Entries{}, kind.Wrap(err, kind.Peer, "upstream entries from %s cannot be decoded", address)
-	}
-	return e, nil
-}
-
-// FetchConfig fetches the active configuration of another host in encoded form.
-func (t *Transport) FetchConfig(ctx context.Context, address string) ([]byte, error) {
-	return t.fetch(ctx, address, "/document")
-}
-
-// transfersActive is the number of configurations that this host is sending to other hosts.
-var transfersActive = metrics.GetOrCreateGauge("hickorypath_peer_transfers_active", nil)
-
-func (t *Transport) fetch(ctx context.Context, address, path string) (data []byte, err error) {
-	start := time.Now()
-	defer func() {
-		result := "ok"
-		if err != nil {
-			result = "failed"
-		}
-		metrics.GetOrCreateHistogram(fmt.Sprintf(`hickorypath_peer_fetch_seconds{path=%q,result=%q}`, path, result)).Update(time.Since(start).Seconds())
-	}()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
-	if err != nil {
-		return nil, kind.Wrap(err, kind.Peer, "invalid address of a host")
-	}
-	resp, err := t.client.Do(req)
-	if err != nil {
-		return nil, kind.Wrap(err, kind.Peer, "no response from %s", address)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, kind.New(kind.Peer, "unexpected response from %s: status %d", address, resp.StatusCode)
-	}
-	data, err = io.ReadAll(io.LimitReader(resp.Body, maxFetchBytes))
-	if err != nil {
-		return nil, kind.Wrap(err, kind.Peer, "incomplete response from %s: %d bytes in %s", address, len(data), time.Since(start).Round(time.Millisecond))
-	}
-	return data, nil
-}
--- a/internal/gateway/storewatch/watcher.go
+++ b/internal/gateway/storewatch/watcher.go
@@ -45,8 +45,10 @@
 	syncing      bool
 	syncRevision uint64
 
-	mu         sync.Mutex
-	newerSince time.Time // when this host heard of a configuration newer than the active one; zero if it has not
+	mu            sync.Mutex
+	newerSince    time.Time // when this host heard of a configuration newer than the active one; zero if it has not
+	packed        []byte    // the newest configuration in compressed form, for other hosts
+	packedVersion int64
 }
 
 // New returns a Watcher. Its Run method starts watching.
@@ -176,6 +178,22 @@
 	w.ApplyConfig(e.Value(), "store")
 }
 
+// PackedConfig returns the newest configuration in compressed form, from which other hosts can decode it, and its version; nil
+// and 0 if there is none.
+func (w *Watcher) PackedConfig() (packed []byte, version int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.packed, w.packedVersion
+}
+
+func (w *Watcher) setPacked(version int64, packed []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if version > w.packedVersion {
+		w.packedVersion, w.packed = version, packed
+	}
+}
+
 // RecordNewerConfig records that another host has a configuration newer than the active one.
 func (w *Watcher) RecordNewerConfig() {
 	w.mu.Lock()
@@ -197,18 +215,39 @@
 	return delay
 }
 
+// ApplyPackedConfig is ApplyConfig for a compressed configuration of another host.
+func (w *Watcher) ApplyPackedConfig(packed []byte, source string) {
+	data, err := config.Unpack(packed)
+	if err != nil {
+		w.logRefused(source, err)
+		return
+	}
+	w.applyConfig(data, packed, source)
+}
+
 // ApplyConfig decodes a configuration and puts it in force if it is newer than the active one. Source says where the
 // configuration came from, for the log.
-func (w *Watcher) ApplyConfig(data []byte, source string) {
+func (w *Watcher) ApplyConfig(data []byte, source string) { w.applyConfig(data, nil, source) }
+
+func (w *Watcher) logRefused(source string, err error) {
+	w.opts.Log.Error("configuration refused; the previous one stays in force until a valid one is written", zap.String("source", source), zap.Error(err))
+}
+
+// applyConfig is ApplyConfig; packed is the compressed form of data, nil if there is none yet.
+func (w *Watcher) applyConfig(data, packed []byte, source string) {
 	start := w.opts.Now()
 	c, err := w.opts.DecodeConfig(data)
 	if err != nil {
-		w.opts.Log.Error("configuration refused; the previous one stays in force until a valid one is written", zap.String("source", source), zap.Error(err))
+		w.logRefused(source, err)
 		return
 	}
 	if !w.opts.Live.StoreIfNewer(c) {
 		return
 	}
+	if packed == nil {
+		packed = config.Pack(data)
+	}
+	w.setPacked(c.Version(), packed)
 	w.opts.OnChange()
 	w.opts.Log.Info("configuration in force", zap.Int64("version", c.Version()), zap.String("source", source),
 		zap.Int("routes", len(c.Routes())), zap.Int("bytes", len(data)),
