Let the hosts with the fastest links follow the store

In a large fleet two hosts of each zone follow the store, and a hash of their names decided which. The store sends the whole configuration in base64: 1.1 MB for 823 KB, 0.9 s on a link of 10 Mbit/s, and the zone waits that long.

Hosts tell the speed of their link, and the two fastest ones of a zone follow the store; the hash decides among equal ones.

TestHostsWithSlowLinksWatchTheStore fails without the change.

--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -111,7 +111,7 @@
 		settings: s, clock: clk, machine: m, log: log, startTime: clk.Now(), startBoot: clk.Boot(), fleetTime: truetime.New(clk), live: config.NewLive(),
 		draining: make(chan struct{}), newerData: make(chan struct{}, 1), restored: make(chan struct{}, 1),
 	}
-	g.peers = peer.NewTable(s.Host, s.Zone, g.peerAddress(), g.startTime.UnixNano())
+	g.peers = peer.NewTable(s.Host, s.Zone, g.peerAddress(), s.Resources.LinkMbps, g.startTime.UnixNano())
 	g.origins = peer.NewOrigins()
 	g.usage = usage.New(s.Bounds.UsageWindow, g.fleetTime.Now)
 	g.table = upstream.NewTable(m.upstreams, log)
--- a/cmd/hickorypath/gatewaypeers.go
+++ b/cmd/hickorypath/gatewaypeers.go
@@ -52,7 +52,7 @@
 // localMessage returns the message with this host's state for its peers.
 func (g *gateway) localMessage() peer.Message {
 	m := peer.Message{
-		Host: g.settings.Host, Zone: g.settings.Zone, StartTime: g.startTime.UnixNano(), Time: g.fleetTime.Now().UnixMilli(),
+		Host: g.settings.Host, Zone: g.settings.Zone, Link: g.settings.Resources.LinkMbps, StartTime: g.startTime.UnixNano(), Time: g.fleetTime.Now().UnixMilli(),
 		FetchAddress: g.fetchAddress(), Counts: g.usage.RecentCounts(), Loads: g.exchange.Loads(), Demand: g.exchange.Demand(),
 		CachedPrefixes: g.exchange.CacheUpdates(), Crashes: g.exchange.FailureCounts(), Advisories: g.table.Advisories(g.clock.Now()),
 	}
--- a/cmd/hickorypath/gatewayspread_test.go
+++ b/cmd/hickorypath/gatewayspread_test.go
@@ -79,7 +79,7 @@
 	link := f.net.AddHost(ip, float64(mbps)*megabit, hostLatency)
 	s := settings.Settings{
 		Host: "host-" + strconv.Itoa(i), Zone: "zone-" + strconv.Itoa(zone), IP: ip, InternalPorts: [2]int{7000, 7015},
-		Bounds: settings.Bounds{UsageWindow: 5 * time.Second}, Store: settings.Store{Address: "10.200.1.7:80"},
+		Resources: settings.Resources{LinkMbps: float64(mbps)}, Bounds: settings.Bounds{UsageWindow: 5 * time.Second}, Store: settings.Store{Address: "10.200.1.7:80"},
 	}
 	g, err := newGateway(s, clock.NewWall(), machine{
 		dial: link.Dial, decodeConfig: f.decode, upstreams: upstream.NewDialer(),
--- a/internal/gateway/exchange/place_bench_test.go
+++ b/internal/gateway/exchange/place_bench_test.go
@@ -23,7 +23,7 @@
 	for n := range engines {
 		table.Put(now, upstream.Entry{ID: fmt.Sprintf("i-%04x", n), Service: "s", Address: "10.0.0.1:80", Zone: string(rune('a' + n%4)), Slots: 48})
 	}
-	peers := peer.NewTable("self", "a", "10.1.0.200:1", 1)
+	peers := peer.NewTable("self", "a", "10.1.0.200:1", 0, 1)
 	for h := range near + far {
 		m := peer.Message{Host: fmt.Sprint("h", h), Address: fmt.Sprint("10.1.0.", h, ":1"), Zone: "b", StartTime: 1, Sequence: 1, Loads: map[string]place.Load{}}
 		if h < near {
--- a/internal/gateway/peer/fetch_test.go
+++ b/internal/gateway/peer/fetch_test.go
@@ -23,7 +23,7 @@
 	t.Helper()
 	h := n.AddHost(ip, 0, 0)
 	tr, err := peer.New(peer.Options{
-		Address: ip + ":7000", Table: peer.NewTable(ip, "zone-a", ip+":7000", 1), PackedConfig: func() []byte { return config.Pack([]byte(text)) },
+		Address: ip + ":7000", Table: peer.NewTable(ip, "zone-a", ip+":7000", 0, 1), PackedConfig: func() []byte { return config.Pack([]byte(text)) },
 		Log: zap.NewNop(), Now: time.Now, Dial: h.Dial,
 		ListenPacket: func(address string) (net.PacketConn, error) { return h.ListenPacket(address), nil },
 	})
--- a/internal/gateway/peer/fleet_test.go
+++ b/internal/gateway/peer/fleet_test.go
@@ -29,7 +29,7 @@
 			address := func(n int) string { return fmt.Sprint("h", n, ":1") }
 			tables, byAddress := make([]*peer.Table, hosts), map[string]*peer.Table{}
 			for n := range tables {
-				tables[n] = peer.NewTable(fmt.Sprint("h", n), fmt.Sprint("z", n%zones), address(n), 1)
+				tables[n] = peer.NewTable(fmt.Sprint("h", n), fmt.Sprint("z", n%zones), address(n), 0, 1)
 				byAddress[address(n)] = tables[n]
 			}
 			for _, t := range tables {
--- a/internal/gateway/peer/fuzz_test.go
+++ b/internal/gateway/peer/fuzz_test.go
@@ -26,7 +26,7 @@
 			return
 		}
 		now := time.Unix(1_800_000_000, 0)
-		table := NewTable("self", "z", "self:1", 7)
+		table := NewTable("self", "z", "self:1", 0, 7)
 		table.Record(now, m)
 		table.Loads(now)
 		table.Demand(now, "s")
--- a/internal/gateway/peer/origins_test.go
+++ b/internal/gateway/peer/origins_test.go
@@ -27,7 +27,7 @@
 		is.NoErr(conn.Close())
 		name := fmt.Sprint("h", n)
 		tr, err := New(Options{
-			Address: address, Table: NewTable(name, "z", address, 1), Origins: NewOrigins(), LocalMessage: func() Message { return Message{Host: name} },
+			Address: address, Table: NewTable(name, "z", address, 0, 1), Origins: NewOrigins(), LocalMessage: func() Message { return Message{Host: name} },
 			OnMessage: func(time.Time, Message) {}, Log: zap.NewNop(), Now: time.Now,
 			ListenPacket: func(address string) (net.PacketConn, error) { return net.ListenPacket("udp4", address) },
 		})
@@ -116,7 +116,7 @@
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(1, 1))
 	view := func() *Table {
-		table := NewTable("self", "z", "self:1", 1)
+		table := NewTable("self", "z", "self:1", 0, 1)
 		for n := range hosts {
 			if rng.Float64() < known {
 				table.AddAddress(time.Now(), fmt.Sprintf("10.0.%d.%d:7340", n/200, n%200))
@@ -140,7 +140,7 @@
 
 // FuzzOrigins decodes arbitrary bytes as a datagram about origins and handles it. No input may cause a panic.
 func FuzzOrigins(f *testing.F) {
-	tr := &Transport{opts: Options{Address: "127.0.0.1:1", Table: NewTable("self", "z", "127.0.0.1:1", 1), Origins: NewOrigins(), Log: zap.NewNop(), Now: time.Now}}
+	tr := &Transport{opts: Options{Address: "127.0.0.1:1", Table: NewTable("self", "z", "127.0.0.1:1", 0, 1), Origins: NewOrigins(), Log: zap.NewNop(), Now: time.Now}}
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		f.Fatal(err)
--- a/internal/gateway/peer/table.go
+++ b/internal/gateway/peer/table.go
@@ -16,6 +16,7 @@
 type Table struct {
 	self           string
 	zone           string
+	link           float64 // of this host, Mbit/s
 	ownIncarnation incarnation
 
 	mu                  sync.Mutex
@@ -49,10 +50,10 @@
 	start int64
 }
 
-// NewTable returns an empty Table for the host with the name self, in an availability zone, that receives datagrams at address.
-// The start of the process, in Unix nanoseconds, identifies the host's incarnation.
-func NewTable(self, zone, address string, start int64) *Table {
-	return &Table{self: self, zone: zone, ownIncarnation: incarnation{self, start}, hosts: map[string]*hostEntry{}, addresses: map[string]time.Time{}, members: advisory.NewMembers(address), countsByIncarnation: map[incarnation]map[int64]map[string]int{}, fixedCounts: map[int64]map[string]int{}}
+// NewTable returns an empty Table for the host with the name self, in an availability zone, that receives datagrams at address
+// over a link of so many Mbit/s. The start of the process, in Unix nanoseconds, identifies the host's incarnation.
+func NewTable(self, zone, address string, link float64, start int64) *Table {
+	return &Table{self: self, zone: zone, link: link, ownIncarnation: incarnation{self, start}, hosts: map[string]*hostEntry{}, addresses: map[string]time.Time{}, members: advisory.NewMembers(address), countsByIncarnation: map[incarnation]map[int64]map[string]int{}, fixedCounts: map[int64]map[string]int{}}
 }
 
 // Record records a message of another host, unless a newer one has arrived. It reports whether the host joined: no
--- a/internal/gateway/peer/table_test.go
+++ b/internal/gateway/peer/table_test.go
@@ -17,7 +17,7 @@
 
 func TestCountsOutliveTheirHost(t *testing.T) {
 	is := is.New(t)
-	table := peer.NewTable("self", "z", "self:1", 7)
+	table := peer.NewTable("self", "z", "self:1", 0, 7)
 	now := time.Unix(1_800_000_000, 0)
 	is.True(table.Record(now, message("a", 1, 1, map[int64]map[string]int{7: {"club": 3}})))
 	is.True(!table.Record(now, message("a", 1, 2, map[int64]map[string]int{7: {"club": 5}})))
@@ -34,7 +34,7 @@
 
 func TestLoadsAndVersions(t *testing.T) {
 	is := is.New(t)
-	table := peer.NewTable("self", "z", "self:1", 7)
+	table := peer.NewTable("self", "z", "self:1", 0, 7)
 	now := time.Unix(1_800_000_000, 0)
 	m := message("a", 1, 1, nil)
 	m.Loads, m.Version, m.FetchAddress = map[string]place.Load{"u": {Running: 2, PendingPrefill: 30}}, 5, "a:2"
@@ -50,7 +50,7 @@
 
 func TestIsComplete(t *testing.T) {
 	is := is.New(t)
-	table := peer.NewTable("self", "z", "self:1", 7)
+	table := peer.NewTable("self", "z", "self:1", 0, 7)
 	now := time.Unix(1_800_000_000, 0)
 	for i, host := range []string{"a", "b"} {
 		m := message(host, 1, 1, nil)
@@ -77,13 +77,13 @@
 func TestRestartedHostLearnsEarlierCounts(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1_800_000_000, 0)
-	witness := peer.NewTable("w", "z", "w:1", 1)
+	witness := peer.NewTable("w", "z", "w:1", 0, 1)
 	witness.Record(now, message("self", 3, 9, map[int64]map[string]int{7: {"club": 5}}))
 	witness.Record(now, message("b", 3, 9, map[int64]map[string]int{7: {"club": 2}, 1: {"club": 9}}))
 	is.Equal(len(witness.EndedCounts(now, 6)), 0) // both hosts are live
 	later := now.Add(4 * time.Second)
 	witness.Record(later, message("b", 8, 1, nil)) // b was restarted
-	restarted := peer.NewTable("self", "z", "self:1", 7)
+	restarted := peer.NewTable("self", "z", "self:1", 0, 7)
 	m := message("w", 1, 1, map[int64]map[string]int{7: {"club": 1}})
 	m.EndedCounts = witness.EndedCounts(later, 6)
 	is.Equal(len(m.EndedCounts), 2)
@@ -103,7 +103,7 @@
 	name := func(i int) string { return "h" + strconv.Itoa(i) }
 	tables := make([]*peer.Table, hosts)
 	for i := range tables {
-		tables[i] = peer.NewTable(name(i), "z"+strconv.Itoa(i%2), name(i)+":1", 1)
+		tables[i] = peer.NewTable(name(i), "z"+strconv.Itoa(i%2), name(i)+":1", 0, 1)
 	}
 	watching := map[int]bool{}
 	round := func(n int, silent map[int]bool) {
@@ -150,7 +150,7 @@
 
 func TestCoverage(t *testing.T) {
 	is := is.New(t)
-	table := peer.NewTable("self", "z", "self:1", 7)
+	table := peer.NewTable("self", "z", "self:1", 0, 7)
 	now := time.Unix(1_800_000_000, 0)
 	is.Equal(table.DemandCoverage(now), 1.0)
 	for i := range 3 {
@@ -161,3 +161,28 @@
 	is.Equal(table.DemandCoverage(now), 0.5) // this host and one of three others
 	is.Equal(table.DemandCoverage(now.Add(time.Minute)), 1.0)
 }
+
+// TestHostsWithSlowLinksWatchTheStore guards against whole zones that wait until a host with a slow link has read a large value.
+func TestHostsWithSlowLinksWatchTheStore(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	const hosts = 20
+	name := func(i int) string { return "h" + strconv.Itoa(i) }
+	link := func(i int) float64 {
+		if i%10 == 0 {
+			return 200
+		}
+		return 10
+	}
+	for i := range hosts {
+		table := peer.NewTable(name(i), "z", name(i)+":1", link(i), 1)
+		for j := range hosts {
+			if i != j {
+				m := message(name(j), 1, 1, nil)
+				m.Zone, m.Link, m.WatchesStore = "z", link(j), true
+				table.Record(now, m)
+			}
+		}
+		is.Equal(table.ShouldWatchStore(now), link(i) == 200)
+	}
+}
--- a/internal/gateway/peer/targets.go
+++ b/internal/gateway/peer/targets.go
@@ -86,8 +86,9 @@
 }
 
 // ShouldWatchStore reports whether this host has to watch the store itself. In a small fleet every host does. In a larger
-// fleet the hosts of each zone are ranked by a hash of their names, and a host watches the store if it is among the first
-// watchersPerZone, or if messages of fewer than watchersPerZone watching hosts of its zone arrive.
+// fleet the hosts of each zone are ranked by the speed of their links, since the store sends whole values, and then by a hash of
+// their names. A host watches the store if it is among the first watchersPerZone, or if messages of fewer than watchersPerZone
+// watching hosts of its zone arrive.
 func (t *Table) ShouldWatchStore(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -99,7 +100,7 @@
 		if e.message.Zone != t.zone || !t.isLive(now, e) {
 			continue
 		}
-		if xxhash.Sum64String(name) > xxhash.Sum64String(t.self) {
+		if isRankedBefore(e.message.Link, name, t.link, t.self) {
 			rankedBefore++
 		}
 		if e.message.WatchesStore && now.Sub(e.receivedAt) <= watcherTimeout {
@@ -109,6 +110,14 @@
 	return rankedBefore < watchersPerZone || watching < watchersPerZone
 }
 
+// isRankedBefore reports whether a host with a link and a name is ranked before another one.
+func isRankedBefore(link float64, name string, otherLink float64, otherName string) bool {
+	if link != otherLink {
+		return link > otherLink
+	}
+	return xxhash.Sum64String(name) > xxhash.Sum64String(otherName)
+}
+
 // NewerEntries returns the last message of a live host that knows upstream entries newer than revision, preferably a host
 // of the same zone; ok is false if there is none. The caller finds in the message where to fetch the entries, and whether
 // the host's calls to the store fail.
--- a/internal/gateway/settings/settings.go
+++ b/internal/gateway/settings/settings.go
@@ -24,6 +24,7 @@
 	CPUShare        float64 // share of one core
 	MemoryBytes     int64
 	FileDescriptors int
+	LinkMbps        float64 // speed of the network link in Mbit/s; 0 if unknown
 }
 
 // Bounds holds times and quotas that the deployment guarantees or requires.
