Follow the store on two hosts of a zone only

Two hosts of each zone are to follow the store; 153 of 350 did 12 s after the start and 82 of them after another 20 s, and of 80 hosts 7 or 8 a minute began to in calm. Each reads everything from the store, 1.1 MB and more with a large configuration, and the store's link carries it for all of them: a configuration of 2.9 MB took 3.7 s to the followers.

Three causes: a host found the others of its zone by chance, as their addresses in the store did not name the zone; a follower left out the hosts of its zone that it had not heard of for 3 s, which happens where each sends to 6 of 22; and when both followers went, all others took over at once. Now a host is registered under its zone, followers send to all of their zone, and the others take over one pair after the other.

TestHostsFollowTheStoreNeedlessly: fails without any of the three.

--- a/cmd/hickorypath/gatewaypeers.go
+++ b/cmd/hickorypath/gatewaypeers.go
@@ -20,7 +20,8 @@
 )
 
 const (
-	// hostKeyPrefix is the prefix of the store keys under which hosts register their peer addresses.
+	// hostKeyPrefix is the prefix of the store keys under which hosts register their peer addresses. The rest of a key is the
+	// zone, a slash and the host's name; hosts of an earlier version leave the zone and the slash out.
 	hostKeyPrefix = "hosts/"
 	// hostKeyTTL is how long the address of a host that has gone stays registered. The store accepts at most ten minutes.
 	hostKeyTTL = 10 * time.Minute
@@ -115,7 +116,8 @@
 	switch key := e.Key(); {
 	case strings.HasPrefix(key, hostKeyPrefix) && !e.Deleted():
 		if addr := string(e.Value()); addr != g.peerAddress() {
-			g.peers.AddAddress(g.clock.Now(), addr)
+			zone, _, _ := strings.Cut(strings.TrimPrefix(key, hostKeyPrefix), "/")
+			g.peers.AddAddress(g.clock.Now(), addr, zone)
 		}
 	case key == lease.KeyPrefix+leaderLease:
 		g.leaseHeld.Store(!e.Deleted())
@@ -135,7 +137,7 @@
 	for ctx.Err() == nil {
 		grant, err := g.store.Grant(ctx, hostKeyTTL)
 		if err == nil {
-			_, err = g.store.PutLeased(ctx, hostKeyPrefix+g.settings.Host, []byte(g.peerAddress()), store.Any(), grant)
+			_, err = g.store.PutLeased(ctx, hostKeyPrefix+g.settings.Zone+"/"+g.settings.Host, []byte(g.peerAddress()), store.Any(), grant)
 		}
 		if err == nil {
 			g.awaitRegistration(ctx)
--- a/cmd/hickorypath/gatewayspread_test.go
+++ b/cmd/hickorypath/gatewayspread_test.go
@@ -41,7 +41,7 @@
 	net      *memnet.Net
 	platform *platformapi.Platform
 	hosts    []*gateway
-	links    []*memnet.Host
+	stops    []context.CancelFunc // end a host without notice
 	version  int
 	rand     *rand.Rand
 	routes   []map[string]any
@@ -87,8 +87,9 @@
 		listenPacket: func(address string) (net.PacketConn, error) { return link.ListenPacket(address), nil },
 	}, zap.NewNop())
 	is.NoErr(err)
-	is.NoErr(g.startSync(f.t.Context()))
-	f.hosts, f.links = append(f.hosts, g), append(f.links, link)
+	ctx, stop := context.WithCancel(f.t.Context())
+	is.NoErr(g.startSync(ctx))
+	f.hosts, f.stops = append(f.hosts, g), append(f.stops, stop)
 }
 
 // decode decodes each configuration once for all hosts.
@@ -184,3 +185,61 @@
 		})
 	}
 }
+
+// TestHostsFollowTheStoreNeedlessly guards against hosts of a large fleet that read everything from the store at once, because they
+// have not heard of the hosts that follow it for them, or because these have gone.
+func TestHostsFollowTheStoreNeedlessly(t *testing.T) {
+	const followers = 2 // in each zone
+	cases := []struct {
+		name         string
+		hosts, zones int
+		calm         time.Duration
+		gone         bool // the followers of the first zone go
+		most         int  // hosts of the first zone that start to follow the store
+	}{
+		{"80 hosts", 80, 4, time.Minute, false, 0},
+		{"350 hosts", 350, 15, 10 * time.Second, false, 0},
+		{"80 hosts, followers go", 80, 4, time.Second, true, 2 * followers},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if testing.Short() && c.hosts > 100 {
+				t.Skip("a fleet of 350 hosts takes too long under the race detector")
+			}
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newConfigFleet(t, c.hosts, c.zones, followers)
+				following := make([]bool, c.hosts)
+				started := 0
+				observe := func(d time.Duration) {
+					for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+						for i, g := range f.hosts {
+							if now := g.watcher.IsWatching(); now != following[i] {
+								following[i] = now
+								if now {
+									started++
+								}
+							}
+						}
+					}
+				}
+				observe(20 * time.Millisecond)
+				is.Equal(started, followers*c.zones)
+				started = 0
+				observe(c.calm)
+				is.Equal(started, 0)
+				if !c.gone {
+					return
+				}
+				for i, follows := range following {
+					if follows && f.hosts[i].settings.Zone == f.hosts[0].settings.Zone {
+						f.stops[i]()
+					}
+				}
+				observe(5 * time.Second)
+				is.True(started >= followers)
+				is.True(started <= c.most)
+			})
+		})
+	}
+}
--- a/internal/gateway/peer/fleet_test.go
+++ b/internal/gateway/peer/fleet_test.go
@@ -34,7 +34,7 @@
 			}
 			for _, t := range tables {
 				for a := range byAddress {
-					t.AddAddress(start, a)
+					t.AddAddress(start, a, "")
 				}
 			}
 			for tick := range int(duration / interval) {
--- a/internal/gateway/peer/origins_test.go
+++ b/internal/gateway/peer/origins_test.go
@@ -36,7 +36,7 @@
 	}
 	for _, tr := range list {
 		for _, other := range list {
-			tr.opts.Table.AddAddress(time.Now(), other.opts.Address)
+			tr.opts.Table.AddAddress(time.Now(), other.opts.Address, "z")
 		}
 		go tr.receive()
 		t.Cleanup(func() { _ = tr.conn.Close() })
@@ -119,7 +119,7 @@
 		table := NewTable("self", "z", "self:1", 0, 1)
 		for n := range hosts {
 			if rng.Float64() < known {
-				table.AddAddress(time.Now(), fmt.Sprintf("10.0.%d.%d:7340", n/200, n%200))
+				table.AddAddress(time.Now(), fmt.Sprintf("10.0.%d.%d:7340", n/200, n%200), "")
 			}
 		}
 		return table
--- a/internal/gateway/peer/table.go
+++ b/internal/gateway/peer/table.go
@@ -22,9 +22,11 @@
 	mu                  sync.Mutex
 	hosts               map[string]*hostEntry                    // last messages by host name
 	addresses           map[string]time.Time                     // addresses for datagrams, with the time at which each was added or last sent a message
+	zoneAddresses       map[string]bool                          // those of addresses that the store shows in the zone of this host
 	countsByIncarnation map[incarnation]map[int64]map[string]int // usage counts by incarnation, window and customer
 	fixedCounts         map[int64]map[string]int                 // usage counts of the whole fleet that a leader has fixed
 	leader              Leader
+	watchersLackSince   time.Time         // since when fewer than watchersPerZone hosts of the zone watch the store; zero if enough do
 	members             *advisory.Members // by address
 	heard               []string          // addresses of hosts of other zones of which a message has arrived since the last call of TakeHeard
 }
@@ -53,7 +55,7 @@
 // NewTable returns an empty Table for the host with the name self, in an availability zone, that receives datagrams at address
 // over a link of so many Mbit/s. The start of the process, in Unix nanoseconds, identifies the host's incarnation.
 func NewTable(self, zone, address string, link float64, start int64) *Table {
-	return &Table{self: self, zone: zone, link: link, ownIncarnation: incarnation{self, start}, hosts: map[string]*hostEntry{}, addresses: map[string]time.Time{}, members: advisory.NewMembers(address), countsByIncarnation: map[incarnation]map[int64]map[string]int{}, fixedCounts: map[int64]map[string]int{}}
+	return &Table{self: self, zone: zone, link: link, ownIncarnation: incarnation{self, start}, hosts: map[string]*hostEntry{}, addresses: map[string]time.Time{}, zoneAddresses: map[string]bool{}, members: advisory.NewMembers(address), countsByIncarnation: map[incarnation]map[int64]map[string]int{}, fixedCounts: map[int64]map[string]int{}}
 }
 
 // Record records a message of another host, unless a newer one has arrived. It reports whether the host joined: no
@@ -240,15 +242,19 @@
 	}
 	maps.DeleteFunc(t.fixedCounts, func(w int64, _ map[string]int) bool { return w < window-keepWindows })
 	maps.DeleteFunc(t.addresses, func(_ string, seen time.Time) bool { return now.Sub(seen) > expiryTime })
+	maps.DeleteFunc(t.zoneAddresses, func(a string, _ bool) bool { _, ok := t.addresses[a]; return !ok })
 	maps.DeleteFunc(t.hosts, func(_ string, e *hostEntry) bool { return now.Sub(e.receivedAt) > expiryTime })
 	t.members.Expire(now, expiryTime)
 }
 
-// AddAddress adds the address of a host, as found in the store or in the settings.
-func (t *Table) AddAddress(now time.Time, address string) {
+// AddAddress adds the address of a host, as found in the store. The zone is empty if it is unknown.
+func (t *Table) AddAddress(now time.Time, address, zone string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.addresses[address] = now
+	if zone == t.zone {
+		t.zoneAddresses[address] = true
+	}
 }
 
 // Addresses returns all known addresses in sorted order.
--- a/internal/gateway/peer/targets.go
+++ b/internal/gateway/peer/targets.go
@@ -19,6 +19,9 @@
 	watchersPerZone = 2
 	// watcherTimeout is how long a host relies on a watching host whose messages do not arrive.
 	watcherTimeout = 1500 * time.Millisecond
+	// takeoverDelay is the time in which hosts that start to watch the store tell the hosts that would be next. Each start
+	// reads everything from the store.
+	takeoverDelay = 300 * time.Millisecond
 )
 
 // SetLeader records the leader of the fleet, unless a newer leader is known.
@@ -41,8 +44,8 @@
 // fleet each group receives only the fields that it needs.
 type Targets struct {
 	All      []string // all hosts of a small fleet, which receive the complete message
-	SameZone []string // hosts in the zone of this host
-	Others   []string // hosts of other zones, hosts that are not live, and addresses without a message
+	SameZone []string // hosts in the zone of this host, those included of which no message has arrived
+	Others   []string // hosts of other zones, hosts that are not live, and other addresses without a message
 	Leader   string   // the leader; empty if it is unknown or is among All
 }
 
@@ -61,14 +64,19 @@
 	hasMessage := map[string]bool{}
 	for _, e := range t.hosts {
 		hasMessage[e.message.Address] = true
-		if t.isLive(now, e) && e.message.Zone == t.zone {
+		// A host sends to few others, so one that was not heard lately may still depend on this host.
+		if e.message.Zone == t.zone && (wholeZone || t.isLive(now, e)) {
 			to.SameZone = append(to.SameZone, e.message.Address)
 		} else {
 			to.Others = append(to.Others, e.message.Address)
 		}
 	}
 	for a := range t.addresses {
-		if !hasMessage[a] {
+		switch {
+		case hasMessage[a]:
+		case t.zoneAddresses[a]:
+			to.SameZone = append(to.SameZone, a)
+		default:
 			to.Others = append(to.Others, a)
 		}
 	}
@@ -88,26 +96,38 @@
 // ShouldWatchStore reports whether this host has to watch the store itself. In a small fleet every host does. In a larger
 // fleet the hosts of each zone are ranked by the speed of their links, since the store sends whole values, and then by a hash of
 // their names. A host watches the store if it is among the first watchersPerZone, or if messages of fewer than watchersPerZone
-// watching hosts of its zone arrive.
+// watching hosts of its zone arrive and the hosts ranked before it have not taken over.
 func (t *Table) ShouldWatchStore(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.hosts) < smallFleet {
 		return true
 	}
-	rankedBefore, watching := 0, 0
+	rankedBefore, candidatesBefore, watching := 0, 0, 0
 	for name, e := range t.hosts {
 		if e.message.Zone != t.zone || !t.isLive(now, e) {
 			continue
 		}
 		if isRankedBefore(e.message.Link, name, t.link, t.self) {
 			rankedBefore++
+			if !e.message.WatchesStore {
+				candidatesBefore++
+			}
 		}
 		if e.message.WatchesStore && now.Sub(e.receivedAt) <= watcherTimeout {
 			watching++
 		}
 	}
-	return rankedBefore < watchersPerZone || watching < watchersPerZone
+	switch {
+	case rankedBefore < watchersPerZone:
+		return true
+	case watching >= watchersPerZone:
+		t.watchersLackSince = time.Time{}
+		return false
+	case t.watchersLackSince.IsZero():
+		t.watchersLackSince = now
+	}
+	return now.Sub(t.watchersLackSince) >= time.Duration(candidatesBefore/watchersPerZone)*takeoverDelay
 }
 
 // isRankedBefore reports whether a host with a link and a name is ranked before another one.
--- a/internal/gateway/peer/transport.go
+++ b/internal/gateway/peer/transport.go
@@ -70,11 +70,12 @@
 	go t.receive()
 	tick := time.NewTicker(sendInterval)
 	defer tick.Stop()
-	for n := 0; ctx.Err() == nil; n++ {
+	for n := 0; ctx.Err() == nil; {
 		select {
 		case <-ctx.Done():
 		case <-tick.C:
 			t.send(n%wholeZoneIntervals == 0)
+			n++
 		case wholeZone := <-t.sendRequests:
 			t.send(wholeZone)
 			clock.Pause(ctx, minSendGap)
--- a/internal/gateway/storewatch/watcher.go
+++ b/internal/gateway/storewatch/watcher.go
@@ -81,6 +81,7 @@
 	defer cancel()
 	w.watching.Store(true)
 	defer w.watching.Store(false)
+	w.opts.OnChange()
 	w.opts.Log.Info("watching the store")
 	go clock.Every(ctx, checkInterval, func() {
 		if !w.opts.ShouldWatch() {
