Do not send chunks of a document again that are on their way

A host asked for up to 512 chunks again every 250 ms, also while they arrived.

Chunks are asked for again only when none has come for a while, which doubles, and from 8 KB on they travel compressed to hosts that ask for it.

--- a/internal/gateway/config/packed_test.go
+++ b/internal/core/compress/compress_test.go
@@ -1,4 +1,4 @@
-package config_test
+package compress_test
 
 import (
 	"bytes"
@@ -7,28 +7,29 @@
 
 	"github.com/matryer/is"
 
+	"hickorypath/internal/core/compress"
 	"hickorypath/internal/core/kind"
-	"hickorypath/internal/gateway/config"
 )
 
-func TestPack(t *testing.T) {
+func TestEncode(t *testing.T) {
 	text := []byte(strings.Repeat(`{"name":"r-1","host":"a.example","prefix":"/a/"}`, 1000))
-	packed := config.Pack(text)
+	const maxBytes = 1 << 20
+	packed := compress.Encode(text)
 	cases := []struct {
 		name   string
 		packed []byte
 		want   []byte // nil for an error
 	}{
 		{"whole", packed, text},
-		{"empty", config.Pack(nil), []byte{}},
+		{"empty", compress.Encode(nil), []byte{}},
 		{"cut", packed[:len(packed)/2], nil},
 		{"not compressed", text, nil},
-		{"too large", config.Pack(make([]byte, config.MaxBytes+1)), nil},
+		{"too large", compress.Encode(make([]byte, maxBytes+1)), nil},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			got, err := config.Unpack(c.packed)
+			got, err := compress.Decode(c.packed, maxBytes)
 			if c.want == nil {
 				is.Equal(kind.Of(err), kind.Peer)
 				return
--- a/internal/host/node/packet.go
+++ b/internal/host/node/packet.go
@@ -38,5 +38,5 @@
 // digest exchange: when one of them is lost, nothing repeats the exchange before the next heartbeat.
 func (p Packet) isReliable() bool {
 	m := p.Replication
-	return m != nil && len(m.BucketDigests)+len(m.Buckets)+len(m.WantRecords)+len(m.WantChunks)+len(m.Chunks) > 0
+	return m != nil && len(m.BucketDigests)+len(m.Buckets)+len(m.WantRecords)+len(m.WantChunks)+len(m.Chunks)+len(m.PackedChunks) > 0
 }
--- a/internal/host/node/simulation_test.go
+++ b/internal/host/node/simulation_test.go
@@ -32,6 +32,7 @@
 	merge    func(topic, name string, values [][]byte) []byte
 	roster   []roster.Host
 	tick     time.Duration
+	linkRate float64 // bytes per second of each host's link in each direction; 0 for no limit
 	version  uint64 // version of the last published record
 }
 
@@ -50,6 +51,19 @@
 	bytesIn       int
 	resets        map[string]int // number of connection resets by peer ID
 	recordTraffic traffic        // messages about records other than soft ones
+	in, out       time.Time      // when the bytes that are queued have passed the host's link
+}
+
+// passLink queues size bytes at a host's link, which is free at *freeAt, and returns how long they take from at on.
+func (s *sim) passLink(freeAt *time.Time, at time.Time, size int) time.Duration {
+	if s.linkRate == 0 {
+		return 0
+	}
+	if freeAt.Before(at) {
+		*freeAt = at
+	}
+	*freeAt = freeAt.Add(time.Duration(float64(size) / s.linkRate * float64(time.Second)))
+	return freeAt.Sub(at)
 }
 
 // traffic counts sent and received messages and their bytes.
@@ -193,6 +207,10 @@
 	} else if s.rand.Float64() < s.lossRate {
 		return
 	}
+	delay += s.passLink(&from.out, s.now, len(data))
+	if h := s.hosts[to]; h != nil {
+		delay += s.passLink(&h.in, s.now.Add(delay), len(data))
+	}
 	s.schedule(delay, func() {
 		h := s.hosts[to]
 		if h == nil || !h.alive || s.isCut(from, h) {
--- a/internal/host/replication/bench_test.go
+++ b/internal/host/replication/bench_test.go
@@ -98,7 +98,7 @@
 }
 
 func payloadSize(m replication.Message) int {
-	n := len(m.Ack) + len(m.WantChunks)
+	n := len(m.Ack) + len(m.WantChunks) + len(m.PackedChunks)
 	for _, w := range m.Push {
 		n += len(w.Value) + len(w.Refs)
 	}
--- a/internal/host/replication/incomplete.go
+++ b/internal/host/replication/incomplete.go
@@ -7,8 +7,14 @@
 )
 
 const (
-	// chunkRetryInterval is the wait for requested chunks before they are requested again.
-	chunkRetryInterval  = 250 * time.Millisecond
+	// chunkRetryInterval is the wait for requested chunks, none of which arrive, before they are requested again. It doubles
+	// with each request up to maxChunkRetryInterval, since chunks that are on their way behind others must not be sent twice.
+	chunkRetryInterval    = 250 * time.Millisecond
+	maxChunkRetryInterval = 4 * time.Second
+	// maxPackedBatch is the number of bytes of chunks after which a message of compressed chunks is closed.
+	maxPackedBatch = 256 << 10
+	// minPackedBatch is the number of bytes from which chunks are compressed, which takes a millisecond at least.
+	minPackedBatch      = 8 << 10
 	maxChunksPerRequest = 512 // chunks requested in one message
 	maxChunkRequests    = 40  // requests without any new chunk before the record is dropped
 )
@@ -16,10 +22,10 @@
 // incompleteRecord is a received record of which some chunks are missing.
 type incompleteRecord struct {
 	record      WireRecord
-	sources     []string // hosts that pushed this version of the record
-	requestedAt time.Time
-	requests    int
-	awaited     int // chunks that were requested and have not arrived
+	sources     []string  // hosts that pushed this version of the record
+	requestedAt time.Time // last request, or arrival of chunks since
+	requests    int       // since chunks have arrived
+	awaited     int       // chunks that were requested and have not arrived
 }
 
 func (t *Table) chunk(r chunkRef) ([]byte, bool) {
@@ -65,7 +71,7 @@
 // requestChunks requests the missing chunks of a record from the record's sources in rotation. It drops the
 // record after maxChunkRequests requests.
 func (t *Table) requestChunks(now time.Time, h uint64, p *incompleteRecord) {
-	if now.Sub(p.requestedAt) < chunkRetryInterval || len(p.sources) == 0 {
+	if now.Sub(p.requestedAt) < chunkRetryDelay(p.requests) || len(p.sources) == 0 {
 		return
 	}
 	if p.requests >= maxChunkRequests {
@@ -77,15 +83,33 @@
 	for _, r := range absent[:min(len(absent), maxChunksPerRequest)] {
 		need = append(need, r[:]...)
 	}
-	t.queueMessage(p.sources[p.requests%len(p.sources)], Message{WantChunks: need})
+	t.queueMessage(p.sources[p.requests%len(p.sources)], Message{WantChunks: need, AcceptsPacked: true})
 	p.requestedAt, p.awaited = now, len(need)/refSize
 	p.requests++
 }
 
+// chunkRetryDelay returns the wait for chunks after a number of requests without any.
+func chunkRetryDelay(requests int) time.Duration {
+	return min(chunkRetryInterval<<max(requests-1, 0), maxChunkRetryInterval)
+}
+
 // receiveChunkRequest sends the requested chunks that are present, in messages of bounded size.
-func (t *Table) receiveChunkRequest(from string, all []chunkRef) {
+func (t *Table) receiveChunkRequest(from string, all []chunkRef, packed bool) {
 	var batch [][]byte
-	size := 0
+	size, maxSize := 0, maxBatch
+	if packed {
+		maxSize = maxPackedBatch
+	}
+	send := func() {
+		switch {
+		case len(batch) == 0:
+		case packed && size >= minPackedBatch:
+			t.queueMessage(from, Message{PackedChunks: packChunks(batch)})
+		default:
+			t.queueMessage(from, Message{Chunks: batch})
+		}
+		batch, size = nil, 0
+	}
 	for _, r := range all {
 		data, ok := t.chunk(r)
 		if !ok {
@@ -93,14 +117,11 @@
 		}
 		batch = append(batch, data)
 		size += len(data)
-		if size >= maxBatch {
-			t.queueMessage(from, Message{Chunks: batch})
-			batch, size = nil, 0
+		if size >= maxSize {
+			send()
 		}
 	}
-	if len(batch) > 0 {
-		t.queueMessage(from, Message{Chunks: batch})
-	}
+	send()
 }
 
 // receiveChunks stores the chunks that incomplete records refer to, and accepts the records that are complete
@@ -125,6 +146,7 @@
 		}
 		p.requests = 0
 		p.awaited -= n
+		p.requestedAt = now // more of them are on their way
 		if p.awaited <= 0 {
 			p.requestedAt = time.Time{}
 		}
--- a/internal/host/replication/message.go
+++ b/internal/host/replication/message.go
@@ -25,7 +25,9 @@
 	WantRecords   []byte       `cbor:"6,keyasint,omitempty"` // hashes of requested records
 	WantChunks    []byte       `cbor:"7,keyasint,omitempty"` // references of requested chunks
 	Chunks        [][]byte     `cbor:"8,keyasint,omitempty"`
-	Soft          []SoftGroup  `cbor:"9,keyasint,omitempty"` // soft records, which are not acknowledged
+	Soft          []SoftGroup  `cbor:"9,keyasint,omitempty"`  // soft records, which are not acknowledged
+	AcceptsPacked bool         `cbor:"10,keyasint,omitempty"` // the chunks of WantChunks may be sent as PackedChunks; hosts of an earlier version do not accept them
+	PackedChunks  []byte       `cbor:"11,keyasint,omitempty"` // chunks in compressed form, encoded with packChunks
 }
 
 // SoftGroup holds soft records of one topic and source that have the same version, expiry and contributors.
--- a/internal/host/replication/table.go
+++ b/internal/host/replication/table.go
@@ -193,10 +193,10 @@
 		t.receiveRecordRequest(from, decodeHashes(m.WantRecords))
 	}
 	if len(m.WantChunks) > 0 {
-		t.receiveChunkRequest(from, decodeRefs(m.WantChunks))
+		t.receiveChunkRequest(from, decodeRefs(m.WantChunks), m.AcceptsPacked)
 	}
-	if len(m.Chunks) > 0 {
-		t.receiveChunks(now, m.Chunks)
+	if chunks := append(m.Chunks, unpackChunks(m.PackedChunks)...); len(chunks) > 0 {
+		t.receiveChunks(now, chunks)
 	}
 	for _, s := range m.Soft {
 		for _, w := range s.records() {
