--- a/internal/gateway/exchange/accesslog.go
+++ b/internal/gateway/exchange/accesslog.go
@@ -130,6 +130,12 @@
 	if a.limit.IsNamed() {
 		enc.AddFloat64("limit", a.limit.Rate())
 	}
+	if a.leaving {
+		enc.AddBool("leaving", true)
+	}
+	if a.pause > 0 {
+		enc.AddFloat64("pause", ms(a.pause))
+	}
 	if a.framing != "" {
 		enc.AddString("framing", a.framing)
 	}
--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -27,6 +27,8 @@
 	limit        advisory.Limit // request rate that the upstream had named when the request was sent
 	copySource   string         // instance from which the upstream was told to copy cached tokens; empty for none
 	sent         bool           // at least one byte was written
+	leaving      bool           // the response states that the upstream leaves
+	pause        time.Duration  // for which the response asks the host to send nothing; 0 for none
 	framing      string         // how the response is delimited; empty without a response
 	unfinished   int            // bytes of the event in which a stream ended
 	failed       bool
@@ -129,6 +131,7 @@
 	}
 	a.framing = resp.Framing()
 	answer := e.x.opts.Codec.DecodeResponse(resp)
+	a.leaving, a.pause = answer.Advisory.Leaving.IsStated(), answer.Advisory.Pause.Length()
 	if !answer.Misdirected && (answer.NotExecuted || answer.ID == e.info.ID) {
 		e.x.recordStatements(i, sentAt, answer)
 	}
--- a/internal/host/node/simulation_test.go
+++ b/internal/host/node/simulation_test.go
@@ -33,7 +33,7 @@
 	roster   []roster.Host
 	tick     time.Duration
 	linkRate float64 // bytes per second of each host's link in each direction; 0 for no limit
-	version  uint64 // version of the last published record
+	version  uint64  // version of the last published record
 }
 
 type simHost struct {
--- a/internal/policy/advisory/advisory.go
+++ b/internal/policy/advisory/advisory.go
@@ -13,6 +13,8 @@
 type Statement struct {
 	Limit   Limit
 	Version string // of the upstream's software, empty if not stated
+	Leaving Leaving
+	Pause   Pause
 }
 
 // State is what an upstream stated last. It is not safe for concurrent use.
--- /dev/null
+++ b/internal/policy/advisory/leaving_test.go
@@ -0,0 +1,87 @@
+package advisory_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/policy/advisory"
+)
+
+func TestParseLeaving(t *testing.T) {
+	cases := []struct {
+		name     string
+		values   []string
+		stated   bool
+		readable bool
+	}{
+		{"none", nil, false, true},
+		{"leaves", []string{"1"}, true, true},
+		{"stays", []string{"0"}, false, true},
+		{"white space", []string{" 1\t"}, true, true},
+		{"repeated", []string{"0", "1"}, true, true},
+		{"list", []string{"0, 1"}, true, true},
+		{"empty", []string{""}, true, false},
+		{"word", []string{"soon"}, true, false},
+		{"negative", []string{"-1"}, true, false},
+		{"unreadable, then readable", []string{"x, 1"}, true, true},
+		{"unreadable, then 0", []string{"x, 0"}, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l := advisory.ParseLeaving(c.values...)
+			is.Equal(l.IsStated(), c.stated)
+			is.Equal(l.Unreadable() == "", c.readable)
+		})
+	}
+}
+
+func TestParsePause(t *testing.T) {
+	const stand = time.Second // stands in for an unreadable value
+	cases := []struct {
+		name     string
+		values   []string
+		length   time.Duration
+		readable bool
+	}{
+		{"none", nil, 0, true},
+		{"seconds", []string{"3"}, 3 * time.Second, true},
+		{"fraction", []string{"0.25"}, 250 * time.Millisecond, true},
+		{"white space", []string{" 2\t"}, 2 * time.Second, true},
+		{"zero", []string{"0"}, 0, true},
+		{"repeated", []string{"5", "2"}, 5 * time.Second, true},
+		{"list with an unreadable part", []string{"x, 2"}, 2 * time.Second, true},
+		{"huge", []string{strings.Repeat("9", 400)}, advisory.MaxPause, true},
+		{"beyond the bound", []string{"86400"}, advisory.MaxPause, true},
+		{"negative", []string{"-5"}, stand, false},
+		{"exponent", []string{"1e9"}, stand, false},
+		{"date", []string{"Fri, 04 Dec 2026 12:00:00 GMT"}, stand, false},
+		{"empty", []string{""}, stand, false},
+		{"word", []string{"later"}, stand, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := advisory.ParsePause(c.values...)
+			is.Equal(p.Length(), c.length)
+			is.Equal(p.Unreadable() == "", c.readable)
+		})
+	}
+}
+
+// FuzzParseLeavingAndPause parses any values: a pause stays within its bounds, and what cannot be read is told.
+func FuzzParseLeavingAndPause(f *testing.F) {
+	for _, v := range []string{"", "1", "0.5", "-1", "1e300", "9999999999999999999999", "Fri, 04 Dec 2026 12:00:00 GMT", "1,2", "\x00"} {
+		f.Add(v, v)
+	}
+	f.Fuzz(func(t *testing.T, a, b string) {
+		is := is.New(t)
+		p, l := advisory.ParsePause(a, b), advisory.ParseLeaving(a, b)
+		is.True(p.Length() >= 0 && p.Length() <= advisory.MaxPause)
+		is.True(len(p.Unreadable()) <= 4*40+2 && len(l.Unreadable()) <= 4*40+2)
+		is.True(l.IsStated() || l.Unreadable() == "")
+	})
+}
--- a/internal/policy/advisory/limit.go
+++ b/internal/policy/advisory/limit.go
@@ -45,7 +45,7 @@
 	return found
 }
 
-// parseRate parses digits with an optional fraction. Unlike strconv.ParseFloat, it accepts no sign, exponent, infinity or NaN.
+// parseRate parses a number of digits with an optional fraction. Unlike strconv.ParseFloat, it accepts no sign, exponent, infinity or NaN.
 func parseRate(s string) (rate float64, ok bool) {
 	if strings.Trim(s, "0123456789.") != "" {
 		return 0, false
