Reproduce requests to upstreams that leave or want a pause in tests

- TestLeavingUpstreamGetsRequests: 7 of 9 ways to state that an upstream leaves have no effect; another instance's statement has none, rightly.
- TestHostsSendRequestsToAnUpstreamThatSaysThatItLeaves: three gateway processes and two upstreams, one of which leaves and says so in its responses only.
All hosts go on sending to it, with the store at work and with the store away.
- TestUpstreamGetsRequestsDuringThePauseThatItAskedFor, TestHostsSendRequestsDuringThePauseThatAnUpstreamAskedFor: 20 requests of each host in a pause of a second, where two are allowed.

The first hypothesis holds: nothing reads the statement, and the attempts' log shows leaving and pause on requests that went on.

--- a/internal/standin/instance/instance.go
+++ b/internal/standin/instance/instance.go
@@ -29,6 +29,7 @@
 	listener net.Listener
 	server   *http.Server
 	limit    limitcheck.Limit
+	advice   advice
 
 	mu      sync.Mutex
 	resumes int // streams that were not asked for from their first event
@@ -69,6 +70,9 @@
 	if values := s.limit.RecordCall(id); len(values) > 0 {
 		w.Header()["Server-Limit"] = values
 	}
+	if s.advice.advise(w, id) {
+		return
+	}
 	if strings.HasPrefix(r.URL.Path, StreamPrefix) {
 		s.stream(w, r)
 		return
