Send no requests to upstreams that state that they leave

Requests reached upstreams more than 2 s after a response had told the host that they leave. Nothing read the statement: an upstream left for a host when its entry in the store changed, which comes late while the store is away, or never.

A response that states it makes the instance the last resort for half of the drain time and closed after that. The host tells the others (Message.Departures). The statement belongs to the incarnation, outlives its entry, and is revoked by a later response without it or after a minute, so that a wrong value does not keep an upstream out for good.

--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -161,6 +161,7 @@
 	return exchange.New(exchange.Options{
 		Zone: g.settings.Zone, Codec: platform.Codec(), Live: g.live, Table: g.table,
 		Budget:     budget.Config{Ratio: b.RetryRatio, Minimum: b.MinRetries, Window: b.RetryWindow},
+		DrainTime:  b.DrainTime,
 		HostCount:  g.peers.MaxHosts,
 		Fleet:      g.peers.Fleet,
 		FleetTime:  g.fleetTime.Now,
--- a/cmd/hickorypath/gatewayleaving_test.go
+++ b/cmd/hickorypath/gatewayleaving_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
 
 	"hickorypath/internal/standin/instance"
 )
@@ -33,6 +35,9 @@
 		value := fmt.Sprintf(`{"service":"svc","address":%q,"zone":"z","slots":8,"state":"ready","seq":1}`, s.Addr())
 		is.NoErr(f.platform.Put(t.Context(), fmt.Sprintf("servers/u%d", i), []byte(value)))
 	}
+	for _, h := range f.hosts {
+		f.waitUntil(func() bool { return strings.Count(h.log.String(), `"text":"upstream joins"`) == len(f.instances) })
+	}
 	const ratePerHost = 20 // requests per second
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
@@ -57,14 +62,18 @@
 			}
 		})
 	}
-	for _, s := range f.instances {
-		for _, h := range f.hosts {
-			f.waitUntil(func() bool { return s.CallsFrom(h.name) > 0 })
-		}
-	}
+	f.awaitCalls(1)
 	return f
 }
 
+// awaitCalls waits until the first instance, which the hosts prefer, has got n more requests from each host.
+func (f *adviceFleet) awaitCalls(n int) {
+	before := lo.Map(f.hosts, func(h *gatewayHost, _ int) int { return f.instances[0].CallsFrom(h.name) })
+	for i, h := range f.hosts {
+		f.waitUntil(func() bool { return f.instances[0].CallsFrom(h.name) >= before[i]+n })
+	}
+}
+
 // served returns the number of requests that were served, and of those that were not.
 func (f *adviceFleet) served() (ok, failed int) {
 	f.mu.Lock()
@@ -99,8 +108,10 @@
 			}
 			f.instances[0].Leave()
 			f.waitUntil(func() bool {
-				since, ok := f.instances[0].IsKnownToLeave(f.hosts[0].name)
-				return ok && since > 5*time.Second
+				return slices.ContainsFunc(f.hosts, func(h *gatewayHost) bool {
+					since, ok := f.instances[0].IsKnownToLeave(h.name)
+					return ok && since > 5*time.Second
+				})
 			})
 			is.Equal(strings.Join(f.instances[0].Violations(), "\n"), "")
 			before, _ := f.served()
@@ -135,15 +146,9 @@
 	is := is.New(t)
 	f := newAdviceFleet(t, 24, 3)
 	f.instances[0].TurnAway(1500 * time.Millisecond)
-	for _, h := range f.hosts {
-		before := f.instances[0].CallsFrom(h.name)
-		f.waitUntil(func() bool { return f.instances[0].CallsFrom(h.name) >= before+3 })
-	}
+	f.awaitCalls(3)
 	f.instances[0].TurnAway(0)
-	for _, h := range f.hosts {
-		before := f.instances[0].CallsFrom(h.name)
-		f.waitUntil(func() bool { return f.instances[0].CallsFrom(h.name) >= before+20 })
-	}
+	f.awaitCalls(20)
 	is.Equal(strings.Join(f.instances[0].Violations(), "\n"), "")
 	_, failed := f.served()
 	is.Equal(failed, 0)
--- a/cmd/hickorypath/gatewaypeers.go
+++ b/cmd/hickorypath/gatewaypeers.go
@@ -52,6 +52,7 @@
 		FetchAddress: g.fetchAddress(), Counts: g.usage.RecentCounts(), Loads: g.exchange.Loads(), Demand: g.exchange.Demand(),
 		CachedPrefixes: g.exchange.CacheUpdates(), Crashes: g.exchange.FailureCounts(), Advisories: g.table.Advisories(g.clock.Now()),
 	}
+	m.Departures = g.table.Departures(g.clock.Now())
 	m.WatchesStore, m.EntryRevision, m.StoreFailing = g.watcher.IsWatching(), g.watcher.Revision(), g.table.IsStoreFailing(g.clock.Now())
 	m.EndedCounts = g.peers.EndedCounts(g.clock.Now(), g.usage.Window(g.fleetTime.Now())-reportableWindows)
 	m.FixedCounts = g.peers.RecentFixedCounts(g.usage.Window(g.fleetTime.Now()) - reportableWindows)
@@ -71,6 +72,7 @@
 	g.exchange.ApplyCacheUpdates(now, m.CachedPrefixes)
 	g.exchange.SetPeerFailureCounts(m.Host, m.Crashes)
 	g.exchange.ApplyAdvisories(now, m.Host, m.Advisories)
+	g.exchange.ApplyDepartures(now, m.Host, m.Departures)
 	if m.Version > g.configVersion() {
 		g.watcher.RecordNewerConfig()
 		g.configs.Wake()
--- a/internal/gateway/exchange/admit.go
+++ b/internal/gateway/exchange/admit.go
@@ -123,10 +123,11 @@
 // maxWait, behind the requests that wait already. The caller holds x.mu.
 func (x *Exchanger) isBeyondLimits(s *serviceState, e *exchange, maxWait time.Duration) bool {
 	now, fleet := x.opts.Now(), x.opts.Fleet()
-	grace := x.opts.Table.RemovalGrace(now)
+	grace, list := x.opts.Table.RemovalGrace(now), x.opts.Table.Service(e.service.Name)
+	lastResort := x.needsLastResort(list, e, now, grace)
 	ahead, sends, usable := s.queue.Ahead(e.rank()), 0, false
-	for _, i := range x.opts.Table.Service(e.service.Name) {
-		if status := i.Status(now, grace); status == upstream.Leaving || status == upstream.Down || e.hasFailedAt(i) || !e.mayRunAt(i) {
+	for _, i := range list {
+		if !x.mayTake(i, i.Status(now, grace), lastResort, now) || e.hasFailedAt(i) || !e.mayRunAt(i) {
 			continue
 		}
 		usable = true
--- a/internal/gateway/exchange/advisory.go
+++ b/internal/gateway/exchange/advisory.go
@@ -14,7 +14,15 @@
 	if r.HasLoad {
 		i.SetLoad(upstream.Load{Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, At: now})
 	}
-	if !i.RecordAdvisory(now, sentAt, s) {
+	limit, leaving := i.RecordAdvisory(now, sentAt, s)
+	if leaving {
+		x.logLeaving(i, "", s.Leaving.Unreadable())
+	}
+	if !limit && !leaving {
+		return
+	}
+	x.opts.NotifyPeers()
+	if !limit {
 		return
 	}
 	if s.Limit.Unreadable() != "" {
@@ -23,7 +31,30 @@
 	} else {
 		x.logLimit(i, "")
 	}
-	x.opts.NotifyPeers()
+}
+
+// ApplyDepartures records which instances leave, as another host has told.
+func (x *Exchanger) ApplyDepartures(now time.Time, host string, told map[string]upstream.Departure) {
+	for _, i := range x.opts.Table.MergeDepartures(now, told) {
+		x.logLeaving(i, host, "")
+	}
+}
+
+// logLeaving logs whether an instance states that it leaves. The host told of it, and is empty for this host; the value is that of
+// the statement if it could not be read.
+func (x *Exchanger) logLeaving(i *upstream.Instance, host, value string) {
+	fields := []zap.Field{zap.String("upstream", i.ID())}
+	if host != "" {
+		fields = append(fields, zap.String("peer", host))
+	}
+	if value != "" {
+		fields = append(fields, zap.String("value", value))
+	}
+	if _, ok := i.LeavingFor(x.opts.Now()); ok {
+		x.opts.Log.Info("upstream states that it leaves", fields...)
+	} else {
+		x.opts.Log.Info("upstream no longer states that it leaves", fields...)
+	}
 }
 
 // ApplyAdvisories records what another host has told of what instances stated about themselves.
--- a/internal/gateway/exchange/exchanger.go
+++ b/internal/gateway/exchange/exchanger.go
@@ -26,6 +26,7 @@
 	Live      *config.Live
 	Table     *upstream.Table
 	Budget    budget.Config
+	DrainTime time.Duration                             // time for which an upstream that leaves goes on serving requests
 	HostCount func() int                                // number of hosts that share the retry budgets
 	PeerLoads func(now time.Time) map[string]place.Load // requests that the other hosts have in flight, by instance
 	Fleet     func() *advisory.Fleet                    // the hosts that share the limits of upstreams
--- a/internal/gateway/exchange/place.go
+++ b/internal/gateway/exchange/place.go
@@ -57,10 +57,11 @@
 	req.HasReserved = len(reserved) > 0
 	peerLoads := x.opts.PeerLoads(now)
 	fleet, fleetTime := x.opts.Fleet(), x.opts.FleetTime()
+	lastResort := x.needsLastResort(list, e, now, grace)
 	bestCost := 0.0
 	for n, i := range list {
 		status := i.Status(now, grace)
-		if status == upstream.Leaving || status == upstream.Down || e.hasFailedAt(i) || !e.mayRunAt(i) {
+		if !x.mayTake(i, status, lastResort, now) || e.hasFailedAt(i) || !e.mayRunAt(i) {
 			continue
 		}
 		usable = true
@@ -97,6 +98,26 @@
 	return best, usable
 }
 
+// mayTake reports whether an instance with a status accepts requests. Those that state that they leave accept them as the last
+// resort, and for the first half of the time for which they go on serving.
+func (x *Exchanger) mayTake(i *upstream.Instance, status upstream.Status, lastResort bool, now time.Time) bool {
+	if status == upstream.Departing && lastResort {
+		d, _ := i.LeavingFor(now)
+		return d < x.opts.DrainTime/2
+	}
+	return status < upstream.Departing
+}
+
+// needsLastResort reports whether only instances that state that they leave may take the request.
+func (x *Exchanger) needsLastResort(list []*upstream.Instance, e *exchange, now time.Time, grace time.Duration) bool {
+	for _, i := range list {
+		if i.Status(now, grace) < upstream.Departing && !e.hasFailedAt(i) && e.mayRunAt(i) {
+			return false
+		}
+	}
+	return true
+}
+
 // reservedInstances returns the instances of a service that are reserved for short prompts.
 func (x *Exchanger) reservedInstances(s *serviceState, c *config.Service, list []*upstream.Instance) map[string]bool {
 	if c.Engine == nil {
--- a/internal/gateway/peer/message.go
+++ b/internal/gateway/peer/message.go
@@ -45,6 +45,7 @@
 	OmitsCounts    bool                            `cbor:"u,omitempty"` // Counts, EndedCounts and Demand are left out
 	Leaving        bool                            `cbor:"e,omitempty"` // the host is shutting down
 	Synced         bool                            `cbor:"y,omitempty"` // the host has compared its configuration with those of other hosts since it started
+	Departures     map[string]upstream.Departure   `cbor:"B,omitempty"` // upstream instances whose responses state that they leave
 	Link           float64                         `cbor:"A,omitempty"` // speed of the host's network link in Mbit/s; 0 if unknown
 }
 
--- a/internal/gateway/upstream/advisory.go
+++ b/internal/gateway/upstream/advisory.go
@@ -1,8 +1,12 @@
 package upstream
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"hickorypath/internal/policy/advisory"
 )
 
@@ -13,12 +17,30 @@
 	Record advisory.Record
 }
 
+// Departure is what a host tells other hosts of an instance that leaves.
+type Departure struct {
+	_    struct{} `cbor:",toarray"`
+	Born int64    // incarnation of the instance
+	Age  time.Duration
+}
+
 // RecordAdvisory records what the instance stated about itself in a response that arrived now to a request sent at sentAt. It
-// reports whether something of it is new.
-func (i *Instance) RecordAdvisory(now, sentAt time.Time, s advisory.Statement) (changed bool) {
+// reports whether its limit, and whether its leaving, is new.
+func (i *Instance) RecordAdvisory(now, sentAt time.Time, s advisory.Statement) (limit, leaving bool) {
+	i.mu.Lock()
+	limit, leaving = i.advisory.Observe(now, sentAt, s), i.advisory.ObserveLeaving(now, sentAt, s.Leaving)
+	i.mu.Unlock()
+	if leaving {
+		i.closeIdle()
+	}
+	return limit, leaving
+}
+
+// LeavingFor returns since when this host knows from the instance's responses that it leaves. ok is false if they do not state it.
+func (i *Instance) LeavingFor(now time.Time) (d time.Duration, ok bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.advisory.Observe(now, sentAt, s)
+	return i.advisory.LeavingFor(now)
 }
 
 // Limit returns the request rate that the instance accepts from all hosts together.
@@ -68,6 +90,47 @@
 	return all
 }
 
+// maxDepartures bounds the departures in a message, so that it stays a datagram.
+const maxDepartures = 100
+
+// Departures returns the instances whose responses state that they leave, by their identifiers, for the other hosts. Those whose
+// entries show it are left out. Of many, the latest are told.
+func (t *Table) Departures(now time.Time) map[string]Departure {
+	type told struct {
+		id string
+		d  Departure
+	}
+	var list []told
+	for _, i := range t.All() {
+		i.mu.Lock()
+		age, ok := i.advisory.LeavingAge(now)
+		if ok && !i.entry.Draining && i.removedAt.IsZero() {
+			list = append(list, told{i.id, Departure{Born: i.entry.Born, Age: age}})
+		}
+		i.mu.Unlock()
+	}
+	slices.SortFunc(list, func(a, b told) int { return cmp.Compare(a.d.Age, b.d.Age) })
+	return lo.SliceToMap(list[:min(len(list), maxDepartures)], func(x told) (string, Departure) { return x.id, x.d })
+}
+
+// MergeDepartures records which instances leave, as another host has told, and returns those of which that is new.
+func (t *Table) MergeDepartures(now time.Time, told map[string]Departure) (changed []*Instance) {
+	for id, d := range told {
+		i := t.Get(id)
+		if i == nil {
+			continue
+		}
+		i.mu.Lock()
+		isNew := i.entry.Born == d.Born && i.advisory.MergeLeaving(now, d.Age)
+		i.mu.Unlock()
+		if isNew {
+			i.closeIdle()
+			changed = append(changed, i)
+		}
+	}
+	return changed
+}
+
 // MergeAdvisories records what another host has told of instances, and returns those of which something is new.
 func (t *Table) MergeAdvisories(now time.Time, told map[string]Advisory) (changed []*Instance) {
 	for id, a := range told {
--- a/internal/gateway/upstream/advisory_test.go
+++ b/internal/gateway/upstream/advisory_test.go
@@ -1,6 +1,7 @@
 package upstream_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -71,3 +72,62 @@
 		})
 	}
 }
+
+// TestDeparturesAreToldToOtherHosts passes what one table knows of instances that leave on to another one.
+func TestDeparturesAreToldToOtherHosts(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	cases := []struct {
+		name   string
+		change func(e *upstream.Entry) // of the entry at the host that tells
+		other  func(e *upstream.Entry) // of the entry at the other host
+		told   bool
+		leaves bool
+	}{
+		{"the same incarnation", nil, nil, true, true},
+		{"another incarnation", nil, func(e *upstream.Entry) { e.Born++ }, true, false},
+		{"another instance", nil, func(e *upstream.Entry) { e.ID = "u2" }, true, false},
+		{"the entry shows it", func(e *upstream.Entry) { e.Draining = true }, nil, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			table, other := upstream.NewTable(upstream.NewDialer(), zap.NewNop()), upstream.NewTable(upstream.NewDialer(), zap.NewNop())
+			e := entry()
+			table.Put(now, e)
+			table.Get("u1").RecordAdvisory(now, now, advisory.Statement{Leaving: advisory.ParseLeaving("1")})
+			if c.change != nil {
+				c.change(&e)
+				table.Put(now, e)
+			}
+			e = entry()
+			if c.other != nil {
+				c.other(&e)
+			}
+			other.Put(now, e)
+			told := table.Departures(now.Add(time.Second))
+			is.Equal(len(told) == 1, c.told)
+			is.Equal(len(other.MergeDepartures(now.Add(time.Second), told)) == 1, c.leaves)
+			_, leaves := other.Get(e.ID).LeavingFor(now.Add(time.Second))
+			is.Equal(leaves, c.leaves)
+			is.Equal(other.Get(e.ID).Status(now.Add(time.Second), 0) == upstream.Departing, c.leaves)
+		})
+	}
+}
+
+// TestManyDeparturesFitIntoAMessage checks that the latest of many departures are told.
+func TestManyDeparturesFitIntoAMessage(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	table := upstream.NewTable(upstream.NewDialer(), zap.NewNop())
+	for n := range 300 {
+		e := entry()
+		e.ID = fmt.Sprint("u", n)
+		table.Put(now, e)
+		table.Get(e.ID).RecordAdvisory(now.Add(time.Duration(n)*time.Millisecond), now, advisory.Statement{Leaving: advisory.ParseLeaving("1")})
+	}
+	told := table.Departures(now.Add(time.Second))
+	is.True(len(told) >= 50 && len(told) <= 200)
+	_, latest := told["u299"]
+	_, first := told["u0"]
+	is.True(latest && !first)
+}
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -146,7 +146,7 @@
 	c.lastUsed = now
 	i := c.instance
 	i.mu.Lock()
-	usable := i.removedAt.IsZero() && !i.entry.Draining
+	usable := i.removedAt.IsZero() && !i.entry.Draining && !i.isDeparting(now)
 	if usable {
 		i.idle = append(i.idle, c)
 	}
--- a/internal/gateway/upstream/instance.go
+++ b/internal/gateway/upstream/instance.go
@@ -110,6 +110,7 @@
 const (
 	Usable      Status = iota
 	Unconfirmed        // its entry was removed while the store was failing and may return
+	Departing          // its responses state that it leaves; for a short time it still accepts requests that no other one can take
 	Down               // it failed recently
 	Leaving            // it is draining or its removal is confirmed
 )
@@ -126,6 +127,8 @@
 		return Leaving
 	case i.backoff.isActive(now):
 		return Down
+	case i.isDeparting(now):
+		return Departing
 	case !i.removedAt.IsZero():
 		return Unconfirmed
 	default:
@@ -133,6 +136,12 @@
 	}
 }
 
+// isDeparting reports whether the instance's responses state that it leaves. The caller holds i.mu.
+func (i *Instance) isDeparting(now time.Time) bool {
+	_, ok := i.advisory.LeavingFor(now)
+	return ok
+}
+
 // RecordFailure records that the instance refused a connection, broke one or did not respond in time.
 func (i *Instance) RecordFailure(now time.Time) {
 	i.mu.Lock()
--- a/internal/policy/advisory/advisory.go
+++ b/internal/policy/advisory/advisory.go
@@ -24,6 +24,7 @@
 	limitAt    time.Time // when the limit was stated
 	unreadable string    // the last statement of a limit, if it could not be read
 	pacer      pacer
+	departure  departure
 }
 
 // NewState returns the State of an upstream that has stated nothing. The name identifies the upstream on all hosts.
--- a/internal/policy/advisory/leaving_test.go
+++ b/internal/policy/advisory/leaving_test.go
@@ -85,3 +85,60 @@
 		is.True(l.IsStated() || l.Unreadable() == "")
 	})
 }
+
+// TestLeaving checks for how long an upstream counts as leaving. Times are in seconds.
+func TestLeaving(t *testing.T) {
+	type heard struct {
+		at      float64
+		sent    float64 // time at which the request was sent, for a response
+		stated  bool
+		age     float64 // of what another host tells; negative for a response
+		changed bool
+	}
+	response := func(at, sent float64, stated, changed bool) heard { return heard{at, sent, stated, -1, changed} }
+	told := func(at, age float64, changed bool) heard { return heard{at, 0, true, age, changed} }
+	cases := []struct {
+		name  string
+		heard []heard
+		at    float64
+		known float64 // since when the host knows that the upstream leaves, negative if it does not
+	}{
+		{"never", []heard{response(1, 0, false, false)}, 2, -1},
+		{"stated", []heard{response(1, 0, true, true)}, 3, 2},
+		{"stated again", []heard{response(1, 0, true, true), response(2, 1, true, false)}, 3, 2},
+		{"overtaken", []heard{response(1, 0, true, true), response(2, 0.5, false, false)}, 3, 2},
+		{"no longer stated", []heard{response(1, 0, true, true), response(3, 2, false, true)}, 4, -1},
+		{"a minute later", []heard{response(1, 0, true, true)}, 61, -1},
+		{"stated again within a minute", []heard{response(1, 0, true, true), response(50, 49, true, false)}, 61, 60},
+		{"told by another host", []heard{told(5, 3, true)}, 6, 1},
+		{"told again", []heard{told(5, 3, true), told(6, 1, false)}, 7, 2},
+		{"told of an old statement", []heard{told(100, 60, false)}, 101, -1},
+		{"told of what was withdrawn", []heard{response(1, 0, true, true), response(3, 2, false, true), told(4, 3, false)}, 5, -1},
+		{"told of a later statement", []heard{response(1, 0, true, true), response(3, 2, false, true), told(4, 0.5, true)}, 5, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			at := func(s float64) time.Time {
+				return time.Unix(1_800_000_000, 0).Add(time.Duration(s * float64(time.Second)))
+			}
+			s := advisory.NewState("u1")
+			for _, h := range c.heard {
+				if h.age >= 0 {
+					is.Equal(s.MergeLeaving(at(h.at), time.Duration(h.age*float64(time.Second))), h.changed)
+					continue
+				}
+				l := advisory.Leaving{}
+				if h.stated {
+					l = advisory.ParseLeaving("1")
+				}
+				is.Equal(s.ObserveLeaving(at(h.at), at(h.sent), l), h.changed)
+			}
+			d, ok := s.LeavingFor(at(c.at))
+			is.Equal(ok, c.known >= 0)
+			if ok {
+				is.Equal(d.Seconds(), c.known)
+			}
+		})
+	}
+}
