Leave an upstream alone for as long as it asks for

An upstream that turned requests away with 503 and Retry-After got 20 requests a second from each host all the same; the field was not read.

The pause belongs to the host and the incarnation, whatever connection the response came on, and is bounded by a minute. A request that was turned away may go to the same upstream once the pause is over, waits for that if its time allows, and is else refused at once with the true time.

--- a/internal/gateway/exchange/admit.go
+++ b/internal/gateway/exchange/admit.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"hickorypath/internal/core/clock"
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/gateway/config"
 	"hickorypath/internal/gateway/upstream"
+	"hickorypath/internal/policy/advisory"
 )
 
 // admission is the instance assigned to a queued request, with the reservation made there.
@@ -37,9 +39,9 @@
 		x.mu.Unlock()
 		return nil, nil, kind.New(kind.Overload, "the expected wait is %s", wait.Round(time.Millisecond)).WithRetry(e.retryAfter(wait))
 	}
-	if x.isBeyondLimits(s, e, maxWait) {
+	if wait, beyond := x.isBeyondLimits(s, e, maxWait); beyond {
 		x.mu.Unlock()
-		return nil, nil, kind.New(kind.Overload, "the upstreams of %s accept no further request in time", e.service.Name).WithRetry(e.retryAfter(maxWait))
+		return nil, nil, kind.New(kind.Overload, "the upstreams of %s accept no further request in time", e.service.Name).WithRetry(wait)
 	}
 	e.admitted = make(chan admission, 1)
 	item := s.queue.Push(x.opts.Now(), e, e.rank(), max(e.info.PromptTokens-sharedTokens(e.info.PromptParts), 1))
@@ -119,25 +121,41 @@
 	return time.Duration(ahead / (readTokensPerMs * float64(max(n, 1))) * float64(time.Millisecond))
 }
 
-// isBeyondLimits reports whether the limits of the instances that may take the request keep it waiting for longer than
-// maxWait, behind the requests that wait already. The caller holds x.mu.
-func (x *Exchanger) isBeyondLimits(s *serviceState, e *exchange, maxWait time.Duration) bool {
+// isBeyondLimits reports whether the limits and pauses of the instances that may take the request keep it waiting for longer than
+// maxWait, behind the requests that wait already. It returns the time after which the caller should return. The caller holds x.mu.
+func (x *Exchanger) isBeyondLimits(s *serviceState, e *exchange, maxWait time.Duration) (wait time.Duration, beyond bool) {
 	now, fleet := x.opts.Now(), x.opts.Fleet()
 	grace, list := x.opts.Table.RemovalGrace(now), x.opts.Table.Service(e.service.Name)
 	lastResort := x.needsLastResort(list, e, now, grace)
-	ahead, sends, usable := s.queue.Ahead(e.rank()), 0, false
+	ahead, sends, usable, paused := s.queue.Ahead(e.rank()), 0, 0, 0
+	pause := advisory.MaxPause
 	for _, i := range list {
 		if !x.mayTake(i, i.Status(now, grace), lastResort, now) || e.hasFailedAt(i) || !e.mayRunAt(i) {
 			continue
 		}
-		usable = true
+		usable++
+		if p := i.PausedFor(now); p > maxWait {
+			paused++
+			pause = min(pause, p)
+			continue
+		}
 		if sends += i.SendsWithin(x.opts.FleetTime(), fleet, maxWait, ahead+1); sends > ahead {
-			return false
+			return 0, false
 		}
 	}
-	return usable
+	if usable == 0 {
+		return 0, false
+	}
+	if usable == paused {
+		return pause + rand.N(pause/pauseSpread), true
+	}
+	return e.retryAfter(maxWait), true
 }
 
+// pauseSpread is the part of a pause over which the callers that were refused during it return, so that they do not all come at
+// its end.
+const pauseSpread = 4
+
 const (
 	// routePriorities is the number of route priorities that are distinguished within one customer priority.
 	routePriorities = 3
--- a/internal/gateway/exchange/advisory.go
+++ b/internal/gateway/exchange/advisory.go
@@ -18,6 +18,10 @@
 	if leaving {
 		x.logLeaving(i, "", s.Leaving.Unreadable())
 	}
+	if s.Pause.Unreadable() != "" {
+		x.opts.Log.Warn("upstream asks for a pause that cannot be read", zap.String("upstream", i.ID()), zap.String("value", s.Pause.Unreadable()),
+			zap.Duration("pause", s.Pause.Length()))
+	}
 	if !limit && !leaving {
 		return
 	}
--- a/internal/gateway/exchange/place.go
+++ b/internal/gateway/exchange/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"hickorypath/internal/core/kind"
 	"hickorypath/internal/gateway/config"
 	"hickorypath/internal/gateway/upstream"
 	"hickorypath/internal/policy/place"
@@ -65,7 +66,7 @@
 			continue
 		}
 		usable = true
-		if !i.MaySend(fleetTime, fleet) {
+		if i.PausedFor(now) > 0 || !i.MaySend(fleetTime, fleet) {
 			continue
 		}
 		candidate := view(s, i, now, peerLoads[i.ID()])
@@ -186,10 +187,11 @@
 	unconfirmedCost = 10000
 )
 
-// hasFailedAt reports whether an earlier attempt of the request failed at an instance.
+// hasFailedAt reports whether an earlier attempt of the request failed at an instance. An instance that rejected the request and
+// asked for a pause may get it again after the pause.
 func (e *exchange) hasFailedAt(i *upstream.Instance) bool {
 	for _, a := range e.attempts {
-		if a.upstream == i.ID() && a.failed {
+		if a.upstream == i.ID() && a.failed && (a.result != kind.Rejected || a.pause == 0) {
 			return true
 		}
 	}
--- a/internal/gateway/upstream/advisory.go
+++ b/internal/gateway/upstream/advisory.go
@@ -29,6 +29,7 @@
 func (i *Instance) RecordAdvisory(now, sentAt time.Time, s advisory.Statement) (limit, leaving bool) {
 	i.mu.Lock()
 	limit, leaving = i.advisory.Observe(now, sentAt, s), i.advisory.ObserveLeaving(now, sentAt, s.Leaving)
+	i.advisory.ObservePause(now, s.Pause)
 	i.mu.Unlock()
 	if leaving {
 		i.closeIdle()
@@ -43,6 +44,13 @@
 	return i.advisory.LeavingFor(now)
 }
 
+// PausedFor returns for how much longer the instance wants no requests of this host, 0 if it takes them.
+func (i *Instance) PausedFor(now time.Time) time.Duration {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.advisory.PausedFor(now)
+}
+
 // Limit returns the request rate that the instance accepts from all hosts together.
 func (i *Instance) Limit() advisory.Limit {
 	i.mu.Lock()
--- a/internal/policy/advisory/advisory.go
+++ b/internal/policy/advisory/advisory.go
@@ -25,6 +25,7 @@
 	unreadable string    // the last statement of a limit, if it could not be read
 	pacer      pacer
 	departure  departure
+	pausedTo   time.Time // before which the upstream wants no requests of this host
 }
 
 // NewState returns the State of an upstream that has stated nothing. The name identifies the upstream on all hosts.
--- a/internal/policy/advisory/leaving_test.go
+++ b/internal/policy/advisory/leaving_test.go
@@ -142,3 +142,36 @@
 		})
 	}
 }
+
+// TestPausedFor checks how long an upstream is left alone. Times are in seconds.
+func TestPausedFor(t *testing.T) {
+	type response struct {
+		at    float64
+		pause string
+	}
+	cases := []struct {
+		name      string
+		responses []response
+		at, left  float64
+	}{
+		{"no pause", nil, 1, 0},
+		{"within", []response{{0, "3"}}, 1, 2},
+		{"at its end", []response{{0, "3"}}, 3, 0},
+		{"longer", []response{{0, "3"}, {1, "5"}}, 2, 4},
+		{"shorter", []response{{0, "9"}, {1, "1"}}, 3, 6},
+		{"zero", []response{{0, "9"}, {1, "0"}}, 3, 6},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			at := func(s float64) time.Time {
+				return time.Unix(1_800_000_000, 0).Add(time.Duration(s * float64(time.Second)))
+			}
+			s := advisory.NewState("u1")
+			for _, r := range c.responses {
+				s.ObservePause(at(r.at), advisory.ParsePause(r.pause))
+			}
+			is.Equal(s.PausedFor(at(c.at)).Seconds(), c.left)
+		})
+	}
+}
--- a/internal/policy/advisory/pause.go
+++ b/internal/policy/advisory/pause.go
@@ -42,3 +42,13 @@
 
 // Unreadable returns the beginning of the quoted value if it is no time, and "" otherwise.
 func (p Pause) Unreadable() string { return p.unreadable }
+
+// ObservePause records that a response that arrived now asks this host for a pause. A shorter pause does not end a longer one.
+func (s *State) ObservePause(now time.Time, p Pause) {
+	if end := now.Add(p.Length()); end.After(s.pausedTo) {
+		s.pausedTo = end
+	}
+}
+
+// PausedFor returns for how much longer the upstream wants no requests of this host, 0 if it takes them.
+func (s *State) PausedFor(now time.Time) time.Duration { return max(s.pausedTo.Sub(now), 0) }
