Send no requests of serve to upstreams that state that they leave

Engines and services may state X-Leaving: 1. Such an upstream gets no new work at the host that was told, and the host tells the others (topic departure); the statement belongs to the address, and is revoked as in the gateway.

TestChanges: two of the six new cases failed before, the other four say when an upstream gets work again.

--- a/internal/upstream/fleet/advisory.go
+++ b/internal/upstream/fleet/advisory.go
@@ -28,7 +28,7 @@
 
 // advisories holds what the upstreams of all pools stated about themselves. It is safe for concurrent use.
 type advisories struct {
-	limited atomic.Int64 // number of upstreams that have named a limit; without any, nothing is looked up
+	restricted atomic.Int64 // number of upstreams that have named a limit or leave; without any, nothing is looked up
 
 	mu        sync.Mutex
 	members   *advisory.Members
@@ -61,20 +61,19 @@
 	if u == nil || u.addr != addr {
 		u = &statedUpstream{addr: addr, state: advisory.NewState(id + " " + addr)}
 		a.upstreams[id] = u
-		a.countLimited()
 	}
 	return u
 }
 
-// countLimited updates a.limited. The caller holds a.mu.
-func (a *advisories) countLimited() {
+// countRestricted updates a.restricted. The caller holds a.mu.
+func (a *advisories) countRestricted(now time.Time) {
 	n := int64(0)
 	for _, u := range a.upstreams {
-		if u.state.Limit().IsNamed() {
+		if _, leaves := u.state.LeavingFor(now); leaves || u.state.Limit().IsNamed() {
 			n++
 		}
 	}
-	a.limited.Store(n)
+	a.restricted.Store(n)
 }
 
 // addMembers records that hosts are alive.
@@ -86,7 +85,7 @@
 }
 
 // forget drops the upstreams that are in no list of targets.
-func (a *advisories) forget(byPool map[string][]dispatch.Target) {
+func (a *advisories) forget(now time.Time, byPool map[string][]dispatch.Target) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	kept := map[string]*statedUpstream{}
@@ -98,10 +97,10 @@
 		}
 	}
 	a.upstreams = kept
-	a.countLimited()
+	a.countRestricted(now)
 }
 
-// limiter returns the functions by which a pool keeps the limits of its upstreams.
+// limiter returns the functions by which a pool heeds what its upstreams have stated.
 func (a *advisories) limiter() route.Limiter {
 	return route.Limiter{
 		MaySend: func(now time.Time, upstream string) bool {
@@ -109,7 +108,7 @@
 		},
 		SendsWithin: a.sendsWithin,
 		RecordSend: func(upstream string) {
-			if a.limited.Load() == 0 {
+			if a.restricted.Load() == 0 {
 				return
 			}
 			a.mu.Lock()
@@ -123,15 +122,19 @@
 
 // sendsWithin returns how many requests this host may send to an upstream within d, but at most limit.
 func (a *advisories) sendsWithin(now time.Time, upstream string, d time.Duration, limit int) int {
-	if a.limited.Load() == 0 {
+	if a.restricted.Load() == 0 {
 		return limit
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if u := a.upstreams[upstream]; u != nil {
-		return u.state.SendsWithin(now, a.members.Fleet(), d, limit)
+	u := a.upstreams[upstream]
+	if u == nil {
+		return limit
+	}
+	if _, leaves := u.state.LeavingFor(now); leaves {
+		return 0
 	}
-	return limit
+	return u.state.SendsWithin(now, a.members.Fleet(), d, limit)
 }
 
 // RecordAdvisory records what an upstream stated about itself in the response to a request sent at sentAt, and tells the other
@@ -142,9 +145,8 @@
 	u := a.at(t.ID(), t.Addr())
 	u.version, u.isVersionKnown = s.Version, true
 	changed := u.state.Observe(now, sentAt, s)
-	if changed {
-		a.countLimited()
-	}
+	leavingChanged := u.state.ObserveLeaving(now, sentAt, s.Leaving)
+	a.countRestricted(now)
 	limit := u.state.Limit()
 	r, ok := u.state.Record(now)
 	if ok = ok && (changed || limit.IsNamed() && now.Sub(u.publishedAt) > advisoryInterval); ok {
@@ -154,6 +156,12 @@
 	if changed {
 		f.logLimit(t.ID(), limit, s.Limit.Unreadable())
 	}
+	if leavingChanged {
+		f.logLeaving(t.ID(), s.Leaving.IsStated(), s.Leaving.Unreadable())
+	}
+	if leavingChanged && s.Leaving.IsStated() {
+		f.publishDeparture(now, t)
+	}
 	if !ok {
 		return
 	}
@@ -193,7 +201,7 @@
 	a.mu.Lock()
 	u := a.at(record.Key(), r.Addr)
 	changed := u.state.Merge(now, r.Record)
-	a.countLimited()
+	a.countRestricted(now)
 	limit := u.state.Limit()
 	a.mu.Unlock()
 	if changed {
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -117,6 +117,8 @@
 	defer stopUp()
 	stopAdvisory := f.options.Replicator.Watch(advisoryTopic, f.receiveAdvisory)
 	defer stopAdvisory()
+	stopDeparture := f.options.Replicator.Watch(departureTopic, f.receiveDeparture)
+	defer stopDeparture()
 	clock.Every(ctx, summaryInterval, f.publish)
 }
 
@@ -281,7 +283,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.targets = byPool
-	f.advisories.forget(byPool)
+	f.advisories.forget(f.options.Clock.Now(), byPool)
 	for name, e := range f.pools {
 		e.setTargets(f.currentTargets(name))
 	}
--- a/internal/upstream/fleet/fleet_test.go
+++ b/internal/upstream/fleet/fleet_test.go
@@ -167,6 +167,11 @@
 	f.RecordAdvisory(engineAt("a"), time.Now(), advisory.Statement{Limit: advisory.ParseLimit(values...)})
 }
 
+// leave makes engine a state in a response to a host that it leaves, or that it does not.
+func (h *harness) leave(f *fleet.Fleet, values ...string) {
+	f.RecordAdvisory(engineAt("a"), time.Now(), advisory.Statement{Leaving: advisory.ParseLeaving(values...)})
+}
+
 // acceptingEngines returns the engines that accept a new request on a host.
 func acceptingEngines(f *fleet.Fleet) []string {
 	d, ok := f.Pool("asesor")
@@ -268,6 +273,29 @@
 			h.setEngines(dispatch.NewTarget("a", "z", "a:81", false, false), engineAt("b"))
 			h.deliverAll(1, 0, "advisory")
 		}, []string{"a", "b"}, 1},
+		{"an engine says that it leaves", func(h *harness) { h.leave(h.own, "1") }, []string{"b"}, 1},
+		{"an engine says no longer that it leaves", func(h *harness) {
+			h.leave(h.own, "1")
+			time.Sleep(time.Millisecond)
+			h.leave(h.own)
+		}, []string{"a", "b"}, 1},
+		{"an engine that said that it leaves stays", func(h *harness) {
+			h.leave(h.own, "soon")
+			time.Sleep(time.Minute)
+		}, []string{"a", "b"}, 1},
+		{"an engine that leaves restarts at another address", func(h *harness) {
+			h.leave(h.own, "1")
+			h.setEngines(dispatch.NewTarget("a", "z", "a:81", false, false), engineAt("b"))
+		}, []string{"a", "b"}, 1},
+		{"an engine says to another host that it leaves", func(h *harness) {
+			h.leave(h.other, "1")
+			h.deliverAll(1, 0, "departure")
+		}, []string{"b"}, 1},
+		{"another host knows of a departure from an earlier address", func(h *harness) {
+			h.leave(h.other, "1")
+			h.setEngines(dispatch.NewTarget("a", "z", "a:81", false, false), engineAt("b"))
+			h.deliverAll(1, 0, "departure")
+		}, []string{"a", "b"}, 1},
 		{"the document removes the pool", func(h *harness) { h.apply(h.own, documentWithoutPool) }, nil, 0},
 		{"the document removes the pool and adds it again", func(h *harness) {
 			h.apply(h.own, documentWithoutPool)
--- a/internal/upstream/httpclient/header.go
+++ b/internal/upstream/httpclient/header.go
@@ -18,6 +18,7 @@
 	HeaderCacheSalt = "X-Cache-Salt"  // keeps the cached prefixes of customers apart
 	HeaderRan       = "X-Ran"         // in a response: RanNo if the upstream did not run the request
 	HeaderVersion   = "X-Version"     // in a response: version of the upstream's software
+	HeaderLeaving   = "X-Leaving"     // in a response: 1 if the upstream leaves
 	HeaderLimit     = "X-Limit"       // in a response: requests per second that the upstream takes from all hosts together
 )
 
