Leave an upstream of serve alone for as long as it asks for

Engines and services that turned requests away with 503 and Retry-After got the next ones at once.

TestChanges: an engine that asks for a pause gets none, and gets work after it; another host's pause does not count. The first failed before.

--- a/internal/upstream/engine/stream.go
+++ b/internal/upstream/engine/stream.go
@@ -87,7 +87,7 @@
 		return kind.New(kind.ResponseMismatch, "engine %s answered for another attempt", s.addr)
 	}
 	if s.call.OnAdvisory != nil {
-		s.call.OnAdvisory(httpclient.Statement(s.res.Header))
+		s.call.OnAdvisory(httpclient.Statement(s.res.StatusCode, s.res.Header))
 	}
 	if s.res.StatusCode != http.StatusOK {
 		return s.statusError()
--- a/internal/upstream/fleet/advisory.go
+++ b/internal/upstream/fleet/advisory.go
@@ -28,7 +28,7 @@
 
 // advisories holds what the upstreams of all pools stated about themselves. It is safe for concurrent use.
 type advisories struct {
-	restricted atomic.Int64 // number of upstreams that have named a limit or leave; without any, nothing is looked up
+	restricted atomic.Int64 // number of upstreams that have named a limit, leave or asked for a pause; without any, nothing is looked up
 
 	mu        sync.Mutex
 	members   *advisory.Members
@@ -69,7 +69,7 @@
 func (a *advisories) countRestricted(now time.Time) {
 	n := int64(0)
 	for _, u := range a.upstreams {
-		if _, leaves := u.state.LeavingFor(now); leaves || u.state.Limit().IsNamed() {
+		if _, leaves := u.state.LeavingFor(now); leaves || u.state.Limit().IsNamed() || u.state.PausedFor(now) > 0 {
 			n++
 		}
 	}
@@ -131,7 +131,7 @@
 	if u == nil {
 		return limit
 	}
-	if _, leaves := u.state.LeavingFor(now); leaves {
+	if _, leaves := u.state.LeavingFor(now); leaves || u.state.PausedFor(now) > d {
 		return 0
 	}
 	return u.state.SendsWithin(now, a.members.Fleet(), d, limit)
@@ -146,6 +146,7 @@
 	u.version, u.isVersionKnown = s.Version, true
 	changed := u.state.Observe(now, sentAt, s)
 	leavingChanged := u.state.ObserveLeaving(now, sentAt, s.Leaving)
+	u.state.ObservePause(now, s.Pause)
 	a.countRestricted(now)
 	limit := u.state.Limit()
 	r, ok := u.state.Record(now)
@@ -156,6 +157,10 @@
 	if changed {
 		f.logLimit(t.ID(), limit, s.Limit.Unreadable())
 	}
+	if s.Pause.Unreadable() != "" {
+		f.options.Log.Warn("upstream asks for a pause that cannot be read", zap.String("upstream", t.ID()), zap.String("value", s.Pause.Unreadable()),
+			zap.Duration("pause", s.Pause.Length()))
+	}
 	if leavingChanged {
 		f.logLeaving(t.ID(), s.Leaving.IsStated(), s.Leaving.Unreadable())
 	}
--- a/internal/upstream/fleet/fleet_test.go
+++ b/internal/upstream/fleet/fleet_test.go
@@ -296,6 +296,17 @@
 			h.setEngines(dispatch.NewTarget("a", "z", "a:81", false, false), engineAt("b"))
 			h.deliverAll(1, 0, "departure")
 		}, []string{"a", "b"}, 1},
+		{"an engine asks for a pause", func(h *harness) {
+			h.own.RecordAdvisory(engineAt("a"), time.Now(), advisory.Statement{Pause: advisory.ParsePause("3")})
+		}, []string{"b"}, 1},
+		{"the pause of an engine is over", func(h *harness) {
+			h.own.RecordAdvisory(engineAt("a"), time.Now(), advisory.Statement{Pause: advisory.ParsePause("3")})
+			time.Sleep(3 * time.Second)
+		}, []string{"a", "b"}, 1},
+		{"an engine asks another host for a pause", func(h *harness) {
+			h.other.RecordAdvisory(engineAt("a"), time.Now(), advisory.Statement{Pause: advisory.ParsePause("3")})
+			h.deliverAll(1, 0, "departure")
+		}, []string{"a", "b"}, 1},
 		{"the document removes the pool", func(h *harness) { h.apply(h.own, documentWithoutPool) }, nil, 0},
 		{"the document removes the pool and adds it again", func(h *harness) {
 			h.apply(h.own, documentWithoutPool)
--- a/internal/upstream/httpclient/advisory.go
+++ b/internal/upstream/httpclient/advisory.go
@@ -6,9 +6,13 @@
 	"hickorypath/internal/policy/advisory"
 )
 
-// Statement returns what an upstream states about itself in the header of a response.
-func Statement(h http.Header) advisory.Statement {
-	return advisory.Statement{
+// Statement returns what an upstream states about itself in a response with a status and header.
+func Statement(status int, h http.Header) advisory.Statement {
+	s := advisory.Statement{
 		Limit: advisory.ParseLimit(h.Values(HeaderLimit)...), Version: h.Get(HeaderVersion), Leaving: advisory.ParseLeaving(h.Values(HeaderLeaving)...),
 	}
+	if status == http.StatusServiceUnavailable {
+		s.Pause = advisory.ParsePause(h.Values("Retry-After")...)
+	}
+	return s
 }
--- a/internal/upstream/service/client.go
+++ b/internal/upstream/service/client.go
@@ -174,7 +174,7 @@
 		return kind.New(kind.ResponseMismatch, "service %s answered for another attempt", a.addr)
 	}
 	if a.call.OnAdvisory != nil {
-		a.call.OnAdvisory(httpclient.Statement(res.Header))
+		a.call.OnAdvisory(httpclient.Statement(res.StatusCode, res.Header))
 	}
 	if res.Header.Get(httpclient.HeaderRan) == httpclient.RanNo && res.StatusCode >= http.StatusInternalServerError {
 		return kind.New(kind.Rejected, "service %s answered %d without running the call", a.addr, res.StatusCode)
