--- a/internal/gateway/exchange/accesslog.go
+++ b/internal/gateway/exchange/accesslog.go
@@ -1,14 +1,18 @@
 package exchange
 
 import (
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"golang.org/x/time/rate"
 
 	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/place"
 )
 
 const (
@@ -75,6 +79,9 @@
 	if e.info.LastEventID != "" {
 		fields = append(fields, zap.String("after", e.info.LastEventID))
 	}
+	if e.lostUpstream() && len(e.info.PromptParts) > 1 {
+		fields = append(fields, zap.Strings("parts", partIDs(e.info.PromptParts)))
+	}
 	if e.progress.count > 0 {
 		fields = append(fields, zap.Int("events", e.progress.count))
 	}
@@ -87,6 +94,16 @@
 	l.log.Info("request", fields...)
 }
 
+// lostUpstream reports whether the connection of an attempt broke while the upstream ran the request.
+func (e *exchange) lostUpstream() bool {
+	return slices.ContainsFunc(e.attempts, func(a attempt) bool { return a.result == kind.Lost })
+}
+
+// partIDs returns the ids of the parts of a prompt, in hexadecimal. The last one belongs to the request alone and is left out.
+func partIDs(parts []place.PromptPart) []string {
+	return lo.Map(parts[:len(parts)-1], func(p place.PromptPart, _ int) string { return strconv.FormatUint(p.ID, 16) })
+}
+
 func (l *accessLog) takeDropped() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
