Reproduce a part of prompts that crashes one upstream after the other in a test

TestPromptPartCrashesOneUpstreamAfterTheOther: five gateway processes, four stand-in upstreams that crash when they begin a response to a prompt with one part, and come back elsewhere. Each host gets such requests, no two alike, and sound ones of the same customer, route and other parts.

The count by key, path and body sees each of the requests once.

--- a/internal/standin/instance/instance.go
+++ b/internal/standin/instance/instance.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hickorypath/internal/standin/limitcheck"
@@ -18,6 +19,7 @@
 	Version  string        // version of the software; each event of a stream names it
 	Events   int           // number of events of a stream
 	Interval time.Duration // time between two events
+	Poison   *Poison       // crashes the instance; may be nil
 }
 
 // StreamPrefix is the prefix of the paths whose responses are streams.
@@ -30,6 +32,7 @@
 	server   *http.Server
 	limit    limitcheck.Limit
 	advice   advice
+	crashed  atomic.Bool
 
 	mu      sync.Mutex
 	resumes int // streams that were not asked for from their first event
@@ -65,6 +68,10 @@
 
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
+	if p := s.options.Poison; p != nil && p.isIn(r) {
+		p.crash(s, r)
+		panic(http.ErrAbortHandler)
+	}
 	w.Header()["Request-Id"] = []string{id}
 	w.Header()["Response-Signature"] = []string{cmp.Or(s.options.Version, "s")}
 	if values := s.limit.RecordCall(id); len(values) > 0 {
