Refuse requests with a trait that crashed three upstreams

Requests that had nothing in common but a part of their prompts crashed 29 and 36 upstreams, one after the other; what ran there was lost. The hosts counted crashes by key, path and body, so each of these requests was the first of its kind.

A request now has traits: each part of its prompt but the last, and itself. A crash before the response has been under way suspects all of them, and a response clears the parts. A trait that is with three crashes is refused unless more specific or worse ones explain them, so that requests with the same caller, route and other parts go on (docs/design/poison.md). Attempts under way are given up, too.

Hosts told their own counts only, and a host of a large fleet hears another zone's host about once a minute; a host that restarted took its count with it. Crashes are named by the incarnation of the upstream now, and passed on by all hosts that know of them; one upstream that resets connections counts once.

--- a/cmd/hickorypath/gatewaypeers.go
+++ b/cmd/hickorypath/gatewaypeers.go
@@ -50,7 +50,7 @@
 	m := peer.Message{
 		Host: g.settings.Host, Zone: g.settings.Zone, Link: g.settings.Resources.LinkMbps, StartTime: g.startTime.UnixNano(), Time: g.fleetTime.Now().UnixMilli(),
 		FetchAddress: g.fetchAddress(), Counts: g.usage.RecentCounts(), Loads: g.exchange.Loads(), Demand: g.exchange.Demand(),
-		CachedPrefixes: g.exchange.CacheUpdates(), Crashes: g.exchange.FailureCounts(), Advisories: g.table.Advisories(g.clock.Now()),
+		CachedPrefixes: g.exchange.CacheUpdates(), Poison: g.exchange.PoisonEvidence(), Advisories: g.table.Advisories(g.clock.Now()),
 	}
 	m.Departures = g.table.Departures(g.clock.Now())
 	m.WatchesStore, m.EntryRevision, m.StoreFailing = g.watcher.IsWatching(), g.watcher.Revision(), g.table.IsStoreFailing(g.clock.Now())
@@ -70,7 +70,7 @@
 // this host's time.
 func (g *gateway) handlePeerMessage(now time.Time, m peer.Message) {
 	g.exchange.ApplyCacheUpdates(now, m.CachedPrefixes)
-	g.exchange.SetPeerFailureCounts(m.Host, m.Crashes)
+	g.exchange.MergePoisonEvidence(now, m.Host, m.Poison)
 	g.exchange.ApplyAdvisories(now, m.Host, m.Advisories)
 	g.exchange.ApplyDepartures(now, m.Host, m.Departures)
 	if m.Version > g.configVersion() {
--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -47,7 +47,9 @@
 	if l := i.Load(); !l.At.IsZero() {
 		a.reportAge = begin.Sub(l.At)
 	}
+	ctx, end := e.startAttempt(ctx)
 	err := e.send(ctx, i, &a, r)
+	end()
 	r.release()
 	a.duration = e.x.opts.Now().Sub(begin)
 	if err != nil {
@@ -85,7 +87,7 @@
 		return err
 	}
 	c.Release(e.x.opts.Now())
-	e.recordUpstreamSuccess()
+	e.recordComplete()
 	return nil
 }
 
@@ -127,7 +129,8 @@
 func (e *exchange) receive(ctx context.Context, c *upstream.Conn, i *upstream.Instance, sentAt time.Time, a *attempt, first func()) error {
 	resp, body, err := c.Receive(e.request.Method())
 	if err != nil {
-		return e.broken(ctx, i, err)
+		isStale := c.IsReused() && e.x.opts.Now().Sub(sentAt) < staleTime
+		return e.broken(ctx, i, err, !isStale)
 	}
 	a.framing = resp.Framing()
 	answer := e.x.opts.Codec.DecodeResponse(resp)
@@ -157,8 +160,11 @@
 const rejectedRetryAfter = 500 * time.Millisecond
 
 // broken returns the error for a response that did not arrive completely. Unless the client has left or the request ran
-// out of time, it records the failure for the instance and for the request.
-func (e *exchange) broken(ctx context.Context, i *upstream.Instance, err error) error {
+// out of time, it records the failure for the instance, and, with isCrash, that the request may have broken the instance.
+func (e *exchange) broken(ctx context.Context, i *upstream.Instance, err error, isCrash bool) error {
+	if errors.Is(context.Cause(ctx), errPoison) {
+		return kind.Wrap(errPoison, kind.Lost, "request to %s was given up", i.ID())
+	}
 	if ctx.Err() != nil {
 		return kind.Wrap(err, kind.Canceled, "request to %s was canceled", i.ID())
 	}
@@ -166,7 +172,9 @@
 		return kind.Wrap(err, kind.Timeout, "no answer from %s in time", i.ID())
 	}
 	i.RecordFailure(e.x.opts.Now())
-	e.recordUpstreamFailure()
+	if isCrash && !isTimeout(err) {
+		e.recordCrash(i)
+	}
 	return kind.Wrap(err, kind.Lost, "connection to %s broke", i.ID())
 }
 
@@ -186,13 +194,13 @@
 func (e *exchange) relayWhole(ctx context.Context, resp *h1.Response, answer ResponseInfo, body *h1.Body, i *upstream.Instance) error {
 	data, err := io.ReadAll(io.LimitReader(body, maxBufferedResponse+1))
 	if err != nil {
-		return e.broken(ctx, i, err)
+		return e.broken(ctx, i, err, true)
 	}
 	if len(data) > maxBufferedResponse {
 		return kind.New(kind.Lost, "answer of %s exceeds %d bytes", i.ID(), maxBufferedResponse)
 	}
 	if isBodyTruncated(resp, data) {
-		return e.broken(ctx, i, io.ErrUnexpectedEOF)
+		return e.broken(ctx, i, io.ErrUnexpectedEOF, true)
 	}
 	if resp.Status() < 300 && !answer.Signed {
 		return kind.New(kind.Lost, "%s answered without a signature", i.ID())
--- a/internal/gateway/exchange/cacheupdates.go
+++ b/internal/gateway/exchange/cacheupdates.go
@@ -79,6 +79,7 @@
 func (x *Exchanger) Sweep() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.poison.Sweep(x.opts.Now())
 	for _, s := range x.services {
 		s.latencies.Recover()
 		for _, id := range s.cache.Upstreams() {
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -5,10 +5,13 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/gateway/config"
 	"hickorypath/internal/gateway/frontend"
 	"hickorypath/internal/gateway/upstream"
+	"hickorypath/internal/policy/poison"
 )
 
 // exchange is the state of one request from its arrival to its response.
@@ -26,7 +29,9 @@
 	deadline time.Time // by which the response must be complete
 
 	admitted       chan admission // set while the request is queued
-	requestHash    uint64         // identifies a request that is sent again
+	traits         []poison.Trait // what it may have in common with requests that break upstreams; the last one is the request itself
+	isTrial        bool           // it is let through although requests like it have broken upstreams
+	begun          bool           // the response of the current attempt has been under way for a while; x.mu guards it
 	attempts       []attempt
 	waited         time.Duration // total time in the queue
 	possibleRuns   int           // number of attempts that may have run
@@ -61,9 +66,9 @@
 	if e.route.Kind == config.Stream && e.x.opts.DrainingFor() > streamCutoff {
 		return kind.New(kind.Draining, "the host is shutting down").WithRetry(drainRetryAfter)
 	}
-	e.requestHash = e.hashRequest()
-	if e.x.isPoison(e.requestHash) {
-		return kind.New(kind.Unavailable, "requests like this one broke every upstream that ran them").WithRetry(poisonRetryAfter)
+	e.traits = append(e.findTraits(), poison.Whole(e.hashRequest()))
+	if err := e.checkPoison(); err != nil {
+		return err
 	}
 	name := pickService(e.route)
 	if e.service = e.config.Service(name); e.service == nil {
@@ -83,8 +88,6 @@
 	// streamCutoff is how long after the start of a shutdown new streams are still accepted; the end of the
 	// shutdown could cut later ones.
 	streamCutoff = 2800 * time.Millisecond
-	// poisonRetryAfter is the retry delay for a request that broke the upstreams that ran it.
-	poisonRetryAfter = 10 * time.Second
 	// drainRetryAfter is the retry delay while this host drains; the client then retries on a new connection,
 	// which reaches another host.
 	drainRetryAfter = 50 * time.Millisecond
@@ -104,6 +107,10 @@
 		if err != nil {
 			return err
 		}
+		if err := e.checkPoison(); err != nil { // others may have broken upstreams while this one waited
+			r.release()
+			return err
+		}
 		err = e.try(ctx, i, r)
 		if err == nil || ctx.Err() != nil || !e.mayRetry(err) {
 			return err
@@ -135,6 +142,9 @@
 	failure := kind.From(err)
 	if failure.Ran() != kind.RanNo {
 		e.mayHaveRun = true
+		if errors.Is(err, errPoison) {
+			return false
+		}
 		if !e.route.IsRepeatable() || e.possibleRuns >= e.route.MaxAttempts {
 			return false
 		}
--- a/internal/gateway/exchange/exchanger.go
+++ b/internal/gateway/exchange/exchanger.go
@@ -51,6 +51,7 @@
 	mu        sync.Mutex
 	services  map[string]*serviceState
 	poison    *poison.Tracker
+	attempts  map[*exchange]context.CancelCauseFunc // those under way
 	accessLog *accessLog
 }
 
@@ -71,7 +72,7 @@
 
 // New returns an Exchanger without any service state.
 func New(o Options) *Exchanger {
-	return &Exchanger{opts: o, services: map[string]*serviceState{}, poison: poison.New(), accessLog: newAccessLog(o.Log, o.Now)}
+	return &Exchanger{opts: o, services: map[string]*serviceState{}, poison: poison.New(), attempts: map[*exchange]context.CancelCauseFunc{}, accessLog: newAccessLog(o.Log, o.Now)}
 }
 
 // Handle serves one client request: it forwards the request, or responds with an error, and records the outcome.
--- a/internal/gateway/exchange/stream.go
+++ b/internal/gateway/exchange/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -30,6 +31,7 @@
 func (e *exchange) relayStream(ctx context.Context, resp *h1.Response, body *h1.Body, i *upstream.Instance, a *attempt, first func()) error {
 	buf := make([]byte, 0, streamBufferSize)
 	hasEvents := false // in this attempt
+	var firstAt time.Time
 	for {
 		if len(buf) == cap(buf) {
 			buf = append(buf, make([]byte, cap(buf))...)[:len(buf)]
@@ -40,6 +42,9 @@
 			if !hasEvents {
 				first()
 				e.beginAt(i)
+				firstAt = e.x.opts.Now()
+			} else if e.x.opts.Now().Sub(firstAt) >= begunTime {
+				e.recordBegun()
 			}
 			e.countStarted()
 			if err := e.relayEvents(resp, buf[:end]); err != nil {
@@ -58,7 +63,7 @@
 			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
-			return e.broken(ctx, i, err)
+			return e.broken(ctx, i, err, true)
 		}
 	}
 }
--- a/internal/gateway/peer/message.go
+++ b/internal/gateway/peer/message.go
@@ -14,6 +14,7 @@
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/gateway/upstream"
 	"hickorypath/internal/policy/place"
+	"hickorypath/internal/policy/poison"
 	"hickorypath/internal/policy/sizing"
 )
 
@@ -33,7 +34,7 @@
 	Loads          map[string]place.Load           `cbor:"l,omitempty"` // load that this host puts on each upstream instance
 	Demand         map[string]sizing.Demand        `cbor:"d,omitempty"` // demand of this host's callers by service
 	CachedPrefixes map[string][]place.PrefixUpdate `cbor:"k,omitempty"` // prompt prefixes that upstreams have read lately, by service
-	Crashes        map[uint64]int                  `cbor:"x,omitempty"` // number of upstream crashes by fingerprint of the request that was running
+	Poison         []poison.Evidence               `cbor:"C,omitempty"` // traits of requests that were with upstreams when they crashed
 	Advisories     map[string]upstream.Advisory    `cbor:"g,omitempty"` // what upstream instances stated about themselves
 	KnownAddresses []string                        `cbor:"p,omitempty"` // addresses of some other hosts
 	Heard          []string                        `cbor:"j,omitempty"` // addresses of hosts of other zones whose messages arrived lately
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -135,6 +135,9 @@
 	return &c.response, c.response.Body(c.reader), nil
 }
 
+// IsReused reports whether the connection has carried an earlier request.
+func (c *Conn) IsReused() bool { return !c.lastUsed.IsZero() }
+
 // Release returns the connection to the idle connections after a complete response, or closes it if it cannot
 // carry another request.
 func (c *Conn) Release(now time.Time) {
--- a/internal/policy/advisory/pace.go
+++ b/internal/policy/advisory/pace.go
@@ -33,6 +33,9 @@
 	return true
 }
 
+// Owns reports whether what is decided by one host alone, under a key, is decided by this one.
+func (f *Fleet) Owns(key uint64) bool { return f.ownsSlot(key, 0) }
+
 // mix is the finalizer of splitmix64.
 func mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
