--- a/internal/policy/poison/sim_test.go
+++ b/internal/policy/poison/sim_test.go
@@ -60,10 +60,12 @@
 
 type eventHeap []simEvent
 
-func (h eventHeap) Len() int           { return len(h) }
-func (h eventHeap) Less(i, j int) bool { return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq }
-func (h eventHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)        { *h = append(*h, x.(simEvent)) }
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(simEvent)) }
 func (h *eventHeap) Pop() any {
 	last := (*h)[len(*h)-1]
 	*h = (*h)[:len(*h)-1]
