--- a/cmd/hickorypath/fault_test.go
+++ b/cmd/hickorypath/fault_test.go
@@ -16,6 +16,7 @@
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/operator/api"
 	standinengine "hickorypath/internal/standin/engine"
+	"hickorypath/internal/standin/upstream"
 )
 
 // streamedAnswer is a streamed answer as the caller received it.
@@ -124,6 +125,14 @@
 	}
 }
 
+// callsWith returns how many requests with mark in their bodies the engines have read.
+func (w *testCluster) callsWith(mark string) (n int) {
+	for _, e := range w.site.Engines() {
+		n += lo.CountBy(e.Calls(), func(c *upstream.Call) bool { return strings.Contains(string(c.Body()), mark) })
+	}
+	return n
+}
+
 func TestCrashingRequestIsQuarantined(t *testing.T) {
 	is := is.New(t)
 	const (
@@ -145,15 +154,53 @@
 		is.NoErr(innocent.err)
 		is.Equal(innocent.status, http.StatusOK)
 	}
-	crashes := 0
-	for _, e := range w.site.Engines() {
-		for _, r := range e.Calls() {
-			if strings.Contains(string(r.Body()), mark) {
-				crashes++
+	crashes := w.callsWith(mark)
+	is.Equal(min(crashes, 3), min(crashes, 2)) // at most two crashes, however often the request is sent again
+}
+
+// TestMessageCrashesOneEngineAfterTheOther guards against requests that share nothing but a message and crash the engines one after the
+// other, and against sound requests that are refused with them.
+func TestMessageCrashesOneEngineAfterTheOther(t *testing.T) {
+	const (
+		engines    = 9
+		rounds     = 20
+		maxCrashes = 5
+		mark       = "a document that crashes engines"
+	)
+	cases := []struct {
+		name string
+		bad  func(n int) []string
+	}{
+		{"first message", func(n int) []string { return []string{mark, fmt.Sprint("question ", n)} }},
+		{"message in the middle", func(n int) []string { return []string{"instructions", mark, fmt.Sprint("question ", n)} }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newTestClusterOfSize(t, engines)
+			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+			defer cancel()
+			for _, e := range w.site.Engines() {
+				e.SetCrashMark(mark)
 			}
-		}
+			served := 0
+			for n := range rounds {
+				host, streams := n%len(w.hosts), n%2 == 0
+				a := w.send(ctx, host, call{http.MethodPost, "/v1/chat/completions", chatBody("asesor", streams, c.bad(n)...), w.keys[demoCustomer], nil})
+				is.NoErr(a.err)
+				is.True(a.status != http.StatusOK)
+				sound := w.send(ctx, host, call{http.MethodPost, "/v1/chat/completions", chatBody("asesor", streams, "instructions", "another document", fmt.Sprint("question ", n)), w.keys[demoCustomer], nil})
+				is.NoErr(sound.err)
+				if sound.status == http.StatusOK {
+					served++
+				}
+			}
+			crashes := w.callsWith(mark)
+			if crashes > maxCrashes || served != rounds {
+				t.Errorf("%d engines crashed, at most %d may; %d of %d sound requests were served", crashes, maxCrashes, served, rounds)
+			}
+		})
 	}
-	is.Equal(min(crashes, 3), min(crashes, 2)) // at most two crashes, however often the request is sent again
 }
 
 // TestReclaimedZoneLosesNoRequest reclaims the reclaimable upstreams of a zone while they run streams that last longer
--- a/cmd/hickorypath/request_test.go
+++ b/cmd/hickorypath/request_test.go
@@ -129,11 +129,12 @@
 	return answer{status: res.StatusCode, header: res.Header, body: body, err: err}
 }
 
-func chatBody(model string, stream bool, text string) string {
-	data, _ := json.Marshal(map[string]any{
-		"model": model, "stream": stream,
-		"messages": []map[string]string{{"role": "user", "content": text}},
-	})
+func chatBody(model string, stream bool, texts ...string) string {
+	messages := make([]map[string]string, 0, len(texts))
+	for _, text := range texts {
+		messages = append(messages, map[string]string{"role": "user", "content": text})
+	}
+	data, _ := json.Marshal(map[string]any{"model": model, "stream": stream, "messages": messages})
 	return string(data)
 }
 
