Raise the rate that stands in for an unreadable limit with time

A service with a single upstream, or whose upstreams all state a value that is no number, was held to 1 request a second for as long as they stated it: callers got 503 for the rest. One misprint stopped a service.

That rate now doubles every second, so an upstream in need gets time and a service is whole again within ten seconds. A readable limit of another host replaces it whatever its age, and hosts no longer tell each other of such a value.

--- a/internal/policy/advisory/advisory.go
+++ b/internal/policy/advisory/advisory.go
@@ -4,6 +4,7 @@
 package advisory
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,6 +25,7 @@
 	limitAt    time.Time // when the limit was stated
 	unreadable string    // the last statement of a limit, if it could not be read
 	pacer      pacer
+	paceSince  time.Time // since when requests are sent at a rate that stands in for an unreadable limit; zero unless they are
 	departure  departure
 	pausedTo   time.Time // before which the upstream wants no requests of this host
 }
@@ -52,14 +54,28 @@
 // few hundred milliseconds.
 func (s *State) MaySend(now time.Time, f *Fleet) bool {
 	if !s.limit.IsNamed() {
-		s.pacer = pacer{}
+		s.pacer, s.paceSince = pacer{}, time.Time{}
 		return true
 	}
-	s.pacer.setRate(now, s.limit.Rate())
+	s.pacer.setRate(now, s.rate(now))
 	s.pacer.refill(now, s.upstream, f)
 	return len(s.pacer.unused) > 0
 }
 
+// rate returns the limit in requests per second. The one that stands in for an unreadable limit grows, since nobody knows how much
+// the upstream takes.
+func (s *State) rate(now time.Time) float64 {
+	if s.limit.Unreadable() == "" {
+		s.paceSince = time.Time{}
+		return s.limit.Rate()
+	}
+	if s.paceSince.IsZero() || now.Before(s.paceSince) {
+		s.paceSince = now
+	}
+	doublings := math.Floor(now.Sub(s.paceSince).Seconds() / unreadableDoubling.Seconds())
+	return min(s.limit.Rate()*math.Exp2(doublings), MaxRate)
+}
+
 // SendsWithin returns how many requests this host may send to the upstream within d from now, but at most limit.
 func (s *State) SendsWithin(now time.Time, f *Fleet, d time.Duration, limit int) int {
 	s.MaySend(now, f)
--- a/internal/policy/advisory/limit.go
+++ b/internal/policy/advisory/limit.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Limit is the request rate that an upstream accepts from all hosts together. The zero value is no limit.
@@ -16,8 +17,10 @@
 	// MaxRate is the highest rate that a Limit holds, in requests per second. It is far above what one upstream can serve.
 	MaxRate = 1e4
 	// unreadableRate stands in for a value that is no rate, in requests per second: low enough for an upstream in need, and
-	// high enough for its next response to replace it.
-	unreadableRate = 1.0
+	// high enough for its next response to replace it. It doubles every unreadableDoubling, so that a wrong value does not stop
+	// a service.
+	unreadableRate     = 1.0
+	unreadableDoubling = time.Second
 	// maxUnreadableLen is how much of an unreadable value is kept, in bytes.
 	maxUnreadableLen = 40
 )
@@ -26,8 +29,8 @@
 func NewLimit(rate float64) Limit { return Limit{named: true, rate: min(max(rate, 0), MaxRate)} }
 
 // ParseLimit returns the Limit that the values of a header field state, without values no limit. A value is a decimal number
-// of requests per second, or a list of such numbers. The lowest number counts. Without any number the Limit is unreadable and
-// low.
+// of requests per second, or a list of such numbers. The lowest number counts. Without any number the Limit is unreadable, and
+// low at first.
 func ParseLimit(values ...string) Limit {
 	if len(values) == 0 {
 		return Limit{}
--- a/internal/policy/advisory/record.go
+++ b/internal/policy/advisory/record.go
@@ -19,8 +19,12 @@
 	maxMessageDelay = 500 * time.Millisecond
 )
 
-// Record returns the Record to tell other hosts now. ok is false if there is nothing to tell.
+// Record returns the Record to tell other hosts now. ok is false if there is nothing to tell, as of an unreadable limit, which says
+// nothing that other hosts could not do without.
 func (s *State) Record(now time.Time) (r Record, ok bool) {
+	if s.limit.Unreadable() != "" {
+		return Record{}, false
+	}
 	r = Record{Rate: s.limit.Rate(), Age: now.Sub(s.limitAt)}
 	if !s.limit.IsNamed() {
 		r.Rate = withdrawnRate
@@ -33,7 +37,7 @@
 func (s *State) Merge(now time.Time, r Record) (changed bool) {
 	at := now.Add(-max(r.Age, 0))
 	switch old := s.limit; {
-	case r.Rate >= 0 && at.After(s.limitAt):
+	case r.Rate >= 0 && (at.After(s.limitAt) || s.limit.Unreadable() != ""):
 		s.limit, s.limitAt = NewLimit(r.Rate), at
 		return s.limit != old
 	case r.Rate < 0 && s.limit.IsNamed() && at.After(s.limitAt.Add(maxMessageDelay)):
