Bound the size of an event of a stream

An upstream whose stream held an event that never ends was read until the deadline of the request: the caller waited in vain though another upstream could have gone on, and the host kept all bytes. Small chunks made it search all of them again with each one.

An event may have 1 MiB, as in serve; beyond it the stream counts as broken, and goes on elsewhere if it can. Only new bytes are searched for its end.

--- a/internal/gateway/exchange/stream.go
+++ b/internal/gateway/exchange/stream.go
@@ -24,7 +24,13 @@
 // canResume reports whether another instance can continue the stream.
 func (e *streamProgress) canResume() bool { return e.lastID != "" }
 
-const streamBufferSize = 4 << 10
+const (
+	streamBufferSize = 4 << 10
+	// maxEventSize bounds an event of a stream, in bytes.
+	maxEventSize = 1 << 20
+)
+
+var errEventTooLarge = errors.New("event of a stream exceeds the limit")
 
 // relayStream relays events as they arrive. It relays only complete events, so that another instance can continue
 // after the last one.
@@ -37,8 +43,9 @@
 			buf = append(buf, make([]byte, cap(buf))...)[:len(buf)]
 		}
 		n, err := body.Read(buf[len(buf):cap(buf)])
+		incomplete := len(buf)
 		buf = buf[:len(buf)+n]
-		if end := completeEventsLen(buf); end > 0 {
+		if end := completeEventsLen(buf, incomplete); end > 0 {
 			if !hasEvents {
 				first()
 				e.beginAt(i)
@@ -53,6 +60,9 @@
 			buf = append(buf[:0], buf[end:]...)
 			hasEvents = true
 		}
+		if err == nil && len(buf) > maxEventSize {
+			err = errEventTooLarge
+		}
 		if err != nil {
 			a.unfinished = len(buf)
 		}
@@ -63,7 +73,7 @@
 			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
-			return e.broken(ctx, i, err, true)
+			return e.broken(ctx, i, err, !errors.Is(err, errEventTooLarge))
 		}
 	}
 }
@@ -118,10 +128,12 @@
 	idField  = []byte("id:")
 )
 
-// completeEventsLen returns the length of the complete events at the beginning of p.
-func completeEventsLen(p []byte) int {
-	if i := bytes.LastIndex(p, eventEnd); i >= 0 {
-		return i + len(eventEnd)
+// completeEventsLen returns the length of the complete events at the beginning of p. Its first bytes, of the length incomplete, are
+// known to end no event.
+func completeEventsLen(p []byte, incomplete int) int {
+	from := max(incomplete-len(eventEnd)+1, 0)
+	if i := bytes.LastIndex(p[from:], eventEnd); i >= 0 {
+		return from + i + len(eventEnd)
 	}
 	return 0
 }
--- a/internal/standin/script/script.go
+++ b/internal/standin/script/script.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync"
+	"time"
 
 	"hickorypath/internal/gateway/h1"
 )
@@ -17,6 +18,9 @@
 	Close bool   // closes the connection after writing Bytes
 	Reset bool   // resets the connection after writing Bytes
 	Hang  bool   // after writing Bytes, sends nothing and keeps the connection open until the client closes it
+
+	Endless string        // written again and again after Bytes, until the client closes the connection
+	Pause   time.Duration // between two writes of Endless
 }
 
 // Call is a request that the server received.
@@ -123,6 +127,9 @@
 			return
 		}
 		switch {
+		case a.Endless != "":
+			writeEndlessly(c, a)
+			return
 		case a.Hang:
 			_, _ = br.Peek(1) // returns when the client closes the connection
 			s.hungClosed <- struct{}{}
@@ -138,6 +145,16 @@
 	}
 }
 
+// writeEndlessly writes the endless bytes of an action until the client closes the connection.
+func writeEndlessly(c net.Conn, a Action) {
+	for {
+		if _, err := c.Write([]byte(a.Endless)); err != nil {
+			return
+		}
+		time.Sleep(a.Pause)
+	}
+}
+
 // nextAction records a request and returns the action for it.
 func (s *Server) nextAction(r *h1.Request, body []byte) Action {
 	var head strings.Builder
