Bound the interim responses before a response

Interim responses (1xx) were skipped for as long as they came, until the deadline of the request, in which time it could not be sent to another upstream. After 32 of them the response counts as malformed.

--- a/internal/gateway/h1/response.go
+++ b/internal/gateway/h1/response.go
@@ -19,9 +19,12 @@
 // Status returns the status code.
 func (r *Response) Status() int { return r.status }
 
+// maxInterim bounds the interim responses before a final one.
+const maxInterim = 32
+
 // Read reads the head of the final response to a request with the given method. Interim responses are skipped.
 func (r *Response) Read(br *bufio.Reader, limit int, method []byte) error {
-	for {
+	for range maxInterim + 1 {
 		if err := r.read(br, limit); err != nil {
 			return err
 		}
@@ -35,6 +38,7 @@
 			return nil
 		}
 	}
+	return errors.Wrap(ErrMalformed, "too many interim responses")
 }
 
 func (r *Response) validate(method []byte) error {
