Do not read the body of a rejection

A request that an upstream had rejected waited for the body of the rejection, which may trickle until its deadline, before it went to another upstream. The connection is closed after a rejection anyway, so nothing is gained by reading it.

TestUpstreamThatSendsWithoutEndHoldsItsRequest: the case of rejections failed before.

--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -139,7 +139,6 @@
 		e.x.recordStatements(i, sentAt, answer)
 	}
 	if answer.NotExecuted {
-		_ = e.discard(body)
 		return kind.New(kind.Rejected, "%s did not run the request: status %d", i.ID(), resp.Status()).WithRetry(e.retryAfter(rejectedRetryAfter))
 	}
 	if answer.ID != e.info.ID {
@@ -178,14 +177,6 @@
 	return kind.Wrap(err, kind.Lost, "connection to %s broke", i.ID())
 }
 
-// maxDiscardedBytes bounds how much is read of a response body that is not relayed.
-const maxDiscardedBytes = 64 << 10
-
-func (e *exchange) discard(body *h1.Body) error {
-	_, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBytes))
-	return err
-}
-
 // maxBufferedResponse bounds a response that is buffered until it is complete, in bytes.
 const maxBufferedResponse = 4 << 20
 
