Bound the comments before an event of an engine of serve

Comments and blank lines before an event were read for as long as they came; only the data of an event was bounded.

TestEngineThatSendsWithoutEndHoldsItsRequest: the case of comments never ended before; heads, interim responses, events and rejections without end were bounded already, the first two by net/http. Bytes that trickle before the head are waited for until the deadline, as an engine that says that it has produced nothing is.

--- a/internal/upstream/engine/decode.go
+++ b/internal/upstream/engine/decode.go
@@ -20,7 +20,7 @@
 
 // Limits in bytes for the responses of an engine.
 const (
-	maxEvent       = 1 << 20
+	maxEvent       = 1 << 20 // with the comments and blank lines before it
 	defaultMaxBody = 64 << 20
 )
 
@@ -35,11 +35,12 @@
 func (s *Stream) readEvent() (rawEvent, error) {
 	e := rawEvent{offset: -1}
 	s.data = s.data[:0]
-	for {
+	for size := 0; size <= maxEvent; {
 		line, err := s.readLine()
 		if err != nil {
 			return rawEvent{}, err
 		}
+		size += len(line) + 1
 		switch {
 		case len(line) == 0:
 			if len(s.data) > 0 {
@@ -51,10 +52,8 @@
 		case bytes.HasPrefix(line, fieldID):
 			e.offset = parseOffset(fieldValue(line, fieldID))
 		}
-		if len(s.data) > maxEvent {
-			return rawEvent{}, io.ErrShortBuffer
-		}
 	}
+	return rawEvent{}, io.ErrShortBuffer
 }
 
 // readLine returns a line without its line ending. The slice is valid until the next read.
