Do not count bytes that are no response as a crash

Upstreams in trouble may send bytes that are no response. Each counted as a crash under the request, so that a request, or one with a part of its prompt, could be refused for two minutes after the trouble had ended.

TestBytesThatAreNoResponseCountAsACrash: the third request got 503 before.

--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -171,7 +171,7 @@
 		return kind.Wrap(err, kind.Timeout, "no answer from %s in time", i.ID())
 	}
 	i.RecordFailure(e.x.opts.Now())
-	if isCrash && !isTimeout(err) {
+	if isCrash && !isTimeout(err) && !errors.IsAny(err, h1.ErrMalformed, h1.ErrHeadTooLarge) {
 		e.recordCrash(i)
 	}
 	return kind.Wrap(err, kind.Lost, "connection to %s broke", i.ID())
