Tell the other hosts 100 limits of upstreams at a time

A message told all limits that upstreams name; at 1,300 upstreams that alone is about 58 KB (estimated), and a message over 64 KB cannot be sent: its host would have fallen silent to all others. Now each message tells 100, the next one those that follow.

TestManyLimitsFitIntoAMessage: 1,300 in one message before.

--- a/internal/gateway/upstream/advisory.go
+++ b/internal/gateway/upstream/advisory.go
@@ -79,23 +79,32 @@
 	i.advisory.RecordSend()
 }
 
-// Advisories returns what the instances stated about themselves, by their identifiers, for the other hosts.
+// maxAdvisories bounds the limits in a message, so that it stays a datagram.
+const maxAdvisories = 100
+
+// Advisories returns what the instances stated about themselves, by their identifiers, for the other hosts. Of many, each call
+// returns the next ones.
 func (t *Table) Advisories(now time.Time) map[string]Advisory {
-	var all map[string]Advisory
+	type told struct {
+		id string
+		a  Advisory
+	}
+	var list []told
 	for _, i := range t.All() {
 		i.mu.Lock()
 		r, ok := i.advisory.Record(now)
 		born := i.entry.Born
 		i.mu.Unlock()
-		if !ok {
-			continue
+		if ok {
+			list = append(list, told{i.id, Advisory{Born: born, Record: r}})
 		}
-		if all == nil {
-			all = map[string]Advisory{}
-		}
-		all[i.id] = Advisory{Born: born, Record: r}
 	}
-	return all
+	if len(list) > maxAdvisories {
+		slices.SortFunc(list, func(a, b told) int { return cmp.Compare(a.id, b.id) })
+		from := int(t.advisoriesTold.Add(maxAdvisories)-maxAdvisories) % len(list)
+		list = slices.Concat(list[from:], list[:from])[:maxAdvisories]
+	}
+	return lo.SliceToMap(list, func(x told) (string, Advisory) { return x.id, x.a })
 }
 
 // maxDepartures bounds the departures in a message, so that it stays a datagram.
--- a/internal/gateway/upstream/advisory_test.go
+++ b/internal/gateway/upstream/advisory_test.go
@@ -114,6 +114,29 @@
 	}
 }
 
+// TestManyLimitsFitIntoAMessage guards against a message that is too large to be sent, with which its host would fall silent. All limits
+// are told over several messages.
+func TestManyLimitsFitIntoAMessage(t *testing.T) {
+	is := is.New(t)
+	const instances, most, messages = 1300, 100, 14
+	now := time.Unix(1_800_000_000, 0)
+	table, other := upstream.NewTable(upstream.NewDialer(), zap.NewNop()), upstream.NewTable(upstream.NewDialer(), zap.NewNop())
+	for n := range instances {
+		e := entry()
+		e.ID = fmt.Sprint("u", n)
+		table.Put(now, e)
+		other.Put(now, e)
+		table.Get(e.ID).RecordAdvisory(now, now, advisory.Statement{Limit: advisory.NewLimit(2)})
+	}
+	changed := 0
+	for range messages {
+		told := table.Advisories(now)
+		is.True(len(told) <= most)
+		changed += len(other.MergeAdvisories(now.Add(time.Millisecond), told))
+	}
+	is.Equal(changed, instances)
+}
+
 // TestManyDeparturesFitIntoAMessage checks that the latest of many departures are told.
 func TestManyDeparturesFitIntoAMessage(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/upstream/table.go
+++ b/internal/gateway/upstream/table.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,6 +22,8 @@
 	storeFailedAt time.Time              // when the store last failed to respond
 	restoredAt    time.Time              // when the store last came back from an older copy
 	left          map[string]leftEntry   // by id, the last entries of instances that were dropped
+
+	advisoriesTold atomic.Uint32 // limits that were returned by Advisories when there were many
 }
 
 // leftEntry is the last entry of an instance that was dropped, with what the instance had stated about itself.
