Let parts of prompts expire everywhere in the index of caches

TestExpiredPartsAreKept: Contains could not take the time into account before, and nothing removed such parts.

--- a/internal/gateway/exchange/prefixholders.go
+++ b/internal/gateway/exchange/prefixholders.go
@@ -53,7 +53,7 @@
 			holders.second = h
 		}
 	}
-	if n := len(parts); n > 1 && holders.sharedTokens >= minHomeTokens && (holders.large || !s.cache.Contains(parts[n-2].ID)) {
+	if n := len(parts); n > 1 && holders.sharedTokens >= minHomeTokens && (holders.large || !s.cache.Contains(now, parts[n-2].ID)) {
 		holders.home, holders.previousHome = homeInstances(list, parts[n-2].ID)
 	}
 	return holders
--- a/internal/policy/place/place_test.go
+++ b/internal/policy/place/place_test.go
@@ -65,10 +65,24 @@
 	is.Equal(c.CachedTokens(now, "u", []place.PromptPart{b, own}), 50)
 	is.Equal(c.CachedTokens(now, "u", []place.PromptPart{own, a}), 0) // only a contiguous prefix counts
 	is.Equal(c.CachedTokens(now, "v", []place.PromptPart{a}), 0)
-	is.True(c.Contains(1) && !c.Contains(9))
+	is.True(c.Contains(now, 1) && !c.Contains(now, 9))
 	c.Insert(now.Add(time.Second), "u", []place.PromptPart{{ID: 4, Tokens: 100}}, 160) // evicts the least recently used parts
 	is.Equal(c.CachedTokens(now, "u", []place.PromptPart{{ID: 4, Tokens: 100}}), 100)
 	is.True(c.CachedTokens(now, "u", []place.PromptPart{a, b}) < 150)
 	c.Forget("u")
 	is.Equal(c.CachedTokens(now, "u", []place.PromptPart{a}), 0)
 }
+
+// TestExpiredPartsAreKept guards against parts of prompts that have long left the caches and still keep later requests from their home,
+// or stay in memory where the upstreams name no capacity.
+func TestExpiredPartsAreKept(t *testing.T) {
+	is := is.New(t)
+	const lifetime = 40 * time.Second
+	now := time.Unix(1_800_000_000, 0)
+	c := place.NewPrefixIndex()
+	c.Insert(now, "u", []place.PromptPart{{ID: 1, Tokens: 100}}, 0)
+	is.True(c.Contains(now.Add(lifetime), 1))
+	is.True(!c.Contains(now.Add(lifetime+time.Second), 1))
+	c.Insert(now.Add(lifetime+time.Second), "u", []place.PromptPart{{ID: 2, Tokens: 100}}, 0)
+	is.True(!c.Contains(now, 1)) // removed
+}
--- a/internal/policy/place/prefixindex.go
+++ b/internal/policy/place/prefixindex.go
@@ -10,8 +10,9 @@
 
 // upstreamCache is the estimated content of one upstream's cache.
 type upstreamCache struct {
-	parts  map[uint64]cachedPart // by PromptPart.ID
-	tokens int                   // sum over parts
+	parts   map[uint64]cachedPart // by PromptPart.ID
+	tokens  int                   // sum over parts
+	sweptAt time.Time             // when the parts past their lifetime were last removed
 }
 
 type cachedPart struct {
@@ -19,6 +20,8 @@
 	lastUsed time.Time
 }
 
+func (p cachedPart) isExpired(now time.Time) bool { return now.Sub(p.lastUsed) > cacheLifetime }
+
 // cacheLifetime is how long a prompt part is expected to stay in an upstream's cache after its last use.
 const cacheLifetime = 40 * time.Second
 
@@ -26,13 +29,16 @@
 func NewPrefixIndex() *PrefixIndex { return &PrefixIndex{byUpstream: map[string]*upstreamCache{}} }
 
 // Insert records that an upstream processes parts of a prompt and caches them. If the upstream's cache then exceeds
-// capacity tokens, the least recently used parts are evicted. A capacity of 0 means no bound.
+// capacity tokens, the least recently used parts are evicted. A capacity of 0 means that only their lifetime bounds the parts.
 func (x *PrefixIndex) Insert(now time.Time, upstream string, parts []PromptPart, capacity int) {
 	c := x.byUpstream[upstream]
 	if c == nil {
-		c = &upstreamCache{parts: map[uint64]cachedPart{}}
+		c = &upstreamCache{parts: map[uint64]cachedPart{}, sweptAt: now}
 		x.byUpstream[upstream] = c
 	}
+	if now.Sub(c.sweptAt) > cacheLifetime {
+		c.sweep(now)
+	}
 	for _, p := range parts {
 		if old, ok := c.parts[p.ID]; ok {
 			c.tokens -= old.tokens
@@ -45,6 +51,16 @@
 	}
 }
 
+// sweep removes the parts past their lifetime.
+func (c *upstreamCache) sweep(now time.Time) {
+	c.sweptAt = now
+	for id, p := range c.parts {
+		if p.isExpired(now) {
+			c.remove(id)
+		}
+	}
+}
+
 func (c *upstreamCache) remove(id uint64) {
 	c.tokens -= c.parts[id].tokens
 	delete(c.parts, id)
@@ -80,7 +96,7 @@
 	}
 	for _, p := range parts {
 		cached, ok := c.parts[p.ID]
-		if !ok || now.Sub(cached.lastUsed) > cacheLifetime {
+		if !ok || cached.isExpired(now) {
 			return n
 		}
 		n += p.Tokens
@@ -88,10 +104,10 @@
 	return n
 }
 
-// Contains reports whether any upstream has an entry for a prompt part.
-func (x *PrefixIndex) Contains(part uint64) bool {
+// Contains reports whether a prompt part is in any upstream's cache.
+func (x *PrefixIndex) Contains(now time.Time, part uint64) bool {
 	for _, c := range x.byUpstream {
-		if _, ok := c.parts[part]; ok {
+		if p, ok := c.parts[part]; ok && !p.isExpired(now) {
 			return true
 		}
 	}
