Evict suspects of serve in the order in which they were added

The order kept requests that had been cleared, so that one that was quarantined after that counted as old as its first suspicion, and was forgotten before older ones: it could crash engines again. The order also grew without bound.

TestClearedSuspectIsEvictedTooEarly: the quarantine was gone before.

--- a/internal/policy/suspect/tracker.go
+++ b/internal/policy/suspect/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"hickorypath/internal/core/kind"
@@ -36,17 +37,25 @@
 	entries        map[Fingerprint]*suspectState
 	runs           map[uint64]run                    // by id of the request
 	runsByUpstream map[string]map[uint64]Fingerprint // ids of the running requests, by upstream
-	insertionOrder []Fingerprint                     // keys of entries, the oldest first, to evict the oldest entries
-	outages        map[string]outage                 // by upstream
-	turns          map[Fingerprint]Turn              // turns of all hosts
-	changedTurns   []Turn                            // turns of this host that changed since TakeChangedTurns
+	insertionOrder []insertion                       // of entries, the oldest first, and of entries that were deleted since
+	lastInsertion  uint64
+	outages        map[string]outage    // by upstream
+	turns          map[Fingerprint]Turn // turns of all hosts
+	changedTurns   []Turn               // turns of this host that changed since TakeChangedTurns
 
 	recalled []uint64 // ids of requests to stop, since TakeRecalled
 }
 
+// insertion is the insertion of an entry into a Tracker.
+type insertion struct {
+	print Fingerprint
+	id    uint64
+}
+
 // suspectState is the state of one request that is or was a suspect.
 type suspectState struct {
-	crashes          int // crashes of upstreams on which the request ran
+	insertion        uint64 // identifies the insertion of this entry
+	crashes          int    // crashes of upstreams on which the request ran
 	suspectUntil     time.Time
 	quarantinedUntil time.Time
 	quarantines      int // quarantines so far
@@ -223,15 +232,28 @@
 		return e
 	}
 	for len(t.entries) >= t.config.MaxEntries && len(t.insertionOrder) > 0 {
-		delete(t.entries, t.insertionOrder[0])
+		oldest := t.insertionOrder[0]
 		t.insertionOrder = t.insertionOrder[1:]
+		if t.isPresent(oldest) {
+			delete(t.entries, oldest.print)
+		}
 	}
-	e := &suspectState{}
+	if len(t.insertionOrder) >= 2*t.config.MaxEntries {
+		t.insertionOrder = slices.DeleteFunc(t.insertionOrder, func(i insertion) bool { return !t.isPresent(i) })
+	}
+	t.lastInsertion++
+	e := &suspectState{insertion: t.lastInsertion}
 	t.entries[fp] = e
-	t.insertionOrder = append(t.insertionOrder, fp)
+	t.insertionOrder = append(t.insertionOrder, insertion{fp, e.insertion})
 	return e
 }
 
+// isPresent reports whether the entry that was inserted has not been deleted since.
+func (t *Tracker) isPresent(i insertion) bool {
+	e := t.entries[i.print]
+	return e != nil && e.insertion == i.id
+}
+
 // MergeQuarantine applies a quarantine that another host reported. The other requests that ran on the crashed upstream are
 // cleared.
 func (t *Tracker) MergeQuarantine(now time.Time, q Quarantine) {
--- a/internal/policy/suspect/tracker_test.go
+++ b/internal/policy/suspect/tracker_test.go
@@ -108,6 +108,24 @@
 	is.Equal(tracker.QuarantineCount(start), 10)
 }
 
+// TestClearedSuspectIsEvictedTooEarly guards against a quarantine that is forgotten before older ones because the same request had been
+// a suspect before.
+func TestClearedSuspectIsEvictedTooEarly(t *testing.T) {
+	is := is.New(t)
+	tracker := suspect.New(suspect.Config{MaxEntries: 3})
+	until := start.Add(time.Hour)
+	tracker.MergeSuspicion(start, suspect.Suspicion{Fingerprint: 1, Until: until, Upstream: "e1", At: start})
+	tracker.Start(start, 1, "e2", 7, nil)
+	tracker.Finish(start, 7, true) // the request is cleared
+	for _, fp := range []suspect.Fingerprint{2, 3, 1, 4} {
+		tracker.MergeQuarantine(start, suspect.Quarantine{Fingerprint: fp, Until: until})
+	}
+	for fp, isQuarantined := range map[suspect.Fingerprint]bool{1: true, 2: false, 3: true, 4: true} {
+		_, err := tracker.Check(start, fp)
+		is.Equal(err != nil, isQuarantined)
+	}
+}
+
 func ExampleNewFingerprint() {
 	a := suspect.NewFingerprint("club", "ask", []byte(`{"q":1}`))
 	b := suspect.NewFingerprint("club", "ask", []byte(`{"q":1}`))
