Refuse a bad part although the parts that follow it explain its crashes one by one

A part that crashed upstreams went on doing so where it is followed by few other parts: each of these was refused after three crashes, and together they explained those of the bad part, which was not refused. A general part is now explained by a single more specific one only.

The new case of TestRefuses failed before.

--- a/internal/policy/poison/poison_test.go
+++ b/internal/policy/poison/poison_test.go
@@ -47,6 +47,9 @@
 		{"three crashes: the specific part", []event{{1, 101, gs}, {2, 102, gs}, {3, 103, gs}}, []poison.Trait{specific}},
 		{"three crashes with different specific parts", []event{{1, 101, gs}, {2, 102, gother}, {3, 103, gthird}}, []poison.Trait{general}},
 		{"the general part after all", []event{{1, 101, gs}, {2, 102, gs}, {3, 103, gs}, {4, 104, gother}, {5, 105, gthird}}, []poison.Trait{general}},
+		{"the general part, though each specific one has three crashes", []event{
+			{1, 101, gs}, {2, 102, gs}, {3, 103, gs}, {4, 104, gother}, {5, 105, gother}, {6, 106, gother}, {7, 107, gthird}, {8, 108, gthird}, {9, 109, gthird},
+		}, []poison.Trait{general}},
 		{"one more crash with another part", []event{{1, 101, gs}, {2, 102, gs}, {3, 103, gs}, {4, 104, gother}}, []poison.Trait{specific}},
 		{"the same upstream three times", []event{{1, 101, gs}, {2, 101, gs}, {3, 101, gs}}, nil},
 		{"three upstreams at one moment", []event{{1, 101, gs}, {1.1, 102, gs}, {1.2, 103, gs}}, nil},
--- a/internal/policy/poison/refuse.go
+++ b/internal/policy/poison/refuse.go
@@ -17,7 +17,7 @@
 // update computes the refused traits and returns those that were not refused before.
 //
 // A trait that was with more crashes is considered first. If it is refused it explains its crashes, and another trait is refused
-// only for crashes that are left over. A general trait is not refused if more specific ones of the same requests explain its
+// only for crashes that are left over. A general trait is not refused if a more specific one of the same requests explains its
 // crashes. So all hosts that know the same crashes refuse the same requests, and healthy ones that have general traits in common
 // with the culprits are served.
 func (t *Tracker) update() (added []uint64) {
@@ -35,7 +35,7 @@
 	})
 	refused, explained := map[uint64]bool{}, map[uint64]bool{}
 	for _, c := range list {
-		if !c.isNeeded(explained) || !c.isNeeded(crashesBelow(list, c)) {
+		if !c.isNeeded(explained) || c.hasSpecificCause(list) {
 			continue
 		}
 		refused[c.id] = true
@@ -61,17 +61,19 @@
 	return count(c.depth, c.crashes, explained) >= need
 }
 
-// crashesBelow returns the crashes of the candidates that are more specific than c and belonged to the same requests.
-func crashesBelow(list []candidate, c candidate) map[uint64]bool {
-	below := map[uint64]bool{}
-	for _, o := range list {
-		if slices.Contains(o.above, c.id) {
-			for crash := range o.crashes {
-				below[crash] = true
-			}
+// hasSpecificCause reports whether a candidate that is more specific than c and belonged to the same requests explains the crashes
+// of c. Several that explain some crashes each do not: then c, which they have in common, is the more likely cause.
+func (c candidate) hasSpecificCause(list []candidate) bool {
+	return slices.ContainsFunc(list, func(o candidate) bool {
+		if !slices.Contains(o.above, c.id) {
+			return false
 		}
-	}
-	return below
+		explained := map[uint64]bool{}
+		for crash := range o.crashes {
+			explained[crash] = true
+		}
+		return !c.isNeeded(explained)
+	})
 }
 
 // count returns the number of crashes that are not explained. For a part of prompts, those of the same moment count as one.
