Double the rate that stands in for an unreadable limit every two seconds

They now expect 1 request a second, doubled every two seconds, by the rule that they apply to every limit; the bounds of other values are unchanged. TestHostsTogetherExceedTheLimitOfAnUpstream and TestServeHostsTogetherExceedTheLimitOfAnUpstream failed before (196, 202 and 61 requests in 4 s).

--- a/internal/policy/advisory/limit.go
+++ b/internal/policy/advisory/limit.go
@@ -20,7 +20,7 @@
 	// high enough for its next response to replace it. It doubles every unreadableDoubling, so that a wrong value does not stop
 	// a service.
 	unreadableRate     = 1.0
-	unreadableDoubling = time.Second
+	unreadableDoubling = 2 * time.Second
 	// maxUnreadableLen is how much of an unreadable value is kept, in bytes.
 	maxUnreadableLen = 40
 )
