--- a/internal/policy/poison/sim_test.go
+++ b/internal/policy/poison/sim_test.go
@@ -206,16 +206,17 @@
 		name                  string
 		hosts, zones, engines int
 		sound, bad            float64 // requests per second
-		badFirst              bool    // the bad part is a first part
+		following             uint64  // parts that follow the bad one; 0 if the bad part is a second one
 		trouble               func(s *sim)
 	}{
-		{"7 hosts", 7, 4, 9, 20, 1.5, false, nil},
-		{"7 hosts, few sound requests", 7, 4, 9, 2, 1.5, false, nil},
-		{"7 hosts, many bad requests", 7, 4, 9, 20, 10, false, nil},
-		{"7 hosts, first part", 7, 4, 9, 20, 1.5, true, nil},
-		{"80 hosts", 80, 4, 64, 200, 5, false, nil},
-		{"350 hosts", 350, 15, 300, 500, 10, false, nil},
-		{"7 hosts, zones of engines are lost", 7, 4, 12, 20, 1.5, false, func(s *sim) {
+		{"7 hosts", 7, 4, 9, 20, 1.5, 0, nil},
+		{"7 hosts, few sound requests", 7, 4, 9, 2, 1.5, 0, nil},
+		{"7 hosts, many bad requests", 7, 4, 9, 20, 10, 0, nil},
+		{"7 hosts, first part", 7, 4, 9, 20, 1.5, parts, nil},
+		{"7 hosts, first part, few follow", 7, 4, 9, 20, 10, 7, nil},
+		{"80 hosts", 80, 4, 64, 200, 5, 0, nil},
+		{"350 hosts", 350, 15, 300, 500, 10, 0, nil},
+		{"7 hosts, zones of engines are lost", 7, 4, 12, 20, 1.5, 0, func(s *sim) {
 			s.every(0.2, func() {
 				zone := s.rand.IntN(4)
 				for i, e := range s.engines {
@@ -225,13 +226,13 @@
 				}
 			})
 		}},
-		{"7 hosts, engines go down and up", 7, 4, 12, 20, 1.5, false, func(s *sim) {
+		{"7 hosts, engines go down and up", 7, 4, 12, 20, 1.5, 0, func(s *sim) {
 			s.every(1, func() { s.crash(s.engines[s.rand.IntN(3)]) })
 		}},
-		{"7 hosts restart", 7, 4, 9, 20, 1.5, false, func(s *sim) {
+		{"7 hosts restart", 7, 4, 9, 20, 1.5, 0, func(s *sim) {
 			s.every(0.5, func() { s.hosts[s.rand.IntN(len(s.hosts))] = &simHost{tracker: poison.New()} })
 		}},
-		{"80 hosts, some are cut off", 80, 4, 64, 200, 5, false, func(s *sim) {
+		{"80 hosts, some are cut off", 80, 4, 64, 200, 5, 0, func(s *sim) {
 			s.every(0.5, func() {
 				h := s.hosts[s.rand.IntN(len(s.hosts))]
 				h.cut = true
@@ -266,8 +267,8 @@
 				s.every(c.sound, func() { own++; s.send(uint64(s.rand.IntN(general)), part()) })
 				s.run(5 * time.Second)
 				s.every(c.bad, func() {
-					if c.badFirst {
-						s.send(s.bad, part())
+					if c.following > 0 {
+						s.send(s.bad, 100+s.rand.Uint64N(c.following))
 					} else {
 						s.send(uint64(s.rand.IntN(general)), s.bad)
 					}
