--- a/internal/caller/exchange/attempt.go
+++ b/internal/caller/exchange/attempt.go
@@ -93,7 +93,7 @@
 		r.Recall = a.recall
 	}
 	a.runID = c.runner.deps.Suspects.Start(now, c.fingerprint, grant.Target().ID(), r)
-	c.runner.deps.Parts.Start(now, a.runID, grant.Target().ID(), c.parts, r.Recall)
+	c.runner.deps.Parts.Start(a.runID, grant.Target().ID(), c.parts, r.Recall)
 	return a
 }
 
--- a/internal/caller/exchange/parttracker.go
+++ b/internal/caller/exchange/parttracker.go
@@ -40,6 +40,7 @@
 // PartOptions are the options of a PartTracker.
 type PartOptions struct {
 	Log *zap.Logger
+
 	// Owns reports whether this host alone decides when a refused message may be tried again.
 	Owns func(part uint64) bool
 	// Publish sends what this host knows to all other hosts.
@@ -50,7 +51,6 @@
 type partRun struct {
 	upstream string
 	parts    []poison.Trait
-	started  time.Time
 	begun    bool
 	stop     func() // cancels the run; may be nil
 }
@@ -82,13 +82,13 @@
 
 // Start records that a request with these parts was sent to an upstream. stop cancels the run when its parts turn out to crash
 // upstreams before its response is under way; it may be nil.
-func (p *PartTracker) Start(now time.Time, run uint64, upstream string, parts []poison.Trait, stop func()) {
+func (p *PartTracker) Start(run uint64, upstream string, parts []poison.Trait, stop func()) {
 	if len(parts) == 0 {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.runs[run] = &partRun{upstream: upstream, parts: parts, started: now, stop: stop}
+	p.runs[run] = &partRun{upstream: upstream, parts: parts, stop: stop}
 }
 
 // RecordBegun records that the response of a run is under way.
--- a/internal/caller/exchange/parttracker_test.go
+++ b/internal/caller/exchange/parttracker_test.go
@@ -39,7 +39,7 @@
 // start starts a run on a host and an upstream.
 func (p *partHosts) start(host int, upstream string, stop func(), parts ...uint64) (run uint64) {
 	p.lastRun++
-	p.trackers[host].Start(p.now, p.lastRun, upstream, traits(parts), stop)
+	p.trackers[host].Start(p.lastRun, upstream, traits(parts), stop)
 	return p.lastRun
 }
 
