--- a/internal/gateway/exchange/accesslog.go
+++ b/internal/gateway/exchange/accesslog.go
@@ -22,6 +22,9 @@
 	failureLogRate = 50
 )
 
+// loggedConnectTime is the time from which the wait for a connection is logged.
+const loggedConnectTime = 10 * time.Millisecond
+
 // accessLog writes one log line for each request, at a bounded rate. Lines beyond the rate are dropped and
 // counted; the next line reports their number.
 type accessLog struct {
@@ -147,6 +150,12 @@
 	if a.limit.IsNamed() {
 		enc.AddFloat64("limit", a.limit.Rate())
 	}
+	if a.connected >= loggedConnectTime {
+		enc.AddFloat64("connected", ms(a.connected))
+	}
+	if a.sent && a.pauseLeft > 0 {
+		enc.AddFloat64("paused", ms(a.pauseLeft))
+	}
 	if a.leaving {
 		enc.AddBool("leaving", true)
 	}
--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -26,7 +26,9 @@
 	cachedTokens int            // prompt tokens expected in the instance's cache, copied ones included
 	limit        advisory.Limit // request rate that the upstream had named when the request was sent
 	copySource   string         // instance from which the upstream was told to copy cached tokens; empty for none
+	connected    time.Duration  // time until a connection was there
 	sent         bool           // at least one byte was written
+	pauseLeft    time.Duration  // what was left of a pause of the upstream when the first byte was written; 0 without a pause
 	leaving      bool           // the response states that the upstream leaves
 	pause        time.Duration  // for which the response asks the host to send nothing; 0 for none
 	framing      string         // how the response is delimited; empty without a response
@@ -74,6 +76,7 @@
 	}
 	msg := e.x.opts.Codec.EncodeRequest(nil, &e.request.Request, e.request.Body(), e.forwardInfo(i, r.copySource))
 	sentAt := e.x.opts.Now()
+	a.connected, a.pauseLeft = sentAt.Sub(now), i.PausedFor(sentAt)
 	n, err := c.Send(msg, e.deadline)
 	a.sent = n > 0
 	if n < len(msg) {
