Reproduce requests that are sent during a pause

The stand-in upstream has a listener whose queue can be filled (standin/gate), and upstream.Dialer takes its dial function, so that a test can hold up a connection. No logic changes.

--- a/internal/caller/exchange/exchange_test.go
+++ b/internal/caller/exchange/exchange_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -21,6 +22,7 @@
 	"hickorypath/internal/policy/poison"
 	"hickorypath/internal/policy/pool"
 	"hickorypath/internal/policy/retry"
+	"hickorypath/internal/policy/route"
 	"hickorypath/internal/policy/suspect"
 	standinengine "hickorypath/internal/standin/engine"
 	"hickorypath/internal/standin/memnet"
@@ -86,6 +88,10 @@
 	probesFail   bool          // all probes of upstreams fail
 
 	knownVersions map[string]string // software versions that this host knows, by upstream
+
+	suspectTracker *exchange.SuspectTracker
+	dialDelay      time.Duration // until a connection is opened
+	unwanted       sync.Map      // names of the upstreams that want no requests
 }
 
 // withHarness runs f with a harness that has two engines and a plain service.
@@ -94,8 +100,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		w := &harness{I: is.New(t), ctx: ctx, net: memnet.New(), keys: key.NewTable(), storeGate: standinstore.NewFaultInjector(nil)}
-		w.client = engine.New(engine.Options{Clock: clock.NewWall(), Dial: w.net.Dial})
-		services := service.New(service.Options{Dial: w.net.Dial})
+		w.client = engine.New(engine.Options{Clock: clock.NewWall(), Dial: w.dial})
+		services := service.New(service.Options{Dial: w.dial})
 		stop := w.startUpstreams()
 		defer time.Sleep(settleTime) // for the work that continues in the background
 		defer stop()
@@ -108,6 +114,12 @@
 	})
 }
 
+// dial opens a connection.
+func (w *harness) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	clock.Pause(ctx, w.dialDelay)
+	return w.net.Dial(ctx, network, addr)
+}
+
 // startUpstreams starts the simulated upstreams and adds them to their pools.
 func (w *harness) startUpstreams() (stop func()) {
 	w.engines = map[string]*standinengine.Engine{}
@@ -137,7 +149,11 @@
 		{Name: "query", FirstTokenTarget: 1100 * time.Millisecond, MaxWait: 5 * time.Second},
 		{Name: "brisk", FirstTokenTarget: 100 * time.Millisecond, MaxWait: 50 * time.Millisecond},
 	}
-	core := pool.New(pool.Config{Host: "h1", Zone: "a", Classes: classes, Seed: 1})
+	limiter := route.Limiter{MaySend: func(_ time.Time, upstream string) bool {
+		_, unwanted := w.unwanted.Load(upstream)
+		return !unwanted
+	}}
+	core := pool.New(pool.Config{Host: "h1", Zone: "a", Classes: classes, Seed: 1, Limiter: limiter})
 	w.pools[name] = dispatch.New(name, core, clock.NewWall())
 	w.pools[name].SetTargets(targets)
 	go w.pools[name].Run(w.ctx)
@@ -155,10 +171,11 @@
 	live := document.NewActive()
 	live.Apply(doc, 1)
 	c := clock.NewWall()
+	w.suspectTracker = exchange.NewSuspectTracker(suspect.Config{Host: "h1"}, func(suspect.Turn) {})
 	backend := store.New(w.storeGate.Backend(store.NewMemory(c).Backend()), store.Options{Clock: c, Rand: rand.New(rand.NewPCG(1, 2))})
 	w.runner = exchange.New(exchange.Deps{
 		Clock: c, Log: zap.NewNop(), Document: live, Keys: w.keys, Engines: w.client, Services: services,
-		Suspects: exchange.NewSuspectTracker(suspect.Config{Host: "h1"}, func(suspect.Turn) {}), RetryBudgets: exchange.NewRetryBudgets(retry.Config{}),
+		Suspects: w.suspectTracker, RetryBudgets: exchange.NewRetryBudgets(retry.Config{}),
 		Parts:   exchange.NewPartTracker(exchange.PartOptions{Log: zap.NewNop(), Owns: func(uint64) bool { return true }, Publish: func([]poison.Evidence) {}}),
 		IsReady: func() bool { return !w.starting },
 		Pool: func(name string) (*dispatch.Dispatcher, bool) {
@@ -227,10 +244,13 @@
 	err    error
 }
 
+// messages is the prompt of the chat completions.
+const messages = `[{"role":"user","content":"Why do dues differ in May, and who decides?"}]`
+
 // chat runs a chat completion and returns the response.
 func (w *harness) chat(ctx context.Context, c call) answer {
 	var a answer
-	body, err := exchange.ParseChat(fmt.Appendf(nil, `{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"Why do dues differ in May, and who decides?"}]}`, c.model, !c.plain, outputLength))
+	body, err := exchange.ParseChat(fmt.Appendf(nil, `{"model":%q,"stream":%t,"max_tokens":%d,"messages":%s}`, c.model, !c.plain, outputLength, messages))
 	w.NoErr(err)
 	who, err := w.runner.Authenticate(w.key)
 	w.NoErr(err)
--- a/internal/gateway/upstream/dialer.go
+++ b/internal/gateway/upstream/dialer.go
@@ -23,19 +23,27 @@
 
 // Dialer opens connections that detect an unresponsive peer.
 type Dialer struct {
-	dialer net.Dialer
+	dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // NewDialer returns a Dialer with the timeouts above.
 func NewDialer() *Dialer {
-	return &Dialer{dialer: net.Dialer{
+	d := net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount},
 		Control:         func(_, _ string, raw syscall.RawConn) error { return sockopt.SetUserTimeout(raw, ackTimeout) },
-	}}
+	}
+	return NewDialerFunc(func(ctx context.Context, address string) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp4", address)
+	})
+}
+
+// NewDialerFunc returns a Dialer that opens connections with dial.
+func NewDialerFunc(dial func(ctx context.Context, address string) (net.Conn, error)) *Dialer {
+	return &Dialer{dial: dial}
 }
 
 // Dial opens a connection to an address of an IP and a port.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
-	return d.dialer.DialContext(ctx, "tcp4", address)
+	return d.dial(ctx, address)
 }
--- a/internal/standin/instance/instance.go
+++ b/internal/standin/instance/instance.go
@@ -4,13 +4,13 @@
 
 import (
 	"cmp"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"hickorypath/internal/standin/gate"
 	"hickorypath/internal/standin/limitcheck"
 )
 
@@ -28,7 +28,7 @@
 // Server is a running instance. It is safe for concurrent use.
 type Server struct {
 	options  Options
-	listener net.Listener
+	listener *gate.Listener
 	server   *http.Server
 	limit    limitcheck.Limit
 	advice   advice
@@ -40,7 +40,7 @@
 
 // New returns a running Server that names no limit.
 func New(o Options) (*Server, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := gate.Listen("127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -53,6 +53,12 @@
 // Addr returns the address of the server.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
+// FillQueue fills the queue of new connections, so that further ones wait until EmptyQueue is called.
+func (s *Server) FillQueue() error { return s.listener.Fill() }
+
+// EmptyQueue accepts new connections again.
+func (s *Server) EmptyQueue() error { return s.listener.Open() }
+
 // Close closes the server and breaks its connections.
 func (s *Server) Close() { _ = s.server.Close() }
 
