Ask again before a request's first byte whether its upstream takes it

Cause: an attempt picks its upstream, then waits for a connection, for up to 1.2 s, and sends without looking again. An upstream in need is the very one whose new connections wait, so all that had picked it before its first rejection arrived during its pause. The class: a decision is made, time passes, and it is carried out without a second look.

gateway now asks, when there is a connection and directly before the first byte, what it asked at the choice: the key and the route against the newest configuration, the upstream's entry and incarnation, departure, pause, outage and limit, the version that began the stream, and the instance to copy a prompt from. A permission under a limit expires with its slot and under a lower limit. A request that is held back is no failed attempt: it goes back to where it waited, takes nothing from the retry budget, and its connection is kept. A dial to an upstream that asks for a pause or leaves is given up at once.

--- a/internal/gateway/exchange/accesslog.go
+++ b/internal/gateway/exchange/accesslog.go
@@ -168,6 +168,9 @@
 	if a.unfinished > 0 {
 		enc.AddInt("unfinished", a.unfinished)
 	}
+	if a.superseded {
+		enc.AddBool("superseded", true)
+	}
 	if a.result != "" {
 		enc.AddString("kind", string(a.result))
 		enc.AddBool("sent", a.sent)
--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -33,6 +33,7 @@
 	pause        time.Duration  // for which the response asks the host to send nothing; 0 for none
 	framing      string         // how the response is delimited; empty without a response
 	unfinished   int            // bytes of the event in which a stream ended
+	superseded   bool           // given up before anything was sent, since the upstream or the configuration had changed
 	failed       bool
 	result       kind.Kind
 	duration     time.Duration
@@ -54,7 +55,7 @@
 	end()
 	r.release()
 	a.duration = e.x.opts.Now().Sub(begin)
-	if err != nil {
+	if a.superseded = errors.Is(err, errSuperseded); err != nil && !a.superseded {
 		a.failed, a.result = true, kind.Of(err)
 		if kind.From(err).Ran() != kind.RanNo {
 			e.possibleRuns++
@@ -68,12 +69,19 @@
 func (e *exchange) send(ctx context.Context, i *upstream.Instance, a *attempt, r *reservation) error {
 	now := e.x.opts.Now()
 	c, err := i.Acquire(ctx, now, e.route.IsRepeatable())
+	if errors.Is(err, upstream.ErrUnwanted) {
+		return e.supersede(i)
+	}
 	if err != nil {
 		if ctx.Err() == nil {
 			i.RecordFailure(e.x.opts.Now())
 		}
 		return kind.Wrap(err, kind.Unavailable, "no connection to %s", i.ID())
 	}
+	if err := e.recheck(i, r); err != nil {
+		c.Return(e.x.opts.Now())
+		return err
+	}
 	msg := e.x.opts.Codec.EncodeRequest(nil, &e.request.Request, e.request.Body(), e.forwardInfo(i, r.copySource))
 	sentAt := e.x.opts.Now()
 	a.connected, a.pauseLeft = sentAt.Sub(now), i.PausedFor(sentAt)
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -52,16 +52,8 @@
 	if e.info, err = e.x.opts.Codec.DecodeRequest(&e.request.Request); err != nil {
 		return kind.Wrap(err, kind.Invalid, "request cannot be read")
 	}
-	e.route = e.config.Match(e.info.Host, e.info.Path)
-	if e.route == nil {
-		return kind.New(kind.NoRoute, "no route for %s%s", e.info.Host, e.info.Path)
-	}
-	e.customer = e.config.CustomerByKey(e.info.APIKey)
-	if e.customer == nil && !e.route.AuthExempt && e.config.HasCustomers() {
-		if e.info.APIKey == "" {
-			return kind.New(kind.NoKey, "the request carries no key")
-		}
-		return kind.New(kind.BadKey, "the key is not known")
+	if e.route, e.customer, err = e.resolve(e.config); err != nil {
+		return err
 	}
 	if e.route.Kind == config.Stream && e.x.opts.DrainingFor() > streamCutoff {
 		return kind.New(kind.Draining, "the host is shutting down").WithRetry(drainRetryAfter)
@@ -84,6 +76,23 @@
 	return nil
 }
 
+// resolve returns the route and the customer of the request according to a configuration. The customer is nil on an open route
+// without a key.
+func (e *exchange) resolve(c *config.Config) (*config.Route, *config.Customer, error) {
+	route := c.Match(e.info.Host, e.info.Path)
+	if route == nil {
+		return nil, nil, kind.New(kind.NoRoute, "no route for %s%s", e.info.Host, e.info.Path)
+	}
+	customer := c.CustomerByKey(e.info.APIKey)
+	if customer == nil && !route.AuthExempt && c.HasCustomers() {
+		if e.info.APIKey == "" {
+			return route, nil, kind.New(kind.NoKey, "the request carries no key")
+		}
+		return route, nil, kind.New(kind.BadKey, "the key is not known")
+	}
+	return route, customer, nil
+}
+
 const (
 	// streamCutoff is how long after the start of a shutdown new streams are still accepted; the end of the
 	// shutdown could cut later ones.
@@ -139,6 +148,9 @@
 // mayRetry reports whether another attempt may follow a failed one, and takes it from the retry budget if it
 // needs to.
 func (e *exchange) mayRetry(err error) bool {
+	if errors.Is(err, errSuperseded) {
+		return len(e.attempts) < maxAttempts && e.timeLeft() >= minAttemptTime
+	}
 	failure := kind.From(err)
 	if failure.Ran() != kind.RanNo {
 		e.mayHaveRun = true
--- a/internal/gateway/exchange/metrics.go
+++ b/internal/gateway/exchange/metrics.go
@@ -31,7 +31,10 @@
 	}
 	for _, a := range e.attempts {
 		result := "answered"
-		if a.failed {
+		switch {
+		case a.superseded:
+			result = "superseded"
+		case a.failed:
 			result = string(a.result)
 		}
 		metrics.GetOrCreateCounter(fmt.Sprintf(`hickorypath_attempts_total{service=%q,result=%q}`, service, result)).Inc()
--- a/internal/gateway/exchange/place.go
+++ b/internal/gateway/exchange/place.go
@@ -8,6 +8,7 @@
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/gateway/config"
 	"hickorypath/internal/gateway/upstream"
+	"hickorypath/internal/policy/advisory"
 	"hickorypath/internal/policy/place"
 	"hickorypath/internal/policy/sizing"
 )
@@ -205,6 +206,7 @@
 	load            *place.Load
 	instanceID      string
 	copySource      *upstream.Instance // instance whose cache holds more of the prompt, nil for none
+	permit          advisory.Permit    // under the instance's limit
 	cachedTokens    int                // prompt tokens that the instance need not read
 	tokensAhead     int                // unread prompt tokens at the instance before this request
 	unreadTokens    int
@@ -227,7 +229,7 @@
 	if m := model(e.service); m.PrefillPerMs > 0 {
 		r.expectedDelayMs = float64(r.load.PendingPrefill+r.unreadTokens) / m.PrefillPerMs
 	}
-	c.instance.RecordSend()
+	r.permit = c.instance.RecordSend()
 	r.load.Running++
 	r.load.PendingPrefill += r.unreadTokens
 	r.load.MemoryTokens += r.memoryTokens
--- a/internal/gateway/upstream/advisory.go
+++ b/internal/gateway/upstream/advisory.go
@@ -30,10 +30,14 @@
 	i.mu.Lock()
 	limit, leaving = i.advisory.Observe(now, sentAt, s), i.advisory.ObserveLeaving(now, sentAt, s.Leaving)
 	i.advisory.ObservePause(now, s.Pause)
+	paused := i.advisory.PausedFor(now) > 0
 	i.mu.Unlock()
 	if leaving {
 		i.closeIdle()
 	}
+	if leaving || paused {
+		i.abandonDials()
+	}
 	return limit, leaving
 }
 
@@ -72,11 +76,19 @@
 	return i.advisory.SendsWithin(now, f, d, limit)
 }
 
-// RecordSend counts a request against the instance's limit.
-func (i *Instance) RecordSend() {
+// RecordSend counts a request against the instance's limit, and returns the permission to send it.
+func (i *Instance) RecordSend() advisory.Permit {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.advisory.RecordSend()
+}
+
+// RenewPermit reports whether a request that was permitted earlier may be sent now, as far as the instance's limit is concerned. The
+// time is that of the fleet.
+func (i *Instance) RenewPermit(now time.Time, f *advisory.Fleet, p advisory.Permit) (renewed advisory.Permit, ok bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.advisory.RecordSend()
+	return i.advisory.Renew(now, f, p)
 }
 
 // maxAdvisories bounds the limits in a message, so that it stays a datagram.
@@ -142,6 +154,7 @@
 		i.mu.Unlock()
 		if isNew {
 			i.closeIdle()
+			i.abandonDials()
 			changed = append(changed, i)
 		}
 	}
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -64,7 +64,7 @@
 		}
 		c.Close()
 	}
-	raw, err := i.dialer.Dial(ctx, i.Entry().Address)
+	raw, err := i.dial(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -76,6 +76,15 @@
 	return c, nil
 }
 
+// Return gives back a connection on which nothing was sent since Acquire.
+func (c *Conn) Return(now time.Time) {
+	if !c.unbind() || c.closed.Load() {
+		c.Close()
+		return
+	}
+	c.park(now)
+}
+
 func (i *Instance) takeIdle() *Conn {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -146,6 +155,11 @@
 		c.Close()
 		return
 	}
+	c.park(now)
+}
+
+// park adds the connection to the idle connections, or closes it if the instance leaves.
+func (c *Conn) park(now time.Time) {
 	c.lastUsed = now
 	i := c.instance
 	i.mu.Lock()
--- a/internal/gateway/upstream/conn_test.go
+++ b/internal/gateway/upstream/conn_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"hickorypath/internal/gateway/upstream"
+	"hickorypath/internal/policy/advisory"
 	"hickorypath/internal/standin/script"
 )
 
@@ -68,3 +71,76 @@
 	is.NoErr(err)
 	is.Equal(string(data), "ok")
 }
+
+// TestUnusedConnectionIsLost guards against connections that are opened for a request which is then sent elsewhere, and are not kept
+// for the next one.
+func TestUnusedConnectionIsLost(t *testing.T) {
+	is := is.New(t)
+	s, err := script.New("Request-Id", script.Action{Bytes: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"})
+	is.NoErr(err)
+	defer s.Close()
+	table := upstream.NewTable(upstream.NewDialer(), zap.NewNop())
+	e := entry()
+	e.Address = s.Addr()
+	now := time.Now()
+	table.Put(now, e)
+	i := table.Get("u1")
+	ctx, leave := context.WithCancel(t.Context())
+	first, err := i.Acquire(ctx, now, true)
+	is.NoErr(err)
+	first.Return(now)
+	leave()
+	next, err := i.Acquire(t.Context(), now.Add(time.Second), false)
+	is.NoErr(err)
+	is.Equal(next, first)
+	roundTrip(t, next)
+	next.Close()
+	is.Equal(i.Conns(), 0)
+}
+
+// TestDialGoesOnAlthoughItsInstanceWantsNoRequests guards against requests that wait for a connection to an instance that would not
+// be used.
+func TestDialGoesOnAlthoughItsInstanceWantsNoRequests(t *testing.T) {
+	cases := []struct {
+		name   string
+		strike func(now time.Time, t *upstream.Table, i *upstream.Instance)
+	}{
+		{"pause", func(now time.Time, _ *upstream.Table, i *upstream.Instance) {
+			i.RecordAdvisory(now, now, advisory.Statement{Pause: advisory.ParsePause("3")})
+		}},
+		{"leaves", func(now time.Time, _ *upstream.Table, i *upstream.Instance) {
+			i.RecordAdvisory(now, now, advisory.Statement{Leaving: advisory.ParseLeaving("1")})
+		}},
+		{"leaves, another host tells", func(now time.Time, t *upstream.Table, _ *upstream.Instance) {
+			t.MergeDepartures(now, map[string]upstream.Departure{"u1": {Born: entry().Born}})
+		}},
+		{"drains", func(now time.Time, t *upstream.Table, _ *upstream.Instance) {
+			e := entry()
+			e.Draining = true
+			t.Put(now, e)
+		}},
+		{"is gone", func(now time.Time, t *upstream.Table, _ *upstream.Instance) { t.Remove(now, "u1") }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			dialing := make(chan struct{})
+			table := upstream.NewTable(upstream.NewDialerFunc(func(ctx context.Context, _ string) (net.Conn, error) {
+				close(dialing)
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}), zap.NewNop())
+			now := time.Now()
+			table.Put(now, entry())
+			i := table.Get("u1")
+			result := make(chan error)
+			go func() {
+				_, err := i.Acquire(t.Context(), now, true)
+				result <- err
+			}()
+			<-dialing
+			c.strike(now, table, i)
+			is.True(errors.Is(<-result, upstream.ErrUnwanted))
+		})
+	}
+}
--- /dev/null
+++ b/internal/gateway/upstream/dials.go
@@ -0,0 +1,48 @@
+package upstream
+
+import (
+	"context"
+	"net"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrUnwanted is the error of Acquire if the instance has stated, while its connection was being opened, that it wants no requests.
+var ErrUnwanted = errors.New("the upstream wants no requests now")
+
+// dials holds the functions that give up the connections that are being opened, by their numbers.
+type dials struct {
+	last   int
+	cancel map[int]context.CancelCauseFunc
+}
+
+// dial opens a connection to the instance. It gives up when the instance states that it wants no requests.
+func (i *Instance) dial(ctx context.Context) (net.Conn, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	i.mu.Lock()
+	i.dials.last++
+	n, address := i.dials.last, i.entry.Address
+	if i.dials.cancel == nil {
+		i.dials.cancel = map[int]context.CancelCauseFunc{}
+	}
+	i.dials.cancel[n] = cancel
+	i.mu.Unlock()
+	c, err := i.dialer.Dial(ctx, address)
+	i.mu.Lock()
+	delete(i.dials.cancel, n)
+	i.mu.Unlock()
+	if err != nil && errors.Is(context.Cause(ctx), ErrUnwanted) {
+		return nil, ErrUnwanted
+	}
+	return c, err
+}
+
+// abandonDials gives up the connections that are being opened.
+func (i *Instance) abandonDials() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, cancel := range i.dials.cancel {
+		cancel(ErrUnwanted)
+	}
+}
--- a/internal/gateway/upstream/instance.go
+++ b/internal/gateway/upstream/instance.go
@@ -16,6 +16,7 @@
 	heldUntil time.Time // an entry of an older copy of the store is not trusted before
 	idle      []*Conn   // idle connections, most recently used last
 	openConns int       // number of open connections, busy ones included
+	dials     dials     // connections that are being opened
 	load      Load
 	advisory  *advisory.State
 	backoff   backoff
@@ -72,6 +73,7 @@
 	i.mu.Unlock()
 	if leaving {
 		i.closeIdle()
+		i.abandonDials()
 	}
 }
 
@@ -83,6 +85,7 @@
 	}
 	i.mu.Unlock()
 	i.closeIdle()
+	i.abandonDials()
 }
 
 // IsRemoved reports whether the entry was removed from the store.
--- a/internal/policy/advisory/advisory.go
+++ b/internal/policy/advisory/advisory.go
@@ -85,11 +85,36 @@
 	return s.pacer.countUntil(now.Add(d), s.upstream, f, limit)
 }
 
-// RecordSend counts a request that MaySend has allowed.
-func (s *State) RecordSend() {
-	if len(s.pacer.unused) > 0 {
-		s.pacer.unused = s.pacer.unused[1:]
+// Permit is the permission to send one request under the limit of an upstream. The zero value was given without a limit.
+type Permit struct {
+	rate  float64   // under which it was given, in requests per second; 0 without a limit
+	until time.Time // when it expires
+}
+
+// RecordSend counts a request that MaySend has allowed, and returns the permission to send it.
+func (s *State) RecordSend() Permit {
+	if len(s.pacer.unused) == 0 {
+		return Permit{}
+	}
+	p := Permit{rate: s.pacer.rate, until: s.pacer.unused[0].Add(s.pacer.validity())}
+	s.pacer.unused = s.pacer.unused[1:]
+	return p
+}
+
+// Renew reports whether a request may be sent now that was permitted earlier. If that permission has expired, or was given under a
+// higher limit or none, the request takes a new one.
+func (s *State) Renew(now time.Time, f *Fleet, p Permit) (renewed Permit, ok bool) {
+	if !s.limit.IsNamed() {
+		return Permit{}, true
+	}
+	mayTake := s.MaySend(now, f)
+	if p.rate > 0 && p.rate <= s.pacer.rate && now.Before(p.until) {
+		return p, true
+	}
+	if !mayTake {
+		return Permit{}, false
 	}
+	return s.RecordSend(), true
 }
 
 // Limit returns the limit that is in force.
