Read responses that come early or at the deadline in gateway

Cause: send took a request that could not be written whole for one without a response and closed the connection, although an upstream may answer a long request before it reads it; at the deadline the connection was closed, while an upstream that has kept a request waiting turns it away at that very moment.

The write of a message that may not fit into the kernels' buffers is now watched: it ends 0.1 s after a response has begun, and the response is read as any other; the connection is not used again. After the deadline a response is awaited for 0.3 s more, for what it states only. What a response states is recorded only if it answers this request.

--- a/internal/gateway/exchange/advisory.go
+++ b/internal/gateway/exchange/advisory.go
@@ -8,8 +8,12 @@
 	"hickorypath/internal/gateway/upstream"
 )
 
-// recordStatements records what an instance stated about itself in its response to a request sent at sentAt.
-func (x *Exchanger) recordStatements(i *upstream.Instance, sentAt time.Time, r ResponseInfo) {
+// recordStatements records what an instance stated about itself in its response to a request with an id that was sent at sentAt.
+// Statements in the response of another instance or to another request are ignored.
+func (x *Exchanger) recordStatements(i *upstream.Instance, sentAt time.Time, id string, r ResponseInfo) {
+	if r.Misdirected || !r.NotExecuted && r.ID != id {
+		return
+	}
 	now, s := x.opts.Now(), r.Advisory
 	if r.HasLoad {
 		i.SetLoad(upstream.Load{Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, At: now})
@@ -37,6 +41,24 @@
 	}
 }
 
+// lateResponseTime is how long after the deadline of a request its response is awaited for what it states about the upstream. An
+// upstream that has kept a request waiting turns it away at the deadline.
+const lateResponseTime = 300 * time.Millisecond
+
+// awaitLateResponse records what an instance states in a response that comes after the deadline of its request, and closes the
+// connection.
+func (x *Exchanger) awaitLateResponse(c *upstream.Conn, i *upstream.Instance, sentAt time.Time, id, method string) {
+	defer c.Close()
+	if c.SetReadDeadline(time.Now().Add(lateResponseTime)) != nil {
+		return
+	}
+	resp, _, err := c.Receive([]byte(method))
+	if err != nil {
+		return
+	}
+	x.recordStatements(i, sentAt, id, x.opts.Codec.DecodeResponse(resp))
+}
+
 // ApplyDepartures records which instances leave, as another host has told.
 func (x *Exchanger) ApplyDepartures(now time.Time, host string, told map[string]upstream.Departure) {
 	for _, i := range x.opts.Table.MergeDepartures(now, told) {
--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -87,19 +87,25 @@
 	a.connected, a.pauseLeft = sentAt.Sub(now), i.PausedFor(sentAt)
 	n, err := c.Send(msg, e.deadline)
 	a.sent = n > 0
-	if n < len(msg) {
+	isWhole := n == len(msg)
+	if hasResponse := isWhole || a.sent && c.HasResponse(e.deadline); !hasResponse {
 		c.Close()
 		e.blame(ctx, i, err)
 		return kind.Wrap(err, kind.Unavailable, "request not sent to %s", i.ID())
 	}
 	err = e.receive(ctx, c, i, sentAt, a, r.firstEvent)
-	if err != nil {
+	switch {
+	case err == nil && isWhole:
+		c.Release(e.x.opts.Now())
+	case kind.Of(err) == kind.Timeout && a.framing == "" && c.Unbind():
+		go e.x.awaitLateResponse(c, i, sentAt, e.info.ID, string(e.request.Method()))
+	default:
 		c.Close()
-		return err
 	}
-	c.Release(e.x.opts.Now())
-	e.recordComplete()
-	return nil
+	if err == nil {
+		e.recordComplete()
+	}
+	return err
 }
 
 // forwardInfo returns the metadata that is sent with the request to instance i.
@@ -146,9 +152,7 @@
 	a.framing = resp.Framing()
 	answer := e.x.opts.Codec.DecodeResponse(resp)
 	a.leaving, a.pause = answer.Advisory.Leaving.IsStated(), answer.Advisory.Pause.Length()
-	if !answer.Misdirected && (answer.NotExecuted || answer.ID == e.info.ID) {
-		e.x.recordStatements(i, sentAt, answer)
-	}
+	e.x.recordStatements(i, sentAt, e.info.ID, answer)
 	if answer.NotExecuted {
 		return kind.New(kind.Rejected, "%s did not run the request: status %d", i.ID(), resp.Status()).WithRetry(e.retryAfter(rejectedRetryAfter))
 	}
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
 	"hickorypath/internal/gateway/h1"
@@ -85,6 +86,9 @@
 	c.park(now)
 }
 
+// Unbind keeps the connection open when the context of its request ends. It reports whether the connection is still open.
+func (c *Conn) Unbind() bool { return c.unbind() && !c.closed.Load() }
+
 func (i *Instance) takeIdle() *Conn {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -128,12 +132,44 @@
 	return err == nil && quiet
 }
 
-// Send writes a whole message and returns how many of its bytes were handed to the kernel.
+const (
+	// watchedBytes is the size from which a message may not fit into the buffers of the two kernels, so that its sender waits until
+	// the upstream reads it.
+	watchedBytes = 16 << 10
+	// earlyResponseGrace is how long the rest of a message may take after its response has begun.
+	earlyResponseGrace = 100 * time.Millisecond
+	// receivedWait bounds a read of bytes that have arrived already.
+	receivedWait = 10 * time.Millisecond
+)
+
+// Send writes a whole message and returns how many of its bytes were handed to the kernel. It stops early if the upstream responds
+// and does not read on.
 func (c *Conn) Send(msg []byte, until time.Time) (int, error) {
 	if err := c.SetDeadline(until); err != nil {
 		return 0, err
 	}
-	return c.Write(msg)
+	if len(msg) < watchedBytes {
+		return c.Write(msg)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if _, err := c.reader.Peek(1); err == nil {
+			_ = c.SetWriteDeadline(time.Now().Add(earlyResponseGrace)) // a closed connection ends the write as well
+		}
+	}()
+	n, err := c.Write(msg)
+	_ = c.SetReadDeadline(time.Unix(1, 0)) // ends the Peek
+	<-done
+	return n, errors.CombineErrors(err, c.SetDeadline(until))
+}
+
+// HasResponse reports whether a response to a message that was not written whole has begun to arrive. The rest of it may arrive until
+// the time until.
+func (c *Conn) HasResponse(until time.Time) bool {
+	_ = c.SetReadDeadline(time.Now().Add(receivedWait)) // the Peek fails if the connection is closed
+	_, err := c.reader.Peek(1)
+	return err == nil && c.SetReadDeadline(until) == nil
 }
 
 // Receive reads the head of the response to a request with the given method, and returns a reader for the body.
