Ask again before the first byte of an attempt of serve

The connection asks directly before the first byte of a request: whether the request is a suspect, whether the upstream still takes the attempt (pause, departure, limit, draining, outage, address), and last whether the claim of a request that may run once still holds. Hedges and resumes go the same way.

--- a/internal/caller/exchange/attempt.go
+++ b/internal/caller/exchange/attempt.go
@@ -109,6 +109,8 @@
 		return
 	}
 	a.call.OnAdvisory = c.runner.onAdvisory(a.grant.Target())
+	onTrial := a.onTrial
+	a.call.BeforeSend = func() error { return c.recheck(a.grant, c.fingerprint, onTrial) }
 	a.stream, a.err = c.runner.deps.Engines.Chat(a.ctx, a.grant.Target().Addr(), a.call)
 	if a.err == nil {
 		a.firstEvent, a.err = a.stream.Next()
@@ -160,7 +162,7 @@
 		c.runner.deps.RetryBudgets.RecordFirstTokenTime(c.pool.Name(), result.TimeToFirstToken)
 	}
 	result.Crashed = c.finishRun(ctx, a.grant, a.runID, a.err)
-	if a.err != nil && (ctx.Err() != nil || kind.Of(a.err) == kind.Canceled) {
+	if a.err != nil && (ctx.Err() != nil || kind.Of(a.err) == kind.Canceled || errors.Is(a.err, errSuperseded)) {
 		c.pool.Cancel(a.grant)
 		return
 	}
--- a/internal/caller/exchange/chat.go
+++ b/internal/caller/exchange/chat.go
@@ -111,6 +111,9 @@
 			return nil
 		}
 		err = c.replaceCause(ctx, err)
+		if c.mayPickAgain(err) {
+			continue
+		}
 		if c.attempts == before {
 			return refusalError(err, c.ran)
 		}
--- a/internal/caller/exchange/exchange.go
+++ b/internal/caller/exchange/exchange.go
@@ -162,6 +162,7 @@
 	claim         *Claim   // of a non-repeatable request with an idempotency key
 	outcome       *Outcome // response of this run, to be stored for resends
 	storedOutcome *Outcome // response of an earlier run, to be sent instead of running the request
+	superseded    int      // attempts that ended with errSuperseded
 }
 
 // Open routes a request and returns its session. The context of the session is canceled when the key is withdrawn.
--- a/internal/caller/exchange/forward.go
+++ b/internal/caller/exchange/forward.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -122,6 +123,9 @@
 			return nil
 		}
 		err = f.replaceCause(ctx, err)
+		if f.buffered && f.mayPickAgain(err) {
+			continue
+		}
 		if f.attempts == before {
 			return refusalError(err, f.ran)
 		}
@@ -171,7 +175,12 @@
 	run := f.runner.deps.Suspects.Start(f.runner.deps.Clock.Now(), f.fingerprint, f.summary.Upstream, RunCallbacks{})
 	f.runner.deps.Suspects.ScheduleTrialPass(f.runner.deps.Clock.Now, run)
 	f.timeToResponse = 0
-	err = f.send(ctx, grant.Target())
+	err = f.send(ctx, grant, turn.Upstream != "")
+	if errors.Is(err, errSuperseded) {
+		f.finishRun(ctx, grant, run, err)
+		f.pool.Cancel(grant)
+		return err
+	}
 	result := pool.Result{Failed: err != nil && ctx.Err() == nil, Crashed: f.finishRun(ctx, grant, run, err)}
 	if err == nil {
 		result.TimeToFirstToken = f.timeToResponse
@@ -182,7 +191,8 @@
 }
 
 // send makes one attempt and passes its response to the caller.
-func (f *forward) send(ctx context.Context, target dispatch.Target) error {
+func (f *forward) send(ctx context.Context, grant dispatch.Grant, onTrial bool) error {
+	target := grant.Target()
 	if err := f.checkClaim(); err != nil {
 		return err
 	}
@@ -198,6 +208,7 @@
 		BodyLength: f.bodyLength(),
 		Repeatable: f.route.Repeatable() && f.buffered,
 		OnAdvisory: f.runner.onAdvisory(target),
+		BeforeSend: func() error { return f.recheck(grant, f.fingerprint, onTrial) },
 	})
 	if err != nil {
 		return err
--- a/internal/policy/pool/dispatch.go
+++ b/internal/policy/pool/dispatch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/advisory"
 	"hickorypath/internal/policy/route"
 )
 
@@ -91,7 +92,7 @@
 func (p *Pool) start(now time.Time, c *call, upstream string, allowReclaimable bool) {
 	p.removeExpiry(c)
 	c.started, c.upstream, c.durable = now, upstream, !p.reclaimable[upstream]
-	p.balancer.Start(now, upstream, c.ID, c.routeRequest(allowReclaimable))
+	permit := p.balancer.Start(now, upstream, c.ID, c.routeRequest(allowReclaimable))
 	p.runningByUpstream[upstream]++
 	p.countCustomer(c)
 	p.runningByTier[c.class.Tier]++
@@ -100,7 +101,12 @@
 	if c.durable {
 		c.class.runningDurable++
 	}
-	p.decisions = append(p.decisions, Decision{ID: c.ID, Action: Start, Upstream: upstream, Guaranteed: c.guaranteed})
+	p.decisions = append(p.decisions, Decision{ID: c.ID, Action: Start, Upstream: upstream, Permit: permit, Guaranteed: c.guaranteed})
+}
+
+// MayStillSend reports whether a request that was started on an upstream some time ago, and has not been sent yet, may be sent now.
+func (p *Pool) MayStillSend(now time.Time, upstream string, permit advisory.Permit) bool {
+	return p.balancer.MayStillSend(now, upstream, permit)
 }
 
 // removeRunning removes a running call from the balancer and from all counts.
--- a/internal/policy/pool/request.go
+++ b/internal/policy/pool/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/advisory"
 	"hickorypath/internal/policy/length"
 	"hickorypath/internal/policy/queue"
 	"hickorypath/internal/policy/route"
@@ -41,6 +42,7 @@
 	ID         uint64
 	Action     Action
 	Upstream   string
+	Permit     advisory.Permit // to send the request to the upstream
 	Kind       kind.Kind
 	RetryAfter time.Duration // time after which a refused caller should retry
 	Guaranteed bool          // started from the guaranteed share of its class
--- a/internal/policy/route/balancer.go
+++ b/internal/policy/route/balancer.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"hickorypath/internal/policy/advisory"
 	"hickorypath/internal/policy/health"
 )
 
@@ -183,14 +184,14 @@
 // uncertainCacheTime is how long the cache entries of an upstream count less after cache events were lost.
 const uncertainCacheTime = 30 * time.Second
 
-// Start records that request requestID was sent to upstream id.
-func (b *Balancer) Start(now time.Time, id string, requestID uint64, r Request) {
+// Start records that request requestID was assigned to upstream id, and returns the permission to send it.
+func (b *Balancer) Start(now time.Time, id string, requestID uint64, r Request) advisory.Permit {
 	m := b.byID[id]
 	if m == nil {
-		return
+		return advisory.Permit{}
 	}
 	b.requests[requestID] = runningRequest{member: m, start: now}
-	b.config.Limiter.recordSend(id)
+	permit := b.config.Limiter.recordSend(id)
 	missing := r.PromptTokens - b.cachedTokens(now, m, r)
 	m.pending = append(m.pending, pendingRequest{requestID: requestID, start: now, uncachedTokens: missing, tokensAhead: m.pendingTokens})
 	m.pendingTokens += missing
@@ -198,6 +199,7 @@
 		b.prefixes.add(hash, uint16(m.index))
 	}
 	b.addOwnRunning(now, m, +1)
+	return permit
 }
 
 // FirstToken records that a request on upstream id received its first token d after it was sent.
--- a/internal/policy/route/limiter.go
+++ b/internal/policy/route/limiter.go
@@ -1,13 +1,19 @@
 package route
 
-import "time"
+import (
+	"time"
+
+	"hickorypath/internal/policy/advisory"
+)
 
 // Limiter keeps the request rates that upstreams accept. A nil function limits nothing.
 type Limiter struct {
 	// MaySend reports whether a request may be sent to the upstream now.
 	MaySend func(now time.Time, upstream string) bool
-	// RecordSend counts a request that is sent.
-	RecordSend func(upstream string)
+	// RecordSend counts a request that is assigned to the upstream, and returns the permission to send it.
+	RecordSend func(upstream string) advisory.Permit
+	// Renew reports whether a request may be sent to the upstream now that was permitted earlier. Without it, MaySend is asked again.
+	Renew func(now time.Time, upstream string, p advisory.Permit) bool
 	// SendsWithin returns how many requests may be sent to the upstream within d, but at most limit.
 	SendsWithin func(now time.Time, upstream string, d time.Duration, limit int) int
 }
@@ -16,10 +22,23 @@
 	return l.MaySend == nil || l.MaySend(now, upstream)
 }
 
-func (l *Limiter) recordSend(upstream string) {
-	if l.RecordSend != nil {
-		l.RecordSend(upstream)
+func (l *Limiter) recordSend(upstream string) advisory.Permit {
+	if l.RecordSend == nil {
+		return advisory.Permit{}
+	}
+	return l.RecordSend(upstream)
+}
+
+// MayStillSend reports whether a request that was assigned to an upstream some time ago may be sent there now.
+func (b *Balancer) MayStillSend(now time.Time, upstream string, p advisory.Permit) bool {
+	m := b.byID[upstream]
+	if m == nil || m.leaving {
+		return false
+	}
+	if b.config.Limiter.Renew == nil {
+		return b.config.Limiter.maySend(now, upstream)
 	}
+	return b.config.Limiter.Renew(now, upstream, p)
 }
 
 // SendsWithin returns how many requests the rates of the upstreams allow this host within d, but at most limit.
--- a/internal/upstream/dispatch/dispatch.go
+++ b/internal/upstream/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 
 	"hickorypath/internal/core/clock"
 	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/advisory"
 	"hickorypath/internal/policy/pool"
 	"hickorypath/internal/policy/route"
 )
@@ -83,6 +84,7 @@
 type Grant struct {
 	id     uint64
 	target Target
+	permit advisory.Permit
 }
 
 // Target returns the upstream that the attempt may run on.
@@ -145,6 +147,15 @@
 	}
 }
 
+// MayStillSend reports whether the attempt of a grant, which has not been sent yet, may be sent now: time may have passed since its
+// upstream was picked.
+func (d *Dispatcher) MayStillSend(g Grant) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t, ok := d.targets[g.target.id]
+	return ok && t.addr == g.target.addr && t.acceptsWork() && d.pool.MayStillSend(d.clock.Now(), t.id, g.permit)
+}
+
 // AddTokens tells the pool that the attempt has produced n more tokens.
 func (d *Dispatcher) AddTokens(g Grant, n int) {
 	d.mu.Lock()
@@ -304,7 +315,7 @@
 		k := o.decision.Kind
 		return Grant{}, kind.New(k, "pool %s refused the request: %s", d.name, k).WithRetry(o.decision.RetryAfter)
 	}
-	return Grant{id: o.decision.ID, target: o.target}, nil
+	return Grant{id: o.decision.ID, target: o.target, permit: o.decision.Permit}, nil
 }
 
 // withdraw removes a request whose context has ended, whether the request still waits or was just started.
--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -104,6 +104,9 @@
 
 	// OnAdvisory receives what the engine states about itself in its answer; it may be nil.
 	OnAdvisory func(advisory.Statement)
+	// BeforeSend is called when the attempt has its connection. If it returns an error, nothing is sent, and that is the error of the
+	// call. It may be nil.
+	BeforeSend func() error
 }
 
 // Chat sends the call and returns the answer as a Stream. Errors have kind Unavailable or Rejected (the
@@ -139,6 +142,7 @@
 }
 
 func (s *Stream) newRequest(call Call) (*http.Request, error) {
+	s.account.SetBeforeSend(call.BeforeSend)
 	url := "http://" + s.addr + "/v1/chat/completions"
 	req, err := http.NewRequestWithContext(s.account.WithTrace(s.ctx), http.MethodPost, url, bytes.NewReader(call.Body))
 	if err != nil {
--- a/internal/upstream/engine/errors.go
+++ b/internal/upstream/engine/errors.go
@@ -49,6 +49,9 @@
 	if cause := s.abortErr.Load(); cause != nil {
 		return cause.WithRan(s.ranStatus())
 	}
+	if refusal := s.account.Refusal(); refusal != nil && !s.account.Sent() {
+		return refusal
+	}
 	switch {
 	case errors.Is(s.parent.Err(), context.DeadlineExceeded):
 		return kind.Wrap(err, kind.Timeout, "engine %s did not answer in time", s.addr).WithRan(s.ranStatus())
--- a/internal/upstream/fleet/advisory.go
+++ b/internal/upstream/fleet/advisory.go
@@ -107,19 +107,39 @@
 			return a.sendsWithin(now, upstream, 0, 1) > 0
 		},
 		SendsWithin: a.sendsWithin,
-		RecordSend: func(upstream string) {
+		RecordSend: func(upstream string) advisory.Permit {
 			if a.restricted.Load() == 0 {
-				return
+				return advisory.Permit{}
 			}
 			a.mu.Lock()
 			defer a.mu.Unlock()
 			if u := a.upstreams[upstream]; u != nil {
-				u.state.RecordSend()
+				return u.state.RecordSend()
 			}
+			return advisory.Permit{}
 		},
+		Renew: a.renew,
 	}
 }
 
+// renew reports whether a request may be sent now to an upstream for which it got its permit earlier.
+func (a *advisories) renew(now time.Time, upstream string, p advisory.Permit) bool {
+	if a.restricted.Load() == 0 {
+		return true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	u := a.upstreams[upstream]
+	if u == nil {
+		return true
+	}
+	if _, leaves := u.state.LeavingFor(now); leaves || u.state.PausedFor(now) > 0 {
+		return false
+	}
+	_, ok := u.state.Renew(now, a.members.Fleet(), p)
+	return ok
+}
+
 // sendsWithin returns how many requests this host may send to an upstream within d, but at most limit.
 func (a *advisories) sendsWithin(now time.Time, upstream string, d time.Duration, limit int) int {
 	if a.restricted.Load() == 0 {
--- a/internal/upstream/fleet/fleet_test.go
+++ b/internal/upstream/fleet/fleet_test.go
@@ -188,7 +188,7 @@
 }
 
 // TestChanges checks which engines accept new requests after a change of the engine list, of an engine or of
-// the document, while a request runs on engine a.
+// the document, while a request has a grant for engine a, and whether that grant still holds.
 func TestChanges(t *testing.T) {
 	cases := []struct {
 		name  string
@@ -322,6 +322,10 @@
 				h.Equal(acceptingEngines(h.own), c.takes)
 				n, _ := h.own.Running("asesor", "a")
 				h.Equal(n, c.runs)
+				if after, ok := h.own.Pool("asesor"); ok && after == before {
+					hasMoved := slices.ContainsFunc(after.Targets(), func(t dispatch.Target) bool { return t.ID() == "a" && t.Addr() != "a:80" })
+					h.Equal(after.MayStillSend(h.held), slices.Contains(c.takes, "a") && !hasMoved)
+				}
 				h.True(!before.IsIdle()) // the running request is still counted
 				before.Release(h.held, pool.Result{OutputTokens: 1})
 				h.True(before.IsIdle())
--- a/internal/upstream/httpclient/conn.go
+++ b/internal/upstream/httpclient/conn.go
@@ -41,10 +41,11 @@
 	return sockopt.SetUserTimeout(c, unackedTimeout)
 }
 
-// CountingConn is a connection that counts the bytes written to it.
+// CountingConn is a connection that counts the bytes written to it, and asks before the first byte of a request.
 type CountingConn struct {
 	net.Conn
 	written atomic.Int64
+	guard   atomic.Pointer[func() error] // called before the next write; nil for none
 }
 
 // CountingDial returns a DialFunc that calls dial and returns connections of type *CountingConn.
@@ -61,6 +62,11 @@
 // Write counts the bytes before writing them, so that the count is never below the number of bytes that the other end
 // may have read.
 func (c *CountingConn) Write(b []byte) (int, error) {
+	if guard := c.guard.Swap(nil); guard != nil {
+		if err := (*guard)(); err != nil {
+			return 0, err
+		}
+	}
 	c.written.Add(int64(len(b)))
 	return c.Conn.Write(b)
 }
@@ -69,13 +75,36 @@
 func (c *CountingConn) Written() int64 { return c.written.Load() }
 
 // SendTracker tells whether any byte of an HTTP request may have been sent to its upstream, so that a request that failed
-// before can be sent again.
+// before can be sent again. It can also hold the request back when it is about to be sent.
 type SendTracker struct {
+	beforeSend    func() error
+	refusal       atomic.Pointer[error]
 	conn          atomic.Pointer[CountingConn]
 	writtenBefore atomic.Int64
 	assumeSent    atomic.Bool // no count is available: the connection is no *CountingConn, or bytes went out on an earlier one
 }
 
+// SetBeforeSend sets a function that is called when the request has its connection, directly before its first byte. If it returns an
+// error, nothing is sent. It may be called more than once, by other goroutines.
+func (t *SendTracker) SetBeforeSend(f func() error) { t.beforeSend = f }
+
+// Refusal returns the error with which the function of SetBeforeSend held the request back, nil if it did not.
+func (t *SendTracker) Refusal() error {
+	if err := t.refusal.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
+// guard calls the function of SetBeforeSend.
+func (t *SendTracker) guard() error {
+	err := t.beforeSend()
+	if err != nil {
+		t.refusal.Store(&err)
+	}
+	return err
+}
+
 // WithTrace returns a context for the request, under which net/http reports the request's connection to t.
 func (t *SendTracker) WithTrace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
@@ -92,6 +121,10 @@
 	}
 	t.writtenBefore.Store(c.Written())
 	t.conn.Store(c)
+	c.guard.Store(nil)
+	if guard := t.guard; t.beforeSend != nil {
+		c.guard.Store(&guard)
+	}
 }
 
 // asCountingConn returns the CountingConn that c is or, as a TLS connection, wraps.
--- a/internal/upstream/service/client.go
+++ b/internal/upstream/service/client.go
@@ -87,6 +87,9 @@
 
 	// OnAdvisory receives what the service states about itself in its response; it may be nil.
 	OnAdvisory func(advisory.Statement)
+	// BeforeSend is called when the attempt has its connection. If it returns an error, nothing is sent, and that is the error of the
+	// call. It may be nil.
+	BeforeSend func() error
 }
 
 // Do sends the call once and returns the response, whose body the caller must close. Errors have kind
@@ -137,6 +140,7 @@
 }
 
 func (a *attempt) newRequest() (*http.Request, error) {
+	a.account.SetBeforeSend(a.call.BeforeSend)
 	target := "http://" + a.addr + a.call.Path
 	if q := httpclient.ForwardQuery(a.call.Query, a.call.CallerKey); q != "" {
 		target += "?" + q
@@ -191,6 +195,9 @@
 
 // classifyError converts a transport error to an error with a kind.
 func (a *attempt) classifyError(err error) error {
+	if refusal := a.account.Refusal(); refusal != nil && !a.account.Sent() {
+		return refusal
+	}
 	switch {
 	case errors.Is(a.parent.Err(), context.DeadlineExceeded):
 		return kind.Wrap(err, kind.Timeout, "service %s did not answer in time", a.addr).WithRan(a.ranStatus())
