Read rejections of serve that come before the body is sent

A service that turns a long request away before it has read it, and closes, got its next requests during the pause for which the rejection asked: serve did not read the rejection, and reported an error of the connection instead.

Cause: the write of the body fails, and net/http then reads no response. A connection on which a part of the request was sent now discards the rest of a body that the other end no longer reads, so that the response is read; if none comes, the read fails and says so.

--- a/internal/upstream/httpclient/conn.go
+++ b/internal/upstream/httpclient/conn.go
@@ -44,8 +44,10 @@
 // CountingConn is a connection that counts the bytes written to it, and asks before the first byte of a request.
 type CountingConn struct {
 	net.Conn
-	written atomic.Int64
-	guard   atomic.Pointer[func() error] // called before the next write; nil for none
+	written      atomic.Int64
+	guard        atomic.Pointer[func() error] // called before the next write; nil for none
+	requestStart atomic.Int64                 // bytes written before the current request; negative if requests are not tracked
+	failed       atomic.Pointer[error]        // of the write that failed
 }
 
 // CountingDial returns a DialFunc that calls dial and returns connections of type *CountingConn.
@@ -55,20 +57,38 @@
 		if err != nil {
 			return nil, err
 		}
-		return &CountingConn{Conn: c}, nil
+		counting := &CountingConn{Conn: c}
+		counting.requestStart.Store(-1)
+		return counting, nil
 	}
 }
 
 // Write counts the bytes before writing them, so that the count is never below the number of bytes that the other end
-// may have read.
+// may have read. If the other end has read a part of a request and reads no more, as after an early response, Write discards the rest
+// without an error, since net/http does not read a response after a failed write. The read then shows how the connection ended.
 func (c *CountingConn) Write(b []byte) (int, error) {
 	if guard := c.guard.Swap(nil); guard != nil {
 		if err := (*guard)(); err != nil {
 			return 0, err
 		}
 	}
+	before, start := c.written.Load(), c.requestStart.Load()
+	isPartSent := start >= 0 && before > start
+	if err := c.failed.Load(); err != nil {
+		if isPartSent {
+			return len(b), nil
+		}
+		return 0, *err
+	}
 	c.written.Add(int64(len(b)))
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.failed.Store(&err)
+		if start >= 0 && (isPartSent || n > 0) {
+			return len(b), nil
+		}
+	}
+	return n, err
 }
 
 // Written returns the number of bytes passed to Write so far.
@@ -120,6 +140,7 @@
 		t.assumeSent.Store(true)
 	}
 	t.writtenBefore.Store(c.Written())
+	c.requestStart.Store(c.Written())
 	t.conn.Store(c)
 	c.guard.Store(nil)
 	if guard := t.guard; t.beforeSend != nil {
