Count the connections to upstreams by their results

Whether a host that serves nothing (RECOVER) reached no upstream, or was only slow to find one that it could reach, could not be seen: an attempt is at one upstream. hickorypath_upstream_dials_total counts the connections that a host of gateway opens, and those that are refused, time out or are no longer needed. No logic changes.

--- a/internal/gateway/upstream/dials.go
+++ b/internal/gateway/upstream/dials.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 )
 
@@ -29,6 +31,7 @@
 	i.dials.cancel[n] = cancel
 	i.mu.Unlock()
 	c, err := i.dialer.Dial(ctx, address)
+	countDial(ctx, err)
 	i.mu.Lock()
 	delete(i.dials.cancel, n)
 	i.mu.Unlock()
@@ -38,6 +41,22 @@
 	return c, err
 }
 
+// countDial counts a connection that was opened, or not, by its result.
+func countDial(ctx context.Context, err error) {
+	result := "opened"
+	var timeout net.Error
+	switch {
+	case err == nil:
+	case ctx.Err() != nil:
+		result = "abandoned"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		result = "timeout"
+	default:
+		result = "refused"
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`hickorypath_upstream_dials_total{result=%q}`, result)).Inc()
+}
+
 // abandonDials gives up the connections that are being opened.
 func (i *Instance) abandonDials() {
 	i.mu.Lock()
