Reproduce hosts that are cut off from all upstreams

The stand-ins: a proxy can refuse or hold up new connections, the platform shows each host its own addresses of the upstreams, and a host of serve takes the function with which it opens connections to them. No logic changes.

--- a/cmd/hickorypath/demo.go
+++ b/cmd/hickorypath/demo.go
@@ -26,6 +26,7 @@
 	standinservice "hickorypath/internal/standin/service"
 	"hickorypath/internal/standin/testbed"
 	"hickorypath/internal/state/roster"
+	"hickorypath/internal/upstream/httpclient"
 )
 
 //go:embed demo.jsonc
@@ -62,7 +63,8 @@
 	enginesPerPool int // number of engines in each pool
 	lease          time.Duration
 	window         time.Duration
-	document       []byte // source text of the document to apply
+	document       []byte                             // source text of the document to apply
+	dial           func(host int) httpclient.DialFunc // returns the function with which a host opens connections to upstreams; nil for the usual one
 }
 
 // demoEngine holds the properties of the demo's simulated engines.
@@ -176,7 +178,11 @@
 	if err != nil {
 		return err
 	}
-	h, err := newHost(s, d.log)
+	dial := httpclient.NewDialFunc()
+	if d.flags.dial != nil {
+		dial = d.flags.dial(n)
+	}
+	h, err := newHost(s, d.log, dial)
 	if err != nil {
 		return fmt.Errorf("%w; choose other addresses with --listen and --admin", err)
 	}
--- a/cmd/hickorypath/host.go
+++ b/cmd/hickorypath/host.go
@@ -53,10 +53,11 @@
 	loops    sync.WaitGroup
 }
 
-// newHost creates the components of a host and opens its listeners. The host serves when run is called.
-func newHost(s *settings.Settings, log *zap.Logger) (*host, error) {
+// newHost creates the components of a host and opens its listeners. The host serves when run is called. It opens its connections to
+// upstreams with dial.
+func newHost(s *settings.Settings, log *zap.Logger, dial httpclient.DialFunc) (*host, error) {
 	h := &host{settings: s, log: log.With(zap.String("host", s.Host())), injector: nil}
-	h.injector = newInjector(s, h.log)
+	h.injector = newInjector(s, h.log, dial)
 	if _, err := do.Invoke[*node.Node](h.injector); err != nil {
 		return nil, kind.Wrap(err, kind.Settings, "cannot listen on the address %s for other hosts", s.Peer().Listen)
 	}
--- a/cmd/hickorypath/injector.go
+++ b/cmd/hickorypath/injector.go
@@ -37,9 +37,10 @@
 	"hickorypath/internal/upstream/service"
 )
 
-// newInjector registers the providers of one host's components.
-func newInjector(s *settings.Settings, log *zap.Logger) *do.RootScope {
+// newInjector registers the providers of one host's components. The host opens its connections to upstreams with dial.
+func newInjector(s *settings.Settings, log *zap.Logger, dial httpclient.DialFunc) *do.RootScope {
 	i := do.New()
+	do.ProvideValue(i, dial)
 	do.ProvideValue(i, s)
 	do.ProvideValue(i, log)
 	do.ProvideValue(i, clock.NewSystem())
@@ -160,6 +161,7 @@
 		Replicator:       n.Replicator(),
 		FetchLoad:        engines.Load,
 		FetchCacheEvents: engines.CacheEvents,
+		Dial:             get[httpclient.DialFunc](i),
 		LiveHosts:        func() []string { return liveHosts(n.Members()) },
 		HostZones:        func() []route.Host { return liveHostZones(n.Members()) },
 	}), nil
@@ -222,11 +224,11 @@
 }
 
 func provideEngines(i do.Injector) (*engine.Client, error) {
-	return engine.New(engine.Options{Dial: httpclient.NewDialFunc(), Clock: get[clock.Clock](i), Log: get[*zap.Logger](i)}), nil
+	return engine.New(engine.Options{Dial: get[httpclient.DialFunc](i), Clock: get[clock.Clock](i), Log: get[*zap.Logger](i)}), nil
 }
 
-func provideServices(do.Injector) (*service.Client, error) {
-	return service.New(service.Options{Dial: httpclient.NewDialFunc()}), nil
+func provideServices(i do.Injector) (*service.Client, error) {
+	return service.New(service.Options{Dial: get[httpclient.DialFunc](i)}), nil
 }
 
 func provideSuspects(i do.Injector) (*exchange.SuspectTracker, error) {
--- a/cmd/hickorypath/request_test.go
+++ b/cmd/hickorypath/request_test.go
@@ -57,10 +57,17 @@
 
 // newTestClusterWithDocument is like newTestClusterWithEngine, but applies the document source.
 func newTestClusterWithDocument(t *testing.T, engine standinengine.Options, count int, source []byte) *testCluster {
+	t.Helper()
+	return newTestClusterWithFlags(t, demoFlags{engine: engine, enginesPerPool: count, document: source})
+}
+
+// newTestClusterWithFlags starts three hosts.
+func newTestClusterWithFlags(t *testing.T, f demoFlags) *testCluster {
 	t.Helper()
 	t.Parallel()
 	is := is.New(t)
-	d, err := newDemo(&demoFlags{listen: anyPort, admin: anyPort, hosts: 3, zones: 3, engine: engine, enginesPerPool: count, lease: testLease, window: testWindow, document: source}, zap.NewNop(), io.Discard)
+	f.listen, f.admin, f.hosts, f.zones, f.lease, f.window = anyPort, anyPort, 3, 3, testLease, testWindow
+	d, err := newDemo(&f, zap.NewNop(), io.Discard)
 	is.NoErr(err)
 	d.start()
 	t.Cleanup(d.close)
--- a/cmd/hickorypath/serve.go
+++ b/cmd/hickorypath/serve.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"hickorypath/internal/core/settings"
+	"hickorypath/internal/upstream/httpclient"
 )
 
 // addServe adds the command that runs one host with a settings file.
@@ -28,7 +29,7 @@
 	}
 	defer func() { _ = log.Sync() }()
 	defer zap.RedirectStdLog(log)() // for libraries that log with the standard logger
-	h, err := newHost(s, log)
+	h, err := newHost(s, log, httpclient.NewDialFunc())
 	if err != nil {
 		return err
 	}
--- a/internal/standin/platformapi/platformapi.go
+++ b/internal/standin/platformapi/platformapi.go
@@ -109,6 +109,25 @@
 	}
 }
 
+// View returns a handler that serves the platform to one host, with the values of its keys as rewrite changes them.
+func (p *Platform) View(rewrite func(key string, value []byte) []byte) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), viewKey{}, rewrite)))
+	})
+}
+
+// viewKey is the context key of the function that changes the values of a view.
+type viewKey struct{}
+
+// newItem returns the item of an entry as the client of the request sees it.
+func newItem(r *http.Request, e store.Entry) item {
+	value := e.Value()
+	if rewrite, ok := r.Context().Value(viewKey{}).(func(string, []byte) []byte); ok {
+		value = rewrite(e.Key(), value)
+	}
+	return item{Key: e.Key(), Value: value, Revision: e.Revision()}
+}
+
 // item is one key or watch event in a JSON response.
 type item struct {
 	Key      string `json:"key"`
@@ -137,14 +156,14 @@
 
 func (p *Platform) key(w http.ResponseWriter, r *http.Request) {
 	e, err := p.backend.Get(r.Context(), r.URL.Query().Get("key"))
-	writeAnswer(w, err, item{Key: e.Key(), Value: e.Value(), Revision: e.Revision()})
+	writeAnswer(w, err, newItem(r, e))
 }
 
 func (p *Platform) scan(w http.ResponseWriter, r *http.Request) {
 	list, rev, err := p.backend.List(r.Context(), r.URL.Query().Get("prefix"))
 	items := make([]item, 0, len(list))
 	for _, e := range list {
-		items = append(items, item{Key: e.Key(), Value: e.Value(), Revision: e.Revision()})
+		items = append(items, newItem(r, e))
 	}
 	writeAnswer(w, err, map[string]any{"items": items, "morePages": false, "storeRevision": rev})
 }
@@ -161,7 +180,9 @@
 	}
 	events := []item{}
 	for _, e := range list {
-		events = append(events, item{Key: e.Key(), Value: e.Value(), Revision: e.Revision(), Deleted: e.Deleted()})
+		i := newItem(r, e.Entry())
+		i.Deleted = e.Deleted()
+		events = append(events, i)
 	}
 	writeAnswer(w, err, map[string]any{"events": events, "storeRevision": max(rev, after)})
 }
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"hickorypath/internal/standin/gate"
 )
 
 // Mode selects how a proxy treats its connections, including those already open.
@@ -29,7 +31,7 @@
 // Proxy forwards TCP connections to one address.
 type Proxy struct {
 	target   string
-	listener net.Listener
+	listener *gate.Listener
 
 	mu          sync.Mutex
 	mode        Mode
@@ -39,8 +41,11 @@
 }
 
 // New returns a running proxy that forwards to target.
-func New(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+func New(target string) (*Proxy, error) { return NewAt("127.0.0.1:0", target) }
+
+// NewAt returns a running proxy that listens on an address. Only one with a port other than 0 can be cut.
+func NewAt(address, target string) (*Proxy, error) {
+	l, err := gate.Listen(address)
 	if err != nil {
 		return nil, err
 	}
@@ -64,6 +69,39 @@
 	p.modeChanged.Broadcast()
 }
 
+// Cut is what becomes of the connections through a network partition.
+type Cut int
+
+// The kinds of cuts.
+const (
+	CutHangs    Cut = iota // open connections carry nothing, and new ones are not opened
+	CutResets              // open connections are reset, and new ones are refused
+	CutNew                 // open connections live on, and new ones are refused
+	CutNewHangs            // open connections live on, and new ones are not opened
+)
+
+// Cut cuts the proxy off from its clients until Heal is called.
+func (p *Proxy) Cut(c Cut) error {
+	switch c {
+	case CutHangs:
+		p.SetMode(Blackhole)
+		return p.listener.Fill()
+	case CutNewHangs:
+		return p.listener.Fill()
+	case CutResets:
+		p.mu.Lock()
+		p.resetAll()
+		p.mu.Unlock()
+	}
+	return p.listener.Refuse()
+}
+
+// Heal ends a cut.
+func (p *Proxy) Heal() error {
+	p.SetMode(Pass)
+	return p.listener.Open()
+}
+
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -23,6 +22,7 @@
 	"hickorypath/internal/policy/route"
 	"hickorypath/internal/upstream/dispatch"
 	"hickorypath/internal/upstream/engine"
+	"hickorypath/internal/upstream/httpclient"
 	"hickorypath/internal/upstream/poll"
 )
 
@@ -46,6 +46,8 @@
 	// FetchLoad and FetchCacheEvents ask an engine for its load and for the changes to its prefix cache.
 	FetchLoad        func(ctx context.Context, addr string) (route.Load, error)
 	FetchCacheEvents func(ctx context.Context, addr string, after int) (engine.CacheEvents, error)
+	// Dial opens a connection to an upstream.
+	Dial httpclient.DialFunc
 	// LiveHosts returns the live hosts, which share the polling of engines.
 	LiveHosts func() []string
 	// HostZones returns the live hosts with their zones. The slots of a large fleet are divided among these hosts.
@@ -319,8 +321,7 @@
 		_, err := f.options.FetchLoad(ctx, addr)
 		return err == nil
 	}
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", addr)
+	conn, err := f.options.Dial(ctx, "tcp", addr)
 	if err != nil {
 		return false
 	}
