--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -20,6 +20,7 @@
 	"hickorypath/internal/gateway/exchange"
 	"hickorypath/internal/gateway/frontend"
 	"hickorypath/internal/gateway/peer"
+	"hickorypath/internal/gateway/relay"
 	"hickorypath/internal/gateway/settings"
 	"hickorypath/internal/gateway/storewatch"
 	"hickorypath/internal/gateway/truetime"
@@ -49,6 +50,8 @@
 	watcher          *storewatch.Watcher
 	exchange         *exchange.Exchanger
 	server           *frontend.Server
+	relays           *frontend.Server // for hosts that are cut off
+	helpers          *relay.Helpers
 	peers            *peer.Table
 	origins          *peer.Origins
 	transport        *peer.Transport
@@ -77,7 +80,7 @@
 		return err
 	}
 	debug.SetMemoryLimit(s.Resources.MemoryBytes / memoryParts * heapParts)
-	g, err := newGateway(s, clock.NewSystem(), newMachine(), log)
+	g, err := newGateway(s, clock.NewSystem(), newMachine(s.IP), log)
 	if err != nil {
 		return err
 	}
@@ -115,10 +118,12 @@
 	g.peers = peer.NewTable(s.Host, s.Zone, g.peerAddress(), s.Resources.LinkMbps, g.startTime.UnixNano())
 	g.origins = peer.NewOrigins()
 	g.usage = usage.New(s.Bounds.UsageWindow, g.fleetTime.Now)
-	g.table = upstream.NewTable(m.upstreams, log)
+	g.table = upstream.NewTable(s.Zone, m.upstreams, log)
 	g.store = g.newStore()
 	g.watcher = g.newStoreWatcher()
+	g.helpers = g.newHelpers()
 	g.exchange = g.newExchanger()
+	g.relays = g.newRelayServer()
 	g.server = frontend.New(g.exchange.Handle, g.limits, s.Resources.FileDescriptors-reservedDescriptors, clk.Now, log)
 	g.lease = lease.New(g.store, clk, lease.Options{
 		Name: leaderLease, Holder: s.Host, TTL: s.LeaseTTL(), SettleDelay: leaderSettleDelay, Log: log, IsCandidate: g.isCandidate,
@@ -173,7 +178,8 @@
 		NotifyPeers: func() { g.transport.SendSoon(false) },
 		OnStarted:   func(customer, _ string) { g.usage.Add(customer) },
 		DrainingFor: g.drainTime,
-		Log:         g.log, Now: g.clock.Now,
+		Host:        g.settings.Host, Helpers: g.helpers, MaxRelayed: g.maxRelayed(),
+		Log: g.log, Now: g.clock.Now,
 	})
 }
 
@@ -225,7 +231,13 @@
 	if err != nil {
 		return kind.Wrap(err, kind.Settings, "cannot listen on the address for other hosts")
 	}
+	relays, err := g.machine.listen(g.relayAddress())
+	if err != nil {
+		return kind.Wrap(err, kind.Settings, "cannot listen on the address for relayed requests")
+	}
 	go g.servePeerFetches(ctx, fetches)
+	go g.serveRelays(ctx, relays)
+	go clock.Every(ctx, upstream.ReturnInterval, g.table.TryOutOfReach)
 	go g.watcher.Run(ctx)
 	go g.transport.Run(ctx)
 	go g.configs.Run(ctx)
@@ -239,6 +251,8 @@
 	clock.Every(ctx, idleSweepInterval, func() {
 		now := g.clock.Now()
 		g.server.Sweep(now, false)
+		g.relays.Sweep(now, false)
+		g.helpers.Sweep(now)
 		g.table.Sweep(now)
 		g.exchange.Sweep()
 		g.origins.Sweep(now)
--- a/cmd/hickorypath/gatewaycutoff_test.go
+++ b/cmd/hickorypath/gatewaycutoff_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -109,7 +111,8 @@
 	sent, served atomic.Int64
 	unanswered   atomic.Int64 // without any response
 	mu           sync.Mutex
-	retryAfter   []string // of the refusals
+	retryAfter   []string       // of the refusals
+	statuses     map[string]int // of requests that may run once, by identifier
 }
 
 // ratio returns the part of the requests that was served.
@@ -121,13 +124,13 @@
 	outcomes := make([]*outcome, len(f.hosts))
 	var callers sync.WaitGroup
 	for n, h := range f.hosts {
-		o := &outcome{}
+		o := &outcome{statuses: map[string]int{}}
 		outcomes[n] = o
 		callers.Go(func() {
 			for i := range int(d.Seconds() * ratePerHost) {
 				<-time.After(time.Second / ratePerHost)
 				route, id := []string{"safe", "once", "talk"}[i%3], fmt.Sprintf("%s-%s-%d", h.name, name, i)
-				callers.Go(func() { o.record(h.request(route, id)) })
+				callers.Go(func() { o.record(route, id, h.request(route, id)) })
 			}
 		})
 	}
@@ -168,8 +171,13 @@
 }
 
 // record counts a response. A stream is served if all its events have come.
-func (o *outcome) record(r response) {
+func (o *outcome) record(route, id string, r response) {
 	o.sent.Add(1)
+	if route == "once" {
+		o.mu.Lock()
+		o.statuses[id] = r.status
+		o.mu.Unlock()
+	}
 	switch {
 	case r.status == 0:
 		o.unanswered.Add(1)
@@ -268,3 +276,81 @@
 		is.True(o.ratio() >= 0.95)
 	}
 }
+
+// TestRelayedRequestsSurviveTheirHosts lets callers of a host that is cut off send requests while the hosts that relay them are killed,
+// shut down, cut off too and restarted. No request that may run once may run twice, or have run although it was refused, and callers
+// must be served.
+func TestRelayedRequestsSurviveTheirHosts(t *testing.T) {
+	is := is.New(t)
+	f := newCutoffFleet(t, 47, 4, 3)
+	f.cut(proxy.CutHangs, 0)
+	f.call("detection", time.Second)
+	steps := []struct {
+		name   string
+		strike func()
+	}{
+		{"killed", func() { f.hosts[1].kill() }},
+		{"restarted", func() { f.hosts[1].start() }},
+		{"stops", func() { is.NoErr(f.hosts[2].cmd.Process.Signal(syscall.SIGTERM)) }},
+		{"cut", func() { f.cut(proxy.CutResets, 3) }},
+		{"heals", func() { f.heal(3) }},
+		{"hangs", func() { f.cut(proxy.CutHangs, 3) }},
+		{"healed", func() { f.heal(0, 3) }},
+	}
+	statuses := map[string]int{}
+	sent, served := 0, 0
+	for _, s := range steps {
+		done := make(chan []*outcome)
+		go func() { done <- f.call(s.name, 1500*time.Millisecond) }()
+		<-time.After(300 * time.Millisecond)
+		s.strike()
+		outcomes := <-done
+		for _, o := range outcomes {
+			maps.Copy(statuses, o.statuses)
+		}
+		t.Logf("%s: host 0 serves %.2f", s.name, outcomes[0].ratio())
+		sent += int(outcomes[0].sent.Load())
+		served += int(outcomes[0].served.Load())
+	}
+	runs := map[string]int{}
+	for _, s := range f.instances {
+		for id, n := range s.Runs() {
+			runs[id] += n
+		}
+	}
+	for id, status := range statuses {
+		if n := runs[id]; n > 1 || n > 0 && status == http.StatusServiceUnavailable || n == 0 && status == http.StatusOK {
+			t.Errorf("request %s, which may run once, was answered with %d and has run %d times", id, status, n)
+		}
+	}
+	is.True(float64(served) >= 0.8*float64(sent))
+	for _, h := range f.hosts {
+		is.True(!strings.Contains(h.log.String(), "panic: "))
+	}
+}
+
+// TestStrangerIsRelayed guards against a host that takes relayed requests from an address that is not that of another host.
+func TestStrangerIsRelayed(t *testing.T) {
+	is := is.New(t)
+	f := newCutoffFleet(t, 48, 2, 1)
+	ask := func(from string) error {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+		c, err := d.Dial("tcp4", f.hosts[0].ip+":7342")
+		is.NoErr(err)
+		defer c.Close()
+		_, err = io.WriteString(c, "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: a\r\nAuthorization: Bearer k1\r\n"+
+			"Relay-Host: h2\r\nRelay-Service: svc\r\nRelay-Runs: 0\r\nRelay-Config: 1\r\nContent-Length: 0\r\n\r\n")
+		if err != nil {
+			return err
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil {
+			is.Equal(resp.StatusCode, http.StatusOK)
+			_ = resp.Body.Close()
+		}
+		return err
+	}
+	is.NoErr(ask(f.hosts[1].ip))
+	is.True(ask(f.addresses+"77") != nil)
+	is.Equal(len(f.instances[0].Runs()), 1)
+}
--- a/cmd/hickorypath/gatewaydrain.go
+++ b/cmd/hickorypath/gatewaydrain.go
@@ -29,10 +29,11 @@
 	g.drainStart.Store(int64(begin))
 	close(g.draining)
 	g.server.Drain()
+	g.relays.Drain()
 	for g.clock.Boot()-begin < balancerNoticeTime {
 		time.Sleep(drainPollInterval)
 	}
-	for g.server.BusyConns() > 0 || g.server.Conns() > 0 {
+	for g.server.BusyConns() > 0 || g.server.Conns() > 0 || g.relays.BusyConns() > 0 {
 		g.server.Sweep(g.clock.Now(), true)
 		time.Sleep(drainPollInterval)
 		if g.clock.Boot()-begin > g.settings.Bounds.GracePeriod {
--- a/cmd/hickorypath/gatewaypeers.go
+++ b/cmd/hickorypath/gatewaypeers.go
@@ -58,6 +58,7 @@
 	m.FixedCounts = g.peers.RecentFixedCounts(g.usage.Window(g.fleetTime.Now()) - reportableWindows)
 	_, m.Version = g.watcher.PackedConfig()
 	m.Synced = g.isSynced()
+	m.RelayPort, m.CutFrom, m.Relaying = uint16(g.relayPort()), g.table.CutServices(), g.exchange.Relaying() //nolint:gosec // it is a port
 	select {
 	case <-g.draining:
 		m.Leaving = true
--- a/internal/core/kind/table.go
+++ b/internal/core/kind/table.go
@@ -156,3 +156,9 @@
 	}
 	return all
 }
+
+// IsKnown reports whether k is in the closed list.
+func IsKnown(k Kind) bool {
+	_, ok := responses[k]
+	return ok
+}
--- a/internal/gateway/exchange/accesslog.go
+++ b/internal/gateway/exchange/accesslog.go
@@ -73,6 +73,9 @@
 	if e.customer != nil {
 		fields = append(fields, zap.String("customer", e.customer.Name))
 	}
+	if e.order != nil {
+		fields = append(fields, zap.String("relayed", e.order.Host))
+	}
 	if e.waited > 0 {
 		fields = append(fields, zap.Float64("waited", ms(e.waited)))
 	}
@@ -133,6 +136,9 @@
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (a attempt) MarshalLogObject(enc zapcore.ObjectEncoder) error {
 	enc.AddString("upstream", a.upstream)
+	if a.helper != "" {
+		enc.AddString("helper", a.helper)
+	}
 	if a.version != "" {
 		enc.AddString("version", a.version)
 	}
--- a/internal/gateway/exchange/admit.go
+++ b/internal/gateway/exchange/admit.go
@@ -12,12 +12,20 @@
 	"hickorypath/internal/policy/advisory"
 )
 
-// admission is the instance assigned to a queued request, with the reservation made there.
+// admission is the instance assigned to a queued request, with the reservation made there. The zero value ends the wait of a
+// request that has to look for another way.
 type admission struct {
 	instance    *upstream.Instance
 	reservation *reservation
 }
 
+func (a admission) get() (*upstream.Instance, *reservation, error) {
+	if a.instance == nil {
+		return nil, nil, kind.Wrap(errSuperseded, kind.Unavailable, "the upstreams are out of reach")
+	}
+	return a.instance, a.reservation, nil
+}
+
 // admit returns an instance for the request and the reservation made there. If no instance has room, the request
 // waits in the queue of its service; admit fails if that wait is expected to be too long or ends without an
 // instance.
@@ -53,7 +61,7 @@
 	var err error
 	select {
 	case a := <-e.admitted:
-		return a.instance, a.reservation, nil
+		return a.get()
 	case <-ctx.Done():
 		err = ctx.Err()
 	case <-timer.C:
@@ -66,11 +74,11 @@
 		return nil, nil, err
 	}
 	a := <-e.admitted // the request was assigned an instance while its wait ended
-	if ctx.Err() != nil {
+	if a.instance != nil && ctx.Err() != nil {
 		a.reservation.release()
 		return nil, nil, err
 	}
-	return a.instance, a.reservation, nil
+	return a.get()
 }
 
 // dispatch assigns instances to queued requests, in queue order. The caller holds x.mu.
--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -13,6 +13,7 @@
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/gateway/config"
 	"hickorypath/internal/gateway/h1"
+	"hickorypath/internal/gateway/relay"
 	"hickorypath/internal/gateway/upstream"
 	"hickorypath/internal/policy/advisory"
 )
@@ -20,6 +21,7 @@
 // attempt records one attempt of a request for the access log and the metrics.
 type attempt struct {
 	upstream     string
+	helper       string         // host through which the request was sent; empty for none
 	version      string         // software version of the upstream
 	reportAge    time.Duration  // age of the load that the upstream last reported; negative if it never reported one
 	tokensAhead  int            // unread prompt tokens known to be at the instance before this request
@@ -88,6 +90,9 @@
 	n, err := c.Send(msg, e.deadline)
 	a.sent = n > 0
 	isWhole := n == len(msg)
+	defer c.WatchSilence()()
+	e.setConn(c)
+	defer e.setConn(nil)
 	if hasResponse := isWhole || a.sent && c.HasResponse(e.deadline); !hasResponse {
 		c.Close()
 		e.blame(ctx, i, err)
@@ -108,6 +113,13 @@
 	return err
 }
 
+// setConn sets the connection on which the current attempt was sent.
+func (e *exchange) setConn(c *upstream.Conn) {
+	e.x.mu.Lock()
+	defer e.x.mu.Unlock()
+	e.conn = c
+}
+
 // forwardInfo returns the metadata that is sent with the request to instance i.
 func (e *exchange) forwardInfo(i, source *upstream.Instance) ForwardInfo {
 	s := ForwardInfo{Instance: i.ID(), TimeLeft: e.timeLeft(), Priority: -1, LastEventID: e.info.LastEventID}
@@ -150,9 +162,17 @@
 		return e.broken(ctx, i, err, !isStale)
 	}
 	a.framing = resp.Framing()
+	if e.helper != nil {
+		if refusal := relay.ParseRefusal(&resp.Head, e.helper.Name()); refusal != nil {
+			return refusal
+		}
+		a.upstream = relay.ParseSource(&resp.Head).Upstream
+	}
 	answer := e.x.opts.Codec.DecodeResponse(resp)
 	a.leaving, a.pause = answer.Advisory.Leaving.IsStated(), answer.Advisory.Pause.Length()
-	e.x.recordStatements(i, sentAt, e.info.ID, answer)
+	if e.helper == nil {
+		e.x.recordStatements(i, sentAt, e.info.ID, answer)
+	}
 	if answer.NotExecuted {
 		return kind.New(kind.Rejected, "%s did not run the request: status %d", i.ID(), resp.Status()).WithRetry(e.retryAfter(rejectedRetryAfter))
 	}
@@ -176,6 +196,9 @@
 // broken returns the error for a response that did not arrive completely. Unless the client has left or the request ran
 // out of time, it records the failure for the instance, and, with isCrash, that the request may have broken the instance.
 func (e *exchange) broken(ctx context.Context, i *upstream.Instance, err error, isCrash bool) error {
+	if errors.Is(context.Cause(ctx), errCutOff) {
+		return kind.Wrap(errCutOff, kind.Lost, "request to %s was given up", i.ID())
+	}
 	if errors.Is(context.Cause(ctx), errPoison) {
 		return kind.Wrap(errPoison, kind.Lost, "request to %s was given up", i.ID())
 	}
@@ -186,7 +209,7 @@
 		return kind.Wrap(err, kind.Timeout, "no answer from %s in time", i.ID())
 	}
 	i.RecordFailure(e.x.opts.Now())
-	if isCrash && !isTimeout(err) && !errors.IsAny(err, h1.ErrMalformed, h1.ErrHeadTooLarge) {
+	if isCrash && e.helper == nil && !isTimeout(err) && !errors.IsAny(err, h1.ErrMalformed, h1.ErrHeadTooLarge) {
 		e.recordCrash(i)
 	}
 	return kind.Wrap(err, kind.Lost, "connection to %s broke", i.ID())
@@ -216,6 +239,7 @@
 		return kind.New(kind.Failed, "%s failed the request: status %d", i.ID(), resp.Status())
 	}
 	e.recordFirstByte(resp.Status())
+	e.describeSource(i)
 	if err := e.writer.WriteResponse(resp, e.x.opts.Codec.KeepField, data); err != nil {
 		return kind.Wrap(err, kind.Canceled, "response could not be written to the client")
 	}
@@ -232,7 +256,7 @@
 
 // countStarted reports once to OnStarted that an upstream started the request.
 func (e *exchange) countStarted() {
-	if e.possibleRuns == 0 && e.customer != nil && !e.progress.startCounted {
+	if e.helper == nil && e.possibleRuns == 0 && e.customer != nil && !e.progress.startCounted {
 		e.progress.startCounted = true
 		e.x.opts.OnStarted(e.customer.Name, e.service.Name)
 	}
--- a/internal/gateway/exchange/codec.go
+++ b/internal/gateway/exchange/codec.go
@@ -37,6 +37,13 @@
 	CopySource  string        // address of an instance whose cache holds more of the prompt, to copy from; empty for none
 }
 
+// RelayInfo is the metadata of a request that is sent through another host.
+type RelayInfo struct {
+	TimeLeft    time.Duration // until the response is of no more use
+	LastEventID string        // id of the last event that was received; the stream continues after it
+	Fields      [][2]string   // for the other host
+}
+
 // ResponseInfo is the metadata of an upstream's response, decoded from its header fields.
 type ResponseInfo struct {
 	ID          string // id of the request that the response belongs to
@@ -55,5 +62,7 @@
 	DecodeRequest  func(r *h1.Request) (RequestInfo, error)
 	EncodeRequest  func(dst []byte, r *h1.Request, body []byte, s ForwardInfo) []byte
 	DecodeResponse func(r *h1.Response) ResponseInfo
-	KeepField      func(f h1.Field) bool // reports whether a response header field is relayed to the client
+	// EncodeRelay encodes a request for another host, with further header fields.
+	EncodeRelay func(dst []byte, r *h1.Request, body []byte, s RelayInfo) []byte
+	KeepField   func(f h1.Field) bool // reports whether a response header field is relayed to the client
 }
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -10,6 +10,7 @@
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/gateway/config"
 	"hickorypath/internal/gateway/frontend"
+	"hickorypath/internal/gateway/relay"
 	"hickorypath/internal/gateway/upstream"
 	"hickorypath/internal/policy/poison"
 )
@@ -40,6 +41,11 @@
 	firstByteAfter time.Duration // time from the arrival to the first response byte sent to the client
 	progress       streamProgress
 	origin         *upstream.Origin // of the stream, once it has begun here or elsewhere
+	conn           *upstream.Conn   // on which the current attempt was sent to an upstream; x.mu guards it
+
+	order        *relay.Order  // of the host for whose caller the request is relayed; nil for a request of this host's caller
+	helper       *relay.Helper // through which the current attempt is sent; nil for an attempt at an upstream
+	helpersTried []string      // names of the hosts through which the request was sent
 }
 
 // prepare decodes the request and checks it against the configuration.
@@ -62,7 +68,10 @@
 	if err := e.checkPoison(); err != nil {
 		return err
 	}
-	name := pickService(e.route)
+	if err := e.checkOrder(); err != nil {
+		return err
+	}
+	name := e.pickService()
 	if e.service = e.config.Service(name); e.service == nil {
 		return kind.New(kind.Unavailable, "service %s is not configured", name)
 	}
@@ -112,7 +121,19 @@
 	}
 	e.x.countRequest(e.service.Name, e.x.opts.Now())
 	for {
+		if outOfReach, usable := e.isOutOfReach(); outOfReach {
+			err := e.relay(ctx)
+			if !usable || !errors.Is(err, errNoHelper) {
+				if err == nil || ctx.Err() != nil || !e.mayRetry(err) {
+					return err
+				}
+				continue
+			}
+		}
 		i, r, err := e.x.admit(ctx, e)
+		if errors.Is(err, errSuperseded) && ctx.Err() == nil {
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -148,6 +169,9 @@
 // mayRetry reports whether another attempt may follow a failed one, and takes it from the retry budget if it
 // needs to.
 func (e *exchange) mayRetry(err error) bool {
+	if errors.Is(err, errNoHelper) {
+		return false
+	}
 	if errors.Is(err, errSuperseded) {
 		return len(e.attempts) < maxAttempts && e.timeLeft() >= minAttemptTime
 	}
@@ -183,7 +207,7 @@
 // mayRetryFailed reports whether a request that an instance answered with a server error is retried. If not, the
 // client gets the error response.
 func (e *exchange) mayRetryFailed() bool {
-	return e.route.IsRepeatable() && e.possibleRuns+1 < e.route.MaxAttempts && !e.writer.IsStarted() &&
+	return e.helper == nil && e.route.IsRepeatable() && e.possibleRuns+1 < e.route.MaxAttempts && !e.writer.IsStarted() &&
 		e.sends()+1 < maxSends && e.timeLeft() > minRetryTime && e.x.takeRetry(e.service.Name)
 }
 
@@ -209,6 +233,13 @@
 		fields = append(fields, [2]string{"Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64)})
 	}
 	e.status = status
+	if e.order != nil {
+		ran := failure.Ran()
+		if e.mayHaveRun && ran == kind.RanNo {
+			ran = kind.RanMaybe
+		}
+		fields = append(fields, relay.RefusalFields(failure.Kind(), ran)...)
+	}
 	e.writer.WriteError(status, fields, failure.Message())
 }
 
--- a/internal/gateway/exchange/exchanger.go
+++ b/internal/gateway/exchange/exchanger.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,6 +12,7 @@
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/gateway/config"
 	"hickorypath/internal/gateway/frontend"
+	"hickorypath/internal/gateway/relay"
 	"hickorypath/internal/gateway/upstream"
 	"hickorypath/internal/policy/advisory"
 	"hickorypath/internal/policy/budget"
@@ -42,6 +44,10 @@
 	NotifyPeers func()
 	// DrainingFor returns how long this host has been shutting down, 0 if it is not.
 	DrainingFor func() time.Duration
+
+	Host       string
+	Helpers    *relay.Helpers // hosts through which requests are sent whose upstreams are out of reach
+	MaxRelayed int            // requests that this host relays for other hosts at a time
 }
 
 // Exchanger forwards client requests to upstreams. It is safe for concurrent use.
@@ -53,6 +59,7 @@
 	poison    *poison.Tracker
 	attempts  map[*exchange]context.CancelCauseFunc // those under way
 	accessLog *accessLog
+	relaying  atomic.Int64 // requests that are relayed for other hosts
 }
 
 // serviceState is the state that an Exchanger keeps for one service.
@@ -72,19 +79,32 @@
 
 // New returns an Exchanger without any service state.
 func New(o Options) *Exchanger {
-	return &Exchanger{opts: o, services: map[string]*serviceState{}, poison: poison.New(), attempts: map[*exchange]context.CancelCauseFunc{}, accessLog: newAccessLog(o.Log, o.Now)}
+	x := &Exchanger{opts: o, services: map[string]*serviceState{}, poison: poison.New(), attempts: map[*exchange]context.CancelCauseFunc{}, accessLog: newAccessLog(o.Log, o.Now)}
+	o.Table.OnCutChange = x.handleCutChange
+	return x
+}
+
+// handleCutChange tells the other hosts that a service got out of reach or is within reach again.
+func (x *Exchanger) handleCutChange(service string, isCut bool) {
+	x.opts.NotifyPeers()
+	if isCut {
+		x.watchCutOff(service)
+	}
 }
 
 // Handle serves one client request: it forwards the request, or responds with an error, and records the outcome.
 func (x *Exchanger) Handle(ctx context.Context, r *frontend.Request, w *frontend.Writer) {
-	e := &exchange{x: x, request: r, writer: w, arrived: r.ArrivedAt()}
+	x.handle(ctx, &exchange{x: x, request: r, writer: w, arrived: r.ArrivedAt()})
+}
+
+func (x *Exchanger) handle(ctx context.Context, e *exchange) {
 	err := e.prepare()
 	if err == nil {
 		err = e.run(ctx)
 	}
 	if ctx.Err() != nil {
 		err = kind.Wrap(context.Cause(ctx), kind.Canceled, "the client disconnected")
-	} else if err != nil && !w.IsStarted() {
+	} else if err != nil && !e.writer.IsStarted() {
 		e.writeError(err)
 	}
 	e.measure(err, x.opts.Now())
--- a/internal/gateway/exchange/origin.go
+++ b/internal/gateway/exchange/origin.go
@@ -7,6 +7,8 @@
 
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/gateway/config"
+	"hickorypath/internal/gateway/h1"
+	"hickorypath/internal/gateway/relay"
 	"hickorypath/internal/gateway/upstream"
 )
 
@@ -20,7 +22,10 @@
 	if e.route.Kind != config.Stream || e.info.Resumes == "" && e.info.LastEventID == "" {
 		return nil
 	}
-	o, ok := e.askOrigin(ctx)
+	o, ok := e.orderedOrigin()
+	if !ok {
+		o, ok = e.askOrigin(ctx)
+	}
 	if !ok {
 		return kind.New(kind.Unavailable, "the version that began the stream is not known").WithRetry(e.retryAfter(unknownOriginRetryAfter))
 	}
@@ -48,6 +53,23 @@
 	return upstream.Origin{Service: e.service.Name, Version: version}, ok
 }
 
+// orderedOrigin returns the origin of the stream that the host which relays the request has named.
+func (e *exchange) orderedOrigin() (o upstream.Origin, ok bool) {
+	if e.order == nil || e.order.Origin.Service == "" {
+		return upstream.Origin{}, false
+	}
+	return e.order.Origin, true
+}
+
+// begin records that the first event of the stream has come, from an instance or through another host.
+func (e *exchange) begin(resp *h1.Response, i *upstream.Instance) {
+	if e.helper == nil {
+		e.beginAt(i)
+	} else if o := relay.ParseSource(&resp.Head).Origin; e.origin == nil && o.Service != "" {
+		e.origin = &o
+	}
+}
+
 // beginAt records that the first event of the stream has come from an instance.
 func (e *exchange) beginAt(i *upstream.Instance) {
 	if e.origin != nil {
--- a/internal/gateway/exchange/place_bench_test.go
+++ b/internal/gateway/exchange/place_bench_test.go
@@ -19,7 +19,7 @@
 func BenchmarkPlace(b *testing.B) {
 	const engines, near, far, beginnings = 94, 22, 64, 200
 	now := time.Unix(1_800_000_000, 0)
-	table := upstream.NewTable(upstream.NewDialer(), zap.NewNop())
+	table := upstream.NewTable("z1", upstream.NewDialer(), zap.NewNop())
 	for n := range engines {
 		table.Put(now, upstream.Entry{ID: fmt.Sprintf("i-%04x", n), Service: "s", Address: "10.0.0.1:80", Zone: string(rune('a' + n%4)), Slots: 48})
 	}
--- a/internal/gateway/exchange/prefixholders_test.go
+++ b/internal/gateway/exchange/prefixholders_test.go
@@ -35,7 +35,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			table := upstream.NewTable(upstream.NewDialer(), zap.NewNop())
+			table := upstream.NewTable("z1", upstream.NewDialer(), zap.NewNop())
 			for n := range c.size {
 				table.Put(now, upstream.Entry{ID: fmt.Sprint("i", n), Service: "s", Address: "10.0.0.1:80"})
 			}
--- /dev/null
+++ b/internal/gateway/exchange/relay.go
@@ -0,0 +1,213 @@
+package exchange
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/gateway/config"
+	"hickorypath/internal/gateway/frontend"
+	"hickorypath/internal/gateway/relay"
+	"hickorypath/internal/gateway/upstream"
+)
+
+// errCutOff ends attempts at upstreams that are out of reach.
+var errCutOff = errors.New("the upstream is out of reach")
+
+// HandleRelayed serves a request of a caller of another host, which is cut off from the upstreams.
+func (x *Exchanger) HandleRelayed(ctx context.Context, r *frontend.Request, w *frontend.Writer) {
+	order, ok := relay.ParseOrder(&r.Head)
+	if n := int(x.relaying.Add(1)); !ok || n > x.opts.MaxRelayed {
+		x.relaying.Add(-1)
+		err := kind.New(kind.Unavailable, "the host relays too many requests")
+		if !ok {
+			err = kind.New(kind.Peer, "the order of a relayed request cannot be read").WithRan(kind.RanNo)
+		}
+		w.WriteError(err.Kind().Response().Status(), relay.RefusalFields(err.Kind(), kind.RanNo), err.Message())
+		return
+	}
+	defer x.relaying.Add(-1)
+	x.handle(ctx, &exchange{x: x, request: r, writer: w, arrived: r.ArrivedAt(), order: &order, possibleRuns: order.Runs})
+}
+
+// Relaying returns the number of requests that this host relays for other hosts.
+func (x *Exchanger) Relaying() int { return int(x.relaying.Load()) }
+
+// checkOrder checks whether this host can serve a relayed request.
+func (e *exchange) checkOrder() error {
+	if e.order != nil && e.order.Config > e.config.Version() {
+		return kind.New(kind.Unavailable, "the configuration of this host is older")
+	}
+	return nil
+}
+
+// pickService returns the service of the request: the one that the host which relays it has drawn, or one of the route's services.
+func (e *exchange) pickService() string {
+	if e.order != nil {
+		for _, b := range e.route.Backends {
+			if b.Service == e.order.Service {
+				return b.Service
+			}
+		}
+	}
+	return pickService(e.route)
+}
+
+// isOutOfReach reports whether the request should be sent through another host: this one is cut off from most upstreams of its
+// service, and none of the others takes the request now. A host that knows of no other one waits instead. usable reports whether one may take it later.
+func (e *exchange) isOutOfReach() (outOfReach, usable bool) {
+	x := e.x
+	if !x.opts.Table.IsCut(e.service.Name) || x.opts.Helpers.IsAlone(x.opts.Now()) {
+		return false, false
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	c, usable := x.place(x.service(e.service.Name), e)
+	return c.instance == nil, usable
+}
+
+// errNoHelper means that no other host is known to reach the service.
+var errNoHelper = errors.New("no other host reaches the service")
+
+// relay sends the request through another host and relays the response to the client. The error states whether the request may have
+// run.
+func (e *exchange) relay(ctx context.Context) error {
+	if e.order != nil {
+		return kind.Wrap(errNoHelper, kind.Unavailable, "the upstreams of %s are out of reach of this host too", e.service.Name)
+	}
+	begin := e.x.opts.Now()
+	helper, ok := e.x.opts.Helpers.Pick(begin, e.service.Name, e.config.Version(), e.helpersTried)
+	if !ok {
+		return kind.Wrap(errNoHelper, kind.Unavailable, "no host reaches the upstreams of %s", e.service.Name).WithRetry(e.spreadRetryAfter())
+	}
+	defer helper.Done()
+	e.helpersTried = append(e.helpersTried, helper.Name())
+	a := attempt{helper: helper.Name(), reportAge: -1}
+	ctx, end := e.startAttempt(ctx)
+	e.helper = helper
+	err := e.sendThrough(ctx, helper, &a)
+	e.helper = nil
+	end()
+	a.duration = e.x.opts.Now().Sub(begin)
+	if err != nil {
+		a.failed, a.result = true, kind.Of(err)
+		if kind.From(err).Ran() != kind.RanNo {
+			e.possibleRuns++
+		} else {
+			a.sent = false // to an upstream
+		}
+		isFault := relay.IsFaultOfHost(kind.From(err))
+		if ctx.Err() == nil && (isFault || a.result == kind.Lost) {
+			helper.RecordUnable(e.x.opts.Now(), e.service.Name)
+		}
+		if isFault { // what the other host says of the key or the route is not what this one has found
+			err = kind.Wrap(err, kind.Unavailable, "%s cannot serve the request", helper.Name()).WithRetry(e.spreadRetryAfter())
+		}
+	}
+	e.attempts = append(e.attempts, a)
+	return err
+}
+
+// spreadRetryAfter returns a delay before the retry of a client that no host can serve. It is drawn at random, so that the clients do
+// not come back together.
+func (e *exchange) spreadRetryAfter() time.Duration {
+	longest := max(e.timeLeft()/4, minSpread)
+	return minSpread/2 + rand.N(longest)
+}
+
+// minSpread is the least time over which clients come back that no host can serve.
+const minSpread = 100 * time.Millisecond
+
+// sendThrough sends the request to another host and relays the response to the client. A host starts only with a whole request.
+func (e *exchange) sendThrough(ctx context.Context, helper *relay.Helper, a *attempt) error {
+	begin, i := e.x.opts.Now(), helper.Instance()
+	c, err := i.Acquire(ctx, begin, e.route.IsRepeatable())
+	if err != nil {
+		if ctx.Err() == nil {
+			helper.RecordLost(e.x.opts.Now())
+		}
+		return kind.Wrap(err, kind.Unavailable, "no connection to %s", helper.Name())
+	}
+	if err := e.recheckConfig(); err != nil {
+		c.Return(e.x.opts.Now())
+		return err
+	}
+	order := relay.Order{Host: e.x.opts.Host, Service: e.service.Name, Runs: e.possibleRuns, Config: e.config.Version()}
+	if e.origin != nil {
+		order.Origin = *e.origin
+	}
+	info := RelayInfo{TimeLeft: e.timeLeft(), LastEventID: e.progress.lastID, Fields: order.Fields()}
+	msg := e.x.opts.Codec.EncodeRelay(nil, &e.request.Request, e.request.Body(), info)
+	sentAt := e.x.opts.Now()
+	a.connected = sentAt.Sub(begin)
+	n, err := c.Send(msg, e.deadline)
+	if a.sent = n == len(msg); !a.sent {
+		c.Close()
+		return kind.Wrap(err, kind.Unavailable, "request not sent to %s", helper.Name())
+	}
+	err = e.receive(ctx, c, i, sentAt, a, func() {})
+	if err != nil {
+		c.Close()
+		return err
+	}
+	c.Release(e.x.opts.Now())
+	e.recordComplete()
+	return nil
+}
+
+// watchCutOff ends the attempts at upstreams of a service that hang since the service is out of reach, if their requests may run again,
+// and wakes the requests that wait for it.
+func (x *Exchanger) watchCutOff(service string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.wake(x.service(service))
+	before, reads := x.opts.Table.ServiceReads(service), map[*exchange]uint64{}
+	for e := range x.attempts {
+		if e.conn != nil && e.service.Name == service && e.mayMove() {
+			reads[e] = e.conn.Reads()
+		}
+	}
+	time.AfterFunc(hangTime, func() {
+		if x.opts.Table.ServiceReads(service) != before {
+			return // open connections live on
+		}
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		for e, n := range reads {
+			if cancel, ok := x.attempts[e]; ok && e.conn != nil && e.conn.Reads() == n {
+				cancel(errCutOff)
+			}
+		}
+	})
+}
+
+// hangTime is how long no upstream of a service out of reach may send anything before its open connections are given up.
+const hangTime = 400 * time.Millisecond
+
+// wake lets the requests that wait in the queue of a service look for another way. The caller holds x.mu.
+func (x *Exchanger) wake(s *serviceState) {
+	s.queue.Dispatch(func(e *exchange) bool {
+		e.admitted <- admission{}
+		return true
+	}, func(*exchange) bool { return false })
+}
+
+// mayMove reports whether the request may run at another upstream while its attempt is under way.
+func (e *exchange) mayMove() bool {
+	return e.route.IsRepeatable() && (e.route.Kind == config.Stream || !e.writer.IsStarted())
+}
+
+// describeSource adds to a relayed response where it comes from.
+func (e *exchange) describeSource(i *upstream.Instance) {
+	if e.order == nil || e.writer.IsStarted() {
+		return
+	}
+	source := relay.Source{Upstream: i.ID()}
+	if e.origin != nil {
+		source.Origin = *e.origin
+	}
+	e.writer.AddFields(source.Fields())
+}
--- a/internal/gateway/exchange/stream.go
+++ b/internal/gateway/exchange/stream.go
@@ -48,13 +48,13 @@
 		if end := completeEventsLen(buf, incomplete); end > 0 {
 			if !hasEvents {
 				first()
-				e.beginAt(i)
+				e.begin(resp, i)
 				firstAt = e.x.opts.Now()
 			} else if e.x.opts.Now().Sub(firstAt) >= begunTime {
 				e.recordBegun()
 			}
 			e.countStarted()
-			if err := e.relayEvents(resp, buf[:end]); err != nil {
+			if err := e.relayEvents(resp, i, buf[:end]); err != nil {
 				return err
 			}
 			buf = append(buf[:0], buf[end:]...)
@@ -67,7 +67,7 @@
 			a.unfinished = len(buf)
 		}
 		if errors.Is(err, io.EOF) && !isStreamTruncated(resp, buf, hasEvents) {
-			return e.finishStream(resp, buf)
+			return e.finishStream(resp, i, buf)
 		}
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
@@ -91,10 +91,9 @@
 }
 
 // relayEvents writes complete events to the client.
-func (e *exchange) relayEvents(resp *h1.Response, p []byte) error {
+func (e *exchange) relayEvents(resp *h1.Response, i *upstream.Instance, p []byte) error {
 	if !e.writer.IsStarted() {
-		e.recordFirstByte(resp.Status())
-		e.writer.StartChunked(resp, e.x.opts.Codec.KeepField)
+		e.startStream(resp, i)
 	}
 	if err := e.writer.WriteChunk(p); err != nil {
 		return kind.Wrap(err, kind.Canceled, "events could not be written to the client")
@@ -106,12 +105,18 @@
 	return nil
 }
 
+// startStream starts the response of a stream.
+func (e *exchange) startStream(resp *h1.Response, i *upstream.Instance) {
+	e.recordFirstByte(resp.Status())
+	e.describeSource(i)
+	e.writer.StartChunked(resp, e.x.opts.Codec.KeepField)
+}
+
 // finishStream ends the response after the last event.
-func (e *exchange) finishStream(resp *h1.Response, rest []byte) error {
+func (e *exchange) finishStream(resp *h1.Response, i *upstream.Instance, rest []byte) error {
 	if len(rest) > 0 || !e.writer.IsStarted() {
 		if !e.writer.IsStarted() {
-			e.recordFirstByte(resp.Status())
-			e.writer.StartChunked(resp, e.x.opts.Codec.KeepField)
+			e.startStream(resp, i)
 		}
 		if err := e.writer.WriteChunk(rest); err != nil {
 			return kind.Wrap(err, kind.Canceled, "events could not be written to the client")
--- a/internal/gateway/frontend/writer.go
+++ b/internal/gateway/frontend/writer.go
@@ -24,6 +24,7 @@
 	started    bool
 	chunks     bool // a response of unknown length is sent in chunks; otherwise it ends with the connection
 	ended      bool
+	fields     [][2]string // added to the head of the response
 	buf        []byte
 }
 
@@ -36,12 +37,13 @@
 // IsStarted reports whether any part of the response was written.
 func (w *Writer) IsStarted() bool { return w.started }
 
+// AddFields adds header fields to the response, which must not have started.
+func (w *Writer) AddFields(fields [][2]string) { w.fields = append(w.fields, fields...) }
+
 // WriteError writes a complete response that the router generates itself.
 func (w *Writer) WriteError(status int, fields [][2]string, text string) {
+	w.AddFields(fields)
 	w.appendStatusLine(status)
-	for _, f := range fields {
-		w.buf = append(append(append(append(w.buf, f[0]...), ": "...), f[1]...), "\r\n"...)
-	}
 	w.buf = append(w.buf, "Content-Type: text/plain\r\n"...)
 	_ = w.writeBody([]byte(text + "\n")) // the connection is closed if the write failed
 }
@@ -101,6 +103,9 @@
 	if !w.persistent.Load() {
 		w.buf = append(w.buf, "Connection: close\r\n"...)
 	}
+	for _, f := range w.fields {
+		w.buf = append(append(append(append(w.buf, f[0]...), ": "...), f[1]...), "\r\n"...)
+	}
 }
 
 func (w *Writer) appendFields(r *h1.Response, keep func(h1.Field) bool) {
--- a/internal/gateway/leader/leader_test.go
+++ b/internal/gateway/leader/leader_test.go
@@ -269,7 +269,7 @@
 		return http.NewRequestWithContext(ctx, http.MethodPost, f.api.server.URL+"?window=-1", strings.NewReader(""))
 	}
 	scaler := leader.NewScaler(leader.ScalerOptions{
-		Host: "a", Lease: h.lease, Control: control, Live: live, Table: upstream.NewTable(upstream.NewDialer(), zap.NewNop()), Zones: []string{"z"},
+		Host: "a", Lease: h.lease, Control: control, Live: live, Table: upstream.NewTable("z1", upstream.NewDialer(), zap.NewNop()), Zones: []string{"z"},
 		Demand: func(string) sizing.Demand { return sizing.Demand{PromptRate: 500000, ActiveRequests: 400} }, DemandCoverage: func() float64 { return 1 },
 		ReadRate: func(string) float64 { return 45000 }, Now: f.time, Log: zap.NewNop(),
 	})
--- a/internal/gateway/peer/fleet.go
+++ b/internal/gateway/peer/fleet.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"net"
 	"slices"
 	"time"
 
@@ -35,3 +36,15 @@
 	defer t.mu.Unlock()
 	return t.members.Fleet()
 }
+
+// KnowsHost reports whether an IP address is that of a host that may be alive.
+func (t *Table) KnowsHost(ip string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for address := range t.addresses {
+		if host, _, err := net.SplitHostPort(address); err == nil && host == ip {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/gateway/peer/message.go
+++ b/internal/gateway/peer/message.go
@@ -48,6 +48,9 @@
 	Synced         bool                            `cbor:"y,omitempty"` // the host has compared its configuration with those of other hosts since it started
 	Departures     map[string]upstream.Departure   `cbor:"B,omitempty"` // upstream instances whose responses state that they leave
 	Link           float64                         `cbor:"A,omitempty"` // speed of the host's network link in Mbit/s; 0 if unknown
+	RelayPort      uint16                          `cbor:"D,omitempty"` // port at which the host takes requests of hosts that are cut off; 0 if it takes none
+	CutFrom        []string                        `cbor:"E,omitempty"` // services whose upstreams the host does not reach
+	Relaying       int                             `cbor:"F,omitempty"` // requests that the host relays for others
 }
 
 // Leader is the host that holds the fleet's lease: it reports usage and requests upstreams for all hosts.
--- a/internal/gateway/peer/table.go
+++ b/internal/gateway/peer/table.go
@@ -277,6 +277,16 @@
 	return list
 }
 
+// HeardAt returns when the last message of a host arrived; zero if none did.
+func (t *Table) HeardAt(host string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.hosts[host]; e != nil {
+		return e.receivedAt
+	}
+	return time.Time{}
+}
+
 // pendingPrefillTTL is how long the PendingPrefill of a load is valid after its message arrived. Upstreams read the prompt
 // tokens within a fraction of a second, while in a large fleet messages of a host may arrive only every few seconds.
 const pendingPrefillTTL = 400 * time.Millisecond
--- a/internal/gateway/storewatch/watcher_test.go
+++ b/internal/gateway/storewatch/watcher_test.go
@@ -58,7 +58,7 @@
 		shouldWatch.Store(true)
 		w = storewatch.New(storewatch.Options{
 			Store: store.New(memory.Backend(), store.Options{Clock: clock.NewWall(), Rand: rand.New(rand.NewPCG(1, 2)), WatchTimeout: 5 * time.Second}),
-			Live:  config.NewLive(), Table: upstream.NewTable(upstream.NewDialer(), zap.NewNop()), EntryPrefix: entryPrefix,
+			Live:  config.NewLive(), Table: upstream.NewTable("z1", upstream.NewDialer(), zap.NewNop()), EntryPrefix: entryPrefix,
 			DecodeEntry: func(key string, _ []byte) (upstream.Entry, error) {
 				return upstream.Entry{ID: strings.TrimPrefix(key, entryPrefix), Service: "s"}, nil
 			},
--- a/internal/gateway/upstream/advisory_test.go
+++ b/internal/gateway/upstream/advisory_test.go
@@ -37,7 +37,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			table := upstream.NewTable(upstream.NewDialer(), zap.NewNop())
+			table := upstream.NewTable("z1", upstream.NewDialer(), zap.NewNop())
 			table.Put(at(0), entry())
 			table.Get("u1").RecordAdvisory(at(1), at(0), advisory.Statement{Limit: advisory.NewLimit(2)})
 			c.change(table)
@@ -61,7 +61,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			table, other := upstream.NewTable(upstream.NewDialer(), zap.NewNop()), upstream.NewTable(upstream.NewDialer(), zap.NewNop())
+			table, other := upstream.NewTable("z1", upstream.NewDialer(), zap.NewNop()), upstream.NewTable("z1", upstream.NewDialer(), zap.NewNop())
 			table.Put(now, entry())
 			is.Equal(len(table.Advisories(now)), 0)
 			table.Get("u1").RecordAdvisory(now, now, advisory.Statement{Limit: advisory.NewLimit(2)})
@@ -91,7 +91,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			table, other := upstream.NewTable(upstream.NewDialer(), zap.NewNop()), upstream.NewTable(upstream.NewDialer(), zap.NewNop())
+			table, other := upstream.NewTable("z1", upstream.NewDialer(), zap.NewNop()), upstream.NewTable("z1", upstream.NewDialer(), zap.NewNop())
 			e := entry()
 			table.Put(now, e)
 			table.Get("u1").RecordAdvisory(now, now, advisory.Statement{Leaving: advisory.ParseLeaving("1")})
@@ -120,7 +120,7 @@
 	is := is.New(t)
 	const instances, most, messages = 1300, 100, 14
 	now := time.Unix(1_800_000_000, 0)
-	table, other := upstream.NewTable(upstream.NewDialer(), zap.NewNop()), upstream.NewTable(upstream.NewDialer(), zap.NewNop())
+	table, other := upstream.NewTable("z1", upstream.NewDialer(), zap.NewNop()), upstream.NewTable("z1", upstream.NewDialer(), zap.NewNop())
 	for n := range instances {
 		e := entry()
 		e.ID = fmt.Sprint("u", n)
@@ -141,7 +141,7 @@
 func TestManyDeparturesFitIntoAMessage(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1_800_000_000, 0)
-	table := upstream.NewTable(upstream.NewDialer(), zap.NewNop())
+	table := upstream.NewTable("z1", upstream.NewDialer(), zap.NewNop())
 	for n := range 300 {
 		e := entry()
 		e.ID = fmt.Sprint("u", n)
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -38,6 +38,7 @@
 	reader      *bufio.Reader
 	lastUsed    time.Time
 	idleTimeout time.Duration
+	reads       atomic.Uint64 // that have returned bytes
 	closed      atomic.Bool
 	unbind      func() bool // ends the binding to the context of the request
 	response    h1.Response
@@ -69,12 +70,19 @@
 	if err != nil {
 		return nil, err
 	}
+	c := i.newConn(raw)
+	c.unbind = context.AfterFunc(ctx, c.Close)
+	return c, nil
+}
+
+// newConn returns a connection that was opened to the instance.
+func (i *Instance) newConn(raw net.Conn) *Conn {
 	i.mu.Lock()
 	i.openConns++
 	i.mu.Unlock()
-	c := &Conn{Conn: raw, instance: i, reader: bufio.NewReaderSize(raw, readBufferSize), idleTimeout: defaultIdleTimeout}
-	c.unbind = context.AfterFunc(ctx, c.Close)
-	return c, nil
+	c := &Conn{Conn: raw, instance: i, idleTimeout: defaultIdleTimeout}
+	c.reader = bufio.NewReaderSize(c, readBufferSize)
+	return c
 }
 
 // Return gives back a connection on which nothing was sent since Acquire.
--- a/internal/gateway/upstream/conn_test.go
+++ b/internal/gateway/upstream/conn_test.go
@@ -33,7 +33,7 @@
 			s, err := script.New("Request-Id", script.Action{Bytes: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"})
 			is.NoErr(err)
 			defer s.Close()
-			table := upstream.NewTable(upstream.NewDialer(), zap.NewNop())
+			table := upstream.NewTable("z1", upstream.NewDialer(), zap.NewNop())
 			e := entry()
 			e.Address = s.Addr()
 			now := time.Now()
@@ -79,7 +79,7 @@
 	s, err := script.New("Request-Id", script.Action{Bytes: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"})
 	is.NoErr(err)
 	defer s.Close()
-	table := upstream.NewTable(upstream.NewDialer(), zap.NewNop())
+	table := upstream.NewTable("z1", upstream.NewDialer(), zap.NewNop())
 	e := entry()
 	e.Address = s.Addr()
 	now := time.Now()
@@ -125,7 +125,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			dialing := make(chan struct{})
-			table := upstream.NewTable(upstream.NewDialerFunc(func(ctx context.Context, _ string) (net.Conn, error) {
+			table := upstream.NewTable("z1", upstream.NewDialerFunc(func(ctx context.Context, _ string) (net.Conn, error) {
 				close(dialing)
 				<-ctx.Done()
 				return nil, ctx.Err()
--- a/internal/gateway/upstream/dials.go
+++ b/internal/gateway/upstream/dials.go
@@ -4,9 +4,12 @@
 	"context"
 	"fmt"
 	"net"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
+
+	"hickorypath/internal/policy/reach"
 )
 
 // ErrUnwanted is the error of Acquire if the instance has stated, while its connection was being opened, that it wants no requests.
@@ -30,8 +33,7 @@
 	}
 	i.dials.cancel[n] = cancel
 	i.mu.Unlock()
-	c, err := i.dialer.Dial(ctx, address)
-	countDial(ctx, err)
+	c, err := i.dialAt(ctx, address)
 	i.mu.Lock()
 	delete(i.dials.cancel, n)
 	i.mu.Unlock()
@@ -41,6 +43,24 @@
 	return c, err
 }
 
+// dialAt opens a connection to the instance at an address, and records whether the instance is within reach.
+func (i *Instance) dialAt(ctx context.Context, address string) (net.Conn, error) {
+	if i.reach == nil {
+		return i.dialer.Dial(ctx, address)
+	}
+	stalled := time.AfterFunc(reach.StallTime, func() { i.reach.recordFailed(i) })
+	c, err := i.dialer.Dial(ctx, address)
+	wasInTime := stalled.Stop()
+	countDial(ctx, err)
+	switch {
+	case err == nil:
+		i.reach.recordOpened(i)
+	case ctx.Err() == nil && wasInTime:
+		i.reach.recordFailed(i)
+	}
+	return c, err
+}
+
 // countDial counts a connection that was opened, or not, by its result.
 func countDial(ctx context.Context, err error) {
 	result := "opened"
--- a/internal/gateway/upstream/instance.go
+++ b/internal/gateway/upstream/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hickorypath/internal/policy/advisory"
@@ -21,6 +22,9 @@
 	advisory  *advisory.State
 	backoff   backoff
 	dialer    *Dialer
+
+	reach      *serviceReach // nil for an instance that belongs to no Table
+	outOfReach atomic.Bool   // the host is cut off from the instance
 }
 
 // Load is the load that an instance last reported.
@@ -29,9 +33,12 @@
 	At                      time.Time // when the load was reported; zero if never
 }
 
+// NewInstance returns an instance that belongs to no Table.
+func NewInstance(e Entry, d *Dialer) *Instance { return newInstance(e, d, nil) }
+
 // newInstance returns an instance without connections.
-func newInstance(e Entry, d *Dialer) *Instance {
-	return &Instance{id: e.ID, entry: e, dialer: d, advisory: advisory.NewState(e.ID)}
+func newInstance(e Entry, d *Dialer, r *serviceReach) *Instance {
+	return &Instance{id: e.ID, entry: e, dialer: d, advisory: advisory.NewState(e.ID), reach: r}
 }
 
 // Entry returns the latest entry of the instance.
@@ -41,6 +48,9 @@
 	return i.entry
 }
 
+// IsOutOfReach reports whether the host is cut off from the instance.
+func (i *Instance) IsOutOfReach() bool { return i.outOfReach.Load() }
+
 // ID returns the identifier of the instance.
 func (i *Instance) ID() string { return i.id }
 
@@ -114,7 +124,7 @@
 	Usable      Status = iota
 	Unconfirmed        // its entry was removed while the store was failing and may return
 	Departing          // its responses state that it leaves; for a short time it still accepts requests that no other one can take
-	Down               // it failed recently
+	Down               // it failed recently, or the host is cut off from it
 	Leaving            // it is draining or its removal is confirmed
 )
 
@@ -128,7 +138,7 @@
 		return Leaving
 	case !i.removedAt.IsZero() && now.Sub(i.removedAt) >= grace:
 		return Leaving
-	case i.backoff.isActive(now):
+	case i.backoff.isActive(now), i.outOfReach.Load():
 		return Down
 	case i.isDeparting(now):
 		return Departing
--- a/internal/gateway/upstream/table.go
+++ b/internal/gateway/upstream/table.go
@@ -13,6 +13,11 @@
 
 // Table holds the instances of all services. It is safe for concurrent use.
 type Table struct {
+	// OnCutChange is called when the host is cut off from most upstreams of a service, and when it reaches them again. It may be nil
+	// and is set before the Table is used.
+	OnCutChange func(service string, isCut bool)
+
+	zone   string // of this host
 	dialer *Dialer
 	log    *zap.Logger
 
@@ -23,7 +28,9 @@
 	restoredAt    time.Time              // when the store last came back from an older copy
 	left          map[string]leftEntry   // by id, the last entries of instances that were dropped
 
-	advisoriesTold atomic.Uint32 // limits that were returned by Advisories when there were many
+	reach          map[string]*serviceReach // by service
+	cutServices    atomic.Int32             // number of services that are out of reach
+	advisoriesTold atomic.Uint32            // limits that were returned by Advisories when there were many
 }
 
 // leftEntry is the last entry of an instance that was dropped, with what the instance had stated about itself.
@@ -43,9 +50,9 @@
 	restoredEntryDelay = 8 * time.Second
 )
 
-// NewTable returns an empty Table.
-func NewTable(d *Dialer, log *zap.Logger) *Table {
-	return &Table{dialer: d, log: log, byID: map[string]*Instance{}, byService: map[string][]*Instance{}, left: map[string]leftEntry{}}
+// NewTable returns an empty Table of a host in an availability zone.
+func NewTable(zone string, d *Dialer, log *zap.Logger) *Table {
+	return &Table{zone: zone, dialer: d, log: log, byID: map[string]*Instance{}, byService: map[string][]*Instance{}, left: map[string]leftEntry{}, reach: map[string]*serviceReach{}}
 }
 
 // Put adds or updates an instance from an entry in the store. An entry with another address, service or start
@@ -72,7 +79,8 @@
 	if old != nil {
 		t.drop(now, old)
 	}
-	i := newInstance(e, t.dialer)
+	i := newInstance(e, t.dialer, t.reachOf(e.Service))
+	i.outOfReach.Store(i.reach.isCut())
 	if l, ok := t.left[e.ID]; ok && l.entry.isSameIncarnation(e) {
 		i.advisory = l.advisory
 	}
--- a/internal/gateway/upstream/table_test.go
+++ b/internal/gateway/upstream/table_test.go
@@ -45,7 +45,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			table := upstream.NewTable(upstream.NewDialer(), zap.NewNop())
+			table := upstream.NewTable("z1", upstream.NewDialer(), zap.NewNop())
 			table.Put(at(0), entry())
 			c.act(table)
 			now := at(c.after)
@@ -56,7 +56,7 @@
 
 func TestSweepDropsRemovedInstances(t *testing.T) {
 	is := is.New(t)
-	table := upstream.NewTable(upstream.NewDialer(), zap.NewNop())
+	table := upstream.NewTable("z1", upstream.NewDialer(), zap.NewNop())
 	now := time.Unix(1_800_000_000, 0)
 	table.Put(now, entry())
 	table.Remove(now, "u1")
@@ -70,7 +70,7 @@
 // TestIDIsReadWhileTheEntryChanges fails under the race detector if the identifier is read from the entry that changes.
 func TestIDIsReadWhileTheEntryChanges(t *testing.T) {
 	is := is.New(t)
-	table := upstream.NewTable(upstream.NewDialer(), zap.NewNop())
+	table := upstream.NewTable("z1", upstream.NewDialer(), zap.NewNop())
 	now := time.Unix(1_800_000_000, 0)
 	table.Put(now, entry())
 	i := table.Get("u1")
@@ -122,7 +122,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			table := upstream.NewTable(upstream.NewDialer(), zap.NewNop())
+			table := upstream.NewTable("z1", upstream.NewDialer(), zap.NewNop())
 			c.before(table)
 			table.RecordRestore(at(10))
 			table.Put(at(11), c.restore)
@@ -158,7 +158,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			table := upstream.NewTable(upstream.NewDialer(), zap.NewNop())
+			table := upstream.NewTable("z1", upstream.NewDialer(), zap.NewNop())
 			table.Put(at(0), incarnation(2))
 			table.Put(at(1), incarnation(3))
 			if c.removed {
--- a/internal/standin/instance/instance.go
+++ b/internal/standin/instance/instance.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -35,7 +36,8 @@
 	crashed  atomic.Bool
 
 	mu      sync.Mutex
-	resumes int // streams that were not asked for from their first event
+	resumes int            // streams that were not asked for from their first event
+	runs    map[string]int // by request
 }
 
 // New returns a running Server that names no limit.
@@ -44,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{options: o, listener: l}
+	s := &Server{options: o, listener: l, runs: map[string]int{}}
 	s.server = &http.Server{Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.server.Serve(l) }() // returns when the server is closed
 	return s, nil
@@ -72,6 +74,19 @@
 	return s.resumes
 }
 
+// Runs returns how often the instance has run each request.
+func (s *Server) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.runs)
+}
+
+func (s *Server) recordRun(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[id]++
+}
+
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	if p := s.options.Poison; p != nil && p.isIn(r) {
@@ -86,6 +101,7 @@
 	if s.advice.advise(w, id) {
 		return
 	}
+	s.recordRun(id)
 	if strings.HasPrefix(r.URL.Path, StreamPrefix) {
 		s.stream(w, r)
 		return
