Close connections that the script stand-in accepts while it stops

A run of the platform tests waited for over two minutes at the end of a test (2 of 24 runs beside seven others; one took 158 s instead of 18): a connection that was accepted while Close went through the open ones was closed by nobody, and Close waited until the host's idle connections ended.

The goroutines of one such run (SIGQUIT) show Close waiting for the goroutine that reads that connection.

--- a/internal/standin/script/script.go
+++ b/internal/standin/script/script.go
@@ -41,6 +41,7 @@
 	calls   []Call
 	conns   int
 	open    map[net.Conn]bool
+	closed  bool
 }
 
 // New returns a running server that performs one action for each request, in order, and repeats the last action. The
@@ -83,6 +84,7 @@
 func (s *Server) Close() {
 	_ = s.listener.Close()
 	s.mu.Lock()
+	s.closed = true
 	for c := range s.open {
 		_ = c.Close()
 	}
@@ -97,6 +99,11 @@
 			return
 		}
 		s.mu.Lock()
+		if s.closed { // while the connection was being accepted
+			s.mu.Unlock()
+			_ = c.Close()
+			return
+		}
 		s.conns++
 		s.open[c] = true
 		s.mu.Unlock()
