Simulate a zone of hosts that is cut off from all upstreams

Real processes show that callers of a host that is cut off are served (RECOVER), but not what a whole zone of a large fleet costs the others.

--- a/cmd/hickorypath/gatewayspread_test.go
+++ b/cmd/hickorypath/gatewayspread_test.go
@@ -43,6 +43,7 @@
 	hosts    []*gateway
 	stops    []context.CancelFunc // end a host without notice
 	version  int
+	serves   bool // the hosts serve callers at port 8000
 	rand     *rand.Rand
 	routes   []map[string]any
 	decoded  sync.Map // *config.Config by hash of its encoded form
@@ -53,6 +54,13 @@
 func newConfigFleet(t *testing.T, hosts, zones, fast int) *configFleet {
 	t.Helper()
 	f := &configFleet{t: t, net: memnet.New(), platform: platformapi.New(clock.NewWall()), rand: rand.New(rand.NewPCG(1, 2))}
+	f.run(hosts, zones, fast)
+	return f
+}
+
+// run starts the store and the hosts.
+func (f *configFleet) run(hosts, zones, fast int) {
+	t := f.t
 	f.net.AddHost("10.200.1.7", storeLink*megabit, hostLatency)
 	stop := f.net.Serve("10.200.1.7:80", f.platform)
 	t.Cleanup(func() {
@@ -69,7 +77,6 @@
 		f.start(i, i%zones, mbps)
 	}
 	time.Sleep(12 * time.Second)
-	return f
 }
 
 // start starts a host whose link has mbps Mbit/s.
@@ -79,19 +86,35 @@
 	link := f.net.AddHost(ip, float64(mbps)*megabit, hostLatency)
 	s := settings.Settings{
 		Host: "host-" + strconv.Itoa(i), Zone: "zone-" + strconv.Itoa(zone), IP: ip, InternalPorts: [2]int{7000, 7015},
-		Resources: settings.Resources{LinkMbps: float64(mbps)}, Bounds: settings.Bounds{UsageWindow: 5 * time.Second}, Store: settings.Store{Address: "10.200.1.7:80"},
+		Resources: settings.Resources{LinkMbps: float64(mbps), MemoryBytes: 134 << 20, FileDescriptors: 4100}, Bounds: settings.Bounds{UsageWindow: 5 * time.Second, RetryRatio: 0.2, MinRetries: 50, RetryWindow: 10 * time.Second}, Store: settings.Store{Address: "10.200.1.7:80"},
 	}
 	g, err := newGateway(s, clock.NewWall(), machine{
-		dial: link.Dial, decodeConfig: f.decode, upstreams: upstream.NewDialer(),
+		dial: link.Dial, dialHost: withTimeout(link.Dial, hostDialTimeout), decodeConfig: f.decode, upstreams: upstream.NewDialerFunc(withTimeout(link.Dial, 1200*time.Millisecond)),
 		listen:       func(address string) (net.Listener, error) { return f.net.Listen(address), nil },
 		listenPacket: func(address string) (net.PacketConn, error) { return link.ListenPacket(address), nil },
 	}, zap.NewNop())
 	is.NoErr(err)
 	ctx, stop := context.WithCancel(f.t.Context())
 	is.NoErr(g.startSync(ctx))
+	if f.serves {
+		go g.exchange.Run(ctx)
+		go g.sweepIdle(ctx)
+		callers := f.net.Listen(ip + ":8000")
+		context.AfterFunc(ctx, func() { _ = callers.Close() })
+		go func() { _ = g.server.Serve(ctx, callers) }() // returns when the listener is closed
+	}
 	f.hosts, f.stops = append(f.hosts, g), append(f.stops, stop)
 }
 
+// withTimeout returns a function that dials for at most d.
+func withTimeout(dial func(context.Context, string) (net.Conn, error), d time.Duration) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, d)
+		defer cancel()
+		return dial(ctx, address)
+	}
+}
+
 // decode decodes each configuration once for all hosts.
 func (f *configFleet) decode(data []byte) (*config.Config, error) {
 	hash := xxhash.Sum64(data)
