--- a/internal/gateway/relay/helpers.go
+++ b/internal/gateway/relay/helpers.go
@@ -42,7 +42,8 @@
 // Helper is a host through which this host sends requests.
 type Helper struct {
 	helpers  *Helpers
-	host     Host
+	name     string
+	address  string
 	instance *upstream.Instance
 
 	lostAt   time.Time            // when a connection to it was not opened; guarded by helpers.mu
@@ -108,11 +109,13 @@
 // get returns the Helper for a host. The caller holds h.mu.
 func (h *Helpers) get(x Host) *Helper {
 	helper := h.byName[x.Name]
-	if helper == nil || helper.host.Address != x.Address {
-		helper = &Helper{helpers: h, cannot: map[string]time.Time{}, instance: upstream.NewInstance(upstream.Entry{ID: x.Name, Address: x.Address}, h.opts.Dial)}
+	if helper == nil || helper.address != x.Address {
+		helper = &Helper{
+			helpers: h, name: x.Name, address: x.Address, cannot: map[string]time.Time{},
+			instance: upstream.NewInstance(upstream.Entry{ID: x.Name, Address: x.Address}, h.opts.Dial),
+		}
 		h.byName[x.Name] = helper
 	}
-	helper.host = x
 	return helper
 }
 
@@ -129,7 +132,7 @@
 }
 
 // Name returns the name of the host.
-func (x *Helper) Name() string { return x.host.Name }
+func (x *Helper) Name() string { return x.name }
 
 // Instance returns the host as the peer of connections.
 func (x *Helper) Instance() *upstream.Instance { return x.instance }
