Set no timer for a deadline of memnet that is over already

The stack: net/http sets a read deadline in the past, memnet sets a timer that is due at once, and the runtime runs it on the spot.

A deadline that is over needs no timer: set wakes all calls that wait, and they see that it is over.

--- a/internal/standin/memnet/stream.go
+++ b/internal/standin/memnet/stream.go
@@ -192,8 +192,9 @@
 		d.timer = nil
 	}
 	d.at = at
-	if !at.IsZero() {
-		d.timer = time.AfterFunc(time.Until(at), wake)
+	// A timer that is due at once can crash the race detector under testing/synctest (Go 1.26).
+	if left := time.Until(at); !at.IsZero() && left > 0 {
+		d.timer = time.AfterFunc(left, wake)
 	}
 	d.mu.Unlock()
 	wake()
