Send requests of hosts that are cut off through other hosts in serve

It now finds out in the same way (policy/reach) and sends such requests as HTTP on QUIC streams between the hosts, under their mutual TLS; the other host's own handler serves them, so that keys, limits, claims, suspects, usage and burn are its own. Requests that have failed before anything of their response was written move too, if they have not run or may run again.

--- a/cmd/hickorypath/host.go
+++ b/cmd/hickorypath/host.go
@@ -18,6 +18,7 @@
 	"hickorypath/internal/caller/exchange"
 	"hickorypath/internal/caller/openai"
 	"hickorypath/internal/caller/quota"
+	"hickorypath/internal/caller/relay"
 	"hickorypath/internal/caller/reply"
 	callerservice "hickorypath/internal/caller/service"
 	"hickorypath/internal/core/clock"
@@ -46,6 +47,7 @@
 	log      *zap.Logger
 	injector *do.RootScope
 	caller   *http.Server
+	relayed  *http.Server // for the requests of hosts that are cut off from upstreams
 	admin    *http.Server
 	callerLn net.Listener
 	adminLn  net.Listener
@@ -68,6 +70,7 @@
 	if h.adminLn, err = listen(s.Admin()); err != nil {
 		return nil, err
 	}
+	h.relayed = &http.Server{Handler: h.relayedHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(h.log)}
 	h.caller = &http.Server{Handler: h.callerHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(h.log)}
 	h.admin = &http.Server{Handler: h.adminHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(h.log)}
 	return h, nil
@@ -95,8 +98,9 @@
 // callerHandler returns the HTTP handler of the callers' address.
 func (h *host) callerHandler() http.Handler {
 	runner := get[*exchange.Runner](h.injector)
-	chat := openai.New(runner)
-	services := callerservice.New(runner)
+	relays := get[*relay.Client](h.injector)
+	chat := openai.New(runner, relays)
+	services := callerservice.New(runner, relays)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		reply.ClearWriteDeadline(http.NewResponseController(w))
 		switch {
@@ -110,6 +114,24 @@
 	})
 }
 
+// maxRelayed is the number of requests that a host serves for hosts that are cut off at a time, so that its own callers keep their
+// service.
+const maxRelayed = 128
+
+// relayedHandler returns the HTTP handler of requests that hosts send which are cut off from upstreams.
+func (h *host) relayedHandler() http.Handler {
+	callers, slots := h.callerHandler(), make(chan struct{}, maxRelayed)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case slots <- struct{}{}:
+			defer func() { <-slots }()
+			callers.ServeHTTP(w, reply.MarkRelayed(r))
+		default:
+			reply.WriteError(w, kind.New(kind.Unavailable, "the host relays too many requests"))
+		}
+	})
+}
+
 // serveHealth answers the load balancer's health check: the host should get new connections only if it is ready.
 func (h *host) serveHealth(w http.ResponseWriter) {
 	if err := h.checkReady(); err != nil {
@@ -169,13 +191,16 @@
 func (h *host) start(ctx context.Context) {
 	n := get[*node.Node](h.injector)
 	f := get[*fleet.Fleet](h.injector)
-	f.SetTargets(targetsByPool(nil, h.settings.Services()))
+	get[*httpclient.Reach](h.injector).SetAlone(func() bool { return len(otherHosts(n.Members(), h.settings.Host())) == 0 })
+	setTargets(f, get[*httpclient.Reach](h.injector), targetsByPool(nil, h.settings.Services()))
 	stop := n.Replicator().Watch(replication.TopicSuspect, newCrashHandler(get[*exchange.SuspectTracker](h.injector), get[*exchange.PartTracker](h.injector), get[clock.Clock](h.injector), f))
 	context.AfterFunc(ctx, stop)
 	context.AfterFunc(ctx, n.Replicator().Watch(replication.TopicUsage, h.importUsage))
 	h.runLoop(func() { _ = n.Run(ctx) })
 	h.runLoop(func() { get[*configsync.Syncer](h.injector).Run(ctx) })
 	h.runLoop(func() { f.Run(ctx) })
+	h.runLoop(func() { get[*httpclient.Reach](h.injector).Run(ctx) })
+	go func() { _ = h.relayed.Serve(n.Streams()) }() // until the server is shut down
 	h.startPlatformTasks(ctx)
 	h.runLoop(func() { get[*quota.Quota](h.injector).Run(ctx) })
 	h.runLoop(func() { get[*meter.Meter](h.injector).Run(ctx) })
@@ -197,6 +222,7 @@
 	get[*node.Node](h.injector).Leave(ctx)
 	clock.Pause(ctx, h.settings.DrainNotice())
 	err := h.caller.Shutdown(ctx)
+	err = errors.Join(err, h.relayed.Shutdown(ctx))
 	h.flushUsage(ctx)
 	_ = h.admin.Shutdown(ctx)
 	h.log.Info("shutdown finished", zap.Error(err))
@@ -213,6 +239,23 @@
 	})
 }
 
+// setTargets replaces the upstreams of all pools.
+func setTargets(f *fleet.Fleet, r *httpclient.Reach, byPool map[string][]dispatch.Target) {
+	f.SetTargets(byPool)
+	r.SetUpstreams(lo.MapValues(byPool, func(targets []dispatch.Target, _ string) []httpclient.Endpoint {
+		return lo.FilterMap(targets, func(t dispatch.Target, _ int) (httpclient.Endpoint, bool) {
+			return httpclient.Endpoint{Addr: t.Addr(), Zone: t.Zone()}, !t.Draining()
+		})
+	}))
+}
+
+// otherHosts returns the other hosts that are alive and do not leave.
+func otherHosts(members []membership.Member, self string) []relay.Host {
+	return lo.FilterMap(members, func(m membership.Member, _ int) (relay.Host, bool) {
+		return relay.Host{ID: m.ID(), Zone: m.Zone()}, m.ID() != self && m.Alive() && m.State() == membership.Alive
+	})
+}
+
 // liveHosts returns the IDs of the live hosts.
 func liveHosts(members []membership.Member) []string {
 	return lo.FilterMap(members, func(m membership.Member, _ int) (string, bool) { return m.ID(), m.Alive() })
--- a/cmd/hickorypath/injector.go
+++ b/cmd/hickorypath/injector.go
@@ -13,6 +13,7 @@
 
 	"hickorypath/internal/caller/exchange"
 	"hickorypath/internal/caller/quota"
+	"hickorypath/internal/caller/relay"
 	"hickorypath/internal/core/clock"
 	"hickorypath/internal/core/settings"
 	"hickorypath/internal/host/node"
@@ -40,7 +41,7 @@
 // newInjector registers the providers of one host's components. The host opens its connections to upstreams with dial.
 func newInjector(s *settings.Settings, log *zap.Logger, dial httpclient.DialFunc) *do.RootScope {
 	i := do.New()
-	do.ProvideValue(i, dial)
+	do.ProvideValue(i, httpclient.NewReach(s.Zone(), dial, log))
 	do.ProvideValue(i, s)
 	do.ProvideValue(i, log)
 	do.ProvideValue(i, clock.NewSystem())
@@ -67,6 +68,7 @@
 	do.Provide(i, provideParts)
 	do.Provide(i, provideRetries)
 	do.Provide(i, provideRunner)
+	do.Provide(i, provideRelays)
 	return i
 }
 
@@ -161,7 +163,7 @@
 		Replicator:       n.Replicator(),
 		FetchLoad:        engines.Load,
 		FetchCacheEvents: engines.CacheEvents,
-		Dial:             get[httpclient.DialFunc](i),
+		Dial:             get[*httpclient.Reach](i).Dial,
 		LiveHosts:        func() []string { return liveHosts(n.Members()) },
 		HostZones:        func() []route.Host { return liveHostZones(n.Members()) },
 	}), nil
@@ -224,11 +226,11 @@
 }
 
 func provideEngines(i do.Injector) (*engine.Client, error) {
-	return engine.New(engine.Options{Dial: get[httpclient.DialFunc](i), Clock: get[clock.Clock](i), Log: get[*zap.Logger](i)}), nil
+	return engine.New(engine.Options{Dial: get[*httpclient.Reach](i).Dial, Clock: get[clock.Clock](i), Log: get[*zap.Logger](i)}), nil
 }
 
 func provideServices(i do.Injector) (*service.Client, error) {
-	return service.New(service.Options{Dial: get[httpclient.DialFunc](i)}), nil
+	return service.New(service.Options{Dial: get[*httpclient.Reach](i).Dial}), nil
 }
 
 func provideSuspects(i do.Injector) (*exchange.SuspectTracker, error) {
@@ -255,6 +257,17 @@
 	return exchange.NewRetryBudgets(retry.Config{}), nil
 }
 
+func provideRelays(i do.Injector) (*relay.Client, error) {
+	n := get[*node.Node](i)
+	self := get[*settings.Settings](i)
+	return relay.New(relay.Options{
+		Zone:  self.Zone(),
+		Hosts: func() []relay.Host { return otherHosts(n.Members(), self.Host()) },
+		Open:  n.OpenStream,
+		Log:   get[*zap.Logger](i),
+	}), nil
+}
+
 func provideRunner(i do.Injector) (*exchange.Runner, error) {
 	replicator := get[*node.Node](i).Replicator()
 	c := get[clock.Clock](i)
@@ -278,6 +291,7 @@
 		Claim:        newClaimFunc(get[*claim.Registry](i)),
 		IsAlive:      f.Alive,
 		IsDown:       f.IsDown,
+		IsCutOff:     get[*httpclient.Reach](i).IsCut,
 		ReportCrash:  newCrashReplicator(replicator, c, f),
 
 		RecordAdvisory: f.RecordAdvisory,
--- a/cmd/hickorypath/platformtasks.go
+++ b/cmd/hickorypath/platformtasks.go
@@ -26,6 +26,7 @@
 	"hickorypath/internal/upstream/discovery"
 	"hickorypath/internal/upstream/dispatch"
 	"hickorypath/internal/upstream/fleet"
+	"hickorypath/internal/upstream/httpclient"
 )
 
 // usageLease is the name of the lease whose holder reports usage to the platform.
@@ -146,7 +147,7 @@
 func provideDiscovery(i do.Injector) (*discovery.Watcher, error) {
 	s := get[*settings.Settings](i)
 	n := get[*node.Node](i)
-	f := get[*fleet.Fleet](i)
+	f, r := get[*fleet.Fleet](i), get[*httpclient.Reach](i)
 	log := get[*zap.Logger](i)
 	backend := provision.NewHTTP(s.Platform().Provision, &http.Client{})
 	return discovery.New(discovery.Options{
@@ -156,7 +157,7 @@
 		Replicator: n.Replicator(),
 		Publishes:  func() bool { return isWatcher(n.Members(), s.Host(), s.Zone()) },
 		Follows:    func() bool { return len(n.Members()) > membership.MaxMeshHosts },
-		OnChange:   func(list []provision.Upstream) { f.SetTargets(targetsByPool(list, s.Services())) },
+		OnChange:   func(list []provision.Upstream) { setTargets(f, r, targetsByPool(list, s.Services())) },
 	}), nil
 }
 
--- a/internal/caller/exchange/attempt.go
+++ b/internal/caller/exchange/attempt.go
@@ -162,7 +162,7 @@
 		c.runner.deps.RetryBudgets.RecordFirstTokenTime(c.pool.Name(), result.TimeToFirstToken)
 	}
 	result.Crashed = c.finishRun(ctx, a.grant, a.runID, a.err)
-	if a.err != nil && (ctx.Err() != nil || kind.Of(a.err) == kind.Canceled || errors.Is(a.err, errSuperseded)) {
+	if a.err != nil && (ctx.Err() != nil || kind.Of(a.err) == kind.Canceled || isUnsent(a.err)) {
 		c.pool.Cancel(a.grant)
 		return
 	}
--- a/internal/caller/exchange/chat.go
+++ b/internal/caller/exchange/chat.go
@@ -114,7 +114,7 @@
 		if c.mayPickAgain(err) {
 			continue
 		}
-		if c.attempts == before {
+		if c.attempts == before || !c.isBegun && c.MayRelay(err) {
 			return refusalError(err, c.ran)
 		}
 		decision := budget.Decide(c.pool.Name(), c.runner.deps.Clock.Now(), retry.Attempt{
--- a/internal/caller/exchange/crash.go
+++ b/internal/caller/exchange/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/upstream/dispatch"
@@ -24,7 +23,7 @@
 func (s *Session) checkCrash(ctx context.Context, grant dispatch.Grant, run uint64, err error) (crashed bool) {
 	if kind.Of(err) != kind.Lost {
 		s.runner.endRun(run, err == nil)
-		return kind.Of(err) == kind.Unavailable && ctx.Err() == nil && !errors.Is(err, errSuperseded)
+		return kind.Of(err) == kind.Unavailable && ctx.Err() == nil && !isUnsent(err)
 	}
 	probed := make(chan bool, 1)
 	go func() {
--- a/internal/caller/exchange/exchange.go
+++ b/internal/caller/exchange/exchange.go
@@ -50,6 +50,8 @@
 	Claim func(ctx context.Context, customer, route, idempotency, hash string, expiry time.Duration) (*Claim, *Outcome, error)
 	// IsAlive probes an upstream of a pool and reports whether it responds.
 	IsAlive func(ctx context.Context, pool, addr string) bool
+	// IsCutOff reports whether this host is cut off from the upstreams of a pool that other hosts may reach; it may be nil.
+	IsCutOff func(pool string) bool
 	// IsDown reports whether an upstream is already known to be down.
 	IsDown func(pool, upstream string) bool
 	// RecordAdvisory records what an upstream stated about itself in the response to a request sent at sentAt; it may be nil.
@@ -105,6 +107,7 @@
 	Model          string // model of a chat completion
 	Method         string // HTTP method of a call to a plain service
 	Path           string // URL path of a call to a plain service
+	Relayed        bool   // another host sent the request, which is cut off from the upstreams
 }
 
 // Identity is the customer and the key that a request was authenticated with. It is empty for a request without
@@ -175,6 +178,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if req.Relayed && r.isCutOff(route.Pool()) {
+		return nil, kind.New(kind.Unavailable, "this host is cut off from pool %s too", route.Pool())
+	}
 	p, ok := r.deps.Pool(route.Pool())
 	if !ok {
 		return nil, kind.New(kind.Unavailable, "pool %s is not ready on this host", route.Pool())
--- a/internal/caller/exchange/exchange_test.go
+++ b/internal/caller/exchange/exchange_test.go
@@ -92,6 +92,7 @@
 	suspectTracker *exchange.SuspectTracker
 	dialDelay      time.Duration // until a connection is opened
 	unwanted       sync.Map      // names of the upstreams that want no requests
+	isCutOff       atomic.Bool   // the host is cut off from all upstreams
 }
 
 // withHarness runs f with a harness that has two engines and a plain service.
@@ -191,7 +192,8 @@
 			_, err := w.client.Load(ctx, addr)
 			return err == nil && !w.probesFail
 		},
-		IsDown: func(string, string) bool { return false },
+		IsDown:   func(string, string) bool { return false },
+		IsCutOff: func(string) bool { return w.isCutOff.Load() },
 		Version: func(t dispatch.Target) (string, bool) {
 			v, ok := w.knownVersions[t.ID()]
 			return v, ok
--- a/internal/caller/exchange/forward.go
+++ b/internal/caller/exchange/forward.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -126,7 +125,7 @@
 		if f.buffered && f.mayPickAgain(err) {
 			continue
 		}
-		if f.attempts == before {
+		if f.attempts == before || !f.responding && f.MayRelay(err) {
 			return refusalError(err, f.ran)
 		}
 		decision := budget.Decide(f.pool.Name(), f.runner.deps.Clock.Now(), retry.Attempt{
@@ -176,7 +175,7 @@
 	f.runner.deps.Suspects.ScheduleTrialPass(f.runner.deps.Clock.Now, run)
 	f.timeToResponse = 0
 	err = f.send(ctx, grant, turn.Upstream != "")
-	if errors.Is(err, errSuperseded) {
+	if isUnsent(err) {
 		f.finishRun(ctx, grant, run, err)
 		f.pool.Cancel(grant)
 		return err
--- a/internal/caller/exchange/retrybudgets.go
+++ b/internal/caller/exchange/retrybudgets.go
@@ -87,8 +87,7 @@
 	return b
 }
 
-// refusalError returns the final error of a request that was refused before its last attempt was sent. ran states
-// whether its earlier attempts ran.
+// refusalError returns the final error of a request whose last attempt failed with err. ran states whether its earlier attempts ran.
 func refusalError(err error, ran kind.Ran) error {
 	e := kind.From(err)
 	return e.WithRan(strongerRan(ran, e.Ran()))
--- a/internal/caller/openai/openai.go
+++ b/internal/caller/openai/openai.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hickorypath/internal/caller/exchange"
+	"hickorypath/internal/caller/relay"
 	"hickorypath/internal/caller/reply"
 	"hickorypath/internal/core/kind"
 )
@@ -24,12 +25,13 @@
 // Handler serves the chat completions protocol.
 type Handler struct {
 	runner *exchange.Runner
+	relays *relay.Client
 	mux    *http.ServeMux
 }
 
-// New returns a Handler that runs requests with runner.
-func New(runner *exchange.Runner) *Handler {
-	h := &Handler{runner: runner, mux: http.NewServeMux()}
+// New returns a Handler that runs requests with runner, or through another host where this one is cut off.
+func New(runner *exchange.Runner, relays *relay.Client) *Handler {
+	h := &Handler{runner: runner, relays: relays, mux: http.NewServeMux()}
 	h.mux.HandleFunc("POST /v1/chat/completions", h.chat)
 	h.mux.HandleFunc("GET /v1/models", h.models)
 	h.mux.HandleFunc("/v1/", h.notFound)
@@ -73,11 +75,17 @@
 		s.Close(err)
 		return err
 	}
-	out := newWriter(w, r, body.IsStream())
-	defer out.close()
-	err = s.Chat(body, out.output())
-	s.Close(err)
-	return out.finish(err)
+	if !s.IsOutOfReach() {
+		out := newWriter(w, r, body.IsStream())
+		defer out.close()
+		err = s.Chat(body, out.output())
+		if out.isStarted() || !s.MayRelay(err) {
+			s.Close(err)
+			return out.finish(err)
+		}
+	}
+	s.Abandon()
+	return h.relays.Serve(w, relay.Request{Request: r, Body: data, Pool: s.Pool(), Repeatable: s.IsRepeatable()})
 }
 
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
--- a/internal/caller/openai/writer.go
+++ b/internal/caller/openai/writer.go
@@ -48,6 +48,13 @@
 	return w.send("data: ", data)
 }
 
+// isStarted reports whether a part of the response was written.
+func (w *writer) isStarted() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.started
+}
+
 // start writes the response header. The caller holds the lock.
 func (w *writer) start() {
 	w.started = true
--- a/internal/caller/reply/reply.go
+++ b/internal/caller/reply/reply.go
@@ -2,6 +2,7 @@
 package reply
 
 import (
+	"context"
 	"encoding/json"
 	"math"
 	"net/http"
@@ -49,9 +50,20 @@
 		IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
 		Method:         r.Method,
 		Path:           r.URL.Path,
+		Relayed:        isRelayed(r),
 	}
 }
 
+// relayedKey is the context key of requests that another host sent.
+type relayedKey struct{}
+
+// MarkRelayed returns a request that another host sent, which is cut off from the upstreams.
+func MarkRelayed(r *http.Request) *http.Request {
+	return r.WithContext(context.WithValue(r.Context(), relayedKey{}, true))
+}
+
+func isRelayed(r *http.Request) bool { return r.Context().Value(relayedKey{}) != nil }
+
 // bearerToken returns the bearer token of a request, empty if there is none.
 func bearerToken(r *http.Request) string {
 	scheme, token, ok := strings.Cut(r.Header.Get("Authorization"), " ")
--- a/internal/caller/service/service.go
+++ b/internal/caller/service/service.go
@@ -2,10 +2,12 @@
 package service
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 
 	"hickorypath/internal/caller/exchange"
+	"hickorypath/internal/caller/relay"
 	"hickorypath/internal/caller/reply"
 	"hickorypath/internal/core/kind"
 )
@@ -13,18 +15,16 @@
 // Handler serves requests under the paths of the document's routes.
 type Handler struct {
 	runner *exchange.Runner
+	relays *relay.Client
 }
 
-// New returns a Handler that runs requests with runner.
-func New(runner *exchange.Runner) *Handler {
-	return &Handler{runner: runner}
+// New returns a Handler that runs requests with runner, or through another host where this one is cut off.
+func New(runner *exchange.Runner, relays *relay.Client) *Handler {
+	return &Handler{runner: runner, relays: relays}
 }
 
-// hopHeaders are the hop-by-hop headers of a response, which apply to a single connection and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade",
-}
+// maxRelayedBody is the length of the longest request body that is sent through another host, in bytes.
+const maxRelayedBody = 1 << 20
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -57,12 +57,28 @@
 		return false, err
 	}
 	call := exchange.ServiceCall{RawQuery: r.URL.RawQuery, Header: r.Header, Body: r.Body, BodyLength: r.ContentLength}
-	err = s.Forward(call, func(status int, header http.Header, body io.Reader) error {
-		started = true
-		return respond(w, status, header, body)
-	})
-	s.Close(err)
-	return started, err
+	var body []byte
+	mayRelay := r.ContentLength >= 0 && r.ContentLength <= min(s.BodyLimit(), maxRelayedBody)
+	if mayRelay {
+		if body, err = io.ReadAll(io.LimitReader(r.Body, r.ContentLength)); err != nil {
+			err = kind.Wrap(err, kind.Canceled, "the body did not arrive whole").WithRan(kind.RanNo)
+			s.Close(err)
+			return false, err
+		}
+		call.Body = bytes.NewReader(body)
+	}
+	if !mayRelay || !s.IsOutOfReach() {
+		err = s.Forward(call, func(status int, header http.Header, body io.Reader) error {
+			started = true
+			return respond(w, status, header, body)
+		})
+		if started || !mayRelay || !s.MayRelay(err) {
+			s.Close(err)
+			return started, err
+		}
+	}
+	s.Abandon()
+	return false, h.relays.Serve(w, relay.Request{Request: r, Body: body, Pool: s.Pool(), Repeatable: s.IsRepeatable()})
 }
 
 // respond writes the response of a plain service. The request id of this host replaces the service's own.
@@ -71,33 +87,10 @@
 	for name, values := range header {
 		w.Header()[name] = values
 	}
-	for _, name := range hopHeaders {
+	for _, name := range reply.HopHeaders {
 		w.Header().Del(name)
 	}
 	w.Header().Set(reply.HeaderRequestID, id)
 	w.WriteHeader(status)
-	return copyFlush(w, body)
-}
-
-// copyFlush copies body to w and flushes each part as soon as it is read.
-func copyFlush(w http.ResponseWriter, body io.Reader) error {
-	rc := http.NewResponseController(w)
-	defer reply.ExtendWriteDeadline(rc) // for the data that is still buffered
-	buf := make([]byte, 32<<10)
-	for {
-		n, err := body.Read(buf)
-		if n > 0 {
-			reply.ExtendWriteDeadline(rc)
-			if _, err := w.Write(buf[:n]); err != nil {
-				return kind.Wrap(err, kind.Canceled, "the caller stopped reading").WithRan(kind.RanYes)
-			}
-			_ = rc.Flush()
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return kind.From(err)
-		}
-	}
+	return reply.CopyFlush(w, body)
 }
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"hickorypath/internal/core/clock"
+	"hickorypath/internal/core/kind"
 	"hickorypath/internal/host/membership"
 	"hickorypath/internal/host/peer"
 	"hickorypath/internal/host/replication"
@@ -92,6 +93,19 @@
 // Members returns this host and all other hosts that it knows.
 func (n *Node) Members() []membership.Member { return n.core.members() }
 
+// OpenStream opens a stream to another host, on which both ends send and receive.
+func (n *Node) OpenStream(ctx context.Context, host string) (net.Conn, error) {
+	for _, m := range n.Members() {
+		if m.ID() == host {
+			return n.peer.OpenStream(ctx, host, m.Addr())
+		}
+	}
+	return nil, kind.New(kind.Peer, "host %s is not known", host)
+}
+
+// Streams returns the listener of the streams that other hosts open.
+func (n *Node) Streams() net.Listener { return n.peer.Streams() }
+
 // LeaseCandidates returns the IDs of the hosts that should try to acquire leases. These are the live hosts, in a
 // large fleet without the relays, which already do more work than other hosts.
 func (n *Node) LeaseCandidates() []string { return n.core.leaseCandidates() }
--- a/internal/host/peer/peer.go
+++ b/internal/host/peer/peer.go
@@ -52,6 +52,7 @@
 	socket    *net.UDPConn
 	transport *quic.Transport
 	listener  *quic.Listener
+	streams   chan net.Conn // that other hosts have opened
 	ctx       context.Context
 	cancel    context.CancelFunc
 	wg        sync.WaitGroup
@@ -70,7 +71,7 @@
 	if err != nil {
 		return nil, kind.Wrap(err, kind.Settings, "cannot listen for other hosts at %q", opts.Addr)
 	}
-	e := &Endpoint{opts: opts, socket: socket, links: map[string]*link{}}
+	e := &Endpoint{opts: opts, socket: socket, links: map[string]*link{}, streams: make(chan net.Conn)}
 	e.transport = &quic.Transport{Conn: e.wrap(socket)}
 	e.listener, err = e.transport.Listen(opts.TLS, quicConfig())
 	if err != nil {
@@ -172,6 +173,7 @@
 func (e *Endpoint) serve(conn *quic.Conn) {
 	var wg sync.WaitGroup
 	wg.Go(func() { e.readDatagrams(conn) })
+	wg.Go(func() { e.acceptStreams(conn) })
 	e.readStreams(conn)
 	wg.Wait()
 }
@@ -229,7 +231,7 @@
 		MaxIdleTimeout:        idleTimeout,
 		KeepAlivePeriod:       keepAlive,
 		HandshakeIdleTimeout:  handshakeTimeout,
-		MaxIncomingStreams:    -1,
+		MaxIncomingStreams:    maxIncomingStreams,
 		MaxIncomingUniStreams: maxStreams,
 	}
 }
--- /dev/null
+++ b/internal/upstream/httpclient/reach.go
@@ -0,0 +1,284 @@
+package httpclient
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"hickorypath/internal/core/clock"
+	"hickorypath/internal/policy/reach"
+)
+
+// ErrOutOfReach is the error of a dial to an upstream from which this host is cut off.
+var ErrOutOfReach = errors.New("this host is cut off from the upstream")
+
+const (
+	// returnInterval is the interval at which upstreams that are out of reach are tried.
+	returnInterval = 250 * time.Millisecond
+	// silenceInterval is the least time between two tries of upstreams of a pool that send nothing although requests were sent.
+	silenceInterval = 500 * time.Millisecond
+)
+
+// Endpoint is the address and the availability zone of an upstream.
+type Endpoint struct{ Addr, Zone string }
+
+// Reach opens connections to the upstreams of all pools and finds out whether this host is cut off from those of a pool. It is safe
+// for concurrent use.
+type Reach struct {
+	zone string // of this host
+	dial DialFunc
+	log  *zap.Logger
+	cuts atomic.Int32 // number of pools that are out of reach
+
+	isAlone atomic.Pointer[func() bool] // reports whether there is no other host, through which to reach upstreams
+
+	mu     sync.Mutex
+	pools  map[string]*poolReach
+	byAddr map[string]*poolReach
+}
+
+// poolReach is what a Reach knows of one pool.
+type poolReach struct {
+	name        string
+	own, others []string      // addresses of the upstreams in the host's zone and in others
+	reads       atomic.Uint64 // reads from connections to the upstreams that have returned bytes
+
+	// The mu of the Reach guards the following fields.
+	state     reach.Service
+	silenceAt time.Time // when an upstream was tried because it sent nothing
+	lastDial  int
+	dials     map[int]pendingDial // connections that are being opened, by number
+}
+
+type pendingDial struct {
+	addr   string
+	cancel context.CancelCauseFunc
+}
+
+// NewReach returns a Reach of a host in an availability zone without pools, that opens connections with dial.
+func NewReach(zone string, dial DialFunc, log *zap.Logger) *Reach {
+	return &Reach{zone: zone, dial: dial, log: log, pools: map[string]*poolReach{}, byAddr: map[string]*poolReach{}}
+}
+
+// SetUpstreams replaces the upstreams of all pools.
+func (r *Reach) SetUpstreams(byPool map[string][]Endpoint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	pools := make(map[string]*poolReach, len(byPool))
+	r.byAddr = map[string]*poolReach{}
+	for name, list := range byPool {
+		p := r.pools[name]
+		if p == nil {
+			p = &poolReach{name: name, dials: map[int]pendingDial{}}
+		}
+		own, others := lo.FilterReject(list, func(e Endpoint, _ int) bool { return e.Zone == r.zone })
+		addr := func(e Endpoint, _ int) string { return e.Addr }
+		p.own, p.others = lo.Map(own, addr), lo.Map(others, addr)
+		pools[name] = p
+		for _, e := range list {
+			r.byAddr[e.Addr] = p
+		}
+	}
+	for name, p := range r.pools {
+		if pools[name] == nil && p.state.IsCut() {
+			r.cuts.Add(-1)
+		}
+	}
+	r.pools = pools
+}
+
+// SetAlone sets a function that reports whether there is no other host. A host that is alone goes on opening connections to upstreams
+// that are out of reach.
+func (r *Reach) SetAlone(isAlone func() bool) { r.isAlone.Store(&isAlone) }
+
+// mayGiveUp reports whether another host may reach what this one does not.
+func (r *Reach) mayGiveUp() bool {
+	isAlone := r.isAlone.Load()
+	return isAlone != nil && !(*isAlone)()
+}
+
+// addrs returns the addresses of a pool in the order in which they are to be tried: at random, those of the host's zone and of other
+// zones in turn. A zone that is cut off reaches its own. The caller holds the mu of the Reach.
+func (p *poolReach) addrs() []string {
+	for _, list := range [][]string{p.own, p.others} {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	return lo.Interleave(p.own, p.others)
+}
+
+// IsCut reports whether this host is cut off from most upstreams of a pool, and other hosts may not be.
+func (r *Reach) IsCut(pool string) bool {
+	if r.cuts.Load() == 0 || !r.mayGiveUp() {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.pools[pool]
+	return p != nil && p.state.IsCut()
+}
+
+// Run tries the upstreams that are out of reach until ctx ends.
+func (r *Reach) Run(ctx context.Context) {
+	clock.Every(ctx, returnInterval, func() {
+		if r.cuts.Load() == 0 {
+			return
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, p := range r.pools {
+			r.tryAll(p, p.state.Return(time.Now(), p.addrs()))
+		}
+	})
+}
+
+// Dial opens a connection to an upstream. It has the signature of a DialFunc.
+func (r *Reach) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	r.mu.Lock()
+	p := r.byAddr[addr]
+	if p == nil {
+		r.mu.Unlock()
+		return r.dial(ctx, network, addr)
+	}
+	reaches := p.state.Reaches(addr)
+	r.mu.Unlock()
+	if !reaches && r.mayGiveUp() {
+		return nil, ErrOutOfReach
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	r.mu.Lock()
+	p.lastDial++
+	n := p.lastDial
+	p.dials[n] = pendingDial{addr, cancel}
+	r.mu.Unlock()
+	c, err := r.dialAndRecord(ctx, p, network, addr)
+	r.mu.Lock()
+	delete(p.dials, n)
+	r.mu.Unlock()
+	if err != nil && errors.Is(context.Cause(ctx), ErrOutOfReach) {
+		return nil, ErrOutOfReach
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &reachConn{Conn: c, reach: r, pool: p, addr: addr}, nil
+}
+
+// dialAndRecord opens a connection and records whether the upstream answers.
+func (r *Reach) dialAndRecord(ctx context.Context, p *poolReach, network, addr string) (net.Conn, error) {
+	stalled := time.AfterFunc(reach.StallTime, func() { r.recordFailed(p, addr) })
+	c, err := r.dial(ctx, network, addr)
+	wasInTime := stalled.Stop()
+	switch {
+	case err == nil:
+		r.recordOpened(p, addr)
+	case ctx.Err() == nil && wasInTime:
+		r.recordFailed(p, addr)
+	}
+	return c, err
+}
+
+func (r *Reach) recordOpened(p *poolReach, addr string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	wasCut := p.state.IsCut()
+	changed := p.state.RecordOpened(time.Now(), addr, p.addrs())
+	switch isCut := p.state.IsCut(); {
+	case changed && isCut: // the others may be back as well
+		r.tryAll(p, p.state.Return(time.Now(), p.addrs()))
+	case wasCut && !isCut:
+		r.cuts.Add(-1)
+		r.log.Info("pool within reach again", zap.String("pool", p.name))
+	}
+}
+
+func (r *Reach) recordFailed(p *poolReach, addr string) {
+	mayGiveUp := r.mayGiveUp()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.byAddr[addr] != p {
+		return
+	}
+	wasCut := p.state.IsCut()
+	tries, _ := p.state.RecordFailed(time.Now(), addr, p.addrs())
+	r.tryAll(p, tries)
+	if wasCut || !p.state.IsCut() {
+		return
+	}
+	r.cuts.Add(1)
+	r.log.Warn("pool out of reach", zap.String("pool", p.name), zap.Int("upstreams", len(p.own)+len(p.others)))
+	for _, d := range p.dials {
+		if mayGiveUp {
+			d.cancel(ErrOutOfReach)
+		}
+	}
+	r.tryAll(p, p.state.Return(time.Now(), p.addrs())) // some may be within reach
+}
+
+// tryAll tries whether upstreams answer. The caller holds r.mu.
+func (r *Reach) tryAll(p *poolReach, addrs []string) {
+	for _, addr := range addrs {
+		go r.try(p, addr)
+	}
+}
+
+func (r *Reach) try(p *poolReach, addr string) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	if c, err := r.dialAndRecord(ctx, p, "tcp", addr); err == nil {
+		_ = c.Close() // it was opened, which is all that was asked
+	}
+}
+
+// noteSilence records that an upstream has sent nothing since a request was sent to it, nor any other one of its pool.
+func (r *Reach) noteSilence(p *poolReach, addr string) {
+	now := time.Now()
+	r.mu.Lock()
+	due := r.byAddr[addr] == p && !p.state.IsCut() && now.Sub(p.silenceAt) >= silenceInterval
+	if due {
+		p.silenceAt = now
+	}
+	r.mu.Unlock()
+	if due {
+		r.try(p, addr)
+	}
+}
+
+// reachConn is a connection to an upstream of a pool.
+type reachConn struct {
+	net.Conn
+	reach   *Reach
+	pool    *poolReach
+	addr    string
+	watched atomic.Bool // whether something is received after a write is being watched
+}
+
+// Read implements net.Conn.
+func (c *reachConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.pool.reads.Add(1)
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *reachConn) Write(p []byte) (int, error) {
+	if !c.watched.Swap(true) {
+		before := c.pool.reads.Load()
+		time.AfterFunc(reach.StallTime, func() {
+			c.watched.Store(false)
+			if c.pool.reads.Load() == before {
+				c.reach.noteSilence(c.pool, c.addr)
+			}
+		})
+	}
+	return c.Conn.Write(p)
+}
