Report no crashes of upstreams from a host of serve that is cut off

A host of serve that loses its upstreams told all hosts that these had crashed, where a zone has one upstream only, so that the requests that ran there became suspects everywhere; and polls that failed counted against the upstreams.

Cause: what a host does not reach was taken for what does not work. A host that is cut off from a pool reports no crash and counts no failed poll.

--- a/cmd/hickorypath/injector.go
+++ b/cmd/hickorypath/injector.go
@@ -164,6 +164,7 @@
 		FetchLoad:        engines.Load,
 		FetchCacheEvents: engines.CacheEvents,
 		Dial:             get[*httpclient.Reach](i).Dial,
+		IsCutOff:         get[*httpclient.Reach](i).IsCut,
 		LiveHosts:        func() []string { return liveHosts(n.Members()) },
 		HostZones:        func() []route.Host { return liveHostZones(n.Members()) },
 	}), nil
--- a/internal/caller/exchange/crash.go
+++ b/internal/caller/exchange/crash.go
@@ -50,9 +50,9 @@
 // become suspects on all hosts.
 //
 // A connection that was merely lost makes no suspects. Neither does an upstream that the platform drains, nor one
-// whose whole zone is lost. Requests that were sent while the upstream was already down do not become suspects
-// either; the SuspectTracker knows when each request was sent. That another host detected the crash first does not
-// show that the requests of this host were sent after the crash.
+// whose whole zone is lost, nor one from which this host is cut off. Requests that were sent while the upstream was
+// already down do not become suspects either; the SuspectTracker knows when each request was sent. That another host
+// detected the crash first does not show that the requests of this host were sent after the crash.
 func (r *Runner) reportCrash(ctx context.Context, pool string, t dispatch.Target) bool {
 	zone := make(chan bool, 1)
 	go func() { zone <- r.isZoneLost(ctx, pool, t) }()
@@ -62,6 +62,9 @@
 	if r.isDraining(pool, t.ID()) {
 		return true
 	}
+	if r.isCutOff(pool) {
+		return true
+	}
 	if <-zone {
 		r.zones.record(r.deps.Clock.Now(), t.Zone())
 		return true
--- a/internal/caller/exchange/suspect_test.go
+++ b/internal/caller/exchange/suspect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -135,6 +136,26 @@
 	}
 }
 
+// TestHostThatIsCutOffReportsCrashes guards against a host that is cut off from the upstreams and tells the others that these have
+// crashed.
+func TestHostThatIsCutOffReportsCrashes(t *testing.T) {
+	for _, isCutOff := range []bool{false, true} {
+		t.Run(strconv.FormatBool(isCutOff), func(t *testing.T) {
+			withHarness(t, func(w *harness) {
+				tokens := 0
+				a := w.chat(w.ctx, call{model: "once", write: func() {
+					if tokens++; tokens == 4 {
+						w.isCutOff.Store(isCutOff)
+						crash(w, nil) // to this host, the engine looks as if it were cut off
+					}
+				}})
+				w.Equal(kind.Of(a.err), kind.Lost)
+				w.Equal(w.crashes.Load() > 0, !isCutOff)
+			})
+		})
+	}
+}
+
 // TestSuspectWithoutUpstream checks that a suspect is refused without waiting while no upstream is in service.
 func TestSuspectWithoutUpstream(t *testing.T) {
 	withHarness(t, func(w *harness) {
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -46,8 +46,9 @@
 	// FetchLoad and FetchCacheEvents ask an engine for its load and for the changes to its prefix cache.
 	FetchLoad        func(ctx context.Context, addr string) (route.Load, error)
 	FetchCacheEvents func(ctx context.Context, addr string, after int) (engine.CacheEvents, error)
-	// Dial opens a connection to an upstream.
-	Dial httpclient.DialFunc
+	// Dial opens a connection to an upstream. IsCutOff reports whether this host is cut off from the upstreams of a pool; it may be nil.
+	Dial     httpclient.DialFunc
+	IsCutOff func(pool string) bool
 	// LiveHosts returns the live hosts, which share the polling of engines.
 	LiveHosts func() []string
 	// HostZones returns the live hosts with their zones. The slots of a large fleet are divided among these hosts.
@@ -184,6 +185,9 @@
 			}
 		},
 		OnFailure: func(id string, _ error) {
+			if f.options.IsCutOff != nil && f.options.IsCutOff(name) {
+				return // it says nothing about the upstream
+			}
 			if e.recordFailures(id, 1, f.options.Clock.Now()) {
 				f.refreshPool(name)
 			}
