Judge the key before the body in serve

A caller without a key who sent a body that cannot be read got 400 from serve instead of 401, and one who may not use the model 400 instead of 403: the body was parsed whole before the key and the route were looked at, which also tells strangers about the protocol and costs the host the reading of their bodies.

A caller without a key is refused before the body is read, unless some model is open to such callers; of the body only the model is read until the route is chosen, and the rest is judged after that.

--- a/internal/caller/exchange/body.go
+++ b/internal/caller/exchange/body.go
@@ -53,7 +53,8 @@
 	outputLimit int // output tokens of all choices together, 0 if there is no limit
 }
 
-// ParseChat parses the body of a chat completion request. The error has kind Invalid.
+// ParseChat reads the model in the body of a chat completion request. The other fields are not read until Validate
+// is called, so that a caller who may not use the model is refused for that first. The error has kind Invalid.
 //
 // Field names are case-sensitive. A name that differs from a known one only by case is refused, because an engine
 // might accept it for the known one and so run another model than the one that the request was routed for.
@@ -65,13 +66,23 @@
 	if err := b.checkNames(); err != nil {
 		return nil, err
 	}
+	if err := readField(b.fields, fieldModel, &b.model); err != nil {
+		return nil, err
+	}
+	if b.model == "" {
+		return nil, kind.New(kind.Invalid, "the body names no model; set %q", fieldModel)
+	}
+	return b, nil
+}
+
+// Validate reads and checks the fields other than the model. The error has kind Invalid.
+func (b *ChatBody) Validate() error {
 	var oldMax, newMax int
 	choices := 1
 	known := []struct {
 		name string
 		into any
 	}{
-		{fieldModel, &b.model},
 		{fieldMessages, &b.messages},
 		{fieldStream, &b.stream},
 		{fieldOptions, &b.options},
@@ -81,25 +92,19 @@
 	}
 	for _, f := range known {
 		if err := readField(b.fields, f.name, f.into); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	if err := readField(b.options, fieldUsage, &b.wantsUsage); err != nil {
-		return nil, err
-	}
-	if b.model == "" {
-		return nil, kind.New(kind.Invalid, "the body names no model; set %q", fieldModel)
+		return err
 	}
 	if len(b.messages) == 0 || b.messages[0] != '[' {
-		return nil, kind.New(kind.Invalid, "the body has no list of messages; set %q", fieldMessages)
+		return kind.New(kind.Invalid, "the body has no list of messages; set %q", fieldMessages)
 	}
 	if bytes.HasPrefix(bytes.TrimLeft(b.messages[1:], jsonSpace), []byte("]")) {
-		return nil, kind.New(kind.Invalid, "the list of messages is empty; put one into %q", fieldMessages)
+		return kind.New(kind.Invalid, "the list of messages is empty; put one into %q", fieldMessages)
 	}
-	if err := b.setLimit(max(oldMax, newMax), min(oldMax, newMax), choices); err != nil {
-		return nil, err
-	}
-	return b, nil
+	return b.setLimit(max(oldMax, newMax), min(oldMax, newMax), choices)
 }
 
 // checkNames refuses field names that differ from a known one only by case.
--- a/internal/caller/exchange/body_test.go
+++ b/internal/caller/exchange/body_test.go
@@ -10,6 +10,15 @@
 	"hickorypath/internal/core/kind"
 )
 
+// parse parses and validates the body of a chat completion request.
+func parse(data []byte) (*exchange.ChatBody, error) {
+	b, err := exchange.ParseChat(data)
+	if err != nil {
+		return nil, err
+	}
+	return b, b.Validate()
+}
+
 func TestParseChat(t *testing.T) {
 	cases := []struct {
 		name  string
@@ -40,7 +49,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			b, err := exchange.ParseChat([]byte(c.body))
+			b, err := parse([]byte(c.body))
 			is.Equal(kind.Of(err), c.want)
 			if err == nil {
 				is.Equal(b.Model(), c.model)
@@ -56,7 +65,7 @@
 	f.Add([]byte(`{"model":"a","Model":"b","messages":[],"n":2,"max_tokens":-3}`))
 	f.Add([]byte(`{"model":"a","messages":[],"stream":true,"stream_options":{"include_usage":false}}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		b, err := exchange.ParseChat(data)
+		b, err := parse(data)
 		if err != nil {
 			return
 		}
--- a/internal/caller/exchange/exchange.go
+++ b/internal/caller/exchange/exchange.go
@@ -139,6 +139,16 @@
 	return Identity{customer: customer, keyID: id}, nil
 }
 
+// RequireKey returns an error of kind NoKey for the identity of a caller without a key, unless a model is open to such
+// callers. It needs nothing of the request, whose body may be large.
+func (r *Runner) RequireKey(i Identity) error {
+	doc, _ := r.deps.Document.Load()
+	if i.customer != "" || doc == nil || len(doc.Models("")) > 0 {
+		return nil
+	}
+	return kind.New(kind.NoKey, "the route needs a key")
+}
+
 // Models returns the names of the models that the identity may use.
 func (r *Runner) Models(i Identity) []string {
 	doc, _ := r.deps.Document.Load()
--- a/internal/caller/exchange/exchange_test.go
+++ b/internal/caller/exchange/exchange_test.go
@@ -252,7 +252,7 @@
 // chat runs a chat completion and returns the response.
 func (w *harness) chat(ctx context.Context, c call) answer {
 	var a answer
-	body, err := exchange.ParseChat(fmt.Appendf(nil, `{"model":%q,"stream":%t,"max_tokens":%d,"messages":%s}`, c.model, !c.plain, outputLength, messages))
+	body, err := parse(fmt.Appendf(nil, `{"model":%q,"stream":%t,"max_tokens":%d,"messages":%s}`, c.model, !c.plain, outputLength, messages))
 	w.NoErr(err)
 	who, err := w.runner.Authenticate(w.key)
 	w.NoErr(err)
--- a/internal/caller/openai/openai.go
+++ b/internal/caller/openai/openai.go
@@ -57,6 +57,9 @@
 	if err != nil {
 		return err
 	}
+	if err := h.runner.RequireKey(who); err != nil {
+		return err
+	}
 	data, err := readBody(w, r)
 	if err != nil {
 		return err
@@ -70,6 +73,10 @@
 	if err != nil {
 		return err
 	}
+	if err := body.Validate(); err != nil {
+		s.Close(err)
+		return err
+	}
 	if int64(len(data)) > s.BodyLimit() {
 		err = kind.New(kind.TooLarge, "the body has %d bytes and the route takes %d", len(data), s.BodyLimit())
 		s.Close(err)
