Move upstreams of serve whose zone or type changes to another group

An upstream whose entry came to name another zone or another type (reclaimable or not) went on being picked as before: requests that must not run on reclaimable upstreams went there, and the host's own zone was not preferred.

Cause: the balancer replaced the properties of a member and kept its group, which follows from them. The group is computed anew, and a member moves between the lists of open upstreams.

Evidence: TestPickFollowsChangedUpstreams fails without the change and passes with it.

--- a/internal/policy/route/balancer.go
+++ b/internal/policy/route/balancer.go
@@ -78,7 +78,7 @@
 	for _, u := range list {
 		seen[u.id] = true
 		if m := b.byID[u.id]; m != nil {
-			m.Upstream = u
+			b.updateMember(m, u)
 			continue
 		}
 		b.addMember(u)
@@ -101,24 +101,39 @@
 		index:     len(b.members),
 		idHash:    xxhash.Sum64String(u.id),
 		openIndex: -1,
-		sameZone:  u.zone == b.config.Zone,
 		health:    b.health.Join(),
 	}
-	m.group = groupOf(m)
+	b.setGroup(m)
 	b.members = append(b.members, m)
 	b.byID[u.id] = m
 }
 
-func groupOf(m *member) int {
+// updateMember replaces the properties of a member. Its group changes with its zone and type.
+func (b *Balancer) updateMember(m *member, u Upstream) {
+	isMoved := m.zone != u.zone || m.reclaimable != u.reclaimable
+	if isMoved {
+		b.close(m)
+	}
+	m.Upstream = u
+	if isMoved {
+		b.setGroup(m)
+		b.updateOpen(m)
+	}
+}
+
+// setGroup sets the group of a member that is in no open list.
+func (b *Balancer) setGroup(m *member) {
+	m.sameZone = m.zone == b.config.Zone
 	switch {
 	case m.sameZone && m.reclaimable:
-		return groupSameZoneReclaimable
+		m.group = groupSameZoneReclaimable
 	case m.reclaimable:
-		return groupOtherZoneReclaimable
+		m.group = groupOtherZoneReclaimable
 	case m.sameZone:
-		return groupSameZone
+		m.group = groupSameZone
+	default:
+		m.group = groupOtherZone
 	}
-	return groupOtherZone
 }
 
 // removeMember removes a member. The requests that run on the upstream are not affected.
--- a/internal/policy/route/pick_test.go
+++ b/internal/policy/route/pick_test.go
@@ -40,3 +40,40 @@
 		})
 	}
 }
+
+func TestPickFollowsChangedUpstreams(t *testing.T) {
+	cases := []struct {
+		name          string
+		before, after []route.Upstream
+		request       route.Request
+		want          string
+	}{
+		{"no longer reclaimable", []route.Upstream{route.NewUpstream("a", "z0", 4, true)}, []route.Upstream{route.NewUpstream("a", "z0", 4, false)}, route.Request{}, "a"},
+		{"now reclaimable", []route.Upstream{route.NewUpstream("a", "z0", 4, false)}, []route.Upstream{route.NewUpstream("a", "z0", 4, true)}, route.Request{}, ""},
+		{
+			"moved to the zone of the host",
+			[]route.Upstream{route.NewUpstream("a", "z1", 4, false), route.NewUpstream("b", "z1", 4, false)},
+			[]route.Upstream{route.NewUpstream("a", "z1", 4, false), route.NewUpstream("b", "z0", 4, false)},
+			route.Request{},
+			"b",
+		},
+		{
+			"moved out of the zone of the host",
+			[]route.Upstream{route.NewUpstream("a", "z0", 4, false), route.NewUpstream("b", "z0", 4, false)},
+			[]route.Upstream{route.NewUpstream("a", "z1", 4, false), route.NewUpstream("b", "z0", 4, false)},
+			route.Request{},
+			"b",
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			balancer := route.New(route.Config{Host: "h0", Zone: "z0"})
+			balancer.SetUpstreams(start, c.before)
+			balancer.SetUpstreams(start, c.after)
+			id, ok := balancer.Pick(start, c.request)
+			is.Equal(id, c.want)
+			is.Equal(ok, c.want != "")
+		})
+	}
+}
