Wake requests that join the queue at the moment of a cut

A request that was put into the queue of a service just after its host was cut off waited there until its time in the queue was over (0.4 of its deadline) and was refused, although another host reaches the service.

Cause: the cut wakes the requests that wait; one that had found the service within reach and joined the queue after that was woken by nobody. A request now joins only if the service is as it found it.

--- a/internal/gateway/exchange/admit.go
+++ b/internal/gateway/exchange/admit.go
@@ -51,6 +51,10 @@
 		x.mu.Unlock()
 		return nil, nil, kind.New(kind.Overload, "the upstreams of %s accept no further request in time", e.service.Name).WithRetry(wait)
 	}
+	if !e.sawCut && x.opts.Table.IsCut(e.service.Name) { // those that wait may have been woken already
+		x.mu.Unlock()
+		return admission{}.get()
+	}
 	e.admitted = make(chan admission, 1)
 	item := s.queue.Push(x.opts.Now(), e, e.rank(), max(e.info.PromptTokens-sharedTokens(e.info.PromptParts), 1))
 	x.mu.Unlock()
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -46,6 +46,7 @@
 	order        *relay.Order  // of the host for whose caller the request is relayed; nil for a request of this host's caller
 	helper       *relay.Helper // through which the current attempt is sent; nil for an attempt at an upstream
 	helpersTried []string      // names of the hosts through which the request was sent
+	sawCut       bool          // the service was out of reach when the request last looked for another host
 }
 
 // prepare decodes the request and checks it against the configuration.
--- a/internal/gateway/exchange/relay.go
+++ b/internal/gateway/exchange/relay.go
@@ -60,7 +60,8 @@
 // service, and none of the others takes the request now. A host that knows of no other one waits instead. usable reports whether one may take it later.
 func (e *exchange) isOutOfReach() (outOfReach, usable bool) {
 	x := e.x
-	if !x.opts.Table.IsCut(e.service.Name) || x.opts.Helpers.IsAlone(x.opts.Now()) {
+	e.sawCut = x.opts.Table.IsCut(e.service.Name)
+	if !e.sawCut || x.opts.Helpers.IsAlone(x.opts.Now()) {
 		return false, false
 	}
 	x.mu.Lock()
