Count no crashes of upstreams when the host of gateway is cut off

A host whose connections to all upstreams were reset by a cut, under three equal requests or more, made all hosts refuse requests like them for two minutes, and ended those under way.

Cause: what a host does not reach was taken for what does not work; each connection that broke under a request counted as a crash of its upstream. A service with one upstream is as before.

--- /dev/null
+++ b/internal/gateway/upstream/probe.go
@@ -0,0 +1,90 @@
+package upstream
+
+import (
+	"context"
+	"time"
+
+	"hickorypath/internal/policy/reach"
+)
+
+const (
+	// probedUpstreams is the number of upstreams of which one has to answer to show that the host reaches a service.
+	probedUpstreams = 3
+	// probeTime is how long the result of a probe holds from its beginning: a cut breaks many connections at once.
+	probeTime = 50 * time.Millisecond
+)
+
+// probe finds out whether the host reaches a service when the connection to one of its upstreams has broken.
+type probe struct {
+	at      time.Time
+	done    chan struct{} // closed when reaches is known
+	reaches bool
+}
+
+// ReachesOthers reports whether the host reaches upstreams of the instance's service other than the instance, or there are none. It
+// tells an instance that has failed from a host that is cut off, and takes up to reach.StallTime.
+func (i *Instance) ReachesOthers() bool {
+	r := i.reach
+	if r == nil {
+		return true
+	}
+	now := time.Now()
+	r.mu.Lock()
+	if r.state.IsCut() {
+		r.mu.Unlock()
+		return false
+	}
+	p := r.probe
+	if p == nil || now.Sub(p.at) >= probeTime {
+		p = &probe{at: now, done: make(chan struct{})}
+		r.probe = p
+		go func() {
+			p.reaches = r.reachesAnyBut(i)
+			close(p.done)
+		}()
+	}
+	r.mu.Unlock()
+	<-p.done
+	return p.reaches
+}
+
+// reachesAnyBut opens connections to some upstreams of the service but one, and reports whether any was opened in time, or there are
+// no others.
+func (r *serviceReach) reachesAnyBut(i *Instance) bool {
+	list, ids := r.upstreams()
+	opened, tries := make(chan bool, probedUpstreams), 0
+	for _, id := range ids {
+		if id == i.id || tries == probedUpstreams {
+			continue
+		}
+		tries++
+		go func() { opened <- list[id].answers() }()
+	}
+	if tries == 0 {
+		return true
+	}
+	timeout := time.After(reach.StallTime)
+	for range tries {
+		select {
+		case ok := <-opened:
+			if ok {
+				return true
+			}
+		case <-timeout:
+			return false
+		}
+	}
+	return false
+}
+
+// answers opens a connection to the instance and closes it. Kept for a request, it would look like one that the instance may have
+// closed already.
+func (i *Instance) answers() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	c, err := i.dial(ctx)
+	if err == nil {
+		_ = c.Close() // it was opened, which is all that was asked
+	}
+	return err == nil
+}
--- a/internal/gateway/upstream/reach.go
+++ b/internal/gateway/upstream/reach.go
@@ -31,6 +31,7 @@
 	mu        sync.Mutex
 	state     reach.Service
 	silenceAt time.Time // when an upstream was tried because its response had not begun
+	probe     *probe    // the last one
 }
 
 // reachOf returns the serviceReach of a service. The caller holds t.mu.
