Share the probe of a service with singleflight

The probe that tells an instance that has failed from a host that is cut off had its own way to let connections that break at the same time share a result; golang.org/x/sync/singleflight does that.

--- a/internal/gateway/upstream/probe.go
+++ b/internal/gateway/upstream/probe.go
@@ -7,19 +7,8 @@
 	"hickorypath/internal/policy/reach"
 )
 
-const (
-	// probedUpstreams is the number of upstreams of which one has to answer to show that the host reaches a service.
-	probedUpstreams = 3
-	// probeTime is how long the result of a probe holds from its beginning: a cut breaks many connections at once.
-	probeTime = 50 * time.Millisecond
-)
-
-// probe finds out whether the host reaches a service when the connection to one of its upstreams has broken.
-type probe struct {
-	at      time.Time
-	done    chan struct{} // closed when reaches is known
-	reaches bool
-}
+// probedUpstreams is the number of upstreams of which one has to answer to show that the host reaches a service.
+const probedUpstreams = 3
 
 // ReachesOthers reports whether the host reaches upstreams of the instance's service other than the instance, or there are none. It
 // tells an instance that has failed from a host that is cut off, and takes up to reach.StallTime.
@@ -28,24 +17,12 @@
 	if r == nil {
 		return true
 	}
-	now := time.Now()
-	r.mu.Lock()
-	if r.state.IsCut() {
-		r.mu.Unlock()
+	if r.isCut() {
 		return false
 	}
-	p := r.probe
-	if p == nil || now.Sub(p.at) >= probeTime {
-		p = &probe{at: now, done: make(chan struct{})}
-		r.probe = p
-		go func() {
-			p.reaches = r.reachesAnyBut(i)
-			close(p.done)
-		}()
-	}
-	r.mu.Unlock()
-	<-p.done
-	return p.reaches
+	// A cut breaks many connections at once.
+	reaches, _, _ := r.probes.Do("", func() (any, error) { return r.reachesAnyBut(i), nil })
+	return reaches == true
 }
 
 // reachesAnyBut opens connections to some upstreams of the service but one, and reports whether any was opened in time, or there are
@@ -60,9 +37,6 @@
 		tries++
 		go func() { opened <- list[id].answers() }()
 	}
-	if tries == 0 {
-		return true
-	}
 	timeout := time.After(reach.StallTime)
 	for range tries {
 		select {
@@ -74,7 +48,7 @@
 			return false
 		}
 	}
-	return false
+	return tries == 0
 }
 
 // answers opens a connection to the instance and closes it. Kept for a request, it would look like one that the instance may have
--- a/internal/gateway/upstream/reach.go
+++ b/internal/gateway/upstream/reach.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 	"github.com/samber/lo/mutable"
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"hickorypath/internal/policy/reach"
 )
@@ -27,11 +28,11 @@
 	table   *Table
 	service string
 	reads   atomic.Uint64 // reads from connections to upstreams of the service that have returned bytes
+	probes  singleflight.Group
 
 	mu        sync.Mutex
 	state     reach.Service
 	silenceAt time.Time // when an upstream was tried because its response had not begun
-	probe     *probe    // the last one
 }
 
 // reachOf returns the serviceReach of a service. The caller holds t.mu.
