Find out in serve whether a host is cut off before it reports a crash

A host of serve that has just lost its links, and does not know it yet, reported its upstreams as crashed, since it was asked only whether it knows that it is cut off.

TestReachesOthers checks what is concluded from which answers.

--- a/internal/caller/exchange/crash.go
+++ b/internal/caller/exchange/crash.go
@@ -54,15 +54,16 @@
 // already down do not become suspects either; the SuspectTracker knows when each request was sent. That another host
 // detected the crash first does not show that the requests of this host were sent after the crash.
 func (r *Runner) reportCrash(ctx context.Context, pool string, t dispatch.Target) bool {
-	zone := make(chan bool, 1)
+	zone, reaches := make(chan bool, 1), make(chan bool, 1)
 	go func() { zone <- r.isZoneLost(ctx, pool, t) }()
+	go func() { reaches <- r.deps.ReachesOthers == nil || r.deps.ReachesOthers(pool, t.Addr()) }()
 	if !r.deps.IsDown(pool, t.ID()) && r.deps.IsAlive(ctx, pool, t.Addr()) {
 		return false
 	}
 	if r.isDraining(pool, t.ID()) {
 		return true
 	}
-	if r.isCutOff(pool) {
+	if !<-reaches {
 		return true
 	}
 	if <-zone {
--- a/internal/caller/exchange/exchange.go
+++ b/internal/caller/exchange/exchange.go
@@ -52,6 +52,8 @@
 	IsAlive func(ctx context.Context, pool, addr string) bool
 	// IsCutOff reports whether this host is cut off from the upstreams of a pool that other hosts may reach; it may be nil.
 	IsCutOff func(pool string) bool
+	// ReachesOthers reports whether this host reaches upstreams of a pool other than the one at addr; it may be nil.
+	ReachesOthers func(pool, addr string) bool
 	// IsDown reports whether an upstream is already known to be down.
 	IsDown func(pool, upstream string) bool
 	// RecordAdvisory records what an upstream stated about itself in the response to a request sent at sentAt; it may be nil.
--- a/internal/caller/exchange/exchange_test.go
+++ b/internal/caller/exchange/exchange_test.go
@@ -192,8 +192,8 @@
 			_, err := w.client.Load(ctx, addr)
 			return err == nil && !w.probesFail
 		},
-		IsDown:   func(string, string) bool { return false },
-		IsCutOff: func(string) bool { return w.isCutOff.Load() },
+		IsDown:        func(string, string) bool { return false },
+		ReachesOthers: func(string, string) bool { return !w.isCutOff.Load() },
 		Version: func(t dispatch.Target) (string, bool) {
 			v, ok := w.knownVersions[t.ID()]
 			return v, ok
--- a/internal/upstream/httpclient/reach.go
+++ b/internal/upstream/httpclient/reach.go
@@ -11,6 +11,7 @@
 
 	"github.com/samber/lo"
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"hickorypath/internal/core/clock"
 	"hickorypath/internal/policy/reach"
@@ -37,6 +38,8 @@
 	log  *zap.Logger
 	cuts atomic.Int32 // number of pools that are out of reach
 
+	probes singleflight.Group // by pool
+
 	isAlone atomic.Pointer[func() bool] // reports whether there is no other host, through which to reach upstreams
 
 	mu     sync.Mutex
@@ -229,12 +232,61 @@
 	}
 }
 
-func (r *Reach) try(p *poolReach, addr string) {
+// try opens a connection to an upstream and closes it, and reports whether it was opened.
+func (r *Reach) try(p *poolReach, addr string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	if c, err := r.dialAndRecord(ctx, p, "tcp", addr); err == nil {
+	c, err := r.dialAndRecord(ctx, p, "tcp", addr)
+	if err == nil {
 		_ = c.Close() // it was opened, which is all that was asked
 	}
+	return err == nil
+}
+
+// probedUpstreams is the number of upstreams of which one has to answer to show that the host reaches a pool.
+const probedUpstreams = 3
+
+// ReachesOthers reports whether this host reaches upstreams of a pool other than the one with an address, or there are none. It tells
+// an upstream that has failed from a host that is cut off, and takes up to reach.StallTime. A host that is alone takes the upstream for
+// the one that has failed.
+func (r *Reach) ReachesOthers(pool, addr string) bool {
+	if !r.mayGiveUp() {
+		return true
+	}
+	if r.IsCut(pool) {
+		return false
+	}
+	// A cut breaks many connections at once.
+	reaches, _, _ := r.probes.Do(pool, func() (any, error) { return r.reachesAnyBut(pool, addr), nil })
+	return reaches == true
+}
+
+// reachesAnyBut opens connections to some upstreams of a pool but the one with an address, and reports whether any was opened in
+// time, or there are no others.
+func (r *Reach) reachesAnyBut(pool, addr string) bool {
+	r.mu.Lock()
+	p := r.pools[pool]
+	var others []string
+	if p != nil {
+		others = lo.Without(p.addrs(), addr)
+	}
+	r.mu.Unlock()
+	opened, tries := make(chan bool, probedUpstreams), min(probedUpstreams, len(others))
+	for _, other := range others[:tries] {
+		go func() { opened <- r.try(p, other) }()
+	}
+	timeout := time.After(reach.StallTime)
+	for range tries {
+		select {
+		case ok := <-opened:
+			if ok {
+				return true
+			}
+		case <-timeout:
+			return false
+		}
+	}
+	return tries == 0
 }
 
 // noteSilence records that an upstream has sent nothing since a request was sent to it, nor any other one of its pool.
