Tell the other hosts of serve that the store was restored

Cause: each host hears of a restore only by its own next call, and hosts that do not watch the store seldom call it.

--- a/internal/host/replication/record.go
+++ b/internal/host/replication/record.go
@@ -16,6 +16,7 @@
 	TopicUpstream = "upstream" // the platform's list of upstreams; the version is the time at which the list was read
 	TopicUsage    = "usage"    // usage that a host hands over at shutdown
 	TopicMember   = "member"   // membership records of hosts
+	TopicEra      = "era"      // that the store was restored; the version is the store's era
 )
 
 // Record is one version of the value under a topic and key.
--- a/internal/operator/configsync/syncer.go
+++ b/internal/operator/configsync/syncer.go
@@ -66,6 +66,7 @@
 	stopKeys := s.options.Replicator.Watch(replication.TopicKey, s.applyPeerKey)
 	defer stopKeys()
 	go s.followRestores(ctx)
+	go s.shareRestores(ctx)
 	s.loadUntilDone(ctx)
 	for ctx.Err() == nil {
 		if s.options.IsWatcher() {
--- a/internal/operator/configsync/syncer_test.go
+++ b/internal/operator/configsync/syncer_test.go
@@ -102,6 +102,7 @@
 	keys       *key.Table
 	document   *document.Active
 	ready      *configsync.Readiness
+	store      *store.Client
 	repository *repository.Repository
 	syncer     *configsync.Syncer
 }
@@ -132,6 +133,7 @@
 		is.NoErr(err)
 		listed = append(listed, roster.NewHost(id, "zone-"+id, h.node.Addr(), roster.Live))
 		client := store.New(memory.Backend(), store.Options{Clock: clk, Rand: rand.New(rand.NewPCG(uint64(i), 1))})
+		h.store = client
 		h.repository = repository.New(repository.Options{KV: repository.NewKV(client), Now: time.Now})
 		h.syncer = configsync.New(configsync.Options{
 			Readiness:  h.ready,
@@ -268,3 +270,30 @@
 		is.Equal(next.Number(), uint64(3))
 	})
 }
+
+// TestChangeAtAHostThatMissedARestoreFails guards against a change of an operator that fails since its host hears only then that the
+// store was restored. Hosts that do not watch the store have no other reason to ask it.
+func TestChangeAtAHostThatMissedARestoreFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		defer time.Sleep(2 * time.Minute) // until the recovery of the store's clients has ended
+		defer wg.Wait()
+		defer cancel()
+		memory := store.NewMemory(clock.NewWall())
+		memory.Restore(memory.Snapshot()) // era 0 stands for a store without eras
+		hosts := startHostsWith(ctx, t, &wg, &network{rand: rand.New(rand.NewPCG(1, 2)), conns: map[string]*conn{}}, 3, memory, false)
+		time.Sleep(settleTime)
+		memory.Restore(memory.Snapshot())
+		_, _ = hosts[0].repository.Current(ctx) // it hears of the restore, and waits until others have written what was lost
+		time.Sleep(10 * time.Second)
+		era, _ := hosts[0].store.Era()
+		for _, h := range hosts {
+			own, _ := h.store.Era()
+			is.Equal(own, era)
+			_, _, err := h.repository.Issue(ctx, "laredo")
+			is.NoErr(err)
+		}
+	})
+}
--- a/internal/state/store/journal.go
+++ b/internal/state/store/journal.go
@@ -293,6 +293,19 @@
 	time.AfterFunc(wait, c.checkForRestore)
 }
 
+// CheckForRestore asks the service for its era, so that the recovery after a restore begins, unless the client knows of the given era
+// or a later one.
+func (c *Client) CheckForRestore(ctx context.Context, era uint64) {
+	if known, _ := c.Era(); known >= era {
+		return
+	}
+	recovering := &Client{shared: c.shared, use: UseRecovery}
+	_, _, _ = recovering.read(ctx, eraProbeKey, recovering.retry) // only the era of the answer matters
+}
+
+// eraProbeKey is a key that is read for the era of the answer. It need not exist.
+const eraProbeKey = "era"
+
 // lastRecovery returns the channel that is closed when writes may go on after the last restore, nil without one.
 func (c *sharedState) lastRecovery() chan struct{} {
 	c.mu.Lock()
