Ask one host only while nobody seems to reach a service

While no host reaches a service, every request went through up to twelve hosts, one after the other, before it was refused; 350 hosts would multiply the load of a service that is down by twelve among themselves.

After twelve hosts in a row that did not reach the service either, a request asks one host only, until one serves.

After the cut all requests are served.

--- a/cmd/hickorypath/gatewaycutoffsim_test.go
+++ b/cmd/hickorypath/gatewaycutoffsim_test.go
@@ -14,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 
 	"hickorypath/internal/standin/memnet"
@@ -215,3 +216,29 @@
 		})
 	}
 }
+
+// TestServiceThatIsDownIsAskedOfAllHosts guards against hosts that send each request from one to the next while nobody reaches its
+// service.
+func TestServiceThatIsDownIsAskedOfAllHosts(t *testing.T) {
+	const hosts, zones, upstreams, rate = 40, 4, 40, 8
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newCutoffSimulation(t, hosts, zones, upstreams)
+		all := make([]int, hosts)
+		for n := range all {
+			all[n] = n
+		}
+		f.call(all, rate, time.Second)
+		f.setCut(true, all)
+		f.call(all, rate, time.Second)
+		hops := metrics.GetOrCreateCounter(`hickorypath_attempts_total{service="svc",result="unavailable"}`)
+		before := hops.Get()
+		during := f.call(all, rate, 2*time.Second)
+		t.Logf("%d requests, %d attempts", during.sent, hops.Get()-before)
+		is.Equal(during.ok, 0)
+		is.True(hops.Get()-before <= uint64(2*during.sent)) // one each, and some that find out
+		f.setCut(false, all)
+		f.call(all, rate, time.Second)
+		is.Equal(f.call(all, rate, time.Second).ratio(), 1.0)
+	})
+}
--- a/internal/gateway/exchange/relay.go
+++ b/internal/gateway/exchange/relay.go
@@ -93,7 +93,9 @@
 	e.helper = nil
 	end()
 	a.duration = e.x.opts.Now().Sub(begin)
-	if err != nil {
+	if err == nil {
+		helper.RecordReached(e.service.Name)
+	} else {
 		a.failed, a.result = true, kind.Of(err)
 		if kind.From(err).Ran() != kind.RanNo {
 			e.possibleRuns++
@@ -101,8 +103,12 @@
 			a.sent = false // to an upstream
 		}
 		isFault := relay.IsFaultOfHost(kind.From(err))
-		if ctx.Err() == nil && (isFault || a.result == kind.Lost && a.framing == "") { // it has said so, or has not answered
+		switch {
+		case ctx.Err() != nil:
+		case isFault || a.result == kind.Lost && a.framing == "": // it has said so, or has not answered
 			helper.RecordUnable(e.x.opts.Now(), e.service.Name)
+		default:
+			helper.RecordReached(e.service.Name)
 		}
 		if isFault { // what the other host says of the key or the route is not what this one has found
 			err = kind.Wrap(err, kind.Unavailable, "%s cannot serve the request", helper.Name()).WithRetry(e.spreadRetryAfter())
--- a/internal/gateway/relay/helpers.go
+++ b/internal/gateway/relay/helpers.go
@@ -37,6 +37,7 @@
 
 	mu     sync.Mutex
 	byName map[string]*Helper
+	unable map[string]int // by service, hosts in a row that were asked and did not reach it either
 }
 
 // Helper is a host through which this host sends requests.
@@ -54,12 +55,15 @@
 const (
 	// cannotTime is how long a host is not asked again for a service that it did not reach.
 	cannotTime = 500 * time.Millisecond
+	// maxUnable is the number of hosts in a row that did not reach a service after which each request is sent to one host only:
+	// probably nobody reaches it.
+	maxUnable = 12
 	// choices is the number of hosts, drawn at random, of which the least busy one is chosen.
 	choices = 3
 )
 
 // NewHelpers returns Helpers without connections.
-func NewHelpers(o Options) *Helpers { return &Helpers{opts: o, byName: map[string]*Helper{}} }
+func NewHelpers(o Options) *Helpers { return &Helpers{opts: o, byName: map[string]*Helper{}, unable: map[string]int{}} }
 
 // IsAlone reports whether there is no other host.
 func (h *Helpers) IsAlone(now time.Time) bool { return len(h.opts.Hosts(now)) == 0 }
@@ -70,6 +74,9 @@
 	hosts := h.opts.Hosts(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.unable[service] >= maxUnable && len(skip) > 0 {
+		return nil, false
+	}
 	able := lo.Filter(hosts, func(x Host, _ int) bool { return !slices.Contains(x.CutFrom, service) })
 	own := lo.CountBy(able, func(x Host) bool { return x.Zone == h.opts.Zone })
 	cutOff := lo.CountBy(hosts, func(x Host) bool { return x.Zone == h.opts.Zone && slices.Contains(x.CutFrom, service) }) + 1
@@ -149,6 +156,14 @@
 	x.helpers.mu.Lock()
 	defer x.helpers.mu.Unlock()
 	x.cannot[service] = now.Add(cannotTime)
+	x.helpers.unable[service]++
+}
+
+// RecordReached records that the host reaches a service.
+func (x *Helper) RecordReached(service string) {
+	x.helpers.mu.Lock()
+	defer x.helpers.mu.Unlock()
+	delete(x.helpers.unable, service)
 }
 
 // Done ends a request that was sent through the host.
