--- a/internal/gateway/relay/helpers.go
+++ b/internal/gateway/relay/helpers.go
@@ -63,7 +63,9 @@
 )
 
 // NewHelpers returns Helpers without connections.
-func NewHelpers(o Options) *Helpers { return &Helpers{opts: o, byName: map[string]*Helper{}, unable: map[string]int{}} }
+func NewHelpers(o Options) *Helpers {
+	return &Helpers{opts: o, byName: map[string]*Helper{}, unable: map[string]int{}}
+}
 
 // IsAlone reports whether there is no other host.
 func (h *Helpers) IsAlone(now time.Time) bool { return len(h.opts.Hosts(now)) == 0 }
