Use the upstreams of serve again as soon as a cut is over

A refused connection counted as a crash of its upstream without a look at the others, and a lost connection did so although the host had found that it reaches no other. Both now count only if the host reaches another upstream of the pool, or there is none.

TestCallersOfServeHostsThatAreCutOffAreNotServed logs the requests that were not served.

--- a/cmd/hickorypath/hostcutoff_test.go
+++ b/cmd/hickorypath/hostcutoff_test.go
@@ -133,6 +133,8 @@
 							n[host].sent.Add(1)
 							if a.err == nil && a.status == http.StatusOK && (i%len(calls) > 0 || strings.Contains(string(a.body), "[DONE]")) {
 								n[host].served.Add(1)
+							} else if name != "detection" && name != "heal" {
+								t.Logf("%s, host %d, %s: %d, %v, %.300s", name, host, c.path, a.status, a.err, a.body)
 							}
 						})
 					}
--- a/internal/caller/exchange/crash.go
+++ b/internal/caller/exchange/crash.go
@@ -16,14 +16,15 @@
 
 // checkCrash ends a run in the SuspectTracker and reports whether its upstream crashed.
 //
-// An upstream that refuses connections counts as crashed, but the request that detects this did not cause it.
+// An upstream that refuses connections counts as crashed, but the request that detects this did not cause it. A host
+// that reaches no other upstream either is cut off; the upstreams are used again at once when it no longer is.
 // After a lost connection the upstream is probed; the probe continues after the caller has disconnected, and the
 // run stays in the SuspectTracker until the probe ends. Otherwise a request that crashes upstreams would go
 // undetected if its caller disconnects early.
 func (s *Session) checkCrash(ctx context.Context, grant dispatch.Grant, run uint64, err error) (crashed bool) {
 	if kind.Of(err) != kind.Lost {
 		s.runner.endRun(run, err == nil)
-		return kind.Of(err) == kind.Unavailable && ctx.Err() == nil && !isUnsent(err)
+		return kind.Of(err) == kind.Unavailable && ctx.Err() == nil && !isUnsent(err) && s.runner.reachesOthers(s.pool.Name(), grant.Target())
 	}
 	probed := make(chan bool, 1)
 	go func() {
@@ -56,7 +57,7 @@
 func (r *Runner) reportCrash(ctx context.Context, pool string, t dispatch.Target) bool {
 	zone, reaches := make(chan bool, 1), make(chan bool, 1)
 	go func() { zone <- r.isZoneLost(ctx, pool, t) }()
-	go func() { reaches <- r.deps.ReachesOthers == nil || r.deps.ReachesOthers(pool, t.Addr()) }()
+	go func() { reaches <- r.reachesOthers(pool, t) }()
 	if !r.deps.IsDown(pool, t.ID()) && r.deps.IsAlive(ctx, pool, t.Addr()) {
 		return false
 	}
@@ -64,7 +65,7 @@
 		return true
 	}
 	if !<-reaches {
-		return true
+		return false
 	}
 	if <-zone {
 		r.zones.record(r.deps.Clock.Now(), t.Zone())
@@ -75,3 +76,8 @@
 	r.deps.ReportCrash(pool, t.ID(), suspicions, quarantines)
 	return true
 }
+
+// reachesOthers reports whether this host reaches upstreams of a pool other than t, or there are none.
+func (r *Runner) reachesOthers(pool string, t dispatch.Target) bool {
+	return r.deps.ReachesOthers == nil || r.deps.ReachesOthers(pool, t.Addr())
+}
