Wait in a test until a paused host has stopped

Cause: SIGSTOP is sent, not awaited. Threads of the process that ran at that moment went on for a while and answered the first questions of the other host, which is right of them. The test now waits until all threads have stopped, as /proc states; its checks are unchanged.

--- a/cmd/hickorypath/gatewayfleet_test.go
+++ b/cmd/hickorypath/gatewayfleet_test.go
@@ -12,9 +12,11 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -227,6 +229,21 @@
 	h.log.Reset()
 }
 
+// pause stops the process and waits until all its threads have stopped. A thread that runs may answer for a while after the signal.
+func (h *gatewayHost) pause() {
+	is := is.New(h.fleet.t)
+	is.NoErr(h.cmd.Process.Signal(syscall.SIGSTOP))
+	h.fleet.waitUntil(func() bool {
+		threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", h.cmd.Process.Pid))
+		is.NoErr(err)
+		return !slices.ContainsFunc(threads, func(path string) bool {
+			data, err := os.ReadFile(path)
+			_, state, _ := strings.Cut(string(data), ") ") // follows the name of the program
+			return err == nil && !strings.HasPrefix(state, "T")
+		})
+	})
+}
+
 // restartBehindProxy restarts the process with a proxy in front of the store, and returns the proxy.
 func (h *gatewayHost) restartBehindProxy() *proxy.Proxy {
 	is := is.New(h.fleet.t)
--- a/cmd/hickorypath/gatewayversion_test.go
+++ b/cmd/hickorypath/gatewayversion_test.go
@@ -9,7 +9,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -105,7 +104,7 @@
 			f.hosts[2].start()
 			f.waitUntil(f.hosts[2].ready)
 			f.hosts[0].kill()
-			is.New(f.t).NoErr(f.hosts[1].cmd.Process.Signal(syscall.SIGSTOP))
+			f.hosts[1].pause()
 		}, []int{2}, false},
 		{"no host knows of it any more", 24, func(f *gatewayFleet, _ []*instance.Server) {
 			for _, h := range f.hosts {
