Heed what upstreams state in responses that come through another host

A host that is cut off passes on responses in which an upstream says that it leaves, or names a limit, and did not take note of either. When the cut ended before a message of another host told it, it sent requests there, which the upstream may cut.

Cause: the statements were recorded for the peer of the connection, which is the other host. They are now recorded for the upstream that the other host names as the source. A pause is left out: it is asked of the host that sent the request.

--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -172,6 +172,9 @@
 	a.leaving, a.pause = answer.Advisory.Leaving.IsStated(), answer.Advisory.Pause.Length()
 	if e.helper == nil {
 		e.x.recordStatements(i, sentAt, e.info.ID, answer)
+	} else if u := e.x.opts.Table.Get(a.upstream); u != nil {
+		answer.Advisory.Pause = advisory.Pause{} // asked of the host in between
+		e.x.recordStatements(u, sentAt, e.info.ID, answer)
 	}
 	if answer.NotExecuted {
 		return kind.New(kind.Rejected, "%s did not run the request: status %d", i.ID(), resp.Status()).WithRetry(e.retryAfter(rejectedRetryAfter))
