Answer an operator's change of a key when the other hosts know it

A customer that got a new key and used it at once through another host could get 401 "the key is not known", which clients do not repeat.

Cause: the host that issues a key answers as soon as the store has it, while the records are still on their way to the other hosts. The answer now waits until the linked hosts have acknowledged the record, for a second at most, since a host that is gone never does. A withdrawal waits in the same way. In a large fleet the hosts behind a zone's relays may hear of it some milliseconds later.

The test of withdrawals now counts from before the wait.

--- a/internal/host/replication/replicator.go
+++ b/internal/host/replication/replicator.go
@@ -60,6 +60,19 @@
 	return ok
 }
 
+// IsPushed reports whether no linked host has still to acknowledge the record under a topic and key.
+func (rep *Replicator) IsPushed(topic, key string) bool {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	h := recordHash(topic, key)
+	for _, l := range rep.table.links {
+		if l.pending[h] != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // Get returns the record under a topic and key.
 func (rep *Replicator) Get(topic, key string) (Record, bool) {
 	rep.mu.Lock()
--- a/internal/operator/admin/key.go
+++ b/internal/operator/admin/key.go
@@ -118,7 +118,7 @@
 func (srv *Server) keyChanged(ctx context.Context, what string, rec key.Record) {
 	srv.log.Info(what, zap.String("operator", operatorOf(ctx)), zap.String("key", rec.ID()), zap.String("customer", rec.Customer()))
 	if srv.backend.OnKeyChange != nil {
-		srv.backend.OnKeyChange(rec)
+		srv.backend.OnKeyChange(ctx, rec)
 	}
 }
 
--- a/internal/operator/admin/server.go
+++ b/internal/operator/admin/server.go
@@ -47,7 +47,7 @@
 	Keys     func(ctx context.Context) ([]key.Record, error)
 	// OnKeyChange is called with each issued or withdrawn key, to apply the key on this host and replicate it to other
 	// hosts. It may be nil.
-	OnKeyChange func(rec key.Record)
+	OnKeyChange func(ctx context.Context, rec key.Record)
 
 	Status func(ctx context.Context) (api.Status, error)
 	Usage  func(ctx context.Context, q api.UsageQuery) ([]api.Window, error)
--- a/internal/operator/client/client_test.go
+++ b/internal/operator/client/client_test.go
@@ -61,7 +61,7 @@
 			ActiveDocument: e.live.Load, Load: v.Load, Put: v.Put, History: v.History, FindByDigest: v.FindByDigest, Source: v.Source, Outcome: v.Outcome,
 			OnDocumentAccepted: func(doc *document.Document, rev repository.Revision) { e.live.Apply(doc, rev.Number()) },
 			Issue:              v.Issue, Withdraw: v.Withdraw, Key: v.Key, Keys: v.Keys,
-			OnKeyChange: func(rec key.Record) { e.table.Put(rec) },
+			OnKeyChange: func(_ context.Context, rec key.Record) { e.table.Put(rec) },
 			Status: func(context.Context) (api.Status, error) {
 				return api.Status{Host: "h1", Hosts: []api.Host{{ID: "h1", State: "live"}}}, nil
 			},
--- a/internal/operator/configsync/syncer.go
+++ b/internal/operator/configsync/syncer.go
@@ -82,12 +82,25 @@
 	s.apply(doc, revision)
 }
 
-// PublishKey applies a key record on this host and replicates the record to all hosts.
-func (s *Syncer) PublishKey(rec key.Record) {
+// PublishKey applies a key record on this host and replicates the record to all hosts. It waits, for up to maxPublishWait, until the
+// linked hosts have acknowledged the record: a host that does not know a new key yet refuses it.
+func (s *Syncer) PublishKey(ctx context.Context, rec key.Record) {
 	s.options.Keys.Put(rec)
 	s.options.Replicator.Put(replication.TopicKey, rec.ID(), rec.Version(), rec.Encode(), time.Time{})
+	ctx, cancel := context.WithTimeout(ctx, maxPublishWait)
+	defer cancel()
+	for ctx.Err() == nil && !s.options.Replicator.IsPushed(replication.TopicKey, rec.ID()) {
+		clock.Pause(ctx, pushedInterval)
+	}
 }
 
+const (
+	// maxPublishWait bounds the wait until other hosts have acknowledged a key. A host that is gone never does.
+	maxPublishWait = time.Second
+	// pushedInterval is the interval between two questions whether they have.
+	pushedInterval = 2 * time.Millisecond
+)
+
 // loadUntilDone reads document and keys from the store and sets Readiness. While the store is down, it retries until
 // ctx ends, and the host uses the records that its peers replicate. A store that was restored lately is read again once the
 // other hosts have written what it lost.
--- a/internal/operator/configsync/syncer_test.go
+++ b/internal/operator/configsync/syncer_test.go
@@ -186,7 +186,7 @@
 	time.Sleep(settleTime)
 	clear, rec, err := hosts[0].repository.Issue(ctx, "laredo")
 	is.NoErr(err)
-	hosts[0].syncer.PublishKey(rec)
+	hosts[0].syncer.PublishKey(ctx, rec)
 	time.Sleep(settleTime)
 	n.mu.Lock()
 	n.loss = loss
@@ -200,8 +200,8 @@
 	}
 	rec, err = hosts[0].repository.Withdraw(ctx, rec.ID())
 	is.NoErr(err)
-	hosts[0].syncer.PublishKey(rec)
 	withdrawn := time.Now()
+	hosts[0].syncer.PublishKey(ctx, rec)
 	for i, h := range hosts {
 		<-running[i]
 		_, _, err := h.keys.Lookup(clear)
@@ -210,6 +210,40 @@
 	return time.Since(withdrawn)
 }
 
+// TestNewKeyIsRefusedByOtherHosts guards against a key that its customer gets before the other hosts know it.
+func TestNewKeyIsRefusedByOtherHosts(t *testing.T) {
+	cases := []struct {
+		name string
+		loss float64
+	}{
+		{"no loss", 0},
+		{"a tenth of the packets is lost", 0.1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				var wg sync.WaitGroup
+				defer wg.Wait()
+				defer cancel()
+				n := &network{rand: rand.New(rand.NewPCG(5, 6)), loss: c.loss, conns: map[string]*conn{}}
+				hosts := startHosts(ctx, t, &wg, n, 5)
+				time.Sleep(settleTime)
+				for range 20 {
+					clear, rec, err := hosts[0].repository.Issue(ctx, "laredo")
+					is.NoErr(err)
+					hosts[0].syncer.PublishKey(ctx, rec)
+					for _, h := range hosts {
+						_, _, err := h.keys.Lookup(clear)
+						is.NoErr(err)
+					}
+				}
+			})
+		})
+	}
+}
+
 // documentText returns a document whose only customer has the given name.
 func documentText(customer string) []byte {
 	return []byte(`{"customers":[{"name":"` + customer + `"}],"classes":[{"name":"c","tier":0,"whole":"5s","wait":"2s"}],
