Reproduce brittle upstreams that fall over one after the other

The stand-in upstream has a bounded room: slots, places to wait, of which none is left 3 s after it has become brittle, and a fall on the rejection N+1 within a second. No logic changes.

--- a/internal/standin/instance/instance.go
+++ b/internal/standin/instance/instance.go
@@ -21,6 +21,7 @@
 	Events   int           // number of events of a stream
 	Interval time.Duration // time between two events
 	Poison   *Poison       // crashes the instance; may be nil
+	Room     *Room         // bounds the requests of the instance; may be nil
 }
 
 // StreamPrefix is the prefix of the paths whose responses are streams.
@@ -35,6 +36,8 @@
 	advice   advice
 	crashed  atomic.Bool
 
+	occupancy occupancy
+
 	mu      sync.Mutex
 	resumes int            // streams that were not asked for from their first event
 	runs    map[string]int // by request
@@ -101,10 +104,23 @@
 	if s.advice.advise(w, id) {
 		return
 	}
+	if s.options.Room != nil {
+		if !s.enter(w, r) {
+			return
+		}
+		defer s.leave()
+	}
 	s.recordRun(id)
 	if strings.HasPrefix(r.URL.Path, StreamPrefix) {
 		s.stream(w, r)
 		return
 	}
+	if room := s.options.Room; room != nil {
+		select {
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		case <-time.After(room.work):
+		}
+	}
 	_, _ = w.Write([]byte("ok")) // the host may have closed the connection
 }
