Count the hosts that the store names when a host starts

A gateway host that had just started divided the limits of upstreams by the hosts from which it had heard, at first none, so that it took all of a limit for itself until their messages came.

Cause: only the sender of a message, and those that it has heard of, counted as hosts of the fleet. The hosts whose addresses the store holds count as well now, for a minute after they were read, as any host that has fallen silent.

Evidence: TestHostThatHasJustStartedCountsNoOthers, 1 host of 6 counted before. Found by reading, while the room of brittle upstreams was divided in the same way.

--- a/internal/gateway/peer/fleet_test.go
+++ b/internal/gateway/peer/fleet_test.go
@@ -67,3 +67,17 @@
 		})
 	}
 }
+
+// TestHostThatHasJustStartedCountsNoOthers guards against a host that takes all of a limit for itself until it has heard of the others, whose
+// addresses the store holds.
+func TestHostThatHasJustStartedCountsNoOthers(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	table := peer.NewTable("h0", "z", "h0:1", 0, 1)
+	for n := range 5 {
+		table.AddAddress(now, fmt.Sprint("h", n+1, ":1"), "z")
+	}
+	is.Equal(table.Fleet().Size(), 6)
+	table.Sweep(now.Add(2*time.Minute), 0) // they are gone
+	is.Equal(table.Fleet().Size(), 1)
+}
--- a/internal/gateway/peer/table.go
+++ b/internal/gateway/peer/table.go
@@ -247,11 +247,13 @@
 	t.members.Expire(now, expiryTime)
 }
 
-// AddAddress adds the address of a host, as found in the store. The zone is empty if it is unknown.
+// AddAddress adds the address of a host, as found in the store. The zone is empty if it is unknown. The host may be alive: one that has
+// just started has not heard of the others yet.
 func (t *Table) AddAddress(now time.Time, address, zone string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.addresses[address] = now
+	t.members.Add(now, address)
 	if zone == t.zone {
 		t.zoneAddresses[address] = true
 	}
