Divide the slots of brittle upstreams among the hosts

While the upstreams of a service are brittle, callers were hardly served: hosts together sent an upstream more than it had room for, it fell over, and its load toppled the next one.

Cause: each host goes by the load that it has heard of last, and all see the same free slot at the same moment. While an upstream is brittle, each host now has as many requests there at a time as slots belong to it, and none is sent to wait there, so that what the hosts send together fits in, whatever each knows of the others. Hosts without a slot send their requests through one that has. A rejection, which hosts tell each other, stops requests for a second. The statement counts for the whole service, is told between hosts, and is withdrawn by a later response.

--- a/cmd/hickorypath/gatewaybrittle_test.go
+++ b/cmd/hickorypath/gatewaybrittle_test.go
@@ -20,8 +20,9 @@
 // another id and address.
 type brittleFleet struct {
 	*gatewayFleet
-	room *instance.Room
-	ids  atomic.Int64
+	slots int // of each instance
+	room  *instance.Room
+	ids   atomic.Int64
 
 	mu        sync.Mutex
 	instances map[string]*instance.Server // by id in the store
@@ -30,16 +31,13 @@
 const (
 	brittleHosts     = 5
 	brittleInstances = 4
-	brittleSlots     = 6
 	brittleWork      = 120 * time.Millisecond
-	// brittleCapacity is how many requests a second the instances can serve.
-	brittleCapacity = float64(brittleInstances*brittleSlots) * float64(time.Second) / float64(brittleWork)
 )
 
-func newBrittleFleet(t *testing.T, net int) *brittleFleet {
+func newBrittleFleet(t *testing.T, net, slots int) *brittleFleet {
 	t.Helper()
-	f := &brittleFleet{gatewayFleet: newGatewayFleet(t, net, brittleHosts, 0), instances: map[string]*instance.Server{}}
-	f.room = instance.NewRoom(brittleSlots, 2*brittleSlots, brittleWork, f.replace)
+	f := &brittleFleet{gatewayFleet: newGatewayFleet(t, net, brittleHosts, 0), slots: slots, instances: map[string]*instance.Server{}}
+	f.room = instance.NewRoom(slots, 2*slots, brittleWork, f.replace)
 	for range brittleInstances {
 		f.addInstance()
 	}
@@ -49,6 +47,11 @@
 	return f
 }
 
+// capacity returns how many requests a second the instances can serve.
+func (f *brittleFleet) capacity() float64 {
+	return float64(brittleInstances*f.slots) * float64(time.Second) / float64(brittleWork)
+}
+
 func (f *brittleFleet) addInstance() {
 	s, err := instance.New(instance.Options{Version: "v1", Room: f.room})
 	if err != nil {
@@ -60,7 +63,7 @@
 	f.mu.Lock()
 	f.instances[id] = s
 	f.mu.Unlock()
-	value := fmt.Sprintf(`{"service":"svc","address":%q,"zone":"z","version":"v1","slots":%d,"state":"ready","seq":1}`, s.Addr(), brittleSlots)
+	value := fmt.Sprintf(`{"service":"svc","address":%q,"zone":"z","version":"v1","slots":%d,"state":"ready","seq":1}`, s.Addr(), f.slots)
 	if err := f.platform.Put(f.t.Context(), "servers/"+id, []byte(value)); err != nil {
 		f.t.Log(err) // the test is over
 	}
@@ -131,28 +134,31 @@
 	cases := []struct {
 		name       string
 		net        int
+		slots      int
 		rejections int
 		load       float64 // of the capacity
 		falls      int     // that are allowed
 		strike     func(f *brittleFleet)
 	}{
-		{"a part of the capacity", 51, 1, 0.7, 1, nil},
-		{"all of the capacity", 52, 3, 1, 2, nil},
-		{"more than the capacity", 53, 10, 1.5, 2, nil},
-		{"a burst", 54, 5, 0.7, 2, func(f *brittleFleet) { f.load("burst", 2*brittleCapacity, time.Second, len(f.hosts)) }},
-		{"an instance crashes", 55, 2, 0.7, 2, func(f *brittleFleet) { f.crash() }},
-		{"a host starts", 56, 2, 1, 2, func(f *brittleFleet) {
+		{"a part of the capacity", 51, 6, 1, 0.7, 1, nil},
+		{"all of the capacity", 52, 6, 3, 1, 2, nil},
+		{"more than the capacity", 53, 6, 10, 1.5, 2, nil},
+		{"a burst", 54, 6, 5, 0.7, 2, func(f *brittleFleet) { f.load("burst", 2*f.capacity(), time.Second, len(f.hosts)) }},
+		{"an instance crashes", 55, 6, 2, 0.7, 2, func(f *brittleFleet) { f.crash() }},
+		{"a host starts", 56, 6, 2, 1, 2, func(f *brittleFleet) {
 			f.hosts[0].kill()
 			f.hosts[0].start()
 		}},
+		{"fewer slots than hosts", 57, 1, 1, 0.5, 1, nil},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			f := newBrittleFleet(t, c.net)
-			rate := c.load * brittleCapacity
+			f := newBrittleFleet(t, c.net, c.slots)
+			rate := c.load * f.capacity()
 			before := f.load("before", rate, 3*time.Second, brittleHosts)
+			rejected := f.room.Rejected()
 			f.room.SetBrittle(c.rejections)
 			f.load("contact", rate, contact, brittleHosts)
 			done := make(chan float64)
@@ -162,7 +168,7 @@
 				c.strike(f)
 			}
 			during := <-done
-			falls, rejected := f.room.Falls(), f.room.Rejected()
+			falls, rejected := f.room.Falls(), f.room.Rejected()-rejected
 			f.room.SetSound()
 			f.load("sound", rate, 4*time.Second, brittleHosts)
 			after := f.load("after", rate, 2*time.Second, brittleHosts)
--- a/cmd/hickorypath/gatewaypeers.go
+++ b/cmd/hickorypath/gatewaypeers.go
@@ -53,6 +53,7 @@
 		CachedPrefixes: g.exchange.CacheUpdates(), Poison: g.exchange.PoisonEvidence(), Advisories: g.table.Advisories(g.clock.Now()),
 	}
 	m.Departures = g.table.Departures(g.clock.Now())
+	m.Brittle, m.Rejections = g.table.BrittleServices(g.clock.Now()), g.table.Rejections(g.clock.Now())
 	m.WatchesStore, m.EntryRevision, m.StoreFailing = g.watcher.IsWatching(), g.watcher.Revision(), g.table.IsStoreFailing(g.clock.Now())
 	m.EndedCounts = g.peers.EndedCounts(g.clock.Now(), g.usage.Window(g.fleetTime.Now())-reportableWindows)
 	m.FixedCounts = g.peers.RecentFixedCounts(g.usage.Window(g.fleetTime.Now()) - reportableWindows)
@@ -74,6 +75,8 @@
 	g.exchange.MergePoisonEvidence(now, m.Host, m.Poison)
 	g.exchange.ApplyAdvisories(now, m.Host, m.Advisories)
 	g.exchange.ApplyDepartures(now, m.Host, m.Departures)
+	g.table.MergeBrittle(now, m.Brittle)
+	g.table.MergeRejections(now, m.Rejections)
 	if m.Version > g.configVersion() {
 		g.watcher.RecordNewerConfig()
 		g.configs.Wake()
--- a/cmd/hickorypath/gatewayrelay.go
+++ b/cmd/hickorypath/gatewayrelay.go
@@ -63,7 +63,7 @@
 
 func newRelayHost(m peer.Message, ip string) relay.Host {
 	return relay.Host{
-		Name: m.Host, Zone: m.Zone, Address: net.JoinHostPort(ip, strconv.Itoa(int(m.RelayPort))),
+		Name: m.Host, Zone: m.Zone, Address: net.JoinHostPort(ip, strconv.Itoa(int(m.RelayPort))), Peer: m.Address,
 		Link: m.Link, Config: m.Version, CutFrom: m.CutFrom, Relaying: m.Relaying,
 	}
 }
--- a/internal/gateway/exchange/advisory.go
+++ b/internal/gateway/exchange/advisory.go
@@ -18,7 +18,11 @@
 	if r.HasLoad {
 		i.SetLoad(upstream.Load{Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, At: now})
 	}
-	limit, leaving := i.RecordAdvisory(now, sentAt, s)
+	limit, leaving, brittle := i.RecordAdvisory(now, sentAt, s)
+	if brittle {
+		x.opts.Log.Info("upstream states whether it is brittle", zap.String("upstream", i.ID()), zap.Bool("brittle", s.Brittle.IsStated()),
+			zap.Int("rejections", s.Brittle.Rejections()), zap.String("unreadable", s.Brittle.Unreadable()))
+	}
 	if leaving {
 		x.logLeaving(i, "", s.Leaving.Unreadable())
 	}
@@ -26,7 +30,7 @@
 		x.opts.Log.Warn("upstream asks for a pause that cannot be read", zap.String("upstream", i.ID()), zap.String("value", s.Pause.Unreadable()),
 			zap.Duration("pause", s.Pause.Length()))
 	}
-	if !limit && !leaving {
+	if !limit && !leaving && !brittle {
 		return
 	}
 	x.opts.NotifyPeers()
--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -55,7 +55,7 @@
 	ctx, end := e.startAttempt(ctx)
 	err := e.send(ctx, i, &a, r)
 	end()
-	r.release()
+	r.releaseAfter(err, a.sent)
 	a.duration = e.x.opts.Now().Sub(begin)
 	if a.superseded = errors.Is(err, errSuperseded); err != nil && !a.superseded {
 		a.failed, a.result = true, kind.Of(err)
@@ -177,6 +177,10 @@
 		e.x.recordStatements(u, sentAt, e.info.ID, answer)
 	}
 	if answer.NotExecuted {
+		if e.helper == nil && resp.Status() == http.StatusServiceUnavailable && i.IsBrittle() {
+			i.RecordRejection(e.x.opts.Now())
+			e.x.opts.NotifyPeers()
+		}
 		return kind.New(kind.Rejected, "%s did not run the request: status %d", i.ID(), resp.Status()).WithRetry(e.retryAfter(rejectedRetryAfter))
 	}
 	if answer.ID != e.info.ID {
--- a/internal/gateway/exchange/place.go
+++ b/internal/gateway/exchange/place.go
@@ -60,6 +60,7 @@
 	peerLoads := x.opts.PeerLoads(now)
 	fleet, fleetTime := x.opts.Fleet(), x.opts.FleetTime()
 	lastResort := x.needsLastResort(list, e, now, grace)
+	mayBeBrittle := x.opts.Table.MayBeBrittle(e.service.Name)
 	bestCost := 0.0
 	for n, i := range list {
 		status := i.Status(now, grace)
@@ -70,7 +71,12 @@
 		if i.PausedFor(now) > 0 || !i.MaySend(fleetTime, fleet) {
 			continue
 		}
+		isBrittle := mayBeBrittle && i.IsBrittle()
+		if isBrittle && s.load(i.ID()).Running >= i.BrittleShare(now, fleet) {
+			continue
+		}
 		candidate := view(s, i, now, peerLoads[i.ID()])
+		candidate.Brittle = isBrittle
 		candidate.MemoryCapacity, candidate.Reserved = cacheCapacity(e.service), reserved[i.ID()]
 		cachedHere := holders.cachedTokens[n]
 		held := holders.held(i, cachedHere)
--- a/internal/gateway/exchange/recheck.go
+++ b/internal/gateway/exchange/recheck.go
@@ -32,6 +32,9 @@
 	if table.Get(i.ID()) != i || !e.x.mayTake(i, status, lastResort, now) || !e.mayRunAt(i) || i.PausedFor(now) > 0 {
 		return e.supersede(i)
 	}
+	if i.IsBrittle() && r.isBeyond(i.BrittleShare(now, e.x.opts.Fleet())) {
+		return e.supersede(i)
+	}
 	var ok bool
 	if r.permit, ok = i.RenewPermit(e.x.opts.FleetTime(), e.x.opts.Fleet(), r.permit); !ok {
 		return e.supersede(i)
--- a/internal/gateway/exchange/relay.go
+++ b/internal/gateway/exchange/relay.go
@@ -57,11 +57,12 @@
 }
 
 // isOutOfReach reports whether the request should be sent through another host: this one is cut off from most upstreams of its
-// service, and none of the others takes the request now. A host that knows of no other one waits instead. usable reports whether one may take it later.
+// service, and none of the others takes the request now, or all are brittle and take none of this host. A host that knows of no other one
+// waits instead. usable reports whether one may take it later.
 func (e *exchange) isOutOfReach() (outOfReach, usable bool) {
 	x := e.x
 	e.sawCut = x.opts.Table.IsCut(e.service.Name)
-	if !e.sawCut || x.opts.Helpers.IsAlone(x.opts.Now()) {
+	if !e.sawCut && !x.lacksShare(e) || x.opts.Helpers.IsAlone(x.opts.Now()) {
 		return false, false
 	}
 	x.mu.Lock()
@@ -80,7 +81,7 @@
 		return kind.Wrap(errNoHelper, kind.Unavailable, "the upstreams of %s are out of reach of this host too", e.service.Name)
 	}
 	begin := e.x.opts.Now()
-	helper, ok := e.x.opts.Helpers.Pick(begin, e.service.Name, e.config.Version(), e.helpersTried)
+	helper, ok := e.x.opts.Helpers.Pick(begin, e.service.Name, e.config.Version(), e.helpersTried, e.mayRelayTo())
 	if !ok {
 		return kind.Wrap(errNoHelper, kind.Unavailable, "no host reaches the upstreams of %s", e.service.Name).WithRetry(e.spreadRetryAfter())
 	}
--- a/internal/gateway/peer/message.go
+++ b/internal/gateway/peer/message.go
@@ -51,6 +51,8 @@
 	RelayPort      uint16                          `cbor:"D,omitempty"` // port at which the host takes requests of hosts that are cut off; 0 if it takes none
 	CutFrom        []string                        `cbor:"E,omitempty"` // services whose upstreams the host does not reach
 	Relaying       int                             `cbor:"F,omitempty"` // requests that the host relays for others
+	Brittle        map[string]time.Duration        `cbor:"G,omitempty"` // services whose upstreams are brittle, with the age of their last statement
+	Rejections     map[string]upstream.Rejection   `cbor:"H,omitempty"` // brittle upstream instances that have lately rejected requests
 }
 
 // Leader is the host that holds the fleet's lease: it reports usage and requests upstreams for all hosts.
--- a/internal/gateway/relay/helpers.go
+++ b/internal/gateway/relay/helpers.go
@@ -17,6 +17,7 @@
 	Name     string
 	Zone     string
 	Address  string    // IP and port for relayed requests
+	Peer     string    // IP and port for messages
 	Link     float64   // speed of its network link in Mbit/s; 0 if unknown
 	Config   int64     // version of its configuration
 	CutFrom  []string  // services that it does not reach itself
@@ -71,15 +72,16 @@
 func (h *Helpers) IsAlone(now time.Time) bool { return len(h.opts.Hosts(now)) == 0 }
 
 // Pick returns a host that may reach a service, and counts a request that is sent through it until Done is called. Hosts that skip
-// names, and those with a configuration older than the given version, are left out. ok is false if there is none.
-func (h *Helpers) Pick(now time.Time, service string, config int64, skip []string) (helper *Helper, ok bool) {
+// names, those with a configuration older than the given version, and those that mayServe does not report are left out. ok is false if there
+// is none.
+func (h *Helpers) Pick(now time.Time, service string, config int64, skip []string, mayServe func(Host) bool) (helper *Helper, ok bool) {
 	hosts := h.opts.Hosts(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.unable[service] >= maxUnable && len(skip) > 0 {
 		return nil, false
 	}
-	able := lo.Filter(hosts, func(x Host, _ int) bool { return !slices.Contains(x.CutFrom, service) })
+	able := lo.Filter(hosts, func(x Host, _ int) bool { return !slices.Contains(x.CutFrom, service) && mayServe(x) })
 	own := lo.CountBy(able, func(x Host) bool { return x.Zone == h.opts.Zone })
 	cutOff := lo.CountBy(hosts, func(x Host) bool { return x.Zone == h.opts.Zone && slices.Contains(x.CutFrom, service) }) + 1
 	candidates := lo.Filter(able, func(x Host, _ int) bool {
--- a/internal/gateway/upstream/advisory.go
+++ b/internal/gateway/upstream/advisory.go
@@ -25,8 +25,9 @@
 }
 
 // RecordAdvisory records what the instance stated about itself in a response that arrived now to a request sent at sentAt. It
-// reports whether its limit, and whether its leaving, is new.
-func (i *Instance) RecordAdvisory(now, sentAt time.Time, s advisory.Statement) (limit, leaving bool) {
+// reports whether its limit, whether its leaving, and whether its being brittle is new.
+func (i *Instance) RecordAdvisory(now, sentAt time.Time, s advisory.Statement) (limit, leaving, brittle bool) {
+	brittle = i.recordBrittle(now, sentAt, s.Brittle)
 	i.mu.Lock()
 	limit, leaving = i.advisory.Observe(now, sentAt, s), i.advisory.ObserveLeaving(now, sentAt, s.Leaving)
 	i.advisory.ObservePause(now, s.Pause)
@@ -38,7 +39,7 @@
 	if leaving || paused {
 		i.abandonDials()
 	}
-	return limit, leaving
+	return limit, leaving, brittle
 }
 
 // LeavingFor returns since when this host knows from the instance's responses that it leaves. ok is false if they do not state it.
--- a/internal/gateway/upstream/instance.go
+++ b/internal/gateway/upstream/instance.go
@@ -25,6 +25,8 @@
 
 	reach      *serviceReach // nil for an instance that belongs to no Table
 	outOfReach atomic.Bool   // the host is cut off from the instance
+
+	brittle *serviceBrittleness // nil for an instance that belongs to no Table
 }
 
 // Load is the load that an instance last reported.
--- a/internal/gateway/upstream/table.go
+++ b/internal/gateway/upstream/table.go
@@ -28,9 +28,10 @@
 	restoredAt    time.Time              // when the store last came back from an older copy
 	left          map[string]leftEntry   // by id, the last entries of instances that were dropped
 
-	reach          map[string]*serviceReach // by service
-	cutServices    atomic.Int32             // number of services that are out of reach
-	advisoriesTold atomic.Uint32            // limits that were returned by Advisories when there were many
+	reach          map[string]*serviceReach       // by service
+	brittle        map[string]*serviceBrittleness // by service
+	cutServices    atomic.Int32                   // number of services that are out of reach
+	advisoriesTold atomic.Uint32                  // limits that were returned by Advisories when there were many
 }
 
 // leftEntry is the last entry of an instance that was dropped, with what the instance had stated about itself.
@@ -52,7 +53,7 @@
 
 // NewTable returns an empty Table of a host in an availability zone.
 func NewTable(zone string, d *Dialer, log *zap.Logger) *Table {
-	return &Table{zone: zone, dialer: d, log: log, byID: map[string]*Instance{}, byService: map[string][]*Instance{}, left: map[string]leftEntry{}, reach: map[string]*serviceReach{}}
+	return &Table{zone: zone, dialer: d, log: log, byID: map[string]*Instance{}, byService: map[string][]*Instance{}, left: map[string]leftEntry{}, reach: map[string]*serviceReach{}, brittle: map[string]*serviceBrittleness{}}
 }
 
 // Put adds or updates an instance from an entry in the store. An entry with another address, service or start
@@ -80,6 +81,7 @@
 		t.drop(now, old)
 	}
 	i := newInstance(e, t.dialer, t.reachOf(e.Service))
+	i.brittle = t.brittleOf(e.Service)
 	i.outOfReach.Store(i.reach.isCut())
 	if l, ok := t.left[e.ID]; ok && l.entry.isSameIncarnation(e) {
 		i.advisory = l.advisory
@@ -131,6 +133,7 @@
 		}
 	}
 	maps.DeleteFunc(t.left, func(_ string, l leftEntry) bool { return now.Sub(l.at) > leftRetention })
+	t.sweepBrittle(now)
 }
 
 // drop removes an instance from the table.
--- a/internal/policy/advisory/advisory.go
+++ b/internal/policy/advisory/advisory.go
@@ -16,6 +16,7 @@
 	Version string // of the upstream's software, empty if not stated
 	Leaving Leaving
 	Pause   Pause
+	Brittle Brittle
 }
 
 // State is what an upstream stated last. It is not safe for concurrent use.
@@ -28,6 +29,10 @@
 	paceSince  time.Time // since when requests are sent at a rate that stands in for an unreadable limit; zero unless they are
 	departure  departure
 	pausedTo   time.Time // before which the upstream wants no requests of this host
+	soundAt    time.Time // when a request was sent last whose response did not state that the upstream is brittle
+	rejectedAt time.Time // when the upstream rejected a request for want of room last
+	ranked     *Fleet    // in which the host has the rank
+	rank       int       // of the host for the upstream
 }
 
 // NewState returns the State of an upstream that has stated nothing. The name identifies the upstream on all hosts.
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -56,6 +56,7 @@
 	MemoryCapacity int     // size of the KV cache in tokens; 0 for a service that is not an inference engine
 	Slowdown       float64 // observed latency relative to the expected one, 1 for a healthy upstream
 	Cold           bool    // started recently
+	Brittle        bool    // fails if it has to reject requests for want of room
 	Reserved       bool    // reserved for short prompts
 }
 
@@ -91,6 +92,9 @@
 	if c.Running == 0 {
 		return true
 	}
+	if c.Brittle && c.Slots > 0 && c.Running >= c.Slots {
+		return false
+	}
 	if m.PrefillPerMs <= 0 {
 		return c.Slots == 0 || float64(c.Running) < maxSlotOvercommit*float64(c.Slots)
 	}
@@ -98,6 +102,9 @@
 	if r.Urgent {
 		wait, share = maxUrgentPrefillWait, maxUrgentMemoryShare
 	}
+	if c.Brittle {
+		share = 1
+	}
 	if prefix.Local*2 > r.PromptTokens {
 		wait = max(wait, time.Duration(maxCachedWaitShare*float64(r.Objective)))
 	}
--- a/internal/policy/place/place_test.go
+++ b/internal/policy/place/place_test.go
@@ -46,6 +46,7 @@
 		{"long prefill wait, urgent", place.Candidate{Slots: 64, MemoryCapacity: 400000, Load: place.Load{Running: 5, PendingPrefill: 25000}}, 4000, true, true},
 		{"no free slot", place.Candidate{Slots: 64, MemoryCapacity: 400000, Load: place.Load{Running: 64}}, 4000, true, false},
 		{"memory is full", place.Candidate{Slots: 64, MemoryCapacity: 400000, Load: place.Load{Running: 30, MemoryTokens: 520000}}, 4000, false, false},
+		{"memory is full for a brittle upstream", place.Candidate{Slots: 64, MemoryCapacity: 400000, Brittle: true, Load: place.Load{Running: 30, MemoryTokens: 398000}}, 4000, true, false},
 		{"memory is full, urgent", place.Candidate{Slots: 64, MemoryCapacity: 400000, Load: place.Load{Running: 30, MemoryTokens: 520000}}, 4000, true, true},
 	}
 	for _, c := range cases {
@@ -55,6 +56,15 @@
 	}
 }
 
+func TestServiceAcceptsBeyondItsSlots(t *testing.T) {
+	is := is.New(t)
+	service := place.CostModel{}
+	full := place.Candidate{Slots: 6, Load: place.Load{Running: 6}}
+	is.True(service.CanAccept(full, place.Request{}, place.CachedPrefix{}))
+	full.Brittle = true
+	is.True(!service.CanAccept(full, place.Request{}, place.CachedPrefix{}))
+}
+
 func TestPrefixIndex(t *testing.T) {
 	is := is.New(t)
 	c := place.NewPrefixIndex()
