Suspect no requests of upstreams that fall over for want of room

After some brittle upstreams had fallen over, callers whose requests had been there, and equal ones, were refused by all hosts for two minutes.

Cause: each connection that breaks under a request counts as a crash of its upstream by that request. A brittle upstream that has rejected requests in the last seconds, of this host or another one, fails for want of room; what ran there is no longer suspected.

Evidence: TestRequestsOfUpstreamsThatFallOverCountAsCrashing fails without the change (the fourth request is refused with 503) and passes with it.

--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -216,7 +216,7 @@
 		return kind.Wrap(err, kind.Timeout, "no answer from %s in time", i.ID())
 	}
 	i.RecordFailure(e.x.opts.Now())
-	isCrash = isCrash && e.helper == nil && !isTimeout(err) && !errors.IsAny(err, h1.ErrMalformed, h1.ErrHeadTooLarge)
+	isCrash = isCrash && e.helper == nil && !e.x.hasFallenOver(i) && !isTimeout(err) && !errors.IsAny(err, h1.ErrMalformed, h1.ErrHeadTooLarge)
 	if isCrash && i.ReachesOthers() { // a cut breaks the connections to all upstreams
 		e.recordCrash(i)
 	}
--- a/internal/gateway/exchange/brittle.go
+++ b/internal/gateway/exchange/brittle.go
@@ -80,3 +80,8 @@
 	defer r.x.mu.Unlock()
 	return r.load.Running > share
 }
+
+// hasFallenOver reports whether an instance that has broken a connection may have failed for want of room, and not by the request.
+func (x *Exchanger) hasFallenOver(i *upstream.Instance) bool {
+	return i.IsBrittle() && i.HasRejected(x.opts.Now())
+}
