--- a/internal/standin/instance/instance.go
+++ b/internal/standin/instance/instance.go
@@ -30,8 +30,8 @@
 // Server is a running instance. It is safe for concurrent use.
 type Server struct {
 	options  Options
-	listener *gate.Listener
-	server   *http.Server
+	listener *gate.Listener // nil for a Server of NewUnserved
+	stop     func()         // breaks the connections
 	limit    limitcheck.Limit
 	advice   advice
 	crashed  atomic.Bool
@@ -49,12 +49,19 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{options: o, listener: l, runs: map[string]int{}}
-	s.server = &http.Server{Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: time.Minute}
-	go func() { _ = s.server.Serve(l) }() // returns when the server is closed
+	s := NewUnserved(o)
+	server := &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
+	s.listener, s.stop = l, func() { _ = server.Close() }
+	go func() { _ = server.Serve(l) }() // returns when the server is closed
 	return s, nil
 }
 
+// NewUnserved returns a Server that handles the requests of a listener of the test. SetStop has to be called before it gets any.
+func NewUnserved(o Options) *Server { return &Server{options: o, runs: map[string]int{}} }
+
+// SetStop sets the function that Close calls to break the connections.
+func (s *Server) SetStop(stop func()) { s.stop = stop }
+
 // Addr returns the address of the server.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
@@ -65,7 +72,7 @@
 func (s *Server) EmptyQueue() error { return s.listener.Open() }
 
 // Close closes the server and breaks its connections.
-func (s *Server) Close() { _ = s.server.Close() }
+func (s *Server) Close() { s.stop() }
 
 // Limit returns the limit that the instance names.
 func (s *Server) Limit() *limitcheck.Limit { return &s.limit }
@@ -90,7 +97,8 @@
 	s.runs[id]++
 }
 
-func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	if p := s.options.Poison; p != nil && p.isIn(r) {
 		p.crash(s, r)
