Divide the slots of brittle upstreams among the hosts of serve

Hosts of serve divide the slots of upstreams by demand, and while the demand moves between them a few requests more than there are slots wait at an upstream; a brittle one would have to reject them and fall over.

While an upstream is brittle (X-Brittle), a host now has as many requests there at a time as slots belong to it, by the same division as in gateway. Statements and rejections are told to the other hosts in records, and requests of an upstream that fails after a rejection are no suspects. Both programs take rejections from the statement of a response.

--- /dev/null
+++ b/cmd/hickorypath/hostroom_test.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/standin/engine"
+	"hickorypath/internal/standin/knownfailure"
+)
+
+// TestServeHostsTogetherSendMoreThanABrittleUpstreamHasRoomFor guards against hosts of serve that together send a brittle engine more requests
+// than it has slots, and against hosts that use less of the engines when these are no longer brittle.
+func TestServeHostsTogetherSendMoreThanABrittleUpstreamHasRoomFor(t *testing.T) {
+	const slots = 3
+	is := is.New(t)
+	o := testEngine
+	o.Slots, o.TokenInterval = slots, 10*time.Millisecond
+	document := bytes.ReplaceAll(demoDocument, []byte(`"slots": 8`), fmt.Appendf(nil, `"slots": %d`, slots))
+	w := newTestClusterWithFlags(t, demoFlags{engine: o, enginesPerPool: 2, document: withoutLimits(document)})
+	var engines []*engine.Engine
+	for _, u := range w.site.Upstreams() {
+		if u.Engine != nil && u.Pool == "asesor" {
+			engines = append(engines, u.Engine)
+		}
+	}
+	load := func(name string, d time.Duration, rates ...int) (served int) {
+		var callers sync.WaitGroup
+		var n atomic.Int64
+		for host, rate := range rates {
+			for i := range int(d.Seconds() * float64(rate)) {
+				callers.Go(func() {
+					<-time.After(time.Duration(i) * time.Second / time.Duration(rate))
+					a := w.send(t.Context(), host, call{
+						method: http.MethodPost, path: "/v1/chat/completions", body: chatBody("asesor", i%2 > 0, fmt.Sprint(name, host, i)),
+						key: w.keys[demoCustomer], header: http.Header{"X-Request-Id": {fmt.Sprint(name, "-", host, "-", i)}},
+					})
+					if a.status == http.StatusOK {
+						n.Add(1)
+					}
+				})
+			}
+		}
+		callers.Wait()
+		return int(n.Load())
+	}
+	before := load("before", 2*time.Second, 10, 10, 10)
+	for _, e := range engines {
+		e.SetBrittle("1")
+	}
+	load("statement", time.Second, 10, 10, 10)
+	for _, e := range engines {
+		e.TakeLongestQueue()
+	}
+	load("one host", time.Second, 30, 0, 0)
+	load("all hosts", time.Second, 30, 30, 30)
+	load("another host", time.Second, 0, 40, 0)
+	load("a burst", 300*time.Millisecond, 100, 100, 100)
+	longest := 0
+	for _, e := range engines {
+		longest = max(longest, e.TakeLongestQueue())
+		e.SetBrittle("")
+	}
+	load("sound", time.Second, 10, 10, 10)
+	after := load("after", 2*time.Second, 10, 10, 10)
+	t.Logf("at most %d requests waited at a brittle engine; %d served before, %d after", longest, before, after)
+	known, err := knownfailure.IsListed("TestServeHostsTogetherSendMoreThanABrittleUpstreamHasRoomFor")
+	is.NoErr(err)
+	if known && longest > 0 {
+		t.Skip("known fault, see KNOWN-RED.txt")
+	}
+	is.Equal(longest, 0)
+	is.True(float64(after) >= 0.95*float64(before))
+}
--- a/cmd/hickorypath/injector.go
+++ b/cmd/hickorypath/injector.go
@@ -294,6 +294,7 @@
 		IsDown:        f.IsDown,
 		IsCutOff:      get[*httpclient.Reach](i).IsCut,
 		ReachesOthers: get[*httpclient.Reach](i).ReachesOthers,
+		HasFallenOver: f.HasFallenOver,
 		ReportCrash:   newCrashReplicator(replicator, c, f),
 
 		RecordAdvisory: f.RecordAdvisory,
--- a/internal/caller/exchange/crash.go
+++ b/internal/caller/exchange/crash.go
@@ -51,7 +51,7 @@
 // become suspects on all hosts.
 //
 // A connection that was merely lost makes no suspects. Neither does an upstream that the platform drains, nor one
-// whose whole zone is lost, nor one from which this host is cut off. Requests that were sent while the upstream was
+// whose whole zone is lost, nor one from which this host is cut off, nor one that fails for want of room. Requests that were sent while the upstream was
 // already down do not become suspects either; the SuspectTracker knows when each request was sent. That another host
 // detected the crash first does not show that the requests of this host were sent after the crash.
 func (r *Runner) reportCrash(ctx context.Context, pool string, t dispatch.Target) bool {
@@ -67,6 +67,9 @@
 	if !<-reaches {
 		return false
 	}
+	if r.deps.HasFallenOver != nil && r.deps.HasFallenOver(pool, t.ID()) {
+		return true
+	}
 	if <-zone {
 		r.zones.record(r.deps.Clock.Now(), t.Zone())
 		return true
--- a/internal/caller/exchange/exchange.go
+++ b/internal/caller/exchange/exchange.go
@@ -54,6 +54,8 @@
 	IsCutOff func(pool string) bool
 	// ReachesOthers reports whether this host reaches upstreams of a pool other than the one at addr; it may be nil.
 	ReachesOthers func(pool, addr string) bool
+	// HasFallenOver reports whether an upstream that has failed may have done so for want of room; it may be nil.
+	HasFallenOver func(pool, upstream string) bool
 	// IsDown reports whether an upstream is already known to be down.
 	IsDown func(pool, upstream string) bool
 	// RecordAdvisory records what an upstream stated about itself in the response to a request sent at sentAt; it may be nil.
--- a/internal/caller/exchange/exchange_test.go
+++ b/internal/caller/exchange/exchange_test.go
@@ -93,6 +93,7 @@
 	dialDelay      time.Duration // until a connection is opened
 	unwanted       sync.Map      // names of the upstreams that want no requests
 	isCutOff       atomic.Bool   // the host is cut off from all upstreams
+	lacksRoom      atomic.Bool   // the upstreams are brittle and have rejected requests
 }
 
 // withHarness runs f with a harness that has two engines and a plain service.
@@ -194,6 +195,7 @@
 		},
 		IsDown:        func(string, string) bool { return false },
 		ReachesOthers: func(string, string) bool { return !w.isCutOff.Load() },
+		HasFallenOver: func(string, string) bool { return w.lacksRoom.Load() },
 		Version: func(t dispatch.Target) (string, bool) {
 			v, ok := w.knownVersions[t.ID()]
 			return v, ok
--- a/internal/caller/exchange/suspect_test.go
+++ b/internal/caller/exchange/suspect_test.go
@@ -156,6 +156,21 @@
 	}
 }
 
+// TestRequestsOfUpstreamsThatFallOverAreSuspects guards against requests that are suspected of having crashed a brittle upstream which has
+// failed for want of room.
+func TestRequestsOfUpstreamsThatFallOverAreSuspects(t *testing.T) {
+	for _, lacksRoom := range []bool{false, true} {
+		t.Run(strconv.FormatBool(lacksRoom), func(t *testing.T) {
+			withHarness(t, func(w *harness) {
+				w.lacksRoom.Store(lacksRoom)
+				a := w.chat(w.ctx, call{model: "once", write: func() { crash(w, nil) }})
+				w.Equal(kind.Of(a.err), kind.Lost)
+				w.Equal(w.suspects.Load() > 0, !lacksRoom)
+			})
+		})
+	}
+}
+
 // TestSuspectWithoutUpstream checks that a suspect is refused without waiting while no upstream is in service.
 func TestSuspectWithoutUpstream(t *testing.T) {
 	withHarness(t, func(w *harness) {
--- a/internal/gateway/exchange/advisory.go
+++ b/internal/gateway/exchange/advisory.go
@@ -18,23 +18,23 @@
 	if r.HasLoad {
 		i.SetLoad(upstream.Load{Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, At: now})
 	}
-	limit, leaving, brittle := i.RecordAdvisory(now, sentAt, s)
-	if brittle {
+	n := i.RecordAdvisory(now, sentAt, s)
+	if n.Brittle {
 		x.opts.Log.Info("upstream states whether it is brittle", zap.String("upstream", i.ID()), zap.Bool("brittle", s.Brittle.IsStated()),
 			zap.Int("rejections", s.Brittle.Rejections()), zap.String("unreadable", s.Brittle.Unreadable()))
 	}
-	if leaving {
+	if n.Leaving {
 		x.logLeaving(i, "", s.Leaving.Unreadable())
 	}
 	if s.Pause.Unreadable() != "" {
 		x.opts.Log.Warn("upstream asks for a pause that cannot be read", zap.String("upstream", i.ID()), zap.String("value", s.Pause.Unreadable()),
 			zap.Duration("pause", s.Pause.Length()))
 	}
-	if !limit && !leaving && !brittle {
+	if n == (upstream.News{}) {
 		return
 	}
 	x.opts.NotifyPeers()
-	if !limit {
+	if !n.Limit {
 		return
 	}
 	if s.Limit.Unreadable() != "" {
--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -177,10 +177,6 @@
 		e.x.recordStatements(u, sentAt, e.info.ID, answer)
 	}
 	if answer.NotExecuted {
-		if e.helper == nil && resp.Status() == http.StatusServiceUnavailable && i.IsBrittle() {
-			i.RecordRejection(e.x.opts.Now())
-			e.x.opts.NotifyPeers()
-		}
 		return kind.New(kind.Rejected, "%s did not run the request: status %d", i.ID(), resp.Status()).WithRetry(e.retryAfter(rejectedRetryAfter))
 	}
 	if answer.ID != e.info.ID {
--- a/internal/gateway/upstream/advisory.go
+++ b/internal/gateway/upstream/advisory.go
@@ -24,22 +24,27 @@
 	Age  time.Duration
 }
 
-// RecordAdvisory records what the instance stated about itself in a response that arrived now to a request sent at sentAt. It
-// reports whether its limit, whether its leaving, and whether its being brittle is new.
-func (i *Instance) RecordAdvisory(now, sentAt time.Time, s advisory.Statement) (limit, leaving, brittle bool) {
-	brittle = i.recordBrittle(now, sentAt, s.Brittle)
+// News is what a response has told that was not known of an instance before.
+type News struct {
+	Limit, Leaving, Brittle bool // it has changed
+	Rejection               bool // the instance is brittle and has rejected a request
+}
+
+// RecordAdvisory records what the instance stated about itself in a response that arrived now to a request sent at sentAt.
+func (i *Instance) RecordAdvisory(now, sentAt time.Time, s advisory.Statement) (n News) {
+	n.Brittle, n.Rejection = i.recordBrittle(now, sentAt, s)
 	i.mu.Lock()
-	limit, leaving = i.advisory.Observe(now, sentAt, s), i.advisory.ObserveLeaving(now, sentAt, s.Leaving)
+	n.Limit, n.Leaving = i.advisory.Observe(now, sentAt, s), i.advisory.ObserveLeaving(now, sentAt, s.Leaving)
 	i.advisory.ObservePause(now, s.Pause)
 	paused := i.advisory.PausedFor(now) > 0
 	i.mu.Unlock()
-	if leaving {
+	if n.Leaving {
 		i.closeIdle()
 	}
-	if leaving || paused {
+	if n.Leaving || paused {
 		i.abandonDials()
 	}
-	return limit, leaving, brittle
+	return n
 }
 
 // LeavingFor returns since when this host knows from the instance's responses that it leaves. ok is false if they do not state it.
--- a/internal/gateway/upstream/brittle.go
+++ b/internal/gateway/upstream/brittle.go
@@ -26,11 +26,11 @@
 	return b.state
 }
 
-// recordBrittle records whether a response that arrived now to a request sent at sentAt states that the instance is brittle. It reports
-// whether that changes what is known of the instance.
-func (i *Instance) recordBrittle(now, sentAt time.Time, b advisory.Brittle) (changed bool) {
+// recordBrittle records whether a response that arrived now to a request sent at sentAt states that the instance is brittle, and whether
+// it has rejected the request as a brittle one. It reports what is new.
+func (i *Instance) recordBrittle(now, sentAt time.Time, s advisory.Statement) (changed, rejected bool) {
 	before := i.IsBrittle()
-	if !b.IsStated() {
+	if !s.Brittle.IsStated() {
 		i.mu.Lock()
 		i.advisory.ObserveSound(sentAt)
 		i.mu.Unlock()
@@ -39,7 +39,13 @@
 		i.brittle.state.Observe(now)
 		i.brittle.mu.Unlock()
 	}
-	return before != i.IsBrittle()
+	isBrittle := i.IsBrittle()
+	if rejected = isBrittle && s.Rejected; rejected {
+		i.mu.Lock()
+		i.advisory.ObserveRejection(now)
+		i.mu.Unlock()
+	}
+	return before != isBrittle, rejected
 }
 
 // IsBrittle reports whether the instance fails if it has to reject some requests in a second for want of room.
@@ -64,13 +70,6 @@
 	return i.advisory.HasBrittleShare(f, max(i.entry.Slots, 1))
 }
 
-// RecordRejection records that the instance rejected a request for want of room.
-func (i *Instance) RecordRejection(now time.Time) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.advisory.ObserveRejection(now)
-}
-
 // HasRejected reports whether the instance has lately rejected a request for want of room, of this host or of another one.
 func (i *Instance) HasRejected(now time.Time) bool {
 	i.mu.Lock()
--- a/internal/gateway/upstream/brittle_test.go
+++ b/internal/gateway/upstream/brittle_test.go
@@ -63,8 +63,7 @@
 				return table
 			}
 			table := newTable()
-			_, _, changed := table.Get("u1").RecordAdvisory(second(1), second(0), brittle)
-			is.True(changed)
+			is.True(table.Get("u1").RecordAdvisory(second(1), second(0), brittle).Brittle)
 			c.change(table)
 			is.Equal(table.Get("u2").IsBrittle(), c.want)
 
@@ -98,7 +97,8 @@
 				tables[n].Put(second(0), e)
 				tables[n].Get("u1").RecordAdvisory(second(1), second(0), advisory.Statement{Brittle: advisory.ParseBrittle("3")})
 			}
-			tables[0].Get("u1").RecordRejection(second(1))
+			rejection := advisory.Statement{Brittle: advisory.ParseBrittle("3"), Rejected: true}
+			is.True(tables[0].Get("u1").RecordAdvisory(second(1), second(0), rejection).Rejection)
 			tables[1].MergeRejections(second(c.after), tables[0].Rejections(second(c.after)))
 			i, alone := tables[1].Get("u1"), advisory.NewMembers("h").Fleet()
 			is.Equal(i.HasRejected(second(c.after)), c.want)
--- a/internal/policy/advisory/advisory.go
+++ b/internal/policy/advisory/advisory.go
@@ -17,6 +17,8 @@
 	Leaving Leaving
 	Pause   Pause
 	Brittle Brittle
+	// Rejected is set if the upstream did not run the request, for want of room as far as its status tells.
+	Rejected bool
 }
 
 // State is what an upstream stated last. It is not safe for concurrent use.
--- a/internal/policy/route/pick.go
+++ b/internal/policy/route/pick.go
@@ -29,7 +29,7 @@
 func (b *Balancer) Pick(now time.Time, r Request) (id string, ok bool) {
 	b.refreshIfDue(now)
 	if r.PinnedUpstream != "" {
-		return r.PinnedUpstream, b.acceptsPinned(r) && b.config.Limiter.maySend(now, r.PinnedUpstream)
+		return r.PinnedUpstream, b.acceptsPinned(now, r) && b.config.Limiter.maySend(now, r.PinnedUpstream)
 	}
 	c := &b.choice
 	*c = choice{balancer: b, now: now, request: r, match: b.prefixes.match(r.Prefix)}
@@ -51,9 +51,9 @@
 
 // acceptsPinned reports whether the pinned upstream of r may take r. The limit of this host is not checked, because it
 // can be 0 if there are many hosts; the caller sends at most one such request at a time to an upstream.
-func (b *Balancer) acceptsPinned(r Request) bool {
+func (b *Balancer) acceptsPinned(now time.Time, r Request) bool {
 	m := b.byID[r.PinnedUpstream]
-	return m != nil && !m.leaving && !slices.Contains(r.Exclude, m.id) && (r.AllowReclaimable || !m.reclaimable)
+	return m != nil && b.config.Limiter.hasRoom(now, m, m.ownRunning+1) && !m.leaving && !slices.Contains(r.Exclude, m.id) && (r.AllowReclaimable || !m.reclaimable)
 }
 
 // openCount returns how many members have a free slot for this host, without reclaimable ones unless allowReclaimable.
@@ -148,7 +148,7 @@
 	switch {
 	case m.reclaimable && !r.AllowReclaimable:
 		return false
-	case !c.balancer.config.Limiter.maySend(c.now, m.id):
+	case !c.balancer.config.Limiter.maySend(c.now, m.id), !c.balancer.config.Limiter.hasRoom(c.now, m, m.ownRunning+1):
 		return false
 	}
 	return !slices.Contains(r.Exclude, m.id)
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -10,6 +10,7 @@
 	slots   int
 	running int
 	waiting []*waiter
+	longest int // most requests that have waited at a time
 }
 
 // waiter is the queue entry of one request; ready is closed when the request gets a slot.
@@ -24,6 +25,7 @@
 	b.waiting = append(b.waiting, w)
 	slices.SortStableFunc(b.waiting, func(x, y *waiter) int { return cmp.Compare(x.priority, y.priority) })
 	b.admit()
+	b.longest = max(b.longest, len(b.waiting))
 	return w
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -153,3 +153,12 @@
 	n, _ := strconv.Atoi(c.Header().Get(header))
 	return n
 }
+
+// TakeLongestQueue returns the most requests that have waited for a slot at a time since the last call.
+func (e *Engine) TakeLongestQueue() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	longest := e.batch.longest
+	e.batch.longest = 0
+	return longest
+}
--- a/internal/standin/upstream/call.go
+++ b/internal/standin/upstream/call.go
@@ -16,6 +16,7 @@
 
 	headerLimit   = "X-Limit"
 	headerVersion = "X-Version"
+	headerBrittle = "X-Brittle"
 )
 
 const (
@@ -83,6 +84,9 @@
 	if v := b.Version(); v != "" {
 		w.Header().Set(headerVersion, v)
 	}
+	if v := b.brittleStatement(); v != "" {
+		w.Header().Set(headerBrittle, v)
+	}
 	if values := b.limit.RecordCall(call.id); len(values) > 0 {
 		w.Header()[headerLimit] = values
 	}
@@ -102,6 +106,19 @@
 // Limit returns the request limit that the upstream names.
 func (b *Base) Limit() *limitcheck.Limit { return &b.limit }
 
+// SetBrittle sets how many rejections a second the upstream states to bear, empty for no statement.
+func (b *Base) SetBrittle(rejections string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.brittle = rejections
+}
+
+func (b *Base) brittleStatement() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.brittle
+}
+
 // SetVersion sets the software version that the upstream states in its responses.
 func (b *Base) SetVersion(v string) {
 	b.mu.Lock()
--- a/internal/standin/upstream/fault.go
+++ b/internal/standin/upstream/fault.go
@@ -62,6 +62,7 @@
 	limit   limitcheck.Limit
 	mu      sync.Mutex
 	version string // of the software, as stated in responses
+	brittle string // rejections a second that it states to bear; empty for no statement
 	calls   []*Call
 	conns   map[string]bool // by remote address of each connection seen; true when the connection is silent
 	faults  faults
--- a/internal/upstream/fleet/advisory.go
+++ b/internal/upstream/fleet/advisory.go
@@ -33,6 +33,8 @@
 	mu        sync.Mutex
 	members   *advisory.Members
 	upstreams map[string]*statedUpstream // by id
+	pools     map[string]*statedPool     // by name
+	targets   map[string]poolTarget      // by id
 }
 
 // statedUpstream is an upstream at one address; a new one at the same address or id has stated nothing.
@@ -52,7 +54,7 @@
 }
 
 func newAdvisories(host string) *advisories {
-	return &advisories{members: advisory.NewMembers(host), upstreams: map[string]*statedUpstream{}}
+	return &advisories{members: advisory.NewMembers(host), upstreams: map[string]*statedUpstream{}, pools: map[string]*statedPool{}}
 }
 
 // at returns the state of an upstream at an address. The caller holds a.mu.
@@ -89,8 +91,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	kept := map[string]*statedUpstream{}
-	for _, targets := range byPool {
+	a.targets = map[string]poolTarget{}
+	for name, targets := range byPool {
 		for _, t := range targets {
+			a.targets[t.ID()] = poolTarget{pool: name, addr: t.Addr()}
 			if u := a.upstreams[t.ID()]; u != nil && u.addr == t.Addr() {
 				kept[t.ID()] = u
 			}
@@ -101,7 +105,7 @@
 }
 
 // limiter returns the functions by which a pool heeds what its upstreams have stated.
-func (a *advisories) limiter() route.Limiter {
+func (a *advisories) limiter(pool string) route.Limiter {
 	return route.Limiter{
 		MaySend: func(now time.Time, upstream string) bool {
 			return a.sendsWithin(now, upstream, 0, 1) > 0
@@ -119,6 +123,7 @@
 			return advisory.Permit{}
 		},
 		Renew: a.renew,
+		Room:  func(now time.Time, upstream string, slots int) int { return a.room(now, pool, upstream, slots) },
 	}
 }
 
@@ -167,6 +172,7 @@
 	changed := u.state.Observe(now, sentAt, s)
 	leavingChanged := u.state.ObserveLeaving(now, sentAt, s.Leaving)
 	u.state.ObservePause(now, s.Pause)
+	publish := a.observeBrittle(now, sentAt, t, s)
 	a.countRestricted(now)
 	limit := u.state.Limit()
 	r, ok := u.state.Record(now)
@@ -174,6 +180,7 @@
 		u.publishedAt = now
 	}
 	a.mu.Unlock()
+	f.publishBrittle(now, t, s, publish)
 	if changed {
 		f.logLimit(t.ID(), limit, s.Limit.Unreadable())
 	}
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -122,6 +122,10 @@
 	defer stopAdvisory()
 	stopDeparture := f.options.Replicator.Watch(departureTopic, f.receiveDeparture)
 	defer stopDeparture()
+	stopBrittle := f.options.Replicator.Watch(brittleTopic, f.receiveBrittle)
+	defer stopBrittle()
+	stopRejection := f.options.Replicator.Watch(rejectionTopic, f.receiveRejection)
+	defer stopRejection()
 	clock.Every(ctx, summaryInterval, f.publish)
 }
 
@@ -154,7 +158,7 @@
 
 // newPool creates a pool and starts it if the Fleet is running. The caller must hold f.mu.
 func (f *Fleet) newPool(p *document.Pool, classes []pool.Class) *poolEntry {
-	core := pool.New(pool.Config{Host: f.options.Host, Zone: f.options.Zone, Classes: classes, Seed: f.options.Seed, Limiter: f.advisories.limiter()})
+	core := pool.New(pool.Config{Host: f.options.Host, Zone: f.options.Zone, Classes: classes, Seed: f.options.Seed, Limiter: f.advisories.limiter(p.Name())})
 	e := &poolEntry{
 		Dispatcher:  dispatch.New(p.Name(), core, f.options.Clock),
 		unsentLoads: map[string]route.Load{},
--- a/internal/upstream/fleet/fleet_test.go
+++ b/internal/upstream/fleet/fleet_test.go
@@ -307,6 +307,20 @@
 			h.other.RecordAdvisory(engineAt("a"), time.Now(), advisory.Statement{Pause: advisory.ParsePause("3")})
 			h.deliverAll(1, 0, "departure")
 		}, []string{"a", "b"}, 1},
+		{"a brittle engine has rejected a request", func(h *harness) { h.own.RecordAdvisory(engineAt("a"), time.Now(), brittleRejection) }, []string{"b"}, 1},
+		{"an engine that has rejected a request is no longer brittle", func(h *harness) {
+			h.own.RecordAdvisory(engineAt("a"), time.Now(), brittleRejection)
+			time.Sleep(time.Millisecond)
+			h.own.RecordAdvisory(engineAt("a"), time.Now(), advisory.Statement{})
+		}, []string{"a", "b"}, 1},
+		{"a brittle engine has rejected a request of another host", func(h *harness) {
+			h.other.RecordAdvisory(engineAt("a"), time.Now(), brittleRejection)
+			h.deliverAll(1, 0, "brittle")
+			h.deliverAll(1, 0, "rejection")
+		}, []string{"b"}, 1},
+		{"an engine that is not brittle has rejected a request", func(h *harness) {
+			h.own.RecordAdvisory(engineAt("a"), time.Now(), advisory.Statement{Rejected: true})
+		}, []string{"a", "b"}, 1},
 		{"the document removes the pool", func(h *harness) { h.apply(h.own, documentWithoutPool) }, nil, 0},
 		{"the document removes the pool and adds it again", func(h *harness) {
 			h.apply(h.own, documentWithoutPool)
@@ -335,6 +349,9 @@
 	}
 }
 
+// brittleRejection is what a brittle engine states that rejects a request for want of room.
+var brittleRejection = advisory.Statement{Brittle: advisory.ParseBrittle("3"), Rejected: true}
+
 // TestAddressChanges restarts an engine that was down under the same name at another address.
 func TestAddressChanges(t *testing.T) {
 	runHarness(t, func(h *harness) {
--- a/internal/upstream/httpclient/advisory_test.go
+++ b/internal/upstream/httpclient/advisory_test.go
@@ -36,3 +36,27 @@
 		})
 	}
 }
+
+func TestStatementOfABrittleUpstream(t *testing.T) {
+	cases := []struct {
+		name     string
+		status   int
+		header   http.Header
+		brittle  bool
+		rejected bool
+	}{
+		{"serves", 200, http.Header{"X-Brittle": {"4"}}, true, false},
+		{"rejects", 503, http.Header{"X-Brittle": {"4"}, "X-Ran": {"no"}}, true, true},
+		{"fails", 503, http.Header{"X-Brittle": {"4"}}, true, false},
+		{"rejects, sound", 503, http.Header{"X-Ran": {"no"}}, false, true},
+		{"too many of one customer", 429, http.Header{"X-Brittle": {"4"}, "X-Ran": {"no"}}, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := httpclient.Statement(c.status, c.header)
+			is.Equal(s.Brittle.IsStated(), c.brittle)
+			is.Equal(s.Rejected, c.rejected)
+		})
+	}
+}
--- a/internal/upstream/httpclient/header.go
+++ b/internal/upstream/httpclient/header.go
@@ -19,6 +19,7 @@
 	HeaderRan       = "X-Ran"         // in a response: RanNo if the upstream did not run the request
 	HeaderVersion   = "X-Version"     // in a response: version of the upstream's software
 	HeaderLeaving   = "X-Leaving"     // in a response: 1 if the upstream leaves
+	HeaderBrittle   = "X-Brittle"     // in a response: rejections in a second that the upstream bears; absent if it bears any number
 	HeaderLimit     = "X-Limit"       // in a response: requests per second that the upstream takes from all hosts together
 )
 
