Tell other hosts what room is free at brittle upstreams, and when they are sound

Two causes in what hosts knew of brittle services. A host with more callers than its part of the slots, or a smaller part by chance, had no way to the room of others: hosts now tell how much they have, and requests go through them as from a host that is cut off. And a statement was withdrawn for an upstream only by its own response, which a host without a slot there never gets: a response of any upstream of the service a second later ends it now, hosts tell each other, and without news it ends after 30 s. The same in serve, but for the requests through others.

--- a/cmd/hickorypath/gatewaypeers.go
+++ b/cmd/hickorypath/gatewaypeers.go
@@ -53,7 +53,7 @@
 		CachedPrefixes: g.exchange.CacheUpdates(), Poison: g.exchange.PoisonEvidence(), Advisories: g.table.Advisories(g.clock.Now()),
 	}
 	m.Departures = g.table.Departures(g.clock.Now())
-	m.Brittle, m.Rejections = g.table.BrittleServices(g.clock.Now()), g.table.Rejections(g.clock.Now())
+	m.Brittle, m.Rejections = g.exchange.BrittleServices(), g.table.Rejections(g.clock.Now())
 	m.WatchesStore, m.EntryRevision, m.StoreFailing = g.watcher.IsWatching(), g.watcher.Revision(), g.table.IsStoreFailing(g.clock.Now())
 	m.EndedCounts = g.peers.EndedCounts(g.clock.Now(), g.usage.Window(g.fleetTime.Now())-reportableWindows)
 	m.FixedCounts = g.peers.RecentFixedCounts(g.usage.Window(g.fleetTime.Now()) - reportableWindows)
--- a/cmd/hickorypath/gatewayrelay.go
+++ b/cmd/hickorypath/gatewayrelay.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"hickorypath/internal/gateway/frontend"
@@ -63,7 +64,7 @@
 
 func newRelayHost(m peer.Message, ip string) relay.Host {
 	return relay.Host{
-		Name: m.Host, Zone: m.Zone, Address: net.JoinHostPort(ip, strconv.Itoa(int(m.RelayPort))), Peer: m.Address,
+		Name: m.Host, Zone: m.Zone, Address: net.JoinHostPort(ip, strconv.Itoa(int(m.RelayPort))), Free: lo.MapValues(m.Brittle, func(b upstream.BrittleService, _ string) int { return b.Free }),
 		Link: m.Link, Config: m.Version, CutFrom: m.CutFrom, Relaying: m.Relaying,
 	}
 }
--- a/internal/gateway/exchange/admit.go
+++ b/internal/gateway/exchange/admit.go
@@ -110,8 +110,9 @@
 	clock.Every(ctx, dispatchInterval, func() {
 		x.mu.Lock()
 		defer x.mu.Unlock()
-		for _, s := range x.services {
+		for name, s := range x.services {
 			x.dispatch(s)
+			x.wakeForOthers(s, name)
 		}
 	})
 }
--- a/internal/gateway/exchange/brittle.go
+++ b/internal/gateway/exchange/brittle.go
@@ -4,61 +4,54 @@
 	"time"
 
 	"hickorypath/internal/core/kind"
-	"hickorypath/internal/gateway/relay"
 	"hickorypath/internal/gateway/upstream"
-	"hickorypath/internal/policy/advisory"
 )
 
-// shareHolders are the hosts to which slots of a service's brittle instances belong.
-type shareHolders struct {
-	fleet *advisory.Fleet
-	list  []*upstream.Instance
-	hosts map[advisory.HostID]bool
-}
-
-// lacksShare reports whether no slot of any instance that accepts requests belongs to this host, since they are brittle and have fewer
-// slots than there are hosts.
-func (x *Exchanger) lacksShare(e *exchange) bool {
-	if !x.opts.Table.MayBeBrittle(e.service.Name) {
-		return false
-	}
-	now, fleet, usable := x.opts.Now(), x.opts.Fleet(), false
-	for _, i := range x.opts.Table.Service(e.service.Name) {
-		if i.Status(now, 0) != upstream.Usable {
-			continue
+// freeShare returns how many requests more than it has this host may have at the brittle instances of a service, those that wait left
+// out. The caller holds x.mu.
+func (x *Exchanger) freeShare(s *serviceState, service string) int {
+	now, fleet, free := x.opts.Now(), x.opts.Fleet(), -s.queue.Len()
+	for _, i := range x.opts.Table.Service(service) {
+		if i.Status(now, 0) == upstream.Usable && i.IsBrittle(now) {
+			free += max(i.BrittleShare(now, fleet)-s.load(i.ID()).Running, 0)
 		}
-		if !i.IsBrittle() || i.HasBrittleShare(fleet) {
-			return false
-		}
-		usable = true
 	}
-	return usable
+	return max(free, 0)
 }
 
-// holdsShare reports whether slots of the service's brittle instances belong to another host. The caller holds x.mu.
-func (x *Exchanger) holdsShare(s *serviceState, service string, h relay.Host) bool {
-	fleet, list := x.opts.Fleet(), x.opts.Table.Service(service)
-	if c := s.shareHolders; c.fleet != fleet || !isSameList(c.list, list) {
-		s.shareHolders = shareHolders{fleet: fleet, list: list, hosts: map[advisory.HostID]bool{}}
-		for _, i := range list {
-			for _, id := range fleet.Sharing(i.ID(), max(i.Entry().Slots, 1)) {
-				s.shareHolders.hosts[id] = true
-			}
-		}
+// BrittleServices returns the services whose instances are brittle or were lately, for the other hosts.
+func (x *Exchanger) BrittleServices() map[string]upstream.BrittleService {
+	services := x.opts.Table.BrittleServices(x.opts.Now())
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for name, b := range services {
+		b.Free = x.freeShare(x.service(name), name)
+		services[name] = b
 	}
-	return s.shareHolders.hosts[advisory.NewHostID(h.Peer)]
+	return services
 }
 
-// mayRelayTo returns a function that reports whether a host may serve the request.
-func (e *exchange) mayRelayTo() func(relay.Host) bool {
-	if e.sawCut {
-		return func(relay.Host) bool { return true }
-	}
-	return func(h relay.Host) bool {
-		e.x.mu.Lock()
-		defer e.x.mu.Unlock()
-		return e.x.holdsShare(e.x.service(e.service.Name), e.service.Name, h)
+// wakeInterval is the interval at which requests that wait for brittle instances look for hosts that may have more requests there. It is
+// about that at which hosts tell it.
+const wakeInterval = 100 * time.Millisecond
+
+// wakeForOthers lets requests that wait for brittle instances of a service go through other hosts, as many as these may have.
+// The caller holds x.mu.
+func (x *Exchanger) wakeForOthers(s *serviceState, service string) {
+	now := x.opts.Now()
+	if s.queue.Len() == 0 || now.Sub(s.wokenAt) < wakeInterval || !x.opts.Table.MayBeBrittle(now, service) {
+		return
 	}
+	s.wokenAt = now
+	free := x.opts.Helpers.Free(now, service)
+	s.queue.Dispatch(func(e *exchange) bool {
+		if free == 0 || e.order != nil {
+			return false
+		}
+		free--
+		e.admitted <- admission{}
+		return true
+	}, func(e *exchange) bool { return free > 0 && e.order != nil })
 }
 
 // canceledWorkTime is how long a request that was given up may still take room at its upstream, which learns of it from the closed
@@ -67,7 +60,7 @@
 
 // releaseAfter releases the reservation of an attempt that has ended, at once if the instance has no more work with it or is not brittle.
 func (r *reservation) releaseAfter(err error, sent bool) {
-	if i := r.x.opts.Table.Get(r.instanceID); err != nil && sent && kind.Of(err) != kind.Rejected && i != nil && i.IsBrittle() {
+	if i := r.x.opts.Table.Get(r.instanceID); err != nil && sent && kind.Of(err) != kind.Rejected && i != nil && i.IsBrittle(r.x.opts.Now()) {
 		time.AfterFunc(canceledWorkTime, r.release)
 		return
 	}
@@ -83,5 +76,5 @@
 
 // hasFallenOver reports whether an instance that has broken a connection may have failed for want of room, and not by the request.
 func (x *Exchanger) hasFallenOver(i *upstream.Instance) bool {
-	return i.IsBrittle() && i.HasRejected(x.opts.Now())
+	return i.IsBrittle(x.opts.Now()) && i.HasRejected(x.opts.Now())
 }
--- a/internal/gateway/exchange/exchanger.go
+++ b/internal/gateway/exchange/exchanger.go
@@ -73,7 +73,7 @@
 	active       int                  // requests in flight
 	reservedList []*upstream.Instance // instance list from which reserved was computed
 	reserved     map[string]bool      // instances reserved for short prompts
-	shareHolders shareHolders         // of the service's brittle instances
+	wokenAt      time.Time            // when waiting requests last looked for hosts that may have more requests at brittle instances
 	updates      []timedUpdate        // recent cache updates to send to the other hosts, oldest first
 	tokensBuf    []int                // buffer for prefixHolders.cachedTokens
 }
--- a/internal/gateway/exchange/place.go
+++ b/internal/gateway/exchange/place.go
@@ -60,7 +60,7 @@
 	peerLoads := x.opts.PeerLoads(now)
 	fleet, fleetTime := x.opts.Fleet(), x.opts.FleetTime()
 	lastResort := x.needsLastResort(list, e, now, grace)
-	mayBeBrittle := x.opts.Table.MayBeBrittle(e.service.Name)
+	mayBeBrittle := x.opts.Table.MayBeBrittle(now, e.service.Name)
 	bestCost := 0.0
 	for n, i := range list {
 		status := i.Status(now, grace)
@@ -71,7 +71,7 @@
 		if i.PausedFor(now) > 0 || !i.MaySend(fleetTime, fleet) {
 			continue
 		}
-		isBrittle := mayBeBrittle && i.IsBrittle()
+		isBrittle := mayBeBrittle && i.IsBrittle(now)
 		if isBrittle && s.load(i.ID()).Running >= i.BrittleShare(now, fleet) {
 			continue
 		}
--- a/internal/gateway/exchange/recheck.go
+++ b/internal/gateway/exchange/recheck.go
@@ -32,7 +32,7 @@
 	if table.Get(i.ID()) != i || !e.x.mayTake(i, status, lastResort, now) || !e.mayRunAt(i) || i.PausedFor(now) > 0 {
 		return e.supersede(i)
 	}
-	if i.IsBrittle() && r.isBeyond(i.BrittleShare(now, e.x.opts.Fleet())) {
+	if i.IsBrittle(now) && r.isBeyond(i.BrittleShare(now, e.x.opts.Fleet())) {
 		return e.supersede(i)
 	}
 	var ok bool
--- a/internal/gateway/exchange/relay.go
+++ b/internal/gateway/exchange/relay.go
@@ -56,19 +56,25 @@
 	return pickService(e.route)
 }
 
-// isOutOfReach reports whether the request should be sent through another host: this one is cut off from most upstreams of its
-// service, and none of the others takes the request now, or all are brittle and take none of this host. A host that knows of no other one
-// waits instead. usable reports whether one may take it later.
+// isOutOfReach reports whether the request should be sent through another host: no upstream takes it now, and this host is cut off from
+// most of its service, or they are brittle and other hosts may have more requests there. A host that knows of no other one waits instead.
+// usable reports whether an upstream may take the request later.
 func (e *exchange) isOutOfReach() (outOfReach, usable bool) {
-	x := e.x
+	x, now := e.x, e.x.opts.Now()
 	e.sawCut = x.opts.Table.IsCut(e.service.Name)
-	if !e.sawCut && !x.lacksShare(e) || x.opts.Helpers.IsAlone(x.opts.Now()) {
+	if !e.sawCut && (e.order != nil || !x.opts.Table.MayBeBrittle(now, e.service.Name)) {
 		return false, false
 	}
 	x.mu.Lock()
-	defer x.mu.Unlock()
 	c, usable := x.place(x.service(e.service.Name), e)
-	return c.instance == nil, usable
+	x.mu.Unlock()
+	switch {
+	case c.instance != nil, x.opts.Helpers.IsAlone(now):
+		return false, false
+	case !e.sawCut && x.opts.Helpers.Free(now, e.service.Name) == 0:
+		return false, false
+	}
+	return true, usable
 }
 
 // errNoHelper means that no other host is known to reach the service.
@@ -81,7 +87,7 @@
 		return kind.Wrap(errNoHelper, kind.Unavailable, "the upstreams of %s are out of reach of this host too", e.service.Name)
 	}
 	begin := e.x.opts.Now()
-	helper, ok := e.x.opts.Helpers.Pick(begin, e.service.Name, e.config.Version(), e.helpersTried, e.mayRelayTo())
+	helper, ok := e.x.opts.Helpers.Pick(begin, e.service.Name, e.config.Version(), e.helpersTried, !e.sawCut)
 	if !ok {
 		return kind.Wrap(errNoHelper, kind.Unavailable, "no host reaches the upstreams of %s", e.service.Name).WithRetry(e.spreadRetryAfter())
 	}
--- a/internal/gateway/peer/message.go
+++ b/internal/gateway/peer/message.go
@@ -20,39 +20,39 @@
 
 // Message is the state that a host sends to other hosts.
 type Message struct {
-	Host           string                          `cbor:"h"`
-	Zone           string                          `cbor:"z"`
-	StartTime      int64                           `cbor:"s"`           // start of the process in Unix nanoseconds, which identifies the incarnation of the host
-	Sequence       uint64                          `cbor:"n"`           // increases with each message of an incarnation
-	Address        string                          `cbor:"a"`           // IP and port for datagrams
-	Time           int64                           `cbor:"t"`           // the host's estimate of the true time, Unix milliseconds
-	Version        int64                           `cbor:"v"`           // version of the active configuration; 0 for none
-	FetchAddress   string                          `cbor:"f"`           // address from which other hosts fetch the configuration and upstream entries
-	Counts         map[int64]map[string]int        `cbor:"c,omitempty"` // usage counts of this incarnation by window and customer
-	EndedCounts    []IncarnationCounts             `cbor:"o,omitempty"` // usage counts of incarnations that have ended
-	FixedCounts    map[int64]map[string]int        `cbor:"m,omitempty"` // usage counts of the whole fleet that a leader has fixed, by window and customer
-	Loads          map[string]place.Load           `cbor:"l,omitempty"` // load that this host puts on each upstream instance
-	Demand         map[string]sizing.Demand        `cbor:"d,omitempty"` // demand of this host's callers by service
-	CachedPrefixes map[string][]place.PrefixUpdate `cbor:"k,omitempty"` // prompt prefixes that upstreams have read lately, by service
-	Poison         []poison.Evidence               `cbor:"C,omitempty"` // traits of requests that were with upstreams when they crashed
-	Advisories     map[string]upstream.Advisory    `cbor:"g,omitempty"` // what upstream instances stated about themselves
-	KnownAddresses []string                        `cbor:"p,omitempty"` // addresses of some other hosts
-	Heard          []string                        `cbor:"j,omitempty"` // addresses of hosts of other zones whose messages arrived lately
-	WatchesStore   bool                            `cbor:"w,omitempty"` // the host watches the store itself
-	EntryRevision  uint64                          `cbor:"r,omitempty"` // store revision of the newest upstream entry that the host knows
-	StoreFailing   bool                            `cbor:"q,omitempty"` // the host's calls to the store failed lately; hosts of an earlier version read it
-	Leader         Leader                          `cbor:"i"`           // the leader as far as the host knows
-	OmitsLoads     bool                            `cbor:"b,omitempty"` // Loads and CachedPrefixes are left out
-	OmitsCounts    bool                            `cbor:"u,omitempty"` // Counts, EndedCounts and Demand are left out
-	Leaving        bool                            `cbor:"e,omitempty"` // the host is shutting down
-	Synced         bool                            `cbor:"y,omitempty"` // the host has compared its configuration with those of other hosts since it started
-	Departures     map[string]upstream.Departure   `cbor:"B,omitempty"` // upstream instances whose responses state that they leave
-	Link           float64                         `cbor:"A,omitempty"` // speed of the host's network link in Mbit/s; 0 if unknown
-	RelayPort      uint16                          `cbor:"D,omitempty"` // port at which the host takes requests of hosts that are cut off; 0 if it takes none
-	CutFrom        []string                        `cbor:"E,omitempty"` // services whose upstreams the host does not reach
-	Relaying       int                             `cbor:"F,omitempty"` // requests that the host relays for others
-	Brittle        map[string]time.Duration        `cbor:"G,omitempty"` // services whose upstreams are brittle, with the age of their last statement
-	Rejections     map[string]upstream.Rejection   `cbor:"H,omitempty"` // brittle upstream instances that have lately rejected requests
+	Host           string                             `cbor:"h"`
+	Zone           string                             `cbor:"z"`
+	StartTime      int64                              `cbor:"s"`           // start of the process in Unix nanoseconds, which identifies the incarnation of the host
+	Sequence       uint64                             `cbor:"n"`           // increases with each message of an incarnation
+	Address        string                             `cbor:"a"`           // IP and port for datagrams
+	Time           int64                              `cbor:"t"`           // the host's estimate of the true time, Unix milliseconds
+	Version        int64                              `cbor:"v"`           // version of the active configuration; 0 for none
+	FetchAddress   string                             `cbor:"f"`           // address from which other hosts fetch the configuration and upstream entries
+	Counts         map[int64]map[string]int           `cbor:"c,omitempty"` // usage counts of this incarnation by window and customer
+	EndedCounts    []IncarnationCounts                `cbor:"o,omitempty"` // usage counts of incarnations that have ended
+	FixedCounts    map[int64]map[string]int           `cbor:"m,omitempty"` // usage counts of the whole fleet that a leader has fixed, by window and customer
+	Loads          map[string]place.Load              `cbor:"l,omitempty"` // load that this host puts on each upstream instance
+	Demand         map[string]sizing.Demand           `cbor:"d,omitempty"` // demand of this host's callers by service
+	CachedPrefixes map[string][]place.PrefixUpdate    `cbor:"k,omitempty"` // prompt prefixes that upstreams have read lately, by service
+	Poison         []poison.Evidence                  `cbor:"C,omitempty"` // traits of requests that were with upstreams when they crashed
+	Advisories     map[string]upstream.Advisory       `cbor:"g,omitempty"` // what upstream instances stated about themselves
+	KnownAddresses []string                           `cbor:"p,omitempty"` // addresses of some other hosts
+	Heard          []string                           `cbor:"j,omitempty"` // addresses of hosts of other zones whose messages arrived lately
+	WatchesStore   bool                               `cbor:"w,omitempty"` // the host watches the store itself
+	EntryRevision  uint64                             `cbor:"r,omitempty"` // store revision of the newest upstream entry that the host knows
+	StoreFailing   bool                               `cbor:"q,omitempty"` // the host's calls to the store failed lately; hosts of an earlier version read it
+	Leader         Leader                             `cbor:"i"`           // the leader as far as the host knows
+	OmitsLoads     bool                               `cbor:"b,omitempty"` // Loads and CachedPrefixes are left out
+	OmitsCounts    bool                               `cbor:"u,omitempty"` // Counts, EndedCounts and Demand are left out
+	Leaving        bool                               `cbor:"e,omitempty"` // the host is shutting down
+	Synced         bool                               `cbor:"y,omitempty"` // the host has compared its configuration with those of other hosts since it started
+	Departures     map[string]upstream.Departure      `cbor:"B,omitempty"` // upstream instances whose responses state that they leave
+	Link           float64                            `cbor:"A,omitempty"` // speed of the host's network link in Mbit/s; 0 if unknown
+	RelayPort      uint16                             `cbor:"D,omitempty"` // port at which the host takes requests of hosts that are cut off; 0 if it takes none
+	CutFrom        []string                           `cbor:"E,omitempty"` // services whose upstreams the host does not reach
+	Relaying       int                                `cbor:"F,omitempty"` // requests that the host relays for others
+	Brittle        map[string]upstream.BrittleService `cbor:"G,omitempty"` // services whose upstreams are brittle or were lately
+	Rejections     map[string]upstream.Rejection      `cbor:"H,omitempty"` // brittle upstream instances that have lately rejected requests
 }
 
 // Leader is the host that holds the fleet's lease: it reports usage and requests upstreams for all hosts.
--- a/internal/gateway/relay/helpers.go
+++ b/internal/gateway/relay/helpers.go
@@ -16,13 +16,13 @@
 type Host struct {
 	Name     string
 	Zone     string
-	Address  string    // IP and port for relayed requests
-	Peer     string    // IP and port for messages
-	Link     float64   // speed of its network link in Mbit/s; 0 if unknown
-	Config   int64     // version of its configuration
-	CutFrom  []string  // services that it does not reach itself
-	Relaying int       // requests that it relays for others
-	Heard    time.Time // when its last message arrived
+	Address  string         // IP and port for relayed requests
+	Free     map[string]int // requests more than it has that it may have at brittle upstreams, by service
+	Link     float64        // speed of its network link in Mbit/s; 0 if unknown
+	Config   int64          // version of its configuration
+	CutFrom  []string       // services that it does not reach itself
+	Relaying int            // requests that it relays for others
+	Heard    time.Time      // when its last message arrived
 }
 
 // Options configures Helpers.
@@ -72,16 +72,18 @@
 func (h *Helpers) IsAlone(now time.Time) bool { return len(h.opts.Hosts(now)) == 0 }
 
 // Pick returns a host that may reach a service, and counts a request that is sent through it until Done is called. Hosts that skip
-// names, those with a configuration older than the given version, and those that mayServe does not report are left out. ok is false if there
-// is none.
-func (h *Helpers) Pick(now time.Time, service string, config int64, skip []string, mayServe func(Host) bool) (helper *Helper, ok bool) {
+// names, those with a configuration older than the given version, and with onlyFree those that may have no more requests at the service's
+// brittle upstreams are left out. ok is false if there is none.
+func (h *Helpers) Pick(now time.Time, service string, config int64, skip []string, onlyFree bool) (helper *Helper, ok bool) {
 	hosts := h.opts.Hosts(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.unable[service] >= maxUnable && len(skip) > 0 {
 		return nil, false
 	}
-	able := lo.Filter(hosts, func(x Host, _ int) bool { return !slices.Contains(x.CutFrom, service) && mayServe(x) })
+	able := lo.Filter(hosts, func(x Host, _ int) bool {
+		return !slices.Contains(x.CutFrom, service) && (!onlyFree || h.free(x, service) > 0)
+	})
 	own := lo.CountBy(able, func(x Host) bool { return x.Zone == h.opts.Zone })
 	cutOff := lo.CountBy(hosts, func(x Host) bool { return x.Zone == h.opts.Zone && slices.Contains(x.CutFrom, service) }) + 1
 	candidates := lo.Filter(able, func(x Host, _ int) bool {
@@ -102,6 +104,29 @@
 	return helper, true
 }
 
+// Free returns how many requests more than they have the other hosts may have at the brittle upstreams of a service, as they have told, in
+// addition to those that this host sends through them.
+func (h *Helpers) Free(now time.Time, service string) (n int) {
+	hosts := h.opts.Hosts(now)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, x := range hosts {
+		if !h.isUnable(now, x, service) {
+			n += h.free(x, service)
+		}
+	}
+	return n
+}
+
+// free returns how many requests more a host may have. The caller holds h.mu.
+func (h *Helpers) free(x Host, service string) int {
+	free := x.Free[service]
+	if helper := h.byName[x.Name]; helper != nil {
+		free -= helper.inFlight
+	}
+	return max(free, 0)
+}
+
 // isUnable reports whether a host did not reach a service either lately, or was not reached since its last message.
 func (h *Helpers) isUnable(now time.Time, x Host, service string) bool {
 	helper := h.byName[x.Name]
--- a/internal/gateway/upstream/brittle.go
+++ b/internal/gateway/upstream/brittle.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -26,20 +25,31 @@
 	return b.state
 }
 
+// observe records whether a response that arrived now to a request sent at sentAt states that its instance is brittle.
+func (b *serviceBrittleness) observe(now, sentAt time.Time, s advisory.Brittle) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s.IsStated() {
+		b.state.Observe(now)
+	} else {
+		b.state.ObserveSound(sentAt)
+	}
+}
+
 // recordBrittle records whether a response that arrived now to a request sent at sentAt states that the instance is brittle, and whether
 // it has rejected the request as a brittle one. It reports what is new.
 func (i *Instance) recordBrittle(now, sentAt time.Time, s advisory.Statement) (changed, rejected bool) {
-	before := i.IsBrittle()
+	if i.brittle == nil {
+		return false, false
+	}
+	before := i.IsBrittle(now)
+	i.brittle.observe(now, sentAt, s.Brittle)
 	if !s.Brittle.IsStated() {
 		i.mu.Lock()
 		i.advisory.ObserveSound(sentAt)
 		i.mu.Unlock()
-	} else if i.brittle != nil {
-		i.brittle.mu.Lock()
-		i.brittle.state.Observe(now)
-		i.brittle.mu.Unlock()
 	}
-	isBrittle := i.IsBrittle()
+	isBrittle := i.IsBrittle(now)
 	if rejected = isBrittle && s.Rejected; rejected {
 		i.mu.Lock()
 		i.advisory.ObserveRejection(now)
@@ -49,11 +59,11 @@
 }
 
 // IsBrittle reports whether the instance fails if it has to reject some requests in a second for want of room.
-func (i *Instance) IsBrittle() bool {
+func (i *Instance) IsBrittle(now time.Time) bool {
 	b := i.brittle.get()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.advisory.IsBrittle(b)
+	return i.advisory.IsBrittle(now, b)
 }
 
 // BrittleShare returns how many requests this host may have at a time at the instance, which is brittle.
@@ -63,13 +73,6 @@
 	return i.advisory.BrittleShare(now, f, max(i.entry.Slots, 1))
 }
 
-// HasBrittleShare reports whether this host may ever have a request at the instance, which is brittle.
-func (i *Instance) HasBrittleShare(f *advisory.Fleet) bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.advisory.HasBrittleShare(f, max(i.entry.Slots, 1))
-}
-
 // HasRejected reports whether the instance has lately rejected a request for want of room, of this host or of another one.
 func (i *Instance) HasRejected(now time.Time) bool {
 	i.mu.Lock()
@@ -78,36 +81,43 @@
 	return ok
 }
 
-// MayBeBrittle reports whether an instance of a service has stated, to any host, that it is brittle. It may have withdrawn that since.
-func (t *Table) MayBeBrittle(service string) bool {
+// MayBeBrittle reports whether some instances of a service may be brittle.
+func (t *Table) MayBeBrittle(now time.Time, service string) bool {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	b := t.brittle[service].get()
-	return b.IsKnown()
+	return b.Holds(now)
 }
 
-// BrittleServices returns the services with brittle instances, and how long ago that was stated, for the other hosts.
-func (t *Table) BrittleServices(now time.Time) (ages map[string]time.Duration) {
+// BrittleService is what a host tells other hosts of a service whose instances are brittle or were lately.
+type BrittleService struct {
+	_      struct{} `cbor:",toarray"`
+	Record advisory.BrittleRecord
+	Free   int // requests more than it has that the host may have at the instances
+}
+
+// BrittleServices returns the services whose instances are brittle or were lately, for the other hosts.
+func (t *Table) BrittleServices(now time.Time) (services map[string]BrittleService) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	for service, list := range t.byService {
+	for service := range t.byService {
 		b := t.brittle[service].get()
-		if b.IsKnown() && slices.ContainsFunc(list, (*Instance).IsBrittle) {
-			ages = lo.Assign(ages, map[string]time.Duration{service: b.Age(now)})
+		if r, ok := b.Record(now); ok {
+			services = lo.Assign(services, map[string]BrittleService{service: {Record: r}})
 		}
 	}
-	return ages
+	return services
 }
 
 // MergeBrittle records which services have brittle instances, as another host has told.
-func (t *Table) MergeBrittle(now time.Time, told map[string]time.Duration) {
-	for service, age := range told {
+func (t *Table) MergeBrittle(now time.Time, told map[string]BrittleService) {
+	for service, s := range told {
 		t.mu.RLock()
 		b := t.brittle[service]
 		t.mu.RUnlock()
 		if b != nil {
 			b.mu.Lock()
-			b.state.Merge(now, age)
+			b.state.Merge(now, s.Record)
 			b.mu.Unlock()
 		}
 	}
@@ -129,7 +139,7 @@
 	defer t.mu.RUnlock()
 	for service, list := range t.byService {
 		b := t.brittle[service].get()
-		if !b.IsKnown() {
+		if !b.Holds(now) {
 			continue
 		}
 		for _, i := range list {
@@ -168,10 +178,12 @@
 	return b
 }
 
-// sweepBrittle forgets the services that have had no instances for long. All of them may have failed at once. The caller holds t.mu.
+// sweepBrittle forgets the services without instances that have not been brittle lately. All instances may have failed at once. The caller
+// holds t.mu.
 func (t *Table) sweepBrittle(now time.Time) {
 	maps.DeleteFunc(t.brittle, func(service string, b *serviceBrittleness) bool {
 		state := b.get()
-		return len(t.byService[service]) == 0 && state.Age(now) > leftRetention
+		_, isRecent := state.Record(now)
+		return len(t.byService[service]) == 0 && !isRecent
 	})
 }
--- a/internal/policy/advisory/brittle.go
+++ b/internal/policy/advisory/brittle.go
@@ -1,14 +1,9 @@
 package advisory
 
 import (
-	"cmp"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-	"github.com/samber/lo"
 )
 
 // Brittle tells whether a response states that the upstreams of its service are brittle: that one which has to reject more than some
@@ -47,9 +42,19 @@
 // Unreadable returns the beginning of the quoted value if it is no number, and "" otherwise.
 func (b Brittle) Unreadable() string { return b.unreadable }
 
-// Brittleness is when the upstreams of one service stated last, as far as a host knows, that they are brittle. The zero value is that they
-// never did.
-type Brittleness struct{ statedAt time.Time }
+// Brittleness is what a host knows of whether the upstreams of one service are brittle. The zero value is that they never stated it.
+type Brittleness struct {
+	statedAt time.Time // when one of them stated it last
+	soundAt  time.Time // when a request was sent last whose response did not state it
+}
+
+const (
+	// soundTime is how long after the last statement a request is sent whose response shows that all upstreams of the service are sound
+	// again. They become so together, and a host may have no request at some of them.
+	soundTime = time.Second
+	// brittleTTL bounds the effect of a statement on a host that gets no response of the service. All responses of others renew it.
+	brittleTTL = 30 * time.Second
+)
 
 // Observe records that a response which arrived now states it.
 func (b *Brittleness) Observe(now time.Time) {
@@ -58,19 +63,43 @@
 	}
 }
 
-// Merge records that another host has told that it was stated age ago. What differs by no more than a message may have been under way is
-// the same statement.
-func (b *Brittleness) Merge(now time.Time, age time.Duration) {
-	if at := now.Add(-max(age, 0)); at.After(b.statedAt.Add(maxMessageDelay)) {
-		b.statedAt = at
+// ObserveSound records that the response to a request sent at sentAt does not state it.
+func (b *Brittleness) ObserveSound(sentAt time.Time) {
+	if sentAt.After(b.soundAt) {
+		b.soundAt = sentAt
+	}
+}
+
+// BrittleRecord is what a host tells other hosts of the Brittleness of a service. Its times are ages, since the clocks of the hosts differ.
+type BrittleRecord struct {
+	_        struct{}      `cbor:",toarray"`
+	Age      time.Duration // since it was stated
+	SoundAge time.Duration // since a request was sent whose response did not state it; negative if that was before
+}
+
+// Record returns the record to tell other hosts now. ok is false if there is nothing to tell.
+func (b *Brittleness) Record(now time.Time) (r BrittleRecord, ok bool) {
+	r = BrittleRecord{Age: now.Sub(b.statedAt), SoundAge: -1}
+	if b.soundAt.After(b.statedAt) {
+		r.SoundAge = now.Sub(b.soundAt)
 	}
+	return r, !b.statedAt.IsZero() && r.Age < brittleTTL
 }
 
-// IsKnown reports whether it was ever stated.
-func (b *Brittleness) IsKnown() bool { return !b.statedAt.IsZero() }
+// Merge records what another host has told. What differs by no more than a message may have been under way is the same statement.
+func (b *Brittleness) Merge(now time.Time, r BrittleRecord) {
+	if at := now.Add(-max(r.Age, 0)); at.After(b.statedAt.Add(maxMessageDelay)) {
+		b.statedAt = at
+	}
+	if at := now.Add(-r.SoundAge); r.SoundAge >= 0 && at.After(b.soundAt.Add(maxMessageDelay)) {
+		b.soundAt = at
+	}
+}
 
-// Age returns how long ago it was stated.
-func (b *Brittleness) Age(now time.Time) time.Duration { return now.Sub(b.statedAt) }
+// Holds reports whether some upstreams of the service may be brittle now.
+func (b *Brittleness) Holds(now time.Time) bool {
+	return !b.statedAt.IsZero() && b.soundAt.Sub(b.statedAt) < soundTime && now.Sub(b.statedAt) < brittleTTL
+}
 
 // ObserveSound records that the response to a request sent at sentAt does not state that the upstream is brittle.
 func (s *State) ObserveSound(sentAt time.Time) {
@@ -81,7 +110,9 @@
 
 // IsBrittle reports whether the upstream is brittle, as one of a service: it, or another one of the service, has stated so since a request
 // was sent whose response did not. An upstream that has just started has stated nothing.
-func (s *State) IsBrittle(b Brittleness) bool { return b.statedAt.After(s.soundAt) }
+func (s *State) IsBrittle(now time.Time, b Brittleness) bool {
+	return b.Holds(now) && b.statedAt.After(s.soundAt)
+}
 
 // ObserveRejection records that the upstream rejected a request for want of room.
 func (s *State) ObserveRejection(now time.Time) {
@@ -127,9 +158,6 @@
 	return s.share(f, slots)
 }
 
-// HasBrittleShare reports whether any of the upstream's slots belong to this host.
-func (s *State) HasBrittleShare(f *Fleet, slots int) bool { return s.share(f, slots) > 0 }
-
 // share returns this host's part of the slots.
 func (s *State) share(f *Fleet, slots int) int {
 	if s.ranked != f {
@@ -138,19 +166,6 @@
 	return f.share(s.rank, slots)
 }
 
-// HostID identifies a host in a Fleet.
-type HostID uint64
-
-// NewHostID returns the identifier of the host with a name.
-func NewHostID(name string) HostID { return HostID(hostID(name)) }
-
-// Sharing returns the hosts to which slots of a brittle upstream belong.
-func (f *Fleet) Sharing(upstream string, slots int) []HostID {
-	id := xxhash.Sum64String(upstream)
-	hosts := slices.SortedFunc(slices.Values(f.hosts), func(a, b uint64) int { return cmp.Compare(mix(id^b), mix(id^a)) })
-	return lo.Map(hosts[:min(slots, len(hosts))], func(h uint64, _ int) HostID { return HostID(h) })
-}
-
 // rank returns how many hosts come before this one for an upstream.
 func (f *Fleet) rank(upstream uint64) (n int) {
 	own := mix(upstream ^ f.self)
--- a/internal/upstream/fleet/brittle.go
+++ b/internal/upstream/fleet/brittle.go
@@ -43,7 +43,8 @@
 
 // brittleNews is what the other hosts are to be told after a response.
 type brittleNews struct {
-	pool      string // whose upstreams are brittle; empty if they need not be told
+	pool      string // whose upstreams are brittle, or no longer; empty if they need not be told
+	record    advisory.BrittleRecord
 	rejection bool
 }
 
@@ -64,12 +65,19 @@
 		return brittleNews{}
 	}
 	p, state := a.pool(target.pool), a.at(t.ID(), t.Addr()).state
-	if !s.Brittle.IsStated() {
+	held := p.brittleness.Holds(now)
+	if s.Brittle.IsStated() {
+		p.brittleness.Observe(now)
+	} else {
 		state.ObserveSound(sentAt)
-	} else if p.brittleness.Observe(now); now.Sub(p.publishedAt) >= brittleInterval {
+		p.brittleness.ObserveSound(sentAt)
+	}
+	holds := p.brittleness.Holds(now)
+	if holds != held || s.Brittle.IsStated() && now.Sub(p.publishedAt) >= brittleInterval {
 		p.publishedAt, news.pool = now, target.pool
+		news.record, _ = p.brittleness.Record(now)
 	}
-	if news.rejection = s.Rejected && state.IsBrittle(p.brittleness); news.rejection {
+	if news.rejection = s.Rejected && state.IsBrittle(now, p.brittleness); news.rejection {
 		state.ObserveRejection(now)
 	}
 	return news
@@ -80,11 +88,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p, target := a.pools[pool], a.targets[upstream]
-	if p == nil || !p.brittleness.IsKnown() || target.pool != pool {
+	if p == nil || !p.brittleness.Holds(now) || target.pool != pool {
 		return math.MaxInt
 	}
 	state := a.at(upstream, target.addr).state
-	if !state.IsBrittle(p.brittleness) {
+	if !state.IsBrittle(now, p.brittleness) {
 		return math.MaxInt
 	}
 	return state.BrittleShare(now, a.members.Fleet(), max(slots, 1))
@@ -101,26 +109,29 @@
 	}
 	state := a.at(upstream, target.addr).state
 	_, hasRejected := state.RejectionAge(now)
-	return hasRejected && state.IsBrittle(p.brittleness)
+	return hasRejected && state.IsBrittle(now, p.brittleness)
 }
 
 // publishBrittle tells the other hosts what is new after a response of an upstream.
 func (f *Fleet) publishBrittle(now time.Time, t dispatch.Target, s advisory.Statement, news brittleNews) {
-	version := uint64(now.UnixNano()) //nolint:gosec // the time in nanoseconds fits until 2262
 	if news.pool != "" {
-		f.options.Log.Info("upstream states that it is brittle", zap.String("upstream", t.ID()), zap.Int("rejections", s.Brittle.Rejections()),
-			zap.String("unreadable", s.Brittle.Unreadable()))
-		f.options.Replicator.Put(brittleTopic, news.pool, version, nil, now.Add(brittleExpiry))
+		f.options.Log.Info("upstream states whether it is brittle", zap.String("upstream", t.ID()), zap.Bool("brittle", s.Brittle.IsStated()),
+			zap.Int("rejections", s.Brittle.Rejections()), zap.String("unreadable", s.Brittle.Unreadable()))
+		f.putRecord(now, brittleTopic, news.pool, news.record, brittleExpiry)
 	}
-	if !news.rejection {
-		return
+	if news.rejection {
+		f.putRecord(now, rejectionTopic, t.ID(), rejectionRecord{Addr: t.Addr()}, rejectionExpiry)
 	}
-	value, err := cbor.Marshal(rejectionRecord{Addr: t.Addr()})
+}
+
+// putRecord tells the other hosts what was stated now.
+func (f *Fleet) putRecord(now time.Time, topic, key string, value any, expiry time.Duration) {
+	data, err := cbor.Marshal(value)
 	if err != nil {
-		f.options.Log.Error("cannot encode rejection", zap.Error(err))
+		f.options.Log.Error("cannot encode record for other hosts", zap.String("topic", topic), zap.Error(err))
 		return
 	}
-	f.options.Replicator.Put(rejectionTopic, t.ID(), version, value, now.Add(rejectionExpiry))
+	f.options.Replicator.Put(topic, key, uint64(now.UnixNano()), data, now.Add(expiry)) //nolint:gosec // the time in nanoseconds fits until 2262
 }
 
 // ageOf returns how long ago the version of a record was, which is a time.
@@ -128,12 +139,22 @@
 	return f.options.Clock.Now().Sub(time.Unix(0, int64(record.Version()))) //nolint:gosec // the time in nanoseconds fits until 2262
 }
 
-// receiveBrittle records that another host has been told that the upstreams of a pool are brittle.
+// receiveBrittle records whether another host has been told that the upstreams of a pool are brittle.
 func (f *Fleet) receiveBrittle(record replication.Record) {
+	var r advisory.BrittleRecord
+	if err := cbor.Unmarshal(record.Value(), &r); err != nil {
+		f.options.Log.Warn("cannot decode statement of brittle upstreams", zap.Error(err))
+		return
+	}
+	age := f.ageOf(record)
+	r.Age += age
+	if r.SoundAge >= 0 {
+		r.SoundAge += age
+	}
 	a := f.advisories
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.pool(record.Key()).brittleness.Merge(f.options.Clock.Now(), f.ageOf(record))
+	a.pool(record.Key()).brittleness.Merge(f.options.Clock.Now(), r)
 }
 
 // receiveRejection records that a brittle upstream has rejected a request of another host.
