Name what sends requests through another host for what it asks

isOutOfReach also reports that brittle upstreams have no more room for this host; it is needsOtherHost now, and the package comment and an error text say the same. No logic changes.

--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -122,7 +122,7 @@
 	}
 	e.x.countRequest(e.service.Name, e.x.opts.Now())
 	for {
-		if outOfReach, usable := e.isOutOfReach(); outOfReach {
+		if needed, usable := e.needsOtherHost(); needed {
 			err := e.relay(ctx)
 			if !usable || !errors.Is(err, errNoHelper) {
 				if err == nil || ctx.Err() != nil || !e.mayRetry(err) {
--- a/internal/gateway/exchange/relay.go
+++ b/internal/gateway/exchange/relay.go
@@ -56,10 +56,10 @@
 	return pickService(e.route)
 }
 
-// isOutOfReach reports whether the request should be sent through another host: no upstream takes it now, and this host is cut off from
+// needsOtherHost reports whether the request should be sent through another host: no upstream takes it now, and this host is cut off from
 // most of its service, or they are brittle and other hosts may have more requests there. A host that knows of no other one waits instead.
 // usable reports whether an upstream may take the request later.
-func (e *exchange) isOutOfReach() (outOfReach, usable bool) {
+func (e *exchange) needsOtherHost() (needed, usable bool) {
 	x, now := e.x, e.x.opts.Now()
 	e.sawCut = x.opts.Table.IsCut(e.service.Name)
 	if !e.sawCut && (e.order != nil || !x.opts.Table.MayBeBrittle(now, e.service.Name)) {
@@ -77,8 +77,8 @@
 	return true, usable
 }
 
-// errNoHelper means that no other host is known to reach the service.
-var errNoHelper = errors.New("no other host reaches the service")
+// errNoHelper means that no other host is known that could serve the request.
+var errNoHelper = errors.New("no other host can serve the request")
 
 // relay sends the request through another host and relays the response to the client. The error states whether the request may have
 // run.
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -1,5 +1,5 @@
-// Package relay sends the requests of a host that is cut off from the upstreams of a service through another host, which reaches
-// them.
+// Package relay sends requests through another host: those of a host that is cut off from the upstreams of a service, and of one that may
+// have no more requests at its brittle upstreams.
 //
 // A request is relayed as the caller sent it, with the fields of an Order; the response is that of the upstream, or a refusal of the
 // other host with the fields of a Refusal. Both hosts speak HTTP/1.1 to each other.
