--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -30,6 +30,7 @@
 	w          http.ResponseWriter
 	r          *http.Request
 	text       strings.Builder
+	isDone     bool // the last token is made and the slot is free
 }
 
 func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
@@ -83,6 +84,7 @@
 		}
 		r.produce(i)
 	}
+	r.freeSlot(place)
 	r.finish()
 }
 
@@ -102,6 +104,18 @@
 	defer e.mu.Unlock()
 	r.cancel()
 	delete(e.running, r.call.ID())
+	if !r.isDone {
+		e.batch.leave(place)
+	}
+}
+
+// freeSlot gives back the slot of a request whose last token is made, before the response ends: the router may send the next request
+// as soon as it has the end.
+func (r *chatRun) freeSlot(place *waiter) {
+	e := r.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r.isDone = true
 	e.batch.leave(place)
 }
 
