--- a/internal/host/peer/peer_test.go
+++ b/internal/host/peer/peer_test.go
@@ -82,8 +82,9 @@
 	config := newSecretTLS(t, "a secret of more than 16 bytes")
 	from, _ := openEndpoint(t, config, nil)
 	to, messages := openEndpoint(t, config, nil)
-	var sent [][]byte
-	for _, size := range []int{1, 1000, peer.MaxDatagram, peer.MaxDatagram + 1, 300_000} {
+	sizes := []int{1, 1000, peer.MaxDatagram, peer.MaxDatagram + 1, 300_000}
+	sent := make([][]byte, 0, len(sizes))
+	for _, size := range sizes {
 		data := bytes.Repeat([]byte{byte(size)}, size)
 		got := sendUntilReceived(t, from, to.Addr(), data, messages).data
 		for slices.ContainsFunc(sent, func(d []byte) bool { return bytes.Equal(d, got) }) { // a copy that was sent again and came late
