Keep the slot of a request that timed out at a brittle upstream

Callers of a service whose upstreams were brittle could be refused, and an upstream could fall over, after a request had passed its deadline: the next one was sent to its slot too early.

Evidence: TestSlotOfARequestThatTimedOutIsUsedTooEarly failed in 3 of 3 runs before (the request was rejected) and passes 3 of 3 now.

--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -35,6 +35,7 @@
 	pause        time.Duration  // for which the response asks the host to send nothing; 0 for none
 	framing      string         // how the response is delimited; empty without a response
 	unfinished   int            // bytes of the event in which a stream ended
+	lateResponse bool           // the connection is kept open after the deadline, for a late response
 	superseded   bool           // given up before anything was sent, since the upstream or the configuration had changed
 	failed       bool
 	result       kind.Kind
@@ -55,7 +56,7 @@
 	ctx, end := e.startAttempt(ctx)
 	err := e.send(ctx, i, &a, r)
 	end()
-	r.releaseAfter(err, a.sent)
+	r.releaseAfter(err, &a)
 	a.duration = e.x.opts.Now().Sub(begin)
 	if a.superseded = errors.Is(err, errSuperseded); err != nil && !a.superseded {
 		a.failed, a.result = true, kind.Of(err)
@@ -103,6 +104,7 @@
 	case err == nil && isWhole:
 		c.Release(e.x.opts.Now())
 	case kind.Of(err) == kind.Timeout && a.framing == "" && c.Unbind():
+		a.lateResponse = true
 		go e.x.awaitLateResponse(c, i, sentAt, e.info.ID, string(e.request.Method()))
 	default:
 		c.Close()
--- a/internal/gateway/exchange/brittle.go
+++ b/internal/gateway/exchange/brittle.go
@@ -58,13 +58,19 @@
 // connection.
 const canceledWorkTime = 250 * time.Millisecond
 
-// releaseAfter releases the reservation of an attempt that has ended, at once if the instance has no more work with it or is not brittle.
-func (r *reservation) releaseAfter(err error, sent bool) {
-	if i := r.x.opts.Table.Get(r.instanceID); err != nil && sent && kind.Of(err) != kind.Rejected && i != nil && i.IsBrittle(r.x.opts.Now()) {
-		time.AfterFunc(canceledWorkTime, r.release)
+// releaseAfter releases the reservation of an attempt that has ended with err, at once if the instance has no more work with it or is not
+// brittle.
+func (r *reservation) releaseAfter(err error, a *attempt) {
+	i := r.x.opts.Table.Get(r.instanceID)
+	if err == nil || !a.sent || kind.Of(err) == kind.Rejected || i == nil || !i.IsBrittle(r.x.opts.Now()) {
+		r.release()
 		return
 	}
-	r.release()
+	wait := canceledWorkTime
+	if a.lateResponse {
+		wait += lateResponseTime
+	}
+	time.AfterFunc(wait, r.release)
 }
 
 // isBeyond reports whether this host has more than share requests at the instance, the one of the reservation included.
