Read rejections of serve that come at the deadline

An upstream of serve that turned a request away at its deadline, and asked the host for a pause, went on getting requests in it.

Cause: the deadline ended the request with its connection, so that the response was not read. A request that has not been sent by then is not sent.

--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -120,7 +120,7 @@
 		return nil, kind.Wrap(err, kind.Internal, "request to engine %s", addr).WithRan(kind.RanNo)
 	}
 	s.startWatchdog()
-	res, err := c.transport(call.NewConnection).RoundTrip(req) //nolint:bodyclose // Stream.Close closes it
+	res, err := s.account.RoundTrip(s.ctx, c.transport(call.NewConnection), req, s.recordLate) //nolint:bodyclose // Stream.Close closes it
 	if err != nil {
 		err = s.classifyError(err)
 		s.Close()
@@ -144,7 +144,7 @@
 func (s *Stream) newRequest(call Call) (*http.Request, error) {
 	s.account.SetBeforeSend(call.BeforeSend)
 	url := "http://" + s.addr + "/v1/chat/completions"
-	req, err := http.NewRequestWithContext(s.account.WithTrace(s.ctx), http.MethodPost, url, bytes.NewReader(call.Body))
+	req, err := http.NewRequestWithContext(s.ctx, http.MethodPost, url, bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/engine/stream.go
+++ b/internal/upstream/engine/stream.go
@@ -75,6 +75,14 @@
 	s.reader = bufio.NewReaderSize(res.Body, readerSize)
 }
 
+// recordLate records what the engine states in a response that came after the deadline.
+func (s *Stream) recordLate(res *http.Response) {
+	got := res.Header.Get(httpclient.HeaderRequestID)
+	if mustEcho := s.client.history.recordEcho(s.addr, got != ""); s.call.OnAdvisory != nil && (got == s.call.AttemptID || !mustEcho) {
+		s.call.OnAdvisory(httpclient.Statement(res.StatusCode, res.Header))
+	}
+}
+
 // checkResponse checks the echoed attempt id and the status before any of the answer is used. Answers
 // without an id are accepted from an engine that has never echoed one. After its first echo, an engine must
 // echo the id in every answer.
--- a/internal/upstream/httpclient/conn.go
+++ b/internal/upstream/httpclient/conn.go
@@ -102,6 +102,7 @@
 	conn          atomic.Pointer[CountingConn]
 	writtenBefore atomic.Int64
 	assumeSent    atomic.Bool // no count is available: the connection is no *CountingConn, or bytes went out on an earlier one
+	isOver        atomic.Bool // the deadline has passed, so nothing is sent any more
 }
 
 // SetBeforeSend sets a function that is called when the request has its connection, directly before its first byte. If it returns an
@@ -116,10 +117,15 @@
 	return nil
 }
 
-// guard calls the function of SetBeforeSend.
-func (t *SendTracker) guard() error {
-	err := t.beforeSend()
-	if err != nil {
+// guard calls the function of SetBeforeSend, unless the request is over.
+func (t *SendTracker) guard() (err error) {
+	switch {
+	case t.isOver.Load():
+		return context.DeadlineExceeded
+	case t.beforeSend == nil:
+		return nil
+	}
+	if err = t.beforeSend(); err != nil {
 		t.refusal.Store(&err)
 	}
 	return err
@@ -142,10 +148,8 @@
 	t.writtenBefore.Store(c.Written())
 	c.requestStart.Store(c.Written())
 	t.conn.Store(c)
-	c.guard.Store(nil)
-	if guard := t.guard; t.beforeSend != nil {
-		c.guard.Store(&guard)
-	}
+	guard := t.guard
+	c.guard.Store(&guard)
 }
 
 // asCountingConn returns the CountingConn that c is or, as a TLS connection, wraps.
--- a/internal/upstream/service/client.go
+++ b/internal/upstream/service/client.go
@@ -103,7 +103,7 @@
 		a.cancel()
 		return nil, kind.Wrap(err, kind.Invalid, "request to service %s", addr)
 	}
-	res, err := c.transport(call).RoundTrip(req)
+	res, err := a.account.RoundTrip(a.ctx, c.transport(call), req, a.recordLate)
 	if err != nil {
 		err = a.classifyError(err)
 		a.cancel()
@@ -145,7 +145,7 @@
 	if q := httpclient.ForwardQuery(a.call.Query, a.call.CallerKey); q != "" {
 		target += "?" + q
 	}
-	req, err := http.NewRequestWithContext(a.account.WithTrace(a.ctx), a.call.Method, target, nonReplayable(a.call.Body))
+	req, err := http.NewRequestWithContext(a.ctx, a.call.Method, target, nonReplayable(a.call.Body))
 	if err != nil {
 		return nil, err
 	}
@@ -170,6 +170,13 @@
 
 type readerOnly struct{ io.Reader }
 
+// recordLate records what the service states in a response that came after the deadline.
+func (a *attempt) recordLate(res *http.Response) {
+	if got := res.Header.Get(httpclient.HeaderRequestID); a.call.OnAdvisory != nil && (got == "" || got == a.call.AttemptID) {
+		a.call.OnAdvisory(httpclient.Statement(res.StatusCode, res.Header))
+	}
+}
+
 // checkResponse returns an error if the response has the id of another attempt or states that the service did
 // not run the call.
 func (a *attempt) checkResponse(res *http.Response) error {
