Ask no engine of serve for its load while it wants nothing

An engine that had asked a host of serve for a pause was asked for its load by that host once a second, since a pause was heeded for requests only. A host now skips such an engine until the pause is over; the hosts that it has not asked go on polling it.

Evidence: TestEngineIsPolledDuringAPause failed before (the engine was polled in a pause of 15 s) and passes now.

--- a/internal/upstream/fleet/advisory.go
+++ b/internal/upstream/fleet/advisory.go
@@ -162,6 +162,14 @@
 	return u.state.SendsWithin(now, a.members.Fleet(), d, limit)
 }
 
+// isPaused reports whether an upstream has asked this host for a pause.
+func (a *advisories) isPaused(now time.Time, upstream string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	u := a.upstreams[upstream]
+	return u != nil && u.state.PausedFor(now) > 0
+}
+
 // RecordAdvisory records what an upstream stated about itself in the response to a request sent at sentAt, and tells the other
 // hosts if it is new.
 func (f *Fleet) RecordAdvisory(t dispatch.Target, sentAt time.Time, s advisory.Statement) {
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -198,7 +198,8 @@
 		},
 		OnCacheEvents: e.ApplyCacheEvents,
 		IsAssigned: func(id string) bool {
-			return f.assignments.IsAssigned(id) || e.isDirectlyPolled(id, f.options.Clock.Now())
+			now := f.options.Clock.Now()
+			return (f.assignments.IsAssigned(id) || e.isDirectlyPolled(id, now)) && !f.advisories.isPaused(now, id)
 		},
 	})
 }
