Tell hosts of gateway that have started again which upstreams want no requests

An upstream that had asked a host for a pause got the requests of that host again as soon as it was killed and started: a new process knew of no pause, and until the first rejection came back all that its callers sent went there.

Change: a host tells the others in its messages which upstreams want nothing of it. They keep that until it is over, and tell it to a host that is silent or no longer tells it itself. The ends are told as time left; what differs by less than a message may be under way is the same pause, so that it does not get longer by being passed on.

--- a/cmd/hickorypath/gatewaypause_test.go
+++ b/cmd/hickorypath/gatewaypause_test.go
@@ -63,3 +63,33 @@
 	}
 	is.Equal(strings.Join(violations, "\n"), "")
 }
+
+// TestHostThatHasStartedAgainSendsDuringAPause guards against hosts that are killed and started again during a pause, and then send their
+// requests to the upstream that had asked for it.
+func TestHostThatHasStartedAgainSendsDuringAPause(t *testing.T) {
+	const requests, pause = 6, 15 * time.Second
+	is := is.New(t)
+	f := newGatewayFleet(t, 35, 2, 0)
+	s, err := instance.New(instance.Options{})
+	is.NoErr(err)
+	t.Cleanup(s.Close)
+	value := fmt.Sprintf(`{"service":"svc","address":%q,"zone":"z","slots":64,"state":"ready","seq":1}`, s.Addr())
+	is.NoErr(f.platform.Put(t.Context(), "servers/u0", []byte(value)))
+	for _, h := range f.hosts {
+		f.waitUntil(func() bool { return strings.Contains(h.log.String(), `"text":"upstream joins"`) })
+		f.waitUntil(func() bool { return strings.Contains(h.log.String(), `"host joined"`) })
+	}
+	s.TurnAway(pause)
+	h := f.hosts[0]
+	is.Equal(h.ask("safe", "h1-first", "k1"), http.StatusServiceUnavailable)
+	<-time.After(500 * time.Millisecond) // the other host hears of it
+	h.kill()
+	h.start()
+	f.waitUntil(h.ready)
+	var callers sync.WaitGroup
+	for n := range requests {
+		callers.Go(func() { h.ask("safe", fmt.Sprintf("h1-%d", n), "k1") })
+	}
+	callers.Wait()
+	is.Equal(strings.Join(s.Violations(), "\n"), "")
+}
--- a/cmd/hickorypath/gatewaypeers.go
+++ b/cmd/hickorypath/gatewaypeers.go
@@ -54,6 +54,7 @@
 	}
 	m.Departures = g.table.Departures(g.clock.Now())
 	m.Brittle, m.Rejections = g.exchange.BrittleServices(), g.table.Rejections(g.clock.Now())
+	m.Pauses, m.EarlierPauses = g.table.Pauses(g.clock.Now()), g.peers.EarlierPauses(g.clock.Now())
 	m.WatchesStore, m.EntryRevision, m.StoreFailing = g.watcher.IsWatching(), g.watcher.Revision(), g.table.IsStoreFailing(g.clock.Now())
 	m.EndedCounts = g.peers.EndedCounts(g.clock.Now(), g.usage.Window(g.fleetTime.Now())-reportableWindows)
 	m.FixedCounts = g.peers.RecentFixedCounts(g.usage.Window(g.fleetTime.Now()) - reportableWindows)
@@ -77,6 +78,11 @@
 	g.exchange.ApplyDepartures(now, m.Host, m.Departures)
 	g.table.MergeBrittle(now, m.Brittle)
 	g.table.MergeRejections(now, m.Rejections)
+	for _, p := range m.EarlierPauses {
+		if p.Host == g.settings.Host {
+			g.table.MergePauses(now, p.Pauses)
+		}
+	}
 	if m.Version > g.configVersion() {
 		g.watcher.RecordNewerConfig()
 		g.configs.Wake()
--- a/internal/gateway/peer/message.go
+++ b/internal/gateway/peer/message.go
@@ -53,6 +53,8 @@
 	Relaying       int                                `cbor:"F,omitempty"` // requests that the host relays for others
 	Brittle        map[string]upstream.BrittleService `cbor:"G,omitempty"` // services whose upstreams are brittle or were lately
 	Rejections     map[string]upstream.Rejection      `cbor:"H,omitempty"` // brittle upstream instances that have lately rejected requests
+	Pauses         map[string]upstream.Pause          `cbor:"I,omitempty"` // upstream instances that want no requests of the host
+	EarlierPauses  []HostPauses                       `cbor:"J,omitempty"` // those of other hosts, which may have started again and not know
 }
 
 // Leader is the host that holds the fleet's lease: it reports usage and requests upstreams for all hosts.
@@ -71,6 +73,13 @@
 	Counts    map[int64]map[string]int
 }
 
+// HostPauses are the upstream instances that want no requests of a host, as the host told before it ended.
+type HostPauses struct {
+	_      struct{} `cbor:",toarray"`
+	Host   string
+	Pauses map[string]upstream.Pause
+}
+
 const (
 	// MessageTTL is how long after its arrival a message of a host in the same zone is valid.
 	MessageTTL = 3 * time.Second
--- a/internal/gateway/peer/table.go
+++ b/internal/gateway/peer/table.go
@@ -25,6 +25,7 @@
 	zoneAddresses       map[string]bool                          // those of addresses that the store shows in the zone of this host
 	countsByIncarnation map[incarnation]map[int64]map[string]int // usage counts by incarnation, window and customer
 	fixedCounts         map[int64]map[string]int                 // usage counts of the whole fleet that a leader has fixed
+	pauses              map[string]map[string]knownPause         // by host and upstream instance
 	leader              Leader
 	watchersLackSince   time.Time         // since when fewer than watchersPerZone hosts of the zone watch the store; zero if enough do
 	members             *advisory.Members // by address
@@ -55,7 +56,7 @@
 // NewTable returns an empty Table for the host with the name self, in an availability zone, that receives datagrams at address
 // over a link of so many Mbit/s. The start of the process, in Unix nanoseconds, identifies the host's incarnation.
 func NewTable(self, zone, address string, link float64, start int64) *Table {
-	return &Table{self: self, zone: zone, link: link, ownIncarnation: incarnation{self, start}, hosts: map[string]*hostEntry{}, addresses: map[string]time.Time{}, zoneAddresses: map[string]bool{}, members: advisory.NewMembers(address), countsByIncarnation: map[incarnation]map[int64]map[string]int{}, fixedCounts: map[int64]map[string]int{}}
+	return &Table{self: self, zone: zone, link: link, ownIncarnation: incarnation{self, start}, hosts: map[string]*hostEntry{}, addresses: map[string]time.Time{}, zoneAddresses: map[string]bool{}, members: advisory.NewMembers(address), countsByIncarnation: map[incarnation]map[int64]map[string]int{}, fixedCounts: map[int64]map[string]int{}, pauses: map[string]map[string]knownPause{}}
 }
 
 // Record records a message of another host, unless a newer one has arrived. It reports whether the host joined: no
@@ -90,6 +91,7 @@
 		}
 	}
 	t.hosts[m.Host] = e
+	t.recordPauses(now, m)
 	for w, counts := range m.FixedCounts {
 		t.fixCounts(w, counts)
 	}
@@ -240,6 +242,7 @@
 			delete(t.countsByIncarnation, at)
 		}
 	}
+	t.sweepPauses(now)
 	maps.DeleteFunc(t.fixedCounts, func(w int64, _ map[string]int) bool { return w < window-keepWindows })
 	maps.DeleteFunc(t.addresses, func(_ string, seen time.Time) bool { return now.Sub(seen) > expiryTime })
 	maps.DeleteFunc(t.zoneAddresses, func(a string, _ bool) bool { _, ok := t.addresses[a]; return !ok })
--- a/internal/gateway/upstream/advisory.go
+++ b/internal/gateway/upstream/advisory.go
@@ -27,6 +27,7 @@
 // News is what a response has told that was not known of an instance before.
 type News struct {
 	Limit, Leaving, Brittle bool // it has changed
+	Pause                   bool // one has begun
 	Rejection               bool // the instance is brittle and has rejected a request
 }
 
@@ -35,8 +36,10 @@
 	n.Brittle, n.Rejection = i.recordBrittle(now, sentAt, s)
 	i.mu.Lock()
 	n.Limit, n.Leaving = i.advisory.Observe(now, sentAt, s), i.advisory.ObserveLeaving(now, sentAt, s.Leaving)
+	wasPaused := i.advisory.PausedFor(now) > 0
 	i.advisory.ObservePause(now, s.Pause)
 	paused := i.advisory.PausedFor(now) > 0
+	n.Pause = paused && !wasPaused
 	i.mu.Unlock()
 	if n.Leaving {
 		i.closeIdle()
--- a/internal/policy/advisory/pause.go
+++ b/internal/policy/advisory/pause.go
@@ -37,6 +37,9 @@
 	return Pause{length: time.Duration(min(longest, MaxPause.Seconds()) * float64(time.Second))}
 }
 
+// NewPause returns the Pause of a length, MaxPause at most.
+func NewPause(d time.Duration) Pause { return Pause{length: min(max(d, 0), MaxPause)} }
+
 // Length returns the length of the pause, 0 without one.
 func (p Pause) Length() time.Duration { return p.length }
 
