Tell hosts of serve that have started again which upstreams want no requests

The host now tells the others of it in a record that expires with the pause, and heeds the records that bear its own name when it has started again.

--- a/internal/upstream/fleet/advisory.go
+++ b/internal/upstream/fleet/advisory.go
@@ -179,6 +179,7 @@
 	u.version, u.isVersionKnown = s.Version, true
 	changed := u.state.Observe(now, sentAt, s)
 	leavingChanged := u.state.ObserveLeaving(now, sentAt, s.Leaving)
+	wasPaused := u.state.PausedFor(now) > 0
 	u.state.ObservePause(now, s.Pause)
 	publish := a.observeBrittle(now, sentAt, t, s)
 	a.countRestricted(now)
@@ -192,6 +193,9 @@
 	if changed {
 		f.logLimit(t.ID(), limit, s.Limit.Unreadable())
 	}
+	if s.Pause.Length() > 0 && !wasPaused {
+		f.publishPause(now, t, s.Pause)
+	}
 	if s.Pause.Unreadable() != "" {
 		f.options.Log.Warn("upstream asks for a pause that cannot be read", zap.String("upstream", t.ID()), zap.String("value", s.Pause.Unreadable()),
 			zap.Duration("pause", s.Pause.Length()))
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -122,6 +122,8 @@
 	defer stopAdvisory()
 	stopDeparture := f.options.Replicator.Watch(departureTopic, f.receiveDeparture)
 	defer stopDeparture()
+	stopPause := f.options.Replicator.Watch(pauseTopic, f.receivePause)
+	defer stopPause()
 	stopBrittle := f.options.Replicator.Watch(brittleTopic, f.receiveBrittle)
 	defer stopBrittle()
 	stopRejection := f.options.Replicator.Watch(rejectionTopic, f.receiveRejection)
--- a/internal/upstream/fleet/fleet_test.go
+++ b/internal/upstream/fleet/fleet_test.go
@@ -51,6 +51,7 @@
 // host.
 type harness struct {
 	*is.I
+	ctx        context.Context // of the hosts
 	own, other *fleet.Fleet
 	spreads    [2]*replication.Replicator
 	held       dispatch.Grant // the grant of a request that runs on engine a
@@ -64,7 +65,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		h := &harness{I: is.New(t), answers: map[string]func() (route.Load, error){}, polled: make(chan struct{})}
+		h := &harness{I: is.New(t), ctx: ctx, answers: map[string]func() (route.Load, error){}, polled: make(chan struct{})}
 		h.own, h.other = h.newHost(ctx, 0, "h0"), h.newHost(ctx, 1, "h1")
 		h.setEngines(engineAt("a"), engineAt("b"))
 		synctest.Wait()
