Let another host of serve take up streams that a cut breaks

Callers of a host of serve whose stream had begun when the host was cut off from the engines got an error and half an answer, although the other hosts reached the engines and engines can resume.

Cause: a host sent only requests through another one of which nothing had been answered. Now another host is told how far a stream has come, and sends the rest; it resumes the stream as after a crash of an engine, bills and counts all of it, and the host that is cut off nothing. It states in its response which token it goes on from. Requests that another host serves also get only the time that was left to them, not all of it anew.

--- a/internal/caller/exchange/chat.go
+++ b/internal/caller/exchange/chat.go
@@ -58,6 +58,7 @@
 		return err
 	}
 	c := &chat{Session: s, body: body, data: data, out: out, ran: kind.RanNo}
+	c.takeUp(s.req.Progress)
 	c.fingerprint = suspect.NewFingerprint(s.customer, s.route.Name(), body.messages)
 	c.parts = body.sharedParts()
 	estimate := body.PromptTokens() + s.pool.ExpectedTokens(c.request(""))
@@ -72,7 +73,12 @@
 		done(noTokens)
 		return c.sendStored(s.storedOutcome)
 	}
-	done(c.settleUsage(err))
+	used := c.settleUsage(err)
+	if c.mayContinueElsewhere(err) {
+		s.progress = Progress{Tokens: c.deliveredTokens, Version: c.version, AttemptID: c.priorAttemptID}
+		used = noTokens // the host that takes the stream up counts them
+	}
+	done(used)
 	return err
 }
 
@@ -114,7 +120,7 @@
 		if c.mayPickAgain(err) {
 			continue
 		}
-		if c.attempts == before || !c.isBegun && c.MayRelay(err) {
+		if c.attempts == before || !c.isBegun && c.MayRelay(err) || c.mayContinueElsewhere(err) {
 			return refusalError(err, c.ran)
 		}
 		decision := budget.Decide(c.pool.Name(), c.runner.deps.Clock.Now(), retry.Attempt{
--- a/internal/caller/exchange/exchange.go
+++ b/internal/caller/exchange/exchange.go
@@ -112,6 +112,10 @@
 	Method         string // HTTP method of a call to a plain service
 	Path           string // URL path of a call to a plain service
 	Relayed        bool   // another host sent the request, which is cut off from the upstreams
+
+	// Of a relayed request, the time until its response must be complete, 0 for that of its route, and what the caller has got of it.
+	TimeLeft time.Duration
+	Progress Progress
 }
 
 // Identity is the customer and the key that a request was authenticated with. It is empty for a request without
@@ -180,6 +184,7 @@
 	outcome       *Outcome // response of this run, to be stored for resends
 	storedOutcome *Outcome // response of an earlier run, to be sent instead of running the request
 	superseded    int      // attempts that ended with errSuperseded
+	progress      Progress // of a stream that another host should take up; zero for none
 }
 
 // Open routes a request and returns its session. The context of the session is canceled when the key is withdrawn.
@@ -192,6 +197,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if req.Progress.Tokens < 0 {
+		return nil, kind.New(kind.Peer, "the progress of a relayed stream cannot be read").WithRan(kind.RanNo)
+	}
 	if req.Relayed && r.isCutOff(route.Pool()) {
 		return nil, kind.New(kind.Unavailable, "this host is cut off from pool %s too", route.Pool())
 	}
@@ -269,4 +277,10 @@
 }
 
 // deadline returns the time by which the response must be complete.
-func (s *Session) deadline() time.Time { return s.arrived.Add(s.route.Timeout()) }
+func (s *Session) deadline() time.Time {
+	timeout := s.route.Timeout()
+	if s.req.TimeLeft > 0 {
+		timeout = min(timeout, s.req.TimeLeft)
+	}
+	return s.arrived.Add(timeout)
+}
--- a/internal/caller/exchange/exchange_test.go
+++ b/internal/caller/exchange/exchange_test.go
@@ -80,6 +80,7 @@
 	mu        sync.Mutex // guards bills and summaries
 	bills     []exchange.Bill
 	summaries []exchange.RequestSummary
+	admitted  []int // tokens that requests have used of what their customers may
 
 	crashes atomic.Int64
 	// suspects counts the suspicions that were reported to other hosts.
@@ -186,7 +187,9 @@
 			}
 			return w.pools[name], true
 		},
-		Admit: func(string, string, int) (func(int), error) { return func(int) {}, nil },
+		Admit: func(string, string, int) (func(int), error) {
+			return func(tokens int) { w.admitted = append(w.admitted, tokens) }, nil
+		},
 		Claim: newClaimFunc(claim.New(backend, c, claim.Options{})),
 		IsAlive: func(ctx context.Context, _, addr string) bool {
 			time.Sleep(w.probeLatency)
@@ -194,6 +197,7 @@
 			return err == nil && !w.probesFail
 		},
 		IsDown:        func(string, string) bool { return false },
+		IsCutOff:      func(string) bool { return w.isCutOff.Load() },
 		ReachesOthers: func(string, string) bool { return !w.isCutOff.Load() },
 		HasFallenOver: func(string, string) bool { return w.lacksRoom.Load() },
 		Version: func(t dispatch.Target) (string, bool) {
@@ -239,6 +243,10 @@
 	plain bool   // not streamed
 	key   string // idempotency key
 	write func() // called with each token
+
+	relayed  bool // another host has sent the request
+	timeLeft time.Duration
+	progress exchange.Progress
 }
 
 // answer is the response that the caller received.
@@ -246,6 +254,8 @@
 	text   string
 	tokens int
 	err    error
+
+	progress exchange.Progress // for another host that takes the stream up
 }
 
 // messages is the prompt of the chat completions.
@@ -258,7 +268,12 @@
 	w.NoErr(err)
 	who, err := w.runner.Authenticate(w.key)
 	w.NoErr(err)
-	s, err := w.runner.Open(ctx, who, exchange.Request{ID: exchange.NewID(), Bearer: w.key, Model: c.model, IdempotencyKey: c.key})
+	s, err := w.runner.Open(ctx, who, exchange.Request{
+		ID: exchange.NewID(), Bearer: w.key, Model: c.model, IdempotencyKey: c.key, Relayed: c.relayed, TimeLeft: c.timeLeft, Progress: c.progress,
+	})
+	if err != nil && c.relayed {
+		return answer{err: err}
+	}
 	w.NoErr(err)
 	a.err = s.Chat(body, exchange.Output{WriteEvent: func(data []byte) error {
 		if ctx.Err() != nil {
@@ -273,6 +288,7 @@
 		}
 		return nil
 	}})
+	a.progress, _ = s.Progress()
 	s.Close(a.err)
 	return a
 }
--- a/internal/caller/openai/openai.go
+++ b/internal/caller/openai/openai.go
@@ -46,6 +46,7 @@
 func (h *Handler) chat(w http.ResponseWriter, r *http.Request) {
 	req := reply.NewRequest(r)
 	w.Header().Set(reply.HeaderRequestID, req.ID)
+	reply.StateProgress(w.Header(), req.Progress)
 	if err := h.serveChat(w, r, req); err != nil {
 		reply.WriteError(w, err)
 	}
@@ -87,12 +88,30 @@
 		defer out.close()
 		err = s.Chat(body, out.output())
 		if out.isStarted() || !s.MayRelay(err) {
-			s.Close(err)
-			return out.finish(err)
+			return h.finish(s, out, newRelayRequest(r, s, data), err)
 		}
 	}
 	s.Abandon()
-	return h.relays.Serve(w, relay.Request{Request: r, Body: data, Pool: s.Pool(), Repeatable: s.IsRepeatable()})
+	return h.relays.Serve(w, newRelayRequest(r, s, data))
+}
+
+// finish ends the response of a session that has ended with err. Another host sends the rest of a stream that was cut off.
+func (h *Handler) finish(s *exchange.Session, out *writer, r relay.Request, err error) error {
+	if _, ok := s.Progress(); ok {
+		taken, resumeErr := h.relays.Resume(r, out.event)
+		if taken {
+			s.Abandon()
+			return out.finish(resumeErr)
+		}
+	}
+	s.Close(err)
+	return out.finish(err)
+}
+
+// newRelayRequest returns the request of a session with a body, to be sent through another host.
+func newRelayRequest(r *http.Request, s *exchange.Session, body []byte) relay.Request {
+	progress, _ := s.Progress()
+	return relay.Request{Request: r, Body: body, Pool: s.Pool(), Repeatable: s.IsRepeatable(), TimeLeft: s.TimeLeft(), Progress: progress}
 }
 
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
+	"hickorypath/internal/caller/exchange"
 	"hickorypath/internal/caller/reply"
 	"hickorypath/internal/core/clock"
 	"hickorypath/internal/core/kind"
@@ -67,7 +68,9 @@
 	*http.Request
 	Body       []byte
 	Pool       string
-	Repeatable bool // it may run more than once
+	Repeatable bool              // it may run more than once
+	TimeLeft   time.Duration     // until the response must be complete
+	Progress   exchange.Progress // of a stream that has begun; zero otherwise
 }
 
 // Serve sends a request through other hosts, one after the other until one serves it, and writes the response. The error states
@@ -144,7 +147,7 @@
 	leave := context.AfterFunc(r.Context(), func() { _ = conn.Close() })
 	watch := c.watch(conn, host)
 	stop := func() { leave(); watch() }
-	res, err := exchange(conn, r)
+	res, err := send(conn, r)
 	if err != nil {
 		stop()
 		_ = conn.Close()
@@ -173,13 +176,14 @@
 	return cancel
 }
 
-// exchange sends a request on a stream and reads the head of the response. A host may begin before it has read the whole request.
-func exchange(conn net.Conn, r Request) (*http.Response, error) {
+// send sends a request on a stream and reads the head of the response. A host may begin before it has read the whole request.
+func send(conn net.Conn, r Request) (*http.Response, error) {
 	out := r.Clone(r.Context())
 	out.RequestURI, out.TransferEncoding, out.Close = "", nil, true
 	for _, name := range reply.HopHeaders {
 		out.Header.Del(name)
 	}
+	reply.SetRelay(out.Header, r.TimeLeft, r.Progress)
 	if _, ok := out.Header["User-Agent"]; !ok {
 		out.Header["User-Agent"] = nil // the caller sent none
 	}
--- a/internal/caller/reply/reply.go
+++ b/internal/caller/reply/reply.go
@@ -2,7 +2,6 @@
 package reply
 
 import (
-	"context"
 	"encoding/json"
 	"math"
 	"net/http"
@@ -43,27 +42,20 @@
 	if !isPlainText(id) {
 		id = exchange.NewID()
 	}
-	return exchange.Request{
+	req := exchange.Request{
 		ID:             id,
 		Bearer:         bearerToken(r),
 		Class:          r.Header.Get(HeaderClass),
 		IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
 		Method:         r.Method,
 		Path:           r.URL.Path,
-		Relayed:        isRelayed(r),
 	}
+	if isRelayed(r) {
+		readRelay(r.Header, &req)
+	}
+	return req
 }
 
-// relayedKey is the context key of requests that another host sent.
-type relayedKey struct{}
-
-// MarkRelayed returns a request that another host sent, which is cut off from the upstreams.
-func MarkRelayed(r *http.Request) *http.Request {
-	return r.WithContext(context.WithValue(r.Context(), relayedKey{}, true))
-}
-
-func isRelayed(r *http.Request) bool { return r.Context().Value(relayedKey{}) != nil }
-
 // bearerToken returns the bearer token of a request, empty if there is none.
 func bearerToken(r *http.Request) string {
 	scheme, token, ok := strings.Cut(r.Header.Get("Authorization"), " ")
--- a/internal/caller/service/service.go
+++ b/internal/caller/service/service.go
@@ -78,7 +78,7 @@
 		}
 	}
 	s.Abandon()
-	return false, h.relays.Serve(w, relay.Request{Request: r, Body: body, Pool: s.Pool(), Repeatable: s.IsRepeatable()})
+	return false, h.relays.Serve(w, relay.Request{Request: r, Body: body, Pool: s.Pool(), Repeatable: s.IsRepeatable(), TimeLeft: s.TimeLeft()})
 }
 
 // respond writes the response of a plain service. The request id of this host replaces the service's own.
