Leave out upstreams that alone are out of reach

Callers of a host that reached only some upstreams of a service waited, up to their deadlines, for a connection to one of the others, or for a response on one that hung, and got no answer, while upstreams that the host reached were free.

Cause: the same class as for hosts that are cut off from all of them. A host took an upstream that it does not reach for one that is slow. It found out only whether a whole service is out of reach, and when another upstream answered it forgot those that had not.

Change: those are out of reach by themselves now. Requests that wait for a connection to one get another upstream, further ones leave it out, and it is tried every half a second without a request. Silence is counted for each upstream, beyond the time that a prompt explains, and requests that may run again move when nothing has come for 0.4 s, streams after two seconds, since a sound upstream may be silent for one. A dial that began before its upstream was within reach again counts for nothing. In serve a dial to such an upstream fails at once, as if it had been refused.

--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -90,7 +90,7 @@
 	msg := e.x.opts.Codec.EncodeRequest(nil, &e.request.Request, e.request.Body(), e.forwardInfo(i, r.copySource))
 	sentAt := e.x.opts.Now()
 	a.connected, a.pauseLeft = sentAt.Sub(now), i.PausedFor(sentAt)
-	defer c.WatchSilence()()
+	defer c.WatchSilence(time.Duration(r.expectedDelayMs * float64(time.Millisecond)))()
 	n, err := c.Send(msg, e.deadline)
 	a.sent = n > 0
 	isWhole := n == len(msg)
--- a/internal/gateway/exchange/exchanger.go
+++ b/internal/gateway/exchange/exchanger.go
@@ -81,7 +81,7 @@
 // New returns an Exchanger without any service state.
 func New(o Options) *Exchanger {
 	x := &Exchanger{opts: o, services: map[string]*serviceState{}, poison: poison.New(), attempts: map[*exchange]context.CancelCauseFunc{}, accessLog: newAccessLog(o.Log, o.Now)}
-	o.Table.OnCutChange = x.handleCutChange
+	o.Table.OnCutChange, o.Table.OnOutOfReach = x.handleCutChange, x.handleOutOfReach
 	return x
 }
 
@@ -89,7 +89,9 @@
 func (x *Exchanger) handleCutChange(service string, isCut bool) {
 	x.opts.NotifyPeers()
 	if isCut {
-		x.watchCutOff(service)
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.wake(x.service(service))
 	}
 }
 
--- a/internal/gateway/exchange/relay.go
+++ b/internal/gateway/exchange/relay.go
@@ -172,34 +172,43 @@
 	return nil
 }
 
-// watchCutOff ends the attempts at upstreams of a service that hang since the service is out of reach, if their requests may run again,
-// and wakes the requests that wait for it.
-func (x *Exchanger) watchCutOff(service string) {
+// handleOutOfReach ends the attempts at instances that have come to be out of reach and whose connections hang, if their requests may run
+// again. With isCut, the host is cut off from most of the service.
+func (x *Exchanger) handleOutOfReach(_ string, lost map[string]*upstream.Instance, isCut bool) {
+	now := time.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.wake(x.service(service))
-	before, reads := x.opts.Table.ServiceReads(service), map[*exchange]uint64{}
 	for e := range x.attempts {
-		if e.conn != nil && e.service.Name == service && e.mayMove() {
-			reads[e] = e.conn.Reads()
+		if c := e.conn; c != nil && lost[c.Instance().ID()] == c.Instance() && e.mayMove() {
+			time.AfterFunc(e.hangTime(isCut)-c.SilentFor(now, isCut), func() { x.endIfHanging(e, c, isCut) })
 		}
 	}
-	time.AfterFunc(hangTime, func() {
-		if x.opts.Table.ServiceReads(service) != before {
-			return // open connections live on
-		}
-		x.mu.Lock()
-		defer x.mu.Unlock()
-		for e, n := range reads {
-			if cancel, ok := x.attempts[e]; ok && e.conn != nil && e.conn.Reads() == n {
-				cancel(errCutOff)
-			}
-		}
-	})
 }
 
-// hangTime is how long no upstream of a service out of reach may send anything before its open connections are given up.
-const hangTime = 400 * time.Millisecond
+// endIfHanging ends the attempt of a request on a connection on which nothing arrives.
+func (x *Exchanger) endIfHanging(e *exchange, c *upstream.Conn, isCut bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if cancel, ok := x.attempts[e]; ok && e.conn == c && c.SilentFor(time.Now(), isCut) >= e.hangTime(isCut) {
+		cancel(errCutOff)
+	}
+}
+
+const (
+	// hangTime is how long nothing may arrive from any instance of a service from which the host is cut off, or from one that alone is out of
+	// reach, before its open connections are given up.
+	hangTime = 400 * time.Millisecond
+	// streamHangTime replaces hangTime for streams of an instance that alone is out of reach: a sound one may be silent for a second or
+	// two.
+	streamHangTime = 2 * time.Second
+)
+
+func (e *exchange) hangTime(isCut bool) time.Duration {
+	if !isCut && e.route.Kind == config.Stream {
+		return streamHangTime
+	}
+	return hangTime
+}
 
 // wake lets the requests that wait in the queue of a service look for another way. The caller holds x.mu.
 func (x *Exchanger) wake(s *serviceState) {
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -38,7 +38,7 @@
 	reader      *bufio.Reader
 	lastUsed    time.Time
 	idleTimeout time.Duration
-	reads       atomic.Uint64 // that have returned bytes
+	active      activity
 	closed      atomic.Bool
 	unbind      func() bool // ends the binding to the context of the request
 	response    h1.Response
--- a/internal/gateway/upstream/dials.go
+++ b/internal/gateway/upstream/dials.go
@@ -48,7 +48,8 @@
 	if i.reach == nil {
 		return i.dialer.Dial(ctx, address)
 	}
-	stalled := time.AfterFunc(reach.StallTime, func() { i.reach.recordFailed(i) })
+	begin := time.Now()
+	stalled := time.AfterFunc(reach.StallTime, func() { i.reach.recordFailed(i, begin) })
 	c, err := i.dialer.Dial(ctx, address)
 	wasInTime := stalled.Stop()
 	countDial(ctx, err)
@@ -56,7 +57,7 @@
 	case err == nil:
 		i.reach.recordOpened(i)
 	case ctx.Err() == nil && wasInTime:
-		i.reach.recordFailed(i)
+		i.reach.recordFailed(i, begin)
 	}
 	return c, err
 }
--- a/internal/gateway/upstream/instance.go
+++ b/internal/gateway/upstream/instance.go
@@ -24,7 +24,9 @@
 	dialer    *Dialer
 
 	reach      *serviceReach // nil for an instance that belongs to no Table
+	active     activity      // of all connections
 	outOfReach atomic.Bool   // the host is cut off from the instance
+	openedAt   time.Time     // when a connection was opened last; the mu of reach guards it
 
 	brittle *serviceBrittleness // nil for an instance that belongs to no Table
 }
--- a/internal/gateway/upstream/reach.go
+++ b/internal/gateway/upstream/reach.go
@@ -19,7 +19,7 @@
 const (
 	// ReturnInterval is the interval between two calls of TryOutOfReach.
 	ReturnInterval = 250 * time.Millisecond
-	// silenceInterval is the least time between two tries of upstreams whose responses have not begun, although requests were sent.
+	// silenceInterval is the least time between two tries of upstreams of a service whose responses have not begun in time.
 	silenceInterval = 500 * time.Millisecond
 )
 
@@ -27,14 +27,26 @@
 type serviceReach struct {
 	table   *Table
 	service string
-	reads   atomic.Uint64 // reads from connections to upstreams of the service that have returned bytes
+	active  activity // of the connections to upstreams of the service
 	probes  singleflight.Group
 
 	mu        sync.Mutex
 	state     reach.Service
+	isCounted bool      // among the table's disturbedServices
+	returned  time.Time // when the last cut ended
 	silenceAt time.Time // when an upstream was tried because its response had not begun
 }
 
+// activity tells when bytes arrived last.
+type activity struct{ at atomic.Int64 } // Unix nanoseconds
+
+func (a *activity) record(now time.Time) { a.at.Store(now.UnixNano()) }
+
+// silentFor returns how long nothing has arrived.
+func (a *activity) silentFor(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, a.at.Load()))
+}
+
 // reachOf returns the serviceReach of a service. The caller holds t.mu.
 func (t *Table) reachOf(service string) *serviceReach {
 	r := t.reach[service]
@@ -110,6 +122,10 @@
 	wasCut := r.state.IsCut()
 	changed := r.state.RecordOpened(time.Now(), i.id, ids)
 	isCut := r.state.IsCut()
+	i.openedAt = time.Now()
+	if wasCut && !isCut {
+		r.returned = i.openedAt
+	}
 	r.mu.Unlock()
 	if changed {
 		r.apply(list, wasCut, isCut)
@@ -119,13 +135,18 @@
 	}
 }
 
-// recordFailed records that a connection to an instance was refused or is not open in time, and tries others of the service.
-func (r *serviceReach) recordFailed(i *Instance) {
+// recordFailed records that a connection to an instance, whose opening began at a time, was refused or is not open in time, and tries
+// others of the service. It counts only if the instance has not been within reach since.
+func (r *serviceReach) recordFailed(i *Instance, begin time.Time) {
 	list, ids := r.upstreams()
 	if _, ok := list[i.id]; !ok {
 		return
 	}
 	r.mu.Lock()
+	if begin.Before(i.openedAt) || begin.Before(r.returned) {
+		r.mu.Unlock()
+		return
+	}
 	wasCut := r.state.IsCut()
 	tries, changed := r.state.RecordFailed(time.Now(), i.id, ids)
 	isCut := r.state.IsCut()
@@ -141,22 +162,24 @@
 // apply puts a change of the upstreams within reach into effect.
 func (r *serviceReach) apply(list map[string]*Instance, wasCut, isCut bool) {
 	r.mu.Lock()
-	reached := 0
+	reached, lost := 0, map[string]*Instance{}
 	for id, i := range list {
 		reaches := r.state.Reaches(id)
 		if reaches {
 			reached++
 		}
-		i.outOfReach.Store(!reaches)
+		if wasOut := i.outOfReach.Swap(!reaches); !reaches && !wasOut {
+			lost[id] = i
+		}
 	}
+	r.count()
 	r.mu.Unlock()
-	if isCut {
-		for _, i := range list {
-			if i.outOfReach.Load() {
-				i.closeIdle()
-				i.abandonDials()
-			}
-		}
+	for _, i := range lost {
+		i.closeIdle()
+		i.abandonDials()
+	}
+	if f := r.table.OnOutOfReach; f != nil && len(lost) > 0 {
+		f(r.service, lost, isCut)
 	}
 	if wasCut == isCut {
 		return
@@ -174,9 +197,21 @@
 	}
 }
 
-// TryOutOfReach tries some upstreams of each service that is out of reach. It is to be called every ReturnInterval.
+// count counts the service among those with upstreams out of reach, or no longer. The caller holds r.mu.
+func (r *serviceReach) count() {
+	isDisturbed := !r.state.IsWhole()
+	switch {
+	case isDisturbed && !r.isCounted:
+		r.table.disturbedServices.Add(1)
+	case !isDisturbed && r.isCounted:
+		r.table.disturbedServices.Add(-1)
+	}
+	r.isCounted = isDisturbed
+}
+
+// TryOutOfReach tries some of the upstreams that are out of reach. It is to be called every ReturnInterval.
 func (t *Table) TryOutOfReach() {
-	if t.cutServices.Load() == 0 {
+	if t.disturbedServices.Load() == 0 {
 		return
 	}
 	t.mu.RLock()
@@ -190,26 +225,24 @@
 func (r *serviceReach) tryOutOfReach() {
 	list, ids := r.upstreams()
 	r.mu.Lock()
-	if !r.state.IsCut() {
-		r.mu.Unlock()
-		return
-	}
+	wasCut := r.state.IsCut()
 	tries := r.state.Return(time.Now(), ids)
-	isGone := len(ids) == 0
-	if isGone {
+	if len(ids) == 0 {
 		r.state = reach.Service{}
 	}
+	isCut := r.state.IsCut()
+	r.count()
 	r.mu.Unlock()
-	if isGone {
-		r.apply(list, true, false)
+	if wasCut && !isCut {
+		r.apply(list, wasCut, isCut)
 	}
 	for _, id := range tries {
 		go list[id].try()
 	}
 }
 
-// noteSilence records that a request that was sent to an instance has no response yet and no other upstream of the service has sent
-// anything since. It tries whether the instance still answers.
+// noteSilence records that a request that was sent to an instance has no response yet and that the instance has sent nothing since. It
+// tries whether the instance still answers.
 func (r *serviceReach) noteSilence(i *Instance) {
 	now := time.Now()
 	r.mu.Lock()
@@ -236,17 +269,19 @@
 	c.park(time.Now())
 }
 
-// WatchSilence watches a request that is sent on the connection now. If neither the instance nor another one of its service sends
-// anything for a while, it finds out whether the instance is within reach. The returned function ends the watch.
-func (c *Conn) WatchSilence() (stop func()) {
-	r := c.instance.reach
+// WatchSilence watches a request that is sent on the connection now, and whose response is expected after a time. If the instance sends
+// nothing until a while after that, the host finds out whether the instance is within reach. The returned function ends the watch.
+func (c *Conn) WatchSilence(expected time.Duration) (stop func()) {
+	r, i := c.instance.reach, c.instance
 	if r == nil {
 		return func() {}
 	}
-	before := r.reads.Load()
-	timer := time.AfterFunc(reach.StallTime, func() {
-		if r.reads.Load() == before {
-			r.noteSilence(c.instance)
+	now := time.Now()
+	c.active.record(now)
+	wait := reach.StallTime + expected
+	timer := time.AfterFunc(wait, func() {
+		if i.active.silentFor(time.Now()) >= wait {
+			r.noteSilence(i)
 		}
 	})
 	return func() { timer.Stop() }
@@ -255,21 +290,24 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.reads.Add(1)
-		if r := c.instance.reach; r != nil {
-			r.reads.Add(1)
-		}
+	if r := c.instance.reach; n > 0 && r != nil {
+		now := time.Now()
+		c.active.record(now)
+		c.instance.active.record(now)
+		r.active.record(now)
 	}
 	return n, err
 }
 
-// Reads returns how many reads from the connection have returned bytes.
-func (c *Conn) Reads() uint64 { return c.reads.Load() }
+// Instance returns the instance at the other end.
+func (c *Conn) Instance() *Instance { return c.instance }
 
-// ServiceReads returns how many reads from connections to the upstreams of a service have returned bytes.
-func (t *Table) ServiceReads(service string) uint64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.reachOf(service).reads.Load()
+// SilentFor returns how long nothing has arrived on the connection since a request was sent on it, nor from its instance, and, with all
+// set, from any instance of the service.
+func (c *Conn) SilentFor(now time.Time, all bool) time.Duration {
+	silent := min(c.active.silentFor(now), c.instance.active.silentFor(now))
+	if r := c.instance.reach; all && r != nil {
+		silent = min(silent, r.active.silentFor(now))
+	}
+	return silent
 }
--- a/internal/gateway/upstream/table.go
+++ b/internal/gateway/upstream/table.go
@@ -16,6 +16,9 @@
 	// OnCutChange is called when the host is cut off from most upstreams of a service, and when it reaches them again. It may be nil
 	// and is set before the Table is used.
 	OnCutChange func(service string, isCut bool)
+	// OnOutOfReach is called with the instances of a service that have come to be out of reach, by their identifiers, and whether the host is
+	// cut off from most of the service. It may be nil and is set before the Table is used.
+	OnOutOfReach func(service string, lost map[string]*Instance, isCut bool)
 
 	zone   string // of this host
 	dialer *Dialer
@@ -28,10 +31,12 @@
 	restoredAt    time.Time              // when the store last came back from an older copy
 	left          map[string]leftEntry   // by id, the last entries of instances that were dropped
 
-	reach          map[string]*serviceReach       // by service
-	brittle        map[string]*serviceBrittleness // by service
-	cutServices    atomic.Int32                   // number of services that are out of reach
-	advisoriesTold atomic.Uint32                  // limits that were returned by Advisories when there were many
+	reach       map[string]*serviceReach       // by service
+	brittle     map[string]*serviceBrittleness // by service
+	cutServices atomic.Int32                   // number of services that are out of reach
+	// disturbedServices is the number of services with upstreams that are out of reach.
+	disturbedServices atomic.Int32
+	advisoriesTold    atomic.Uint32 // limits that were returned by Advisories when there were many
 }
 
 // leftEntry is the last entry of an instance that was dropped, with what the instance had stated about itself.
--- a/internal/upstream/httpclient/reach.go
+++ b/internal/upstream/httpclient/reach.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -17,9 +18,12 @@
 	"hickorypath/internal/policy/reach"
 )
 
-// ErrOutOfReach is the error of a dial to an upstream from which this host is cut off.
+// ErrOutOfReach is the error of a dial to an upstream of a pool from which this host is cut off.
 var ErrOutOfReach = errors.New("this host is cut off from the upstream")
 
+// errStalled is the error of a dial to an upstream that does not answer while others of its pool do.
+var errStalled = errors.New("the upstream does not answer")
+
 const (
 	// returnInterval is the interval at which upstreams that are out of reach are tried.
 	returnInterval = 250 * time.Millisecond
@@ -38,6 +42,8 @@
 	log  *zap.Logger
 	cuts atomic.Int32 // number of pools that are out of reach
 
+	disturbed atomic.Int32 // number of pools with upstreams out of reach
+
 	probes singleflight.Group // by pool
 
 	isAlone atomic.Pointer[func() bool] // reports whether there is no other host, through which to reach upstreams
@@ -55,7 +61,10 @@
 
 	// The mu of the Reach guards the following fields.
 	state     reach.Service
+	isCounted bool      // among the disturbed pools
 	silenceAt time.Time // when an upstream was tried because it sent nothing
+	openedAt  map[string]time.Time
+	returned  time.Time // when the last cut ended
 	lastDial  int
 	dials     map[int]pendingDial // connections that are being opened, by number
 }
@@ -79,7 +88,7 @@
 	for name, list := range byPool {
 		p := r.pools[name]
 		if p == nil {
-			p = &poolReach{name: name, dials: map[int]pendingDial{}}
+			p = &poolReach{name: name, dials: map[int]pendingDial{}, openedAt: map[string]time.Time{}}
 		}
 		own, others := lo.FilterReject(list, func(e Endpoint, _ int) bool { return e.Zone == r.zone })
 		addr := func(e Endpoint, _ int) string { return e.Addr }
@@ -88,10 +97,13 @@
 		for _, e := range list {
 			r.byAddr[e.Addr] = p
 		}
+		maps.DeleteFunc(p.openedAt, func(addr string, _ time.Time) bool { return r.byAddr[addr] != p })
 	}
 	for name, p := range r.pools {
-		if pools[name] == nil && p.state.IsCut() {
-			r.cuts.Add(-1)
+		if pools[name] == nil {
+			wasCut := p.state.IsCut()
+			p.state = reach.Service{}
+			r.settle(p, wasCut)
 		}
 	}
 	r.pools = pools
@@ -130,13 +142,14 @@
 // Run tries the upstreams that are out of reach until ctx ends.
 func (r *Reach) Run(ctx context.Context) {
 	clock.Every(ctx, returnInterval, func() {
-		if r.cuts.Load() == 0 {
+		if r.disturbed.Load() == 0 {
 			return
 		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		for _, p := range r.pools {
 			r.tryAll(p, p.state.Return(time.Now(), p.addrs()))
+			r.settle(p, p.state.IsCut())
 		}
 	})
 }
@@ -149,9 +162,12 @@
 		r.mu.Unlock()
 		return r.dial(ctx, network, addr)
 	}
-	reaches := p.state.Reaches(addr)
+	reaches, isCut := p.state.Reaches(addr), p.state.IsCut()
 	r.mu.Unlock()
-	if !reaches && r.mayGiveUp() {
+	switch {
+	case !reaches && !isCut:
+		return nil, errStalled
+	case !reaches && r.mayGiveUp():
 		return nil, ErrOutOfReach
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -165,8 +181,8 @@
 	r.mu.Lock()
 	delete(p.dials, n)
 	r.mu.Unlock()
-	if err != nil && errors.Is(context.Cause(ctx), ErrOutOfReach) {
-		return nil, ErrOutOfReach
+	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, ErrOutOfReach) || errors.Is(cause, errStalled)) {
+		return nil, cause
 	}
 	if err != nil {
 		return nil, err
@@ -176,53 +192,88 @@
 
 // dialAndRecord opens a connection and records whether the upstream answers.
 func (r *Reach) dialAndRecord(ctx context.Context, p *poolReach, network, addr string) (net.Conn, error) {
-	stalled := time.AfterFunc(reach.StallTime, func() { r.recordFailed(p, addr) })
+	begin := time.Now()
+	stalled := time.AfterFunc(reach.StallTime, func() { r.recordFailed(p, addr, begin) })
 	c, err := r.dial(ctx, network, addr)
 	wasInTime := stalled.Stop()
 	switch {
 	case err == nil:
 		r.recordOpened(p, addr)
 	case ctx.Err() == nil && wasInTime:
-		r.recordFailed(p, addr)
+		r.recordFailed(p, addr, begin)
 	}
 	return c, err
 }
 
 func (r *Reach) recordOpened(p *poolReach, addr string) {
+	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.byAddr[addr] == p {
+		p.openedAt[addr] = now
+	}
 	wasCut := p.state.IsCut()
-	changed := p.state.RecordOpened(time.Now(), addr, p.addrs())
-	switch isCut := p.state.IsCut(); {
-	case changed && isCut: // the others may be back as well
-		r.tryAll(p, p.state.Return(time.Now(), p.addrs()))
-	case wasCut && !isCut:
-		r.cuts.Add(-1)
-		r.log.Info("pool within reach again", zap.String("pool", p.name))
+	changed := p.state.RecordOpened(now, addr, p.addrs())
+	if wasCut && !p.state.IsCut() {
+		p.returned = now
+	}
+	r.settle(p, wasCut)
+	if changed && p.state.IsCut() { // the others may be back as well
+		r.tryAll(p, p.state.Return(now, p.addrs()))
 	}
 }
 
-func (r *Reach) recordFailed(p *poolReach, addr string) {
+// recordFailed records that an upstream has not answered a dial that began at a time, and tries others. It counts only if the upstream has
+// not been within reach since.
+func (r *Reach) recordFailed(p *poolReach, addr string, begin time.Time) {
 	mayGiveUp := r.mayGiveUp()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.byAddr[addr] != p {
+	if r.byAddr[addr] != p || begin.Before(p.openedAt[addr]) || begin.Before(p.returned) {
 		return
 	}
 	wasCut := p.state.IsCut()
 	tries, _ := p.state.RecordFailed(time.Now(), addr, p.addrs())
 	r.tryAll(p, tries)
-	if wasCut || !p.state.IsCut() {
-		return
+	r.settle(p, wasCut)
+	if !wasCut && p.state.IsCut() {
+		if mayGiveUp {
+			p.giveUpDials(ErrOutOfReach)
+		}
+		r.tryAll(p, p.state.Return(time.Now(), p.addrs())) // some may be within reach
 	}
-	r.cuts.Add(1)
-	r.log.Warn("pool out of reach", zap.String("pool", p.name), zap.Int("upstreams", len(p.own)+len(p.others)))
+}
+
+// giveUpDials ends the dials to upstreams that are out of reach. The caller holds the mu of the Reach.
+func (p *poolReach) giveUpDials(cause error) {
 	for _, d := range p.dials {
-		if mayGiveUp {
-			d.cancel(ErrOutOfReach)
+		if !p.state.Reaches(d.addr) {
+			d.cancel(cause)
 		}
 	}
-	r.tryAll(p, p.state.Return(time.Now(), p.addrs())) // some may be within reach
+}
+
+// settle puts a change of what is within reach of a pool, which was cut off before or not, into effect. The caller holds r.mu.
+func (r *Reach) settle(p *poolReach, wasCut bool) {
+	switch isCut := p.state.IsCut(); {
+	case isCut && !wasCut:
+		r.cuts.Add(1)
+		r.log.Warn("pool out of reach", zap.String("pool", p.name), zap.Int("upstreams", len(p.own)+len(p.others)))
+	case wasCut && !isCut:
+		r.cuts.Add(-1)
+		r.log.Info("pool within reach again", zap.String("pool", p.name))
+	}
+	isDisturbed := !p.state.IsWhole()
+	switch {
+	case isDisturbed && !p.isCounted:
+		r.disturbed.Add(1)
+	case !isDisturbed && p.isCounted:
+		r.disturbed.Add(-1)
+	}
+	p.isCounted = isDisturbed
+	if !p.state.IsCut() {
+		p.giveUpDials(errStalled)
+	}
 }
 
 // tryAll tries whether upstreams answer. The caller holds r.mu.
--- a/internal/upstream/httpclient/reach_test.go
+++ b/internal/upstream/httpclient/reach_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,3 +61,49 @@
 		})
 	}
 }
+
+// TestRequestWaitsForAnUpstreamOutOfReach guards against a host that waits for connections to one upstream while others of its pool
+// answer, or goes on leaving the upstream out when it answers again.
+func TestRequestWaitsForAnUpstreamOutOfReach(t *testing.T) {
+	const addr, bound = "u0:80", 300 * time.Millisecond // less than a dial may take
+	for _, hangs := range []bool{true, false} {
+		for _, alone := range []bool{true, false} {
+			t.Run(fmt.Sprintf("hangs: %t, alone: %t", hangs, alone), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					var answers atomic.Bool
+					r := httpclient.NewReach("z", func(ctx context.Context, _, a string) (net.Conn, error) {
+						switch {
+						case a != addr || answers.Load():
+							near, _ := net.Pipe()
+							return near, nil
+						case !hangs:
+							return nil, errors.New("refused")
+						}
+						<-ctx.Done()
+						return nil, ctx.Err()
+					}, zap.NewNop())
+					r.SetUpstreams(map[string][]httpclient.Endpoint{"p": {{Addr: addr}, {Addr: "u1:80"}, {Addr: "u2:80"}}})
+					r.SetAlone(func() bool { return alone })
+					ctx, cancel := context.WithCancel(t.Context())
+					go r.Run(ctx)
+					begin := time.Now()
+					for range 5 {
+						_, err := r.Dial(ctx, "tcp", addr)
+						is.True(err != nil)
+						is.True(!errors.Is(err, httpclient.ErrOutOfReach)) // the host is not cut off
+					}
+					is.True(time.Since(begin) <= bound)
+					is.True(!r.IsCut("p"))
+					time.Sleep(5 * time.Second)
+					answers.Store(true)
+					time.Sleep(time.Second)
+					_, err := r.Dial(ctx, "tcp", addr)
+					is.NoErr(err)
+					cancel()
+					time.Sleep(10 * time.Second) // until the connections that hang are given up
+				})
+			})
+		}
+	}
+}
