End the wait for a connection at the request's deadline

The dial ends at the deadline now. An upstream that was given less time than it may take to answer is not counted as failed.

Evidence: TestCallerIsHeldPastItsDeadlineByADial, which could not be expressed before: Acquire was not told the time.

--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -71,12 +71,12 @@
 // send sends the request to an instance and relays the response to the client.
 func (e *exchange) send(ctx context.Context, i *upstream.Instance, a *attempt, r *reservation) error {
 	now := e.x.opts.Now()
-	c, err := i.Acquire(ctx, now, e.route.IsRepeatable())
+	c, err := i.Acquire(ctx, now, e.route.IsRepeatable(), e.timeLeft())
 	if errors.Is(err, upstream.ErrUnwanted) {
 		return e.supersede(i)
 	}
 	if err != nil {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(err, upstream.ErrNoTime) {
 			i.RecordFailure(e.x.opts.Now())
 		}
 		return kind.Wrap(err, kind.Unavailable, "no connection to %s", i.ID())
--- a/internal/gateway/exchange/relay.go
+++ b/internal/gateway/exchange/relay.go
@@ -138,9 +138,9 @@
 // sendThrough sends the request to another host and relays the response to the client. A host starts only with a whole request.
 func (e *exchange) sendThrough(ctx context.Context, helper *relay.Helper, a *attempt) error {
 	begin, i := e.x.opts.Now(), helper.Instance()
-	c, err := i.Acquire(ctx, begin, e.route.IsRepeatable())
+	c, err := i.Acquire(ctx, begin, e.route.IsRepeatable(), e.timeLeft())
 	if err != nil {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(err, upstream.ErrNoTime) {
 			helper.RecordLost(e.x.opts.Now())
 		}
 		return kind.Wrap(err, kind.Unavailable, "no connection to %s", helper.Name())
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -56,8 +56,9 @@
 }
 
 // Acquire returns an idle connection or opens a new one. A request that must not run twice gets an idle
-// connection only if the connection was used recently. The connection is closed when ctx ends before its release.
-func (i *Instance) Acquire(ctx context.Context, now time.Time, repeatable bool) (*Conn, error) {
+// connection only if the connection was used recently. A new one is awaited for as long as timeLeft. The connection is closed when ctx ends
+// before its release.
+func (i *Instance) Acquire(ctx context.Context, now time.Time, repeatable bool, timeLeft time.Duration) (*Conn, error) {
 	for c := i.takeIdle(); c != nil; c = i.takeIdle() {
 		age := now.Sub(c.lastUsed)
 		if age < c.idleTimeout && (repeatable || age < recentUse) && c.hasNoInput() {
@@ -66,7 +67,7 @@
 		}
 		c.Close()
 	}
-	raw, err := i.dial(ctx)
+	raw, err := i.dialWithin(ctx, timeLeft)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/upstream/conn_test.go
+++ b/internal/gateway/upstream/conn_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -42,14 +43,14 @@
 
 			first, leave := context.WithCancel(t.Context())
 			defer leave()
-			conn, err := i.Acquire(first, now, true)
+			conn, err := i.Acquire(first, now, true, time.Minute)
 			is.NoErr(err)
 			roundTrip(t, conn)
 			if c.before {
 				leave()
 			}
 			conn.Release(now)
-			next, err := i.Acquire(t.Context(), now, true)
+			next, err := i.Acquire(t.Context(), now, true, time.Minute)
 			is.NoErr(err)
 			leave()
 			roundTrip(t, next)
@@ -86,11 +87,11 @@
 	table.Put(now, e)
 	i := table.Get("u1")
 	ctx, leave := context.WithCancel(t.Context())
-	first, err := i.Acquire(ctx, now, true)
+	first, err := i.Acquire(ctx, now, true, time.Minute)
 	is.NoErr(err)
 	first.Return(now)
 	leave()
-	next, err := i.Acquire(t.Context(), now.Add(time.Second), false)
+	next, err := i.Acquire(t.Context(), now.Add(time.Second), false, time.Minute)
 	is.NoErr(err)
 	is.Equal(next, first)
 	roundTrip(t, next)
@@ -135,7 +136,7 @@
 			i := table.Get("u1")
 			result := make(chan error)
 			go func() {
-				_, err := i.Acquire(t.Context(), now, true)
+				_, err := i.Acquire(t.Context(), now, true, time.Minute)
 				result <- err
 			}()
 			<-dialing
@@ -144,3 +145,27 @@
 		})
 	}
 }
+
+// TestCallerIsHeldPastItsDeadlineByADial guards against a request that waits for a connection when its caller's time is over, and against
+// taking an instance for one that does not answer since there was little time.
+func TestCallerIsHeldPastItsDeadlineByADial(t *testing.T) {
+	cases := []struct {
+		timeLeft time.Duration
+		noTime   bool
+	}{{100 * time.Millisecond, true}, {500 * time.Millisecond, false}}
+	for _, c := range cases {
+		t.Run(c.timeLeft.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				i := upstream.NewInstance(upstream.Entry{ID: "u1", Address: "u1:80"}, upstream.NewDialerFunc(func(ctx context.Context, _ string) (net.Conn, error) {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}))
+				begin := time.Now()
+				_, err := i.Acquire(t.Context(), begin, true, c.timeLeft)
+				is.Equal(time.Since(begin), c.timeLeft)
+				is.Equal(errors.Is(err, upstream.ErrNoTime), c.noTime)
+			})
+		})
+	}
+}
--- a/internal/gateway/upstream/dials.go
+++ b/internal/gateway/upstream/dials.go
@@ -15,12 +15,26 @@
 // ErrUnwanted is the error of Acquire if the instance has stated, while its connection was being opened, that it wants no requests.
 var ErrUnwanted = errors.New("the upstream wants no requests now")
 
+// ErrNoTime is the error of Acquire if there was too little time to tell whether the instance answers.
+var ErrNoTime = errors.New("no time is left for a connection")
+
 // dials holds the functions that give up the connections that are being opened, by their numbers.
 type dials struct {
 	last   int
 	cancel map[int]context.CancelCauseFunc
 }
 
+// dialWithin opens a connection to the instance within a time.
+func (i *Instance) dialWithin(ctx context.Context, d time.Duration) (net.Conn, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	c, err := i.dial(dialCtx)
+	if err != nil && dialCtx.Err() != nil && ctx.Err() == nil && d < reach.StallTime {
+		return nil, ErrNoTime
+	}
+	return c, err
+}
+
 // dial opens a connection to the instance. It gives up when the instance states that it wants no requests.
 func (i *Instance) dial(ctx context.Context) (net.Conn, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/gateway/upstream/reach_test.go
+++ b/internal/gateway/upstream/reach_test.go
@@ -77,7 +77,7 @@
 							ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 							go func() {
 								defer cancel()
-								if conn, err := i.Acquire(ctx, time.Now(), false); err == nil {
+								if conn, err := i.Acquire(ctx, time.Now(), false, time.Minute); err == nil {
 									conn.Close()
 								}
 							}()
@@ -112,7 +112,7 @@
 	var changes []bool
 	table.OnCutChange = func(_ string, isCut bool) { changes = append(changes, isCut) }
 	table.Put(time.Now(), entry())
-	_, err := table.Get("u1").Acquire(t.Context(), time.Now(), true)
+	_, err := table.Get("u1").Acquire(t.Context(), time.Now(), true, time.Minute)
 	is.True(err != nil)
 	is.True(table.IsCut(entry().Service))
 	table.Remove(time.Now(), "u1")
@@ -140,7 +140,7 @@
 				table.Put(time.Now(), upstream.Entry{ID: fmt.Sprint("u", n), Service: "svc", Zone: "z0", Address: fmt.Sprintf("u%d:80", n)})
 			}
 			for n := range 15 {
-				_, err := table.Get(fmt.Sprint("u", n+1)).Acquire(t.Context(), time.Now(), false)
+				_, err := table.Get(fmt.Sprint("u", n+1)).Acquire(t.Context(), time.Now(), false, time.Minute)
 				is.True(err != nil)
 			}
 			synctest.Wait()
