Use no connection of serve again on which a request was not written whole

A call of serve could fail with "cannot be reached" right after a service had rejected another one before reading it: it got the connection of that call, which was broken, and the service counted as failed.

Cause: let a write that fails after an early response end without an error, so that net/http reads the response. For net/http the request was then written whole, and the connection could be used again. Such a write now returns only when the connection is closed, and net/http closes it.

The stand-in of TestRejectionBeforeTheBodyIsReadIsLost closed a connection 0.3 s after a rejection without saying so, when the kernel's buffers had taken the rest of the request and the client had used the connection again. It reads the rest now and takes the next request, as a service that keeps its connection does; what is checked of the client is as before.

--- a/internal/upstream/httpclient/conn.go
+++ b/internal/upstream/httpclient/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -48,6 +49,8 @@
 	guard        atomic.Pointer[func() error] // called before the next write; nil for none
 	requestStart atomic.Int64                 // bytes written before the current request; negative if requests are not tracked
 	failed       atomic.Pointer[error]        // of the write that failed
+	closed       chan struct{}
+	close        sync.Once
 }
 
 // CountingDial returns a DialFunc that calls dial and returns connections of type *CountingConn.
@@ -57,15 +60,16 @@
 		if err != nil {
 			return nil, err
 		}
-		counting := &CountingConn{Conn: c}
+		counting := &CountingConn{Conn: c, closed: make(chan struct{})}
 		counting.requestStart.Store(-1)
 		return counting, nil
 	}
 }
 
 // Write counts the bytes before writing them, so that the count is never below the number of bytes that the other end
-// may have read. If the other end has read a part of a request and reads no more, as after an early response, Write discards the rest
-// without an error, since net/http does not read a response after a failed write. The read then shows how the connection ended.
+// may have read. If the other end has read a part of a request and reads no more, as after an early response, Write returns only when the
+// connection is closed, since net/http does not read a response after a failed write. The read then shows how the connection ended, and
+// the connection is not used again.
 func (c *CountingConn) Write(b []byte) (int, error) {
 	if guard := c.guard.Swap(nil); guard != nil {
 		if err := (*guard)(); err != nil {
@@ -76,7 +80,7 @@
 	isPartSent := start >= 0 && before > start
 	if err := c.failed.Load(); err != nil {
 		if isPartSent {
-			return len(b), nil
+			<-c.closed
 		}
 		return 0, *err
 	}
@@ -85,12 +89,18 @@
 	if err != nil {
 		c.failed.Store(&err)
 		if start >= 0 && (isPartSent || n > 0) {
-			return len(b), nil
+			<-c.closed
 		}
 	}
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *CountingConn) Close() error {
+	c.close.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
 // Written returns the number of bytes passed to Write so far.
 func (c *CountingConn) Written() int64 { return c.written.Load() }
 
--- a/internal/upstream/service/early_test.go
+++ b/internal/upstream/service/early_test.go
@@ -36,7 +36,7 @@
 					if err != nil {
 						return
 					}
-					go reject(conn, c.close)
+					go reject(conn, c.close, bodyBytes)
 				}
 			}()
 			client := service.New(service.Options{})
@@ -58,23 +58,24 @@
 	}
 }
 
-// reject reads the head of a request and rejects it.
-func reject(conn net.Conn, closes bool) {
+// reject reads the heads of requests and rejects them. It then closes the connection, or reads on later.
+func reject(conn net.Conn, closes bool, bodyBytes int64) {
 	defer conn.Close()
 	r := bufio.NewReader(conn)
-	for line := ""; line != "\r\n"; {
-		var err error
-		if line, err = r.ReadString('\n'); err != nil {
+	for {
+		for line := ""; line != "\r\n"; {
+			var err error
+			if line, err = r.ReadString('\n'); err != nil {
+				return
+			}
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Full\r\nX-Ran: no\r\nRetry-After: 4\r\nContent-Length: 0\r\n\r\n")
+		if closes {
 			return
 		}
-	}
-	_, _ = io.WriteString(conn, "HTTP/1.1 503 Full\r\nX-Ran: no\r\nRetry-After: 4\r\nContent-Length: 0\r\n\r\n")
-	if !closes {
-		for {
-			if _, err := r.Peek(r.Buffered() + 1); err != nil { // the buffer is full, or the client has closed the connection
-				break
-			}
+		<-time.After(100 * time.Millisecond)
+		if _, err := io.CopyN(io.Discard, r, bodyBytes); err != nil {
+			return
 		}
-		<-time.After(300 * time.Millisecond)
 	}
 }
