Keep the slot of a request that was given up at a brittle upstream of serve

Change: such a request counts at a brittle upstream for a quarter of a second from the closing of its connection on.

--- a/cmd/hickorypath/injector.go
+++ b/cmd/hickorypath/injector.go
@@ -295,6 +295,7 @@
 		IsCutOff:      get[*httpclient.Reach](i).IsCut,
 		ReachesOthers: get[*httpclient.Reach](i).ReachesOthers,
 		HasFallenOver: f.HasFallenOver,
+		RecordGivenUp: f.RecordGivenUp,
 		ReportCrash:   newCrashReplicator(replicator, c, f),
 
 		RecordAdvisory: f.RecordAdvisory,
--- a/internal/caller/exchange/attempt.go
+++ b/internal/caller/exchange/attempt.go
@@ -161,6 +161,7 @@
 	if c.body.IsStream() && result.TimeToFirstToken > 0 {
 		c.runner.deps.RetryBudgets.RecordFirstTokenTime(c.pool.Name(), result.TimeToFirstToken)
 	}
+	c.runner.recordGivenUp(c.pool.Name(), a.grant.Target(), a.err)
 	result.Crashed = c.finishRun(ctx, a.grant, a.runID, a.err)
 	if a.err != nil && (ctx.Err() != nil || kind.Of(a.err) == kind.Canceled || isUnsent(a.err)) {
 		c.pool.Cancel(a.grant)
--- a/internal/caller/exchange/crash.go
+++ b/internal/caller/exchange/crash.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"time"
 
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/upstream/dispatch"
+	"hickorypath/internal/upstream/httpclient"
 )
 
 // finishRun ends a run in the SuspectTracker and reports whether the pool should treat its upstream as crashed
@@ -84,3 +86,15 @@
 func (r *Runner) reachesOthers(pool string, t dispatch.Target) bool {
 	return r.deps.ReachesOthers == nil || r.deps.ReachesOthers(pool, t.Addr())
 }
+
+// recordGivenUp records the end of an attempt that may still take room at its upstream, because it failed after it was sent.
+func (r *Runner) recordGivenUp(pool string, t dispatch.Target, err error) {
+	if err == nil || r.deps.RecordGivenUp == nil || kind.From(err).Ran() == kind.RanNo {
+		return
+	}
+	delay := time.Duration(0)
+	if kind.Of(err) == kind.Timeout {
+		delay = httpclient.LateResponseTime
+	}
+	r.deps.RecordGivenUp(pool, t.ID(), delay)
+}
--- a/internal/caller/exchange/exchange.go
+++ b/internal/caller/exchange/exchange.go
@@ -56,6 +56,8 @@
 	ReachesOthers func(pool, addr string) bool
 	// HasFallenOver reports whether an upstream that has failed may have done so for want of room; it may be nil.
 	HasFallenOver func(pool, upstream string) bool
+	// RecordGivenUp records that an attempt at an upstream was given up, whose connection is closed after a delay; it may be nil.
+	RecordGivenUp func(pool, upstream string, delay time.Duration)
 	// IsDown reports whether an upstream is already known to be down.
 	IsDown func(pool, upstream string) bool
 	// RecordAdvisory records what an upstream stated about itself in the response to a request sent at sentAt; it may be nil.
--- a/internal/caller/exchange/exchange_test.go
+++ b/internal/caller/exchange/exchange_test.go
@@ -80,7 +80,8 @@
 	mu        sync.Mutex // guards bills and summaries
 	bills     []exchange.Bill
 	summaries []exchange.RequestSummary
-	admitted  []int // tokens that requests have used of what their customers may
+	givenUp   []time.Duration // attempts that were reported as given up, until their connections are closed
+	admitted  []int           // tokens that requests have used of what their customers may
 
 	crashes atomic.Int64
 	// suspects counts the suspicions that were reported to other hosts.
@@ -200,6 +201,11 @@
 		IsCutOff:      func(string) bool { return w.isCutOff.Load() },
 		ReachesOthers: func(string, string) bool { return !w.isCutOff.Load() },
 		HasFallenOver: func(string, string) bool { return w.lacksRoom.Load() },
+		RecordGivenUp: func(_, _ string, delay time.Duration) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.givenUp = append(w.givenUp, delay)
+		},
 		Version: func(t dispatch.Target) (string, bool) {
 			v, ok := w.knownVersions[t.ID()]
 			return v, ok
--- a/internal/caller/exchange/forward.go
+++ b/internal/caller/exchange/forward.go
@@ -180,6 +180,7 @@
 		f.pool.Cancel(grant)
 		return err
 	}
+	f.runner.recordGivenUp(f.pool.Name(), grant.Target(), err)
 	result := pool.Result{Failed: err != nil && ctx.Err() == nil, Crashed: f.finishRun(ctx, grant, run, err)}
 	if err == nil {
 		result.TimeToFirstToken = f.timeToResponse
--- a/internal/upstream/fleet/advisory.go
+++ b/internal/upstream/fleet/advisory.go
@@ -43,6 +43,7 @@
 	state       *advisory.State
 	version     string // of its software, empty if it states none
 	publishedAt time.Time
+	givenUp     []time.Time // of attempts that were given up, until when they count at a brittle upstream
 
 	isVersionKnown bool // the upstream has responded at this address
 }
--- a/internal/upstream/fleet/brittle.go
+++ b/internal/upstream/fleet/brittle.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -95,7 +96,28 @@
 	if !state.IsBrittle(now, p.brittleness) {
 		return math.MaxInt
 	}
-	return state.BrittleShare(now, a.members.Fleet(), max(slots, 1))
+	u := a.upstreams[upstream]
+	u.givenUp = slices.DeleteFunc(u.givenUp, func(until time.Time) bool { return !now.Before(until) })
+	return state.BrittleShare(now, a.members.Fleet(), max(slots, 1)) - len(u.givenUp)
+}
+
+// canceledWorkTime is how long a request that was given up may still take room at its upstream, which learns of it from the closed
+// connection.
+const canceledWorkTime = 250 * time.Millisecond
+
+// RecordGivenUp records that an attempt at an upstream was given up, whose connection is closed after a delay. If the upstream is brittle, the
+// attempt counts until the upstream has noticed.
+func (f *Fleet) RecordGivenUp(pool, upstream string, delay time.Duration) {
+	a, now := f.advisories, f.options.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p, target := a.pools[pool], a.targets[upstream]
+	if p == nil || target.pool != pool {
+		return
+	}
+	if u := a.at(upstream, target.addr); u.state.IsBrittle(now, p.brittleness) {
+		u.givenUp = append(u.givenUp, now.Add(delay+canceledWorkTime))
+	}
 }
 
 // HasFallenOver reports whether an upstream that has failed may have done so for want of room, and not by what it ran.
--- a/internal/upstream/httpclient/late.go
+++ b/internal/upstream/httpclient/late.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// lateResponseTime is how long after the deadline of a request its response is awaited for what it states about the upstream. An
+// LateResponseTime is how long after the deadline of a request its response is awaited for what it states about the upstream. An
 // upstream that has kept a request waiting turns it away at the deadline.
-const lateResponseTime = 300 * time.Millisecond
+const LateResponseTime = 300 * time.Millisecond
 
 // errLate ends a request that was sent and whose late response is not awaited any longer.
 var errLate = errors.New("no response after the deadline")
@@ -41,7 +41,7 @@
 		return r.res, r.err
 	}
 	go func() {
-		timer := time.AfterFunc(lateResponseTime, func() { cancel(errLate) })
+		timer := time.AfterFunc(LateResponseTime, func() { cancel(errLate) })
 		defer timer.Stop()
 		if r := <-done; r.err == nil {
 			onLate(r.res)
