Drop the parts of large records when the records expire

The memory of a host of serve grew with each large record that expired, such as what hosts hand over at shutdown: the chunks of its value were dropped only when another large record was replaced.

Evidence: TestExpiredRecordsStayInMemory failed before, with 40 records of 1 MB kept, and passes now.

--- a/internal/host/replication/incomplete.go
+++ b/internal/host/replication/incomplete.go
@@ -160,8 +160,12 @@
 
 // dropUnusedChunks drops the chunks that no record and no incomplete record refers to.
 func (t *Table) dropUnusedChunks() {
-	used := make(map[chunkRef]bool, len(t.chunks))
-	mark := func(r chunkRef) { used[r] = true }
+	used := map[chunkRef][]byte{} // a new map, since one that has held many chunks does not shrink
+	mark := func(r chunkRef) {
+		if data, ok := t.chunks[r]; ok {
+			used[r] = data
+		}
+	}
 	for _, tp := range t.topics {
 		for _, e := range tp.entries {
 			if e.levels > 0 {
@@ -172,9 +176,5 @@
 	for _, p := range t.incomplete {
 		walkChunks(p.record.Refs, p.record.Levels, t.chunk, mark)
 	}
-	for r := range t.chunks {
-		if !used[r] {
-			delete(t.chunks, r)
-		}
-	}
+	t.chunks = used
 }
--- a/internal/host/replication/table.go
+++ b/internal/host/replication/table.go
@@ -322,14 +322,19 @@
 		return
 	}
 	t.expiredAt = now
+	hadChunks := false
 	for h, name := range t.expiring {
 		if e := t.find(name, h); e == nil || e.isExpired(now) {
 			delete(t.expiring, h)
 			if e != nil {
+				hadChunks = hadChunks || e.levels > 0
 				t.discard(name, h, e)
 			}
 		}
 	}
+	if hadChunks {
+		t.dropUnusedChunks()
+	}
 }
 
 // wireRecordOf returns the encoded form of an entry.
