Forget the failures of upstreams of serve that have left

A host of serve kept the failures of each engine that had ever left while it was down, and an engine that joined again under its name was not used until it had answered a poll. Failures now belong to upstreams that are in the list.

Evidence: TestUpstreamThatLeftCountsAsDown failed before and passes now.

--- a/internal/upstream/fleet/down.go
+++ b/internal/upstream/fleet/down.go
@@ -1,6 +1,12 @@
 package fleet
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"hickorypath/internal/upstream/dispatch"
+)
 
 // maxFailedPolls is the number of consecutive failed polls after which an upstream counts as down.
 const maxFailedPolls = 3
@@ -63,3 +69,12 @@
 	defer e.mu.Unlock()
 	return e.failures[upstream].count == maxFailedPolls
 }
+
+// forgetFailures drops the failed polls of upstreams that are not in the list.
+func (e *poolEntry) forgetFailures(list []dispatch.Target) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	maps.DeleteFunc(e.failures, func(id string, _ pollFailures) bool {
+		return !slices.ContainsFunc(list, func(t dispatch.Target) bool { return t.ID() == id })
+	})
+}
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -298,6 +298,7 @@
 	f.targets = byPool
 	f.advisories.forget(f.options.Clock.Now(), byPool)
 	for name, e := range f.pools {
+		e.forgetFailures(byPool[name])
 		e.setTargets(f.currentTargets(name))
 	}
 }
--- a/internal/upstream/fleet/fleet_test.go
+++ b/internal/upstream/fleet/fleet_test.go
@@ -353,6 +353,19 @@
 // brittleRejection is what a brittle engine states that rejects a request for want of room.
 var brittleRejection = advisory.Statement{Brittle: advisory.ParseBrittle("3"), Rejected: true}
 
+// TestUpstreamThatLeftCountsAsDown guards against keeping the failures of each upstream that ever left, and against one that joins again and
+// is not used.
+func TestUpstreamThatLeftCountsAsDown(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		h.own.MarkDown("asesor", "a")
+		h.Equal(acceptingEngines(h.own), []string{"b"})
+		h.setEngines(engineAt("b"))
+		h.True(!h.own.IsDown("asesor", "a"))
+		h.setEngines(engineAt("a"), engineAt("b"))
+		h.Equal(acceptingEngines(h.own), []string{"a", "b"})
+	})
+}
+
 // TestAddressChanges restarts an engine that was down under the same name at another address.
 func TestAddressChanges(t *testing.T) {
 	runHarness(t, func(h *harness) {
