End the links to hosts of serve that are gone

A host of serve kept a queue, a goroutine and a way to reconnect for each other host that it had ever sent something to: nothing called Forget. Every ten seconds it now ends the links to hosts that it does not know any more.

Evidence: TestLinksOfHostsThatAreGoneStay.

--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"hickorypath/internal/core/clock"
@@ -24,6 +25,7 @@
 	tickInterval        = 50 * time.Millisecond
 	rosterInterval      = 5 * time.Second
 	rosterTimeout       = 2 * time.Second
+	linkInterval        = 10 * time.Second
 	leaveDelay          = 500 * time.Millisecond
 	smallFleetInterval  = 200 * time.Millisecond
 	smallFleet          = membership.MaxMeshHosts // largest number of hosts that share soft records every smallFleetInterval
@@ -117,6 +119,7 @@
 	defer n.peer.Close()
 	wg.Go(func() { n.peer.Run(ctx) })
 	wg.Go(func() { n.pollRoster(ctx) })
+	wg.Go(func() { clock.Every(ctx, linkInterval, n.retainLinks) })
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -129,6 +132,12 @@
 	}
 }
 
+// retainLinks ends the links to hosts that are no longer known.
+func (n *Node) retainLinks() {
+	known := lo.SliceToMap(n.Members(), func(m membership.Member) (string, bool) { return m.ID(), true })
+	n.peer.Retain(func(id string) bool { return known[id] })
+}
+
 // Leave tells the other hosts that this host is leaving and waits for leaveDelay, so that the message can arrive.
 // Run continues until its context ends.
 func (n *Node) Leave(ctx context.Context) {
--- a/internal/host/peer/peer.go
+++ b/internal/host/peer/peer.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"hickorypath/internal/core/kind"
@@ -132,18 +133,25 @@
 	}
 }
 
-// Forget closes the connection to the host id and drops the messages queued for it.
-func (e *Endpoint) Forget(id string) {
+// Retain closes the connections to the hosts for which keep is false, and drops the messages queued for them.
+func (e *Endpoint) Retain(keep func(id string) bool) {
 	e.mu.Lock()
-	l := e.links[id]
-	delete(e.links, id)
+	gone := lo.OmitBy(e.links, func(id string, _ *link) bool { return keep(id) })
+	e.links = lo.OmitByKeys(e.links, lo.Keys(gone))
 	e.mu.Unlock()
-	if l != nil {
+	for _, l := range gone {
 		l.cancel()
 		l.reset()
 	}
 }
 
+// Links returns the number of hosts to which this host keeps a connection or opens one when needed.
+func (e *Endpoint) Links() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.links)
+}
+
 func (e *Endpoint) wrap(c *net.UDPConn) net.PacketConn {
 	if e.opts.Wrap == nil {
 		return c
--- a/internal/host/peer/peer_test.go
+++ b/internal/host/peer/peer_test.go
@@ -282,3 +282,20 @@
 	}
 	return config
 }
+
+// TestLinksOfHostsThatAreGoneStay guards against a host that keeps a queue, a goroutine and a connection for each other host that ever was.
+func TestLinksOfHostsThatAreGoneStay(t *testing.T) {
+	is := is.New(t)
+	config := newSecretTLS(t, "a secret of more than 16 bytes")
+	from, _ := openEndpoint(t, config, nil)
+	to, messages := openEndpoint(t, config, nil)
+	sendUntilReceived(t, from, to.Addr(), []byte("a"), messages)
+	from.Send("gone", to.Addr(), []byte("a"), false)
+	is.Equal(from.Links(), 2)
+	from.Retain(func(id string) bool { return id != "gone" })
+	is.Equal(from.Links(), 1)
+	from.Retain(func(string) bool { return false })
+	is.Equal(from.Links(), 0)
+	for string(sendUntilReceived(t, from, to.Addr(), []byte("b"), messages).data) != "b" { // earlier messages may be on their way
+	}
+}
