Survive silent seconds and lost keep-alive probes on all connections

A caller who waited for the first byte of a response for two seconds or more could lose the connection, and with it the response, when one packet was lost; so could a request at an upstream that was silent for a little over a second.

Cause: with TCP_USER_TIMEOUT set, Linux does not count keep-alive probes. It gives a connection up at the first probe that is due later than the user timeout since anything arrived, if one was not answered. With the first probe after 2 s and a user timeout of 2.5 s, one lost probe was enough; the same holds for 5 and 3 s, 10 and 3 s, and 15 and 1 s.

Change: all kinds of connections have the same options, a probe every second and a user timeout of 3.5 s, so that three probes in a row have to be lost. An end that is gone is found out after 4 s instead of 3 to 30 s.

Evidence: TestSilentSecondEndsConnections reads the options of each kind of connection and plays that rule with silences of 1.5 s at any time.

--- a/cmd/hickorypath/gatewaymachine.go
+++ b/cmd/hickorypath/gatewaymachine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"syscall"
 	"time"
 
 	"hickorypath/internal/core/sockopt"
@@ -22,19 +21,15 @@
 	upstreams    *upstream.Dialer
 }
 
-const (
-	// hostDialTimeout bounds the opening of a connection to relay a request; after that, another host is asked.
-	hostDialTimeout = 300 * time.Millisecond
-	// hostAckTimeout is how long sent bytes of a relayed request may stay unacknowledged.
-	hostAckTimeout = time.Second
-)
+// hostDialTimeout bounds the opening of a connection to relay a request; after that, another host is asked.
+const hostDialTimeout = 300 * time.Millisecond
 
 // newMachine returns this machine, which has an IP address.
 func newMachine(ip string) machine {
 	dialer := upstream.NewDialer()
 	hosts := net.Dialer{
 		Timeout: hostDialTimeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}, // other hosts know this one by its address
-		Control: func(_, _ string, raw syscall.RawConn) error { return sockopt.SetUserTimeout(raw, hostAckTimeout) },
+		KeepAliveConfig: sockopt.KeepAlive(), Control: sockopt.Control,
 	}
 	return machine{
 		dial: dialer.Dial,
--- a/cmd/hickorypath/host.go
+++ b/cmd/hickorypath/host.go
@@ -24,6 +24,7 @@
 	"hickorypath/internal/core/clock"
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/core/settings"
+	"hickorypath/internal/core/sockopt"
 	"hickorypath/internal/host/membership"
 	"hickorypath/internal/host/node"
 	"hickorypath/internal/host/replication"
@@ -77,10 +78,7 @@
 }
 
 func listen(l settings.Listener) (net.Listener, error) {
-	conf := net.ListenConfig{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
-		Control:         httpclient.SetUserTimeout,
-	}
+	conf := net.ListenConfig{KeepAliveConfig: sockopt.KeepAlive(), Control: sockopt.Control} // to detect callers that are gone
 	ln, err := conf.Listen(context.Background(), "tcp", l.Listen)
 	if err != nil {
 		return nil, kind.Wrap(err, kind.Settings, "cannot listen on the address %s", l.Listen)
@@ -88,13 +86,6 @@
 	return ln, nil
 }
 
-// TCP keep-alive of accepted connections, to detect callers that have gone without closing the connection.
-const (
-	keepAliveIdle     = 10 * time.Second
-	keepAliveInterval = 5 * time.Second
-	keepAliveCount    = 3
-)
-
 // callerHandler returns the HTTP handler of the callers' address.
 func (h *host) callerHandler() http.Handler {
 	runner := get[*exchange.Runner](h.injector)
--- a/internal/gateway/frontend/conn.go
+++ b/internal/gateway/frontend/conn.go
@@ -62,24 +62,13 @@
 // detectDeadClient sets TCP options so that the kernel detects a client that vanished without closing the
 // connection.
 func detectDeadClient(t *net.TCPConn) error {
-	probes := net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount}
 	raw, err := t.SyscallConn()
 	if err != nil {
 		return err
 	}
-	return errors.CombineErrors(t.SetKeepAliveConfig(probes), sockopt.SetUserTimeout(raw, ackTimeout))
+	return errors.CombineErrors(t.SetKeepAliveConfig(sockopt.KeepAlive()), sockopt.SetUserTimeout(raw, sockopt.UserTimeout))
 }
 
-const (
-	// keepAliveInterval and keepAliveCount are the interval and number of the TCP keep-alive probes that detect
-	// vanished clients.
-	keepAliveInterval = 2 * time.Second
-	keepAliveCount    = 3
-	// ackTimeout is how long sent bytes of a response may stay unacknowledged, the same as for upstream
-	// connections.
-	ackTimeout = 2500 * time.Millisecond
-)
-
 func (c *conn) isBusy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/upstream/httpclient/conn.go
+++ b/internal/upstream/httpclient/conn.go
@@ -6,7 +6,6 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"hickorypath/internal/core/sockopt"
@@ -15,33 +14,15 @@
 // DialFunc opens a connection; it has the signature of net.Dialer.DialContext.
 type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// Limits after which the kernel gives up a connection whose other end does not respond.
-const (
-	dialTimeout       = 2 * time.Second
-	keepAliveIdle     = 5 * time.Second
-	keepAliveInterval = 1 * time.Second
-	keepAliveCount    = 3
-	unackedTimeout    = 3 * time.Second
-)
+// dialTimeout bounds the opening of a connection.
+const dialTimeout = 2 * time.Second
 
 // NewDialFunc returns a DialFunc that opens TCP connections with keep-alive probes and a time limit on unacknowledged data.
 func NewDialFunc() DialFunc {
-	d := net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-		},
-		Control: SetUserTimeout,
-	}
+	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: sockopt.KeepAlive(), Control: sockopt.Control}
 	return d.DialContext
 }
 
-// SetUserTimeout bounds how long a socket waits for the other end to acknowledge sent data. It has the signature of
-// net.Dialer.Control and net.ListenConfig.Control.
-func SetUserTimeout(_, _ string, c syscall.RawConn) error {
-	return sockopt.SetUserTimeout(c, unackedTimeout)
-}
-
 // CountingConn is a connection that counts the bytes written to it, and asks before the first byte of a request.
 type CountingConn struct {
 	net.Conn
