Ask engines of serve that alone do not answer whether they are silent

A stream of serve was given up a second after its engine and the engine's network had fallen silent, and went on elsewhere, though a sound engine may be silent for longer: since a dial to an upstream that alone is out of reach fails at once, the questions that tell a silent engine from one that is gone included. These dials wait now, as long as the question may take; those for further requests still fail at once.

The stand-ins can be frozen for it.

--- a/cmd/hickorypath/injector.go
+++ b/cmd/hickorypath/injector.go
@@ -163,7 +163,7 @@
 		Replicator:       n.Replicator(),
 		FetchLoad:        engines.Load,
 		FetchCacheEvents: engines.CacheEvents,
-		Dial:             get[*httpclient.Reach](i).Dial,
+		Dial:             get[*httpclient.Reach](i).DialControl,
 		IsCutOff:         get[*httpclient.Reach](i).IsCut,
 		LiveHosts:        func() []string { return liveHosts(n.Members()) },
 		HostZones:        func() []route.Host { return liveHostZones(n.Members()) },
@@ -227,7 +227,8 @@
 }
 
 func provideEngines(i do.Injector) (*engine.Client, error) {
-	return engine.New(engine.Options{Dial: get[*httpclient.Reach](i).Dial, Clock: get[clock.Clock](i), Log: get[*zap.Logger](i)}), nil
+	reach := get[*httpclient.Reach](i)
+	return engine.New(engine.Options{Dial: reach.Dial, ControlDial: reach.DialControl, Clock: get[clock.Clock](i), Log: get[*zap.Logger](i)}), nil
 }
 
 func provideServices(i do.Injector) (*service.Client, error) {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -53,7 +53,7 @@
 		cache:   &cache{size: cmp.Or(o.CacheBlocks, defaultCache)},
 		running: map[string]context.CancelFunc{},
 	}
-	e.Base = upstream.New(e.clear, upstream.Crash, upstream.Restore, upstream.Stall, upstream.Silence, upstream.Slow,
+	e.Base = upstream.New(e.clear, upstream.Crash, upstream.Restore, upstream.Stall, upstream.Freeze, upstream.Silence, upstream.Slow,
 		upstream.CrashOnMark, upstream.Reject, upstream.WrongID, upstream.PreviousAnswer, upstream.Splice, upstream.LoseCacheEvents)
 	return e
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -27,7 +27,7 @@
 
 // New returns a Service.
 func New() *Service {
-	return &Service{Base: upstream.New(func() {}, upstream.Crash, upstream.Restore, upstream.Stall, upstream.Silence,
+	return &Service{Base: upstream.New(func() {}, upstream.Crash, upstream.Restore, upstream.Stall, upstream.Freeze, upstream.Silence,
 		upstream.CrashOnMark, upstream.Reject, upstream.DropAnswer, upstream.Hang, upstream.WrongID)}
 }
 
--- a/internal/standin/upstream/fault.go
+++ b/internal/standin/upstream/fault.go
@@ -24,6 +24,7 @@
 	Crash       Fault = "crash"   // connections are dropped until Restore
 	Restore     Fault = "restore" // ends all faults except Silence and CrashOnMark
 	Stall       Fault = "stall"   // requests make no progress until Restore; load reports continue
+	Freeze      Fault = "freeze"  // nothing is done or answered until Restore; connections are accepted
 	Silence     Fault = "silence" // connections open now never send anything again; new connections work
 	Slow        Fault = "slow"    // all delays are multiplied by a factor
 	CrashOnMark Fault = "mark"    // a request whose body contains the mark crashes the upstream
@@ -49,6 +50,7 @@
 type faults struct {
 	down    chan struct{} // closed while the upstream is crashed
 	resumed chan struct{} // open while the upstream is stalled, closed otherwise
+	thawed  chan struct{} // open while the upstream is frozen, closed otherwise
 	factor  float64
 	mark    []byte
 	counts  map[Fault]int
@@ -71,8 +73,9 @@
 // New returns a Base that supports the given faults and calls onCrash at each crash.
 func New(crashed func(), known ...Fault) *Base {
 	b := &Base{supported: known, onCrash: crashed, conns: map[string]bool{}}
-	b.faults = faults{down: make(chan struct{}), resumed: make(chan struct{}), factor: 1, counts: map[Fault]int{}}
+	b.faults = faults{down: make(chan struct{}), resumed: make(chan struct{}), thawed: make(chan struct{}), factor: 1, counts: map[Fault]int{}}
 	close(b.faults.resumed)
+	close(b.faults.thawed)
 	return b
 }
 
@@ -89,9 +92,12 @@
 		b.onCrash()
 	case Restore:
 		closeIfOpen(f.resumed)
+		closeIfOpen(f.thawed)
 		f.down, f.counts, f.factor = reopen(f.down), map[Fault]int{}, 1
 	case Stall:
 		f.resumed = reopen(f.resumed)
+	case Freeze:
+		f.resumed, f.thawed = reopen(f.resumed), reopen(f.thawed)
 	case Silence:
 		for c := range b.conns {
 			b.conns[c] = true
@@ -115,6 +121,9 @@
 // Stall stops the progress of all requests until Restore.
 func (b *Base) Stall() { _ = b.ApplyFault(FaultRequest{Fault: Stall}) }
 
+// Freeze stops everything that the upstream does until Restore.
+func (b *Base) Freeze() { _ = b.ApplyFault(FaultRequest{Fault: Freeze}) }
+
 // Silence makes all open connections silent for good; new connections work.
 func (b *Base) Silence() { _ = b.ApplyFault(FaultRequest{Fault: Silence}) }
 
@@ -158,6 +167,7 @@
 		if isClosed(b.currentFaults().down) {
 			panic(http.ErrAbortHandler)
 		}
+		b.Wait(r.Context(), b.currentFaults().thawed)
 		if !b.IsSilent(r) {
 			next(w, r)
 		}
--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -24,7 +24,9 @@
 type Options struct {
 	Clock clock.Clock
 	Dial  httpclient.DialFunc
-	Log   *zap.Logger
+	// ControlDial opens the connections for probes and cancellations; by default Dial does.
+	ControlDial httpclient.DialFunc
+	Log         *zap.Logger
 
 	MinProbeDelay      time.Duration // minimum idle time between two events before the engine is probed
 	MinFirstProbeDelay time.Duration // minimum wait for the first event before the engine is probed
@@ -42,6 +44,9 @@
 	if o.Dial == nil {
 		o.Dial = httpclient.NewDialFunc()
 	}
+	if o.ControlDial == nil {
+		o.ControlDial = o.Dial
+	}
 	o.Log = cmp.Or(o.Log, zap.NewNop())
 	o.MinProbeDelay = cmp.Or(o.MinProbeDelay, 300*time.Millisecond)
 	o.MinFirstProbeDelay = cmp.Or(o.MinFirstProbeDelay, time.Second)
@@ -56,6 +61,7 @@
 	options  Options
 	pooled   *http.Transport // reuses connections
 	unpooled *http.Transport // opens a connection for each call
+	control  *http.Transport // opens a connection for each probe or cancellation
 	history  *history
 	counters counters
 }
@@ -67,6 +73,7 @@
 		options:  o,
 		pooled:   newTransport(o.Dial, false),
 		unpooled: newTransport(o.Dial, true),
+		control:  newTransport(o.ControlDial, true),
 		history:  newHistory(),
 	}
 }
@@ -85,6 +92,7 @@
 func (c *Client) Close() {
 	c.pooled.CloseIdleConnections()
 	c.unpooled.CloseIdleConnections()
+	c.control.CloseIdleConnections()
 }
 
 // Call describes one attempt of a chat completion.
--- a/internal/upstream/engine/control.go
+++ b/internal/upstream/engine/control.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return kind.Wrap(err, kind.Internal, "cancel at engine %s", addr)
 	}
-	return c.doControl(req, c.unpooled, addr, nil)
+	return c.doControl(req, c.control, addr, nil)
 }
 
 // probe asks an engine, on a new connection, how many tokens it has produced for an attempt. The offset is
@@ -67,7 +67,7 @@
 func (c *Client) probe(ctx context.Context, addr, attempt string) (offset int, known bool, err error) {
 	c.counters.probes.Add(1)
 	var r loadReport
-	err = c.getJSON(ctx, c.unpooled, addr, "/load?id="+url.QueryEscape(attempt), &r)
+	err = c.getJSON(ctx, c.control, addr, "/load?id="+url.QueryEscape(attempt), &r)
 	if kind.Of(err) == kind.Failed {
 		return 0, false, nil // an engine that answers with an error status is alive
 	}
--- a/internal/upstream/httpclient/reach.go
+++ b/internal/upstream/httpclient/reach.go
@@ -71,6 +71,7 @@
 
 type pendingDial struct {
 	addr   string
+	waits  bool // although the upstream does not answer while others do
 	cancel context.CancelCauseFunc
 }
 
@@ -154,8 +155,18 @@
 	})
 }
 
-// Dial opens a connection to an upstream. It has the signature of a DialFunc.
+// Dial opens a connection to an upstream for a request. It has the signature of a DialFunc.
 func (r *Reach) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	return r.dialPool(ctx, network, addr, false)
+}
+
+// DialControl opens a connection to an upstream that a request is running on. It waits for an upstream that alone does not answer, since
+// a sound one may be silent for a second. It has the signature of a DialFunc.
+func (r *Reach) DialControl(ctx context.Context, network, addr string) (net.Conn, error) {
+	return r.dialPool(ctx, network, addr, true)
+}
+
+func (r *Reach) dialPool(ctx context.Context, network, addr string, waits bool) (net.Conn, error) {
 	r.mu.Lock()
 	p := r.byAddr[addr]
 	if p == nil {
@@ -165,9 +176,9 @@
 	reaches, isCut := p.state.Reaches(addr), p.state.IsCut()
 	r.mu.Unlock()
 	switch {
-	case !reaches && !isCut:
+	case !reaches && !isCut && !waits:
 		return nil, errStalled
-	case !reaches && r.mayGiveUp():
+	case !reaches && isCut && r.mayGiveUp():
 		return nil, ErrOutOfReach
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -175,7 +186,7 @@
 	r.mu.Lock()
 	p.lastDial++
 	n := p.lastDial
-	p.dials[n] = pendingDial{addr, cancel}
+	p.dials[n] = pendingDial{addr, waits, cancel}
 	r.mu.Unlock()
 	c, err := r.dialAndRecord(ctx, p, network, addr)
 	r.mu.Lock()
@@ -247,7 +258,7 @@
 // giveUpDials ends the dials to upstreams that are out of reach. The caller holds the mu of the Reach.
 func (p *poolReach) giveUpDials(cause error) {
 	for _, d := range p.dials {
-		if !p.state.Reaches(d.addr) {
+		if !p.state.Reaches(d.addr) && (p.state.IsCut() || !d.waits) {
 			d.cancel(cause)
 		}
 	}
