Report no window of usage that nobody keeps any more

Where the windows of usage are short against the time in which they may be reported, the platform got a window a second time, without any requests: customers would have been billed by whichever report counts. The deployments that we know have windows of 5 s to be reported within 10 s, where this does not happen.

Cause: a leader goes back through all windows whose report is not overdue, and remembers eight that it has reported; counts are kept for six. With windows of 1 s and 10 s to report, the ninth was reported anew each second. A leader now goes back five windows at most.

Evidence: TestShortWindowIsReportedAgain failed before (a second report of each of many windows) and passes now.

--- a/internal/gateway/leader/leader_test.go
+++ b/internal/gateway/leader/leader_test.go
@@ -106,10 +106,11 @@
 	api           *fakeUsageAPI
 	countsMissing bool                     // the counts of some host have not arrived
 	fixed         map[int64]map[string]int // what the hosts tell each other
+	window        time.Duration
 }
 
 func newTestFleet(t *testing.T) *testFleet {
-	f := &testFleet{now: time.Unix(1_800_000_000, 0), api: newFakeUsageAPI(t), fixed: map[int64]map[string]int{}}
+	f := &testFleet{now: time.Unix(1_800_000_000, 0), api: newFakeUsageAPI(t), fixed: map[int64]map[string]int{}, window: window}
 	f.clock = clock.New(f.time, func() time.Duration { return f.time().Sub(time.Unix(1_700_000_000, 0)) })
 	f.memory = store.NewMemory(f.clock)
 	return f
@@ -131,7 +132,7 @@
 func (f *testFleet) host(t *testing.T, name string, counts func(int64) map[string]int) *host {
 	t.Helper()
 	client := store.New(f.memory.Backend(), store.Options{Clock: f.clock, AttemptTimeout: 200 * time.Millisecond, TotalTimeout: time.Second})
-	h := &host{counter: usage.New(window, f.time)}
+	h := &host{counter: usage.New(f.window, f.time)}
 	h.lease = lease.New(client, f.clock, lease.Options{Name: "duty", Holder: name, TTL: time.Hour, SettleDelay: time.Nanosecond})
 	h.reporter = leader.NewUsageReporter(leader.UsageReporterOptions{
 		Host: name, Lease: h.lease, Store: client, Control: f.api.control(), Window: h.counter.Window, WindowEnd: h.counter.WindowEnd,
@@ -179,6 +180,37 @@
 	is.Equal(f.api.count, before+1)
 }
 
+// TestShortWindowIsReportedAgain guards against windows that are reported a second time, without counts, when more of them are due at a time
+// than are kept.
+func TestShortWindowIsReportedAgain(t *testing.T) {
+	const kept = 6 // windows that the hosts keep counts of
+	is := is.New(t)
+	f := newTestFleet(t)
+	f.window = time.Second
+	var h *host
+	counts := func(at int64) map[string]int {
+		if at < h.counter.Window(f.time())-kept {
+			return nil
+		}
+		return map[string]int{"club": 3}
+	}
+	h = f.host(t, "a", counts)
+	f.waitForLease(t, h)
+	for range 60 {
+		h.reporter.Step(t.Context())
+		f.advance(f.window / 4)
+		f.mu.Lock()
+		for w := range f.fixed {
+			if w < f.now.Unix()-kept {
+				delete(f.fixed, w)
+			}
+		}
+		f.mu.Unlock()
+	}
+	is.True(len(f.api.reports) >= 12)
+	is.Equal(f.api.count, len(f.api.reports))
+}
+
 // TestSuccessorReportsTheSameCounts lets calls to the store or to the usage API fail while the leader reports, and then
 // lets another host, which has counted differently, become the leader and finish the report.
 func TestSuccessorReportsTheSameCounts(t *testing.T) {
--- a/internal/gateway/leader/reporter.go
+++ b/internal/gateway/leader/reporter.go
@@ -67,8 +67,10 @@
 	gatherTime = 2 * time.Second
 	// finalReserve is how long before its due time a report is sent in any case.
 	finalReserve = time.Second
-	// keepWindows is the number of past windows whose counts are kept, which is longer than they can be sent.
+	// keepWindows is the number of past windows whose counts are kept, and maxWindows that of past windows that are reported, fewer than anybody
+	// keeps: of an older one nobody knows any more whether and how it was reported.
 	keepWindows = 8
+	maxWindows  = 5
 	// minLeaseValidity is how long the lease must remain valid for a call and its response.
 	minLeaseValidity = callTimeout
 )
@@ -85,7 +87,7 @@
 	if token, err := r.opts.Lease.Token(minLeaseValidity); err == nil && (r.heldSince.IsZero() || token.FencingToken() != r.fencingToken) {
 		r.fencingToken, r.heldSince = token.FencingToken(), now
 	}
-	for w := newest; r.opts.WindowEnd(w).Add(r.opts.ReportDelay).After(now); w-- {
+	for w := newest; w > newest-maxWindows && r.opts.WindowEnd(w).Add(r.opts.ReportDelay).After(now); w-- {
 		if r.reported[w] || !r.isSettled(w, now) {
 			continue
 		}
