Soak hosts whose upstreams pause, are brittle, silent and out of reach

TestSoak plays hosts, links and the store. The new soak plays what upstreams state and do: pauses, brittleness, silences of a second and cuts of single hosts of all kinds, at random and overlapping with hosts that are killed, shut down and stopped and a store that fails and is restored. Callers keep their connections. It checks what requests that may run once did, that streams that look whole are, that pauses are kept by hosts that were undisturbed for 3 s, how many brittle upstreams fall over, and the usage reports. The stand-in upstream can be silent, tells hosts apart by their addresses and starts again at its address, through proxies that stand for one host each.

--- a/cmd/hickorypath/gatewaycutoff_test.go
+++ b/cmd/hickorypath/gatewaycutoff_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"maps"
@@ -30,6 +31,7 @@
 	*gatewayFleet
 	instances []*instance.Server
 	links     [][]*proxy.Proxy // by host and upstream
+	slots     int              // of an upstream
 }
 
 // streamEvents is the number of events of a stream of a cutoffFleet.
@@ -39,14 +41,23 @@
 func newCutoffFleet(t *testing.T, net, hosts, upstreams int) *cutoffFleet {
 	t.Helper()
 	is := is.New(t)
-	f := &cutoffFleet{gatewayFleet: newGatewayFleet(t, net, 0, 0)}
-	for u := range upstreams {
+	list := make([]*instance.Server, 0, upstreams)
+	for range upstreams {
 		s, err := instance.New(instance.Options{Version: "v1", Events: streamEvents, Interval: 40 * time.Millisecond})
 		is.NoErr(err)
 		t.Cleanup(s.Close)
-		f.instances = append(f.instances, s)
-		value := fmt.Sprintf(`{"service":"svc","address":%q,"zone":"z","version":"v1","slots":64,"state":"ready","seq":1}`, s.Addr())
-		is.NoErr(f.platform.Put(t.Context(), fmt.Sprintf("servers/u%d", u), []byte(value)))
+		list = append(list, s)
+	}
+	return newCutoffFleetOf(t, net, hosts, 64, list)
+}
+
+// newCutoffFleetOf starts a fleet with instances that have some slots each.
+func newCutoffFleetOf(t *testing.T, net, hosts, slots int, instances []*instance.Server) *cutoffFleet {
+	t.Helper()
+	is := is.New(t)
+	f := &cutoffFleet{gatewayFleet: newGatewayFleet(t, net, 0, 0), instances: instances, slots: slots}
+	for u := range instances {
+		is.NoErr(f.putEntry(u, 1))
 	}
 	for n := range hosts {
 		f.addHost(n)
@@ -54,18 +65,27 @@
 	for _, h := range f.hosts {
 		f.waitUntil(h.ready)
 		f.waitUntil(func() bool { return strings.Count(h.log.String(), `"host joined"`) == hosts-1 })
-		f.waitUntil(func() bool { return strings.Count(h.log.String(), `"upstream joins"`) == upstreams })
+		f.waitUntil(func() bool { return strings.Count(h.log.String(), `"upstream joins"`) == len(instances) })
 	}
 	return f
 }
 
+// putEntry writes the entry of an instance to the store, with the time of its start.
+func (f *cutoffFleet) putEntry(u int, born int64) error {
+	value := fmt.Sprintf(`{"service":"svc","address":%q,"zone":"z","version":"v1","slots":%d,"state":"ready","seq":1,"born":%d}`, f.instances[u].Addr(), f.slots, born)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return f.platform.Put(ctx, fmt.Sprintf("servers/u%d", u), []byte(value))
+}
+
 // addHost starts a host to which the upstreams have the addresses of its links.
 func (f *cutoffFleet) addHost(n int) {
 	is := is.New(f.t)
 	addresses := make([]string, 0, 2*len(f.instances))
 	links := make([]*proxy.Proxy, 0, len(f.instances))
 	for u, s := range f.instances {
-		p, err := proxy.NewAt(fmt.Sprintf("%s%d:%d", f.addresses, n+1, 9000+u), s.Addr())
+		ip := fmt.Sprintf("%s%d", f.addresses, n+1)
+		p, err := proxy.NewFrom(fmt.Sprintf("%s:%d", ip, 9000+u), s.Addr(), ip)
 		is.NoErr(err)
 		f.t.Cleanup(p.Close)
 		links = append(links, p)
--- a/internal/standin/instance/advice.go
+++ b/internal/standin/instance/advice.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -16,18 +16,21 @@
 	leaves bool
 	pause  time.Duration        // asked for in the response to each request that is turned away; 0 for no pause
 	toldAt map[string]time.Time // by host, when it was first told that the instance leaves
-	pauses []pause
+	pauses []Pause
 	late   []string       // requests that came too late after that
 	calls  map[string]int // by host
 }
 
-// pause is a span in which a host should send nothing.
-type pause struct {
-	host     string
-	from, to time.Time
-	calls    int
+// Pause is a span in which a host should send nothing.
+type Pause struct {
+	Host     string
+	From, To time.Time
+	Calls    int // requests of the host that came nevertheless
 }
 
+// IsKept reports whether no more requests came than may.
+func (p Pause) IsKept() bool { return p.Calls <= maxPauseCalls }
+
 const (
 	// drainTime is how long after a host was told that the instance leaves it may send requests.
 	drainTime = 2 * time.Second
@@ -73,16 +76,22 @@
 	defer s.advice.mu.Unlock()
 	all := append([]string(nil), s.advice.late...)
 	for _, p := range s.advice.pauses {
-		if p.calls > maxPauseCalls {
-			all = append(all, fmt.Sprintf("%d requests of %s in a pause of %s", p.calls, p.host, p.to.Sub(p.from).Round(time.Millisecond)))
+		if !p.IsKept() {
+			all = append(all, fmt.Sprintf("%d requests of %s in a pause of %s", p.Calls, p.Host, p.To.Sub(p.From).Round(time.Millisecond)))
 		}
 	}
 	return all
 }
 
-// advise records a request and adds what the instance states to its response. It reports whether the request is turned away.
-func (a *advice) advise(w http.ResponseWriter, id string) (turnedAway bool) {
-	host, _, _ := strings.Cut(id, "-")
+// Pauses returns the spans in which hosts should have sent nothing.
+func (s *Server) Pauses() []Pause {
+	s.advice.mu.Lock()
+	defer s.advice.mu.Unlock()
+	return slices.Clone(s.advice.pauses)
+}
+
+// advise records a request of a host and adds what the instance states to its response. It reports whether the request is turned away.
+func (a *advice) advise(w http.ResponseWriter, host, id string) (turnedAway bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
@@ -94,8 +103,8 @@
 		a.late = append(a.late, fmt.Sprintf("request %s came %s after its host was told that the instance leaves", id, now.Sub(told).Round(time.Millisecond)))
 	}
 	for i, p := range a.pauses {
-		if p.host == host && now.After(p.from) && now.Before(p.to) {
-			a.pauses[i].calls++
+		if p.Host == host && now.After(p.From) && now.Before(p.To) {
+			a.pauses[i].Calls++
 		}
 	}
 	if a.leaves {
@@ -107,7 +116,7 @@
 	if a.pause == 0 {
 		return false
 	}
-	a.pauses = append(a.pauses, pause{host: host, from: now.Add(pauseGrace), to: now.Add(a.pause)})
+	a.pauses = append(a.pauses, Pause{Host: host, From: now.Add(pauseGrace), To: now.Add(a.pause)})
 	w.Header().Set("Not-Executed", "1")
 	w.Header().Set("Retry-After", strconv.FormatFloat(a.pause.Seconds(), 'f', -1, 64))
 	w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/standin/instance/instance.go
+++ b/internal/standin/instance/instance.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"maps"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -22,6 +23,7 @@
 	Interval time.Duration // time between two events
 	Poison   *Poison       // crashes the instance; may be nil
 	Room     *Room         // bounds the requests of the instance; may be nil
+	BySender bool          // hosts are told apart by the addresses of their connections; otherwise by the beginnings of the request identifiers
 }
 
 // StreamPrefix is the prefix of the paths whose responses are streams.
@@ -35,6 +37,7 @@
 	limit    limitcheck.Limit
 	advice   advice
 	crashed  atomic.Bool
+	silent   silence
 
 	occupancy occupancy
 
@@ -44,8 +47,11 @@
 }
 
 // New returns a running Server that names no limit.
-func New(o Options) (*Server, error) {
-	l, err := gate.Listen("127.0.0.1:0")
+func New(o Options) (*Server, error) { return NewAt("127.0.0.1:0", o) }
+
+// NewAt returns a running Server at an address.
+func NewAt(address string, o Options) (*Server, error) {
+	l, err := gate.Listen(address)
 	if err != nil {
 		return nil, err
 	}
@@ -100,6 +106,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
+	s.silent.wait(r.Context())
 	if p := s.options.Poison; p != nil && p.isIn(r) {
 		p.crash(s, r)
 		panic(http.ErrAbortHandler)
@@ -109,7 +116,11 @@
 	if values := s.limit.RecordCall(id); len(values) > 0 {
 		w.Header()["Server-Limit"] = values
 	}
-	if s.advice.advise(w, id) {
+	host, _, _ := strings.Cut(id, "-")
+	if s.options.BySender {
+		host, _, _ = net.SplitHostPort(r.RemoteAddr)
+	}
+	if s.advice.advise(w, host, id) {
 		return
 	}
 	if s.options.Room != nil {
@@ -130,5 +141,6 @@
 		case <-time.After(room.work):
 		}
 	}
+	s.silent.wait(r.Context())
 	_, _ = w.Write([]byte("ok")) // the host may have closed the connection
 }
--- a/internal/standin/instance/stream.go
+++ b/internal/standin/instance/stream.go
@@ -21,6 +21,7 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := after + 1; n <= s.options.Events; n++ {
+		s.silent.wait(r.Context())
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, s.options.Version); err != nil {
 			return
 		}
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -31,6 +31,7 @@
 // Proxy forwards TCP connections to one address.
 type Proxy struct {
 	target   string
+	dialer   net.Dialer
 	listener *gate.Listener
 
 	mu          sync.Mutex
@@ -45,11 +46,20 @@
 
 // NewAt returns a running proxy that listens on an address. Only one with a port other than 0 can be cut.
 func NewAt(address, target string) (*Proxy, error) {
+	return NewFrom(address, target, "")
+}
+
+// NewFrom is like NewAt, but the proxy forwards connections from an IP address, that of the client for which it stands, by which the server
+// knows it. The address may be empty.
+func NewFrom(address, target, source string) (*Proxy, error) {
 	l, err := gate.Listen(address)
 	if err != nil {
 		return nil, err
 	}
 	p := &Proxy{target: target, listener: l, conns: map[net.Conn]bool{}}
+	if source != "" {
+		p.dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(source)}
+	}
 	p.modeChanged = sync.NewCond(&p.mu)
 	go p.accept()
 	return p, nil
@@ -141,7 +151,7 @@
 		reset(near)
 		return
 	}
-	far, err := net.Dial("tcp4", p.target)
+	far, err := p.dialer.Dial("tcp4", p.target)
 	if err != nil {
 		reset(near)
 		return
