Reproduce hosts of serve that refuse although others have room

While the engines of a pool are brittle, their slots are divided among the hosts, and a host of serve refuses what exceeds its own part, though the other hosts may use nothing of theirs. gateway sends such requests through a host that has room.

--- a/cmd/hickorypath/hostroom_test.go
+++ b/cmd/hickorypath/hostroom_test.go
@@ -78,3 +78,54 @@
 	is.Equal(longest, 0)
 	is.True(float64(after) >= 0.95*float64(before))
 }
+
+// TestServeHostRefusesAlthoughOthersHaveRoom guards against a host of serve that refuses requests for brittle engines since its own part of
+// them is used, while the other hosts have room there.
+func TestServeHostRefusesAlthoughOthersHaveRoom(t *testing.T) {
+	const slots, requests = 3, 6 // as many requests at a time as both engines have slots
+	is := is.New(t)
+	o := testEngine
+	o.Slots, o.TokenInterval = slots, 20*time.Millisecond
+	document := bytes.ReplaceAll(demoDocument, []byte(`"slots": 8`), fmt.Appendf(nil, `"slots": %d`, slots))
+	document = bytes.ReplaceAll(document, []byte(`"wait": "5s"`), []byte(`"wait": "100ms"`))
+	w := newTestClusterWithFlags(t, demoFlags{engine: o, enginesPerPool: 2, document: withoutLimits(document)})
+	var engines []*engine.Engine
+	for _, u := range w.site.Upstreams() {
+		if u.Engine != nil && u.Pool == "asesor" {
+			engines = append(engines, u.Engine)
+			u.Engine.SetBrittle("1")
+		}
+	}
+	ask := func(host, n int) int {
+		return w.send(t.Context(), host, call{
+			method: http.MethodPost, path: "/v1/chat/completions", body: chatBody("asesor", n%2 > 0, fmt.Sprint("Why? ", n)), key: w.keys[demoCustomer],
+		}).status
+	}
+	for host := range 3 {
+		is.Equal(ask(host, host), http.StatusOK) // all hosts are told
+	}
+	for _, e := range engines {
+		e.TakeLongestQueue()
+	}
+	var callers sync.WaitGroup
+	var served atomic.Int64
+	for n := range requests {
+		callers.Go(func() {
+			if ask(0, 10+n) == http.StatusOK {
+				served.Add(1)
+			}
+		})
+	}
+	callers.Wait()
+	longest := 0
+	for _, e := range engines {
+		longest = max(longest, e.TakeLongestQueue())
+	}
+	is.Equal(longest, 0)
+	known, err := knownfailure.IsListed("TestServeHostRefusesAlthoughOthersHaveRoom")
+	is.NoErr(err)
+	if known && served.Load() < requests {
+		t.Skip("known fault, see KNOWN-RED.txt")
+	}
+	is.Equal(served.Load(), int64(requests))
+}
