Send requests that find no room at a host of serve to others

Callers of one host of serve were refused for brittle engines while the other hosts had slots there: each host may use only its own part, and refused what exceeded it.

A request that such a host would refuse is now sent to at most two other hosts, which run it at once or refuse it. It does not wait there: their own callers are before it, and the wait is over here already. The host does not know the room of the others; a hop costs less than a refusal.

None may wait at an engine, as before.

--- a/cmd/hickorypath/injector.go
+++ b/cmd/hickorypath/injector.go
@@ -297,6 +297,7 @@
 		ReachesOthers: get[*httpclient.Reach](i).ReachesOthers,
 		HasFallenOver: f.HasFallenOver,
 		RecordGivenUp: f.RecordGivenUp,
+		IsBrittle:     f.IsBrittle,
 		ReportCrash:   newCrashReplicator(replicator, c, f),
 
 		RecordAdvisory: f.RecordAdvisory,
--- a/internal/caller/exchange/attempt.go
+++ b/internal/caller/exchange/attempt.go
@@ -67,9 +67,21 @@
 	return a.err
 }
 
+// acquirePool returns a grant of the session's pool. A request that does not wait is refused if there is none at once.
+func (s *Session) acquirePool(ctx context.Context, r pool.Request) (dispatch.Grant, error) {
+	if !s.req.NoWait {
+		return s.pool.Acquire(ctx, r)
+	}
+	grant, ok := s.pool.TryAcquire(r)
+	if !ok {
+		return grant, kind.New(kind.Overload, "pool %s has no room on this host", s.route.Pool())
+	}
+	return grant, nil
+}
+
 // acquire waits for a slot on an upstream, which has to be the required one if that is not empty.
 func (c *chat) acquire(ctx context.Context, requiredUpstream string) (dispatch.Grant, error) {
-	grant, err := c.pool.Acquire(ctx, c.request(requiredUpstream))
+	grant, err := c.acquirePool(ctx, c.request(requiredUpstream))
 	if err != nil {
 		return grant, err
 	}
--- a/internal/caller/exchange/exchange.go
+++ b/internal/caller/exchange/exchange.go
@@ -56,6 +56,8 @@
 	ReachesOthers func(pool, addr string) bool
 	// HasFallenOver reports whether an upstream that has failed may have done so for want of room; it may be nil.
 	HasFallenOver func(pool, upstream string) bool
+	// IsBrittle reports whether each host may use a part of a pool's upstreams only; it may be nil.
+	IsBrittle func(pool string) bool
 	// RecordGivenUp records that an attempt at an upstream was given up, whose connection is closed after a delay; it may be nil.
 	RecordGivenUp func(pool, upstream string, delay time.Duration)
 	// IsDown reports whether an upstream is already known to be down.
@@ -113,7 +115,8 @@
 	Model          string // model of a chat completion
 	Method         string // HTTP method of a call to a plain service
 	Path           string // URL path of a call to a plain service
-	Relayed        bool   // another host sent the request, which is cut off from the upstreams
+	Relayed        bool   // another host sent the request
+	NoWait         bool   // the request is refused if no upstream can run it at once
 
 	// Of a relayed request, the time until its response must be complete, 0 for that of its route, and what the caller has got of it.
 	TimeLeft time.Duration
--- a/internal/caller/exchange/forward.go
+++ b/internal/caller/exchange/forward.go
@@ -155,7 +155,7 @@
 	if err != nil {
 		return err
 	}
-	grant, err := f.pool.Acquire(ctx, pool.Request{
+	grant, err := f.acquirePool(ctx, pool.Request{
 		Customer:          f.customer,
 		Class:             f.class.Name(),
 		Weight:            f.weight,
--- a/internal/caller/exchange/outofreach.go
+++ b/internal/caller/exchange/outofreach.go
@@ -25,6 +25,13 @@
 	}
 }
 
+// IsOutOfRoom reports whether a request was refused because this host may use only a part of the pool's upstreams, so that another host may
+// have room for it.
+func (s *Session) IsOutOfRoom(err error) bool {
+	isBrittle := s.runner.deps.IsBrittle
+	return kind.Of(err) == kind.Overload && s.ctx.Err() == nil && !s.req.Relayed && isBrittle != nil && isBrittle(s.route.Pool())
+}
+
 // Pool returns the name of the session's pool.
 func (s *Session) Pool() string { return s.route.Pool() }
 
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -24,8 +24,8 @@
 )
 
 const (
-	// maxTries is the number of hosts that are asked for one request.
-	maxTries = 4
+	// maxTries is the number of hosts that are asked for one request, and maxRoomTries that for one that is refused here for want of room.
+	maxTries, maxRoomTries = 4, 2
 	// openTimeout bounds the opening of a stream to a host.
 	openTimeout = 400 * time.Millisecond
 	// watchInterval is how often a host that relays a request is looked up among those that are alive.
@@ -70,6 +70,7 @@
 	Pool       string
 	Repeatable bool              // it may run more than once
 	TimeLeft   time.Duration     // until the response must be complete
+	NoWait     bool              // hosts that cannot run the request at once refuse it
 	Progress   exchange.Progress // of a stream that has begun; zero otherwise
 }
 
@@ -79,7 +80,11 @@
 	var last *kind.Error
 	tried := make([]string, 0, maxTries)
 	ran := kind.RanNo
-	for range maxTries {
+	tries := maxTries
+	if r.NoWait {
+		tries = maxRoomTries
+	}
+	for range tries {
 		host, ok := c.pick(r.Pool, tried)
 		if !ok {
 			break
@@ -155,9 +160,11 @@
 		return nil, kind.Wrap(err, kind.Lost, "%s was lost", host).WithRan(kind.RanMaybe)
 	}
 	res.Body = &body{ReadCloser: res.Body, conn: conn, stop: stop}
-	if fault := readRefusal(res); fault != nil {
+	if fault := readRefusal(res, r.NoWait); fault != nil {
 		_ = res.Body.Close()
-		c.recordUnable(host, r.Pool)
+		if kind.Of(fault) != kind.Overload {
+			c.recordUnable(host, r.Pool)
+		}
 		return nil, fault
 	}
 	c.opts.Log.Debug("request relayed", zap.String("id", res.Header.Get(reply.HeaderRequestID)), zap.String("helper", host), zap.Int("status", res.StatusCode))
@@ -183,7 +190,7 @@
 	for _, name := range reply.HopHeaders {
 		out.Header.Del(name)
 	}
-	reply.SetRelay(out.Header, r.TimeLeft, r.Progress)
+	reply.SetRelay(out.Header, r.TimeLeft, r.NoWait, r.Progress)
 	if _, ok := out.Header["User-Agent"]; !ok {
 		out.Header["User-Agent"] = nil // the caller sent none
 	}
@@ -212,8 +219,8 @@
 }
 
 // readRefusal returns the error with which a host has refused a request, if another host may serve it: the request did not run, and
-// the reason lies with that host. The body of any other response can still be read.
-func readRefusal(res *http.Response) error {
+// the reason lies with that host, or its want of room for a request that does not wait. The body of any other response can still be read.
+func readRefusal(res *http.Response, noWait bool) error {
 	if res.StatusCode < http.StatusBadRequest {
 		return nil
 	}
@@ -224,7 +231,11 @@
 			Ran  kind.Ran  `json:"ran"`
 		} `json:"error"`
 	}
-	if err == nil && json.Unmarshal(data, &refusal) == nil && refusal.Error.Ran == kind.RanNo && isFaultOfHost(refusal.Error.Kind) {
+	isRefusal := err == nil && json.Unmarshal(data, &refusal) == nil && refusal.Error.Ran == kind.RanNo
+	switch {
+	case isRefusal && noWait && refusal.Error.Kind == kind.Overload:
+		return kind.New(kind.Overload, "another host has no room for the request")
+	case isRefusal && isFaultOfHost(refusal.Error.Kind):
 		return kind.New(kind.Unavailable, "another host cannot serve the request: %s", refusal.Error.Kind).WithRan(kind.RanNo)
 	}
 	rest := res.Body.(*body)
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -194,3 +194,40 @@
 		})
 	}
 }
+
+// TestRequestWaitsAtAnotherHost checks what becomes of a request that is to run at once on another host.
+func TestRequestWaitsAtAnotherHost(t *testing.T) {
+	full := script{answer: refusal(503, kind.Overload, kind.RanNo)}
+	cases := []struct {
+		name    string
+		scripts [3]script
+		asked   int
+		status  int // 0 for an error
+	}{
+		{"the first has room", [3]script{{answer: ok}, full, full}, 1, 200},
+		{"the second has room", [3]script{full, {answer: ok}, full}, 2, 200},
+		{"too many are full", [3]script{full, full, {answer: ok}}, 2, 0},
+		{"may have run", [3]script{{answer: refusal(503, kind.Overload, kind.RanMaybe)}, {answer: ok}, {answer: ok}}, 1, 503},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := &fleet{scripts: map[string]script{}, request: map[string]string{}}
+			client := relay.New(relay.Options{Zone: "a", Hosts: func() []relay.Host { return f.hosts[len(f.asked) : len(f.asked)+1] }, Open: f.open, Log: zap.NewNop()})
+			for n, s := range c.scripts {
+				id := fmt.Sprint("h", n)
+				f.hosts = append(f.hosts, relay.Host{ID: id, Zone: "a"})
+				f.scripts[id] = s
+			}
+			r := httptest.NewRequest(http.MethodPost, "/dues", http.NoBody)
+			w := httptest.NewRecorder()
+			err, _ := serve(client, w, relay.Request{Request: r, Body: []byte("entry"), Pool: "p", NoWait: true})
+			is.Equal(err != nil, c.status == 0)
+			is.Equal(len(f.asked), c.asked)
+			is.True(strings.Contains(f.request["h0"], "Relay-Nowait:[1]"))
+			if c.status != 0 {
+				is.Equal(w.Code, c.status)
+			}
+		})
+	}
+}
--- a/internal/caller/reply/relayed.go
+++ b/internal/caller/reply/relayed.go
@@ -15,12 +15,13 @@
 	headerTokens   = "Hickorypath-Relay-Tokens"  // output tokens that the caller has got; the response states them as well
 	headerVersion  = "Hickorypath-Relay-Version" // software version of the engine that sent them
 	headerAttempt  = "Hickorypath-Relay-Attempt" // the attempt to resume
+	headerNoWait   = "Hickorypath-Relay-Nowait"  // 1 if the request is to be refused unless it can run at once
 )
 
 // relayedKey is the context key of requests that another host sent.
 type relayedKey struct{}
 
-// MarkRelayed returns a request that another host sent, which is cut off from the upstreams.
+// MarkRelayed returns a request that another host sent.
 func MarkRelayed(r *http.Request) *http.Request {
 	return r.WithContext(context.WithValue(r.Context(), relayedKey{}, true))
 }
@@ -28,10 +29,13 @@
 func isRelayed(r *http.Request) bool { return r.Context().Value(relayedKey{}) != nil }
 
 // SetRelay sets the headers of a request that is sent through another host. A zero Progress is that of a response that has not begun.
-func SetRelay(h http.Header, timeLeft time.Duration, p exchange.Progress) {
-	for _, name := range []string{headerTokens, headerVersion, headerAttempt} {
+func SetRelay(h http.Header, timeLeft time.Duration, noWait bool, p exchange.Progress) {
+	for _, name := range []string{headerTokens, headerVersion, headerAttempt, headerNoWait} {
 		h.Del(name)
 	}
+	if noWait {
+		h.Set(headerNoWait, "1")
+	}
 	h.Set(headerTimeLeft, strconv.FormatInt(max(timeLeft.Milliseconds(), 1), 10))
 	if p.Tokens > 0 {
 		h.Set(headerTokens, strconv.Itoa(p.Tokens))
@@ -42,7 +46,7 @@
 
 // readRelay reads the headers of a request that another host sent.
 func readRelay(h http.Header, req *exchange.Request) {
-	req.Relayed = true
+	req.Relayed, req.NoWait = true, h.Get(headerNoWait) != ""
 	if ms, err := strconv.ParseInt(h.Get(headerTimeLeft), 10, 64); err == nil && ms > 0 {
 		req.TimeLeft = time.Duration(ms) * time.Millisecond
 	}
--- a/internal/caller/service/service.go
+++ b/internal/caller/service/service.go
@@ -72,6 +72,11 @@
 			started = true
 			return respond(w, status, header, body)
 		})
+		elsewhere := relay.Request{Request: r, Body: body, Pool: s.Pool(), Repeatable: s.IsRepeatable(), TimeLeft: s.TimeLeft(), NoWait: true}
+		if mayRelay && !started && s.IsOutOfRoom(err) && h.relays.Serve(w, elsewhere) == nil {
+			s.Abandon()
+			return false, nil
+		}
 		if started || !mayRelay || !s.MayRelay(err) {
 			s.Close(err)
 			return started, err
--- a/internal/upstream/fleet/brittle.go
+++ b/internal/upstream/fleet/brittle.go
@@ -105,6 +105,15 @@
 // connection.
 const canceledWorkTime = 250 * time.Millisecond
 
+// IsBrittle reports whether the upstreams of a pool are brittle, so that each host may use a part of them only.
+func (f *Fleet) IsBrittle(pool string) bool {
+	a := f.advisories
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := a.pools[pool]
+	return p != nil && p.brittleness.Holds(f.options.Clock.Now())
+}
+
 // RecordGivenUp records that an attempt at an upstream was given up, whose connection is closed after a delay. If the upstream is brittle, the
 // attempt counts until the upstream has noticed.
 func (f *Fleet) RecordGivenUp(pool, upstream string, delay time.Duration) {
