Tell callers when a request may have run on a host without room

A request that a host of serve has refused for want of room goes to other hosts. If one of them was lost after it had got the request, the caller was told the first refusal, "ran: no", although the request may have run; a caller that sends it again then has it run twice.

The error of the hop now counts unless it says that nothing ran, in one place for chat completions and plain services (relay.Client.ServeNow). The case "one is lost" of TestRequestWaitsAtAnotherHost checks it.

--- a/internal/caller/openai/openai.go
+++ b/internal/caller/openai/openai.go
@@ -87,9 +87,11 @@
 		out := newWriter(w, r, body.IsStream())
 		defer out.close()
 		err = s.Chat(body, out.output())
-		if !out.isStarted() && s.IsOutOfRoom(err) && h.serveElsewhere(w, newRelayRequest(r, s, data)) {
-			s.Abandon()
-			return nil
+		if !out.isStarted() && s.IsOutOfRoom(err) {
+			if err = h.relays.ServeNow(w, newRelayRequest(r, s, data), err); err == nil {
+				s.Abandon()
+				return nil
+			}
 		}
 		if out.isStarted() || !s.MayRelay(err) {
 			return h.finish(s, out, newRelayRequest(r, s, data), err)
@@ -99,12 +101,6 @@
 	return h.relays.Serve(w, newRelayRequest(r, s, data))
 }
 
-// serveElsewhere has a request served by another host that can run it at once, and reports whether one has.
-func (h *Handler) serveElsewhere(w http.ResponseWriter, r relay.Request) bool {
-	r.NoWait = true
-	return h.relays.Serve(w, r) == nil
-}
-
 // finish ends the response of a session that has ended with err. Another host sends the rest of a stream that was cut off.
 func (h *Handler) finish(s *exchange.Session, out *writer, r relay.Request, err error) error {
 	if _, ok := s.Progress(); ok {
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -70,7 +70,7 @@
 	Pool       string
 	Repeatable bool              // it may run more than once
 	TimeLeft   time.Duration     // until the response must be complete
-	NoWait     bool              // hosts that cannot run the request at once refuse it
+	NoWait     bool              // hosts that cannot run the request at once refuse it; see ServeNow
 	Progress   exchange.Progress // of a stream that has begun; zero otherwise
 }
 
@@ -110,6 +110,17 @@
 	return err.WithRan(ran).WithRetry(minRetryAfter + rand.N(maxRetryAfter-minRetryAfter))
 }
 
+// ServeNow sends a request, which this host has refused, through hosts that can run it at once, like Serve. The error is the refusal if none
+// of them could and the request did not run.
+func (c *Client) ServeNow(w http.ResponseWriter, r Request, refusal error) error {
+	r.NoWait = true
+	err := c.Serve(w, r)
+	if err != nil && kind.From(err).Ran() == kind.RanNo {
+		return refusal
+	}
+	return err
+}
+
 // pick returns a host that may reach a pool: one of the own zone first, and then one of any other.
 func (c *Client) pick(pool string, tried []string) (host string, ok bool) {
 	now := time.Now()
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -195,7 +195,7 @@
 	}
 }
 
-// TestRequestWaitsAtAnotherHost checks what becomes of a request that is to run at once on another host.
+// TestRequestWaitsAtAnotherHost checks what becomes of a request that this host has refused, and what its caller is told.
 func TestRequestWaitsAtAnotherHost(t *testing.T) {
 	full := script{answer: refusal(503, kind.Overload, kind.RanNo)}
 	cases := []struct {
@@ -203,11 +203,13 @@
 		scripts [3]script
 		asked   int
 		status  int // 0 for an error
+		ran     kind.Ran
 	}{
-		{"the first has room", [3]script{{answer: ok}, full, full}, 1, 200},
-		{"the second has room", [3]script{full, {answer: ok}, full}, 2, 200},
-		{"too many are full", [3]script{full, full, {answer: ok}}, 2, 0},
-		{"may have run", [3]script{{answer: refusal(503, kind.Overload, kind.RanMaybe)}, {answer: ok}, {answer: ok}}, 1, 503},
+		{"the first has room", [3]script{{answer: ok}, full, full}, 1, 200, ""},
+		{"the second has room", [3]script{full, {answer: ok}, full}, 2, 200, ""},
+		{"too many are full", [3]script{full, full, {answer: ok}}, 2, 0, kind.RanNo},
+		{"one is lost", [3]script{{}, {answer: ok}, {answer: ok}}, 1, 0, kind.RanMaybe},
+		{"may have run", [3]script{{answer: refusal(503, kind.Overload, kind.RanMaybe)}, {answer: ok}, {answer: ok}}, 1, 503, ""},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -221,13 +223,19 @@
 			}
 			r := httptest.NewRequest(http.MethodPost, "/dues", http.NoBody)
 			w := httptest.NewRecorder()
-			err, _ := serve(client, w, relay.Request{Request: r, Body: []byte("entry"), Pool: "p", NoWait: true})
-			is.Equal(err != nil, c.status == 0)
+			refusal := kind.New(kind.Overload, "no room on this host").WithRan(kind.RanNo)
+			err := client.ServeNow(w, relay.Request{Request: r, Body: []byte("entry"), Pool: "p"}, refusal)
 			is.Equal(len(f.asked), c.asked)
-			is.True(strings.Contains(f.request["h0"], "Relay-Nowait:[1]"))
-			if c.status != 0 {
-				is.Equal(w.Code, c.status)
+			for _, request := range f.request {
+				is.True(strings.Contains(request, "Relay-Nowait:[1]"))
 			}
+			if c.status == 0 {
+				is.Equal(err == error(refusal), c.ran == kind.RanNo)
+				is.Equal(kind.From(err).Ran(), c.ran)
+				return
+			}
+			is.NoErr(err)
+			is.Equal(w.Code, c.status)
 		})
 	}
 }
--- a/internal/caller/service/service.go
+++ b/internal/caller/service/service.go
@@ -72,10 +72,11 @@
 			started = true
 			return respond(w, status, header, body)
 		})
-		elsewhere := relay.Request{Request: r, Body: body, Pool: s.Pool(), Repeatable: s.IsRepeatable(), TimeLeft: s.TimeLeft(), NoWait: true}
-		if mayRelay && !started && s.IsOutOfRoom(err) && h.relays.Serve(w, elsewhere) == nil {
-			s.Abandon()
-			return false, nil
+		if mayRelay && !started && s.IsOutOfRoom(err) {
+			if err = h.relays.ServeNow(w, newRelayRequest(r, s, body), err); err == nil {
+				s.Abandon()
+				return false, nil
+			}
 		}
 		if started || !mayRelay || !s.MayRelay(err) {
 			s.Close(err)
@@ -83,7 +84,12 @@
 		}
 	}
 	s.Abandon()
-	return false, h.relays.Serve(w, relay.Request{Request: r, Body: body, Pool: s.Pool(), Repeatable: s.IsRepeatable(), TimeLeft: s.TimeLeft()})
+	return false, h.relays.Serve(w, newRelayRequest(r, s, body))
+}
+
+// newRelayRequest returns the request of a session with a body, to be sent through another host.
+func newRelayRequest(r *http.Request, s *exchange.Session, body []byte) relay.Request {
+	return relay.Request{Request: r, Body: body, Pool: s.Pool(), Repeatable: s.IsRepeatable(), TimeLeft: s.TimeLeft()}
 }
 
 // respond writes the response of a plain service. The request id of this host replaces the service's own.
