--- a/internal/caller/openai/openai.go
+++ b/internal/caller/openai/openai.go
@@ -88,17 +88,17 @@
 		defer out.close()
 		err = s.Chat(body, out.output())
 		if !out.isStarted() && s.IsOutOfRoom(err) {
-			if err = h.relays.ServeNow(w, newRelayRequest(r, s, data), err); err == nil {
+			if err = h.relays.ServeNow(w, relay.NewRequest(r, s, data), err); err == nil {
 				s.Abandon()
 				return nil
 			}
 		}
 		if out.isStarted() || !s.MayRelay(err) {
-			return h.finish(s, out, newRelayRequest(r, s, data), err)
+			return h.finish(s, out, relay.NewRequest(r, s, data), err)
 		}
 	}
 	s.Abandon()
-	return h.relays.Serve(w, newRelayRequest(r, s, data))
+	return h.relays.Serve(w, relay.NewRequest(r, s, data))
 }
 
 // finish ends the response of a session that has ended with err. Another host sends the rest of a stream that was cut off.
@@ -114,12 +114,6 @@
 	return out.finish(err)
 }
 
-// newRelayRequest returns the request of a session with a body, to be sent through another host.
-func newRelayRequest(r *http.Request, s *exchange.Session, body []byte) relay.Request {
-	progress, _ := s.Progress()
-	return relay.Request{Request: r, Body: body, Pool: s.Pool(), Repeatable: s.IsRepeatable(), TimeLeft: s.TimeLeft(), Progress: progress}
-}
-
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err == nil {
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -74,6 +74,12 @@
 	Progress   exchange.Progress // of a stream that has begun; zero otherwise
 }
 
+// NewRequest returns the request of a session, with its body, as it stands now.
+func NewRequest(r *http.Request, s *exchange.Session, body []byte) Request {
+	progress, _ := s.Progress()
+	return Request{Request: r, Body: body, Pool: s.Pool(), Repeatable: s.IsRepeatable(), TimeLeft: s.TimeLeft(), Progress: progress}
+}
+
 // Serve sends a request through other hosts, one after the other until one serves it, and writes the response. The error states
 // whether the request ran; nothing was written then. Like an http.Handler it panics to abort a response that breaks off.
 func (c *Client) Serve(w http.ResponseWriter, r Request) error {
--- a/internal/caller/service/service.go
+++ b/internal/caller/service/service.go
@@ -73,7 +73,7 @@
 			return respond(w, status, header, body)
 		})
 		if mayRelay && !started && s.IsOutOfRoom(err) {
-			if err = h.relays.ServeNow(w, newRelayRequest(r, s, body), err); err == nil {
+			if err = h.relays.ServeNow(w, relay.NewRequest(r, s, body), err); err == nil {
 				s.Abandon()
 				return false, nil
 			}
@@ -84,12 +84,7 @@
 		}
 	}
 	s.Abandon()
-	return false, h.relays.Serve(w, newRelayRequest(r, s, body))
-}
-
-// newRelayRequest returns the request of a session with a body, to be sent through another host.
-func newRelayRequest(r *http.Request, s *exchange.Session, body []byte) relay.Request {
-	return relay.Request{Request: r, Body: body, Pool: s.Pool(), Repeatable: s.IsRepeatable(), TimeLeft: s.TimeLeft()}
+	return false, h.relays.Serve(w, relay.NewRequest(r, s, body))
 }
 
 // respond writes the response of a plain service. The request id of this host replaces the service's own.
