--- a/cmd/hickorypath/soakupstreams_test.go
+++ b/cmd/hickorypath/soakupstreams_test.go
@@ -102,13 +102,17 @@
 	for n := range soakCallers {
 		callers.Go(func() { s.sendRequests(n, seed, stop) })
 	}
+	endCallers := sync.OnceFunc(func() {
+		close(stop)
+		callers.Wait()
+	})
+	defer endCallers()
 	for range 2 * *soakSteps {
 		s.injectFault()
 		<-time.After(time.Duration(200+s.rng.IntN(900)) * time.Millisecond)
 	}
 	s.recoverAll()
-	close(stop)
-	callers.Wait()
+	endCallers()
 	s.check()
 }
 
@@ -207,6 +211,7 @@
 	case 0, 1:
 		c := proxy.Cut(s.rng.IntN(4))
 		s.log("%s is cut off (%d)", h.name, c)
+		s.heal(n)
 		s.cut(c, n)
 		s.disturb(h)
 	case 2, 3:
@@ -325,6 +330,16 @@
 	}
 }
 
+// logHost logs what a host, given by its IP address, has logged.
+func (s *upstreamSoak) logHost(ip string) {
+	s.t.Helper()
+	for _, h := range s.hosts {
+		if h.ip == ip {
+			s.t.Log(h.log.String())
+		}
+	}
+}
+
 // check compares what callers got with what the upstreams ran and stated.
 func (s *upstreamSoak) check() {
 	s.mu.Lock()
@@ -336,7 +351,8 @@
 		}
 		for _, p := range i.Pauses() {
 			if !p.IsKept() && s.isCalm(p.Host, p.From, p.To) {
-				s.t.Errorf("%d requests of %s in a pause of %s", p.Calls, p.Host, p.To.Sub(p.From).Round(time.Millisecond))
+				s.t.Errorf("%s was asked for a pause from %s to %s by %s and sent %v", p.Host, p.From.Format("05.000"), p.To.Format("05.000"), i.Addr(), p.Came)
+				s.logHost(p.Host)
 			}
 		}
 	}
--- a/internal/standin/instance/advice.go
+++ b/internal/standin/instance/advice.go
@@ -25,11 +25,11 @@
 type Pause struct {
 	Host     string
 	From, To time.Time
-	Calls    int // requests of the host that came nevertheless
+	Came     []string // requests of the host that came nevertheless: when, and which
 }
 
 // IsKept reports whether no more requests came than may.
-func (p Pause) IsKept() bool { return p.Calls <= maxPauseCalls }
+func (p Pause) IsKept() bool { return len(p.Came) <= maxPauseCalls }
 
 const (
 	// drainTime is how long after a host was told that the instance leaves it may send requests.
@@ -77,7 +77,7 @@
 	all := append([]string(nil), s.advice.late...)
 	for _, p := range s.advice.pauses {
 		if !p.IsKept() {
-			all = append(all, fmt.Sprintf("%d requests of %s in a pause of %s", p.Calls, p.Host, p.To.Sub(p.From).Round(time.Millisecond)))
+			all = append(all, fmt.Sprintf("%d requests of %s in a pause of %s", len(p.Came), p.Host, p.To.Sub(p.From).Round(time.Millisecond)))
 		}
 	}
 	return all
@@ -104,7 +104,7 @@
 	}
 	for i, p := range a.pauses {
 		if p.Host == host && now.After(p.From) && now.Before(p.To) {
-			a.pauses[i].Calls++
+			a.pauses[i].Came = append(p.Came, now.Format("05.000 ")+id)
 		}
 	}
 	if a.leaves {
