Continue streams of unknown origin only at a proven single version

Callers saw (reports of other operators, reproduced here): after all hosts were killed, or at a host that was cut off or stood still while instances of a new version joined, a stream that was taken up was answered 200 with the first part from one version and the rest from another.

Cause: a host that knows no origin of a stream relied on the instances that it knows itself. After a restart it does not know those that have left, and while it is out of touch it does not know those that have joined.

Change: the leader keeps the versions that each service has run within the last minute in the store. A host that takes up a stream of unknown origin reads them and the entries of the instances after the request has come, or asks other hosts if the store fails, and refuses if neither can tell. A route to several services leaves the origin unknown.

--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -21,6 +21,7 @@
 	"hickorypath/internal/gateway/frontend"
 	"hickorypath/internal/gateway/peer"
 	"hickorypath/internal/gateway/relay"
+	"hickorypath/internal/gateway/release"
 	"hickorypath/internal/gateway/settings"
 	"hickorypath/internal/gateway/storewatch"
 	"hickorypath/internal/gateway/truetime"
@@ -57,6 +58,8 @@
 	transport        *peer.Transport
 	configs          *peer.Fetcher
 	entries          *peer.Fetcher
+	versions         *release.Tracker
+	release          *release.Finder
 	fleetTime        *truetime.Clock
 	usage            *usage.Counter
 	lease            *lease.Lease
@@ -121,6 +124,8 @@
 	g.table = upstream.NewTable(s.Zone, m.upstreams, log)
 	g.store = g.newStore()
 	g.watcher = g.newStoreWatcher()
+	g.versions = release.NewTracker(clk.Now)
+	g.release = g.newVersionFinder()
 	g.helpers = g.newHelpers()
 	g.exchange = g.newExchanger()
 	g.relays = g.newRelayServer()
@@ -175,6 +180,7 @@
 		FindOrigin: func(ctx context.Context, request string) (upstream.Origin, bool) {
 			return g.transport.FindOrigin(ctx, request)
 		},
+		OnlyVersion: g.release.OnlyVersion,
 		NotifyPeers: func() { g.transport.SendSoon(false) },
 		OnStarted:   func(customer, _ string) { g.usage.Add(customer) },
 		DrainingFor: g.drainTime,
@@ -210,9 +216,10 @@
 	}
 	go clock.Every(work, idleSweepInterval, g.checkStoreRecovery)
 	go g.exchange.Run(work)
-	duties, release := context.WithCancel(work)
-	defer release()
+	duties, endDuties := context.WithCancel(work)
+	defer endDuties()
 	go g.runLeaderTasks(duties)
+	go clock.Every(work, leaderInterval, func() { g.versions.See(release.TableVersions(g.table)) })
 	go clock.Every(work, leaderInterval, g.announceLeader)
 	go g.sweepIdle(work)
 	go g.serveProbes(probes)
@@ -220,7 +227,7 @@
 	go func() { _ = g.server.Serve(work, callers) }() // returns when the listener is closed
 	go g.watchSettings(work)
 	<-ctx.Done()
-	release() // another host can become the leader while this one finishes its requests
+	endDuties() // another host can become the leader while this one finishes its requests
 	g.drain(callers)
 	return nil
 }
--- a/cmd/hickorypath/gatewayfleet_test.go
+++ b/cmd/hickorypath/gatewayfleet_test.go
@@ -196,7 +196,7 @@
 	ip, name := f.addresses+strconv.Itoa(n), fmt.Sprintf("h%d", n)
 	address := strings.TrimPrefix(f.server.URL, "http://")
 	h := &gatewayHost{fleet: f, name: name, ip: ip, settings: filepath.Join(f.t.TempDir(), "settings.json"), log: &lockedBuffer{}}
-	text := fmt.Sprintf(`{"node":%q,"zone":"z","zones":{"z":"r"},"ip":%q,"listen":{"front":"%s:8000","ready":"%s:8001"},
+	text := fmt.Sprintf(`{"node":%q,"zone":"z","zones":{"z":"r"},"bootstrap":true,"ip":%q,"listen":{"front":"%s:8000","ready":"%s:8001"},
 	 "internalPorts":[7340,7355],"limits":{"cpuShare":0.4,"cores":1,"memoryMb":134,"maxFds":4100},
 	 "bounds":{"graceS":8,"leaseMs":3000,"usageWindowS":1,"usageLateS":10,"retryBudgetRatio":0.2,"budgetWindowS":10,"budgetMinRetries":50},
 	 "platform":{"address":%q},"cloud":{"address":%q,"duties":["usage_report"]}}`, name, ip, ip, ip, address, address)
--- a/cmd/hickorypath/gatewaypeers.go
+++ b/cmd/hickorypath/gatewaypeers.go
@@ -13,6 +13,7 @@
 	"hickorypath/internal/core/clock"
 	"hickorypath/internal/gateway/leader"
 	"hickorypath/internal/gateway/peer"
+	"hickorypath/internal/gateway/release"
 	"hickorypath/internal/policy/sizing"
 	"hickorypath/internal/state/lease"
 	"hickorypath/internal/state/store"
@@ -98,7 +99,12 @@
 // upstreamEntries returns the upstream entries and their revision, for peers that fetch them.
 func (g *gateway) upstreamEntries() peer.Entries {
 	list, revision := g.watcher.Entries()
-	return peer.Entries{Revision: revision, List: list, StoreFailing: g.table.IsStoreFailing(g.clock.Now())}
+	e := peer.Entries{Revision: revision, List: list, StoreFailing: g.table.IsStoreFailing(g.clock.Now())}
+	g.versions.See(release.TableVersions(g.table))
+	if v, complete := g.versions.Versions(); complete {
+		e.Versions = v
+	}
+	return e
 }
 
 // packedConfig returns the compressed configuration, for peers that fetch it; nil before the first one.
@@ -129,6 +135,11 @@
 			zone, _, _ := strings.Cut(strings.TrimPrefix(key, hostKeyPrefix), "/")
 			g.peers.AddAddress(g.clock.Now(), addr, zone)
 		}
+	case key == release.RecordKey && !e.Deleted():
+		if err := g.versions.SeeValue(e.Value()); err != nil {
+			g.log.Warn("record of versions ignored", zap.Error(err))
+		}
+		g.log.Info("versions in the store", zap.ByteString("versions", e.Value()))
 	case key == lease.KeyPrefix+leaderLease:
 		g.leaseHeld.Store(!e.Deleted())
 		g.log.Info("duty", zap.Bool("held", !e.Deleted()), zap.String("holder", string(e.Value())), zap.Uint64("revision", e.Revision()))
@@ -189,6 +200,11 @@
 		Host: g.settings.Host, Lease: g.lease, Control: control, Live: g.live, Table: g.table, Zones: g.settings.Zones,
 		Demand: g.fleetDemand, DemandCoverage: func() float64 { return g.peers.DemandCoverage(g.clock.Now()) }, ReadRate: g.exchange.ReadRate, Now: g.clock.Now, Log: g.log,
 	})
+	versions := release.NewRecorder(release.RecorderOptions{
+		Store: g.store.For(store.UseRelease), Tracker: g.versions, FirstStart: g.settings.FirstStart, Log: g.log,
+		IsLeader: func() bool { _, err := g.lease.Token(0); return err == nil },
+	})
+	go clock.Every(ctx, leaderInterval, func() { versions.Step(ctx) })
 	if g.settings.Control.ReportsUsage {
 		go clock.Every(ctx, leaderInterval, func() { reporter.Step(ctx) })
 	}
--- a/cmd/hickorypath/gatewayversion_test.go
+++ b/cmd/hickorypath/gatewayversion_test.go
@@ -25,7 +25,8 @@
 	events []instance.Event
 }
 
-// openStream sends a request for a stream to a host and reads the head of the response. A stream that is not nil is taken up.
+// openStream sends a request for a stream to a host and reads the head of the response. A stream that is not nil is taken up; one
+// without id leaves its first request unnamed.
 func (h *gatewayHost) openStream(id string, first *stream) (s *stream, status int) {
 	conn, err := net.DialTimeout("tcp4", h.ip+":8000", time.Second)
 	if err != nil {
@@ -34,7 +35,10 @@
 	h.fleet.t.Cleanup(func() { _ = conn.Close() })
 	resume := ""
 	if first != nil {
-		resume = fmt.Sprintf("Resumes: %s\r\nLast-Event-Id: %d\r\n", first.id, first.last().ID)
+		resume = fmt.Sprintf("Last-Event-Id: %d\r\n", first.last().ID)
+		if first.id != "" {
+			resume += fmt.Sprintf("Resumes: %s\r\n", first.id)
+		}
 	}
 	_, err = fmt.Fprintf(conn, "POST /talk/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nAuthorization: Bearer k1\r\nDeadline-Ms: 15000\r\n%sContent-Length: 0\r\n\r\n", id, resume)
 	if err != nil {
--- a/internal/gateway/exchange/exchanger.go
+++ b/internal/gateway/exchange/exchanger.go
@@ -38,8 +38,10 @@
 	// if no host is known to know it.
 	TellOrigin func(request string, o upstream.Origin)
 	FindOrigin func(ctx context.Context, request string) (o upstream.Origin, ok bool)
-	Log        *zap.Logger
-	Now        func() time.Time
+	// OnlyVersion returns the software version that a service has run lately; ok is false if it was more than one or is not known.
+	OnlyVersion func(ctx context.Context, service string) (version string, ok bool)
+	Log         *zap.Logger
+	Now         func() time.Time
 	// NotifyPeers makes the load of this host known to the other hosts soon, ahead of the next interval.
 	NotifyPeers func()
 	// DrainingFor returns how long this host has been shutting down, 0 if it is not.
--- a/internal/gateway/exchange/origin.go
+++ b/internal/gateway/exchange/origin.go
@@ -43,13 +43,19 @@
 	return nil
 }
 
-// askOrigin returns the origin of the stream that the request takes up. A client that does not name the request that began the
-// stream leaves it unknown, unless the service has run a single version lately.
+// askOrigin returns the origin of the stream that the request takes up. If no host knows the request that began the stream, or the
+// client does not name it, the origin is known only if there can be no other: the route leads to a single service, which has run a
+// single version lately.
 func (e *exchange) askOrigin(ctx context.Context) (o upstream.Origin, ok bool) {
 	if e.info.Resumes != "" {
-		return e.x.opts.FindOrigin(ctx, e.info.Resumes)
+		if o, ok = e.x.opts.FindOrigin(ctx, e.info.Resumes); ok {
+			return o, true
+		}
 	}
-	version, ok := e.x.opts.Table.OnlyVersion(e.service.Name)
+	if len(e.route.Backends) > 1 {
+		return upstream.Origin{}, false
+	}
+	version, ok := e.x.opts.OnlyVersion(ctx, e.service.Name)
 	return upstream.Origin{Service: e.service.Name, Version: version}, ok
 }
 
--- a/internal/gateway/peer/serve.go
+++ b/internal/gateway/peer/serve.go
@@ -108,4 +108,6 @@
 	Revision     uint64           `cbor:"r"`
 	List         []upstream.Entry `cbor:"l"`
 	StoreFailing bool             `cbor:"q,omitempty"` // the host's calls to the store failed lately, so entries may be missing
+	// Versions are the software versions that the services have run lately, by service; nil if the host may not know all of them.
+	Versions map[string][]string `cbor:"v,omitempty"`
 }
--- a/internal/gateway/settings/settings.go
+++ b/internal/gateway/settings/settings.go
@@ -10,6 +10,7 @@
 	Zone          string
 	Zones         []string // all availability zones of the deployment
 	IP            string
+	FirstStart    bool   // the deployment starts for the first time, so that nothing has run before
 	CallerAddress string // address on which requests of callers are accepted
 	ReadyAddress  string // address on which readiness checks are answered
 	InternalPorts [2]int // first and last port of the range for traffic between hosts
--- a/internal/gateway/upstream/origin.go
+++ b/internal/gateway/upstream/origin.go
@@ -30,23 +30,3 @@
 	}
 	return true
 }
-
-// OnlyVersion returns the version of all instances of a service, those that were dropped within leftRetention included. ok is
-// false if they are of several versions or there are none.
-func (t *Table) OnlyVersion(service string) (version string, ok bool) {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	versions := map[string]bool{}
-	for _, i := range t.byService[service] {
-		versions[i.Entry().Version] = true
-	}
-	for _, l := range t.left {
-		if l.entry.Service == service {
-			versions[l.entry.Version] = true
-		}
-	}
-	for v := range versions {
-		version = v
-	}
-	return version, len(versions) == 1
-}
--- a/internal/state/store/options.go
+++ b/internal/state/store/options.go
@@ -24,6 +24,7 @@
 	UseLease    Use = "lease"
 	UseOrder    Use = "order"
 	UseRecovery Use = "recovery"
+	UseRelease  Use = "release"
 	UseOther    Use = "other"
 )
 
@@ -55,8 +56,8 @@
 	burstSeconds          = 2
 )
 
-// defaultBudgets are in calls per second. They sum up to the default rate, so that no use starves another; UseRecovery shares
-// it, since most other writes wait for the recovery.
+// defaultBudgets are in calls per second. They sum up to the default rate, so that no use starves another. UseRecovery and
+// UseRelease share it: most other writes wait for the recovery, and hosts that use UseRelease make few other calls.
 var defaultBudgets = map[Use]float64{
 	UseDocument: 6,
 	UseKey:      6,
@@ -66,6 +67,7 @@
 	UseLease:    10,
 	UseOrder:    4,
 	UseRecovery: 60,
+	UseRelease:  60,
 	UseOther:    4,
 }
 
