Do not count a watch that was given up as a failure of the store

Callers could see: after a host of a large fleet left the watch to others, upstreams whose entries were removed were still used as the last resort for up to 3.6 s.

Cause: the end of the watch's own context reached OnError like a response that did not come, so that the store counted as failing.

Result: TestEndedWatchIsNoFailure fails without the change.

--- a/internal/state/store/client_test.go
+++ b/internal/state/store/client_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -239,3 +240,24 @@
 	_, err = c.Put(t.Context(), "k", nil, store.Absent())
 	is.Equal(kind.Of(err), kind.Store)
 }
+
+// TestEndedWatchIsNoFailure guards against a service that counts as failing because a watch of it was given up.
+func TestEndedWatchIsNoFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var failures atomic.Int64
+		backend := store.NewMemory(clock.NewSystem()).Backend()
+		backend.Watch = func(ctx context.Context, _ string, _ uint64) ([]store.Event, uint64, error) {
+			<-ctx.Done()
+			return nil, 0, kind.Wrap(ctx.Err(), kind.OutcomeUnknown, "no response") // as over a network
+		}
+		c := store.New(backend, store.Options{Clock: clock.NewSystem(), OnError: func(error) { failures.Add(1) }})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- c.Watch(ctx, "", 0, func(store.Event) {}) }()
+		time.Sleep(time.Second)
+		cancel()
+		is.Equal(kind.Of(<-ended), kind.Canceled)
+		is.Equal(failures.Load(), int64(0))
+	})
+}
--- a/internal/state/store/watch.go
+++ b/internal/state/store/watch.go
@@ -91,13 +91,13 @@
 		return nil, 0, err
 	}
 	shared.countCall(w.client.use, opWatch)
-	ctx, cancel := withTimeout(ctx, opWatch, shared.watchTimeout())
+	callCtx, cancel := withTimeout(ctx, opWatch, shared.watchTimeout())
 	defer cancel()
-	events, rev, err := shared.backend.Watch(ctx, w.prefix, w.revision)
+	events, rev, err := shared.backend.Watch(callCtx, w.prefix, w.revision)
 	switch {
 	case err == nil:
 		shared.lastResponse.Store(int64(shared.opts.Clock.Boot()))
-	case kind.Of(err) != kind.Missing:
+	case kind.Of(err) != kind.Missing && ctx.Err() == nil: // a watch that was given up tells nothing about the service
 		shared.opts.OnError(err)
 	}
 	return events, rev, err
