Make fewer calls to the store when hosts of a large fleet start together

Causes: each host registered its address again after a restart (two writes and an event for everyone who watches); each host watched until messages of 16 others had come, which takes seconds since hosts of other zones send rarely; and each watch returned once for every few registrations.

Change: a host that finds its address in the store relies on it and renews it later; the size of the fleet is judged by the addresses that are known; the first watch begins 0.7 s after the store was read, when most hosts have learned that others watch; a watch waits 250 ms after events instead of 100.

--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -67,7 +67,9 @@
 	startTime        time.Time
 	startBoot        time.Duration
 	synced           atomic.Bool   // the host has heard of the other hosts' configuration, or waited for them, since it started
-	restored         chan struct{} // signals that the store was restored from an older copy
+	unregistered     chan struct{} // signals that the store may not hold the address of this host any more
+	listed           chan struct{} // signals that all keys of the store were read
+	isRegistered     atomic.Bool   // the store shows the address of this host
 	storeDown        atomic.Bool   // the store has failed and not recovered yet
 	lastStoreFailure atomic.Int64  // boot time of the store's last failure, in nanoseconds
 	draining         chan struct{}
@@ -105,7 +107,7 @@
 	// hosts learn of a newer configuration from that host.
 	storeWatchTimeout    = 6 * time.Second
 	storeWatchJitter     = 4500 * time.Millisecond
-	storeWatchBatchDelay = 100 * time.Millisecond
+	storeWatchBatchDelay = 250 * time.Millisecond
 	// storeIdleConns and storeIdleTimeout are large enough to reuse the connections of a watch, a lease renewal and a write.
 	storeIdleConns    = 4
 	storeIdleTimeout  = 30 * time.Second
@@ -116,7 +118,7 @@
 	log = log.With(zap.String("host", s.Host))
 	g := &gateway{
 		settings: s, clock: clk, machine: m, log: log, startTime: clk.Now(), startBoot: clk.Boot(), fleetTime: truetime.New(clk), live: config.NewLive(),
-		draining: make(chan struct{}), restored: make(chan struct{}, 1),
+		draining: make(chan struct{}), unregistered: make(chan struct{}, 1), listed: make(chan struct{}, 1),
 	}
 	g.peers = peer.NewTable(s.Host, s.Zone, g.peerAddress(), s.Resources.LinkMbps, g.startTime.UnixNano())
 	g.origins = peer.NewOrigins()
--- a/cmd/hickorypath/gatewaypeers.go
+++ b/cmd/hickorypath/gatewaypeers.go
@@ -24,8 +24,6 @@
 	// hostKeyPrefix is the prefix of the store keys under which hosts register their peer addresses. The rest of a key is the
 	// zone, a slash and the host's name; hosts of an earlier version leave the zone and the slash out.
 	hostKeyPrefix = "hosts/"
-	// hostKeyTTL is how long the address of a host that has gone stays registered. The store accepts at most ten minutes.
-	hostKeyTTL = 10 * time.Minute
 	// leaderLease is the name of the lease whose holder reports usage and orders upstreams for all hosts.
 	leaderLease = "duty"
 	// leaderSettleDelay is how long a new holder waits after the previous holder's lease has expired.
@@ -130,6 +128,10 @@
 // handleStoreEvent applies changes of the store's keys that hold host addresses and the leader lease.
 func (g *gateway) handleStoreEvent(e store.Event) {
 	switch key := e.Key(); {
+	case key == g.hostKey():
+		if g.isRegistered.Store(!e.Deleted() && string(e.Value()) == g.peerAddress()); e.Deleted() {
+			g.registerSoon()
+		}
 	case strings.HasPrefix(key, hostKeyPrefix) && !e.Deleted():
 		if addr := string(e.Value()); addr != g.peerAddress() {
 			zone, _, _ := strings.Cut(strings.TrimPrefix(key, hostKeyPrefix), "/")
@@ -148,35 +150,15 @@
 
 // handleStoreSync records, after all keys have been read, that no host holds the leader lease if its key does not exist.
 func (g *gateway) handleStoreSync(exists func(key string) bool) {
-	if !exists(lease.KeyPrefix + leaderLease) {
-		g.leaseHeld.Store(false)
+	if !exists(g.hostKey()) {
+		g.isRegistered.Store(false)
 	}
-}
-
-// registerAddress writes this host's peer address to the store and renews it until ctx is canceled.
-func (g *gateway) registerAddress(ctx context.Context) {
-	for ctx.Err() == nil {
-		grant, err := g.store.Grant(ctx, hostKeyTTL)
-		if err == nil {
-			_, err = g.store.PutLeased(ctx, hostKeyPrefix+g.settings.Zone+"/"+g.settings.Host, []byte(g.peerAddress()), store.Any(), grant)
-		}
-		if err == nil {
-			g.awaitRegistration(ctx)
-			continue
-		}
-		g.log.Warn("cannot register this host's address in the store; retrying", zap.Error(err))
-		clock.Pause(ctx, time.Second)
-	}
-}
-
-// awaitRegistration waits until this host's address has to be written to the store again.
-func (g *gateway) awaitRegistration(ctx context.Context) {
-	timer := time.NewTimer(hostKeyTTL / 2)
-	defer timer.Stop()
 	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-g.restored:
+	case g.listed <- struct{}{}:
+	default: // registerAddress has not started yet, or does not wait
+	}
+	if !exists(lease.KeyPrefix + leaderLease) {
+		g.leaseHeld.Store(false)
 	}
 }
 
--- a/cmd/hickorypath/gatewaystore.go
+++ b/cmd/hickorypath/gatewaystore.go
@@ -34,10 +34,7 @@
 func (g *gateway) handleStoreRestore(era uint64) {
 	g.table.RecordRestore(g.clock.Now())
 	g.log.Warn("store restored from an older copy", zap.Uint64("era", era), zap.Int64("version", g.configVersion()))
-	select {
-	case g.restored <- struct{}{}:
-	default: // the address is about to be registered again
-	}
+	g.registerSoon()
 }
 
 // startupPeerWait bounds how long a host that starts waits for the other hosts before it is ready. The store may have been
--- a/internal/gateway/peer/targets.go
+++ b/internal/gateway/peer/targets.go
@@ -101,7 +101,7 @@
 func (t *Table) ShouldWatchStore(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.hosts) < smallFleet {
+	if len(t.addresses) < smallFleet {
 		return true
 	}
 	rankedBefore, candidatesBefore, watching := 0, 0, 0
--- a/internal/gateway/storewatch/watcher.go
+++ b/internal/gateway/storewatch/watcher.go
@@ -40,10 +40,11 @@
 	revision atomic.Uint64 // revision of the newest upstream entry that is known
 	watching atomic.Bool
 
-	// The table holds a mixture of old and new entries during a sync, so the revision rises at its end. Both fields belong
+	// The table holds a mixture of old and new entries during a sync, so the revision rises at its end. These fields belong
 	// to the goroutine that runs the watch.
 	syncing      bool
 	syncRevision uint64
+	hasSynced    bool
 
 	mu            sync.Mutex
 	newerSince    time.Time // when this host heard of a configuration newer than the active one; zero if it has not
@@ -63,6 +64,10 @@
 // checkInterval is the interval at which a host checks whether it has to watch the store.
 const checkInterval = 250 * time.Millisecond
 
+// startDelay is how long a host that has just started, and has read all keys, waits before its first watch. Hosts that start together
+// register in that time, so that one watch returns all of them; and most hosts of a large fleet learn that others watch.
+const startDelay = 700 * time.Millisecond
+
 // Run watches the store whenever ShouldWatch reports true, until ctx ends. A single watch covers all keys, since every
 // waiting watch is billed as a call.
 func (w *Watcher) Run(ctx context.Context) {
@@ -88,7 +93,14 @@
 			cancel()
 		}
 	})
-	h := store.WatchHandler{Event: w.handleEvent, SyncStart: w.handleSyncStart, SyncEnd: w.handleSyncEnd}
+	syncEnd := func(revision uint64, exists func(key string) bool) {
+		w.handleSyncEnd(revision, exists)
+		if !w.hasSynced {
+			w.hasSynced = true
+			clock.Pause(ctx, startDelay)
+		}
+	}
+	h := store.WatchHandler{Event: w.handleEvent, SyncStart: w.handleSyncStart, SyncEnd: syncEnd}
 	_ = w.opts.Store.WatchWithSync(ctx, "", 0, h) // returns only when ctx ends
 	w.opts.Log.Info("store watch left to other hosts")
 }
--- a/internal/gateway/storewatch/watcher_test.go
+++ b/internal/gateway/storewatch/watcher_test.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -88,3 +89,39 @@
 		is.Equal(slices.Sorted(maps.Keys(checked)), []uint64{3, 5, 6})
 	})
 }
+
+// TestHostsThatStartTogetherMakeFewCalls starts the hosts of a large fleet at once, each of which registers after it has read all
+// keys. Most of them learn within half a second that others watch the store.
+func TestHostsThatStartTogetherMakeFewCalls(t *testing.T) {
+	const hosts, watchers, maxCallsPerHost = 60, 4, 3 // reading, one watch, and a part of those of the hosts that go on
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		memory := store.NewMemory(clock.NewWall())
+		var othersWatch atomic.Bool
+		var known [hosts]atomic.Int64 // registered hosts that a host knows
+		for n := range hosts {
+			client := store.New(memory.Backend(), store.Options{Clock: clock.NewWall(), Rand: rand.New(rand.NewPCG(1, uint64(n))), WatchTimeout: 5 * time.Second, WatchBatchDelay: 100 * time.Millisecond})
+			w := storewatch.New(storewatch.Options{
+				Store: client, Live: config.NewLive(), Table: upstream.NewTable("z1", upstream.NewDialer(), zap.NewNop()), EntryPrefix: entryPrefix,
+				OnOtherKey: func(store.Event) { known[n].Add(1) }, OnChange: func() {},
+				OnSync: func(func(string) bool) {
+					time.AfterFunc(time.Duration(rand.N(500))*time.Millisecond, func() {
+						_, err := memory.Backend().Put(t.Context(), store.Write{Key: "hosts/" + strconv.Itoa(n)})
+						is.NoErr(err)
+					})
+				},
+				ShouldWatch: func() bool { return n < watchers || !othersWatch.Load() }, Log: zap.NewNop(), Now: time.Now,
+			})
+			go w.Run(t.Context())
+		}
+		time.Sleep(500 * time.Millisecond)
+		othersWatch.Store(true)
+		time.Sleep(1500 * time.Millisecond)
+		calls := memory.Calls() - hosts // without those that registered
+		t.Logf("%d calls of %d hosts", calls, hosts)
+		is.True(calls <= hosts*maxCallsPerHost)
+		for n := range watchers {
+			is.Equal(known[n].Load(), int64(hosts))
+		}
+	})
+}
