--- a/cmd/hickorypath/gatewayregister_test.go
+++ b/cmd/hickorypath/gatewayregister_test.go
@@ -16,7 +16,7 @@
 		_, revision, _ := f.platform.Memory().Read(key(h))
 		return revision
 	}
-	var before []uint64
+	before := make([]uint64, 0, len(f.hosts))
 	for _, h := range f.hosts {
 		f.waitUntil(func() bool { return revision(h) > 0 })
 		before = append(before, revision(h))
