Take streams up at their version after all hosts have ended

Cause: the hosts alone knew where a stream had begun. A host that does not know it refuses, which keeps the versions apart and loses the stream.

Change: while some service runs several versions, the leader keeps the origins of the streams of the last half minute in the store, in segments, four times a second; in a large fleet each origin is told to the leader too. A host that is asked for a stream that no other host knows reads them with one call. With one version nothing is written.

--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -180,7 +180,10 @@
 		PeerLoads:  g.peers.Loads,
 		TellOrigin: func(request string, o upstream.Origin) { g.transport.TellOrigin(request, o) },
 		FindOrigin: func(ctx context.Context, request string) (upstream.Origin, bool) {
-			return g.transport.FindOrigin(ctx, request)
+			if o, ok := g.transport.FindOrigin(ctx, request); ok || !g.release.ReadOrigins(ctx) {
+				return o, ok
+			}
+			return g.origins.GetByRequest(request)
 		},
 		OnlyVersion: g.release.OnlyVersion,
 		NotifyPeers: func() { g.transport.SendSoon(false) },
--- a/cmd/hickorypath/gatewaypeers.go
+++ b/cmd/hickorypath/gatewaypeers.go
@@ -182,11 +182,15 @@
 		Host: g.settings.Host, Lease: g.lease, Control: control, Live: g.live, Table: g.table, Zones: g.settings.Zones,
 		Demand: g.fleetDemand, DemandCoverage: func() float64 { return g.peers.DemandCoverage(g.clock.Now()) }, ReadRate: g.exchange.ReadRate, Now: g.clock.Now, Log: g.log,
 	})
+	isLeader := func() bool { _, err := g.lease.Token(0); return err == nil }
 	versions := release.NewRecorder(release.RecorderOptions{
-		Store: g.store.For(store.UseRelease), Tracker: g.versions, FirstStart: g.settings.FirstStart, Log: g.log,
-		IsLeader: func() bool { _, err := g.lease.Token(0); return err == nil },
+		Store: g.store.For(store.UseRelease), Tracker: g.versions, FirstStart: g.settings.FirstStart, IsLeader: isLeader, Log: g.log,
 	})
 	go clock.Every(ctx, leaderInterval, func() { versions.Step(ctx) })
+	origins := release.NewJournal(release.JournalOptions{
+		Store: g.store.For(store.UseRelease), Host: g.settings.Host, Tracker: g.versions, IsLeader: isLeader, Recent: g.origins.Since, Now: g.clock.Now, Log: g.log,
+	})
+	go clock.Every(ctx, leaderInterval, func() { origins.Step(ctx) })
 	if g.settings.Control.ReportsUsage {
 		go clock.Every(ctx, leaderInterval, func() { reporter.Step(ctx) })
 	}
--- a/cmd/hickorypath/gatewayrelease.go
+++ b/cmd/hickorypath/gatewayrelease.go
@@ -8,6 +8,7 @@
 
 	"hickorypath/internal/gateway/peer"
 	"hickorypath/internal/gateway/release"
+	"hickorypath/internal/gateway/upstream"
 	"hickorypath/internal/state/store"
 	"hickorypath/platform"
 )
@@ -18,6 +19,7 @@
 		Tracker: g.versions, Table: g.table, Store: g.store.For(store.UseRelease),
 		EntryPrefix: platform.EntryPrefix, DecodeEntry: platform.DecodeEntry,
 		StoreFailing: func() bool { return g.table.IsStoreFailing(g.clock.Now()) },
+		OnOrigin:     func(stream uint64, o upstream.Origin) { g.origins.PutStored(g.clock.Now(), stream, o) },
 		AskHosts:     g.askVersions, IsAlone: func() bool { return g.peers.MaxHosts() == 1 }, Log: g.log,
 	})
 }
--- a/cmd/hickorypath/gatewayversion_test.go
+++ b/cmd/hickorypath/gatewayversion_test.go
@@ -12,9 +12,12 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
+	"hickorypath/internal/core/clock"
 	"hickorypath/internal/standin/instance"
+	"hickorypath/internal/state/store"
 )
 
 // stream is a stream of a caller.
@@ -79,11 +82,36 @@
 		is.NoErr(f.platform.Put(t.Context(), fmt.Sprintf("servers/u%d", i), []byte(value)))
 	}
 	for _, h := range f.hosts {
-		f.waitUntil(func() bool { return strings.Count(h.log.String(), "upstream joins") == len(servers) })
+		f.waitUntil(func() bool {
+			return strings.Count(h.log.String(), "upstream joins") == len(servers) && strings.Contains(h.log.String(), "versions in the store")
+		})
 	}
 	return f, servers
 }
 
+// waitForOrigins waits until the leader has written the origins of so many streams to the store.
+func (f *gatewayFleet) waitForOrigins(n int) {
+	f.t.Helper()
+	client := store.New(f.platform.Memory().Backend(), store.Options{Clock: clock.NewSystem()})
+	f.waitUntil(func() bool {
+		list, _, err := client.List(f.t.Context(), "origins/")
+		is.New(f.t).NoErr(err)
+		found := map[uint64]bool{}
+		for _, e := range list {
+			var segment map[string]map[string][]uint64
+			is.New(f.t).NoErr(cbor.Unmarshal(e.Value(), &segment))
+			for _, versions := range segment {
+				for _, ids := range versions {
+					for _, id := range ids {
+						found[id] = true
+					}
+				}
+			}
+		}
+		return len(found) >= n
+	})
+}
+
 // TestStreamIsTakenUpAtAnotherVersion guards against a stream that goes on at another software version than the one that began
 // it, where a caller takes it up at another host, and against one that does not go on although its version serves.
 func TestStreamIsTakenUpAtAnotherVersion(t *testing.T) {
@@ -104,19 +132,29 @@
 		}, []int{1}, true},
 		{"its instance crashes", 23, func(_ *gatewayFleet, servers []*instance.Server) { servers[0].Close(); servers[1].Close() }, []int{0, 1, 2}, true},
 		{"the only host that knows of it is out of touch", 25, func(f *gatewayFleet, _ []*instance.Server) {
+			f.waitForOrigins(streams)
+			f.hosts[2].kill()
+			f.hosts[2].start()
+			f.waitUntil(f.hosts[2].ready)
+			f.hosts[0].kill()
+			f.hosts[1].pause()
+		}, []int{2}, true},
+		{"the only host that knows of it is out of touch, and the store is away", 26, func(f *gatewayFleet, _ []*instance.Server) {
 			f.hosts[2].kill()
 			f.hosts[2].start()
 			f.waitUntil(f.hosts[2].ready)
+			f.platform.FailWith(http.StatusServiceUnavailable)
 			f.hosts[0].kill()
 			f.hosts[1].pause()
 		}, []int{2}, false},
 		{"no host knows of it any more", 24, func(f *gatewayFleet, _ []*instance.Server) {
+			f.waitForOrigins(streams)
 			for _, h := range f.hosts {
 				h.kill()
 			}
 			f.hosts[0].start()
 			f.waitUntil(f.hosts[0].ready)
-		}, []int{0}, false},
+		}, []int{0}, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/gateway/peer/origins.go
+++ b/internal/gateway/peer/origins.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"hickorypath/internal/core/kind"
+	"hickorypath/internal/gateway/release"
 	"hickorypath/internal/gateway/upstream"
 )
 
@@ -69,6 +70,19 @@
 	return k.origin, ok
 }
 
+// Since returns the streams whose origins were told since a time.
+func (o *Origins) Since(at time.Time) []release.Stream {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var list []release.Stream
+	for id, k := range o.known {
+		if !k.at.Before(at) {
+			list = append(list, release.Stream{ID: id, Origin: k.origin, BegunAt: k.at})
+		}
+	}
+	return list
+}
+
 // Sweep forgets the origins that were told longer than originTTL ago.
 func (o *Origins) Sweep(now time.Time) {
 	o.mu.Lock()
@@ -137,11 +151,30 @@
 	return lo.Map(best, func(r ranked, _ int) string { return r.address })
 }
 
-// TellOrigin records the origin of the stream that a request began, and tells it to the hosts at which its caller may take it up.
+// TellOrigin records the origin of the stream that a request began, and tells it to the hosts at which its caller may take it up, and
+// to the leader.
 func (t *Transport) TellOrigin(request string, origin upstream.Origin) {
 	id := streamID(request)
 	t.opts.Origins.Put(t.opts.Now(), id, origin)
-	t.writeOrigins(originMessage{Known: []originRecord{{Stream: id, Origin: origin}}}, t.opts.Table.originHolders(id, originCopies))
+	to := t.opts.Table.originHolders(id, originCopies)
+	if leader := t.opts.Table.Leader().Address; leader != "" && leader != t.opts.Address && !slices.Contains(to, leader) {
+		to = append(to, leader)
+	}
+	t.writeOrigins(originMessage{Known: []originRecord{{Stream: id, Origin: origin}}}, to)
+}
+
+// PutStored records the origin of a stream that was found in the store.
+func (o *Origins) PutStored(now time.Time, stream uint64, origin upstream.Origin) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, ok := o.known[stream]; !ok {
+		o.known[stream] = knownOrigin{origin, now}
+	}
+}
+
+// GetByRequest returns the origin of the stream that a request began; ok is false if it is not known.
+func (o *Origins) GetByRequest(request string) (origin upstream.Origin, ok bool) {
+	return o.Get(streamID(request))
 }
 
 // FindOrigin returns the origin of the stream that a request began. If this host does not know it, it asks others. ok is false if
--- a/internal/gateway/release/finder.go
+++ b/internal/gateway/release/finder.go
@@ -21,15 +21,17 @@
 	StoreFailing func() bool
 	// AskHosts returns what some other hosts have seen lately, of those that know it completely. ok is false if none has answered.
 	AskHosts func(ctx context.Context) (answers []Versions, ok bool)
-	IsAlone  func() bool // there are no other hosts
+	IsAlone  func() bool                            // there are no other hosts
+	OnOrigin func(stream uint64, o upstream.Origin) // called for each origin that ReadOrigins reads
 	Log      *zap.Logger
 }
 
 // Finder finds out which version a service has run lately if it was a single one. What this host has seen is not enough: it may
 // have been out of touch for a while and not know.
 type Finder struct {
-	opts  FinderOptions
-	reads batch
+	opts        FinderOptions
+	reads       batch // of the versions
+	originReads batch
 }
 
 const (
@@ -42,7 +44,7 @@
 // NewFinder returns a Finder.
 func NewFinder(o FinderOptions) *Finder {
 	f := &Finder{opts: o}
-	f.reads.run = f.readStore
+	f.reads.run, f.originReads.run = f.readStore, f.readOrigins
 	return f
 }
 
--- a/internal/gateway/release/tracker.go
+++ b/internal/gateway/release/tracker.go
@@ -76,3 +76,14 @@
 	maps.DeleteFunc(t.seen, func(_ string, versions map[string]time.Time) bool { return len(versions) == 0 })
 	return v, t.isComplete || now.Sub(t.startedAt) > Retention
 }
+
+// isMixed reports whether some service has run several versions within Retention.
+func (t *Tracker) isMixed() bool {
+	v, _ := t.Versions()
+	for _, versions := range v {
+		if len(versions) > 1 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/state/store/client.go
+++ b/internal/state/store/client.go
@@ -99,6 +99,11 @@
 	return list, rev, err
 }
 
+// ListAtOnce is like List but does not wait for a recovery. It is meant for keys of which an older copy is as true as the newest.
+func (c *Client) ListAtOnce(ctx context.Context, prefix string) ([]Entry, uint64, error) {
+	return c.list(ctx, prefix)
+}
+
 // list is like List and does not wait.
 func (c *Client) list(ctx context.Context, prefix string) ([]Entry, uint64, error) {
 	var list []Entry
