--- a/internal/gateway/peer/origins.go
+++ b/internal/gateway/peer/origins.go
@@ -40,8 +40,9 @@
 }
 
 type knownOrigin struct {
-	origin upstream.Origin
-	at     time.Time
+	origin   upstream.Origin
+	at       time.Time
+	isStored bool // found in the store, where it need not be written again
 }
 
 // ask is a question to other hosts for the origin of a stream.
@@ -59,7 +60,7 @@
 func (o *Origins) Put(now time.Time, stream uint64, origin upstream.Origin) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.known[stream] = knownOrigin{origin, now}
+	o.known[stream] = knownOrigin{origin: origin, at: now}
 }
 
 // Get returns the origin of a stream; ok is false if it is not known.
@@ -70,13 +71,13 @@
 	return k.origin, ok
 }
 
-// Since returns the streams whose origins were told since a time.
+// Since returns the streams whose origins were told since a time, without those that were found in the store.
 func (o *Origins) Since(at time.Time) []release.Stream {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var list []release.Stream
 	for id, k := range o.known {
-		if !k.at.Before(at) {
+		if !k.isStored && !k.at.Before(at) {
 			list = append(list, release.Stream{ID: id, Origin: k.origin, BegunAt: k.at})
 		}
 	}
@@ -168,7 +169,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if _, ok := o.known[stream]; !ok {
-		o.known[stream] = knownOrigin{origin, now}
+		o.known[stream] = knownOrigin{origin: origin, at: now, isStored: true}
 	}
 }
 
--- a/internal/gateway/peer/origins_test.go
+++ b/internal/gateway/peer/origins_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"hickorypath/internal/gateway/release"
 	"hickorypath/internal/gateway/upstream"
 )
 
@@ -154,3 +155,16 @@
 		}
 	})
 }
+
+// TestStoredOriginsAreNotWrittenAgain guards against a store in which the origins of streams that have ended are kept for ever, since
+// each leader finds and writes them.
+func TestStoredOriginsAreNotWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	now, o := time.Unix(1_800_000_000, 0), NewOrigins()
+	o.PutStored(now, 1, upstream.Origin{Service: "svc", Version: "v1"})
+	o.Put(now, 2, upstream.Origin{Service: "svc", Version: "v2"})
+	_, ok := o.Get(1)
+	is.True(ok)
+	is.Equal(o.Since(now), []release.Stream{{ID: 2, Origin: upstream.Origin{Service: "svc", Version: "v2"}, BegunAt: now}})
+	is.Equal(len(o.Since(now.Add(time.Second))), 0)
+}
