Believe only an upstream that was brittle that all are sound again

Cause: a response without X-Brittle, a second after the last statement, withdrew it for all upstreams of the service, whichever upstream sent it. In the test the autoscaler orders engines that were never brittle; when no response of a brittle one had come for a second (between two phases, or under load), a response of an ordered engine withdrew the statement, and a host used more than its part.

Now such a response counts for the others only if its upstream had stated it to this host, and for 5 s after it has recovered. Ruled out: attempts that were given up, the order in which the stand-in frees a slot, membership.

--- a/internal/gateway/upstream/brittle.go
+++ b/internal/gateway/upstream/brittle.go
@@ -25,13 +25,14 @@
 	return b.state
 }
 
-// observe records whether a response that arrived now to a request sent at sentAt states that its instance is brittle.
-func (b *serviceBrittleness) observe(now, sentAt time.Time, s advisory.Brittle) {
+// observe records whether a response that arrived now to a request sent at sentAt states that its instance is brittle. A response that
+// does not may tell of the other instances of the service.
+func (b *serviceBrittleness) observe(now, sentAt time.Time, isBrittle, tellsOfOthers bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s.IsStated() {
+	if isBrittle {
 		b.state.Observe(now)
-	} else {
+	} else if tellsOfOthers {
 		b.state.ObserveSound(sentAt)
 	}
 }
@@ -43,12 +44,15 @@
 		return false, false
 	}
 	before := i.IsBrittle(now)
-	i.brittle.observe(now, sentAt, s.Brittle)
-	if !s.Brittle.IsStated() {
-		i.mu.Lock()
-		i.advisory.ObserveSound(sentAt)
-		i.mu.Unlock()
+	tellsOfOthers := false
+	i.mu.Lock()
+	if s.Brittle.IsStated() {
+		i.advisory.ObserveBrittle(now)
+	} else {
+		tellsOfOthers = i.advisory.ObserveSound(sentAt)
 	}
+	i.mu.Unlock()
+	i.brittle.observe(now, sentAt, s.Brittle.IsStated(), tellsOfOthers)
 	isBrittle := i.IsBrittle(now)
 	if rejected = isBrittle && s.Rejected; rejected {
 		i.mu.Lock()
--- a/internal/policy/advisory/advisory.go
+++ b/internal/policy/advisory/advisory.go
@@ -31,6 +31,8 @@
 	paceSince  time.Time // since when requests are sent at a rate that stands in for an unreadable limit; zero unless they are
 	departure  departure
 	pausedTo   time.Time // before which the upstream wants no requests of this host
+	brittleAt  time.Time // when it stated last that it is brittle
+	recovered  time.Time // when the first request after that was sent whose response did not state it; zero if there is none
 	soundAt    time.Time // when a request was sent last whose response did not state that the upstream is brittle
 	rejectedAt time.Time // when the upstream rejected a request for want of room last
 	ranked     *Fleet    // in which the host has the rank
--- a/internal/policy/advisory/brittle.go
+++ b/internal/policy/advisory/brittle.go
@@ -52,6 +52,8 @@
 	// soundTime is how long after the last statement a request is sent whose response shows that all upstreams of the service are sound
 	// again. They become so together, and a host may have no request at some of them.
 	soundTime = time.Second
+	// recoveryTime is how long an upstream that is sound again tells of the others. Later they may have become brittle without it.
+	recoveryTime = 5 * time.Second
 	// brittleTTL bounds the effect of a statement on a host that gets no response of the service. All responses of others renew it.
 	brittleTTL = 30 * time.Second
 )
@@ -63,7 +65,7 @@
 	}
 }
 
-// ObserveSound records that the response to a request sent at sentAt does not state it.
+// ObserveSound records that the response to a request sent at sentAt does not state it, of an upstream that tells of the others.
 func (b *Brittleness) ObserveSound(sentAt time.Time) {
 	if sentAt.After(b.soundAt) {
 		b.soundAt = sentAt
@@ -101,11 +103,27 @@
 	return !b.statedAt.IsZero() && b.soundAt.Sub(b.statedAt) < soundTime && now.Sub(b.statedAt) < brittleTTL
 }
 
-// ObserveSound records that the response to a request sent at sentAt does not state that the upstream is brittle.
-func (s *State) ObserveSound(sentAt time.Time) {
+// ObserveBrittle records that a response which arrived now states that the upstream is brittle.
+func (s *State) ObserveBrittle(now time.Time) {
+	if now.After(s.brittleAt) {
+		s.brittleAt, s.recovered = now, time.Time{}
+	}
+}
+
+// ObserveSound records that the response to a request sent at sentAt does not state that the upstream is brittle. It reports whether that
+// tells of the other upstreams of the service: one that has not stated it itself may be sound beside brittle ones, as may one that has
+// recovered alone.
+func (s *State) ObserveSound(sentAt time.Time) (tellsOfOthers bool) {
 	if sentAt.After(s.soundAt) {
 		s.soundAt = sentAt
 	}
+	if s.brittleAt.IsZero() || !sentAt.After(s.brittleAt) {
+		return false
+	}
+	if s.recovered.IsZero() {
+		s.recovered = sentAt
+	}
+	return sentAt.Sub(s.recovered) < recoveryTime
 }
 
 // IsBrittle reports whether the upstream is brittle, as one of a service: it, or another one of the service, has stated so since a request
--- a/internal/upstream/fleet/brittle.go
+++ b/internal/upstream/fleet/brittle.go
@@ -68,9 +68,9 @@
 	p, state := a.pool(target.pool), a.at(t.ID(), t.Addr()).state
 	held := p.brittleness.Holds(now)
 	if s.Brittle.IsStated() {
+		state.ObserveBrittle(now)
 		p.brittleness.Observe(now)
-	} else {
-		state.ObserveSound(sentAt)
+	} else if state.ObserveSound(sentAt) {
 		p.brittleness.ObserveSound(sentAt)
 	}
 	holds := p.brittleness.Holds(now)
--- a/internal/upstream/fleet/brittle_test.go
+++ b/internal/upstream/fleet/brittle_test.go
@@ -53,3 +53,25 @@
 		})
 	}
 }
+
+// TestSoundUpstreamHidesABrittleOne guards against a brittle engine that counts as sound because another one of its pool, which has never
+// been brittle, answers while no request runs there.
+func TestSoundUpstreamHidesABrittleOne(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		state := func(engine, brittle string) {
+			s := advisory.Statement{}
+			if brittle != "" {
+				s.Brittle = advisory.ParseBrittle(brittle)
+			}
+			h.own.RecordAdvisory(engineAt(engine), time.Now(), s)
+			synctest.Wait()
+		}
+		time.Sleep(pollTime) // until the other host is known
+		state("a", "1")
+		time.Sleep(2 * time.Second)
+		state("b", "")
+		h.True(h.own.IsBrittle("asesor"))
+		state("a", "")
+		h.True(!h.own.IsBrittle("asesor"))
+	})
+}
