Tell the leader the origins of streams only while versions are mixed

What one host receives must not grow with the load of all.

A host now tells the leader only while it sees a service run several versions. When it first sees that, or a new leader, it tells that leader the origins of its own streams of the last half minute, in one datagram for each 256. The latter also mends that a new leader of a large fleet did not know the streams that had been told to the one before it.

--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -138,7 +138,7 @@
 	g.configs, g.entries = g.newConfigFetcher(), g.newEntriesFetcher()
 	var err error
 	g.transport, err = peer.New(peer.Options{
-		Address: g.peerAddress(), Table: g.peers, Origins: g.origins, LocalMessage: g.localMessage, OnMessage: g.handlePeerMessage, Entries: g.upstreamEntries, PackedConfig: g.packedConfig,
+		Address: g.peerAddress(), Table: g.peers, Origins: g.origins, LocalMessage: g.localMessage, OnMessage: g.handlePeerMessage, Entries: g.upstreamEntries, PackedConfig: g.packedConfig, IsMixed: g.versions.IsMixed,
 		Log: log, Now: clk.Now, Dial: m.dial, ListenPacket: m.listenPacket,
 	})
 	return g, err
--- a/internal/gateway/peer/origins.go
+++ b/internal/gateway/peer/origins.go
@@ -43,6 +43,7 @@
 	origin   upstream.Origin
 	at       time.Time
 	isStored bool // found in the store, where it need not be written again
+	isOwn    bool // of a stream that began at this host
 }
 
 // ask is a question to other hosts for the origin of a stream.
@@ -63,6 +64,26 @@
 	o.known[stream] = knownOrigin{origin: origin, at: now}
 }
 
+// putOwn records the origin of a stream that began at this host.
+func (o *Origins) putOwn(now time.Time, stream uint64, origin upstream.Origin) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.known[stream] = knownOrigin{origin: origin, at: now, isOwn: true}
+}
+
+// ownSince returns the origins of the streams that began at this host since a time.
+func (o *Origins) ownSince(at time.Time) []originRecord {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var list []originRecord
+	for id, k := range o.known {
+		if k.isOwn && !k.at.Before(at) {
+			list = append(list, originRecord{Stream: id, Origin: k.origin})
+		}
+	}
+	return list
+}
+
 // Get returns the origin of a stream; ok is false if it is not known.
 func (o *Origins) Get(stream uint64) (origin upstream.Origin, ok bool) {
 	o.mu.Lock()
@@ -153,17 +174,41 @@
 }
 
 // TellOrigin records the origin of the stream that a request began, and tells it to the hosts at which its caller may take it up, and
-// to the leader.
+// to the leader if that keeps the origins of all streams.
 func (t *Transport) TellOrigin(request string, origin upstream.Origin) {
 	id := streamID(request)
-	t.opts.Origins.Put(t.opts.Now(), id, origin)
+	t.opts.Origins.putOwn(t.opts.Now(), id, origin)
 	to := t.opts.Table.originHolders(id, originCopies)
-	if leader := t.opts.Table.Leader().Address; leader != "" && leader != t.opts.Address && !slices.Contains(to, leader) {
-		to = append(to, leader)
+	if keeper := t.originKeeper(); keeper != "" && !slices.Contains(to, keeper) {
+		to = append(to, keeper)
 	}
 	t.writeOrigins(originMessage{Known: []originRecord{{Stream: id, Origin: origin}}}, to)
 }
 
+// originKeeper returns the address of the leader if it has to know the origins of all streams, and "" otherwise: it keeps them in the
+// store while services run several versions. With one version they need not be known.
+func (t *Transport) originKeeper() string {
+	leader := t.opts.Table.Leader().Address
+	if leader == t.opts.Address || !t.opts.IsMixed() {
+		return ""
+	}
+	return leader
+}
+
+// tellKeeper tells the origins of this host's recent streams to a leader that has begun to keep them, since it has just become the
+// leader or since services have begun to run several versions.
+func (t *Transport) tellKeeper() {
+	before := t.keeper
+	t.keeper = t.originKeeper()
+	if t.keeper == before || t.keeper == "" {
+		return
+	}
+	recent := t.opts.Origins.ownSince(t.opts.Now().Add(-release.JournalTime))
+	for list := range slices.Chunk(recent, maxOriginsPerMessage) {
+		t.writeOrigins(originMessage{Known: list}, []string{t.keeper})
+	}
+}
+
 // PutStored records the origin of a stream that was found in the store.
 func (o *Origins) PutStored(now time.Time, stream uint64, origin upstream.Origin) {
 	o.mu.Lock()
--- a/internal/gateway/peer/transport.go
+++ b/internal/gateway/peer/transport.go
@@ -23,6 +23,7 @@
 	OnMessage    func(now time.Time, m Message) // called for each message of another host
 	Entries      func() Entries                 // returns the upstream entries that this host knows
 	PackedConfig func() []byte                  // returns the configuration in compressed form, nil if there is none
+	IsMixed      func() bool                    // reports whether a service runs several versions, as far as this host knows
 	Log          *zap.Logger
 	Now          func() time.Time
 	Dial         func(ctx context.Context, address string) (net.Conn, error)
@@ -33,6 +34,7 @@
 type Transport struct {
 	opts         Options
 	sequence     uint64 // of the last message that was sent
+	keeper       string // the leader that has been told the origins of recent streams, "" while none keeps them
 	conn         net.PacketConn
 	client       *http.Client
 	transfers    chan struct{} // a value for each transfer of the configuration to another host
@@ -76,6 +78,7 @@
 		case <-ctx.Done():
 		case <-tick.C:
 			t.send(n%wholeZoneIntervals == 0)
+			t.tellKeeper()
 			n++
 		case wholeZone := <-t.sendRequests:
 			t.send(wholeZone)
--- a/internal/gateway/release/journal.go
+++ b/internal/gateway/release/journal.go
@@ -30,6 +30,8 @@
 	// streams have ended.
 	segmentTime = 4 * time.Second
 	segments    = 8
+	// JournalTime is how long after its first event the origin of a stream stays in the store at least. Streams are shorter.
+	JournalTime = segmentTime * (segments - 1)
 )
 
 // segment holds the streams that began within segmentTime, by service and version.
@@ -61,13 +63,13 @@
 
 // Step writes the segments that have changed.
 func (j *Journal) Step(ctx context.Context) {
-	if !j.opts.IsLeader() || !j.opts.Tracker.isMixed() {
+	if !j.opts.IsLeader() || !j.opts.Tracker.IsMixed() {
 		clear(j.written)
 		return
 	}
 	now := j.opts.Now()
 	counts, list := map[int64]int{}, map[int64]segment{}
-	for _, s := range j.opts.Recent(now.Add(-segmentTime * (segments - 1))) {
+	for _, s := range j.opts.Recent(now.Add(-JournalTime)) {
 		n := int64(s.BegunAt.Sub(j.start) / segmentTime)
 		if list[n] == nil {
 			list[n] = segment{}
@@ -108,7 +110,7 @@
 // ReadOrigins reads the origins of streams that the leaders have written, and passes them to FinderOptions.OnOrigin. It reports
 // whether the store answered. It reads nothing while no service has run several versions.
 func (f *Finder) ReadOrigins(ctx context.Context) bool {
-	if _, complete := f.opts.Tracker.Versions(); complete && !f.opts.Tracker.isMixed() {
+	if _, complete := f.opts.Tracker.Versions(); complete && !f.opts.Tracker.IsMixed() {
 		return false
 	}
 	return f.originReads.join(ctx, storeWait)
--- a/internal/gateway/release/tracker.go
+++ b/internal/gateway/release/tracker.go
@@ -77,8 +77,8 @@
 	return v, t.isComplete || now.Sub(t.startedAt) > Retention
 }
 
-// isMixed reports whether some service has run several versions within Retention.
-func (t *Tracker) isMixed() bool {
+// IsMixed reports whether some service has run several versions within Retention.
+func (t *Tracker) IsMixed() bool {
 	v, _ := t.Versions()
 	for _, versions := range v {
 		if len(versions) > 1 {
