Reword comments that restate the name or need other files

Comments only: the syntax trees of the six files without comments are equal before and after, and the tests of gateway/release and policy/advisory pass.

--- a/cmd/hickorypath/gatewaypeers.go
+++ b/cmd/hickorypath/gatewaypeers.go
@@ -148,7 +148,8 @@
 	}
 }
 
-// handleStoreSync records, after all keys have been read, that no host holds the leader lease if its key does not exist.
+// handleStoreSync records, after all keys have been read, which of the keys that matter here do not exist: the address of this host and
+// the leader lease.
 func (g *gateway) handleStoreSync(exists func(key string) bool) {
 	if !exists(g.hostKey()) {
 		g.isRegistered.Store(false)
--- a/cmd/hickorypath/gatewaytakeup_test.go
+++ b/cmd/hickorypath/gatewaytakeup_test.go
@@ -60,7 +60,7 @@
 	is.NoErr(f.platform.Remove(f.t.Context(), "servers/old1"))
 }
 
-// begin begins streams at a host and waits for their first events.
+// begin opens six streams at a host and waits for the first event of each.
 func (f *takeUpFleet) begin(host int) {
 	f.t.Helper()
 	for n := range 6 {
--- a/internal/gateway/release/record.go
+++ b/internal/gateway/release/record.go
@@ -11,7 +11,7 @@
 	"hickorypath/internal/core/kind"
 )
 
-// Versions are the software versions of services, sorted, by service.
+// Versions holds for each service its software versions in alphabetical order.
 type Versions map[string][]string
 
 // add adds a version of a service.
--- a/internal/gateway/release/recorder.go
+++ b/internal/gateway/release/recorder.go
@@ -34,7 +34,7 @@
 // NewRecorder returns a Recorder. Its Step method has to be called a few times a second.
 func NewRecorder(o RecorderOptions) *Recorder { return &Recorder{opts: o} }
 
-// Step writes the record if it lacks a version in use or has one that is not in use any more.
+// Step makes the versions in the store those that were in use within Retention. It writes only if they differ.
 func (r *Recorder) Step(ctx context.Context) {
 	if !r.opts.IsLeader() {
 		r.loaded = false
--- a/internal/gateway/release/tracker.go
+++ b/internal/gateway/release/tracker.go
@@ -24,7 +24,7 @@
 	return &Tracker{now: now, seen: map[string]map[string]time.Time{}, startedAt: now()}
 }
 
-// See records that versions are in use.
+// See records that versions are in use now.
 func (t *Tracker) See(v Versions) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -39,7 +39,7 @@
 	t.isComplete = true
 }
 
-// SeeValue is SeeRecord for the value of the record in the store.
+// SeeValue records the encoded versions that the store holds, like SeeRecord.
 func (t *Tracker) SeeValue(value []byte) error {
 	v, err := decodeRecord(value)
 	if err == nil {
--- a/internal/policy/advisory/brittle.go
+++ b/internal/policy/advisory/brittle.go
@@ -65,7 +65,8 @@
 	}
 }
 
-// ObserveSound records that the response to a request sent at sentAt does not state it, of an upstream that tells of the others.
+// ObserveSound records that the response to a request sent at sentAt does not state it. It is for upstreams of which State.ObserveSound
+// reports that they tell of the others.
 func (b *Brittleness) ObserveSound(sentAt time.Time) {
 	if sentAt.After(b.soundAt) {
 		b.soundAt = sentAt
