--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -7,7 +7,9 @@
     exit 2
   fi
 done
-CASE="$1" ROOT="$root" "$root/review/bin/cases" -test.run "^$2\$" -test.timeout 110s
+CASE="$1" ROOT="$root" "$root/review/bin/cases" -test.run "^$2\$" -test.timeout 110s &
+trap 'kill -TERM $!' TERM INT # the case ends its processes
+wait $!
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
--- a/review/standin/fleet_test.go
+++ b/review/standin/fleet_test.go
@@ -115,6 +115,7 @@
 	h.cmd = exec.Command(filepath.Join(root, "target/hickorypath"), "gateway")
 	h.cmd.Dir, h.cmd.Stdout, h.cmd.Stderr = root, log, log
 	h.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "HICKORYPATH_BOOT=" + h.settings}
+	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := h.cmd.Start(); err != nil {
 		return err
 	}
--- a/review/standin/resume_test.go
+++ b/review/standin/resume_test.go
@@ -77,8 +77,8 @@
 			}
 			defer c.Close()
 			record("send host=%s id=%s", h.name, id)
-			head := fmt.Sprintf("POST /draft/2f HTTP/1.1\r\nHost: clubs.example\r\nRequest-Id: %s\r\nModel: m\r\nToken-Usage: 460,80\r\nPrefix-Hash: 5c1e07a2:200,%08x:260\r\nDeadline-Ms: 8000\r\nAuthorization: Bearer %s\r\n", id, n+1, key)
-			r := c.ask(head, "{}", 9*time.Second)
+			head := fmt.Sprintf("POST /draft/2f HTTP/1.1\r\nHost: clubs.example\r\nRequest-Id: %s\r\nModel: m\r\nToken-Usage: 460,80\r\nPrefix-Hash: 5c1e%04x:200,%08x:260\r\nDeadline-Ms: 8000\r\nAuthorization: Bearer %s\r\n", id, n%34, n+1, key)
+			r := c.ask(head, fmt.Sprintf(`{"entry":%d}`, n), 9*time.Second) // no two requests are alike
 			record("got host=%s id=%s status=%d events=%d whole=%v err=%v bad=%s", h.name, id, r.status, strings.Count(string(r.body), "\n\n"), r.whole, r.err, r.bad)
 			if r.whole && r.status == 200 {
 				whole.Add(1)
--- a/review/standin/stop_test.go
+++ b/review/standin/stop_test.go
@@ -121,7 +121,7 @@
 	}
 	for end, n := time.Now().Add(17*time.Second), 0; time.Now().Before(end); n++ {
 		callers.Go(func() { dues(rand.Uint64()) })
-		if n%8 == 0 {
+		if n%12 == 0 {
 			callers.Go(func() { recon(rand.Uint64()) })
 		}
 		time.Sleep(duesGap)
@@ -138,4 +138,4 @@
 }
 
 // duesGap is the time between two requests that may not be repeated.
-const duesGap = 8 * time.Millisecond
+const duesGap = 5 * time.Millisecond
