Continue a stream only with events of its own format

Callers of resumable streams found a status line and a header where the size of the next chunk was due: the stream had lost its connection, and the upstream at which the host resumed it had answered 500.

Cause: exchange.receive chose how to relay a response by its status and the route's kind, whether or not a response to the caller had begun, and Writer.WriteResponse wrote a head in either case. A 204, a redirect, encoded events and a JSON document took the same way; the document even ended the stream as complete.

Change: the progress of a stream keeps the format of the body that has begun, and a response of another format is a failed attempt. The stream goes on at a further upstream where the route and the retry budget allow it, and ends unfinished otherwise. Writer writes no head any more once a response has begun. Streams that another host resumes take the same function.

--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -185,6 +185,9 @@
 		return kind.New(kind.ResponseMismatch, "%s answered another request", i.ID())
 	}
 	i.RecordSuccess()
+	if e.writer.IsStarted() && !e.progress.canContinueWith(resp) {
+		return kind.New(kind.Lost, "%s did not continue the stream: status %d", i.ID(), resp.Status())
+	}
 	if e.route.Kind == config.Stream && resp.Status() < 300 && resp.HasBody() {
 		if !answer.Signed {
 			return kind.New(kind.Lost, "%s answered without a signature", i.ID())
--- a/internal/gateway/exchange/stream.go
+++ b/internal/gateway/exchange/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,7 +19,30 @@
 type streamProgress struct {
 	lastID       string // id of the last event that was relayed
 	count        int
-	startCounted bool // the request was reported to OnStarted
+	startCounted bool       // the request was reported to OnStarted
+	format       bodyFormat // of the response that has begun
+}
+
+// bodyFormat is what all parts of one response body have in common.
+type bodyFormat struct {
+	status    int
+	mediaType string
+	encoding  string
+}
+
+// newBodyFormat returns the format of the body of a response. The events of a stream may come without a media type.
+func newBodyFormat(resp *h1.Response) bodyFormat {
+	mediaType, _, _ := strings.Cut(string(resp.Get("Content-Type")), ";")
+	if mediaType = strings.ToLower(strings.TrimSpace(mediaType)); mediaType == "" {
+		mediaType = bodyend.EventStream
+	}
+	return bodyFormat{status: resp.Status(), mediaType: mediaType, encoding: string(resp.Get("Content-Encoding"))}
+}
+
+// canContinueWith reports whether the body of a response may follow the events that were relayed. The head of a
+// response is not relayed any more, so a failure or another format would look like a part of the stream.
+func (e *streamProgress) canContinueWith(resp *h1.Response) bool {
+	return resp.HasBody() && newBodyFormat(resp) == e.format
 }
 
 // canResume reports whether another instance can continue the stream.
@@ -108,6 +132,7 @@
 // startStream starts the response of a stream.
 func (e *exchange) startStream(resp *h1.Response, i *upstream.Instance) {
 	e.recordFirstByte(resp.Status())
+	e.progress.format = newBodyFormat(resp)
 	e.describeSource(i)
 	e.writer.StartChunked(resp, e.x.opts.Codec.KeepField)
 }
--- a/internal/gateway/frontend/writer.go
+++ b/internal/gateway/frontend/writer.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"hickorypath/internal/gateway/h1"
 )
 
@@ -40,16 +42,26 @@
 // AddFields adds header fields to the response, which must not have started.
 func (w *Writer) AddFields(fields [][2]string) { w.fields = append(w.fields, fields...) }
 
-// WriteError writes a complete response that the router generates itself.
+// ErrStarted means that a response has begun, so that nothing but the rest of its body may follow.
+var ErrStarted = errors.New("the response has begun")
+
+// WriteError writes a complete response that the router generates itself. It writes nothing if a response has begun.
 func (w *Writer) WriteError(status int, fields [][2]string, text string) {
+	if w.started {
+		return
+	}
 	w.AddFields(fields)
 	w.appendStatusLine(status)
 	w.buf = append(w.buf, "Content-Type: text/plain\r\n"...)
 	_ = w.writeBody([]byte(text + "\n")) // the connection is closed if the write failed
 }
 
-// WriteResponse writes a complete upstream response; keep selects the header fields to relay.
+// WriteResponse writes a complete upstream response; keep selects the header fields to relay. It returns ErrStarted and writes
+// nothing if a response has begun.
 func (w *Writer) WriteResponse(r *h1.Response, keep func(h1.Field) bool, body []byte) error {
+	if w.started {
+		return ErrStarted
+	}
 	w.appendStatusLine(r.Status())
 	w.appendFields(r, keep)
 	return w.writeBody(body)
