Answer every request that a stopping host has read

Payments that reached a host late in a planned stop ran at an upstream, and their callers' connections ended with the process, without a response. A caller may not repeat such a request. The load balancer sends requests to a stopping host when fewer than half of the zone's hosts are in rotation.

Cause: gateway.drain accepted requests up to the end of the grace period and ended with those in hand; only streams were refused late in a shutdown. The end of the process was a deadline that no request knew.

Change: later than 2.8 s after the start of a shutdown, a request is accepted only if it ends before the host. Others get 503 with Retry-After. Shortly before the end the listener is closed and what is left is ended: 503 for what was not sent, 502 otherwise, and a stream that has begun ends unfinished. The same holds for requests of other hosts.

--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -188,8 +188,8 @@
 		OnlyVersion: g.release.OnlyVersion,
 		NotifyPeers: func() { g.transport.SendSoon(false) },
 		OnStarted:   func(customer, _ string) { g.usage.Add(customer) },
-		DrainingFor: g.drainTime,
-		Host:        g.settings.Host, Helpers: g.helpers, MaxRelayed: g.maxRelayed(),
+		DrainingFor: g.drainTime, GracePeriod: b.GracePeriod,
+		Host: g.settings.Host, Helpers: g.helpers, MaxRelayed: g.maxRelayed(),
 		Log: g.log, Now: g.clock.Now,
 	})
 }
--- a/cmd/hickorypath/gateway_test.go
+++ b/cmd/hickorypath/gateway_test.go
@@ -6,8 +6,10 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -51,6 +53,48 @@
 	is.Equal(len(f.platform.Violations()), 0)
 }
 
+// TestGatewayAnswersAllThatItReadsBeforeItStops guards against requests that arrive late in a shutdown and end with the process. Some streams
+// keep the host until the end of its grace period, and its callers know of no other host.
+func TestGatewayAnswersAllThatItReadsBeforeItStops(t *testing.T) {
+	is := is.New(t)
+	f := newGatewayFleet(t, 24, 1, 2, script.Action{Hang: true})
+	h := f.hosts[0]
+	var callers sync.WaitGroup
+	unanswered := make(chan string, 1000)
+	ask := func(route, id string) {
+		callers.Go(func() {
+			if h.ask(route, id, "k1") == 0 {
+				unanswered <- id
+			}
+		})
+	}
+	ask("talk", "stream")
+	f.waitUntil(func() bool { return len(f.servers[0].Calls())+len(f.servers[1].Calls()) > 0 })
+	is.NoErr(h.cmd.Process.Signal(syscall.SIGTERM))
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-tick.C:
+			ask([]string{"once", "safe"}[n%2], fmt.Sprint("late", n))
+			continue
+		case <-h.done:
+		}
+		break
+	}
+	callers.Wait()
+	close(unanswered)
+	calls := append(f.servers[0].Calls(), f.servers[1].Calls()...)
+	for id := range unanswered { // of connections that were refused, too
+		for _, c := range calls {
+			if strings.Contains(c.Head, "Request-Id: "+id+"\n") {
+				t.Errorf("request %s was sent to an upstream and not answered", id)
+			}
+		}
+	}
+	is.True(len(calls) > 1)
+}
+
 // TestGatewayFollowsItsPeers restarts a host with a store that does not answer, and then removes a key from the
 // configuration. The host must get both the first and the changed configuration from the other hosts.
 func TestGatewayFollowsItsPeers(t *testing.T) {
--- a/cmd/hickorypath/gatewaydrain.go
+++ b/cmd/hickorypath/gatewaydrain.go
@@ -19,10 +19,14 @@
 	// balancerNoticeTime is how long the load balancer may still open connections after the host reports not ready.
 	balancerNoticeTime = 3500 * time.Millisecond
 	drainPollInterval  = 20 * time.Millisecond
+	// stopReserve is the time before the end of the grace period at which the requests that are still in hand are ended, so that their
+	// callers get a response. exitReserve is the time before it at which the process ends by itself.
+	stopReserve = 300 * time.Millisecond
+	exitReserve = 100 * time.Millisecond
 )
 
-// drain waits until the running requests finish or the grace period ends. The host accepts connections until the load
-// balancer has noticed that the host is not ready.
+// drain waits until the running requests finish, and ends those that are left shortly before the grace period does. The host accepts
+// connections until then, since the load balancer may use a host that is not ready if too few others are.
 func (g *gateway) drain(callers net.Listener) {
 	begin := g.clock.Boot()
 	g.log.Info("stop", zap.Int("requests", g.server.BusyConns()))
@@ -33,16 +37,23 @@
 	for g.clock.Boot()-begin < balancerNoticeTime {
 		time.Sleep(drainPollInterval)
 	}
-	for g.server.BusyConns() > 0 || g.server.Conns() > 0 || g.relays.BusyConns() > 0 {
+	inHand := 0
+	for end := g.settings.Bounds.GracePeriod; g.server.BusyConns() > 0 || g.server.Conns() > 0 || g.relays.BusyConns() > 0; {
 		g.server.Sweep(g.clock.Now(), true)
 		time.Sleep(drainPollInterval)
-		if g.clock.Boot()-begin > g.settings.Bounds.GracePeriod {
+		elapsed := g.clock.Boot() - begin
+		if elapsed >= end-stopReserve && inHand == 0 {
+			inHand = g.server.BusyConns() + g.relays.BusyConns()
+			_ = callers.Close() // callers reach other hosts with new connections
+			g.exchange.Stop()
+		}
+		if elapsed >= end-exitReserve {
 			break
 		}
 	}
-	_ = callers.Close() // the running requests have finished or the grace period has ended
+	_ = callers.Close()
 	for c, n := range g.store.CallCounts() {
 		g.log.Info("store calls", zap.String("use", string(c.Use())), zap.String("op", c.Op()), zap.Uint64("count", n))
 	}
-	g.log.Info("stopped", zap.Int("cut", g.server.BusyConns()), zap.Float64("ms", float64((g.clock.Boot()-begin).Milliseconds())))
+	g.log.Info("stopped", zap.Int("ended", inHand), zap.Int("cut", g.server.BusyConns()), zap.Float64("ms", float64((g.clock.Boot()-begin).Milliseconds())))
 }
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -62,8 +62,9 @@
 	if e.route, e.customer, err = e.resolve(e.config); err != nil {
 		return err
 	}
-	if e.route.Kind == config.Stream && e.x.opts.DrainingFor() > streamCutoff {
-		return kind.New(kind.Draining, "the host is shutting down").WithRetry(drainRetryAfter)
+	e.setDeadline()
+	if err := e.checkDraining(); err != nil {
+		return err
 	}
 	e.traits = append(e.findTraits(), poison.Whole(e.hashRequest()))
 	if err := e.checkPoison(); err != nil {
@@ -76,14 +77,19 @@
 	if e.service = e.config.Service(name); e.service == nil {
 		return kind.New(kind.Unavailable, "service %s is not configured", name)
 	}
-	e.deadline = e.arrived.Add(e.route.Timeout)
-	if e.route.Timeout <= 0 {
-		e.deadline = e.arrived.Add(defaultTimeout)
+	return nil
+}
+
+// setDeadline sets the deadline of the request from its route and from what its client waits.
+func (e *exchange) setDeadline() {
+	timeout := e.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
 	}
-	if e.info.MaxWait > 0 && e.arrived.Add(e.info.MaxWait).Before(e.deadline) {
-		e.deadline = e.arrived.Add(e.info.MaxWait)
+	if e.info.MaxWait > 0 {
+		timeout = min(timeout, e.info.MaxWait)
 	}
-	return nil
+	e.deadline = e.arrived.Add(timeout)
 }
 
 // resolve returns the route and the customer of the request according to a configuration. The customer is nil on an open route
@@ -103,15 +109,6 @@
 	return route, customer, nil
 }
 
-const (
-	// streamCutoff is how long after the start of a shutdown new streams are still accepted; the end of the
-	// shutdown could cut later ones.
-	streamCutoff = 2800 * time.Millisecond
-	// drainRetryAfter is the retry delay while this host drains; the client then retries on a new connection,
-	// which reaches another host.
-	drainRetryAfter = 50 * time.Millisecond
-)
-
 // defaultTimeout bounds requests of a route without a configured timeout.
 const defaultTimeout = 30 * time.Second
 
--- a/internal/gateway/exchange/exchanger.go
+++ b/internal/gateway/exchange/exchanger.go
@@ -46,6 +46,7 @@
 	NotifyPeers func()
 	// DrainingFor returns how long this host has been shutting down, 0 if it is not.
 	DrainingFor func() time.Duration
+	GracePeriod time.Duration // time from the start of a shutdown until the host ends
 
 	Host       string
 	Helpers    *relay.Helpers // hosts through which requests are sent whose upstreams are out of reach
@@ -55,6 +56,8 @@
 // Exchanger forwards client requests to upstreams. It is safe for concurrent use.
 type Exchanger struct {
 	opts Options
+	life context.Context // ends with Stop
+	stop context.CancelCauseFunc
 
 	mu        sync.Mutex
 	services  map[string]*serviceState
@@ -83,6 +86,7 @@
 // New returns an Exchanger without any service state.
 func New(o Options) *Exchanger {
 	x := &Exchanger{opts: o, services: map[string]*serviceState{}, poison: poison.New(), attempts: map[*exchange]context.CancelCauseFunc{}, accessLog: newAccessLog(o.Log, o.Now)}
+	x.life, x.stop = context.WithCancelCause(context.Background())
 	o.Table.OnCutChange, o.Table.OnOutOfReach = x.handleCutChange, x.handleOutOfReach
 	return x
 }
@@ -102,13 +106,19 @@
 	x.handle(ctx, &exchange{x: x, request: r, writer: w, arrived: r.ArrivedAt()})
 }
 
-func (x *Exchanger) handle(ctx context.Context, e *exchange) {
+func (x *Exchanger) handle(client context.Context, e *exchange) {
+	ctx, cancel := context.WithCancelCause(client)
+	defer cancel(nil)
+	defer context.AfterFunc(x.life, func() { cancel(context.Cause(x.life)) })()
 	err := e.prepare()
 	if err == nil {
 		err = e.run(ctx)
 	}
-	if ctx.Err() != nil {
-		err = kind.Wrap(context.Cause(ctx), kind.Canceled, "the client disconnected")
+	if err != nil && isStopped(ctx) {
+		err = e.stoppedError()
+	}
+	if client.Err() != nil {
+		err = kind.Wrap(context.Cause(client), kind.Canceled, "the client disconnected")
 	} else if err != nil && !e.writer.IsStarted() {
 		e.writeError(err)
 	}
