Require a key of every configuration that lists customers

After the operator had taken away the only API key, requests with any key, with none and with the withdrawn one ran at the customer's upstreams and were answered 200.

Cause: Config.HasCustomers asked whether any key exists, so a configuration whose customers have no key left looked like one without customers, which is open to everybody. An empty list of customers and an empty key had the same effect.

With a list, a request needs a key that a customer holds. An empty string is no key.

--- a/internal/gateway/config/config.go
+++ b/internal/gateway/config/config.go
@@ -92,14 +92,15 @@
 	limits         Limits
 	routesByHost   map[string][]*Route // by virtual host, longest prefix first
 	routes         []*Route
+	requiresKey    bool
 	customersByKey map[string]*Customer
 	services       map[string]*Service
 }
 
-// New returns a Config.
+// New returns a Config. Requests need the key of a customer unless customers is nil: an empty list means that no key is valid.
 func New(version int64, routes []*Route, customers []*Customer, services []*Service, limits Limits) *Config {
 	c := &Config{
-		version: version, limits: limits, routes: routes,
+		version: version, limits: limits, routes: routes, requiresKey: customers != nil,
 		routesByHost: map[string][]*Route{}, customersByKey: map[string]*Customer{}, services: map[string]*Service{},
 	}
 	for _, r := range routes {
@@ -111,7 +112,9 @@
 	}
 	for _, customer := range customers {
 		for _, key := range customer.APIKeys {
-			c.customersByKey[key] = customer
+			if key != "" { // that of a request without a key
+				c.customersByKey[key] = customer
+			}
 		}
 	}
 	for _, s := range services {
@@ -135,8 +138,8 @@
 // Services returns all services by name.
 func (c *Config) Services() map[string]*Service { return c.services }
 
-// HasCustomers reports whether any customer has an API key, in which case requests need one.
-func (c *Config) HasCustomers() bool { return len(c.customersByKey) > 0 }
+// RequiresKey reports whether requests need an API key. They do if the configuration lists customers, even if none of them has a key.
+func (c *Config) RequiresKey() bool { return c.requiresKey }
 
 // CustomerByKey returns the customer that holds an API key, nil if the key is unknown.
 func (c *Config) CustomerByKey(key string) *Customer { return c.customersByKey[key] }
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -100,7 +100,7 @@
 		return nil, nil, kind.New(kind.NoRoute, "no route for %s%s", e.info.Host, e.info.Path)
 	}
 	customer := c.CustomerByKey(e.info.APIKey)
-	if customer == nil && !route.AuthExempt && c.HasCustomers() {
+	if customer == nil && !route.AuthExempt && c.RequiresKey() {
 		if e.info.APIKey == "" {
 			return route, nil, kind.New(kind.NoKey, "the request carries no key")
 		}
