Bound the memory of all responses that a host keeps together

Operators of a similar system report a host that ran out of memory, with the requests of all its callers, when a faulty upstream sent bodies without end.

Cause: each response had a bound of its own, 4 MiB a body and 1 MiB an event, but their sum had none.

Change: whole responses and events of streams share an eighth of the host's memory. One may take half of what the others leave, so endless ones always leave room for small ones. A response without room is a failed attempt, as one that is too large was before.

--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -97,6 +97,8 @@
 	// kernel's receive buffers, which count against the host's memory limit as well.
 	memoryParts = 10
 	heapParts   = 6
+	// bufferMemoryParts is the reciprocal of the share of the host's memory for responses that are not relayed yet.
+	bufferMemoryParts = 8
 	// reservedDescriptors is the number of file descriptors that callers' connections may not use.
 	reservedDescriptors = 300
 	// storeMaxBackoff limits the delay between retries of store calls, so that a host reconnects soon after an outage.
@@ -189,7 +191,8 @@
 		NotifyPeers: func() { g.transport.SendSoon(false) },
 		OnStarted:   func(customer, _ string) { g.usage.Add(customer) },
 		DrainingFor: g.drainTime, GracePeriod: b.GracePeriod,
-		Host: g.settings.Host, Helpers: g.helpers, MaxRelayed: g.maxRelayed(),
+		BufferBytes: int(g.settings.Resources.MemoryBytes / bufferMemoryParts),
+		Host:        g.settings.Host, Helpers: g.helpers, MaxRelayed: g.maxRelayed(),
 		Log: g.log, Now: g.clock.Now,
 	})
 }
--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -230,11 +230,16 @@
 // relayWhole buffers a response to its end before it relays it, so that the client never receives a truncated
 // one.
 func (e *exchange) relayWhole(ctx context.Context, resp *h1.Response, answer ResponseInfo, body *h1.Body, i *upstream.Instance) error {
-	data, err := io.ReadAll(io.LimitReader(body, maxBufferedResponse+1))
-	if err != nil {
+	buf := newBuffer(&e.x.buffers)
+	defer buf.release()
+	err := buf.readAll(body, maxBufferedResponse)
+	data := buf.data
+	switch {
+	case errors.Is(err, errBufferFull):
+		return kind.Wrap(err, kind.Lost, "answer of %s exceeds %d bytes", i.ID(), len(data))
+	case err != nil:
 		return e.broken(ctx, i, err, true)
-	}
-	if len(data) > maxBufferedResponse {
+	case len(data) > maxBufferedResponse:
 		return kind.New(kind.Lost, "answer of %s exceeds %d bytes", i.ID(), maxBufferedResponse)
 	}
 	if isBodyTruncated(resp, data) {
--- a/internal/gateway/exchange/exchanger.go
+++ b/internal/gateway/exchange/exchanger.go
@@ -48,6 +48,8 @@
 	DrainingFor func() time.Duration
 	GracePeriod time.Duration // time from the start of a shutdown until the host ends
 
+	BufferBytes int // memory for all responses that are kept until they, or their next events, are complete
+
 	Host       string
 	Helpers    *relay.Helpers // hosts through which requests are sent whose upstreams are out of reach
 	MaxRelayed int            // requests that this host relays for other hosts at a time
@@ -55,9 +57,10 @@
 
 // Exchanger forwards client requests to upstreams. It is safe for concurrent use.
 type Exchanger struct {
-	opts Options
-	life context.Context // ends with Stop
-	stop context.CancelCauseFunc
+	opts    Options
+	buffers bufferBudget
+	life    context.Context // ends with Stop
+	stop    context.CancelCauseFunc
 
 	mu        sync.Mutex
 	services  map[string]*serviceState
@@ -85,7 +88,7 @@
 
 // New returns an Exchanger without any service state.
 func New(o Options) *Exchanger {
-	x := &Exchanger{opts: o, services: map[string]*serviceState{}, poison: poison.New(), attempts: map[*exchange]context.CancelCauseFunc{}, accessLog: newAccessLog(o.Log, o.Now)}
+	x := &Exchanger{opts: o, buffers: bufferBudget{total: o.BufferBytes}, services: map[string]*serviceState{}, poison: poison.New(), attempts: map[*exchange]context.CancelCauseFunc{}, accessLog: newAccessLog(o.Log, o.Now)}
 	x.life, x.stop = context.WithCancelCause(context.Background())
 	o.Table.OnCutChange, o.Table.OnOutOfReach = x.handleCutChange, x.handleOutOfReach
 	return x
--- a/internal/gateway/exchange/stream.go
+++ b/internal/gateway/exchange/stream.go
@@ -48,28 +48,22 @@
 // canResume reports whether another instance can continue the stream.
 func (e *streamProgress) canResume() bool { return e.lastID != "" }
 
-const (
-	streamBufferSize = 4 << 10
-	// maxEventSize bounds an event of a stream, in bytes.
-	maxEventSize = 1 << 20
-)
+// maxEventSize bounds an event of a stream, in bytes.
+const maxEventSize = 1 << 20
 
 var errEventTooLarge = errors.New("event of a stream exceeds the limit")
 
 // relayStream relays events as they arrive. It relays only complete events, so that another instance can continue
 // after the last one.
 func (e *exchange) relayStream(ctx context.Context, resp *h1.Response, body *h1.Body, i *upstream.Instance, a *attempt, first func()) error {
-	buf := make([]byte, 0, streamBufferSize)
+	buf := newBuffer(&e.x.buffers)
+	defer buf.release()
 	hasEvents := false // in this attempt
 	var firstAt time.Time
 	for {
-		if len(buf) == cap(buf) {
-			buf = append(buf, make([]byte, cap(buf))...)[:len(buf)]
-		}
-		n, err := body.Read(buf[len(buf):cap(buf)])
-		incomplete := len(buf)
-		buf = buf[:len(buf)+n]
-		if end := completeEventsLen(buf, incomplete); end > 0 {
+		incomplete := len(buf.data)
+		_, err := buf.read(body)
+		if end := completeEventsLen(buf.data, incomplete); end > 0 {
 			if !hasEvents {
 				first()
 				e.begin(resp, i)
@@ -78,26 +72,26 @@
 				e.recordBegun()
 			}
 			e.countStarted()
-			if err := e.relayEvents(resp, i, buf[:end]); err != nil {
+			if err := e.relayEvents(resp, i, buf.data[:end]); err != nil {
 				return err
 			}
-			buf = append(buf[:0], buf[end:]...)
+			buf.discard(end)
 			hasEvents = true
 		}
-		if err == nil && len(buf) > maxEventSize {
+		if err == nil && len(buf.data) > maxEventSize {
 			err = errEventTooLarge
 		}
 		if err != nil {
-			a.unfinished = len(buf)
+			a.unfinished = len(buf.data)
 		}
-		if errors.Is(err, io.EOF) && !isStreamTruncated(resp, buf, hasEvents) {
-			return e.finishStream(resp, i, buf)
+		if errors.Is(err, io.EOF) && !isStreamTruncated(resp, buf.data, hasEvents) {
+			return e.finishStream(resp, i, buf.data)
 		}
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
-			return e.broken(ctx, i, err, !errors.Is(err, errEventTooLarge))
+			return e.broken(ctx, i, err, !errors.IsAny(err, errEventTooLarge, errBufferFull))
 		}
 	}
 }
