Close the listener of a stopping host before it counts its requests

A host without requests ended its shutdown by closing the listener and returning. The load balancer uses a host that is not ready if too few others are, so requests do come at that moment.

Cause: the requests in hand were counted before the listener was closed.

Change: drain closes the listener, waits until the server has taken over what was accepted, and then waits for the requests in hand, within the same bounds.

--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -232,11 +232,15 @@
 	go g.sweepIdle(work)
 	go g.serveProbes(probes)
 	go g.serveMetrics()
-	go func() { _ = g.server.Serve(work, callers) }() // returns when the listener is closed
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = g.server.Serve(work, callers) // returns when the listener is closed
+	}()
 	go g.watchSettings(work)
 	<-ctx.Done()
 	endDuties() // another host can become the leader while this one finishes its requests
-	g.drain(callers)
+	g.drain(callers, served)
 	return nil
 }
 
--- a/cmd/hickorypath/gatewayentries_test.go
+++ b/cmd/hickorypath/gatewayentries_test.go
@@ -51,7 +51,9 @@
 	}
 	is.NoErr(f.platform.Remove(context.Background(), "servers/u0"))
 	for _, h := range f.hosts {
-		f.waitUntil(func() bool { return strings.Contains(h.log.String(), `"upstream entry removed","host":"`+h.name+`","upstream":"u0"`) })
+		f.waitUntil(func() bool {
+			return strings.Contains(h.log.String(), `"upstream entry removed","host":"`+h.name+`","upstream":"u0"`)
+		})
 		for n := range 20 {
 			is.Equal(h.ask("once", fmt.Sprint(h.name, n), "k1"), http.StatusOK)
 		}
--- a/cmd/hickorypath/gatewayspread_test.go
+++ b/cmd/hickorypath/gatewayspread_test.go
@@ -86,7 +86,7 @@
 	link := f.net.AddHost(ip, float64(mbps)*megabit, hostLatency)
 	s := settings.Settings{
 		Host: "host-" + strconv.Itoa(i), Zone: "zone-" + strconv.Itoa(zone), IP: ip, InternalPorts: [2]int{7000, 7015},
-		Resources: settings.Resources{LinkMbps: float64(mbps), MemoryBytes: 134 << 20, FileDescriptors: 4100}, Bounds: settings.Bounds{UsageWindow: 5 * time.Second, RetryRatio: 0.2, MinRetries: 50, RetryWindow: 10 * time.Second}, Store: settings.Store{Address: "10.200.1.7:80"},
+		Resources: settings.Resources{LinkMbps: float64(mbps), MemoryBytes: 134 << 20, FileDescriptors: 4100}, Bounds: settings.Bounds{GracePeriod: 8 * time.Second, UsageWindow: 5 * time.Second, RetryRatio: 0.2, MinRetries: 50, RetryWindow: 10 * time.Second}, Store: settings.Store{Address: "10.200.1.7:80"},
 	}
 	g, err := newGateway(s, clock.NewWall(), machine{
 		dial: link.Dial, dialHost: withTimeout(link.Dial, hostDialTimeout), decodeConfig: f.decode, upstreams: upstream.NewDialerFunc(withTimeout(link.Dial, 1200*time.Millisecond)),
--- a/internal/gateway/exchange/drain.go
+++ b/internal/gateway/exchange/drain.go
@@ -37,7 +37,7 @@
 		return nil
 	}
 	left := e.x.opts.GracePeriod - since - drainReserve
-	if e.route.Kind == config.Stream || left < e.drainTime() {
+	if e.route.Kind == config.Stream || left < e.minDrainTime() {
 		return kind.New(kind.Draining, "the host is shutting down").WithRetry(drainRetryAfter)
 	}
 	if end := e.x.opts.Now().Add(left); end.Before(e.deadline) {
@@ -46,9 +46,9 @@
 	return nil
 }
 
-// drainTime returns the time that must be left of a shutdown for the request to be accepted. A request that must not run twice is
+// minDrainTime returns the time that must be left of a shutdown for the request to be accepted. A request that must not run twice is
 // accepted only if it ends by then in any case, since its client could not repeat it.
-func (e *exchange) drainTime() time.Duration {
+func (e *exchange) minDrainTime() time.Duration {
 	if !e.route.IsRepeatable() {
 		return e.timeLeft()
 	}
