Answer probes at once in the test of late rejections

It is a fault of the test. The engine client probes an engine that has been quiet for a second, which is the deadline of the test: both are due at the same moment of virtual time, in any order. Where the probe came first, the test's handler held it for 1.05 s as it holds the request, and was asleep when the test ended.

Change: the handler answers probes at once, with 404 as an engine without that report does. What is sent, how long it is held and what is checked stay as they are.

--- a/internal/upstream/engine/late_test.go
+++ b/internal/upstream/engine/late_test.go
@@ -23,7 +23,11 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			runHarness(t, func(h *harness) {
-				stop := h.net.Serve("late:80", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				stop := h.net.Serve("late:80", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if r.Method != http.MethodPost { // a probe of the quiet engine, which may be due at the deadline
+						http.NotFound(w, r)
+						return
+					}
 					time.Sleep(deadline + 50*time.Millisecond)
 					if c.id != "" {
 						w.Header().Set("X-Request-Id", c.id)
