Log for how long an upstream was silent when an attempt is given up

Neither the log nor the metrics told attempts that a host gives up, since an upstream is out of reach and nothing arrives, from connections that broke.

--- a/internal/gateway/exchange/accesslog.go
+++ b/internal/gateway/exchange/accesslog.go
@@ -174,6 +174,9 @@
 	if a.unfinished > 0 {
 		enc.AddInt("unfinished", a.unfinished)
 	}
+	if a.silent > 0 {
+		enc.AddFloat64("silent", ms(a.silent))
+	}
 	if a.superseded {
 		enc.AddBool("superseded", true)
 	}
--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -36,6 +36,7 @@
 	framing      string         // how the response is delimited; empty without a response
 	unfinished   int            // bytes of the event in which a stream ended
 	lateResponse bool           // the connection is kept open after the deadline, for a late response
+	silent       time.Duration  // for which nothing had arrived when the attempt was given up; 0 if it was not
 	superseded   bool           // given up before anything was sent, since the upstream or the configuration had changed
 	failed       bool
 	result       kind.Kind
@@ -100,6 +101,9 @@
 		return kind.Wrap(err, kind.Unavailable, "request not sent to %s", i.ID())
 	}
 	err = e.receive(ctx, c, i, sentAt, a, r.firstEvent)
+	if errors.Is(err, errCutOff) {
+		a.silent = c.SilentFor(e.x.opts.Now(), false)
+	}
 	switch {
 	case err == nil && isWhole:
 		c.Release(e.x.opts.Now())
--- a/internal/gateway/exchange/metrics.go
+++ b/internal/gateway/exchange/metrics.go
@@ -44,6 +44,9 @@
 		if a.sent && a.pauseLeft > 0 {
 			metrics.GetOrCreateCounter(fmt.Sprintf(`hickorypath_paused_attempts_total{service=%q}`, service)).Inc()
 		}
+		if a.silent > 0 {
+			metrics.GetOrCreateCounter(fmt.Sprintf(`hickorypath_silent_attempts_total{service=%q}`, service)).Inc()
+		}
 		if a.framing != "" {
 			metrics.GetOrCreateCounter(fmt.Sprintf(`hickorypath_responses_total{service=%q,framing=%q,unfinished="%t"}`, service, a.framing, a.unfinished > 0)).Inc()
 		}
