Give no attempt up for a silence that only looks like a cut of the host

On the code before some found a status line in their streams (MIXED).

Cause: a host that can open no connection to the upstreams of a service takes itself for cut off, and gave up all its attempts there after 0.4 s without a byte. Upstreams that are silent together look the same from one host, so all hosts did so at once. The streams found no host to go on at and ended; those that found one again were resumed, and what answered a resume with an error was written into the stream.

Evidence: the hosts' logs of the test with processes have `service out of reach`, and then `request to ... was given up: the upstream is out of reach` for each stream that was cut; the changes of the configuration make no difference, and silences without the network none either (TestSilentSecondBreaksStreams).

Change: only an answer from elsewhere tells a cut from a silence. An attempt is given up after 0.4 s if another host has relayed a response of the service since the cut began, and after two seconds if some host may serve it. At an upstream that alone is out of reach, others of the service must have answered after it fell silent. Attempts that could not be followed by another one, by the route's attempts, are not given up. Whether an attempt can move is decided under the lock; before, it was read from the request without one.

--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -124,6 +124,7 @@
 	e.x.mu.Lock()
 	defer e.x.mu.Unlock()
 	e.conn = c
+	e.setMovable()
 }
 
 // forwardInfo returns the metadata that is sent with the request to instance i.
@@ -189,6 +190,9 @@
 		return kind.New(kind.ResponseMismatch, "%s answered another request", i.ID())
 	}
 	i.RecordSuccess()
+	if e.helper != nil {
+		e.x.recordServedElsewhere(e.service.Name)
+	}
 	if e.writer.IsStarted() && !e.progress.canContinueWith(resp) {
 		return kind.New(kind.Lost, "%s did not continue the stream: status %d", i.ID(), resp.Status())
 	}
--- a/internal/gateway/exchange/recheck.go
+++ b/internal/gateway/exchange/recheck.go
@@ -56,7 +56,10 @@
 	if err != nil {
 		return err
 	}
+	e.x.mu.Lock()
 	e.config, e.route, e.customer = c, route, customer
+	e.setMovable()
+	e.x.mu.Unlock()
 	leadsToService := slices.ContainsFunc(route.Backends, func(b config.Backend) bool { return b.Service == e.service.Name })
 	name := e.service.Name
 	if !leadsToService && e.origin == nil {
--- a/internal/gateway/exchange/relay.go
+++ b/internal/gateway/exchange/relay.go
@@ -172,42 +172,82 @@
 	return nil
 }
 
-// handleOutOfReach ends the attempts at instances that have come to be out of reach and whose connections hang, if their requests may run
-// again. With isCut, the host is cut off from most of the service.
-func (x *Exchanger) handleOutOfReach(_ string, lost map[string]*upstream.Instance, isCut bool) {
-	now := time.Now()
+// handleOutOfReach watches the attempts at instances that have come to be out of reach, if their requests may run again.
+func (x *Exchanger) handleOutOfReach(_ string, lost map[string]*upstream.Instance, _ bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for e := range x.attempts {
-		if c := e.conn; c != nil && lost[c.Instance().ID()] == c.Instance() && e.mayMove() {
-			time.AfterFunc(e.hangTime(isCut)-c.SilentFor(now, isCut), func() { x.endIfHanging(e, c, isCut) })
+		if c := e.conn; c != nil && lost[c.Instance().ID()] == c.Instance() && e.canMove {
+			x.endIfHanging(e, c)
 		}
 	}
 }
 
-// endIfHanging ends the attempt of a request on a connection on which nothing arrives.
-func (x *Exchanger) endIfHanging(e *exchange, c *upstream.Conn, isCut bool) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if cancel, ok := x.attempts[e]; ok && e.conn == c && c.SilentFor(time.Now(), isCut) >= e.hangTime(isCut) {
+// endIfHanging ends the attempt of a request on a connection to an instance out of reach if nothing has arrived for too long and the
+// request can go elsewhere. Otherwise it looks again later. The caller holds x.mu.
+func (x *Exchanger) endIfHanging(e *exchange, c *upstream.Conn) {
+	cancel, ok := x.attempts[e]
+	if !ok || e.conn != c || !c.Instance().IsOutOfReach() {
+		return
+	}
+	now, service := time.Now(), c.Instance().Entry().Service
+	isCut := x.opts.Table.IsCut(service)
+	wait := x.hangTime(e, c, now, isCut) - c.SilentFor(now, isCut)
+	if wait <= 0 && (!isCut || x.opts.Helpers.MayServe(now, service)) {
 		cancel(errCutOff)
+		return
 	}
+	if wait <= 0 || wait > hangPollInterval {
+		wait = hangPollInterval
+	}
+	time.AfterFunc(wait, func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.endIfHanging(e, c)
+	})
 }
 
 const (
-	// hangTime is how long nothing may arrive from any instance of a service from which the host is cut off, or from one that alone is out of
-	// reach, before its open connections are given up.
+	// hangTime is how long nothing may arrive on a connection to an instance out of reach, or from any instance of a service from which the
+	// host is cut off, before the attempt is given up.
 	hangTime = 400 * time.Millisecond
-	// streamHangTime replaces hangTime for streams of an instance that alone is out of reach: a sound one may be silent for a second or
-	// two.
-	streamHangTime = 2 * time.Second
+	// silenceTime replaces hangTime for streams of an instance that alone is out of reach, and as long as no answer of others shows that
+	// the upstreams are not silent themselves: a sound one may be for a second or two.
+	silenceTime = 2 * time.Second
+	// hangPollInterval is the interval between two looks at an attempt on a connection to an instance out of reach.
+	hangPollInterval = 100 * time.Millisecond
 )
 
-func (e *exchange) hangTime(isCut bool) time.Duration {
-	if !isCut && e.route.Kind == config.Stream {
-		return streamHangTime
+// hangTime returns how long nothing may arrive on the connection of an attempt. The caller holds x.mu.
+func (x *Exchanger) hangTime(e *exchange, c *upstream.Conn, now time.Time, isCut bool) time.Duration {
+	switch {
+	case isCut && x.service(c.Instance().Entry().Service).isServedElsewhere:
+		return hangTime
+	case !isCut && e.route.Kind != config.Stream && c.HaveOthersAnswered(now, hangTime):
+		return hangTime
+	default:
+		return silenceTime
+	}
+}
+
+// recordServedElsewhere records that upstreams of a service have answered another host. If this one is cut off from the service, its
+// attempts there hang.
+func (x *Exchanger) recordServedElsewhere(service string) {
+	if !x.opts.Table.IsCut(service) {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	s := x.service(service)
+	if s.isServedElsewhere {
+		return
+	}
+	s.isServedElsewhere = true
+	for e := range x.attempts {
+		if c := e.conn; c != nil && c.Instance().Entry().Service == service && e.canMove {
+			x.endIfHanging(e, c)
+		}
 	}
-	return hangTime
 }
 
 // wake lets the requests that wait in the queue of a service look for another way. The caller holds x.mu.
@@ -218,9 +258,9 @@
 	}, func(*exchange) bool { return false })
 }
 
-// mayMove reports whether the request may run at another upstream while its attempt is under way.
-func (e *exchange) mayMove() bool {
-	return e.route.IsRepeatable() && (e.route.Kind == config.Stream || !e.writer.IsStarted())
+// setMovable records whether the request may run at another upstream while its attempt is under way. The caller holds x.mu.
+func (e *exchange) setMovable() {
+	e.canMove = e.route.IsRepeatable() && e.possibleRuns+1 < e.route.MaxAttempts
 }
 
 // describeSource adds to a relayed response where it comes from.
--- a/internal/gateway/relay/helpers.go
+++ b/internal/gateway/relay/helpers.go
@@ -71,6 +71,16 @@
 // IsAlone reports whether there is no other host.
 func (h *Helpers) IsAlone(now time.Time) bool { return len(h.opts.Hosts(now)) == 0 }
 
+// MayServe reports whether some host may reach a service: it has not said otherwise, in its messages or when it was asked.
+func (h *Helpers) MayServe(now time.Time, service string) bool {
+	hosts := h.opts.Hosts(now)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.unable[service] < maxUnable && slices.ContainsFunc(hosts, func(x Host) bool {
+		return !slices.Contains(x.CutFrom, service) && !h.isUnable(now, x, service)
+	})
+}
+
 // Pick returns a host that may reach a service, and counts a request that is sent through it until Done is called. Hosts that skip
 // names, those with a configuration older than the given version, and with onlyFree those that may have no more requests at the service's
 // brittle upstreams are left out. ok is false if there is none.
--- a/internal/gateway/upstream/reach.go
+++ b/internal/gateway/upstream/reach.go
@@ -25,10 +25,11 @@
 
 // serviceReach is what a Table knows of whether the host reaches the upstreams of one service.
 type serviceReach struct {
-	table   *Table
-	service string
-	active  activity // of the connections to upstreams of the service
-	probes  singleflight.Group
+	table    *Table
+	service  string
+	active   activity // of the connections to upstreams of the service
+	answered activity // of the upstreams: bytes and connections that were opened
+	probes   singleflight.Group
 
 	mu        sync.Mutex
 	state     reach.Service
@@ -118,6 +119,7 @@
 // recordOpened records that a connection to an instance was opened.
 func (r *serviceReach) recordOpened(i *Instance) {
 	list, ids := r.upstreams()
+	r.answered.record(time.Now())
 	r.mu.Lock()
 	wasCut := r.state.IsCut()
 	changed := r.state.RecordOpened(time.Now(), i.id, ids)
@@ -295,6 +297,7 @@
 		c.active.record(now)
 		c.instance.active.record(now)
 		r.active.record(now)
+		r.answered.record(now)
 	}
 	return n, err
 }
@@ -311,3 +314,10 @@
 	}
 	return silent
 }
+
+// HaveOthersAnswered reports whether another instance of the service has answered at a time when nothing had arrived on the connection, nor
+// from its instance, for d.
+func (c *Conn) HaveOthersAnswered(now time.Time, d time.Duration) bool {
+	r := c.instance.reach
+	return r != nil && c.SilentFor(now, false)-r.answered.silentFor(now) >= d
+}
