Move hanging requests when connections are refused, and late after a silence

A refusal is no silence. And the first answer of others after a silence came before the bytes that the kernel had to send again, so that an attempt could still be given up at the end of one.

Otherwise others must have answered for as long as the connection was silent before their first answer, since the kernel's retransmissions come at intervals that double. A service keeps since when its upstreams, or other hosts for them, have answered.

--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -191,7 +191,7 @@
 	}
 	i.RecordSuccess()
 	if e.helper != nil {
-		e.x.recordServedElsewhere(e.service.Name)
+		e.x.opts.Table.RecordAnswer(e.service.Name)
 	}
 	if e.writer.IsStarted() && !e.progress.canContinueWith(resp) {
 		return kind.New(kind.Lost, "%s did not continue the stream: status %d", i.ID(), resp.Status())
--- a/internal/gateway/exchange/exchanger.go
+++ b/internal/gateway/exchange/exchanger.go
@@ -81,11 +81,9 @@
 	active       int                  // requests in flight
 	reservedList []*upstream.Instance // instance list from which reserved was computed
 	reserved     map[string]bool      // instances reserved for short prompts
-	// isServedElsewhere is set when upstreams have answered another host while this one is cut off from the service.
-	isServedElsewhere bool
-	wokenAt           time.Time     // when waiting requests last looked for hosts that may have more requests at brittle instances
-	updates           []timedUpdate // recent cache updates to send to the other hosts, oldest first
-	tokensBuf         []int         // buffer for prefixHolders.cachedTokens
+	wokenAt      time.Time            // when waiting requests last looked for hosts that may have more requests at brittle instances
+	updates      []timedUpdate        // recent cache updates to send to the other hosts, oldest first
+	tokensBuf    []int                // buffer for prefixHolders.cachedTokens
 }
 
 // New returns an Exchanger without any service state.
@@ -99,12 +97,10 @@
 // handleCutChange tells the other hosts that a service got out of reach or is within reach again.
 func (x *Exchanger) handleCutChange(service string, isCut bool) {
 	x.opts.NotifyPeers()
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	s := x.service(service)
-	s.isServedElsewhere = false
 	if isCut {
-		x.wake(s)
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.wake(x.service(service))
 	}
 }
 
--- a/internal/gateway/exchange/relay.go
+++ b/internal/gateway/exchange/relay.go
@@ -12,6 +12,7 @@
 	"hickorypath/internal/gateway/frontend"
 	"hickorypath/internal/gateway/relay"
 	"hickorypath/internal/gateway/upstream"
+	"hickorypath/internal/policy/reach"
 )
 
 // errCutOff ends attempts at upstreams that are out of reach.
@@ -178,38 +179,49 @@
 	defer x.mu.Unlock()
 	for e := range x.attempts {
 		if c := e.conn; c != nil && lost[c.Instance().ID()] == c.Instance() && e.canMove {
-			x.endIfHanging(e, c)
+			x.endIfHanging(e, c, time.Time{})
 		}
 	}
 }
 
 // endIfHanging ends the attempt of a request on a connection to an instance out of reach if nothing has arrived for too long and the
-// request can go elsewhere. Otherwise it looks again later. The caller holds x.mu.
-func (x *Exchanger) endIfHanging(e *exchange, c *upstream.Conn) {
+// request can go elsewhere. Otherwise it looks again later. Others have answered since the time answered, zero if they have not. The caller
+// holds x.mu.
+func (x *Exchanger) endIfHanging(e *exchange, c *upstream.Conn, answered time.Time) {
 	cancel, ok := x.attempts[e]
 	if !ok || e.conn != c || !c.Instance().IsOutOfReach() {
 		return
 	}
+	if since, ok := c.OthersAnsweredSince(reach.StallTime); ok && (answered.IsZero() || since.Before(answered)) {
+		answered = since
+	}
 	now, service := time.Now(), c.Instance().Entry().Service
 	isCut := x.opts.Table.IsCut(service)
-	wait := x.hangTime(e, c, now, isCut) - c.SilentFor(now, isCut)
-	if wait <= 0 && (!isCut || x.opts.Helpers.MayServe(now, service)) {
+	isRefused := isCut && x.opts.Table.IsRefusing(service)
+	limit := silenceTime
+	switch {
+	case isRefused:
+		limit = hangTime
+	case !answered.IsZero() && (isCut || e.route.Kind != config.Stream):
+		before := c.SilentFor(now, false) - now.Sub(answered)
+		limit = min(max(hangTime, 2*before), silenceTime)
+	}
+	canGo := !isCut || isRefused || !answered.IsZero() || x.opts.Helpers.MayServe(now, service)
+	if canGo && c.SilentFor(now, isCut) >= limit {
 		cancel(errCutOff)
 		return
 	}
-	if wait <= 0 || wait > hangPollInterval {
-		wait = hangPollInterval
-	}
-	time.AfterFunc(wait, func() {
+	time.AfterFunc(hangPollInterval, func() {
 		x.mu.Lock()
 		defer x.mu.Unlock()
-		x.endIfHanging(e, c)
+		x.endIfHanging(e, c, answered)
 	})
 }
 
 const (
 	// hangTime is how long nothing may arrive on a connection to an instance out of reach, or from any instance of a service from which the
-	// host is cut off, before the attempt is given up.
+	// host is cut off, before the attempt is given up. Unless connections are refused, others must have answered meanwhile, for as long as
+	// the connection was silent before: the kernels send what was lost again at growing intervals.
 	hangTime = 400 * time.Millisecond
 	// silenceTime replaces hangTime for streams of an instance that alone is out of reach, and as long as no answer of others shows that
 	// the upstreams are not silent themselves: a sound one may be for a second or two.
@@ -218,38 +230,6 @@
 	hangPollInterval = 100 * time.Millisecond
 )
 
-// hangTime returns how long nothing may arrive on the connection of an attempt. The caller holds x.mu.
-func (x *Exchanger) hangTime(e *exchange, c *upstream.Conn, now time.Time, isCut bool) time.Duration {
-	switch {
-	case isCut && x.service(c.Instance().Entry().Service).isServedElsewhere:
-		return hangTime
-	case !isCut && e.route.Kind != config.Stream && c.HaveOthersAnswered(now, hangTime):
-		return hangTime
-	default:
-		return silenceTime
-	}
-}
-
-// recordServedElsewhere records that upstreams of a service have answered another host. If this one is cut off from the service, its
-// attempts there hang.
-func (x *Exchanger) recordServedElsewhere(service string) {
-	if !x.opts.Table.IsCut(service) {
-		return
-	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	s := x.service(service)
-	if s.isServedElsewhere {
-		return
-	}
-	s.isServedElsewhere = true
-	for e := range x.attempts {
-		if c := e.conn; c != nil && c.Instance().Entry().Service == service && e.canMove {
-			x.endIfHanging(e, c)
-		}
-	}
-}
-
 // wake lets the requests that wait in the queue of a service look for another way. The caller holds x.mu.
 func (x *Exchanger) wake(s *serviceState) {
 	s.queue.Dispatch(func(e *exchange) bool {
--- a/internal/gateway/upstream/dials.go
+++ b/internal/gateway/upstream/dials.go
@@ -63,7 +63,10 @@
 		return i.dialer.Dial(ctx, address)
 	}
 	begin := time.Now()
-	stalled := time.AfterFunc(reach.StallTime, func() { i.reach.recordFailed(i, begin) })
+	stalled := time.AfterFunc(reach.StallTime, func() {
+		i.reach.stalled.record(time.Now())
+		i.reach.recordFailed(i, begin)
+	})
 	c, err := i.dialer.Dial(ctx, address)
 	wasInTime := stalled.Stop()
 	countDial(ctx, err)
@@ -71,6 +74,7 @@
 	case err == nil:
 		i.reach.recordOpened(i)
 	case ctx.Err() == nil && wasInTime:
+		i.reach.refused.record(time.Now())
 		i.reach.recordFailed(i, begin)
 	}
 	return c, err
--- a/internal/gateway/upstream/reach.go
+++ b/internal/gateway/upstream/reach.go
@@ -21,15 +21,18 @@
 	ReturnInterval = 250 * time.Millisecond
 	// silenceInterval is the least time between two tries of upstreams of a service whose responses have not begun in time.
 	silenceInterval = 500 * time.Millisecond
+	// refusalTime is how long a refused connection shows that upstreams are not silent, unless another one is not answered.
+	refusalTime = 2 * time.Second
 )
 
 // serviceReach is what a Table knows of whether the host reaches the upstreams of one service.
 type serviceReach struct {
-	table    *Table
-	service  string
-	active   activity // of the connections to upstreams of the service
-	answered activity // of the upstreams: bytes and connections that were opened
-	probes   singleflight.Group
+	table            *Table
+	service          string
+	active           activity // of the connections to upstreams of the service
+	answers          answers  // of the upstreams, and of others that stand for them
+	refused, stalled activity // connections that were refused, and those that were not open in time
+	probes           singleflight.Group
 
 	mu        sync.Mutex
 	state     reach.Service
@@ -48,6 +51,52 @@
 	return now.Sub(time.Unix(0, a.at.Load()))
 }
 
+// answers tells since when the upstreams of a service have answered without a gap of reach.StallTime, and when they did last: with bytes,
+// or to the opening of a connection.
+type answers struct{ since, last atomic.Int64 } // Unix nanoseconds
+
+func (a *answers) record(now time.Time) {
+	if now.Sub(time.Unix(0, a.last.Swap(now.UnixNano()))) > reach.StallTime {
+		a.since.Store(now.UnixNano())
+	}
+}
+
+// IsRefusing reports whether new connections to the upstreams of a service are refused rather than not answered.
+func (t *Table) IsRefusing(service string) bool {
+	t.mu.RLock()
+	r := t.reach[service]
+	t.mu.RUnlock()
+	now := time.Now()
+	return r != nil && r.refused.silentFor(now) < refusalTime && r.stalled.silentFor(now) >= refusalTime
+}
+
+// RecordAnswer records that upstreams of a service have answered another host.
+func (t *Table) RecordAnswer(service string) {
+	t.mu.RLock()
+	r := t.reach[service]
+	t.mu.RUnlock()
+	if r != nil {
+		r.answers.record(time.Now())
+	}
+}
+
+// OthersAnsweredSince returns since when other instances of the service have answered, if they have later than d after anything arrived
+// last on the connection, or from its instance.
+func (c *Conn) OthersAnsweredSince(d time.Duration) (since time.Time, ok bool) {
+	r := c.instance.reach
+	if r == nil {
+		return time.Time{}, false
+	}
+	silent := time.Unix(0, max(c.active.at.Load(), c.instance.active.at.Load())).Add(d)
+	if time.Unix(0, r.answers.last.Load()).Before(silent) {
+		return time.Time{}, false
+	}
+	if since = time.Unix(0, r.answers.since.Load()); since.Before(silent) {
+		since = silent
+	}
+	return since, true
+}
+
 // reachOf returns the serviceReach of a service. The caller holds t.mu.
 func (t *Table) reachOf(service string) *serviceReach {
 	r := t.reach[service]
@@ -118,8 +167,8 @@
 
 // recordOpened records that a connection to an instance was opened.
 func (r *serviceReach) recordOpened(i *Instance) {
+	r.answers.record(time.Now())
 	list, ids := r.upstreams()
-	r.answered.record(time.Now())
 	r.mu.Lock()
 	wasCut := r.state.IsCut()
 	changed := r.state.RecordOpened(time.Now(), i.id, ids)
@@ -297,7 +346,7 @@
 		c.active.record(now)
 		c.instance.active.record(now)
 		r.active.record(now)
-		r.answered.record(now)
+		r.answers.record(now)
 	}
 	return n, err
 }
@@ -314,10 +363,3 @@
 	}
 	return silent
 }
-
-// HaveOthersAnswered reports whether another instance of the service has answered at a time when nothing had arrived on the connection, nor
-// from its instance, for d.
-func (c *Conn) HaveOthersAnswered(now time.Time, d time.Duration) bool {
-	r := c.instance.reach
-	return r != nil && c.SilentFor(now, false)-r.answered.silentFor(now) >= d
-}
