Believe a refusal only of the request whose id it bears

Cause: exchange.receive looked at Not-Executed before it compared the ids, so that a refusal without an id and one of another request were the same to it.

Change: a response concerns a request if it bears its id; a refusal without one is believed only on a connection that has carried no earlier request. What such a response states of the upstream is not recorded either.

--- a/internal/gateway/exchange/advisory.go
+++ b/internal/gateway/exchange/advisory.go
@@ -8,10 +8,10 @@
 	"hickorypath/internal/gateway/upstream"
 )
 
-// recordStatements records what an instance stated about itself in its response to a request with an id that was sent at sentAt.
-// Statements in the response of another instance or to another request are ignored.
-func (x *Exchanger) recordStatements(i *upstream.Instance, sentAt time.Time, id string, r ResponseInfo) {
-	if r.Misdirected || !r.NotExecuted && r.ID != id {
+// recordStatements records what an instance stated about itself in its response to a request that was sent at sentAt. Statements in the
+// response of another instance are ignored.
+func (x *Exchanger) recordStatements(i *upstream.Instance, sentAt time.Time, r ResponseInfo) {
+	if r.Misdirected {
 		return
 	}
 	now, s := x.opts.Now(), r.Advisory
@@ -60,7 +60,9 @@
 	if err != nil {
 		return
 	}
-	x.recordStatements(i, sentAt, id, x.opts.Codec.DecodeResponse(resp))
+	if answer := x.opts.Codec.DecodeResponse(resp); answer.concerns(id, c.IsReused()) {
+		x.recordStatements(i, sentAt, answer)
+	}
 }
 
 // ApplyDepartures records which instances leave, as another host has told.
--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -176,19 +176,19 @@
 		a.upstream = relay.ParseSource(&resp.Head).Upstream
 	}
 	answer := e.x.opts.Codec.DecodeResponse(resp)
+	if !answer.concerns(e.info.ID, c.IsReused()) {
+		return kind.New(kind.ResponseMismatch, "%s answered another request", i.ID())
+	}
 	a.leaving, a.pause = answer.Advisory.Leaving.IsStated(), answer.Advisory.Pause.Length()
 	if e.helper == nil {
-		e.x.recordStatements(i, sentAt, e.info.ID, answer)
+		e.x.recordStatements(i, sentAt, answer)
 	} else if u := e.x.opts.Table.Get(a.upstream); u != nil {
 		answer.Advisory.Pause = advisory.Pause{} // asked of the host in between
-		e.x.recordStatements(u, sentAt, e.info.ID, answer)
+		e.x.recordStatements(u, sentAt, answer)
 	}
 	if answer.NotExecuted {
 		return kind.New(kind.Rejected, "%s did not run the request: status %d", i.ID(), resp.Status()).WithRetry(e.retryAfter(rejectedRetryAfter))
 	}
-	if answer.ID != e.info.ID {
-		return kind.New(kind.ResponseMismatch, "%s answered another request", i.ID())
-	}
 	i.RecordSuccess()
 	if e.helper != nil {
 		e.x.opts.Table.RecordAnswer(e.service.Name)
--- a/internal/gateway/exchange/codec.go
+++ b/internal/gateway/exchange/codec.go
@@ -57,6 +57,12 @@
 	Advisory    advisory.Statement
 }
 
+// concerns reports whether the response belongs to the request with an id. A refusal may lack the id; on a connection that has carried an
+// earlier request it could be a copy of the refusal of that one.
+func (r ResponseInfo) concerns(id string, isReused bool) bool {
+	return r.ID == id || r.ID == "" && r.NotExecuted && !isReused
+}
+
 // Codec translates between HTTP messages and their metadata.
 type Codec struct {
 	DecodeRequest  func(r *h1.Request) (RequestInfo, error)
