Report no window of usage that ended before all hosts started

Cause: the figures that were reported are kept in the store and by the other hosts. With both gone, the new leader took its empty counters for the figures of windows that had ended before any host was up.

Change: a window without fixed figures is reported only if this host, or one of which it has heard, ran before the window's end, or told counts of it. Otherwise it is left out.

--- a/cmd/hickorypath/gateway_test.go
+++ b/cmd/hickorypath/gateway_test.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -185,3 +188,47 @@
 		})
 	}
 }
+
+// TestUsageIsReportedAgainAfterALossOfPower guards against a window that was reported and is reported again, without its requests, by hosts
+// that have all started after it, when the store is restored from a copy that does not contain the report.
+func TestUsageIsReportedAgainAfterALossOfPower(t *testing.T) {
+	is := is.New(t)
+	f := newGatewayFleet(t, 53, 0, 1, script.Action{Bytes: gatewayAnswer})
+	for n := range 3 {
+		h := f.newHost(n + 1)
+		text, err := os.ReadFile(h.settings)
+		is.NoErr(err)
+		is.NoErr(os.WriteFile(h.settings, bytes.Replace(text, []byte(`"usageWindowS":1`), []byte(`"usageWindowS":3`), 1), 0o600))
+		f.hosts = append(f.hosts, h)
+		h.start()
+	}
+	for _, h := range f.hosts {
+		f.waitUntil(h.ready)
+	}
+	copied := f.platform.Memory().Snapshot()
+	reported := func(counts string) func() bool {
+		return func() bool {
+			for n, h := range f.hosts {
+				is.Equal(h.ask("safe", fmt.Sprint("usage", n), "k1"), http.StatusOK)
+			}
+			return slices.ContainsFunc(slices.Collect(maps.Values(f.platform.Usage())), func(c string) bool { return strings.Contains(c, counts) })
+		}
+	}
+	f.waitUntil(reported("club"))
+	for _, h := range f.hosts {
+		h.kill()
+	}
+	f.platform.Memory().Restore(copied)
+	last := slices.Max(slices.Collect(maps.Keys(f.platform.Usage())))
+	for _, h := range f.hosts {
+		h.start()
+	}
+	for _, h := range f.hosts {
+		f.waitUntil(h.ready)
+	}
+	f.waitUntil(func() bool { // a window that ended after the start; those before are reported at the same time, or not at all
+		reported("club")()
+		return slices.Max(slices.Collect(maps.Keys(f.platform.Usage()))) > last+1
+	})
+	is.Equal(f.platform.Violations(), nil)
+}
--- a/cmd/hickorypath/gatewaypeers.go
+++ b/cmd/hickorypath/gatewaypeers.go
@@ -176,7 +176,7 @@
 	control := platform.ControlAPI(g.settings.Control.Address)
 	reporter := leader.NewUsageReporter(leader.UsageReporterOptions{
 		Host: g.settings.Host, Lease: g.lease, Store: g.store.For(store.UseReport), Control: control, Window: g.usage.Window,
-		FixedCounts: g.peers.FixedCounts, FixCounts: g.fixCounts,
+		FixedCounts: g.peers.FixedCounts, FixCounts: g.fixCounts, IsKnown: g.knowsUsage,
 		WindowEnd: g.usage.WindowEnd, Counts: g.fleetCounts, HasAllCounts: func(t time.Time) bool { return g.peers.HasAllCounts(g.clock.Now(), t) }, ReportDelay: g.settings.Bounds.UsageReportDelay, Now: g.fleetTime.Now, Log: g.log,
 	})
 	scaler := leader.NewScaler(leader.ScalerOptions{
@@ -217,6 +217,13 @@
 	}
 }
 
+// knowsUsage reports whether this host, or one of which it has heard, ran before the end of a window.
+func (g *gateway) knowsUsage(window int64) bool {
+	end := g.usage.WindowEnd(window)
+	started := g.fleetTime.Now().Add(g.startBoot - g.clock.Boot())
+	return started.Before(end) || g.peers.HasCounts(window, end)
+}
+
 // fleetCounts returns the usage counts of all hosts in a window, by customer.
 func (g *gateway) fleetCounts(window int64) map[string]int {
 	sum := g.peers.Counts(window)
--- a/internal/gateway/leader/leader_test.go
+++ b/internal/gateway/leader/leader_test.go
@@ -139,6 +139,7 @@
 		Counts: counts, HasAllCounts: func(time.Time) bool { return !f.countsMissing }, ReportDelay: 10 * time.Second, Now: f.time, Log: zap.NewNop(),
 		FixedCounts: func(w int64) (map[string]int, bool) { c, ok := f.fixed[w]; return c, ok },
 		FixCounts:   func(w int64, c map[string]int) { f.fixed[w] = c },
+		IsKnown:     func(int64) bool { return true },
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
--- a/internal/gateway/leader/reporter.go
+++ b/internal/gateway/leader/reporter.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"hickorypath/internal/core/kind"
@@ -25,6 +26,8 @@
 	Counts    func(window int64) map[string]int // requests of the whole fleet by customer
 	// FixedCounts returns the counts that this host or an earlier leader has fixed for a window, as far as this host knows.
 	FixedCounts func(window int64) (counts map[string]int, ok bool)
+	// IsKnown reports whether anything is known of the requests of a window: some host ran before its end.
+	IsKnown func(window int64) bool
 	// FixCounts tells the other hosts the counts of a window before they are reported.
 	FixCounts func(window int64, counts map[string]int)
 	// HasAllCounts reports whether all hosts have sent their counts of the time before t.
@@ -96,7 +99,12 @@
 			r.stored.loaded = false // another host may write the counts from now on
 			return
 		}
-		if err := r.report(ctx, token, w); err != nil {
+		err = r.report(ctx, token, w)
+		if errors.Is(err, errUnknownCounts) {
+			r.opts.Log.Warn("usage is not reported, since all hosts have started after the window", zap.Int64("window", w))
+			err = nil
+		}
+		if err != nil {
 			r.opts.Log.Warn("usage not reported yet", zap.Int64("window", w), zap.Error(err))
 			return
 		}
@@ -130,6 +138,10 @@
 	return nil
 }
 
+// errUnknownCounts means that the counts of a window are gone with the hosts that knew them. They may have been reported: a store that is
+// restored from an older copy may have lost them as well.
+var errUnknownCounts = errors.New("nobody knows the counts of the window")
+
 // fixCounts returns the counts of a window, which do not change once they are fixed. They are fixed in the store, which keeps
 // them unless it is restored from an older copy, and by telling the other hosts.
 func (r *UsageReporter) fixCounts(ctx context.Context, w int64) (map[string]int, error) {
@@ -144,6 +156,8 @@
 	case isStored && (!isFixed || maps.Equal(stored, counts)):
 		r.opts.FixCounts(w, stored)
 		return stored, nil
+	case !isFixed && !r.opts.IsKnown(w):
+		return nil, errUnknownCounts
 	case !isFixed:
 		counts = r.opts.Counts(w)
 	}
--- a/internal/gateway/leader/restore_test.go
+++ b/internal/gateway/leader/restore_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
@@ -32,6 +33,7 @@
 						Counts:      func(int64) map[string]int { return map[string]int{"club": counted} },
 						FixedCounts: func(w int64) (map[string]int, bool) { c, ok := told[w]; return c, ok },
 						FixCounts:   func(w int64, c map[string]int) { told[w] = c },
+						IsKnown:     func(int64) bool { return true },
 						Log:         zap.NewNop(),
 					})
 				}
@@ -63,3 +65,31 @@
 		})
 	}
 }
+
+// TestCountsThatNobodyKnowsAreNotFixed guards against a window that is reported a second time, from counters that began after it.
+func TestCountsThatNobodyKnowsAreNotFixed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		memory := store.NewMemory(clock.NewWall())
+		isKnown := true
+		host := func() *UsageReporter {
+			return NewUsageReporter(UsageReporterOptions{
+				Store:       store.New(memory.Backend(), store.Options{Clock: clock.NewWall()}),
+				Counts:      func(int64) map[string]int { return map[string]int{"club": 5} },
+				FixedCounts: func(int64) (map[string]int, bool) { return nil, false },
+				FixCounts:   func(int64, map[string]int) {},
+				IsKnown:     func(int64) bool { return isKnown },
+				Log:         zap.NewNop(),
+			})
+		}
+		counts, err := host().fixCounts(t.Context(), 7)
+		is.NoErr(err)
+		is.Equal(counts, map[string]int{"club": 5})
+		isKnown = false
+		counts, err = host().fixCounts(t.Context(), 7) // the store has them
+		is.NoErr(err)
+		is.Equal(counts, map[string]int{"club": 5})
+		_, err = host().fixCounts(t.Context(), 8)
+		is.True(errors.Is(err, errUnknownCounts))
+	})
+}
--- a/internal/gateway/peer/table.go
+++ b/internal/gateway/peer/table.go
@@ -208,6 +208,23 @@
 	return sum
 }
 
+// HasCounts reports whether some other host, alive or not, has started before a time, or counts of a window have come from one.
+func (t *Table) HasCounts(window int64, before time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.hosts {
+		if e.message.StartTime < before.UnixNano() {
+			return true
+		}
+	}
+	for _, windows := range t.countsByIncarnation {
+		if _, ok := windows[window]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 // HasAllCounts reports whether every other host has sent its usage counts of the time up to before. Hosts that are
 // leaving or have been silent for longer than hostGoneTime are not waited for.
 func (t *Table) HasAllCounts(now, before time.Time) bool {
