Count only answers from after a silence began as a sign of a cut

An independent reading of found attempts that were still given up while all upstreams were silent: requests that may be repeated and work for longer than 0.2 s got 502, and streams with gaps of more than that ended.

Cause: others count as having answered if they have later than 0.2 s after the last byte on the connection. Where that byte was old because the request was at work, ordinary answers from before the silence counted.

Change: while nothing arrives from the whole service, answers count from the last byte of the service on, and one that is older is forgotten. Streams wait for two seconds in any case. Attempts that the bounds on sends exclude from another one are kept as well; hosts that did not reach a service are asked again after the cut. A window of usage that nobody knows is given up only shortly before its report is due, since a host that knows it may be heard of later. A refusal without an id to a request without one is no longer believed on a used connection.

--- a/cmd/hickorypath/gatewaysilencesim_test.go
+++ b/cmd/hickorypath/gatewaysilencesim_test.go
@@ -29,8 +29,18 @@
 	until   time.Time
 	runs    map[string]int // by request
 	resumes int            // streams that were not asked for from their first event
+	silencePace
 }
 
+// silencePace is how fast a silentUpstream works.
+type silencePace struct {
+	work     time.Duration // of a request that is no stream
+	events   int           // of a stream
+	interval time.Duration // between two events
+}
+
+var usualPace = silencePace{silenceWork, silenceEvents, silenceInterval}
+
 const (
 	silenceEvents   = 40
 	silenceInterval = 50 * time.Millisecond // between two events
@@ -63,14 +73,14 @@
 	w.Header()["Request-Id"] = r.Header["Request-Id"]
 	w.Header().Set("Response-Signature", "s")
 	if !strings.HasPrefix(r.URL.Path, "/talk/") {
-		time.Sleep(silenceWork)
+		time.Sleep(u.work)
 		u.wait()
 		_, _ = io.WriteString(w, "ok")
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := first; n < silenceEvents; n++ {
-		time.Sleep(silenceInterval)
+	for n := first; n < u.events; n++ {
+		time.Sleep(u.interval)
 		u.wait()
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: x\n\n", n+1); err != nil {
 			return
@@ -89,7 +99,7 @@
 	dark map[string]bool // addresses of the upstreams whose network is silent
 }
 
-func newSilenceSimulation(t *testing.T, hosts, upstreams int) *silenceSimulation {
+func newSilenceSimulation(t *testing.T, hosts, upstreams int, pace silencePace) *silenceSimulation {
 	t.Helper()
 	f := &silenceSimulation{
 		configFleet: &configFleet{t: t, net: memnet.New(), platform: platformapi.New(clock.NewWall()), serves: true, rand: rand.New(rand.NewPCG(1, 2))},
@@ -97,7 +107,7 @@
 	f.caller = f.net.AddHost(callerIP, 0, hostLatency)
 	for n := range upstreams {
 		f.net.AddHost(silentIP(n), 0, hostLatency)
-		u := &silentUpstream{runs: map[string]int{}}
+		u := &silentUpstream{runs: map[string]int{}, silencePace: pace}
 		f.upstreams = append(f.upstreams, u)
 		t.Cleanup(f.net.Serve(silentIP(n)+":9000", u))
 		value := fmt.Sprintf(`{"service":"svc","address":"%s:9000","zone":"zone-0","version":"v1","slots":64,"state":"ready","seq":1}`, silentIP(n))
@@ -171,7 +181,7 @@
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	if err != nil || route == "talk" && resp.StatusCode == http.StatusOK && strings.Count(string(body), "data: x") != silenceEvents {
+	if err != nil || route == "talk" && resp.StatusCode == http.StatusOK && strings.Count(string(body), "data: x") != f.upstreams[0].events {
 		return 0
 	}
 	return resp.StatusCode
@@ -186,7 +196,7 @@
 			t.Run(fmt.Sprintf("%s, the network too: %t", silence, dark), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					is := is.New(t)
-					f := newSilenceSimulation(t, hosts, upstreams)
+					f := newSilenceSimulation(t, hosts, upstreams, usualPace)
 					var callers sync.WaitGroup
 					var mu sync.Mutex
 					wrong := map[string]int{}
@@ -244,30 +254,39 @@
 // network, are silent for a second, so that each host looks cut off.
 func TestSilentSecondOfAServiceEndsItsRequests(t *testing.T) {
 	const (
-		upstreams, rate = 3, 4 // requests a second to each host and route
-		begin           = 2*time.Second - silenceInterval
+		upstreams = 3
+		begin     = 2*time.Second - silenceInterval
 	)
 	cases := []struct {
 		hosts   int
 		silence time.Duration
+		routes  string
+		rate    int // requests a second to each host and route
+		pace    silencePace
 	}{
-		{1, time.Second},
-		{5, 500 * time.Millisecond},
-		{5, time.Second},
-		{5, 1500 * time.Millisecond},
+		{1, time.Second, "once talk safe", 4, usualPace},
+		{5, 500 * time.Millisecond, "once talk safe", 4, usualPace},
+		{5, time.Second, "once talk safe", 4, usualPace},
+		{5, 1500 * time.Millisecond, "once talk safe", 4, usualPace},
+		{1, time.Second, "safe", 4, silencePace{work: 700 * time.Millisecond}},
+		{5, 500 * time.Millisecond, "safe", 4, silencePace{work: 700 * time.Millisecond}},
+		{5, time.Second, "safe", 4, silencePace{work: 700 * time.Millisecond}},
+		{5, 1500 * time.Millisecond, "safe", 4, silencePace{work: 700 * time.Millisecond}},
+		{5, time.Second, "talk", 2, silencePace{events: 6, interval: 600 * time.Millisecond}},
+		{5, 1500 * time.Millisecond, "talk", 2, silencePace{events: 6, interval: 600 * time.Millisecond}},
 	}
 	for _, c := range cases {
-		t.Run(fmt.Sprintf("%d hosts, %s", c.hosts, c.silence), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%s, %d hosts, %s, %s", c.routes, c.hosts, c.silence, c.pace.work+c.pace.interval), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newSilenceSimulation(t, c.hosts, upstreams)
+				f := newSilenceSimulation(t, c.hosts, upstreams, c.pace)
 				var callers sync.WaitGroup
 				var mu sync.Mutex
 				ended, refused := map[string]int{}, map[string]bool{}
 				for n, g := range f.hosts {
-					for _, route := range []string{"once", "talk", "safe"} {
-						for i := range 4 * rate {
+					for _, route := range strings.Fields(c.routes) {
+						for i := range 4 * c.rate {
 							callers.Go(func() {
-								sentAt := time.Duration(i)*time.Second/rate + time.Duration(n)*7*time.Millisecond
+								sentAt := time.Duration(i)*time.Second/time.Duration(c.rate) + time.Duration(n)*7*time.Millisecond
 								time.Sleep(sentAt)
 								id := fmt.Sprint(route, n, "-", i)
 								status := f.ask(g.settings.IP, route, id)
--- a/internal/gateway/exchange/codec.go
+++ b/internal/gateway/exchange/codec.go
@@ -60,7 +60,10 @@
 // concerns reports whether the response belongs to the request with an id. A refusal may lack the id; on a connection that has carried an
 // earlier request it could be a copy of the refusal of that one.
 func (r ResponseInfo) concerns(id string, isReused bool) bool {
-	return r.ID == id || r.ID == "" && r.NotExecuted && !isReused
+	if r.ID == "" && r.NotExecuted {
+		return !isReused
+	}
+	return r.ID == id
 }
 
 // Codec translates between HTTP messages and their metadata.
--- a/internal/gateway/exchange/exchanger.go
+++ b/internal/gateway/exchange/exchanger.go
@@ -97,7 +97,9 @@
 // handleCutChange tells the other hosts that a service got out of reach or is within reach again.
 func (x *Exchanger) handleCutChange(service string, isCut bool) {
 	x.opts.NotifyPeers()
-	if isCut {
+	if !isCut {
+		x.opts.Helpers.Reset(service)
+	} else {
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		x.wake(x.service(service))
--- a/internal/gateway/exchange/relay.go
+++ b/internal/gateway/exchange/relay.go
@@ -192,22 +192,30 @@
 	if !ok || e.conn != c || !c.Instance().IsOutOfReach() {
 		return
 	}
-	if since, ok := c.OthersAnsweredSince(reach.StallTime); ok && (answered.IsZero() || since.Before(answered)) {
-		answered = since
-	}
 	now, service := time.Now(), c.Instance().Entry().Service
 	isCut := x.opts.Table.IsCut(service)
+	silent := c.SilentFor(now, false)
+	if all := c.SilentFor(now, true); isCut || all > hangTime { // the whole service is silent
+		silent = all
+	}
+	from := now.Add(reach.StallTime - silent)
+	if answered.Before(from) {
+		answered = time.Time{}
+	}
+	if since, ok := c.AnsweredSince(from); ok && answered.IsZero() {
+		answered = since
+	}
 	isRefused := isCut && x.opts.Table.IsRefusing(service)
 	limit := silenceTime
 	switch {
+	case e.route.Kind == config.Stream:
 	case isRefused:
 		limit = hangTime
-	case !answered.IsZero() && (isCut || e.route.Kind != config.Stream):
-		before := c.SilentFor(now, false) - now.Sub(answered)
-		limit = min(max(hangTime, 2*before), silenceTime)
+	case !answered.IsZero():
+		limit = min(max(hangTime, 2*(silent-now.Sub(answered))), silenceTime)
 	}
 	canGo := !isCut || isRefused || !answered.IsZero() || x.opts.Helpers.MayServe(now, service)
-	if canGo && c.SilentFor(now, isCut) >= limit {
+	if canGo && silent >= limit {
 		cancel(errCutOff)
 		return
 	}
@@ -223,8 +231,8 @@
 	// host is cut off, before the attempt is given up. Unless connections are refused, others must have answered meanwhile, for as long as
 	// the connection was silent before: the kernels send what was lost again at growing intervals.
 	hangTime = 400 * time.Millisecond
-	// silenceTime replaces hangTime for streams of an instance that alone is out of reach, and as long as no answer of others shows that
-	// the upstreams are not silent themselves: a sound one may be for a second or two.
+	// silenceTime replaces hangTime for streams, and as long as no answer of others shows that the upstreams are not silent themselves: a
+	// sound one may be for a second or two.
 	silenceTime = 2 * time.Second
 	// hangPollInterval is the interval between two looks at an attempt on a connection to an instance out of reach.
 	hangPollInterval = 100 * time.Millisecond
@@ -240,7 +248,7 @@
 
 // setMovable records whether the request may run at another upstream while its attempt is under way. The caller holds x.mu.
 func (e *exchange) setMovable() {
-	e.canMove = e.route.IsRepeatable() && e.possibleRuns+1 < e.route.MaxAttempts
+	e.canMove = e.route.IsRepeatable() && e.possibleRuns+1 < e.route.MaxAttempts && e.sends()+1 < maxSends && len(e.attempts)+1 < maxAttempts
 }
 
 // describeSource adds to a relayed response where it comes from.
--- a/internal/gateway/leader/reporter.go
+++ b/internal/gateway/leader/reporter.go
@@ -101,6 +101,9 @@
 		}
 		err = r.report(ctx, token, w)
 		if errors.Is(err, errUnknownCounts) {
+			if r.opts.WindowEnd(w).Add(r.opts.ReportDelay).Sub(now) > finalReserve {
+				continue // a host that knows them may still be heard of
+			}
 			r.opts.Log.Warn("usage is not reported, since all hosts have started after the window", zap.Int64("window", w))
 			err = nil
 		}
--- a/internal/gateway/relay/helpers.go
+++ b/internal/gateway/relay/helpers.go
@@ -71,6 +71,16 @@
 // IsAlone reports whether there is no other host.
 func (h *Helpers) IsAlone(now time.Time) bool { return len(h.opts.Hosts(now)) == 0 }
 
+// Reset forgets which hosts did not reach a service.
+func (h *Helpers) Reset(service string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.unable, service)
+	for _, helper := range h.byName {
+		delete(helper.cannot, service)
+	}
+}
+
 // MayServe reports whether some host may reach a service: it has not said otherwise, in its messages or when it was asked.
 func (h *Helpers) MayServe(now time.Time, service string) bool {
 	hosts := h.opts.Hosts(now)
--- a/internal/gateway/upstream/reach.go
+++ b/internal/gateway/upstream/reach.go
@@ -80,19 +80,14 @@
 	}
 }
 
-// OthersAnsweredSince returns since when other instances of the service have answered, if they have later than d after anything arrived
-// last on the connection, or from its instance.
-func (c *Conn) OthersAnsweredSince(d time.Duration) (since time.Time, ok bool) {
+// AnsweredSince returns since when the instances of the service have answered, if they have later than from.
+func (c *Conn) AnsweredSince(from time.Time) (since time.Time, ok bool) {
 	r := c.instance.reach
-	if r == nil {
-		return time.Time{}, false
-	}
-	silent := time.Unix(0, max(c.active.at.Load(), c.instance.active.at.Load())).Add(d)
-	if time.Unix(0, r.answers.last.Load()).Before(silent) {
+	if r == nil || time.Unix(0, r.answers.last.Load()).Before(from) {
 		return time.Time{}, false
 	}
-	if since = time.Unix(0, r.answers.since.Load()); since.Before(silent) {
-		since = silent
+	if since = time.Unix(0, r.answers.since.Load()); since.Before(from) {
+		since = from
 	}
 	return since, true
 }
