Take an event that states an error for a failed attempt

An engine that fails in the middle of a stream sends an event with an error and then [DONE]. A caller of serve found the error among the events of its stream, which ended with [DONE] as if it were complete; it was billed and counted as served. The same event as the answer to a resume ended a stream that another engine had begun.

Cause: the decoder took every event for output.

Change: an event with a member "error" ends the attempt with kind failed, "may have run". So the stream goes on at a further engine where it may, and else ends with an error event of the host and a cut connection, as docs/design/path.md says.

--- a/internal/caller/exchange/failedresume_test.go
+++ b/internal/caller/exchange/failedresume_test.go
@@ -30,6 +30,8 @@
 		{"JSON", http.StatusOK, "application/json", completion},
 		{"an error as JSON", http.StatusOK, "application/json", `{"error":{"message":"failed"}}`},
 		{"empty", http.StatusOK, "text/event-stream", ""},
+		{"an error as an event", http.StatusOK, "text/event-stream", "data: {\"error\":{\"message\":\"failed\"}}\n\n"},
+		{"an error as an event, with an end", http.StatusOK, "text/event-stream", "data: {\"error\":{\"message\":\"failed\"}}\n\ndata: [DONE]\n\n"},
 		{"begins anew", http.StatusOK, "text/event-stream", begunEvents + "data: [DONE]\n\n"},
 	}
 	for _, c := range cases {
--- a/internal/upstream/engine/decode.go
+++ b/internal/upstream/engine/decode.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"io"
 	"strconv"
@@ -29,6 +30,7 @@
 	fieldID    = []byte("id:")
 	doneMarker = []byte("[DONE]")
 	usageKey   = []byte(`"usage":`)
+	errorKey   = []byte(`"error"`)
 )
 
 // readEvent reads lines up to the blank line that ends an event and skips comments.
@@ -101,6 +103,9 @@
 	if err := s.checkID(r.data); err != nil {
 		return Event{}, false, err
 	}
+	if err := s.checkError(r.data); err != nil {
+		return Event{}, false, err
+	}
 	before := s.Offset()
 	tokens, err := s.advance(r)
 	if err != nil {
@@ -116,6 +121,18 @@
 	return e, true, nil
 }
 
+// checkError returns an error if an event states that the engine has failed.
+func (s *Stream) checkError(data []byte) error {
+	if !bytes.Contains(data, errorKey) {
+		return nil
+	}
+	stated := gjson.GetBytes(data, "error")
+	if !stated.Exists() || stated.Type == gjson.Null {
+		return nil
+	}
+	return kind.New(kind.Failed, "engine %s: %s", s.addr, cmp.Or(stated.Get("message").String(), "failed in the stream")).WithRan(kind.RanMaybe)
+}
+
 // advance updates the stream's offset and returns the number of new tokens, or -1 for an event that was
 // received before.
 func (s *Stream) advance(r rawEvent) (int, error) {
--- a/internal/upstream/engine/fault_test.go
+++ b/internal/upstream/engine/fault_test.go
@@ -275,6 +275,44 @@
 	}
 }
 
+// TestErrorEventIsPassedOnAsOutput guards against an engine that ends a stream with an event that states an error, and whose stream counts as complete.
+func TestErrorEventIsPassedOnAsOutput(t *testing.T) {
+	const (
+		begun = `data: {"id":"c","choices":[{"delta":{"content":"a"}}]}` + "\n\n"
+		end   = "data: [DONE]\n\n"
+	)
+	cases := []struct {
+		name   string
+		stream string
+		events int
+		kind   kind.Kind
+	}{
+		{"before the first token", `data: {"error":{"message":"failed"}}` + "\n\n" + end, 0, kind.Failed},
+		{"after a token", begun + `data: {"error":{"message":"failed"}}` + "\n\n" + end, 1, kind.Failed},
+		{"with spaces", begun + `data: { "error": {"message": "failed"} }` + "\n\n" + end, 1, kind.Failed},
+		{"as text", begun + `data: {"error":"failed"}` + "\n\n" + end, 1, kind.Failed},
+		{"after another member", begun + `data: {"id":"c","error":{"message":"failed"}}` + "\n\n" + end, 1, kind.Failed},
+		{"with an offset", begun + "id: 2\n" + `data: {"error":{"message":"failed"}}` + "\n\n" + end, 1, kind.Failed},
+		{"without an end", begun + `data: {"error":{"message":"failed"}}` + "\n\n", 1, kind.Failed},
+		{"none", begun + `data: {"id":"c","error":null,"choices":[{"delta":{"content":"b"}}]}` + "\n\n" + end, 3, ""},
+		{"in the text", begun + `data: {"id":"c","choices":[{"delta":{"content":"{\"error\":{}}"}}]}` + "\n\n" + end, 3, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			runHarness(t, func(h *harness) {
+				defer h.serve("raw:80", c.stream)()
+				s, err := h.client.Chat(h.ctx, "raw:80", engine.Call{AttemptID: "t1", Stream: true, Body: []byte(streamedBody)})
+				h.NoErr(err)
+				events, err := readAll(s)
+				s.Close()
+				h.Equal(kind.Of(err), c.kind)
+				h.Equal(len(events), c.events)
+				h.True(err == nil || kind.From(err).Ran() == kind.RanMaybe)
+			})
+		})
+	}
+}
+
 // TestCallerCancelsAttempt checks the error of an attempt whose caller canceled it or whose deadline passed, and that
 // the engine stops the attempt.
 func TestCallerCancelsAttempt(t *testing.T) {
