Believe no refusal without an id on a used connection in serve

Another operator reports a faulty engine that writes an earlier refusal (503, "not run") once more on a kept connection. In serve the next request there was told "not run" although it ran, and was sent to another engine, if the refusal bore no id: a request that may run once ran twice. Refusals with the id of another attempt, and those without one of an engine that has echoed ids, were and are told apart (kind crossed).

Cause: a response without an id was taken for that of the request, from engines that do not echo ids and from all plain services, whatever it stated.

Change: a response that states "not run" without an id is believed only on a connection that has carried no earlier request. On another one it is a mismatch, "may have run", and nothing that it states of the upstream is recorded, after the deadline neither.

--- a/internal/upstream/engine/stream.go
+++ b/internal/upstream/engine/stream.go
@@ -77,20 +77,20 @@
 
 // recordLate records what the engine states in a response that came after the deadline.
 func (s *Stream) recordLate(res *http.Response) {
-	got := res.Header.Get(httpclient.HeaderRequestID)
-	if mustEcho := s.client.history.recordEcho(s.addr, got != ""); s.call.OnAdvisory != nil && (got == s.call.AttemptID || !mustEcho) {
+	echoed := res.Header.Get(httpclient.HeaderRequestID) != ""
+	mustEcho := s.client.history.recordEcho(s.addr, echoed)
+	if s.call.OnAdvisory != nil && (echoed || !mustEcho) && s.account.Concerns(res, s.call.AttemptID) {
 		s.call.OnAdvisory(httpclient.Statement(res.StatusCode, res.Header))
 	}
 }
 
 // checkResponse checks the echoed attempt id and the status before any of the answer is used. Answers
 // without an id are accepted from an engine that has never echoed one. After its first echo, an engine must
-// echo the id in every answer.
+// echo the id in every answer. A refusal without an id is accepted only as the first answer on its connection.
 func (s *Stream) checkResponse() error {
-	got := s.res.Header.Get(httpclient.HeaderRequestID)
-	s.echoed = got != ""
+	s.echoed = s.res.Header.Get(httpclient.HeaderRequestID) != ""
 	mustEcho := s.client.history.recordEcho(s.addr, s.echoed)
-	if got != s.call.AttemptID && mustEcho {
+	if mustEcho && !s.echoed || !s.account.Concerns(s.res, s.call.AttemptID) {
 		s.client.counters.crossed.Add(1)
 		return kind.New(kind.ResponseMismatch, "engine %s answered for another attempt", s.addr)
 	}
--- a/internal/upstream/httpclient/conn.go
+++ b/internal/upstream/httpclient/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
@@ -94,6 +95,7 @@
 	writtenBefore atomic.Int64
 	assumeSent    atomic.Bool // no count is available: the connection is no *CountingConn, or bytes went out on an earlier one
 	isOver        atomic.Bool // the deadline has passed, so nothing is sent any more
+	isReused      atomic.Bool // the connection has carried an earlier request
 }
 
 // SetBeforeSend sets a function that is called when the request has its connection, directly before its first byte. If it returns an
@@ -128,6 +130,7 @@
 }
 
 func (t *SendTracker) gotConn(info httptrace.GotConnInfo) {
+	t.isReused.Store(info.Reused)
 	c, ok := asCountingConn(info.Conn)
 	if !ok {
 		t.assumeSent.Store(true)
@@ -143,6 +146,16 @@
 	c.guard.Store(&guard)
 }
 
+// Concerns reports whether a response is that of the request with an id. A response without an id may be, but one that states that the
+// request was not run may be the repeated refusal of an earlier request on its connection.
+func (t *SendTracker) Concerns(res *http.Response, id string) bool {
+	got := res.Header.Get(HeaderRequestID)
+	if got == "" {
+		return !t.isReused.Load() || res.Header.Get(HeaderRan) != RanNo
+	}
+	return got == id
+}
+
 // asCountingConn returns the CountingConn that c is or, as a TLS connection, wraps.
 func asCountingConn(c net.Conn) (*CountingConn, bool) {
 	if inner, ok := c.(interface{ NetConn() net.Conn }); ok {
--- a/internal/upstream/service/client.go
+++ b/internal/upstream/service/client.go
@@ -69,7 +69,7 @@
 	c.unpooled.CloseIdleConnections()
 }
 
-// Crossed returns the number of answers that had the id of another attempt.
+// Crossed returns the number of answers that were, or may have been, those of other attempts.
 func (c *Client) Crossed() int64 { return c.crossed.Load() }
 
 // Call describes one attempt of a call to a service.
@@ -172,15 +172,15 @@
 
 // recordLate records what the service states in a response that came after the deadline.
 func (a *attempt) recordLate(res *http.Response) {
-	if got := res.Header.Get(httpclient.HeaderRequestID); a.call.OnAdvisory != nil && (got == "" || got == a.call.AttemptID) {
+	if a.call.OnAdvisory != nil && a.account.Concerns(res, a.call.AttemptID) {
 		a.call.OnAdvisory(httpclient.Statement(res.StatusCode, res.Header))
 	}
 }
 
-// checkResponse returns an error if the response has the id of another attempt or states that the service did
+// checkResponse returns an error if the response may be that of another attempt or states that the service did
 // not run the call.
 func (a *attempt) checkResponse(res *http.Response) error {
-	if got := res.Header.Get(httpclient.HeaderRequestID); got != "" && got != a.call.AttemptID {
+	if !a.account.Concerns(res, a.call.AttemptID) {
 		a.client.crossed.Add(1)
 		return kind.New(kind.ResponseMismatch, "service %s answered for another attempt", a.addr)
 	}
