Close the connection after a crossed response without a body

After a response that bears the id of another attempt, docs/design/silence.md closes the connection. serve kept it if the response had no body: when each response on it is that of the request before, every further request there failed as crossed as well, though it ran.

Cause: net/http returns a connection to its pool before it hands over a response without a body, so that closing the body and ending the context have no effect on it.

Change: a mismatch closes the connection itself. A request that gets it in the same moment sends nothing and fails as not run.

--- a/internal/upstream/engine/refusal_test.go
+++ b/internal/upstream/engine/refusal_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
+	"hickorypath/internal/core/clock"
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/policy/advisory"
 	"hickorypath/internal/upstream/engine"
@@ -63,6 +67,37 @@
 	}
 }
 
+// TestConnectionIsUsedAfterACrossedResponse guards against a connection that has carried the response of another request and is used again.
+func TestConnectionIsUsedAfterACrossedResponse(t *testing.T) {
+	for _, body := range []string{"", "{}"} {
+		t.Run("body "+body, func(t *testing.T) {
+			runHarness(t, func(h *harness) {
+				var requests, dials atomic.Int64
+				defer h.net.Serve("off:80", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					id := r.Header.Get("X-Request-Id")
+					if requests.Add(1) == 1 {
+						id = "t0"
+					}
+					w.Header().Set("X-Request-Id", id)
+					_, _ = io.WriteString(w, body)
+				}))()
+				client := engine.New(engine.Options{Clock: clock.NewWall(), Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+					dials.Add(1)
+					return h.net.Dial(ctx, network, addr)
+				}})
+				defer client.Close()
+				_, err := client.Chat(h.ctx, "off:80", engine.Call{AttemptID: "t1", Body: []byte(plainBody)})
+				h.Equal(kind.Of(err), kind.ResponseMismatch)
+				synctest.Wait()
+				s, err := client.Chat(h.ctx, "off:80", engine.Call{AttemptID: "t2", Body: []byte(plainBody)})
+				h.NoErr(err)
+				s.Close()
+				h.Equal(dials.Load(), int64(2))
+			})
+		})
+	}
+}
+
 // answerInTurn answers n requests on one connection, with a field that is a format for their id, and the next one with other bytes.
 func answerInTurn(l net.Listener, n int, field, last string) {
 	c, err := l.Accept()
--- a/internal/upstream/engine/stream.go
+++ b/internal/upstream/engine/stream.go
@@ -92,6 +92,7 @@
 	mustEcho := s.client.history.recordEcho(s.addr, s.echoed)
 	if mustEcho && !s.echoed || !s.account.Concerns(s.res, s.call.AttemptID) {
 		s.client.counters.crossed.Add(1)
+		s.account.CloseConn()
 		return kind.New(kind.ResponseMismatch, "engine %s answered for another attempt", s.addr)
 	}
 	if s.call.OnAdvisory != nil {
--- a/internal/upstream/httpclient/conn.go
+++ b/internal/upstream/httpclient/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -156,6 +157,17 @@
 	return got == id
 }
 
+// errCrossed is the error of a write to a connection that has carried the response of another request.
+var errCrossed = errors.New("the connection carried the response of another request")
+
+// CloseConn closes the connection of the request, which net/http keeps after a response without a body. Nothing more is sent on it.
+func (t *SendTracker) CloseConn() {
+	if c := t.conn.Load(); c != nil {
+		c.failed.CompareAndSwap(nil, &errCrossed)
+		_ = c.Close()
+	}
+}
+
 // asCountingConn returns the CountingConn that c is or, as a TLS connection, wraps.
 func asCountingConn(c net.Conn) (*CountingConn, bool) {
 	if inner, ok := c.(interface{ NetConn() net.Conn }); ok {
--- a/internal/upstream/service/client.go
+++ b/internal/upstream/service/client.go
@@ -182,6 +182,7 @@
 func (a *attempt) checkResponse(res *http.Response) error {
 	if !a.account.Concerns(res, a.call.AttemptID) {
 		a.client.crossed.Add(1)
+		a.account.CloseConn()
 		return kind.New(kind.ResponseMismatch, "service %s answered for another attempt", a.addr)
 	}
 	if a.call.OnAdvisory != nil {
--- a/internal/upstream/service/fault_test.go
+++ b/internal/upstream/service/fault_test.go
@@ -25,7 +25,10 @@
 }
 
 // callAndRead sends a call and reads the whole response.
-func (h *harness) callAndRead(call service.Call) error {
+func (h *harness) callAndRead(call service.Call) error { return h.callAndReadFrom(addr, call) }
+
+// callAndReadFrom does the same at the service with an address.
+func (h *harness) callAndReadFrom(addr string, call service.Call) error {
 	ctx, cancel := context.WithTimeout(h.ctx, 5*time.Second)
 	defer cancel()
 	res, err := h.client.Do(ctx, addr, call)
