Let a silent second of all engines break no stream of serve

Streams under way at a host of serve were given up when all engines of their pool were silent for a second together with their network, so that new connections stalled as well: 0.95 s after the silence began, with "this host is cut off".

Cause: a host that takes itself for cut off refused the connections on which an engine is asked about a quiet stream, and two refusals in 0.5 s count as an engine that is gone.

Change: these connections are opened even so, and wait, as they did for an engine that alone does not answer. Further requests are sent through other hosts at once, as before.

--- a/internal/upstream/httpclient/reach.go
+++ b/internal/upstream/httpclient/reach.go
@@ -71,7 +71,7 @@
 
 type pendingDial struct {
 	addr   string
-	waits  bool // although the upstream does not answer while others do
+	waits  bool // although the upstream does not answer
 	cancel context.CancelCauseFunc
 }
 
@@ -160,8 +160,8 @@
 	return r.dialPool(ctx, network, addr, false)
 }
 
-// DialControl opens a connection to an upstream that a request is running on. It waits for an upstream that alone does not answer, since
-// a sound one may be silent for a second. It has the signature of a DialFunc.
+// DialControl opens a connection to an upstream that a request is running on. It waits for an upstream that does not answer, alone or
+// with all others of its pool, since sound ones may be silent for a second. It has the signature of a DialFunc.
 func (r *Reach) DialControl(ctx context.Context, network, addr string) (net.Conn, error) {
 	return r.dialPool(ctx, network, addr, true)
 }
@@ -176,9 +176,10 @@
 	reaches, isCut := p.state.Reaches(addr), p.state.IsCut()
 	r.mu.Unlock()
 	switch {
-	case !reaches && !isCut && !waits:
+	case reaches || waits:
+	case !isCut:
 		return nil, errStalled
-	case !reaches && isCut && r.mayGiveUp():
+	case r.mayGiveUp():
 		return nil, ErrOutOfReach
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -255,10 +256,10 @@
 	}
 }
 
-// giveUpDials ends the dials to upstreams that are out of reach. The caller holds the mu of the Reach.
+// giveUpDials ends the dials to upstreams that are out of reach, but not those that wait. The caller holds the mu of the Reach.
 func (p *poolReach) giveUpDials(cause error) {
 	for _, d := range p.dials {
-		if !p.state.Reaches(d.addr) && (p.state.IsCut() || !d.waits) {
+		if !p.state.Reaches(d.addr) && !d.waits {
 			d.cancel(cause)
 		}
 	}
