Bound the memory of all requests that a gateway holds together

Callers saw: a host that ran out of memory and ended with the requests of all its callers, when many clients sent large requests and stopped just short of their end.

Cause: each head and body was bounded, their sum was not; a body got the memory of its announced length at once and was copied for each attempt, and the kernel's buffers grew to megabytes for each connection. Idle connections could take all descriptors.

Change: requests that are read, requests under way and buffered responses draw on one account (policy/memory), which replaces bufferBudget. Bodies grow as they arrive and are not copied. Where memory is short, stalled requests are given up with a true 503. Connections are bounded by descriptors and memory; at the bound the one without progress for longest makes room. The other listeners have bounds too.

--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -28,6 +28,7 @@
 	"hickorypath/internal/gateway/upstream"
 	"hickorypath/internal/gateway/usage"
 	"hickorypath/internal/policy/budget"
+	"hickorypath/internal/policy/memory"
 	"hickorypath/internal/state/lease"
 	"hickorypath/internal/state/store"
 	"hickorypath/platform"
@@ -52,6 +53,7 @@
 	exchange         *exchange.Exchanger
 	server           *frontend.Server
 	relays           *frontend.Server // for hosts that are cut off
+	memory           *memory.Account
 	helpers          *relay.Helpers
 	peers            *peer.Table
 	origins          *peer.Origins
@@ -97,10 +99,6 @@
 	// kernel's receive buffers, which count against the host's memory limit as well.
 	memoryParts = 10
 	heapParts   = 6
-	// bufferMemoryParts is the reciprocal of the share of the host's memory for responses that are not relayed yet.
-	bufferMemoryParts = 8
-	// reservedDescriptors is the number of file descriptors that callers' connections may not use.
-	reservedDescriptors = 300
 	// storeMaxBackoff limits the delay between retries of store calls, so that a host reconnects soon after an outage.
 	storeMaxBackoff     = 250 * time.Millisecond
 	storeAttemptTimeout = 900 * time.Millisecond
@@ -130,10 +128,11 @@
 	g.watcher = g.newStoreWatcher()
 	g.versions = release.NewTracker(clk.Now)
 	g.release = g.newVersionFinder()
+	g.memory = newAccount(s.Resources.MemoryBytes)
 	g.helpers = g.newHelpers()
 	g.exchange = g.newExchanger()
 	g.relays = g.newRelayServer()
-	g.server = frontend.New(g.exchange.Handle, g.limits, s.Resources.FileDescriptors-reservedDescriptors, clk.Now, log)
+	g.server = frontend.New(g.exchange.Handle, g.limits, g.maxCallerConns(), g.memory, clk.Now, log)
 	g.lease = lease.New(g.store, clk, lease.Options{
 		Name: leaderLease, Holder: s.Host, TTL: s.LeaseTTL(), SettleDelay: leaderSettleDelay, Log: log, IsCandidate: g.isCandidate,
 	})
@@ -191,8 +190,8 @@
 		NotifyPeers: func() { g.transport.SendSoon(false) },
 		OnStarted:   func(customer, _ string) { g.usage.Add(customer) },
 		DrainingFor: g.drainTime, GracePeriod: b.GracePeriod,
-		BufferBytes: int(g.settings.Resources.MemoryBytes / bufferMemoryParts),
-		Host:        g.settings.Host, Helpers: g.helpers, MaxRelayed: g.maxRelayed(),
+		Memory: g.memory,
+		Host:   g.settings.Host, Helpers: g.helpers, MaxRelayed: g.maxRelayed(),
 		Log: g.log, Now: g.clock.Now,
 	})
 }
@@ -207,9 +206,9 @@
 
 // run serves requests until ctx is canceled, and then drains the host.
 func (g *gateway) run(ctx context.Context) error {
-	callers, err := net.Listen("tcp4", g.settings.CallerAddress)
+	callers, err := g.listenCallers()
 	if err != nil {
-		return kind.Wrap(err, kind.Settings, "cannot listen on the callers' address")
+		return err
 	}
 	probes, err := net.Listen("tcp4", g.settings.ReadyAddress)
 	if err != nil {
--- /dev/null
+++ b/cmd/hickorypath/gatewaylimits.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/net/netutil"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/core/sockopt"
+	"hickorypath/internal/policy/memory"
+)
+
+// Limits on what callers and other clients outside the operator's control can take of a host.
+const (
+	// accountParts is the reciprocal of the share of the host's memory for requests and responses. The heap limit is soft: what the account
+	// has given back is garbage for a while.
+	accountParts = 6
+	// connMemory is the memory of a connection that holds no request: buffers of the process and of the kernel.
+	connMemory = 64 << 10
+	// reservedDescriptors is the number of file descriptors that are not for sockets. Callers' connections may use connShare of connParts of the
+	// others, so that there are some left for upstreams, the store and other hosts.
+	reservedDescriptors = 200
+	connShare           = 3
+	connParts           = 4
+	// socketBuffer is the size of the kernel's buffers of a connection, which otherwise grow to megabytes for a peer that sends fast or reads
+	// slowly.
+	socketBuffer = 64 << 10
+	// internalConns bounds the connections to each of the servers for readiness checks, metrics and other hosts.
+	internalConns       = 256
+	internalIdleTimeout = 5 * time.Second
+	internalReadTimeout = 5 * time.Second
+	internalHeadTimeout = time.Second
+	internalHeadBytes   = 16 << 10
+)
+
+// maxCallerConns returns how many connections of callers this host serves at a time.
+func (g *gateway) maxCallerConns() int {
+	r := g.settings.Resources
+	return max(min((r.FileDescriptors-reservedDescriptors)*connShare/connParts, int(r.MemoryBytes/connMemory)), 1)
+}
+
+// newAccount returns the account of memory for requests and responses, and registers its metrics.
+func newAccount(memoryBytes int64) *memory.Account {
+	a := memory.New(memoryBytes / accountParts)
+	for _, k := range memory.Kinds {
+		metrics.GetOrCreateGauge(`hickorypath_memory_held_bytes{kind="`+k.String()+`"}`, func() float64 { return float64(a.Used(k)) })
+		metrics.GetOrCreateGauge(`hickorypath_memory_refused_total{kind="`+k.String()+`"}`, func() float64 { return float64(a.Refused(k)) })
+	}
+	metrics.GetOrCreateGauge(`hickorypath_memory_evicted_total{kind="`+memory.Unfinished.String()+`"}`, func() float64 { return float64(a.Evicted()) })
+	return a
+}
+
+// listenCallers opens the listener for callers.
+func (g *gateway) listenCallers() (net.Listener, error) {
+	conf := net.ListenConfig{Control: sockopt.ControlBuffers(socketBuffer)} // accepted connections inherit the option
+	l, err := conf.Listen(context.Background(), "tcp4", g.settings.CallerAddress)
+	if err != nil {
+		return nil, kind.Wrap(err, kind.Settings, "cannot listen on the callers' address")
+	}
+	return l, nil
+}
+
+// newInternalServer returns a server for the platform, operators or other hosts that bounds what each connection takes. A response may take as
+// long as readTimeout.
+func newInternalServer(h http.Handler, readTimeout time.Duration) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: internalHeadTimeout, ReadTimeout: readTimeout, IdleTimeout: internalIdleTimeout, MaxHeaderBytes: internalHeadBytes,
+	}
+}
+
+// limitInternal bounds the connections of a listener for the platform, operators or other hosts.
+func limitInternal(l net.Listener) net.Listener { return netutil.LimitListener(l, internalConns) }
--- a/cmd/hickorypath/gatewaypeers.go
+++ b/cmd/hickorypath/gatewaypeers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -111,16 +110,26 @@
 	return packed
 }
 
+// fetchTimeout bounds a transfer to another host.
+const fetchTimeout = time.Minute
+
+// fetchListener accepts connections with a small send buffer.
+type fetchListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l fetchListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(peer.SendBuffer) // transfers are counted only less exactly without
+	}
+	return c, err
+}
+
 // servePeerFetches serves what other hosts fetch from this host until ctx ends.
 func (g *gateway) servePeerFetches(ctx context.Context, l net.Listener) {
-	server := &http.Server{Handler: g.transport.Handler(), ReadHeaderTimeout: time.Second, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetWriteBuffer(peer.SendBuffer) // transfers are counted only less exactly without
-		}
-		return ctx
-	}}
+	server := newInternalServer(g.transport.Handler(), fetchTimeout)
 	defer context.AfterFunc(ctx, func() { _ = server.Close() })()
-	if err := server.Serve(l); err != nil && ctx.Err() == nil {
+	if err := server.Serve(limitInternal(fetchListener{l})); err != nil && ctx.Err() == nil {
 		g.log.Error("server for fetches of other hosts stopped", zap.Error(err))
 	}
 }
--- a/cmd/hickorypath/gatewayrelay.go
+++ b/cmd/hickorypath/gatewayrelay.go
@@ -41,7 +41,7 @@
 
 // newRelayServer returns the server for requests of hosts that are cut off.
 func (g *gateway) newRelayServer() *frontend.Server {
-	return frontend.New(g.exchange.HandleRelayed, g.limits, relayConnsPerRequest*g.maxRelayed(), g.clock.Now, g.log)
+	return frontend.New(g.exchange.HandleRelayed, g.limits, relayConnsPerRequest*g.maxRelayed(), g.memory, g.clock.Now, g.log)
 }
 
 // newHelpers returns the hosts through which this host sends requests while it is cut off.
--- a/internal/core/sockopt/sockopt.go
+++ b/internal/core/sockopt/sockopt.go
@@ -37,3 +37,15 @@
 	})
 	return errors.CombineErrors(err, setErr)
 }
+
+// ControlBuffers returns a function that sets the sizes of a socket's receive and send buffers to n bytes, of which the kernel takes up to twice
+// as much. It has the signature of net.Dialer.Control and net.ListenConfig.Control.
+func ControlBuffers(n int) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var setErr error
+		err := raw.Control(func(fd uintptr) {
+			setErr = errors.CombineErrors(unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, n), unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, n))
+		})
+		return errors.CombineErrors(err, setErr)
+	}
+}
--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -16,6 +16,7 @@
 	"hickorypath/internal/gateway/relay"
 	"hickorypath/internal/gateway/upstream"
 	"hickorypath/internal/policy/advisory"
+	"hickorypath/internal/policy/memory"
 )
 
 // attempt records one attempt of a request for the access log and the metrics.
@@ -88,13 +89,14 @@
 		c.Return(e.x.opts.Now())
 		return err
 	}
-	msg := e.x.opts.Codec.EncodeRequest(nil, &e.request.Request, e.request.Body(), e.forwardInfo(i, r.copySource))
+	body := e.request.Body()
+	head := e.x.opts.Codec.EncodeRequest(nil, &e.request.Request, len(body), e.forwardInfo(i, r.copySource))
 	sentAt := e.x.opts.Now()
 	a.connected, a.pauseLeft = sentAt.Sub(now), i.PausedFor(sentAt)
 	defer c.WatchSilence(time.Duration(r.expectedDelayMs * float64(time.Millisecond)))()
-	n, err := c.Send(msg, e.deadline)
+	n, err := c.Send(head, body, e.deadline)
 	a.sent = n > 0
-	isWhole := n == len(msg)
+	isWhole := n == len(head)+len(body)
 	if hasResponse := isWhole || a.sent && c.HasResponse(e.deadline); !hasResponse {
 		c.Close()
 		e.blame(ctx, i, err)
@@ -238,12 +240,12 @@
 // relayWhole buffers a response to its end before it relays it, so that the client never receives a truncated
 // one.
 func (e *exchange) relayWhole(ctx context.Context, resp *h1.Response, answer ResponseInfo, body *h1.Body, i *upstream.Instance) error {
-	buf := newBuffer(&e.x.buffers)
+	buf := newBuffer(e.x.opts.Memory, e.x.opts.Now)
 	defer buf.release()
 	err := buf.readAll(body, maxBufferedResponse)
 	data := buf.data
 	switch {
-	case errors.Is(err, errBufferFull):
+	case errors.Is(err, memory.ErrFull):
 		return kind.Wrap(err, kind.Lost, "answer of %s exceeds %d bytes", i.ID(), len(data))
 	case err != nil:
 		return e.broken(ctx, i, err, true)
--- a/internal/gateway/exchange/buffer_test.go
+++ b/internal/gateway/exchange/buffer_test.go
@@ -3,18 +3,21 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"hickorypath/internal/policy/memory"
 )
 
 // TestLargeBuffersLeaveRoomForSmallOnes guards against responses of sound upstreams that find no memory beside endless ones.
 func TestLargeBuffersLeaveRoomForSmallOnes(t *testing.T) {
 	for _, endless := range []int{1, 10, 100} {
 		is := is.New(t)
-		budget := &bufferBudget{total: 16 << 20}
+		account := memory.New(16 << 20)
 		large := make([]*buffer, endless)
 		for n := range large {
-			large[n] = newBuffer(budget)
+			large[n] = newBuffer(account, time.Now)
 		}
 		for growing := true; growing; { // all at the same pace
 			growing = false
@@ -25,8 +28,8 @@
 				}
 			}
 		}
-		is.True(budget.used < budget.total)
-		small, size := newBuffer(budget), 32<<10
+		is.True(account.Used(memory.Response) < account.Total())
+		small, size := newBuffer(account, time.Now), 32<<10
 		is.NoErr(small.readAll(strings.NewReader(strings.Repeat("a", size)), size))
 		is.Equal(len(small.data), size)
 		for _, b := range append(large, small) {
@@ -35,6 +38,6 @@
 			is.Equal(cap(b.data), firstBufferSize)
 			b.release()
 		}
-		is.Equal(budget.used, 0)
+		is.Equal(account.Used(memory.Response), int64(0))
 	}
 }
--- a/internal/gateway/exchange/codec.go
+++ b/internal/gateway/exchange/codec.go
@@ -69,9 +69,9 @@
 // Codec translates between HTTP messages and their metadata.
 type Codec struct {
 	DecodeRequest  func(r *h1.Request) (RequestInfo, error)
-	EncodeRequest  func(dst []byte, r *h1.Request, body []byte, s ForwardInfo) []byte
+	EncodeRequest  func(dst []byte, r *h1.Request, bodyLen int, s ForwardInfo) []byte
 	DecodeResponse func(r *h1.Response) ResponseInfo
 	// EncodeRelay encodes a request for another host, with further header fields.
-	EncodeRelay func(dst []byte, r *h1.Request, body []byte, s RelayInfo) []byte
+	EncodeRelay func(dst []byte, r *h1.Request, bodyLen int, s RelayInfo) []byte
 	KeepField   func(f h1.Field) bool // reports whether a response header field is relayed to the client
 }
--- a/internal/gateway/exchange/exchanger.go
+++ b/internal/gateway/exchange/exchanger.go
@@ -16,6 +16,7 @@
 	"hickorypath/internal/gateway/upstream"
 	"hickorypath/internal/policy/advisory"
 	"hickorypath/internal/policy/budget"
+	"hickorypath/internal/policy/memory"
 	"hickorypath/internal/policy/place"
 	"hickorypath/internal/policy/poison"
 	"hickorypath/internal/policy/waitqueue"
@@ -48,7 +49,7 @@
 	DrainingFor func() time.Duration
 	GracePeriod time.Duration // time from the start of a shutdown until the host ends
 
-	BufferBytes int // memory for all responses that are kept until they, or their next events, are complete
+	Memory *memory.Account // for responses that are kept until they, or their next events, are complete
 
 	Host       string
 	Helpers    *relay.Helpers // hosts through which requests are sent whose upstreams are out of reach
@@ -57,10 +58,9 @@
 
 // Exchanger forwards client requests to upstreams. It is safe for concurrent use.
 type Exchanger struct {
-	opts    Options
-	buffers bufferBudget
-	life    context.Context // ends with Stop
-	stop    context.CancelCauseFunc
+	opts Options
+	life context.Context // ends with Stop
+	stop context.CancelCauseFunc
 
 	mu        sync.Mutex
 	services  map[string]*serviceState
@@ -88,7 +88,7 @@
 
 // New returns an Exchanger without any service state.
 func New(o Options) *Exchanger {
-	x := &Exchanger{opts: o, buffers: bufferBudget{total: o.BufferBytes}, services: map[string]*serviceState{}, poison: poison.New(), attempts: map[*exchange]context.CancelCauseFunc{}, accessLog: newAccessLog(o.Log, o.Now)}
+	x := &Exchanger{opts: o, services: map[string]*serviceState{}, poison: poison.New(), attempts: map[*exchange]context.CancelCauseFunc{}, accessLog: newAccessLog(o.Log, o.Now)}
 	x.life, x.stop = context.WithCancelCause(context.Background())
 	o.Table.OnCutChange, o.Table.OnOutOfReach = x.handleCutChange, x.handleOutOfReach
 	return x
--- a/internal/gateway/exchange/relay.go
+++ b/internal/gateway/exchange/relay.go
@@ -150,11 +150,12 @@
 		order.Origin = *e.origin
 	}
 	info := RelayInfo{TimeLeft: e.timeLeft(), LastEventID: e.progress.lastID, Fields: order.Fields()}
-	msg := e.x.opts.Codec.EncodeRelay(nil, &e.request.Request, e.request.Body(), info)
+	body := e.request.Body()
+	head := e.x.opts.Codec.EncodeRelay(nil, &e.request.Request, len(body), info)
 	sentAt := e.x.opts.Now()
 	a.connected = sentAt.Sub(begin)
-	n, err := c.Send(msg, e.deadline)
-	if a.sent = n == len(msg); !a.sent {
+	n, err := c.Send(head, body, e.deadline)
+	if a.sent = n == len(head)+len(body); !a.sent {
 		c.Close()
 		return kind.Wrap(err, kind.Unavailable, "request not sent to %s", helper.Name())
 	}
--- a/internal/gateway/exchange/stream.go
+++ b/internal/gateway/exchange/stream.go
@@ -13,6 +13,7 @@
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/gateway/h1"
 	"hickorypath/internal/gateway/upstream"
+	"hickorypath/internal/policy/memory"
 )
 
 // streamProgress is how far a stream has been relayed, over all attempts.
@@ -56,7 +57,7 @@
 // relayStream relays events as they arrive. It relays only complete events, so that another instance can continue
 // after the last one.
 func (e *exchange) relayStream(ctx context.Context, resp *h1.Response, body *h1.Body, i *upstream.Instance, a *attempt, first func()) error {
-	buf := newBuffer(&e.x.buffers)
+	buf := newBuffer(e.x.opts.Memory, e.x.opts.Now)
 	defer buf.release()
 	hasEvents := false // in this attempt
 	var firstAt time.Time
@@ -91,7 +92,7 @@
 			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
-			return e.broken(ctx, i, err, !errors.IsAny(err, errEventTooLarge, errBufferFull))
+			return e.broken(ctx, i, err, !errors.IsAny(err, errEventTooLarge, memory.ErrFull))
 		}
 	}
 }
--- a/internal/gateway/frontend/conn.go
+++ b/internal/gateway/frontend/conn.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -16,6 +18,7 @@
 	"hickorypath/internal/core/sockopt"
 	"hickorypath/internal/gateway/config"
 	"hickorypath/internal/gateway/h1"
+	"hickorypath/internal/policy/memory"
 )
 
 const (
@@ -30,6 +33,7 @@
 	h1.Request
 	body    []byte
 	arrived time.Time
+	memory  *memory.Hold
 }
 
 // Body returns the complete body.
@@ -42,12 +46,16 @@
 type conn struct {
 	server *Server
 	raw    net.Conn
+	client string // address without the port
 	reader *bufio.Reader
 
 	mu       sync.Mutex
 	busy     bool      // a request is being read or answered
 	idleFrom time.Time // when the connection became idle
 	closed   bool
+
+	unfinished  *memory.Hold // of the request that is being read; nil if there is none
+	interrupted bool         // reads of the request were interrupted to give up its memory
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
@@ -56,7 +64,8 @@
 			s.log.Warn("dead client detection not set; an unreachable client is detected late", zap.Error(err))
 		}
 	}
-	return &conn{server: s, raw: raw, reader: bufio.NewReaderSize(raw, readBufferSize), idleFrom: s.now()}
+	client, _, _ := net.SplitHostPort(raw.RemoteAddr().String())
+	return &conn{server: s, raw: raw, client: client, reader: bufio.NewReaderSize(raw, readBufferSize), idleFrom: s.now()}
 }
 
 // detectDeadClient sets TCP options so that the kernel detects a client that vanished without closing the
@@ -95,14 +104,55 @@
 	return true
 }
 
-// closeIdle closes the connection unless a request has started.
-func (c *conn) closeIdle() {
+// lastActive returns when the connection became idle, or when the request that is being read made progress last. ok is false while a
+// request is under way.
+func (c *conn) lastActive() (t time.Time, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.closed:
+		return time.Time{}, false
+	case c.unfinished != nil:
+		return c.unfinished.LastProgress(), true
+	}
+	return c.idleFrom, !c.busy
+}
+
+// closeUnanswered closes the connection unless a request was read whole, and reports whether it did.
+func (c *conn) closeUnanswered() bool {
 	c.mu.Lock()
+	if c.unfinished == nil {
+		c.mu.Unlock()
+		return c.closeIdle()
+	}
 	defer c.mu.Unlock()
-	if !c.busy && !c.closed && c.hasNoInput() {
-		c.closed = true
-		_ = c.raw.Close() // neither a response nor a request is in transit
+	if c.closed {
+		return false
 	}
+	c.closed = true
+	_ = c.raw.Close() // ends the read of a request that has not run
+	return true
+}
+
+// setUnfinished sets the hold of the request that is being read, nil at its end. It returns false if the connection was closed in the
+// meantime.
+func (c *conn) setUnfinished(h *memory.Hold) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unfinished = h
+	return !c.closed
+}
+
+// closeIdle closes the connection unless a request has started, and reports whether it did.
+func (c *conn) closeIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy || c.closed || !c.hasNoInput() {
+		return false
+	}
+	c.closed = true
+	_ = c.raw.Close() // neither a response nor a request is in transit
+	return true
 }
 
 // hasNoInput reports whether the socket holds no unread bytes of a request. Closing the connection with unread
@@ -147,12 +197,26 @@
 	}
 }
 
-// readRequest reads the next request with its body.
-func (c *conn) readRequest() (*Request, *Writer, error) {
-	limits := c.server.limits()
-	_ = c.raw.SetReadDeadline(c.server.now().Add(limits.HeadTimeout))
-	r := &Request{arrived: c.server.now()}
-	if err := r.Read(c.reader, limits.MaxHeadBytes); err != nil {
+// readRequest reads the next request with its body. Its memory is held until the request is released.
+func (c *conn) readRequest() (_ *Request, _ *Writer, err error) {
+	limits, now := c.server.limits(), c.server.now()
+	r := &Request{arrived: now}
+	r.memory = c.server.memory.Open(now, memory.Unfinished, c.client, c.interruptRead)
+	c.setUnfinished(r.memory)
+	defer func() {
+		if !c.setUnfinished(nil) {
+			err = net.ErrClosed
+		}
+		if err == nil {
+			err = r.memory.Complete()
+		}
+		if err != nil {
+			err = errors.CombineErrors(r.memory.Err(), err) // the eviction has interrupted the read
+			r.memory.Close()
+		}
+	}()
+	c.setReadDeadline(now.Add(limits.HeadTimeout))
+	if err := r.Read(c.reader, limits.MaxHeadBytes, c.budget(r)); err != nil {
 		return nil, nil, err
 	}
 	if r.ExpectsContinue() {
@@ -160,16 +224,45 @@
 			return nil, nil, err
 		}
 	}
-	_ = c.raw.SetReadDeadline(c.server.now().Add(bodyTimeout(limits)))
-	body, err := r.ReadBody(c.reader, limits.MaxBodyBytes, nil)
-	if err != nil {
+	c.setReadDeadline(c.server.now().Add(bodyTimeout(limits)))
+	if r.body, err = r.ReadBody(c.reader, limits.MaxBodyBytes); err != nil {
 		return nil, nil, err
 	}
-	_ = c.raw.SetReadDeadline(time.Time{})
-	r.body = body
+	c.setReadDeadline(time.Time{})
 	return r, newWriter(c.raw, r.IsPersistent(), r.AcceptsChunks(), r.Method(), c.server), nil
 }
 
+// budget returns what bounds the memory of a request while it is read.
+func (c *conn) budget(r *Request) h1.Budget {
+	received := 0
+	return h1.Budget{
+		Grow: func(size int) error { return r.memory.Grow(c.server.now(), int64(size)) },
+		Received: func(n int) {
+			if received += n; received >= memory.ProgressBytes {
+				received = 0
+				r.memory.Progress(c.server.now())
+			}
+		},
+	}
+}
+
+// interruptRead ends a read of the connection, and all later ones.
+func (c *conn) interruptRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interrupted = true
+	_ = c.raw.SetReadDeadline(pastDeadline) // the connection may be closed already
+}
+
+// setReadDeadline sets the deadline of reads, unless they were interrupted.
+func (c *conn) setReadDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.interrupted {
+		_ = c.raw.SetReadDeadline(t)
+	}
+}
+
 // bodyTimeout returns how long the transfer of a body may take. The limits state no timeout for the body; a
 // client that leaves a connection idle for longer than IdleTimeout is considered gone.
 func bodyTimeout(l config.Limits) time.Duration { return max(l.IdleTimeout, l.HeadTimeout) }
@@ -177,6 +270,7 @@
 // respond runs the handler and watches the connection in the meantime: if the client closes the connection, the
 // handler's context is canceled. respond reports whether the connection can carry another request.
 func (c *conn) respond(ctx context.Context, r *Request, w *Writer) bool {
+	defer r.memory.Close()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	done := make(chan struct{})
@@ -220,8 +314,12 @@
 // reject responds to a message that cannot be read, if the error allows a response.
 func (c *conn) reject(err error) {
 	status := 0
+	var fields [][2]string
 	var timeout net.Error
 	switch {
+	case errors.IsAny(err, memory.ErrFull, memory.ErrEvicted):
+		status = http.StatusServiceUnavailable // a request that was not read whole has not run
+		fields = [][2]string{{"Retry-After", strconv.FormatFloat(drawRetryAfter().Seconds(), 'f', 2, 64)}}
 	case errors.Is(err, h1.ErrHeadTooLarge):
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, h1.ErrBodyTooLarge):
@@ -233,8 +331,17 @@
 	default:
 		return
 	}
-	c.server.log.Info("message refused", zap.Int("status", status), zap.Error(err))
+	c.server.recordRefusal(status, err)
 	w := newWriter(c.raw, false, false, nil, c.server)
-	w.WriteError(status, nil, err.Error())
+	w.WriteError(status, fields, err.Error())
 	c.linger()
 }
+
+// minRetryAfter and maxRetryAfter bound the delay after which a client should come back whose request found no memory.
+const (
+	minRetryAfter = 250 * time.Millisecond
+	maxRetryAfter = time.Second
+)
+
+// drawRetryAfter draws a delay at random, so that the clients of a crowd do not come back together.
+func drawRetryAfter() time.Duration { return minRetryAfter + rand.N(maxRetryAfter-minRetryAfter) }
--- a/internal/gateway/frontend/server.go
+++ b/internal/gateway/frontend/server.go
@@ -3,15 +3,20 @@
 package frontend
 
 import (
+	"cmp"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"hickorypath/internal/gateway/config"
+	"hickorypath/internal/policy/memory"
 )
 
 // Handler answers one request. The context is canceled when the client disconnects or the server is closed.
@@ -24,17 +29,24 @@
 	now    func() time.Time
 	log    *zap.Logger
 
+	memory   *memory.Account
+	refusals rate.Sometimes // bounds the log lines of refused messages
+
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	draining bool
 	max      int
+	refused  int // messages since the last log line about them
 }
 
-// New returns a Server that serves at most max connections at the same time.
-func New(handle Handler, limits func() config.Limits, max int, now func() time.Time, log *zap.Logger) *Server {
-	return &Server{handle: handle, limits: limits, now: now, log: log, conns: map[*conn]struct{}{}, max: max}
+// New returns a Server that serves at most max connections at the same time. Its requests draw their memory on an account.
+func New(handle Handler, limits func() config.Limits, max int, m *memory.Account, now func() time.Time, log *zap.Logger) *Server {
+	return &Server{handle: handle, limits: limits, memory: m, now: now, log: log, conns: map[*conn]struct{}{}, max: max, refusals: rate.Sometimes{Interval: refusalLogInterval}}
 }
 
+// refusalLogInterval is the least time between two log lines of refused messages. A crowd of clients brings about thousands a second.
+const refusalLogInterval = time.Second
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	for {
@@ -49,7 +61,7 @@
 		}
 		c := newConn(s, raw)
 		if !s.add(c) {
-			s.log.Warn("connection limit reached, closing the new connection", zap.Int("limit", s.max))
+			s.recordRefusal(0, errTooManyConns)
 			_ = raw.Close() // nothing was read from the connection
 			continue
 		}
@@ -60,16 +72,66 @@
 // acceptRetryDelay prevents a busy loop when the process runs out of file descriptors.
 const acceptRetryDelay = 5 * time.Millisecond
 
+var errTooManyConns = errors.New("the limit on connections is reached and a request is under way on each")
+
+// recordRefusal logs that a message or connection was refused, and how many were since the last log line. Status is 0 if there was no response.
+func (s *Server) recordRefusal(status int, err error) {
+	s.mu.Lock()
+	s.refused++
+	s.mu.Unlock()
+	s.refusals.Do(func() {
+		s.mu.Lock()
+		n := s.refused
+		s.refused = 0
+		s.mu.Unlock()
+		s.log.Info("messages refused", zap.Int("count", n), zap.Int("status", status), zap.Error(err))
+	})
+}
+
+// add adds a connection. At the limit it closes one for it on which no request is under way; add reports false if there is none.
 func (s *Server) add(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) >= s.max {
+	if len(s.conns) >= s.max && !s.closeLeastUsed() {
 		return false
 	}
 	s.conns[c] = struct{}{}
 	return true
 }
 
+// closeLeastUsed closes the connection, of those on which no request is under way, that has been idle or without progress for longest, of the client
+// with most connections. It reports whether there was one. The caller holds s.mu.
+func (s *Server) closeLeastUsed() bool {
+	perClient := map[string]int{}
+	for c := range s.conns {
+		perClient[c.client]++
+	}
+	type candidate struct {
+		conn  *conn
+		since time.Time
+	}
+	var list []candidate
+	for c := range s.conns {
+		if since, ok := c.lastActive(); ok {
+			list = append(list, candidate{c, since})
+		}
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(perClient[b.conn.client], perClient[a.conn.client]), a.since.Compare(b.since))
+	})
+	for _, x := range list {
+		if x.conn.closeUnanswered() {
+			delete(s.conns, x.conn)
+			connsEvicted.Inc()
+			return true
+		}
+	}
+	return false
+}
+
+// connsEvicted counts the connections that were closed for new ones.
+var connsEvicted = metrics.GetOrCreateCounter("hickorypath_connections_evicted_total")
+
 func (s *Server) remove(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/frontend/silence_test.go
+++ b/internal/gateway/frontend/silence_test.go
@@ -11,6 +11,7 @@
 
 	"hickorypath/internal/gateway/config"
 	"hickorypath/internal/gateway/frontend"
+	"hickorypath/internal/policy/memory"
 	"hickorypath/internal/standin/tcpprobe"
 )
 
@@ -43,7 +44,7 @@
 		close(handled)
 	}, func() config.Limits {
 		return config.Limits{MaxHeadBytes: 1 << 10, MaxBodyBytes: 1 << 10, HeadTimeout: time.Minute, IdleTimeout: time.Minute}
-	}, 10, time.Now, zap.NewNop())
+	}, 10, memory.New(1<<20), time.Now, zap.NewNop())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/gateway/frontend/writer.go
+++ b/internal/gateway/frontend/writer.go
@@ -133,14 +133,24 @@
 	w.buf = append(w.buf, "Content-Length: "...)
 	w.buf = strconv.AppendInt(w.buf, int64(len(body)), 10)
 	w.buf = append(w.buf, "\r\n\r\n"...)
-	if string(w.method) != http.MethodHead {
-		w.buf = append(w.buf, body...)
+	if string(w.method) == http.MethodHead {
+		body = nil
+	}
+	if len(body) <= copiedBodySize {
+		w.buf, body = append(w.buf, body...), nil
 	}
 	err := w.flush()
+	if err == nil && len(body) > 0 {
+		_, err = w.raw.Write(body)
+	}
 	w.ended = err == nil
 	return err
 }
 
+// copiedBodySize is the size up to which a body is copied behind its head, to be written with one system call. A larger one would be held
+// twice.
+const copiedBodySize = 16 << 10
+
 func (w *Writer) flush() error {
 	w.started = true
 	_ = w.raw.SetWriteDeadline(w.server.now().Add(writeTimeout))
--- a/internal/gateway/frontend/writer_test.go
+++ b/internal/gateway/frontend/writer_test.go
@@ -25,7 +25,7 @@
 	}()
 	var r h1.Response
 	is.NoErr(r.Read(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")), 1024, []byte("GET")))
-	w := newWriter(near, true, true, []byte("GET"), New(nil, nil, 1, time.Now, nil))
+	w := newWriter(near, true, true, []byte("GET"), New(nil, nil, 1, nil, time.Now, nil))
 	w.StartChunked(&r, func(h1.Field) bool { return false })
 	is.NoErr(w.WriteChunk([]byte("event")))
 	is.True(errors.Is(w.WriteResponse(&r, func(h1.Field) bool { return true }, []byte("ok")), ErrStarted))
--- a/internal/gateway/h1/h1_test.go
+++ b/internal/gateway/h1/h1_test.go
@@ -49,10 +49,10 @@
 			is := is.New(t)
 			br := bufio.NewReader(strings.NewReader(c.raw))
 			var r h1.Request
-			err := r.Read(br, limit)
+			err := r.Read(br, limit, h1.Budget{})
 			var body []byte
 			if err == nil {
-				body, err = r.ReadBody(br, limit, nil)
+				body, err = r.ReadBody(br, limit)
 			}
 			is.True(errors.Is(err, c.err))
 			if err == nil {
@@ -110,7 +110,7 @@
 	f.Fuzz(func(t *testing.T, raw string) {
 		br := bufio.NewReader(strings.NewReader(raw))
 		var r h1.Request
-		if r.Read(br, limit) != nil {
+		if r.Read(br, limit, h1.Budget{}) != nil {
 			return
 		}
 		if r.Count("Content-Length")+r.Count("Transfer-Encoding") > 1 {
@@ -121,7 +121,7 @@
 				t.Fatal("a line end inside a field was accepted")
 			}
 		}
-		body, err := r.ReadBody(br, limit, nil)
+		body, err := r.ReadBody(br, limit)
 		if err == nil && len(body) > limit {
 			t.Fatal("a body beyond the limit was accepted")
 		}
--- a/internal/gateway/h1/head.go
+++ b/internal/gateway/h1/head.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"unsafe"
 
 	"github.com/cockroachdb/errors"
 )
@@ -36,9 +37,13 @@
 	return len(f.name) == len(name) && bytes.EqualFold(f.name, []byte(name))
 }
 
+// fieldSize is the memory that a Field takes beside the bytes of its line. A line of a few bytes takes more of it than of the line.
+const fieldSize = int(unsafe.Sizeof(Field{}))
+
 // Head is the start line and the header fields of a message. Its slices are valid until the next read into the
 // same Head.
 type Head struct {
+	budget Budget
 	buf    []byte
 	first  []byte // method of a request, version of a response
 	second []byte // target of a request, status code of a response
@@ -107,10 +112,13 @@
 	begin, empty := 0, 0 // start of the current line, and number of lines skipped before the first
 	for {
 		part, err := br.ReadSlice('\n')
-		h.buf = append(h.buf, part...)
-		if len(h.buf) > limit {
+		if len(h.buf)+len(part) > limit {
 			return ErrHeadTooLarge
 		}
+		if growErr := h.reserve(len(part)); growErr != nil {
+			return growErr
+		}
+		h.buf = append(h.buf, part...)
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
@@ -138,9 +146,37 @@
 	}
 }
 
+// minHeadSize is the size of the first buffer of a head, in bytes.
+const minHeadSize = 1 << 10
+
+// reserve makes room for n further bytes.
+func (h *Head) reserve(n int) error {
+	size := max(cap(h.buf), minHeadSize)
+	for size < len(h.buf)+n {
+		size *= 2
+	}
+	if size == cap(h.buf) {
+		return nil
+	}
+	if err := h.budget.grow(size); err != nil {
+		return err
+	}
+	h.buf = append(make([]byte, 0, size), h.buf...)
+	return nil
+}
+
+// size returns the memory that the head takes, in bytes.
+func (h *Head) size() int { return cap(h.buf) + cap(h.fields)*fieldSize }
+
 // parse splits the lines that read has collected into start line and fields.
 func (h *Head) parse() error {
 	rest := h.buf
+	if n := bytes.Count(rest, []byte("\n")); n > cap(h.fields) {
+		if err := h.budget.grow(cap(h.buf) + n*fieldSize); err != nil {
+			return err
+		}
+		h.fields = make([]Field, 0, n)
+	}
 	line, rest := cutLine(rest)
 	if err := h.parseStart(line); err != nil {
 		return err
--- a/internal/gateway/h1/request.go
+++ b/internal/gateway/h1/request.go
@@ -46,8 +46,9 @@
 	return r.framing != framingNone && r.HasToken("Expect", "100-continue")
 }
 
-// Read reads the head of the next request, at most limit bytes.
-func (r *Request) Read(br *bufio.Reader, limit int) error {
+// Read reads the head of the next request, at most limit bytes. The request draws its memory on a budget.
+func (r *Request) Read(br *bufio.Reader, limit int, b Budget) error {
+	r.budget = b
 	if err := r.read(br, limit); err != nil {
 		return err
 	}
@@ -122,32 +123,51 @@
 	return n, nil
 }
 
-// ReadBody reads the whole body, at most limit bytes, and appends it to dst.
-func (r *Request) ReadBody(br *bufio.Reader, limit int64, dst []byte) ([]byte, error) {
+const (
+	// trustedLength is the length up to which a body gets its memory before it arrives. A longer one gets it as it arrives, since the
+	// client may never send it.
+	trustedLength = 64 << 10
+	// minBodySize is the size of the first buffer of a body of unknown length.
+	minBodySize = 4 << 10
+)
+
+// ReadBody reads the whole body, at most limit bytes.
+func (r *Request) ReadBody(br *bufio.Reader, limit int64) ([]byte, error) {
 	if r.length > limit {
-		return dst, ErrBodyTooLarge
+		return nil, ErrBodyTooLarge
+	}
+	if r.framing == framingNone {
+		return nil, nil
 	}
+	most := limit + 1 // to see that the body exceeds the limit
+	size := int64(minBodySize)
 	if r.framing == framingLength {
-		n := len(dst)
-		dst = append(dst, make([]byte, r.length)...)
-		_, err := io.ReadFull(br, dst[n:])
-		return dst, err
+		most, size = r.length, trustedLength
 	}
-	b := Body{br: br, framing: r.framing}
+	body := Body{br: br, framing: r.framing, remaining: r.length}
+	var data []byte
 	for {
-		if len(dst) == cap(dst) {
-			dst = append(dst, 0)[:len(dst)]
+		if len(data) == cap(data) {
+			if cap(data) > 0 {
+				size = 2 * int64(cap(data))
+			}
+			size = min(size, most)
+			if err := r.budget.grow(r.size() + int(size)); err != nil {
+				return nil, err
+			}
+			data = append(make([]byte, 0, size), data...)
 		}
-		n, err := b.Read(dst[len(dst):cap(dst)])
-		dst = dst[:len(dst)+n]
-		if int64(len(dst)) > limit {
-			return dst, ErrBodyTooLarge
+		n, err := body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		r.budget.received(n)
+		if int64(len(data)) > limit {
+			return nil, ErrBodyTooLarge
 		}
-		if errors.Is(err, io.EOF) {
-			return dst, nil
+		if errors.Is(err, io.EOF) || err == nil && body.done {
+			return data, nil
 		}
 		if err != nil {
-			return dst, err
+			return nil, err
 		}
 	}
 }
--- a/internal/gateway/relay/relay_test.go
+++ b/internal/gateway/relay/relay_test.go
@@ -24,7 +24,7 @@
 		fmt.Fprintf(&text, "%s: %s\r\n", f[0], f[1])
 	}
 	var r h1.Request
-	if err := r.Read(bufio.NewReader(strings.NewReader(text.String()+"\r\n")), 1<<16); err != nil {
+	if err := r.Read(bufio.NewReader(strings.NewReader(text.String()+"\r\n")), 1<<16, h1.Budget{}); err != nil {
 		t.Fatal(err)
 	}
 	return &r.Head
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -153,13 +153,13 @@
 )
 
 // Send writes a whole message and returns how many of its bytes were handed to the kernel. It stops early if the upstream responds
-// and does not read on.
-func (c *Conn) Send(msg []byte, until time.Time) (int, error) {
+// and does not read on. A large body is not copied.
+func (c *Conn) Send(head, body []byte, until time.Time) (int, error) {
 	if err := c.SetDeadline(until); err != nil {
 		return 0, err
 	}
-	if len(msg) < watchedBytes {
-		return c.Write(msg)
+	if len(head)+len(body) < watchedBytes {
+		return c.Write(append(head, body...))
 	}
 	done := make(chan struct{})
 	go func() {
@@ -168,7 +168,12 @@
 			_ = c.SetWriteDeadline(time.Now().Add(earlyResponseGrace)) // a closed connection ends the write as well
 		}
 	}()
-	n, err := c.Write(msg)
+	n, err := c.Write(head)
+	if err == nil {
+		var m int
+		m, err = c.Write(body)
+		n += m
+	}
 	_ = c.SetReadDeadline(time.Unix(1, 0)) // ends the Peek
 	<-done
 	return n, errors.CombineErrors(err, c.SetDeadline(until))
--- a/internal/gateway/upstream/conn_test.go
+++ b/internal/gateway/upstream/conn_test.go
@@ -64,7 +64,7 @@
 func roundTrip(t *testing.T, c *upstream.Conn) {
 	t.Helper()
 	is := is.New(t)
-	_, err := c.Send([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), time.Now().Add(time.Minute))
+	_, err := c.Send([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), nil, time.Now().Add(time.Minute))
 	is.NoErr(err)
 	_, body, err := c.Receive([]byte("GET"))
 	is.NoErr(err)
--- a/internal/gateway/upstream/dialer.go
+++ b/internal/gateway/upstream/dialer.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"hickorypath/internal/core/sockopt"
 )
 
@@ -12,6 +15,10 @@
 // sent again after 1 s.
 const dialTimeout = 1200 * time.Millisecond
 
+// socketBuffer is the size of the kernel's buffers of a connection, which otherwise grow to megabytes while the host does not read because its
+// client does not.
+const socketBuffer = 64 << 10
+
 // Dialer opens connections that detect an unresponsive peer.
 type Dialer struct {
 	dial func(ctx context.Context, address string) (net.Conn, error)
@@ -19,7 +26,10 @@
 
 // NewDialer returns a Dialer with the timeout above.
 func NewDialer() *Dialer {
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: sockopt.KeepAlive(), Control: sockopt.Control}
+	limitBuffers := sockopt.ControlBuffers(socketBuffer)
+	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: sockopt.KeepAlive(), Control: func(network, address string, raw syscall.RawConn) error {
+		return errors.CombineErrors(sockopt.Control(network, address, raw), limitBuffers(network, address, raw))
+	}}
 	return NewDialerFunc(func(ctx context.Context, address string) (net.Conn, error) {
 		return d.DialContext(ctx, "tcp4", address)
 	})
--- a/internal/policy/memory/account.go
+++ b/internal/policy/memory/account.go
@@ -90,8 +90,13 @@
 // Progress records that a further ProgressBytes of the request have arrived.
 func (h *Hold) Progress(now time.Time) { h.progress.Store(now.UnixNano()) }
 
+// LastProgress returns when the hold was opened or made progress last.
+func (h *Hold) LastProgress() time.Time { return time.Unix(0, h.progress.Load()) }
+
 // isSlow reports whether the request has made little progress lately.
-func (h *Hold) isSlow(now time.Time) bool { return now.UnixNano()-h.progress.Load() >= int64(slowAfter) }
+func (h *Hold) isSlow(now time.Time) bool {
+	return now.UnixNano()-h.progress.Load() >= int64(slowAfter)
+}
 
 // Grow changes the size of the hold. It returns ErrFull if the size is not granted, and ErrEvicted if the hold was evicted. Unfinished requests
 // that are slow, or of clients that hold more, are evicted to make room.
@@ -217,6 +222,16 @@
 	return nil
 }
 
+// Err returns ErrEvicted if the hold was evicted, and nil otherwise.
+func (h *Hold) Err() error {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	if h.evicted {
+		return ErrEvicted
+	}
+	return nil
+}
+
 // Close gives back the memory of the hold. Further calls do nothing.
 func (h *Hold) Close() {
 	a := h.account
--- a/internal/standin/script/script.go
+++ b/internal/standin/script/script.go
@@ -127,10 +127,10 @@
 	br := bufio.NewReader(c)
 	for {
 		var r h1.Request
-		if err := r.Read(br, maxHeadBytes); err != nil {
+		if err := r.Read(br, maxHeadBytes, h1.Budget{}); err != nil {
 			return
 		}
-		body, err := r.ReadBody(br, maxBodyBytes, nil)
+		body, err := r.ReadBody(br, maxBodyBytes)
 		if err != nil {
 			return
 		}
