Bound the connections to a gateway's internal ports

A crowd of 900 connections to the ports for readiness, metrics or fetches of other hosts took all 700 descriptors of a host: net/http bounds neither their number nor how long one stays idle. TestCrowdOnInternalPorts: 3 of 4 cases failed on (919 descriptors), all pass now (up to 50); the relay port, which closes connections of unknown hosts, passed before.

--- a/cmd/hickorypath/gatewaycrowd_test.go
+++ b/cmd/hickorypath/gatewaycrowd_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -135,11 +136,16 @@
 // send opens the connections of the crowd, all at once, and returns when each has sent its bytes or was refused. The connections stay open
 // until the test ends.
 func (f *crowdFleet) send(size int, from func(n int) string, member crowdMember) {
+	f.t.Helper()
+	f.sendTo(8000, size, from, member)
+}
+
+func (f *crowdFleet) sendTo(port, size int, from func(n int) string, member crowdMember) {
 	var sent sync.WaitGroup
 	for n := range size {
 		sent.Go(func() {
 			dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from(n))}}
-			c, err := dialer.Dial("tcp4", f.host.ip+":8000")
+			c, err := dialer.Dial("tcp4", net.JoinHostPort(f.host.ip, strconv.Itoa(port)))
 			if err != nil {
 				return
 			}
@@ -318,6 +324,29 @@
 	}
 }
 
+// TestCrowdOnInternalPorts guards against clients of the ports for readiness, metrics and other hosts that take all descriptors.
+func TestCrowdOnInternalPorts(t *testing.T) {
+	cases := []struct {
+		name   string
+		port   int
+		member crowdMember
+	}{
+		{"readiness", 8001, func(c net.Conn, n int) { write(c, []byte("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")) }},
+		{"metrics", metricsPort, func(c net.Conn, n int) {
+			write(c, []byte("GET /ready HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n"))
+		}},
+		{"fetches", 7341, func(net.Conn, int) {}},
+		{"relays", 7340 + relayPortOffset, func(c net.Conn, n int) { write(c, crowdHead(n, "safe", "k1", "")[:60]) }},
+	}
+	for n, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newCrowdFleet(t, 92+n, script.Action{Bytes: gatewayAnswer})
+			f.sendTo(c.port, crowdIdleConns, fromOneAddress, c.member)
+			f.check()
+		})
+	}
+}
+
 // TestRequestAtEachLimitIsServed guards against limits on a crowd that refuse a single request which keeps to the limits of the configuration.
 func TestRequestAtEachLimitIsServed(t *testing.T) {
 	f := newCrowdFleet(t, 90, script.Action{Bytes: gatewayAnswer})
--- a/cmd/hickorypath/gatewaylimits.go
+++ b/cmd/hickorypath/gatewaylimits.go
@@ -29,8 +29,10 @@
 	// socketBuffer is the size of the kernel's buffers of a connection, which otherwise grow to megabytes for a peer that sends fast or reads
 	// slowly.
 	socketBuffer = 64 << 10
-	// internalConns bounds the connections to each of the servers for readiness checks, metrics and other hosts.
-	internalConns       = 256
+	// internalConnParts is the reciprocal of the share of the descriptors for sockets that each of the servers for readiness checks, metrics and
+	// other hosts may use; maxInternalConns bounds it.
+	internalConnParts   = 16
+	maxInternalConns    = 256
 	internalIdleTimeout = 5 * time.Second
 	internalReadTimeout = 5 * time.Second
 	internalHeadTimeout = time.Second
@@ -39,8 +41,12 @@
 
 // maxCallerConns returns how many connections of callers this host serves at a time.
 func (g *gateway) maxCallerConns() int {
-	r := g.settings.Resources
-	return max(min((r.FileDescriptors-reservedDescriptors)*connShare/connParts, int(r.MemoryBytes/connMemory)), 1)
+	return max(min(g.socketDescriptors()*connShare/connParts, int(g.settings.Resources.MemoryBytes/connMemory)), 1)
+}
+
+// socketDescriptors returns how many descriptors there are for sockets.
+func (g *gateway) socketDescriptors() int {
+	return max(g.settings.Resources.FileDescriptors-reservedDescriptors, 0)
 }
 
 // newAccount returns the account of memory for requests and responses, and registers its metrics.
@@ -73,4 +79,6 @@
 }
 
 // limitInternal bounds the connections of a listener for the platform, operators or other hosts.
-func limitInternal(l net.Listener) net.Listener { return netutil.LimitListener(l, internalConns) }
+func (g *gateway) limitInternal(l net.Listener) net.Listener {
+	return netutil.LimitListener(l, min(max(g.socketDescriptors()/internalConnParts, 1), maxInternalConns))
+}
--- a/cmd/hickorypath/gatewaypeers.go
+++ b/cmd/hickorypath/gatewaypeers.go
@@ -129,7 +129,7 @@
 func (g *gateway) servePeerFetches(ctx context.Context, l net.Listener) {
 	server := newInternalServer(g.transport.Handler(), fetchTimeout)
 	defer context.AfterFunc(ctx, func() { _ = server.Close() })()
-	if err := server.Serve(limitInternal(fetchListener{l})); err != nil && ctx.Err() == nil {
+	if err := server.Serve(g.limitInternal(fetchListener{l})); err != nil && ctx.Err() == nil {
 		g.log.Error("server for fetches of other hosts stopped", zap.Error(err))
 	}
 }
--- a/cmd/hickorypath/gatewayprobes.go
+++ b/cmd/hickorypath/gatewayprobes.go
@@ -17,7 +17,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	if err := newInternalServer(mux, internalReadTimeout).Serve(limitInternal(l)); err != nil {
+	if err := newInternalServer(mux, internalReadTimeout).Serve(g.limitInternal(l)); err != nil {
 		g.log.Error("server for readiness checks stopped", zap.Error(err))
 	}
 }
@@ -41,7 +41,7 @@
 	metrics.GetOrCreateGauge("hickorypath_hosts", func() float64 { return float64(len(g.peers.LiveMessages(g.clock.Now())) + 1) })
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	if err := newInternalServer(mux, internalReadTimeout).Serve(limitInternal(l)); err != nil {
+	if err := newInternalServer(mux, internalReadTimeout).Serve(g.limitInternal(l)); err != nil {
 		g.log.Error("metrics are not served", zap.Error(err))
 	}
 }
