Bound the memory of all request bodies that serve holds together

Callers saw: as with the gateway, a host that runs out of memory because of many large requests that stop just short of their end. Bodies of chat requests were bounded by 64 MiB each, their sum was not, and a body could stop for ever.

Change: caller/intake draws bodies on the account of policy/memory, three times their bytes since they are parsed and sent on; a body that stalls is given up when others need the memory, and after 30 s in any case. Callers' connections are bounded by descriptors and memory, with the rule that the gateway uses; both servers have bounds on headers and idle connections. The new setting memory states the memory of the host.

--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/alecthomas/kingpin/v2"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -128,7 +129,8 @@
 	g.watcher = g.newStoreWatcher()
 	g.versions = release.NewTracker(clk.Now)
 	g.release = g.newVersionFinder()
-	g.memory = newAccount(s.Resources.MemoryBytes)
+	g.memory = memory.New(s.Resources.MemoryBytes / accountParts)
+	registerAccount(metrics.GetDefaultSet(), g.memory)
 	g.helpers = g.newHelpers()
 	g.exchange = g.newExchanger()
 	g.relays = g.newRelayServer()
--- a/cmd/hickorypath/gatewaylimits.go
+++ b/cmd/hickorypath/gatewaylimits.go
@@ -49,15 +49,13 @@
 	return max(g.settings.Resources.FileDescriptors-reservedDescriptors, 0)
 }
 
-// newAccount returns the account of memory for requests and responses, and registers its metrics.
-func newAccount(memoryBytes int64) *memory.Account {
-	a := memory.New(memoryBytes / accountParts)
+// registerAccount registers the metrics of an account.
+func registerAccount(s *metrics.Set, a *memory.Account) {
 	for _, k := range memory.Kinds {
-		metrics.GetOrCreateGauge(`hickorypath_memory_held_bytes{kind="`+k.String()+`"}`, func() float64 { return float64(a.Used(k)) })
-		metrics.GetOrCreateGauge(`hickorypath_memory_refused_total{kind="`+k.String()+`"}`, func() float64 { return float64(a.Refused(k)) })
+		s.GetOrCreateGauge(`hickorypath_memory_held_bytes{kind="`+k.String()+`"}`, func() float64 { return float64(a.Used(k)) })
+		s.GetOrCreateGauge(`hickorypath_memory_refused_total{kind="`+k.String()+`"}`, func() float64 { return float64(a.Refused(k)) })
 	}
-	metrics.GetOrCreateGauge(`hickorypath_memory_evicted_total{kind="`+memory.Unfinished.String()+`"}`, func() float64 { return float64(a.Evicted()) })
-	return a
+	s.GetOrCreateGauge(`hickorypath_memory_evicted_total{kind="`+memory.Unfinished.String()+`"}`, func() float64 { return float64(a.Evicted()) })
 }
 
 // listenCallers opens the listener for callers.
--- a/cmd/hickorypath/host.go
+++ b/cmd/hickorypath/host.go
@@ -11,11 +11,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
 
 	"hickorypath/internal/caller/exchange"
+	"hickorypath/internal/caller/intake"
 	"hickorypath/internal/caller/openai"
 	"hickorypath/internal/caller/quota"
 	"hickorypath/internal/caller/relay"
@@ -30,6 +33,7 @@
 	"hickorypath/internal/host/replication"
 	"hickorypath/internal/operator/configsync"
 	"hickorypath/internal/operator/meter"
+	"hickorypath/internal/policy/memory"
 	"hickorypath/internal/policy/route"
 	"hickorypath/internal/upstream/dispatch"
 	"hickorypath/internal/upstream/fleet"
@@ -42,10 +46,19 @@
 // headerTimeout limits the time to read the header of a request.
 const headerTimeout = 10 * time.Second
 
+// Bounds on the callers' and operators' connections.
+const (
+	callerIdleTimeout = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+	maxAdminConns     = 128
+)
+
 // host is one instance of the router with its listeners and components.
 type host struct {
 	settings *settings.Settings
 	log      *zap.Logger
+	memory   int64           // that the host may use, in bytes
+	account  *memory.Account // for request bodies
 	injector *do.RootScope
 	caller   *http.Server
 	relayed  *http.Server // for the requests of hosts that are cut off from upstreams
@@ -59,8 +72,10 @@
 // newHost creates the components of a host and opens its listeners. The host serves when run is called. It opens its connections to
 // upstreams with dial.
 func newHost(s *settings.Settings, log *zap.Logger, dial httpclient.DialFunc) (*host, error) {
-	h := &host{settings: s, log: log.With(zap.String("host", s.Host())), injector: nil}
+	h := &host{settings: s, log: log.With(zap.String("host", s.Host())), memory: hostMemory(s)}
+	h.account = memory.New(h.memory / accountParts)
 	h.injector = newInjector(s, h.log, dial)
+	registerAccount(get[*metrics.Set](h.injector), h.account)
 	if _, err := do.Invoke[*node.Node](h.injector); err != nil {
 		return nil, kind.Wrap(err, kind.Settings, "cannot listen on the address %s for other hosts", s.Peer().Listen)
 	}
@@ -72,8 +87,15 @@
 		return nil, err
 	}
 	h.relayed = &http.Server{Handler: h.relayedHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(h.log)}
-	h.caller = &http.Server{Handler: h.callerHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(h.log)}
-	h.admin = &http.Server{Handler: h.adminHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(h.log)}
+	conns := intake.NewConns(maxServeConns(h.memory), get[*metrics.Set](h.injector).NewCounter("hickorypath_connections_evicted_total"))
+	h.caller = &http.Server{
+		Handler: h.callerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: conns.Track, ConnContext: conns.Context, ErrorLog: zap.NewStdLog(h.log),
+	}
+	h.admin = &http.Server{
+		Handler: h.adminHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(h.log),
+	}
+	h.adminLn = netutil.LimitListener(h.adminLn, maxAdminConns)
 	return h, nil
 }
 
@@ -92,10 +114,10 @@
 	relays := get[*relay.Client](h.injector)
 	chat := openai.New(runner, relays)
 	services := callerservice.New(runner, relays)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		reply.ClearWriteDeadline(http.NewResponseController(w))
 		switch {
-		case strings.HasPrefix(r.URL.Path, "/v1/"):
+		case isChat(r):
 			chat.ServeHTTP(w, r)
 		case r.URL.Path == "/healthz":
 			h.serveHealth(w)
@@ -103,8 +125,16 @@
 			services.ServeHTTP(w, r)
 		}
 	})
+	return intake.Handler(h.account, handler, func(r *http.Request) int64 {
+		if isChat(r) {
+			return openai.MaxBody
+		}
+		return callerservice.MaxRelayedBody
+	})
 }
 
+func isChat(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/v1/") }
+
 // maxRelayed is the number of requests that a host serves for hosts that are cut off at a time, so that its own callers keep their
 // service.
 const maxRelayed = 128
--- a/cmd/hickorypath/hostprocessfleet_test.go
+++ b/cmd/hickorypath/hostprocessfleet_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -59,14 +60,21 @@
 	keys     map[string]string
 	http     *http.Client
 	started  int
+	extra    map[string]any  // further fields of the settings
 	known    []settings.Host // hosts that the settings of a new host list, so that it can join without the platform
 }
 
 func newHostProcesses(t *testing.T, hosts int) *hostProcesses {
 	t.Helper()
 	t.Parallel()
+	return startHostProcesses(t, hosts, nil)
+}
+
+// startHostProcesses starts hosts whose settings files have further fields.
+func startHostProcesses(t *testing.T, hosts int, extra map[string]any) *hostProcesses {
+	t.Helper()
 	is := is.New(t)
-	p := &hostProcesses{t: t, keys: map[string]string{}, http: &http.Client{Timeout: testTimeout}}
+	p := &hostProcesses{t: t, extra: extra, keys: map[string]string{}, http: &http.Client{Timeout: testTimeout}}
 	p.site = testbed.New(testbed.Options{Engine: func(pool string) standinengine.Options {
 		o := testEngine
 		o.Model = pool
@@ -113,7 +121,7 @@
 
 func (p *hostProcesses) settings(name string) []byte {
 	ledger := p.site.Upstreams()[slices.IndexFunc(p.site.Upstreams(), func(u testbed.Upstream) bool { return u.Pool == "ledger" })]
-	data, _ := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"host": name, "zone": "norte-a", "environment": "test",
 		"caller": settings.Listener{Listen: anyPort}, "admin": settings.Listener{Listen: anyPort},
 		"operators": []settings.Operator{{Name: "demo", Token: demoToken}}, "peer": settings.Peer{Listen: anyPort, Secret: demoSecret, Hosts: p.known},
@@ -124,7 +132,9 @@
 		"services": []settings.Service{{Pool: "ledger", Zone: "norte-a", Addr: ledger.Addr}},
 		"timeout":  map[string]string{"lease": "2s", "order": "600ms", "store": "500ms"},
 		"window":   "1s", "drain": map[string]string{"notice": "100ms"}, "log": "info",
-	})
+	}
+	maps.Copy(fields, p.extra)
+	data, _ := json.Marshal(fields)
 	return data
 }
 
--- a/cmd/hickorypath/serve.go
+++ b/cmd/hickorypath/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"github.com/alecthomas/kingpin/v2"
 	"go.uber.org/zap"
@@ -23,6 +24,9 @@
 	if err != nil {
 		return err
 	}
+	if n := s.MemoryBytes(); n > 0 {
+		debug.SetMemoryLimit(n / memoryParts * heapParts)
+	}
 	log, err := newLog(s.Log())
 	if err != nil {
 		return err
--- a/internal/caller/exchange/forward.go
+++ b/internal/caller/exchange/forward.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"hickorypath/internal/caller/intake"
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/policy/pool"
 	"hickorypath/internal/policy/retry"
@@ -83,7 +84,7 @@
 	}
 	head, err := io.ReadAll(io.LimitReader(f.call.Body, min(maxBufferedBody, limit)+1))
 	if err != nil {
-		return kind.Wrap(err, kind.Canceled, "the body did not arrive whole").WithRan(kind.RanNo)
+		return intake.ReadError(err)
 	}
 	if int64(len(head)) > limit {
 		return kind.New(kind.TooLarge, "the body has more than the %d bytes that the route takes", limit)
--- /dev/null
+++ b/internal/caller/intake/intake.go
@@ -0,0 +1,144 @@
+// Package intake bounds what callers can take of a host before their requests are read whole: memory for bodies, time, and
+// connections.
+package intake
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hickorypath/internal/core/kind"
+	"hickorypath/internal/policy/memory"
+)
+
+const (
+	// copies is how often the bytes of a body are held: as received, as parsed, and as sent to an upstream.
+	copies = 3
+	// stallTimeout is how long a body may take for memory.ProgressBytes of it. There is no bound on the whole body.
+	stallTimeout = 30 * time.Second
+	// minRetryAfter and maxRetryAfter bound the delay after which a caller should come back whose request found no memory. It is drawn at
+	// random, so that the callers of a crowd do not come back together.
+	minRetryAfter = 250 * time.Millisecond
+	maxRetryAfter = time.Second
+)
+
+// Handler returns a handler that calls next with requests whose bodies draw their memory on an account. MaxBuffered returns how many bytes of the body
+// of a request next keeps at a time.
+func Handler(a *memory.Account, next http.Handler, maxBuffered func(*http.Request) int64) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body == nil || r.Body == http.NoBody {
+			next.ServeHTTP(w, r)
+			return
+		}
+		b := &body{ReadCloser: r.Body, rc: http.NewResponseController(w), conn: connOf(r), most: copies * maxBuffered(r)}
+		client, _, _ := net.SplitHostPort(r.RemoteAddr)
+		b.hold = a.Open(time.Now(), memory.Unfinished, client, b.interrupt)
+		defer b.hold.Close()
+		b.conn.setUnfinished(b.hold)
+		defer b.conn.setUnfinished(nil)
+		_ = b.rc.SetReadDeadline(time.Now().Add(stallTimeout)) // the connections of other hosts have no deadlines
+		r.Body = b
+		next.ServeHTTP(w, r)
+	})
+}
+
+// body is the body of a request, which holds memory for the bytes that were read.
+type body struct {
+	io.ReadCloser
+	rc       *http.ResponseController
+	conn     *conn
+	hold     *memory.Hold
+	most     int64 // bytes to hold
+	granted  int64 // bytes held
+	received int64
+	progress int64 // bytes received since the last progress of the hold
+	ended    bool
+}
+
+// Read implements io.Reader. An error of kind Overload means that the body was given up because memory is short.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.received += int64(n)
+	if b.progress += int64(n); b.progress >= memory.ProgressBytes {
+		b.progress = 0
+		now := time.Now()
+		b.hold.Progress(now)
+		_ = b.rc.SetReadDeadline(now.Add(stallTimeout)) // it is set again below if the hold was evicted
+	}
+	if growErr := b.grow(); growErr != nil {
+		b.interrupt()
+		return 0, overloadError(growErr)
+	}
+	if err != nil && !b.ended {
+		b.ended = true
+		err = b.end(err)
+	}
+	return n, err
+}
+
+// grow adjusts the hold to the bytes that were received.
+func (b *body) grow() error {
+	want := min(copies*b.received, b.most)
+	if want <= b.granted {
+		return b.hold.Err()
+	}
+	size := max(b.granted, memory.FreeSize)
+	for size < want {
+		size *= 2
+	}
+	size = min(size, max(b.most, want))
+	if err := b.hold.Grow(time.Now(), size); err != nil {
+		return err
+	}
+	b.granted = size
+	return nil
+}
+
+// end handles the end of the body, or the failure of a read.
+func (b *body) end(err error) error {
+	if !errors.Is(err, io.EOF) {
+		if b.hold.Err() != nil {
+			return overloadError(b.hold.Err())
+		}
+		return err
+	}
+	b.conn.setUnfinished(nil)
+	if evicted := b.hold.Complete(); evicted != nil {
+		return overloadError(evicted)
+	}
+	_ = b.rc.SetReadDeadline(time.Time{})
+	return err
+}
+
+// interrupt ends the current read and all later ones.
+func (b *body) interrupt() { _ = b.rc.SetReadDeadline(time.Unix(1, 0)) }
+
+func overloadError(err error) error {
+	return kind.Wrap(err, kind.Overload, "the host has no memory for the request").WithRan(kind.RanNo).WithRetry(minRetryAfter + rand.N(maxRetryAfter-minRetryAfter))
+}
+
+// ReadError returns the error for a request whose body could not be read.
+func ReadError(err error) error {
+	if kind.Of(err) == kind.Overload {
+		return err
+	}
+	return kind.Wrap(err, kind.Canceled, "the body did not arrive whole").WithRan(kind.RanNo)
+}
+
+// connKey is the context key of the connection of a request.
+type connKey struct{}
+
+func connOf(r *http.Request) *conn {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	return c
+}
+
+// Context is the ConnContext of a server whose connections are tracked by c.
+func (c *Conns) Context(ctx context.Context, raw net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c.find(raw))
+}
--- a/internal/caller/openai/openai.go
+++ b/internal/caller/openai/openai.go
@@ -10,14 +10,15 @@
 	"time"
 
 	"hickorypath/internal/caller/exchange"
+	"hickorypath/internal/caller/intake"
 	"hickorypath/internal/caller/relay"
 	"hickorypath/internal/caller/reply"
 	"hickorypath/internal/core/kind"
 )
 
-// maxBody is the maximum length in bytes of a request body; the route, whose own limit is checked later, is not yet
+// MaxBody is the maximum length in bytes of a request body; the route, whose own limit is checked later, is not yet
 // known when the body is read.
-const maxBody = 64 << 20
+const MaxBody = 64 << 20
 
 // heartbeatInterval is the time without events after which a comment is sent on a stream.
 const heartbeatInterval = 5 * time.Second
@@ -115,7 +116,7 @@
 }
 
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
 	if err == nil {
 		return data, nil
 	}
@@ -123,7 +124,7 @@
 	if errors.As(err, &large) {
 		return nil, kind.New(kind.TooLarge, "the body has more than %d bytes", large.Limit)
 	}
-	return nil, kind.Wrap(err, kind.Canceled, "the body did not arrive whole").WithRan(kind.RanNo)
+	return nil, intake.ReadError(err)
 }
 
 type modelList struct {
--- a/internal/caller/service/service.go
+++ b/internal/caller/service/service.go
@@ -7,9 +7,9 @@
 	"net/http"
 
 	"hickorypath/internal/caller/exchange"
+	"hickorypath/internal/caller/intake"
 	"hickorypath/internal/caller/relay"
 	"hickorypath/internal/caller/reply"
-	"hickorypath/internal/core/kind"
 )
 
 // Handler serves requests under the paths of the document's routes.
@@ -23,8 +23,8 @@
 	return &Handler{runner: runner, relays: relays}
 }
 
-// maxRelayedBody is the length of the longest request body that is sent through another host, in bytes.
-const maxRelayedBody = 1 << 20
+// MaxRelayedBody is the length of the longest request body that is sent through another host, in bytes. A longer body is not kept whole.
+const MaxRelayedBody = 1 << 20
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -58,10 +58,10 @@
 	}
 	call := exchange.ServiceCall{RawQuery: r.URL.RawQuery, Header: r.Header, Body: r.Body, BodyLength: r.ContentLength}
 	var body []byte
-	mayRelay := r.ContentLength >= 0 && r.ContentLength <= min(s.BodyLimit(), maxRelayedBody)
+	mayRelay := r.ContentLength >= 0 && r.ContentLength <= min(s.BodyLimit(), MaxRelayedBody)
 	if mayRelay {
 		if body, err = io.ReadAll(io.LimitReader(r.Body, r.ContentLength)); err != nil {
-			err = kind.Wrap(err, kind.Canceled, "the body did not arrive whole").WithRan(kind.RanNo)
+			err = intake.ReadError(err)
 			s.Close(err)
 			return false, err
 		}
--- a/internal/core/settings/check.go
+++ b/internal/core/settings/check.go
@@ -90,6 +90,9 @@
 	default:
 		c.addFault("/log", fmt.Sprintf("log level %q does not exist", f.Log), "use debug, info, warn or error")
 	}
+	if f.Memory < 0 || f.Memory > maxMemoryMiB {
+		c.addFault("/memory", "is not a possible size", "write the memory of the host in MiB")
+	}
 	c.positive("/timeout/store", f.Timeout.Store)
 	c.positive("/timeout/order", f.Timeout.Order)
 	c.positive("/timeout/lease", f.Timeout.Lease)
@@ -102,6 +105,9 @@
 	c.positive("/window", f.Window)
 }
 
+// maxMemoryMiB is a size beyond that of any host, in MiB.
+const maxMemoryMiB = 1 << 30
+
 func (c *checker) required(pointer, value, remedy string) {
 	if value == "" {
 		c.addFault(pointer, "is missing or empty", remedy)
--- a/internal/core/settings/settings.go
+++ b/internal/core/settings/settings.go
@@ -24,6 +24,7 @@
 	Platform    Platform   `json:"platform"`
 	Services    []Service  `json:"services"`
 	Log         string     `json:"log"`
+	Memory      int64      `json:"memory"`
 	Timeout     Timeouts   `json:"timeout"`
 	Drain       Drain      `json:"drain"`
 	Window      Duration   `json:"window"`
@@ -181,6 +182,9 @@
 // Log returns the log level.
 func (s *Settings) Log() string { return s.raw.Log }
 
+// MemoryBytes returns the memory that the host may use, in bytes; 0 if the settings do not say.
+func (s *Settings) MemoryBytes() int64 { return s.raw.Memory << 20 }
+
 // StoreTimeout returns the time limit of one call to the key-value service.
 func (s *Settings) StoreTimeout() time.Duration { return time.Duration(s.raw.Timeout.Store) }
 
--- a/internal/gateway/frontend/server.go
+++ b/internal/gateway/frontend/server.go
@@ -3,10 +3,8 @@
 package frontend
 
 import (
-	"cmp"
 	"context"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -102,26 +100,14 @@
 // closeLeastUsed closes the connection, of those on which no request is under way, that has been idle or without progress for longest, of the client
 // with most connections. It reports whether there was one. The caller holds s.mu.
 func (s *Server) closeLeastUsed() bool {
-	perClient := map[string]int{}
+	list := make([]memory.Conn[*conn], 0, len(s.conns))
 	for c := range s.conns {
-		perClient[c.client]++
+		t, ok := c.lastActive()
+		list = append(list, memory.Conn[*conn]{Conn: c, Client: c.client, Since: t, Evictable: ok})
 	}
-	type candidate struct {
-		conn  *conn
-		since time.Time
-	}
-	var list []candidate
-	for c := range s.conns {
-		if since, ok := c.lastActive(); ok {
-			list = append(list, candidate{c, since})
-		}
-	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(perClient[b.conn.client], perClient[a.conn.client]), a.since.Compare(b.since))
-	})
-	for _, x := range list {
-		if x.conn.closeUnanswered() {
-			delete(s.conns, x.conn)
+	for _, c := range memory.LeastActive(list) {
+		if c.closeUnanswered() {
+			delete(s.conns, c)
 			connsEvicted.Inc()
 			return true
 		}
