Send nothing to the upstreams of an evacuated zone

An operator's key op/evacuate/ZONE was not read at all: requests went on to the upstreams of that zone.

Each host now keeps what the store states of each zone, with the revision, and hosts pass the statements on in their messages, so that those that do not watch the store, or are refused by it, obey as well. Waiting requests are placed elsewhere, and no upstreams are ordered in the zone.

--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -276,6 +276,7 @@
 		g.table.Sweep(now)
 		g.exchange.Sweep()
 		g.origins.Sweep(now)
+		g.expireEvacuations(now)
 		g.peers.Sweep(now, g.usage.Window(g.fleetTime.Now()))
 		for _, i := range g.table.All() {
 			i.Sweep(now)
--- a/cmd/hickorypath/gatewaypeers.go
+++ b/cmd/hickorypath/gatewaypeers.go
@@ -50,7 +50,7 @@
 		FetchAddress: g.fetchAddress(), Counts: g.usage.RecentCounts(), Loads: g.exchange.Loads(), Demand: g.exchange.Demand(),
 		CachedPrefixes: g.exchange.CacheUpdates(), Poison: g.exchange.PoisonEvidence(), Advisories: g.table.Advisories(g.clock.Now()),
 	}
-	m.Departures = g.table.Departures(g.clock.Now())
+	m.Departures, m.Zones = g.table.Departures(g.clock.Now()), g.table.Evacuated().Statements()
 	m.Brittle, m.Rejections = g.exchange.BrittleServices(), g.table.Rejections(g.clock.Now())
 	m.Pauses, m.EarlierPauses = g.table.Pauses(g.clock.Now()), g.peers.EarlierPauses(g.clock.Now())
 	m.WatchesStore, m.EntryRevision, m.StoreFailing = g.watcher.IsWatching(), g.watcher.Revision(), g.table.IsStoreFailing(g.clock.Now())
@@ -74,6 +74,7 @@
 	g.exchange.MergePoisonEvidence(now, m.Host, m.Poison)
 	g.exchange.ApplyAdvisories(now, m.Host, m.Advisories)
 	g.exchange.ApplyDepartures(now, m.Host, m.Departures)
+	g.mergeEvacuations(m)
 	g.table.MergeBrittle(now, m.Brittle)
 	g.table.MergeRejections(now, m.Rejections)
 	for _, p := range m.EarlierPauses {
@@ -141,6 +142,8 @@
 		if g.isRegistered.Store(!e.Deleted() && string(e.Value()) == g.peerAddress()); e.Deleted() {
 			g.registerSoon()
 		}
+	case strings.HasPrefix(key, platform.EvacuationPrefix):
+		g.recordEvacuation(e)
 	case strings.HasPrefix(key, hostKeyPrefix) && !e.Deleted():
 		if addr := string(e.Value()); addr != g.peerAddress() {
 			zone, _, _ := strings.Cut(strings.TrimPrefix(key, hostKeyPrefix), "/")
@@ -157,9 +160,10 @@
 	}
 }
 
-// handleStoreSync records, after all keys have been read, which of the keys that matter here do not exist: the address of this host and
-// the leader lease.
-func (g *gateway) handleStoreSync(exists func(key string) bool) {
+// handleStoreSync records, after all keys have been read, which of the keys that matter here do not exist: the address of this host,
+// the leader lease and evacuations.
+func (g *gateway) handleStoreSync(revision uint64, exists func(key string) bool) {
+	g.syncEvacuations(revision, exists)
 	if !exists(g.hostKey()) {
 		g.isRegistered.Store(false)
 	}
--- a/cmd/hickorypath/gatewayprobes.go
+++ b/cmd/hickorypath/gatewayprobes.go
@@ -39,6 +39,7 @@
 	metrics.GetOrCreateGauge("hickorypath_requests_active", func() float64 { return float64(g.server.BusyConns()) })
 	metrics.GetOrCreateGauge("hickorypath_upstreams", func() float64 { return float64(len(g.table.All())) })
 	metrics.GetOrCreateGauge("hickorypath_hosts", func() float64 { return float64(len(g.peers.LiveMessages(g.clock.Now())) + 1) })
+	g.registerEvacuations()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	if err := newInternalServer(mux, internalReadTimeout).Serve(g.limitInternal(l)); err != nil {
--- a/internal/gateway/exchange/origin.go
+++ b/internal/gateway/exchange/origin.go
@@ -97,7 +97,7 @@
 	now := e.x.opts.Now()
 	grace := e.x.opts.Table.RemovalGrace(now)
 	return slices.ContainsFunc(e.x.opts.Table.Service(e.service.Name), func(i *upstream.Instance) bool {
-		return i.Status(now, grace) != upstream.Leaving && !e.hasFailedAt(i) && e.mayRunAt(i)
+		return i.Status(now, grace) < upstream.Evacuated && !e.hasFailedAt(i) && e.mayRunAt(i)
 	})
 }
 
--- a/internal/gateway/exchange/prefixholders.go
+++ b/internal/gateway/exchange/prefixholders.go
@@ -43,7 +43,7 @@
 	}
 	for n, i := range list {
 		holders.cachedTokens[n] = s.cache.CachedTokens(now, i.ID(), parts)
-		if i.IsRemoved() || i.Status(now, 0) == upstream.Down {
+		if status := i.Status(now, 0); i.IsRemoved() || status == upstream.Down || status == upstream.Evacuated {
 			continue // a draining instance still serves copies from its cache
 		}
 		switch h := (prefixHolder{i, holders.cachedTokens[n]}); {
@@ -89,11 +89,11 @@
 }
 
 // homeInstances returns the two instances with the highest rendezvous hash rank for a prompt part, which are the
-// same on all hosts; nil if there is none. Draining instances are left out.
+// same on all hosts; nil if there is none. Draining and evacuated instances are left out.
 func homeInstances(list []*upstream.Instance, part uint64) (first, second *upstream.Instance) {
 	var firstRank, secondRank uint64
 	for _, i := range list {
-		if i.Entry().Draining {
+		if i.Entry().Draining || i.IsEvacuated() {
 			continue
 		}
 		switch rank := place.RendezvousRank(part, i.ID()); {
--- a/internal/gateway/leader/scaler.go
+++ b/internal/gateway/leader/scaler.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"hickorypath/internal/core/kind"
@@ -76,7 +77,7 @@
 	have := map[sizing.CapacityPool]int{}
 	now := s.opts.Now()
 	for _, i := range s.opts.Table.Service(name) {
-		if e := i.Entry(); !e.Draining && i.Status(now, 0) != upstream.Leaving {
+		if e := i.Entry(); !e.Draining && i.Status(now, 0) < upstream.Evacuated {
 			have[sizing.CapacityPool{Zone: e.Zone, Spot: e.Spot}]++
 		}
 	}
@@ -91,7 +92,7 @@
 
 func (s *Scaler) sizingConfig(name string, service *config.Service) sizing.Config {
 	c := sizing.Config{
-		Zones: s.opts.Zones, Prices: service.Scaling.ZonePrices, Min: service.Scaling.MinPerZone, Max: service.Scaling.MaxPerZone,
+		Zones: lo.Reject(s.opts.Zones, func(z string, _ int) bool { return s.opts.Table.Evacuated().Contains(z) }), Prices: service.Scaling.ZonePrices, Min: service.Scaling.MinPerZone, Max: service.Scaling.MaxPerZone,
 		BootTime: service.Scaling.BootTime, SpotPrice: service.Scaling.SpotPrice, PrefillRate: s.opts.ReadRate(name),
 	}
 	if service.Engine != nil {
--- a/internal/gateway/peer/message.go
+++ b/internal/gateway/peer/message.go
@@ -13,6 +13,7 @@
 
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/gateway/upstream"
+	"hickorypath/internal/policy/evacuate"
 	"hickorypath/internal/policy/place"
 	"hickorypath/internal/policy/poison"
 	"hickorypath/internal/policy/sizing"
@@ -55,6 +56,7 @@
 	Rejections     map[string]upstream.Rejection      `cbor:"H,omitempty"` // brittle upstream instances that have lately rejected requests
 	Pauses         map[string]upstream.Pause          `cbor:"I,omitempty"` // upstream instances that want no requests of the host
 	EarlierPauses  []HostPauses                       `cbor:"J,omitempty"` // those of other hosts, which may have started again and not know
+	Zones          map[string]evacuate.Statement      `cbor:"K,omitempty"` // which availability zones are evacuated
 }
 
 // Leader is the host that holds the fleet's lease: it reports usage and requests upstreams for all hosts.
--- a/internal/gateway/storewatch/watcher.go
+++ b/internal/gateway/storewatch/watcher.go
@@ -26,10 +26,10 @@
 	EntryPrefix  string
 	DecodeConfig func([]byte) (*config.Config, error)
 	DecodeEntry  func(key string, value []byte) (upstream.Entry, error)
-	OnOtherKey   func(store.Event)                  // called for changes of keys that are neither configuration nor entries
-	OnChange     func()                             // called after changes that other hosts have to learn of
-	ShouldWatch  func() bool                        // reports whether this host has to watch the store itself
-	OnSync       func(exists func(key string) bool) // called after all keys of the store were read
+	OnOtherKey   func(store.Event)                                   // called for changes of keys that are neither configuration nor entries
+	OnChange     func()                                              // called after changes that other hosts have to learn of
+	ShouldWatch  func() bool                                         // reports whether this host has to watch the store itself
+	OnSync       func(revision uint64, exists func(key string) bool) // called after all keys of the store were read
 	Log          *zap.Logger
 	Now          func() time.Time
 }
@@ -110,7 +110,7 @@
 // handleSyncEnd runs after the events of a sync. It removes the instances whose entries were deleted while this host was
 // not watching the store.
 func (w *Watcher) handleSyncEnd(revision uint64, exists func(key string) bool) {
-	w.opts.OnSync(exists)
+	w.opts.OnSync(revision, exists)
 	now := w.opts.Now()
 	for _, i := range w.opts.Table.All() {
 		if !i.IsRemoved() && !exists(w.opts.EntryPrefix+i.ID()) {
--- a/internal/gateway/storewatch/watcher_test.go
+++ b/internal/gateway/storewatch/watcher_test.go
@@ -63,7 +63,7 @@
 			DecodeEntry: func(key string, _ []byte) (upstream.Entry, error) {
 				return upstream.Entry{ID: strings.TrimPrefix(key, entryPrefix), Service: "s"}, nil
 			},
-			OnOtherKey: func(store.Event) {}, OnChange: check, OnSync: func(func(string) bool) {},
+			OnOtherKey: func(store.Event) {}, OnChange: check, OnSync: func(uint64, func(string) bool) {},
 			ShouldWatch: shouldWatch.Load, Log: zap.NewNop(), Now: time.Now,
 		})
 		go w.Run(t.Context())
@@ -104,7 +104,7 @@
 			w := storewatch.New(storewatch.Options{
 				Store: client, Live: config.NewLive(), Table: upstream.NewTable("z1", upstream.NewDialer(), zap.NewNop()), EntryPrefix: entryPrefix,
 				OnOtherKey: func(store.Event) { known[n].Add(1) }, OnChange: func() {},
-				OnSync: func(func(string) bool) {
+				OnSync: func(uint64, func(string) bool) {
 					time.AfterFunc(time.Duration(rand.N(500))*time.Millisecond, func() {
 						_, err := memory.Backend().Put(t.Context(), store.Write{Key: "hosts/" + strconv.Itoa(n)})
 						is.NoErr(err)
--- a/internal/gateway/upstream/instance.go
+++ b/internal/gateway/upstream/instance.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hickorypath/internal/policy/advisory"
+	"hickorypath/internal/policy/evacuate"
 )
 
 // Instance is one incarnation of an upstream server. It is safe for concurrent use.
@@ -28,7 +29,8 @@
 	outOfReach atomic.Bool   // the host is cut off from the instance
 	openedAt   time.Time     // when a connection was opened last; the mu of reach guards it
 
-	brittle *serviceBrittleness // nil for an instance that belongs to no Table
+	brittle   *serviceBrittleness // nil for an instance that belongs to no Table
+	evacuated *evacuate.Zones     // the same
 }
 
 // Load is the load that an instance last reported.
@@ -129,6 +131,7 @@
 	Unconfirmed        // its entry was removed while the store was failing and may return
 	Departing          // its responses state that it leaves; for a short time it still accepts requests that no other one can take
 	Down               // it failed recently, or the host is cut off from it
+	Evacuated          // its availability zone is evacuated
 	Leaving            // it is draining or its removal is confirmed
 )
 
@@ -142,6 +145,8 @@
 		return Leaving
 	case !i.removedAt.IsZero() && now.Sub(i.removedAt) >= grace:
 		return Leaving
+	case i.isEvacuated():
+		return Evacuated
 	case i.backoff.isActive(now), i.outOfReach.Load():
 		return Down
 	case i.isDeparting(now):
@@ -153,6 +158,16 @@
 	}
 }
 
+// IsEvacuated reports whether the instance's availability zone is evacuated.
+func (i *Instance) IsEvacuated() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.isEvacuated()
+}
+
+// isEvacuated is IsEvacuated. The caller holds i.mu.
+func (i *Instance) isEvacuated() bool { return i.evacuated != nil && i.evacuated.Contains(i.entry.Zone) }
+
 // isDeparting reports whether the instance's responses state that it leaves. The caller holds i.mu.
 func (i *Instance) isDeparting(now time.Time) bool {
 	_, ok := i.advisory.LeavingFor(now)
--- a/internal/gateway/upstream/table.go
+++ b/internal/gateway/upstream/table.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"hickorypath/internal/policy/advisory"
+	"hickorypath/internal/policy/evacuate"
 )
 
 // Table holds the instances of all services. It is safe for concurrent use.
@@ -19,6 +20,8 @@
 	// OnOutOfReach is called with the instances of a service that have come to be out of reach, by their identifiers.
 	OnOutOfReach func(lost map[string]*Instance)
 
+	evacuated *evacuate.Zones
+
 	zone   string // of this host
 	dialer *Dialer
 	log    *zap.Logger
@@ -57,7 +60,7 @@
 
 // NewTable returns an empty Table of a host in an availability zone.
 func NewTable(zone string, d *Dialer, log *zap.Logger) *Table {
-	return &Table{zone: zone, dialer: d, log: log, byID: map[string]*Instance{}, byService: map[string][]*Instance{}, left: map[string]leftEntry{}, reach: map[string]*serviceReach{}, brittle: map[string]*serviceBrittleness{}}
+	return &Table{evacuated: evacuate.New(), zone: zone, dialer: d, log: log, byID: map[string]*Instance{}, byService: map[string][]*Instance{}, left: map[string]leftEntry{}, reach: map[string]*serviceReach{}, brittle: map[string]*serviceBrittleness{}}
 }
 
 // Put adds or updates an instance from an entry in the store. An entry with another address, service or start
@@ -85,7 +88,7 @@
 		t.drop(now, old)
 	}
 	i := newInstance(e, t.dialer, t.reachOf(e.Service))
-	i.brittle = t.brittleOf(e.Service)
+	i.brittle, i.evacuated = t.brittleOf(e.Service), t.evacuated
 	i.outOfReach.Store(i.reach.isCut())
 	if l, ok := t.left[e.ID]; ok && l.entry.isSameIncarnation(e) {
 		i.advisory = l.advisory
@@ -192,6 +195,9 @@
 	return 0
 }
 
+// Evacuated returns the availability zones to whose instances nothing more is to be sent.
+func (t *Table) Evacuated() *evacuate.Zones { return t.evacuated }
+
 // Service returns the instances of a service. The slice must not be modified.
 func (t *Table) Service(name string) []*Instance {
 	t.mu.RLock()
