Bound the requests of all hosts to a cold upstream

An upstream that has just started tolerates only a rate of requests that the service's configuration states (coldPerS), times coldOvershoot plus coldSlack of the settings in one second. Neither was read: a cold upstream cost 50 ms more in the choice, whatever its bound.

The slots that divide a stated limit among hosts now also divide the rate of a cold upstream; how long a slot can be used follows from the burst. An upstream is cold for as long as its newest entry says, counted from its arrival; before, an entry that was seen once counted as cold until the next one.

Services without coldPerS are served as before.

--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -175,8 +175,9 @@
 	b := g.settings.Bounds
 	return exchange.New(exchange.Options{
 		Zone: g.settings.Zone, Codec: platform.Codec(), Live: g.live, Table: g.table,
-		Budget:     budget.Config{Ratio: b.RetryRatio, Minimum: b.MinRetries, Window: b.RetryWindow},
-		DrainTime:  b.DrainTime,
+		Budget:        budget.Config{Ratio: b.RetryRatio, Minimum: b.MinRetries, Window: b.RetryWindow},
+		DrainTime:     b.DrainTime,
+		ColdOvershoot: b.ColdOvershoot, ColdSlack: b.ColdSlack,
 		HostCount:  g.peers.MaxHosts,
 		Fleet:      g.peers.Fleet,
 		FleetTime:  g.fleetTime.Now,
--- a/internal/gateway/config/config.go
+++ b/internal/gateway/config/config.go
@@ -76,6 +76,8 @@
 	Name    string
 	Engine  *Engine
 	Scaling *Scaling
+	// ColdRate is how many requests per second a cold upstream takes from all hosts together; 0 if there is no such bound.
+	ColdRate float64
 }
 
 // Limits holds the limits of callers' requests and connections.
--- a/internal/gateway/exchange/exchanger.go
+++ b/internal/gateway/exchange/exchanger.go
@@ -24,11 +24,14 @@
 
 // Options are the settings and dependencies of an Exchanger.
 type Options struct {
-	Zone      string
-	Codec     Codec
-	Live      *config.Live
-	Table     *upstream.Table
-	Budget    budget.Config
+	Zone   string
+	Codec  Codec
+	Live   *config.Live
+	Table  *upstream.Table
+	Budget budget.Config
+	// In one second, all hosts together may send a cold upstream ColdOvershoot times its rate and ColdSlack requests more.
+	ColdOvershoot, ColdSlack float64
+
 	DrainTime time.Duration                             // time for which an upstream that leaves goes on serving requests
 	HostCount func() int                                // number of hosts that share the retry budgets
 	PeerLoads func(now time.Time) map[string]place.Load // requests that the other hosts have in flight, by instance
--- a/internal/gateway/exchange/place.go
+++ b/internal/gateway/exchange/place.go
@@ -68,6 +68,7 @@
 			continue
 		}
 		usable = true
+		x.setCold(e.service, i, now)
 		if i.PausedFor(now) > 0 || !i.MaySend(fleetTime, fleet) {
 			continue
 		}
@@ -106,6 +107,17 @@
 	return best, usable
 }
 
+// setCold bounds the requests to an instance that is cold.
+func (x *Exchanger) setCold(s *config.Service, i *upstream.Instance, now time.Time) {
+	switch {
+	case s.ColdRate <= 0:
+	case i.IsCold(now):
+		i.SetCold(advisory.Cold{Rate: s.ColdRate, Burst: (x.opts.ColdOvershoot-1)*s.ColdRate + x.opts.ColdSlack})
+	default:
+		i.SetCold(advisory.Cold{})
+	}
+}
+
 // mayTake reports whether an instance with a status accepts requests. Those that state that they leave accept them as the last
 // resort, and for the first half of the time for which they go on serving.
 func (x *Exchanger) mayTake(i *upstream.Instance, status upstream.Status, lastResort bool, now time.Time) bool {
@@ -159,7 +171,7 @@
 	entry, reported := i.Entry(), i.Load()
 	v := place.Candidate{
 		Zone: entry.Zone, Slots: entry.Slots, Load: s.load(entry.ID).Add(peers),
-		Cold: entry.Cold > 0, Slowdown: s.latencies.Slowdown(entry.ID),
+		Cold: i.IsCold(now), Slowdown: s.latencies.Slowdown(entry.ID),
 	}
 	if now.Sub(reported.At) < maxLoadAge {
 		v.Running = max(v.Running, reported.Running+reported.Waiting)
--- a/internal/gateway/exchange/recheck.go
+++ b/internal/gateway/exchange/recheck.go
@@ -35,6 +35,7 @@
 	if i.IsBrittle(now) && r.isBeyond(i.BrittleShare(now, e.x.opts.Fleet())) {
 		return e.supersede(i)
 	}
+	e.x.setCold(e.service, i, now)
 	var ok bool
 	if r.permit, ok = i.RenewPermit(e.x.opts.FleetTime(), e.x.opts.Fleet(), r.permit); !ok {
 		return e.supersede(i)
--- a/internal/gateway/settings/settings.go
+++ b/internal/gateway/settings/settings.go
@@ -30,12 +30,15 @@
 
 // Bounds holds times and quotas that the deployment guarantees or requires.
 type Bounds struct {
-	DrainTime        time.Duration // time after which an upstream that is draining must receive no more requests
-	GracePeriod      time.Duration // time between SIGTERM and SIGKILL at shutdown
-	RetryRatio       float64       // maximum retries of the whole fleet in RetryWindow, as a fraction of its requests
-	RetryWindow      time.Duration
-	MinRetries       int           // retries of the whole fleet that are allowed in RetryWindow in addition to the ratio
-	LeaseTTL         time.Duration // time to live of leases in the store
+	DrainTime   time.Duration // time after which an upstream that is draining must receive no more requests
+	GracePeriod time.Duration // time between SIGTERM and SIGKILL at shutdown
+	RetryRatio  float64       // maximum retries of the whole fleet in RetryWindow, as a fraction of its requests
+	RetryWindow time.Duration
+	MinRetries  int           // retries of the whole fleet that are allowed in RetryWindow in addition to the ratio
+	LeaseTTL    time.Duration // time to live of leases in the store
+	// In one second, all hosts together may send a cold upstream ColdOvershoot times its rate and ColdSlack requests more.
+	ColdOvershoot, ColdSlack float64
+
 	UsageWindow      time.Duration
 	UsageReportDelay time.Duration // time from the end of a usage window until its report is due
 }
--- a/internal/gateway/upstream/advisory.go
+++ b/internal/gateway/upstream/advisory.go
@@ -71,6 +71,13 @@
 	return i.advisory.Limit()
 }
 
+// SetCold bounds the requests of all hosts to the instance while it is cold. The zero value ends the bound.
+func (i *Instance) SetCold(c advisory.Cold) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.advisory.SetCold(c)
+}
+
 // MaySend reports whether this host's part of the instance's limit allows a request now. The time is that of the fleet.
 func (i *Instance) MaySend(now time.Time, f *advisory.Fleet) bool {
 	i.mu.Lock()
--- a/internal/gateway/upstream/instance.go
+++ b/internal/gateway/upstream/instance.go
@@ -14,6 +14,7 @@
 	id        string
 	mu        sync.Mutex
 	entry     Entry
+	coldUntil time.Time // before which the instance is slow after its start, as it stated last
 	removedAt time.Time // when the entry was removed from the store, zero while the entry exists
 	heldUntil time.Time // an entry of an older copy of the store is not trusted before
 	idle      []*Conn   // idle connections, most recently used last
@@ -158,6 +159,20 @@
 	}
 }
 
+// IsCold reports whether the instance is slow after its start, as it stated last.
+func (i *Instance) IsCold(now time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return now.Before(i.coldUntil)
+}
+
+// RecordCold records for how long from now the instance is slow after its start, as it states.
+func (i *Instance) RecordCold(now time.Time, d time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.coldUntil = now.Add(d)
+}
+
 // IsEvacuated reports whether the instance's availability zone is evacuated.
 func (i *Instance) IsEvacuated() bool {
 	i.mu.Lock()
@@ -166,7 +181,9 @@
 }
 
 // isEvacuated is IsEvacuated. The caller holds i.mu.
-func (i *Instance) isEvacuated() bool { return i.evacuated != nil && i.evacuated.Contains(i.entry.Zone) }
+func (i *Instance) isEvacuated() bool {
+	return i.evacuated != nil && i.evacuated.Contains(i.entry.Zone)
+}
 
 // isDeparting reports whether the instance's responses state that it leaves. The caller holds i.mu.
 func (i *Instance) isDeparting(now time.Time) bool {
--- a/internal/gateway/upstream/table.go
+++ b/internal/gateway/upstream/table.go
@@ -78,6 +78,9 @@
 		if old.entry.Draining != e.Draining || old.entry.Version != e.Version {
 			t.log.Info("upstream changes", zap.String("upstream", e.ID), zap.String("version", e.Version), zap.Bool("draining", e.Draining), zap.Duration("leaves", e.Leaves))
 		}
+		if !old.Entry().isSameWrite(e) {
+			old.RecordCold(now, e.Cold)
+		}
 		old.update(e)
 		if comesBack {
 			old.holdUntil(now.Add(restoredEntryDelay))
@@ -89,6 +92,7 @@
 	}
 	i := newInstance(e, t.dialer, t.reachOf(e.Service))
 	i.brittle, i.evacuated = t.brittleOf(e.Service), t.evacuated
+	i.RecordCold(now, e.Cold)
 	i.outOfReach.Store(i.reach.isCut())
 	if l, ok := t.left[e.ID]; ok && l.entry.isSameIncarnation(e) {
 		i.advisory = l.advisory
--- a/internal/policy/advisory/advisory.go
+++ b/internal/policy/advisory/advisory.go
@@ -27,6 +27,7 @@
 	limit      Limit
 	limitAt    time.Time // when the limit was stated
 	unreadable string    // the last statement of a limit, if it could not be read
+	cold       Cold      // how much the upstream takes while it is cold; zero unless it is
 	pacer      pacer
 	paceSince  time.Time // since when requests are sent at a rate that stands in for an unreadable limit; zero unless they are
 	departure  departure
@@ -59,21 +60,46 @@
 	return s.limit != old.limit || s.unreadable != "" && s.unreadable != old.unreadable
 }
 
+// Cold is how many requests an upstream that has just started takes from all hosts together. The zero value is no bound.
+type Cold struct {
+	Rate  float64 // requests per second
+	Burst float64 // requests beyond the rate that it tolerates in one second
+}
+
+// SetCold bounds the requests to an upstream that is cold, together with the limit that the upstream states. The zero value ends the bound.
+func (s *State) SetCold(c Cold) { s.cold = c }
+
+// isBounded reports whether the upstream takes only so many requests per second.
+func (s *State) isBounded() bool { return s.limit.IsNamed() || s.cold.Rate > 0 }
+
 // MaySend reports whether this host may send a request to the upstream now. The clocks of the hosts in f must agree to within a
 // few hundred milliseconds.
 func (s *State) MaySend(now time.Time, f *Fleet) bool {
-	if !s.limit.IsNamed() {
+	if !s.isBounded() {
 		s.pacer, s.paceSince = pacer{}, time.Time{}
 		return true
 	}
+	_, s.pacer.longest = s.cold.pace()
 	s.pacer.setRate(now, s.rate(now))
 	s.pacer.refill(now, s.upstream, f)
 	return len(s.pacer.unused) > 0
 }
 
-// rate returns the limit in requests per second. The one that stands in for an unreadable limit grows, since nobody knows how much
-// the upstream takes.
+// rate returns how many requests per second the upstream takes.
 func (s *State) rate(now time.Time) float64 {
+	switch cold, _ := s.cold.pace(); {
+	case !s.limit.IsNamed():
+		s.paceSince = time.Time{}
+		return cold
+	case cold > 0:
+		return min(s.limitRate(now), cold)
+	}
+	return s.limitRate(now)
+}
+
+// limitRate returns the limit in requests per second. The one that stands in for an unreadable limit grows, since nobody knows how much
+// the upstream takes.
+func (s *State) limitRate(now time.Time) float64 {
 	if s.limit.Unreadable() == "" {
 		s.paceSince = time.Time{}
 		return s.limit.Rate()
@@ -88,7 +114,7 @@
 // SendsWithin returns how many requests this host may send to the upstream within d from now, but at most limit.
 func (s *State) SendsWithin(now time.Time, f *Fleet, d time.Duration, limit int) int {
 	s.MaySend(now, f)
-	if !s.limit.IsNamed() {
+	if !s.isBounded() {
 		return limit
 	}
 	return s.pacer.countUntil(now.Add(d), s.upstream, f, limit)
@@ -113,7 +139,7 @@
 // Renew reports whether a request may be sent now that was permitted earlier. If that permission has expired, or was given under a
 // higher limit or none, the request takes a new one.
 func (s *State) Renew(now time.Time, f *Fleet, p Permit) (renewed Permit, ok bool) {
-	if !s.limit.IsNamed() {
+	if !s.isBounded() {
 		return Permit{}, true
 	}
 	mayTake := s.MaySend(now, f)
--- a/internal/policy/advisory/pace.go
+++ b/internal/policy/advisory/pace.go
@@ -57,9 +57,10 @@
 // pacer divides the requests that an upstream accepts among the hosts without messages between them. The time is divided into
 // slots of one request each, and every slot belongs to one host, which can use it from its start on for a limited time.
 type pacer struct {
-	rate   float64     // requests per second of all hosts, 0 before the first one is set
-	next   int64       // the first slot that was not looked at yet
-	unused []time.Time // starts of this host's slots, one for each request that may be sent, oldest first
+	rate    float64       // requests per second of all hosts, 0 before the first one is set
+	longest time.Duration // for which a slot can be used; 0 for no bound
+	next    int64         // the first slot that was not looked at yet
+	unused  []time.Time   // starts of this host's slots, one for each request that may be sent, oldest first
 }
 
 // setRate changes the rate. Slots before now are not used under a new rate.
@@ -82,7 +83,29 @@
 
 // validity returns how long a slot can be used.
 func (p *pacer) validity() time.Duration {
-	return max(minValidity, time.Duration(p.slotLength()*float64(time.Second)))
+	v := max(minValidity, time.Duration(p.slotLength()*float64(time.Second)))
+	if p.longest > 0 {
+		return min(v, p.longest)
+	}
+	return v
+}
+
+const (
+	// clockTolerance is the difference between the clocks of two hosts that the bound of a cold upstream allows for.
+	clockTolerance = 400 * time.Millisecond
+	// shortestValidity is long enough for a host to look at the slots of an upstream once.
+	shortestValidity = 50 * time.Millisecond
+)
+
+// pace returns the rate at which slots are given out and how long one can be used, so that the slots of a second, and those from before that are
+// still valid, stay within the rate and the burst. Both are 0 if there is no bound.
+func (c Cold) pace() (rate float64, validity time.Duration) {
+	if c.Rate <= 0 {
+		return 0, 0
+	}
+	most := c.Rate + c.Burst
+	rate = min(c.Rate, most/(1+(clockTolerance+shortestValidity).Seconds()))
+	return rate, time.Duration((most/rate-1)*float64(time.Second)) - clockTolerance
 }
 
 func (p *pacer) slotAt(t time.Time) int64 {
--- a/internal/policy/advisory/pace_test.go
+++ b/internal/policy/advisory/pace_test.go
@@ -97,6 +97,30 @@
 	})
 }
 
+// TestFleetExceedsTheBoundOfAColdUpstreamProperty guards against a fleet that makes an upstream fall over which has just started, by more requests
+// in one second than it tolerates, whatever the clocks, the demand and the hosts that come and go.
+func TestFleetExceedsTheBoundOfAColdUpstreamProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cold := advisory.Cold{Rate: rapid.Float64Range(1, 40).Draw(t, "rate"), Burst: rapid.Float64Range(5, 30).Draw(t, "burst")}
+		hosts, seed := rapid.SampledFrom([]int{1, 3, 10, 90}).Draw(t, "hosts"), rapid.Uint64().Draw(t, "seed")
+		idle := rapid.Float64Range(0, 0.999).Draw(t, "idle")
+		rng := rand.New(rand.NewPCG(seed, 1))
+		f := newFleetTest(rng, hosts, 150*time.Millisecond, 1)
+		if rapid.Bool().Draw(t, "limited") {
+			f.name(0, advisory.NewLimit(1000))
+		}
+		for _, s := range f.hosts {
+			s.SetCold(cold)
+		}
+		f.run(rng, 0, 100*time.Millisecond, 10*time.Millisecond, 0)
+		f.run(rng, 100*time.Millisecond, 2*time.Second, 10*time.Millisecond, 1) // all hosts are idle, and then send at once
+		f.run(rng, 2*time.Second, 6*time.Second, 10*time.Millisecond, idle)
+		if n := f.most(0, time.Second); float64(n) > cold.Rate+cold.Burst+1 {
+			t.Fatalf("%d requests in a second, at a rate of %.1f and a burst of %.1f", n, cold.Rate, cold.Burst)
+		}
+	})
+}
+
 // TestLimitIsUsed guards against hosts that leave unused what an upstream accepts while requests wait on all of them.
 func TestLimitIsUsed(t *testing.T) {
 	cases := []struct {
