--- a/internal/gateway/exchange/advisory.go
+++ b/internal/gateway/exchange/advisory.go
@@ -16,7 +16,7 @@
 	}
 	now, s := x.opts.Now(), r.Advisory
 	if r.HasLoad {
-		i.SetLoad(upstream.Load{Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, At: now})
+		i.SetLoad(upstream.Load{Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Slowdown: r.Slowdown, At: now})
 	}
 	n := i.RecordAdvisory(now, sentAt, s)
 	if n.Brittle {
--- a/internal/gateway/exchange/codec.go
+++ b/internal/gateway/exchange/codec.go
@@ -53,6 +53,7 @@
 	Running     int  // load of the instance; Running, Waiting and Slots are valid if HasLoad is set
 	Waiting     int
 	Slots       int
+	Slowdown    float64 // how long work takes at the instance now, relative to the usual time; 0 if not stated
 	HasLoad     bool
 	Advisory    advisory.Statement
 }
--- a/internal/gateway/upstream/instance.go
+++ b/internal/gateway/upstream/instance.go
@@ -37,6 +37,7 @@
 // Load is the load that an instance last reported.
 type Load struct {
 	Running, Waiting, Slots int
+	Slowdown                float64   // how long work takes now, relative to the usual time; 0 if not stated
 	At                      time.Time // when the load was reported; zero if never
 }
 
