Close connections of serve whose bodies stall for new ones

Callers saw: at the limit on connections, new ones were closed although others only had a request that was not read whole.

Cause: net/http calls ConnContext before it reports StateNew, so the connection of a request was never found and each busy one counted as having a request under way.

Evidence: TestUnfinishedBodyMakesRoomForANewConnection failed before (EOF on the new connection).

--- /dev/null
+++ b/internal/caller/intake/conns_test.go
@@ -0,0 +1,46 @@
+package intake_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+
+	"hickorypath/internal/caller/intake"
+	"hickorypath/internal/policy/memory"
+)
+
+const testTimeout = 10 * time.Second
+
+// TestUnfinishedBodyMakesRoomForANewConnection guards against connections with bodies that stall and keep new callers out.
+func TestUnfinishedBodyMakesRoomForANewConnection(t *testing.T) {
+	is := is.New(t)
+	conns := intake.NewConns(1, metrics.NewSet().NewCounter("evicted"))
+	read := make(chan struct{}, 1)
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		var b [1]byte
+		_, _ = r.Body.Read(b[:])
+		read <- struct{}{}
+		_, _ = io.ReadAll(r.Body)
+	})
+	s := httptest.NewUnstartedServer(intake.Handler(memory.New(1<<20), handler, func(*http.Request) int64 { return 1 << 20 }))
+	s.Config.ConnState, s.Config.ConnContext = conns.Track, conns.Context
+	s.Start()
+	defer s.Close()
+	stalled, err := net.Dial("tcp", s.Listener.Addr().String())
+	is.NoErr(err)
+	defer stalled.Close()
+	_, err = fmt.Fprint(stalled, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nx")
+	is.NoErr(err)
+	<-read
+	client := &http.Client{Timeout: testTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	res, err := client.Get(s.URL)
+	is.NoErr(err)
+	is.NoErr(res.Body.Close())
+}
--- a/internal/caller/intake/intake.go
+++ b/internal/caller/intake/intake.go
@@ -130,15 +130,17 @@
 	return kind.Wrap(err, kind.Canceled, "the body did not arrive whole").WithRan(kind.RanNo)
 }
 
-// connKey is the context key of the connection of a request.
+// connKey is the context key of a function that returns the connection of a request.
 type connKey struct{}
 
 func connOf(r *http.Request) *conn {
-	c, _ := r.Context().Value(connKey{}).(*conn)
-	return c
+	if find, ok := r.Context().Value(connKey{}).(func() *conn); ok {
+		return find()
+	}
+	return nil
 }
 
-// Context is the ConnContext of a server whose connections are tracked by c.
+// Context is the ConnContext of a server whose connections are tracked by c. The server calls it before Track.
 func (c *Conns) Context(ctx context.Context, raw net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c.find(raw))
+	return context.WithValue(ctx, connKey{}, func() *conn { return c.find(raw) })
 }
