Keep connections of serve on which any request is under way

A connection counted as closable while one of its requests was being read. Over HTTP/2 it may have others under way, which were cut off when it was closed for a new one. A connection is now chosen and marked under one lock, so that a request read whole in between does not run on it.

Evidence: TestConnectionWithARequestUnderWayStaysOpen failed before (unexpected EOF on the request under way).

--- a/internal/caller/intake/conns_test.go
+++ b/internal/caller/intake/conns_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,3 +45,53 @@
 	is.NoErr(err)
 	is.NoErr(res.Body.Close())
 }
+
+// TestConnectionWithARequestUnderWayStaysOpen guards against HTTP/2 connections that are closed for new ones because one of their streams stalls
+// while another has a request under way.
+func TestConnectionWithARequestUnderWayStaysOpen(t *testing.T) {
+	is := is.New(t)
+	conns := intake.NewConns(1, metrics.NewSet().NewCounter("evicted"))
+	started, finish := make(chan struct{}), make(chan struct{})
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/stalled" {
+			started <- struct{}{}
+			_, _ = io.ReadAll(r.Body)
+			return
+		}
+		_, _ = io.ReadAll(r.Body)
+		started <- struct{}{}
+		<-finish
+	})
+	s := httptest.NewUnstartedServer(intake.Handler(memory.New(1<<20), handler, func(*http.Request) int64 { return 1 << 20 }))
+	s.Config.ConnState, s.Config.ConnContext = conns.Track, conns.Context
+	s.EnableHTTP2 = true
+	s.StartTLS()
+	defer s.Close()
+	for _, body := range []string{"", "whole"} {
+		client := s.Client()
+		answered := make(chan error, 1)
+		go func() {
+			res, err := client.Post(s.URL+"/under-way", "", strings.NewReader(body))
+			if err == nil {
+				err = res.Body.Close()
+			}
+			answered <- err
+		}()
+		<-started
+		unfinished, end := io.Pipe()
+		go func() {
+			if res, err := client.Post(s.URL+"/stalled", "", unfinished); err == nil { // it ends with its body
+				_ = res.Body.Close()
+			}
+		}()
+		<-started
+		conn, err := net.Dial("tcp", s.Listener.Addr().String())
+		is.NoErr(err)
+		_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+		_, _ = conn.Read(make([]byte, 1)) // the server closes one of the two connections
+		is.NoErr(conn.Close())
+		finish <- struct{}{}
+		is.NoErr(<-answered)
+		is.NoErr(end.Close())
+	}
+}
--- a/internal/caller/intake/intake.go
+++ b/internal/caller/intake/intake.go
@@ -31,16 +31,21 @@
 // of a request next keeps at a time.
 func Handler(a *memory.Account, next http.Handler, maxBuffered func(*http.Request) int64) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn := connOf(r)
 		if r.Body == nil || r.Body == http.NoBody {
+			if !conn.begin(nil) {
+				panic(http.ErrAbortHandler) // no response, not an empty one
+			}
+			defer conn.end(nil)
 			next.ServeHTTP(w, r)
 			return
 		}
-		b := &body{ReadCloser: r.Body, rc: http.NewResponseController(w), conn: connOf(r), most: copies * maxBuffered(r)}
+		b := &body{ReadCloser: r.Body, rc: http.NewResponseController(w), conn: conn, most: copies * maxBuffered(r)}
 		client, _, _ := net.SplitHostPort(r.RemoteAddr)
 		b.hold = a.Open(time.Now(), memory.Unfinished, client, b.interrupt)
 		defer b.hold.Close()
-		b.conn.setUnfinished(b.hold)
-		defer b.conn.setUnfinished(nil)
+		conn.beginRead(b.hold)
+		defer conn.end(b.hold)
 		_ = b.rc.SetReadDeadline(time.Now().Add(stallTimeout)) // the connections of other hosts have no deadlines
 		r.Body = b
 		next.ServeHTTP(w, r)
@@ -107,10 +112,12 @@
 		}
 		return err
 	}
-	b.conn.setUnfinished(nil)
 	if evicted := b.hold.Complete(); evicted != nil {
 		return overloadError(evicted)
 	}
+	if !b.conn.begin(b.hold) {
+		return overloadError(net.ErrClosed)
+	}
 	_ = b.rc.SetReadDeadline(time.Time{})
 	return err
 }
