Set no read deadline after a request of serve has ended

An eviction calls back without the lock of the account, so the handler may have returned meanwhile. The callback then interrupted the next request of the connection; over HTTP/2 it used a response writer whose handler had returned, which panics in net/http and aborts the request that asked for memory.

The panic was found by reading http2responseWriter.SetReadDeadline.

--- a/internal/caller/intake/intake.go
+++ b/internal/caller/intake/intake.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,9 +45,10 @@
 		client, _, _ := net.SplitHostPort(r.RemoteAddr)
 		b.hold = a.Open(time.Now(), memory.Unfinished, client, b.interrupt)
 		defer b.hold.Close()
+		defer b.release()
 		conn.beginRead(b.hold)
 		defer conn.end(b.hold)
-		_ = b.rc.SetReadDeadline(time.Now().Add(stallTimeout)) // the connections of other hosts have no deadlines
+		b.setReadDeadline(time.Now().Add(stallTimeout))
 		r.Body = b
 		next.ServeHTTP(w, r)
 	})
@@ -63,6 +65,10 @@
 	received int64
 	progress int64 // bytes received since the last progress of the hold
 	ended    bool
+
+	mu          sync.Mutex
+	interrupted bool // reads were interrupted to give up the request
+	released    bool // the deadline of the connection is no longer that of this request
 }
 
 // Read implements io.Reader. An error of kind Overload means that the body was given up because memory is short.
@@ -73,7 +79,7 @@
 		b.progress = 0
 		now := time.Now()
 		b.hold.Progress(now)
-		_ = b.rc.SetReadDeadline(now.Add(stallTimeout)) // it is set again below if the hold was evicted
+		b.setReadDeadline(now.Add(stallTimeout))
 	}
 	if growErr := b.grow(); growErr != nil {
 		b.interrupt()
@@ -112,18 +118,42 @@
 		}
 		return err
 	}
+	b.setReadDeadline(time.Time{})
+	b.release()
 	if evicted := b.hold.Complete(); evicted != nil {
 		return overloadError(evicted)
 	}
 	if !b.conn.begin(b.hold) {
 		return overloadError(net.ErrClosed)
 	}
-	_ = b.rc.SetReadDeadline(time.Time{})
 	return err
 }
 
+// setReadDeadline sets the deadline of reads, unless they were interrupted.
+func (b *body) setReadDeadline(t time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.interrupted && !b.released {
+		_ = b.rc.SetReadDeadline(t) // the connections of other hosts have no deadlines
+	}
+}
+
 // interrupt ends the current read and all later ones.
-func (b *body) interrupt() { _ = b.rc.SetReadDeadline(time.Unix(1, 0)) }
+func (b *body) interrupt() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.interrupted = true; !b.released {
+		_ = b.rc.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// release ends the use of the connection's deadline, at the end of the body or of the request. The connection may carry another request then, and
+// over HTTP/2 the deadline of a request that has ended must not be set. The last deadline stays, for the server discards what was not read.
+func (b *body) release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.released = true
+}
 
 func overloadError(err error) error {
 	return kind.Wrap(err, kind.Overload, "the host has no memory for the request").WithRan(kind.RanNo).WithRetry(minRetryAfter + rand.N(maxRetryAfter-minRetryAfter))
