Count a request of serve as read whole at its last byte

The handler of plain services reads as many bytes as the body announces, and an HTTP/2 body returns io.EOF only after the last of them. The request then counted as unfinished while an upstream ran it, so that its memory could be given to others and its connection closed.

--- a/internal/caller/intake/intake.go
+++ b/internal/caller/intake/intake.go
@@ -41,7 +41,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		b := &body{ReadCloser: r.Body, rc: http.NewResponseController(w), conn: conn, most: copies * maxBuffered(r)}
+		b := &body{ReadCloser: r.Body, rc: http.NewResponseController(w), conn: conn, length: r.ContentLength, most: copies * maxBuffered(r)}
 		client, _, _ := net.SplitHostPort(r.RemoteAddr)
 		b.hold = a.Open(time.Now(), memory.Unfinished, client, b.interrupt)
 		defer b.hold.Close()
@@ -60,6 +60,7 @@
 	rc       *http.ResponseController
 	conn     *conn
 	hold     *memory.Hold
+	length   int64 // of the whole body, -1 if unknown
 	most     int64 // bytes to hold
 	granted  int64 // bytes held
 	received int64
@@ -85,7 +86,7 @@
 		b.interrupt()
 		return 0, overloadError(growErr)
 	}
-	if err != nil && !b.ended {
+	if isWhole := err == nil && b.received == b.length; (isWhole || err != nil) && !b.ended {
 		b.ended = true
 		err = b.end(err)
 	}
@@ -110,9 +111,10 @@
 	return nil
 }
 
-// end handles the end of the body, or the failure of a read.
+// end handles the end of the body, or the failure of a read. The reader may not ask for the io.EOF behind a body of known length, so that its last byte
+// is its end, with a nil err.
 func (b *body) end(err error) error {
-	if !errors.Is(err, io.EOF) {
+	if err != nil && !errors.Is(err, io.EOF) {
 		if b.hold.Err() != nil {
 			return overloadError(b.hold.Err())
 		}
--- a/internal/caller/intake/intake_test.go
+++ b/internal/caller/intake/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -36,3 +37,22 @@
 	b.interrupt()
 	is.Equal(len(w.deadlines), before)
 }
+
+// lastByteReader returns the bytes of a body without io.EOF behind the last one, as the body of an HTTP/2 request does.
+type lastByteReader struct{ io.Reader }
+
+// TestBodyOfKnownLengthIsWholeAtItsLastByte guards against a request that is evicted while it is under way, since its handler has read all bytes but
+// not the io.EOF behind them.
+func TestBodyOfKnownLengthIsWholeAtItsLastByte(t *testing.T) {
+	is := is.New(t)
+	a := memory.New(1 << 20)
+	h := Handler(a, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadFull(r.Body, make([]byte, 4))
+		is.NoErr(err)
+		is.Equal(a.Used(memory.Unfinished), int64(0))
+		is.True(a.Used(memory.Request) > 0)
+	}), func(*http.Request) int64 { return 1 << 20 })
+	r := httptest.NewRequest(http.MethodPost, "/", lastByteReader{bytes.NewReader([]byte("body"))})
+	r.ContentLength = 4
+	h.ServeHTTP(httptest.NewRecorder(), r)
+}
