Send 100 Continue on connections that were idle for five seconds

Callers saw: 408 for a request with Expect: 100-continue on a connection whose last response was more than 5 s ago. The write deadline of that response still held for the interim response.

Evidence: TestContinueOnAUsedConnection failed before (408 in place of 100).

--- a/internal/gateway/frontend/conn.go
+++ b/internal/gateway/frontend/conn.go
@@ -220,6 +220,7 @@
 		return nil, nil, err
 	}
 	if r.ExpectsContinue() {
+		_ = c.raw.SetWriteDeadline(c.server.now().Add(writeTimeout)) // that of an earlier response may have passed
 		if _, err := c.raw.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return nil, nil, err
 		}
