Grant a closed hold no memory

A body of serve that is streamed to a plain service is read in a goroutine of net/http, which may still read while the handler returns. What the hold then grew by was never given back.

Evidence: TestClosedHoldTakesNothing failed before (no error, 1 MiB held).

--- a/internal/policy/memory/account.go
+++ b/internal/policy/memory/account.go
@@ -36,6 +36,7 @@
 var (
 	ErrFull    = errors.New("no memory is left for the request or response")
 	ErrEvicted = errors.New("the request was given up in favor of others")
+	ErrClosed  = errors.New("the request or response has ended")
 )
 
 const (
@@ -72,6 +73,7 @@
 	kind    Kind // account.mu guards the fields from here on
 	size    int64
 	evicted bool
+	closed  bool
 }
 
 // Open returns a Hold of size 0 for a client. The holds of one client, which is named by its address, are weighed together. Evict is called
@@ -98,8 +100,8 @@
 	return now.UnixNano()-h.progress.Load() >= int64(slowAfter)
 }
 
-// Grow changes the size of the hold. It returns ErrFull if the size is not granted, and ErrEvicted if the hold was evicted. Unfinished requests
-// that are slow, or of clients that hold more, are evicted to make room.
+// Grow changes the size of the hold. It returns ErrFull if the size is not granted, ErrEvicted if the hold was evicted, and ErrClosed after Close.
+// Unfinished requests that are slow, or of clients that hold more, are evicted to make room.
 func (h *Hold) Grow(now time.Time, size int64) error {
 	victims, err := h.grow(now, size)
 	for _, v := range victims {
@@ -115,6 +117,9 @@
 	if h.evicted {
 		return nil, ErrEvicted
 	}
+	if h.closed {
+		return nil, ErrClosed
+	}
 	var victims []*Hold
 	if missing := a.missing(h, size); missing > 0 {
 		if victims = a.pickVictims(now, h, size, missing); victims == nil {
@@ -237,6 +242,7 @@
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	h.closed = true
 	a.resize(h, 0)
 	delete(a.unfinished, h)
 }
--- a/internal/policy/memory/account_test.go
+++ b/internal/policy/memory/account_test.go
@@ -92,3 +92,14 @@
 		is.NoErr(a.Open(now, memory.Unfinished, "a", nil).Grow(now, 8<<10))
 	}
 }
+
+// TestClosedHoldTakesNothing guards against memory that is never given back, since a body is read on in another goroutine when its request ends.
+func TestClosedHoldTakesNothing(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	a := memory.New(16 * mib)
+	h := a.Open(now, memory.Unfinished, "a", nil)
+	h.Close()
+	is.Equal(h.Grow(now, mib), memory.ErrClosed)
+	is.Equal(a.Used(memory.Unfinished), int64(0))
+}
