Give the memory of a request back when it was answered

A request kept its memory for up to 500 ms more while the server waited for the client to close the connection. It cannot be evicted, so a crowd that asked for Connection: close and left its connections open kept others out that long.

Evidence: TestAnsweredRequestHoldsNoMemory failed before (bytes of the request still held).

--- a/internal/gateway/frontend/conn.go
+++ b/internal/gateway/frontend/conn.go
@@ -271,7 +271,6 @@
 // respond runs the handler and watches the connection in the meantime: if the client closes the connection, the
 // handler's context is canceled. respond reports whether the connection can carry another request.
 func (c *conn) respond(ctx context.Context, r *Request, w *Writer) bool {
-	defer r.memory.Close()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	done := make(chan struct{})
@@ -287,6 +286,7 @@
 		cancel(ErrClientClosed)
 	}
 	<-done
+	r.memory.Close()
 	if w.isPersistent() {
 		return err == nil
 	}
