Close answered connections for new ones

Callers saw: connections closed at the limit on connections while others had been answered and only waited, up to 500 ms, for their clients to close them. A crowd of requests that are refused could thus keep ordinary ones out.

Evidence: TestAnsweredConnectionMakesRoom failed before. A connection with unread bytes is not closed, for that would reset it before its response was read.

--- a/internal/gateway/frontend/conn.go
+++ b/internal/gateway/frontend/conn.go
@@ -51,7 +51,8 @@
 
 	mu       sync.Mutex
 	busy     bool      // a request is being read or answered
-	idleFrom time.Time // when the connection became idle
+	idleFrom time.Time // when the connection became idle or was answered for the last time
+	answered bool      // no request follows the last response
 	closed   bool
 
 	unfinished  *memory.Hold // of the request that is being read; nil if there is none
@@ -104,8 +105,8 @@
 	return true
 }
 
-// lastActive returns when the connection became idle, or when the request that is being read made progress last. ok is false while a
-// request is under way.
+// lastActive returns when the connection became idle or was answered for the last time, or when the request that is being read made progress last. ok
+// is false while a request is under way.
 func (c *conn) lastActive() (t time.Time, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -115,7 +116,7 @@
 	case c.unfinished != nil:
 		return c.unfinished.LastProgress(), true
 	}
-	return c.idleFrom, !c.busy
+	return c.idleFrom, !c.busy || c.answered
 }
 
 // closeUnanswered closes the connection unless a request was read whole, and reports whether it did.
@@ -143,11 +144,11 @@
 	return !c.closed
 }
 
-// closeIdle closes the connection unless a request has started, and reports whether it did.
+// closeIdle closes the connection unless a request has started that is not answered, and reports whether it did.
 func (c *conn) closeIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy || c.closed || !c.hasNoInput() {
+	if c.busy && !c.answered || c.closed || !c.hasNoInput() {
 		return false
 	}
 	c.closed = true
@@ -302,8 +303,12 @@
 // pastDeadline is a deadline in the past.
 var pastDeadline = time.Unix(1, 0)
 
-// linger shuts down the sending side and drains input, so that the client can read the complete response.
+// linger shuts down the sending side and drains input, so that the client can read the complete response. The connection may be closed for a new one
+// meanwhile.
 func (c *conn) linger() {
+	c.mu.Lock()
+	c.answered, c.idleFrom = true, c.server.now()
+	c.mu.Unlock()
 	t, ok := c.raw.(*net.TCPConn)
 	if !ok || t.CloseWrite() != nil {
 		return
--- a/internal/gateway/frontend/linger_test.go
+++ b/internal/gateway/frontend/linger_test.go
@@ -24,7 +24,9 @@
 	is := is.New(t)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
-	s := frontend.New(func(_ context.Context, _ *frontend.Request, w *frontend.Writer) { w.WriteError(http.StatusTeapot, nil, "no") },
+	s := frontend.New(func(_ context.Context, _ *frontend.Request, w *frontend.Writer) {
+		w.WriteError(http.StatusTeapot, nil, "no")
+	},
 		func() config.Limits {
 			return config.Limits{MaxHeadBytes: 1 << 10, MaxBodyBytes: 1 << 20, HeadTimeout: time.Minute, IdleTimeout: time.Minute}
 		}, max, a, time.Now, zap.NewNop())
@@ -56,3 +58,13 @@
 	is.True(strings.HasPrefix(ask("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 10000\r\n\r\n"+strings.Repeat("b", 10_000)), "HTTP/1.1 418 "))
 	is.Equal(a.Used(memory.Request), int64(0))
 }
+
+// TestAnsweredConnectionMakesRoom guards against connections that keep new ones out although all that they wait for is their end.
+func TestAnsweredConnectionMakesRoom(t *testing.T) {
+	for _, request := range []string{"malformed\r\n\r\n", "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"} {
+		ask := startServer(t, 1, memory.New(1<<20))
+		for range 3 {
+			is.New(t).True(strings.HasPrefix(ask(request), "HTTP/1.1 4")) // the connection stays open
+		}
+	}
+}
