Let no late eviction cut the response to a refused request

An eviction calls back without the lock of the account. If it came after the 503 was written, it ended the 500 ms in which unread bytes are discarded, and the connection was reset before the client had read the response.

Evidence: TestLateEvictionCutsNoResponse failed before (i/o timeout).

--- a/internal/gateway/frontend/conn.go
+++ b/internal/gateway/frontend/conn.go
@@ -248,12 +248,13 @@
 	}
 }
 
-// interruptRead ends a read of the connection, and all later ones.
+// interruptRead ends a read of the connection, and all later ones up to the response.
 func (c *conn) interruptRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.interrupted = true
-	_ = c.raw.SetReadDeadline(pastDeadline) // the connection may be closed already
+	if c.interrupted = true; !c.answered {
+		_ = c.raw.SetReadDeadline(pastDeadline) // the connection may be closed already
+	}
 }
 
 // setReadDeadline sets the deadline of reads, unless they were interrupted.
--- a/internal/gateway/frontend/writer_test.go
+++ b/internal/gateway/frontend/writer_test.go
@@ -34,3 +34,15 @@
 	is.NoErr(near.Close())
 	is.True(strings.HasSuffix(<-got, "\r\n\r\n5\r\nevent\r\n"))
 }
+
+// TestLateEvictionCutsNoResponse guards against an eviction that comes late, when the connection only waits for the client to read the response, and resets
+// it.
+func TestLateEvictionCutsNoResponse(t *testing.T) {
+	is := is.New(t)
+	near, far := net.Pipe()
+	c := &conn{raw: near, server: New(nil, nil, 1, nil, time.Now, nil), answered: true}
+	c.interruptRead()
+	go func() { _, _ = far.Write([]byte("r")) }()
+	_, err := near.Read(make([]byte, 1))
+	is.NoErr(err)
+}
