--- a/internal/caller/intake/intake.go
+++ b/internal/caller/intake/intake.go
@@ -20,6 +20,8 @@
 const (
 	// copies is how often the bytes of a body are held: as received, as parsed, and as sent to an upstream.
 	copies = 3
+	// growthParts is the reciprocal of the share by which a hold grows beyond the bytes that were received. A doubled one would refuse bodies that fit.
+	growthParts = 8
 	// stallTimeout is how long a body may take for memory.ProgressBytes of it. There is no bound on the whole body.
 	stallTimeout = 30 * time.Second
 	// minRetryAfter and maxRetryAfter bound the delay after which a caller should come back whose request found no memory. It is drawn at
@@ -99,11 +101,7 @@
 	if want <= b.granted {
 		return b.hold.Err()
 	}
-	size := max(b.granted, memory.FreeSize)
-	for size < want {
-		size *= 2
-	}
-	size = min(size, max(b.most, want))
+	size := min(max(want+want/growthParts, memory.FreeSize), b.most)
 	if err := b.hold.Grow(time.Now(), size); err != nil {
 		return err
 	}
--- a/internal/caller/intake/intake_test.go
+++ b/internal/caller/intake/intake_test.go
@@ -56,3 +56,15 @@
 	r.ContentLength = 4
 	h.ServeHTTP(httptest.NewRecorder(), r)
 }
+
+// TestBodyIsGrantedHalfOfWhatIsFree guards against a body that is refused on an idle host although three times its bytes fit, since its memory was
+// rounded up to the next power of two.
+func TestBodyIsGrantedHalfOfWhatIsFree(t *testing.T) {
+	is := is.New(t)
+	const size = 1 << 20
+	h := Handler(memory.New(2*(copies*size+size/2)), http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(r.Body)
+		is.NoErr(err)
+	}), func(*http.Request) int64 { return 8 * size })
+	h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", bytes.NewReader(make([]byte, size))))
+}
