Wait for no TLS client when its connection is closed for a new one

The server accepts connections one after the other, and closing a TLS connection writes an alert with a deadline of five seconds. A client with full buffers that reads nothing held up all others that long.

Evidence: TestNewConnectionWaitsForNoOther failed before (5 s).

--- a/internal/caller/intake/conns.go
+++ b/internal/caller/intake/conns.go
@@ -73,11 +73,19 @@
 		}
 		c.evicted.Inc()
 		delete(c.open, victim.raw)
-		_ = victim.raw.Close() // ends its read; a request that was not read whole does not run
+		_ = transport(victim.raw).Close() // ends its read; a request that was not read whole does not run
 	}
 	c.open[raw] = &conn{raw: raw, client: client, since: time.Now(), unfinished: map[*memory.Hold]struct{}{}}
 }
 
+// transport returns the connection below TLS. To close a TLS connection sends an alert, which waits for a client that does not read.
+func transport(raw net.Conn) net.Conn {
+	if t, ok := raw.(interface{ NetConn() net.Conn }); ok {
+		return t.NetConn()
+	}
+	return raw
+}
+
 // takeLeastActive returns the connection without a request under way that has been idle or without progress for longest, of the client with most
 // connections, and marks it as closed. The caller holds c.mu.
 func (c *Conns) takeLeastActive() *conn {
--- a/internal/caller/intake/conns_test.go
+++ b/internal/caller/intake/conns_test.go
@@ -1,6 +1,7 @@
 package intake_test
 
 import (
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -95,3 +96,25 @@
 		is.NoErr(end.Close())
 	}
 }
+
+// TestNewConnectionWaitsForNoOther guards against a TLS client that reads nothing: the alert that closes its connection blocks for up to five seconds,
+// and no other connection was accepted meanwhile.
+func TestNewConnectionWaitsForNoOther(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewUnstartedServer(nil)
+	s.StartTLS() // for its certificate
+	defer s.Close()
+	near, far := net.Pipe()
+	server := tls.Server(near, s.TLS)
+	shaken := make(chan error, 1)
+	go func() { shaken <- server.Handshake() }()
+	client := tls.Client(far, &tls.Config{InsecureSkipVerify: true, MaxVersion: tls.VersionTLS12}) //nolint:gosec // the server's certificate is a test's
+	is.NoErr(client.Handshake())
+	is.NoErr(<-shaken)
+	conns := intake.NewConns(1, metrics.NewSet().NewCounter("evicted"))
+	conns.Track(server, http.StateNew)
+	begin := time.Now()
+	next, _ := net.Pipe()
+	conns.Track(next, http.StateNew)
+	is.True(time.Since(begin) < 4*time.Second) // crypto/tls waits for 5 s
+}
