--- /dev/null
+++ b/internal/caller/intake/conns_test.go
@@ -0,0 +1,120 @@
+package intake_test
+
+import (
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+
+	"hickorypath/internal/caller/intake"
+	"hickorypath/internal/policy/memory"
+)
+
+const testTimeout = 10 * time.Second
+
+// TestUnfinishedBodyMakesRoomForANewConnection guards against connections with bodies that stall and keep new callers out.
+func TestUnfinishedBodyMakesRoomForANewConnection(t *testing.T) {
+	is := is.New(t)
+	conns := intake.NewConns(1, metrics.NewSet().NewCounter("evicted"))
+	read := make(chan struct{}, 1)
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		var b [1]byte
+		_, _ = r.Body.Read(b[:])
+		read <- struct{}{}
+		_, _ = io.ReadAll(r.Body)
+	})
+	s := httptest.NewUnstartedServer(intake.Handler(memory.New(1<<20), handler, func(*http.Request) int64 { return 1 << 20 }))
+	s.Config.ConnState, s.Config.ConnContext = conns.Track, conns.Context
+	s.Start()
+	defer s.Close()
+	stalled, err := net.Dial("tcp", s.Listener.Addr().String())
+	is.NoErr(err)
+	defer stalled.Close()
+	_, err = fmt.Fprint(stalled, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nx")
+	is.NoErr(err)
+	<-read
+	client := &http.Client{Timeout: testTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	res, err := client.Get(s.URL)
+	is.NoErr(err)
+	is.NoErr(res.Body.Close())
+}
+
+// TestConnectionWithARequestUnderWayStaysOpen guards against HTTP/2 connections that are closed for new ones because one of their streams stalls
+// while another has a request under way.
+func TestConnectionWithARequestUnderWayStaysOpen(t *testing.T) {
+	is := is.New(t)
+	conns := intake.NewConns(1, metrics.NewSet().NewCounter("evicted"))
+	started, finish := make(chan struct{}), make(chan struct{})
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/stalled" {
+			started <- struct{}{}
+			_, _ = io.ReadAll(r.Body)
+			return
+		}
+		_, _ = io.ReadAll(r.Body)
+		started <- struct{}{}
+		<-finish
+	})
+	s := httptest.NewUnstartedServer(intake.Handler(memory.New(1<<20), handler, func(*http.Request) int64 { return 1 << 20 }))
+	s.Config.ConnState, s.Config.ConnContext = conns.Track, conns.Context
+	s.EnableHTTP2 = true
+	s.StartTLS()
+	defer s.Close()
+	for _, body := range []string{"", "whole"} {
+		client := s.Client()
+		answered := make(chan error, 1)
+		go func() {
+			res, err := client.Post(s.URL+"/under-way", "", strings.NewReader(body))
+			if err == nil {
+				err = res.Body.Close()
+			}
+			answered <- err
+		}()
+		<-started
+		unfinished, end := io.Pipe()
+		go func() {
+			if res, err := client.Post(s.URL+"/stalled", "", unfinished); err == nil { // it ends with its body
+				_ = res.Body.Close()
+			}
+		}()
+		<-started
+		conn, err := net.Dial("tcp", s.Listener.Addr().String())
+		is.NoErr(err)
+		_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+		_, _ = conn.Read(make([]byte, 1)) // the server closes one of the two connections
+		is.NoErr(conn.Close())
+		finish <- struct{}{}
+		is.NoErr(<-answered)
+		is.NoErr(end.Close())
+	}
+}
+
+// TestNewConnectionWaitsForNoOther guards against a TLS client that reads nothing: the alert that closes its connection blocks for up to five seconds,
+// and no other connection was accepted meanwhile.
+func TestNewConnectionWaitsForNoOther(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewUnstartedServer(nil)
+	s.StartTLS() // for its certificate
+	defer s.Close()
+	near, far := net.Pipe()
+	server := tls.Server(near, s.TLS)
+	shaken := make(chan error, 1)
+	go func() { shaken <- server.Handshake() }()
+	client := tls.Client(far, &tls.Config{InsecureSkipVerify: true, MaxVersion: tls.VersionTLS12}) //nolint:gosec // the server's certificate is a test's
+	is.NoErr(client.Handshake())
+	is.NoErr(<-shaken)
+	conns := intake.NewConns(1, metrics.NewSet().NewCounter("evicted"))
+	conns.Track(server, http.StateNew)
+	begin := time.Now()
+	next, _ := net.Pipe()
+	conns.Track(next, http.StateNew)
+	is.True(time.Since(begin) < 4*time.Second) // crypto/tls waits for 5 s
+}
--- a/internal/caller/intake/intake.go
+++ b/internal/caller/intake/intake.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,6 +20,8 @@
 const (
 	// copies is how often the bytes of a body are held: as received, as parsed, and as sent to an upstream.
 	copies = 3
+	// growthParts is the reciprocal of the share by which a hold grows beyond the bytes that were received. A doubled one would refuse bodies that fit.
+	growthParts = 8
 	// stallTimeout is how long a body may take for memory.ProgressBytes of it. There is no bound on the whole body.
 	stallTimeout = 30 * time.Second
 	// minRetryAfter and maxRetryAfter bound the delay after which a caller should come back whose request found no memory. It is drawn at
@@ -31,17 +34,23 @@
 // of a request next keeps at a time.
 func Handler(a *memory.Account, next http.Handler, maxBuffered func(*http.Request) int64) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn := connOf(r)
 		if r.Body == nil || r.Body == http.NoBody {
+			if !conn.begin(nil) {
+				panic(http.ErrAbortHandler) // no response, not an empty one
+			}
+			defer conn.end(nil)
 			next.ServeHTTP(w, r)
 			return
 		}
-		b := &body{ReadCloser: r.Body, rc: http.NewResponseController(w), conn: connOf(r), most: copies * maxBuffered(r)}
+		b := &body{ReadCloser: r.Body, rc: http.NewResponseController(w), conn: conn, length: r.ContentLength, most: copies * maxBuffered(r)}
 		client, _, _ := net.SplitHostPort(r.RemoteAddr)
 		b.hold = a.Open(time.Now(), memory.Unfinished, client, b.interrupt)
 		defer b.hold.Close()
-		b.conn.setUnfinished(b.hold)
-		defer b.conn.setUnfinished(nil)
-		_ = b.rc.SetReadDeadline(time.Now().Add(stallTimeout)) // the connections of other hosts have no deadlines
+		defer b.release()
+		conn.beginRead(b.hold)
+		defer conn.end(b.hold)
+		b.setReadDeadline(time.Now().Add(stallTimeout))
 		r.Body = b
 		next.ServeHTTP(w, r)
 	})
@@ -53,11 +62,16 @@
 	rc       *http.ResponseController
 	conn     *conn
 	hold     *memory.Hold
+	length   int64 // of the whole body, -1 if unknown
 	most     int64 // bytes to hold
 	granted  int64 // bytes held
 	received int64
 	progress int64 // bytes received since the last progress of the hold
 	ended    bool
+
+	mu          sync.Mutex
+	interrupted bool // reads were interrupted to give up the request
+	released    bool // the deadline of the connection is no longer that of this request
 }
 
 // Read implements io.Reader. An error of kind Overload means that the body was given up because memory is short.
@@ -68,13 +82,13 @@
 		b.progress = 0
 		now := time.Now()
 		b.hold.Progress(now)
-		_ = b.rc.SetReadDeadline(now.Add(stallTimeout)) // it is set again below if the hold was evicted
+		b.setReadDeadline(now.Add(stallTimeout))
 	}
 	if growErr := b.grow(); growErr != nil {
 		b.interrupt()
 		return 0, overloadError(growErr)
 	}
-	if err != nil && !b.ended {
+	if isWhole := err == nil && b.received == b.length; (isWhole || err != nil) && !b.ended {
 		b.ended = true
 		err = b.end(err)
 	}
@@ -87,11 +101,7 @@
 	if want <= b.granted {
 		return b.hold.Err()
 	}
-	size := max(b.granted, memory.FreeSize)
-	for size < want {
-		size *= 2
-	}
-	size = min(size, max(b.most, want))
+	size := min(max(want+want/growthParts, memory.FreeSize), b.most)
 	if err := b.hold.Grow(time.Now(), size); err != nil {
 		return err
 	}
@@ -99,24 +109,51 @@
 	return nil
 }
 
-// end handles the end of the body, or the failure of a read.
+// end handles the end of the body, or the failure of a read. The reader may not ask for the io.EOF behind a body of known length, so that its last byte
+// is its end, with a nil err.
 func (b *body) end(err error) error {
-	if !errors.Is(err, io.EOF) {
+	if err != nil && !errors.Is(err, io.EOF) {
 		if b.hold.Err() != nil {
 			return overloadError(b.hold.Err())
 		}
 		return err
 	}
-	b.conn.setUnfinished(nil)
+	b.setReadDeadline(time.Time{})
+	b.release()
 	if evicted := b.hold.Complete(); evicted != nil {
 		return overloadError(evicted)
 	}
-	_ = b.rc.SetReadDeadline(time.Time{})
+	if !b.conn.begin(b.hold) {
+		return overloadError(net.ErrClosed)
+	}
 	return err
 }
 
+// setReadDeadline sets the deadline of reads, unless they were interrupted.
+func (b *body) setReadDeadline(t time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.interrupted && !b.released {
+		_ = b.rc.SetReadDeadline(t) // the connections of other hosts have no deadlines
+	}
+}
+
 // interrupt ends the current read and all later ones.
-func (b *body) interrupt() { _ = b.rc.SetReadDeadline(time.Unix(1, 0)) }
+func (b *body) interrupt() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.interrupted = true; !b.released {
+		_ = b.rc.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// release ends the use of the connection's deadline, at the end of the body or of the request. The connection may carry another request then, and
+// over HTTP/2 the deadline of a request that has ended must not be set. The last deadline stays, for the server discards what was not read.
+func (b *body) release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.released = true
+}
 
 func overloadError(err error) error {
 	return kind.Wrap(err, kind.Overload, "the host has no memory for the request").WithRan(kind.RanNo).WithRetry(minRetryAfter + rand.N(maxRetryAfter-minRetryAfter))
@@ -130,15 +167,17 @@
 	return kind.Wrap(err, kind.Canceled, "the body did not arrive whole").WithRan(kind.RanNo)
 }
 
-// connKey is the context key of the connection of a request.
+// connKey is the context key of a function that returns the connection of a request.
 type connKey struct{}
 
 func connOf(r *http.Request) *conn {
-	c, _ := r.Context().Value(connKey{}).(*conn)
-	return c
+	if find, ok := r.Context().Value(connKey{}).(func() *conn); ok {
+		return find()
+	}
+	return nil
 }
 
-// Context is the ConnContext of a server whose connections are tracked by c.
+// Context is the ConnContext of a server whose connections are tracked by c. The server calls it before Track.
 func (c *Conns) Context(ctx context.Context, raw net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c.find(raw))
+	return context.WithValue(ctx, connKey{}, func() *conn { return c.find(raw) })
 }
