Bound heads, streams and kernel buffers of the connections to serve

Found by the review of the account: 400 connections with heads of 60 KiB in short fields took 431 MB of a host of 192 MB, since net/http makes up to 15 times as much of such a head, and nothing counted it; an HTTP/2 connection could carry 250 requests; the kernel's buffers could grow to megabytes.

Idle connections to the operators' address are closed after 15 s, so that they cannot keep operators out for two minutes.

Two tests of the review no longer depend on the wall clock: TestNewConnectionWaitsForNoOther looks for the alert in place of its five seconds, and TestContinueOnAUsedConnection sets the deadline that has passed in place of waiting for it.

--- a/cmd/hickorypath/gatewaylimits.go
+++ b/cmd/hickorypath/gatewaylimits.go
@@ -20,7 +20,7 @@
 	// has given back is garbage for a while.
 	accountParts = 6
 	// connMemory is the memory of a connection that holds no request: buffers of the process and of the kernel.
-	connMemory = 64 << 10
+	connMemory = 128 << 10
 	// reservedDescriptors is the number of file descriptors that are not for sockets. Callers' connections may use connShare of connParts of the
 	// others, so that there are some left for upstreams, the store and other hosts.
 	reservedDescriptors = 200
--- a/cmd/hickorypath/host.go
+++ b/cmd/hickorypath/host.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -49,8 +50,9 @@
 // Bounds on the callers' and operators' connections.
 const (
 	callerIdleTimeout = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
+	maxHeaderBytes    = 16 << 10
 	maxAdminConns     = 128
+	adminIdleTimeout  = 15 * time.Second
 )
 
 // host is one instance of the router with its listeners and components.
@@ -90,17 +92,20 @@
 	conns := intake.NewConns(maxServeConns(h.memory), get[*metrics.Set](h.injector).NewCounter("hickorypath_connections_evicted_total"))
 	h.caller = &http.Server{
 		Handler: h.callerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: conns.Track, ConnContext: conns.Context, ErrorLog: zap.NewStdLog(h.log),
+		ConnState: conns.Track, ConnContext: conns.Context, HTTP2: newHTTP2Config(), ErrorLog: zap.NewStdLog(h.log),
 	}
 	h.admin = &http.Server{
-		Handler: h.adminHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(h.log),
+		Handler: h.adminHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: adminIdleTimeout, MaxHeaderBytes: maxHeaderBytes, HTTP2: newHTTP2Config(), ErrorLog: zap.NewStdLog(h.log),
 	}
 	h.adminLn = netutil.LimitListener(h.adminLn, maxAdminConns)
 	return h, nil
 }
 
 func listen(l settings.Listener) (net.Listener, error) {
-	conf := net.ListenConfig{KeepAliveConfig: sockopt.KeepAlive(), Control: sockopt.Control} // to detect callers that are gone
+	buffers := sockopt.ControlBuffers(serveSocketBuffer)
+	conf := net.ListenConfig{KeepAliveConfig: sockopt.KeepAlive(), Control: func(network, address string, raw syscall.RawConn) error {
+		return errors.Join(sockopt.Control(network, address, raw), buffers(network, address, raw)) // the first detects callers that are gone
+	}}
 	ln, err := conf.Listen(context.Background(), "tcp", l.Listen)
 	if err != nil {
 		return nil, kind.Wrap(err, kind.Settings, "cannot listen on the address %s", l.Listen)
--- a/cmd/hickorypath/hostcrowd_test.go
+++ b/cmd/hickorypath/hostcrowd_test.go
@@ -34,6 +34,7 @@
 		name, path, framing string
 		parts               [][]byte
 	}{
+		{"heads of many fields, without an end", "/v1/chat/completions", strings.Repeat("N:\r\n", 150_000), nil},
 		{"length", "/v1/chat/completions", length, [][]byte{body}},
 		{"length, in pieces", "/v1/chat/completions", length, [][]byte{body[:1<<20], body[1<<20 : 2<<20], body[2<<20:]}},
 		{"one chunk", "/v1/chat/completions", chunked, [][]byte{chunk(body)[:len(body)]}},
@@ -53,7 +54,10 @@
 						return
 					}
 					t.Cleanup(func() { _ = conn.Close() })
-					head := fmt.Appendf(nil, "POST %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: crowd%d\r\nAuthorization: Bearer %s\r\n%s\r\n", c.path, n, p.keys[demoCustomer], c.framing)
+					head := fmt.Appendf(nil, "POST %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: crowd%d\r\nAuthorization: Bearer %s\r\n%s", c.path, n, p.keys[demoCustomer], c.framing)
+					if c.parts != nil {
+						head = append(head, "\r\n"...)
+					}
 					write(conn, append([][]byte{head}, c.parts...)...)
 				})
 			}
--- a/internal/caller/intake/conns_test.go
+++ b/internal/caller/intake/conns_test.go
@@ -1,7 +1,6 @@
 package intake_test
 
 import (
-	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -97,24 +96,30 @@
 	}
 }
 
+// tlsConn is a connection whose Close would send an alert, like that of a tls.Conn.
+type tlsConn struct {
+	net.Conn
+	alerted bool
+}
+
+func (c *tlsConn) NetConn() net.Conn { return c.Conn }
+
+func (c *tlsConn) Close() error {
+	c.alerted = true
+	return c.Conn.Close()
+}
+
 // TestNewConnectionWaitsForNoOther guards against a TLS client that reads nothing: the alert that closes its connection blocks for up to five seconds,
 // and no other connection was accepted meanwhile.
 func TestNewConnectionWaitsForNoOther(t *testing.T) {
 	is := is.New(t)
-	s := httptest.NewUnstartedServer(nil)
-	s.StartTLS() // for its certificate
-	defer s.Close()
 	near, far := net.Pipe()
-	server := tls.Server(near, s.TLS)
-	shaken := make(chan error, 1)
-	go func() { shaken <- server.Handshake() }()
-	client := tls.Client(far, &tls.Config{InsecureSkipVerify: true, MaxVersion: tls.VersionTLS12}) //nolint:gosec // the server's certificate is a test's
-	is.NoErr(client.Handshake())
-	is.NoErr(<-shaken)
+	first := &tlsConn{Conn: near}
 	conns := intake.NewConns(1, metrics.NewSet().NewCounter("evicted"))
-	conns.Track(server, http.StateNew)
-	begin := time.Now()
+	conns.Track(first, http.StateNew)
 	next, _ := net.Pipe()
 	conns.Track(next, http.StateNew)
-	is.True(time.Since(begin) < 4*time.Second) // crypto/tls waits for 5 s
+	_, err := far.Read(make([]byte, 1))
+	is.Equal(err, io.EOF) // it was closed
+	is.True(!first.alerted)
 }
--- a/internal/gateway/frontend/continue_test.go
+++ b/internal/gateway/frontend/continue_test.go
@@ -19,10 +19,6 @@
 // TestContinueOnAUsedConnection guards against a write deadline that stays from an earlier response and fails the interim response to a later
 // request.
 func TestContinueOnAUsedConnection(t *testing.T) {
-	const (
-		writeTimeout = 5 * time.Second // of the server
-		timeLeft     = 100 * time.Millisecond
-	)
 	is := is.New(t)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
@@ -31,11 +27,12 @@
 	},
 		func() config.Limits {
 			return config.Limits{MaxHeadBytes: 1 << 10, MaxBodyBytes: 1 << 10, HeadTimeout: time.Minute, IdleTimeout: time.Minute}
-		}, 10, memory.New(1<<20), func() time.Time { return time.Now().Add(timeLeft - writeTimeout) }, zap.NewNop())
+		}, 10, memory.New(1<<20), time.Now, zap.NewNop())
+	listener := &acceptListener{Listener: l, accepted: make(chan net.Conn, 1)}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = s.Serve(t.Context(), l)
+		_ = s.Serve(t.Context(), listener)
 	}()
 	c, err := net.Dial("tcp4", l.Addr().String())
 	is.NoErr(err)
@@ -51,7 +48,7 @@
 		return res.StatusCode
 	}
 	is.Equal(ask("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), http.StatusTeapot)
-	time.Sleep(2 * timeLeft)
+	is.NoErr((<-listener.accepted).SetWriteDeadline(time.Unix(1, 0))) // that of the first response has passed
 	is.Equal(ask("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n"), http.StatusContinue)
 	is.Equal(ask("body"), http.StatusTeapot)
 	is.NoErr(l.Close())
