Weigh a cached prefix against the wait, the speed and the memory of its upstream

An upstream that holds the beginning of a prompt answers sooner, but only while it has memory and room.

For services whose upstreams report their speed, the prefill speed is learned from first events, a report multiplies the cost and decays with 300 ms, a prefix counts as far as the memory that is left can hold it, and requests that have to be dropped are charged. Other services are served as before.

--- a/internal/gateway/exchange/admit.go
+++ b/internal/gateway/exchange/admit.go
@@ -131,7 +131,7 @@
 	}
 	hosts := x.opts.HostCount() // each host has its own queue in front of the same instances
 	ahead := float64(s.queue.TokensAhead(e.rank()) * hosts)
-	return time.Duration(ahead / (readTokensPerMs * float64(max(n, 1))) * float64(time.Millisecond))
+	return time.Duration(ahead / (s.prefillPerMs() * float64(max(n, 1))) * float64(time.Millisecond))
 }
 
 // isBeyondLimits reports whether the limits and pauses of the instances that may take the request keep it waiting for longer than
--- a/internal/gateway/exchange/advisory.go
+++ b/internal/gateway/exchange/advisory.go
@@ -18,6 +18,11 @@
 	if r.HasLoad {
 		i.SetLoad(upstream.Load{Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Slowdown: r.Slowdown, At: now})
 	}
+	if r.Slowdown > 0 {
+		x.mu.Lock()
+		x.service(i.Entry().Service).reportsSpeed = true
+		x.mu.Unlock()
+	}
 	n := i.RecordAdvisory(now, sentAt, s)
 	if n.Brittle {
 		x.opts.Log.Info("upstream states whether it is brittle", zap.String("upstream", i.ID()), zap.Bool("brittle", s.Brittle.IsStated()),
--- a/internal/gateway/exchange/exchanger.go
+++ b/internal/gateway/exchange/exchanger.go
@@ -80,6 +80,8 @@
 	loads        map[string]*place.Load // in-flight load of this host, by instance
 	queue        *waitqueue.Queue[*exchange]
 	latencies    *place.LatencyTracker
+	prefill      place.PrefillTracker
+	reportsSpeed bool                 // its instances state how long work takes
 	promptRate   meter                // prompt tokens that no other request shares
 	active       int                  // requests in flight
 	reservedList []*upstream.Instance // instance list from which reserved was computed
--- a/internal/gateway/exchange/place.go
+++ b/internal/gateway/exchange/place.go
@@ -51,7 +51,7 @@
 	now := x.opts.Now()
 	grace := x.opts.Table.RemovalGrace(now)
 	list := x.opts.Table.Service(e.service.Name)
-	model := model(e.service)
+	model := s.model(e.service)
 	req := place.Request{Parts: e.info.PromptParts, PromptTokens: e.info.PromptTokens, Zone: x.opts.Zone,
 		MemoryTokens: e.memoryTokens(), Urgent: e.isUrgent(), Objective: e.route.LatencyObjective}
 	holders := x.findPrefixHolders(s, list, req.Parts, now)
@@ -173,17 +173,18 @@
 		Zone: entry.Zone, Slots: entry.Slots, Load: s.load(entry.ID).Add(peers),
 		Cold: i.IsCold(now), Slowdown: s.latencies.Slowdown(entry.ID),
 	}
-	if now.Sub(reported.At) < maxLoadAge {
+	if age := now.Sub(reported.At); age < maxLoadAge {
 		v.Running = max(v.Running, reported.Running+reported.Waiting)
+		v.Report = place.Report{Slowdown: reported.Slowdown, Age: age}
 	}
 	return v
 }
 
 // model returns the performance model of a service's instances.
-func model(c *config.Service) place.CostModel {
+func (s *serviceState) model(c *config.Service) place.CostModel {
 	m := place.CostModel{DelayPerRunning: stepCost, CrossZonePenalty: crossZoneCost}
 	if c.Engine != nil {
-		m.PrefillPerMs = readTokensPerMs
+		m.PrefillPerMs, m.WeighsRoom = s.prefillPerMs(), s.reportsSpeed
 		if c.Engine.KVTokenBytes > 0 {
 			m.CopyPerMs = c.Engine.LinkMbps * 1e3 / 8 / c.Engine.KVTokenBytes
 		}
@@ -191,6 +192,14 @@
 	return m
 }
 
+// prefillPerMs returns the prefill speed of an instance, in prompt tokens per millisecond. It is learned where instances report their speed.
+func (s *serviceState) prefillPerMs() float64 {
+	if rate, ok := s.prefill.Rate(); ok && s.reportsSpeed {
+		return rate
+	}
+	return readTokensPerMs
+}
+
 // memoryTokens returns the engine memory that the request is expected to take, in tokens: its prompt and half of
 // its maximum output.
 func (e *exchange) memoryTokens() int { return e.info.PromptTokens + e.info.MaxOutputTokens/2 }
@@ -228,6 +237,7 @@
 	cachedTokens    int                // prompt tokens that the instance need not read
 	tokensAhead     int                // unread prompt tokens at the instance before this request
 	unreadTokens    int
+	promptUnread    int // unreadTokens before the first event
 	memoryTokens    int
 	sentAt          time.Time
 	expectedDelayMs float64 // expected time until the first event
@@ -243,8 +253,8 @@
 	now, id := x.opts.Now(), c.instance.ID()
 	r := &reservation{x: x, service: s, load: s.load(id), instanceID: id, memoryTokens: e.memoryTokens(), copySource: c.copySource, cachedTokens: c.cachedTokens, tokensAhead: c.tokensAhead}
 	r.unreadTokens = max(e.info.PromptTokens-c.cachedTokens, 0)
-	r.sentAt = now
-	if m := model(e.service); m.PrefillPerMs > 0 {
+	r.promptUnread, r.sentAt = r.unreadTokens, now
+	if m := s.model(e.service); m.PrefillPerMs > 0 {
 		r.expectedDelayMs = float64(r.load.PendingPrefill+r.unreadTokens) / m.PrefillPerMs
 	}
 	r.permit = c.instance.RecordSend()
@@ -268,7 +278,9 @@
 	r.unreadTokens = 0
 	if !r.sawFirstEvent {
 		r.sawFirstEvent = true
-		r.service.latencies.Observe(r.instanceID, float64(r.x.opts.Now().Sub(r.sentAt))/float64(time.Millisecond), r.expectedDelayMs)
+		delay := r.x.opts.Now().Sub(r.sentAt)
+		r.service.latencies.Observe(r.instanceID, float64(delay)/float64(time.Millisecond), r.expectedDelayMs)
+		r.service.prefill.Observe(r.promptUnread, r.tokensAhead, delay)
 	}
 	r.x.dispatch(r.service)
 }
@@ -319,4 +331,8 @@
 }
 
 // ReadRate returns the prefill speed of one instance of a service, in prompt tokens per second.
-func (x *Exchanger) ReadRate(string) float64 { return readTokensPerMs * 1000 }
+func (x *Exchanger) ReadRate(service string) float64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.service(service).prefillPerMs() * 1000
+}
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -55,6 +55,7 @@
 	Load                   // sum over all hosts, as far as known
 	MemoryCapacity int     // size of the KV cache in tokens; 0 for a service that is not an inference engine
 	Slowdown       float64 // observed latency relative to the expected one, 1 for a healthy upstream
+	Report         Report  // of its present speed
 	Cold           bool    // started recently
 	Brittle        bool    // fails if it has to reject requests for want of room
 	Reserved       bool    // reserved for short prompts
@@ -66,6 +67,8 @@
 	CopyPerMs        float64       // tokens copied per millisecond from another upstream's KV cache; 0 without such copies
 	DelayPerRunning  time.Duration // delay that each running request adds to a new one
 	CrossZonePenalty time.Duration // cost of sending to another availability zone, expressed as a delay
+	// WeighsRoom makes the cost follow the present speed and memory of the candidate: a cached prefix saves time only while there is room for it.
+	WeighsRoom bool
 }
 
 // Limits on what is sent to an upstream before its responses come back.
@@ -105,13 +108,20 @@
 	if c.Brittle {
 		share = 1
 	}
+	if m.WeighsRoom {
+		prefix.Local = c.keptTokens(r, prefix.Local)
+	}
 	if prefix.Local*2 > r.PromptTokens {
 		wait = max(wait, time.Duration(maxCachedWaitShare*float64(r.Objective)))
 	}
 	if c.Slots > 0 && c.Running >= c.Slots {
 		return false
 	}
-	if float64(c.PendingPrefill)/m.PrefillPerMs > float64(wait)/float64(time.Millisecond) {
+	slowdown := 1.0
+	if m.WeighsRoom {
+		slowdown = c.Report.expected()
+	}
+	if float64(c.PendingPrefill)/m.PrefillPerMs*slowdown > float64(wait)/float64(time.Millisecond) {
 		return false
 	}
 	return c.MemoryCapacity == 0 || float64(c.MemoryTokens+r.MemoryTokens) <= share*float64(c.MemoryCapacity)
@@ -137,6 +147,9 @@
 // Cost returns the expected delay of the request on a candidate plus the delay that the request causes to the others
 // there, in milliseconds.
 func (m CostModel) Cost(c Candidate, r Request, prefix CachedPrefix) float64 {
+	if m.WeighsRoom {
+		prefix.Local = c.keptTokens(r, prefix.Local)
+	}
 	cost, copyTokens := 0.0, m.TokensToCopy(prefix)
 	cached := prefix.Local + copyTokens
 	if m.PrefillPerMs > 0 {
@@ -147,6 +160,10 @@
 	}
 	cost += float64(c.Running) * float64(m.DelayPerRunning) / float64(time.Millisecond)
 	cost *= max(c.Slowdown, 1)
+	if m.WeighsRoom {
+		cost *= c.Report.expected()
+		cost += float64(c.overflowTokens(r)) / m.PrefillPerMs
+	}
 	if over := c.Running + 1 - c.Slots; over > 0 && c.Slots > 0 {
 		cost += overSlotsCostMs * float64(over)
 	}
