Send restricted requests only to the regions they allow

The field allowedRegions of routes and tenants was not read: requests whose route or customer is restricted to regions went to any upstream.

Settings keep the region of each zone. policy/home works out the zones that may serve a request; the exchange looks at them wherever it looks at an upstream, a source of a prompt prefix or a host to pass the request to, and again when the configuration changes. Where no upstream is left, the caller gets 503 with Retry-After at once. A request that waits for its zones does not hold up those that may use others.

--- a/internal/gateway/config/config.go
+++ b/internal/gateway/config/config.go
@@ -40,6 +40,7 @@
 	Priority         int           // 0 is the most urgent
 	AuthExempt       bool          // requests need no API key
 	Resumable        bool          // an interrupted stream may be continued at another upstream
+	Regions          []string      // that may serve the requests; empty for all
 }
 
 // IsRepeatable reports whether a request of the route may be run more than once.
@@ -51,8 +52,9 @@
 type Customer struct {
 	Name        string
 	APIKeys     []string
-	Priority    int  // priority of the customer's requests if HasPriority is set; takes precedence over the priority of the route
-	HasPriority bool // the configuration sets Priority
+	Priority    int      // priority of the customer's requests if HasPriority is set; takes precedence over the priority of the route
+	HasPriority bool     // the configuration sets Priority
+	Regions     []string // that may serve the requests, those of the route permitting; empty for all
 }
 
 // Engine holds the capacity of the upstreams of a service that runs a model with continuous batching.
--- a/internal/gateway/exchange/admit.go
+++ b/internal/gateway/exchange/admit.go
@@ -35,8 +35,8 @@
 	}
 	x.mu.Lock()
 	s := x.service(e.service.Name)
-	if s.queue.TokensAhead(e.rank()) == 0 {
-		if c, _ := x.place(s, e); c.instance != nil {
+	if s.ahead(e).tokens == 0 {
+		if c := x.placeBehind(s, e); c.instance != nil {
 			r := x.reserve(s, e, c)
 			x.mu.Unlock()
 			return c.instance, r, nil
@@ -55,6 +55,7 @@
 		x.mu.Unlock()
 		return admission{}.get()
 	}
+	s.addWaiting(x, e)
 	e.admitted = make(chan admission, 1)
 	item := s.queue.Push(x.opts.Now(), e, e.rank(), max(e.info.PromptTokens-sharedTokens(e.info.PromptParts), 1))
 	x.mu.Unlock()
@@ -98,7 +99,8 @@
 		}
 		e.admitted <- admission{c.instance, x.reserve(s, e, c)}
 		return true
-	}, func(*exchange) bool { return !usable })
+	}, func(e *exchange) bool { return !usable || s.awaits(e) })
+	s.awaited = s.awaited[:0]
 }
 
 // dispatchInterval is how often the queues are dispatched without an event on this host: the load of an instance
@@ -111,6 +113,7 @@
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		for name, s := range x.services {
+			x.updateHomes(s)
 			x.dispatch(s)
 			x.wakeForOthers(s, name)
 		}
@@ -125,12 +128,12 @@
 	}
 	now, n := x.opts.Now(), 0
 	for _, i := range x.opts.Table.Service(e.service.Name) {
-		if i.Status(now, 0) == upstream.Usable {
+		if i.Status(now, 0) == upstream.Usable && e.mayUse(i) {
 			n++
 		}
 	}
 	hosts := x.opts.HostCount() // each host has its own queue in front of the same instances
-	ahead := float64(s.queue.TokensAhead(e.rank()) * hosts)
+	ahead := float64(s.ahead(e).tokens * hosts)
 	return time.Duration(ahead / (readTokensPerMs * float64(max(n, 1))) * float64(time.Millisecond))
 }
 
@@ -140,7 +143,7 @@
 	now, fleet := x.opts.Now(), x.opts.Fleet()
 	grace, list := x.opts.Table.RemovalGrace(now), x.opts.Table.Service(e.service.Name)
 	lastResort := x.needsLastResort(list, e, now, grace)
-	ahead, sends, usable, paused := s.queue.Ahead(e.rank()), 0, 0, 0
+	ahead, sends, usable, paused := s.ahead(e).requests, 0, 0, 0
 	pause := advisory.MaxPause
 	for _, i := range list {
 		if !x.mayTake(i, i.Status(now, grace), lastResort, now) || e.hasFailedAt(i) || !e.mayRunAt(i) {
--- a/internal/gateway/exchange/brittle.go
+++ b/internal/gateway/exchange/brittle.go
@@ -45,13 +45,13 @@
 	s.wokenAt = now
 	free := x.opts.Helpers.Free(now, service)
 	s.queue.Dispatch(func(e *exchange) bool {
-		if free == 0 || e.order != nil {
+		if free == 0 || e.order != nil || e.home != nil && e.helpers().Free(now, service) == 0 {
 			return false
 		}
 		free--
 		e.admitted <- admission{}
 		return true
-	}, func(e *exchange) bool { return free > 0 && e.order != nil })
+	}, func(e *exchange) bool { return free > 0 && (e.order != nil || e.home != nil) })
 }
 
 // canceledWorkTime is how long a request that was given up may still take room at its upstream, which learns of it from the closed
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -12,6 +12,7 @@
 	"hickorypath/internal/gateway/frontend"
 	"hickorypath/internal/gateway/relay"
 	"hickorypath/internal/gateway/upstream"
+	"hickorypath/internal/policy/home"
 	"hickorypath/internal/policy/poison"
 )
 
@@ -27,7 +28,11 @@
 	route    *config.Route
 	customer *config.Customer
 	service  *config.Service
-	deadline time.Time // by which the response must be complete
+	// home holds the zones that may serve the request, nil for all, according to homeConfig; both are written under x.mu once the
+	// request waits or is sent.
+	home       *home.Zones
+	homeConfig *config.Config
+	deadline   time.Time // by which the response must be complete
 
 	admitted       chan admission // set while the request is queued
 	traits         []poison.Trait // what it may have in common with requests that break upstreams; the last one is the request itself
@@ -63,6 +68,7 @@
 	if e.route, e.customer, err = e.resolve(e.config); err != nil {
 		return err
 	}
+	e.updateHome(e.config)
 	e.setDeadline()
 	if err := e.checkDraining(); err != nil {
 		return err
@@ -120,6 +126,9 @@
 	}
 	e.x.countRequest(e.service.Name, e.x.opts.Now())
 	for {
+		if err := e.checkHome(); err != nil {
+			return err
+		}
 		if needed, usable := e.needsOtherHost(); needed {
 			err := e.relay(ctx)
 			if !usable || !errors.Is(err, errNoHelper) {
--- a/internal/gateway/exchange/exchanger.go
+++ b/internal/gateway/exchange/exchanger.go
@@ -16,6 +16,7 @@
 	"hickorypath/internal/gateway/upstream"
 	"hickorypath/internal/policy/advisory"
 	"hickorypath/internal/policy/budget"
+	"hickorypath/internal/policy/home"
 	"hickorypath/internal/policy/memory"
 	"hickorypath/internal/policy/place"
 	"hickorypath/internal/policy/poison"
@@ -24,11 +25,12 @@
 
 // Options are the settings and dependencies of an Exchanger.
 type Options struct {
-	Zone   string
-	Codec  Codec
-	Live   *config.Live
-	Table  *upstream.Table
-	Budget budget.Config
+	Zone    string
+	Regions map[string]string // region of each availability zone
+	Codec   Codec
+	Live    *config.Live
+	Table   *upstream.Table
+	Budget  budget.Config
 	// In one second, all hosts together may send a cold upstream ColdOvershoot times its rate and ColdSlack requests more.
 	ColdOvershoot, ColdSlack float64
 
@@ -87,6 +89,11 @@
 	wokenAt      time.Time            // when waiting requests last looked for hosts that may have more requests at brittle instances
 	updates      []timedUpdate        // recent cache updates to send to the other hosts, oldest first
 	tokensBuf    []int                // buffer for prefixHolders.cachedTokens
+	// hasRestricted is set while requests with a restriction to zones may wait; homeConfig is the configuration by which those of all
+	// waiting requests were last set, and awaited the zones for which requests wait that go before the one that is being placed.
+	hasRestricted bool
+	homeConfig    *config.Config
+	awaited       []*home.Zones
 }
 
 // New returns an Exchanger without any service state.
@@ -154,17 +161,17 @@
 	return w
 }
 
-// pickService draws one of a route's services at random, by weight.
-func pickService(r *config.Route) string {
+// pickService draws one of a list of backends at random, by weight, and returns its service.
+func pickService(backends []config.Backend) string {
 	total := 0.0
-	for _, b := range r.Backends {
+	for _, b := range backends {
 		total += b.Weight
 	}
 	point := rand.Float64() * total
-	for _, b := range r.Backends {
+	for _, b := range backends {
 		if point -= b.Weight; point < 0 {
 			return b.Service
 		}
 	}
-	return r.Backends[len(r.Backends)-1].Service
+	return backends[len(backends)-1].Service
 }
--- a/internal/gateway/exchange/hang.go
+++ b/internal/gateway/exchange/hang.go
@@ -48,7 +48,7 @@
 	hang := reach.Hang{Silent: silent, IsStream: e.route.Kind == config.Stream, IsCut: isCut, IsRefused: isCut && x.opts.Table.IsRefusing(service)}
 	since, last := x.opts.Table.Answers(service)
 	hang.Answered = w.Answered(now, silent, since, last)
-	if hang.IsOver() && (!hang.IsUnproven() || x.opts.Helpers.MayServe(now, service)) {
+	if hang.IsOver() && (!hang.IsUnproven() || e.helpers().MayServe(now, service)) {
 		giveUp(errCutOff)
 		return
 	}
--- a/internal/gateway/exchange/origin.go
+++ b/internal/gateway/exchange/origin.go
@@ -36,6 +36,9 @@
 		return kind.New(kind.Unavailable, "service %s is not configured", o.Service)
 	}
 	e.origin = &o
+	if err := e.checkHome(); err != nil {
+		return err
+	}
 	if !e.originServes() {
 		return kind.New(kind.Unavailable, "no upstream of %s runs version %s, which began the stream", o.Service, o.Version)
 	}
@@ -101,7 +104,8 @@
 	})
 }
 
-// mayRunAt reports whether the request may be sent to an instance: a stream that has begun goes on at its origin only.
+// mayRunAt reports whether the request may be sent to an instance: its zone must be allowed, and a stream that has begun goes on at its
+// origin only.
 func (e *exchange) mayRunAt(i *upstream.Instance) bool {
-	return e.origin == nil || e.x.opts.Table.MayContinue(*e.origin, i)
+	return e.mayUse(i) && (e.origin == nil || e.x.opts.Table.MayContinue(*e.origin, i))
 }
--- a/internal/gateway/exchange/place.go
+++ b/internal/gateway/exchange/place.go
@@ -54,7 +54,7 @@
 	model := model(e.service)
 	req := place.Request{Parts: e.info.PromptParts, PromptTokens: e.info.PromptTokens, Zone: x.opts.Zone,
 		MemoryTokens: e.memoryTokens(), Urgent: e.isUrgent(), Objective: e.route.LatencyObjective}
-	holders := x.findPrefixHolders(s, list, req.Parts, now)
+	holders := x.findPrefixHolders(s, e, list, now)
 	reserved := x.reservedInstances(s, e.service, list)
 	req.HasReserved = len(reserved) > 0
 	peerLoads := x.opts.PeerLoads(now)
@@ -68,6 +68,9 @@
 			continue
 		}
 		usable = true
+		if s.isAwaited(i) {
+			continue
+		}
 		x.setCold(e.service, i, now)
 		if i.PausedFor(now) > 0 || !i.MaySend(fleetTime, fleet) {
 			continue
--- a/internal/gateway/exchange/prefixholders.go
+++ b/internal/gateway/exchange/prefixholders.go
@@ -34,8 +34,9 @@
 	cachedTokens int
 }
 
-// findPrefixHolders returns the instances whose caches hold the beginning of a prompt.
-func (x *Exchanger) findPrefixHolders(s *serviceState, list []*upstream.Instance, parts []place.PromptPart, now time.Time) prefixHolders {
+// findPrefixHolders returns the instances whose caches hold the beginning of the prompt of e, as far as e may use them.
+func (x *Exchanger) findPrefixHolders(s *serviceState, e *exchange, list []*upstream.Instance, now time.Time) prefixHolders {
+	parts := e.info.PromptParts
 	s.tokensBuf = append(s.tokensBuf[:0], make([]int, len(list))...)
 	holders := prefixHolders{large: len(list) >= largeServiceSize, sharedTokens: sharedTokens(parts), cachedTokens: s.tokensBuf}
 	if len(parts) == 0 {
@@ -43,7 +44,7 @@
 	}
 	for n, i := range list {
 		holders.cachedTokens[n] = s.cache.CachedTokens(now, i.ID(), parts)
-		if status := i.Status(now, 0); i.IsRemoved() || status == upstream.Down || status == upstream.Evacuated {
+		if status := i.Status(now, 0); i.IsRemoved() || status == upstream.Down || status == upstream.Evacuated || !e.mayUse(i) {
 			continue // a draining instance still serves copies from its cache
 		}
 		switch h := (prefixHolder{i, holders.cachedTokens[n]}); {
@@ -54,7 +55,7 @@
 		}
 	}
 	if n := len(parts); n > 1 && holders.sharedTokens >= minHomeTokens && (holders.large || !s.cache.Contains(now, parts[n-2].ID)) {
-		holders.home, holders.previousHome = homeInstances(list, parts[n-2].ID)
+		holders.home, holders.previousHome = homeInstances(e.usable(list), parts[n-2].ID)
 	}
 	return holders
 }
--- a/internal/gateway/exchange/prefixholders_test.go
+++ b/internal/gateway/exchange/prefixholders_test.go
@@ -50,7 +50,7 @@
 			list := table.Service("s")
 			home, previousHome := homeInstances(list, 7)
 			target := c.target(home.ID(), previousHome.ID())
-			holders := x.findPrefixHolders(s, list, parts, now)
+			holders := x.findPrefixHolders(s, &exchange{info: RequestInfo{PromptParts: parts}}, list, now)
 			for n, i := range list {
 				if i.ID() != target {
 					continue
--- a/internal/gateway/exchange/recheck.go
+++ b/internal/gateway/exchange/recheck.go
@@ -40,17 +40,24 @@
 	if r.permit, ok = i.RenewPermit(e.x.opts.FleetTime(), e.x.opts.Fleet(), r.permit); !ok {
 		return e.supersede(i)
 	}
-	if s := r.copySource; s != nil && table.Get(s.ID()) != s { // its address may be another instance's by now
+	if s := r.copySource; s != nil && (table.Get(s.ID()) != s || !e.mayUse(s)) { // its address may be another instance's by now
 		r.copySource = nil
 	}
 	return nil
 }
 
 // recheckConfig brings the request up to date with the configuration. It returns an error if the request's key or route is withdrawn,
-// or errSuperseded if the route leads to another service. A response that has begun goes on as it began.
+// or errSuperseded if the route leads to another service. A response that has begun goes on as it
+// began, but in the regions that are allowed now.
 func (e *exchange) recheckConfig() error {
 	c := e.x.opts.Live.Load()
-	if c == e.config || e.writer.IsStarted() {
+	if c == e.config {
+		return nil
+	}
+	if e.writer.IsStarted() {
+		e.x.mu.Lock()
+		e.updateHome(c)
+		e.x.mu.Unlock()
 		return nil
 	}
 	route, customer, err := e.resolve(c)
@@ -59,12 +66,13 @@
 	}
 	e.x.mu.Lock()
 	e.config, e.route, e.customer = c, route, customer
+	e.updateHome(c)
 	e.setMovable()
 	e.x.mu.Unlock()
 	leadsToService := slices.ContainsFunc(route.Backends, func(b config.Backend) bool { return b.Service == e.service.Name })
 	name := e.service.Name
 	if !leadsToService && e.origin == nil {
-		name = pickService(route)
+		name = e.drawService(route)
 	}
 	service := c.Service(name)
 	if service == nil || !leadsToService && e.origin != nil {
--- a/internal/gateway/exchange/relay.go
+++ b/internal/gateway/exchange/relay.go
@@ -49,7 +49,7 @@
 			}
 		}
 	}
-	return pickService(e.route)
+	return e.drawService(e.route)
 }
 
 // needsOtherHost reports whether the request should be sent through another host: no upstream takes it now, and this host is cut off from
@@ -65,9 +65,9 @@
 	c, usable := x.place(x.service(e.service.Name), e)
 	x.mu.Unlock()
 	switch {
-	case c.instance != nil, x.opts.Helpers.IsAlone(now):
+	case c.instance != nil, e.helpers().IsAlone(now):
 		return false, false
-	case !e.sawCut && x.opts.Helpers.Free(now, e.service.Name) == 0:
+	case !e.sawCut && e.helpers().Free(now, e.service.Name) == 0:
 		return false, false
 	}
 	return true, usable
@@ -83,7 +83,7 @@
 		return kind.Wrap(errNoHelper, kind.Unavailable, "the upstreams of %s are out of reach of this host too", e.service.Name)
 	}
 	begin := e.x.opts.Now()
-	helper, ok := e.x.opts.Helpers.Pick(begin, e.service.Name, e.config.Version(), e.helpersTried, !e.sawCut)
+	helper, ok := e.helpers().Pick(begin, e.service.Name, e.config.Version(), e.helpersTried, !e.sawCut)
 	if !ok {
 		return kind.Wrap(errNoHelper, kind.Unavailable, "no host reaches the upstreams of %s", e.service.Name).WithRetry(e.spreadRetryAfter())
 	}
@@ -107,13 +107,13 @@
 		}
 		isFault := relay.IsFaultOfHost(kind.From(err))
 		switch {
-		case ctx.Err() != nil:
+		case ctx.Err() != nil, errors.Is(err, errForeignHost):
 		case isFault || a.result == kind.Lost && a.framing == "": // it has said so, or has not answered
 			helper.RecordUnable(e.x.opts.Now(), e.service.Name)
 		default:
 			helper.RecordReached(e.service.Name)
 		}
-		if isFault { // what the other host says of the key or the route is not what this one has found
+		if isFault && !errors.Is(err, errForeignHost) { // what the other host says of the key or the route is not what this one has found
 			err = kind.Wrap(err, kind.Unavailable, "%s cannot serve the request", helper.Name()).WithRetry(e.spreadRetryAfter())
 		}
 	}
@@ -145,6 +145,10 @@
 		c.Return(e.x.opts.Now())
 		return err
 	}
+	if !e.mayPassTo(i.Entry().Zone) {
+		c.Return(e.x.opts.Now())
+		return kind.Wrap(errForeignHost, kind.Unavailable, "%s may not get the request any more", helper.Name()).WithRetry(e.spreadRetryAfter())
+	}
 	order := relay.Order{Host: e.x.opts.Host, Service: e.service.Name, Runs: e.possibleRuns, Config: e.config.Version()}
 	if e.origin != nil {
 		order.Origin = *e.origin
--- a/internal/gateway/relay/helpers.go
+++ b/internal/gateway/relay/helpers.go
@@ -35,7 +35,11 @@
 // Helpers are the hosts through which this host sends requests. It is safe for concurrent use.
 type Helpers struct {
 	opts Options
+	*known
+}
 
+// known is what is known of the hosts. It is shared by Helpers that differ in the hosts that they may use.
+type known struct {
 	mu     sync.Mutex
 	byName map[string]*Helper
 	unable map[string]int // by service, hosts in a row that were asked and did not reach it either
@@ -43,7 +47,7 @@
 
 // Helper is a host through which this host sends requests.
 type Helper struct {
-	helpers  *Helpers
+	helpers  *known
 	name     string
 	address  string
 	instance *upstream.Instance
@@ -65,7 +69,16 @@
 
 // NewHelpers returns Helpers without connections.
 func NewHelpers(o Options) *Helpers {
-	return &Helpers{opts: o, byName: map[string]*Helper{}, unable: map[string]int{}}
+	return &Helpers{opts: o, known: &known{byName: map[string]*Helper{}, unable: map[string]int{}}}
+}
+
+// Within returns the Helpers that leave out the hosts in zones that are not allowed.
+func (h *Helpers) Within(allows func(zone string) bool) *Helpers {
+	all, opts := h.opts.Hosts, h.opts
+	opts.Hosts = func(now time.Time) []Host {
+		return lo.Filter(all(now), func(x Host, _ int) bool { return allows(x.Zone) })
+	}
+	return &Helpers{opts: opts, known: h.known}
 }
 
 // IsAlone reports whether there is no other host.
@@ -167,8 +180,8 @@
 	helper := h.byName[x.Name]
 	if helper == nil || helper.address != x.Address {
 		helper = &Helper{
-			helpers: h, name: x.Name, address: x.Address, cannot: map[string]time.Time{},
-			instance: upstream.NewInstance(upstream.Entry{ID: x.Name, Address: x.Address}, h.opts.Dial),
+			helpers: h.known, name: x.Name, address: x.Address, cannot: map[string]time.Time{},
+			instance: upstream.NewInstance(upstream.Entry{ID: x.Name, Address: x.Address, Zone: x.Zone}, h.opts.Dial),
 		}
 		h.byName[x.Name] = helper
 	}
--- a/internal/gateway/settings/settings.go
+++ b/internal/gateway/settings/settings.go
@@ -8,7 +8,8 @@
 type Settings struct {
 	Host          string
 	Zone          string
-	Zones         []string // all availability zones of the deployment
+	Zones         []string          // all availability zones of the deployment
+	Regions       map[string]string // region of each zone in Zones
 	IP            string
 	FirstStart    bool   // the deployment starts for the first time, so that nothing has run before
 	CallerAddress string // address on which requests of callers are accepted
--- a/internal/policy/waitqueue/waitqueue.go
+++ b/internal/policy/waitqueue/waitqueue.go
@@ -85,6 +85,15 @@
 	return n
 }
 
+// EachAhead calls f for the requests that would go before a new request with the given rank, in order.
+func (q *Queue[T]) EachAhead(rank int, f func(value T, tokens int)) {
+	for _, i := range q.items {
+		if i.rank <= rank {
+			f(i.value, i.tokens)
+		}
+	}
+}
+
 // Dispatch offers the requests in order to take, which reports whether the request could be placed. Placed
 // requests leave the queue. A request that could not be placed blocks all later requests, so that large requests
 // are not starved by small ones, unless skip reports that the request cannot use the capacity that the others
