Add the command explain, which tells where a request would go and why

Operators of gateway hosts could see the outcome of placing a request only afterwards, in logs, and not what ruled the other upstreams out.

The loop body of Exchanger.place is now placement.evaluate, which place and the new Exchanger.Explain share. CostModel.Cost is the total of the new CostModel.Breakdown, and CostModel.CanAccept asks the new Refusal for the bound. Explain answers limits from a copy of their state and creates no state for a service without requests. The port for metrics serves it as GET /explain; hickorypath explain prints it as a table or JSON.

--- a/cmd/hickorypath/command.go
+++ b/cmd/hickorypath/command.go
@@ -48,6 +48,7 @@
 	addUsage(app)
 	addBurn(app)
 	addStatus(app)
+	addExplain(app)
 	addVersion(app)
 }
 
@@ -164,7 +165,7 @@
 var remedies = map[kind.Kind]string{
 	kind.Unauthorized: "set HICKORYPATH_TOKEN or --token to an operator's token of that environment",
 	kind.NoRoute:      "HICKORYPATH_ADMIN or --admin must be the operators' address of a host, not the callers'",
-	kind.Unavailable:  "check that the host runs and that HICKORYPATH_ADMIN or --admin is its operators' address",
+	kind.Unavailable:  "check that the host runs and that HICKORYPATH_ADMIN or --admin (for explain --host) is its operators' address",
 }
 
 func errorDetail(err error) api.Detail {
--- a/cmd/hickorypath/gatewayprobes.go
+++ b/cmd/hickorypath/gatewayprobes.go
@@ -7,6 +7,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
+
+	"hickorypath/internal/operator/client"
 )
 
 // serveProbes answers readiness checks.
@@ -22,7 +24,7 @@
 	}
 }
 
-// serveMetrics registers the gauges of the gateway and serves the metrics of the process.
+// serveMetrics registers the gauges of the gateway and serves the metrics of the process, and explanations to operators.
 func (g *gateway) serveMetrics() {
 	l, err := net.Listen("tcp4", net.JoinHostPort(g.settings.IP, strconv.Itoa(metricsPort)))
 	if err != nil {
@@ -42,6 +44,7 @@
 	g.registerEvacuations()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("GET "+client.ExplainPath, g.serveExplanation)
 	if err := newInternalServer(mux, internalReadTimeout).Serve(g.limitInternal(l)); err != nil {
 		g.log.Error("metrics are not served", zap.Error(err))
 	}
--- a/internal/gateway/config/config.go
+++ b/internal/gateway/config/config.go
@@ -148,9 +148,34 @@
 // CustomerByKey returns the customer that holds an API key, nil if the key is unknown.
 func (c *Config) CustomerByKey(key string) *Customer { return c.customersByKey[key] }
 
+// CustomerByName returns the customer with a name, nil if there is none with a key. It looks at all customers.
+func (c *Config) CustomerByName(name string) *Customer {
+	for _, customer := range c.customersByKey {
+		if customer.Name == name {
+			return customer
+		}
+	}
+	return nil
+}
+
+// HasHost reports whether there are routes for a virtual host.
+func (c *Config) HasHost(host string) bool {
+	return len(c.routesOf(host)) > 0
+}
+
 // Match returns the route of a virtual host with the longest prefix that matches the path, nil if there is none. The
 // host is matched without its port and regardless of case.
 func (c *Config) Match(host, path string) *Route {
+	for _, r := range c.routesOf(host) {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// routesOf returns the routes of a virtual host.
+func (c *Config) routesOf(host string) []*Route {
 	if i := strings.IndexByte(host, ':'); i >= 0 {
 		host = host[:i]
 	}
@@ -158,10 +183,5 @@
 	if !ok {
 		list = c.routesByHost[strings.ToLower(host)]
 	}
-	for _, r := range list {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r
-		}
-	}
-	return nil
+	return list
 }
--- a/internal/gateway/exchange/admit.go
+++ b/internal/gateway/exchange/admit.go
@@ -155,8 +155,7 @@
 			pause = min(pause, p)
 			continue
 		}
-		x.setCold(e.service, i, now)
-		if sends += i.SendsWithin(x.opts.FleetTime(), fleet, maxWait, ahead+1); sends > ahead {
+		if sends += e.limitsOf(i, now).sendsWithin(x.opts.FleetTime(), fleet, maxWait, ahead+1); sends > ahead {
 			return 0, false
 		}
 	}
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -52,6 +52,7 @@
 	order        *relay.Order  // of the host for whose caller the request is relayed; nil for a request of this host's caller
 	helper       *relay.Helper // through which the current attempt is sent; nil for an attempt at an upstream
 	helpersTried []string      // names of the hosts through which the request was sent
+	explained    bool          // it is only explained: no state that placing depends on may change
 	sawCut       bool          // the service was out of reach when the request last looked for another host
 }
 
--- a/internal/gateway/exchange/exchanger.go
+++ b/internal/gateway/exchange/exchanger.go
@@ -147,12 +147,24 @@
 func (x *Exchanger) service(name string) *serviceState {
 	s := x.services[name]
 	if s == nil {
-		s = &serviceState{budget: budget.New(x.opts.Budget), cache: place.NewPrefixIndex(), loads: map[string]*place.Load{}, queue: waitqueue.New[*exchange](), latencies: place.NewLatencyTracker()}
+		s = x.newServiceState()
 		x.services[name] = s
 	}
 	return s
 }
 
+func (x *Exchanger) newServiceState() *serviceState {
+	return &serviceState{budget: budget.New(x.opts.Budget), cache: place.NewPrefixIndex(), loads: map[string]*place.Load{}, queue: waitqueue.New[*exchange](), latencies: place.NewLatencyTracker()}
+}
+
+// currentLoad returns a copy of the in-flight load of this host at an instance.
+func (s *serviceState) currentLoad(id string) place.Load {
+	if w := s.loads[id]; w != nil {
+		return *w
+	}
+	return place.Load{}
+}
+
 // load returns the in-flight load of this host at an instance.
 func (s *serviceState) load(id string) *place.Load {
 	w := s.loads[id]
--- a/internal/gateway/exchange/home.go
+++ b/internal/gateway/exchange/home.go
@@ -24,9 +24,13 @@
 	}
 	e.homeConfig = c
 	route, customer, err := e.resolve(c)
-	if err != nil {
-		return
+	if err == nil {
+		e.setHome(route, customer)
 	}
+}
+
+// setHome sets the zones that may serve the request according to its route and customer, which may be nil.
+func (e *exchange) setHome(route *config.Route, customer *config.Customer) {
 	var regions []string
 	if customer != nil {
 		regions = customer.Regions
--- a/internal/gateway/exchange/place.go
+++ b/internal/gateway/exchange/place.go
@@ -48,79 +48,203 @@
 // place returns the best instance for a request; choice.instance is nil if none accepts it now. usable is false
 // if the request could not be sent to any instance even if all were idle.
 func (x *Exchanger) place(s *serviceState, e *exchange) (best choice, usable bool) {
-	now := x.opts.Now()
-	grace := x.opts.Table.RemovalGrace(now)
-	list := x.opts.Table.Service(e.service.Name)
-	model := s.model(e.service)
-	req := place.Request{Parts: e.info.PromptParts, PromptTokens: e.info.PromptTokens, Zone: x.opts.Zone,
-		MemoryTokens: e.memoryTokens(), Urgent: e.isUrgent(), Objective: e.route.LatencyObjective}
-	holders := x.findPrefixHolders(s, e, list, now)
-	reserved := x.reservedInstances(s, e.service, list)
-	req.HasReserved = len(reserved) > 0
-	peerLoads := x.opts.PeerLoads(now)
-	fleet, fleetTime := x.opts.Fleet(), x.opts.FleetTime()
-	lastResort := x.needsLastResort(list, e, now, grace)
-	mayBeBrittle := x.opts.Table.MayBeBrittle(now, e.service.Name)
+	p := x.newPlacement(s, e)
+	var v evaluation
 	bestCost := 0.0
-	for n, i := range list {
-		status := i.Status(now, grace)
-		if !x.mayTake(i, status, lastResort, now) || e.hasFailedAt(i) || !e.mayRunAt(i) {
-			continue
-		}
-		usable = true
-		if s.isAwaited(i) {
-			continue
-		}
-		x.setCold(e.service, i, now)
-		if i.PausedFor(now) > 0 || !i.MaySend(fleetTime, fleet) {
-			continue
-		}
-		isBrittle := mayBeBrittle && i.IsBrittle(now)
-		if isBrittle && s.load(i.ID()).Running >= i.BrittleShare(now, fleet) {
-			continue
-		}
-		candidate := view(s, i, now, peerLoads[i.ID()])
-		candidate.Brittle = isBrittle
-		candidate.MemoryCapacity, candidate.Reserved = cacheCapacity(e.service), reserved[i.ID()]
-		cachedHere := holders.cachedTokens[n]
-		held := holders.held(i, cachedHere)
-		// Shared parts that the home instance is only expected to hold affect the choice, but are not counted as
-		// cached in the load.
-		known := cachedHere + model.TokensToCopy(held)
-		if holders.large && holders.home == i {
-			held.Local = max(held.Local, holders.sharedTokens) // hosts of other availability zones sent the shared parts there
-		}
-		if !model.CanAccept(candidate, req, held) {
-			continue
-		}
-		cost := model.Cost(candidate, req, held)
-		if status == upstream.Unconfirmed {
-			cost += unconfirmedCost
-		}
-		if holders.home == i {
-			cost -= homeBonus
-		}
-		if best.instance == nil || cost < bestCost {
-			best, bestCost = choice{instance: i, cachedTokens: known, tokensAhead: candidate.PendingPrefill}, cost
-			if model.CopyPerMs > 0 {
-				best.copySource = holders.copySource(i, cachedHere)
-			}
+	for n, i := range p.list {
+		p.evaluate(n, i, &v)
+		usable = usable || v.usable
+		if v.rule == "" && (best.instance == nil || v.cost() < bestCost) {
+			best, bestCost = p.choose(i, &v), v.cost()
 		}
 	}
 	return best, usable
 }
 
+// placement is what is the same for all instances that a request may be sent to.
+type placement struct {
+	x              *Exchanger
+	e              *exchange
+	s              *serviceState
+	now, fleetTime time.Time
+	grace          time.Duration
+	list           []*upstream.Instance
+	model          place.CostModel
+	request        place.Request
+	holders        prefixHolders
+	reserved       map[string]bool
+	peerLoads      map[string]place.Load
+	fleet          *advisory.Fleet
+	lastResort     bool
+	mayBeBrittle   bool
+}
+
+func (x *Exchanger) newPlacement(s *serviceState, e *exchange) placement {
+	now := x.opts.Now()
+	p := placement{
+		x: x, e: e, s: s, now: now, grace: x.opts.Table.RemovalGrace(now), list: x.opts.Table.Service(e.service.Name), model: s.model(e.service),
+		request: place.Request{
+			Parts: e.info.PromptParts, PromptTokens: e.info.PromptTokens, Zone: x.opts.Zone,
+			MemoryTokens: e.memoryTokens(), Urgent: e.isUrgent(), Objective: e.route.LatencyObjective,
+		},
+	}
+	p.holders = x.findPrefixHolders(s, e, p.list, now)
+	p.reserved = x.reservedInstances(s, e.service, p.list)
+	p.request.HasReserved = len(p.reserved) > 0
+	p.peerLoads = x.opts.PeerLoads(now)
+	p.fleet, p.fleetTime = x.opts.Fleet(), x.opts.FleetTime()
+	p.lastResort = x.needsLastResort(p.list, e, now, p.grace)
+	p.mayBeBrittle = x.opts.Table.MayBeBrittle(now, e.service.Name)
+	return p
+}
+
+// evaluation is the result for one instance.
+type evaluation struct {
+	rule      Rule // by which the instance is ruled out, empty if it may take the request
+	usable    bool // it could take the request if it were idle
+	status    upstream.Status
+	isBrittle bool
+	// The following are set by weigh.
+	candidate   place.Candidate
+	held        place.CachedPrefix
+	cachedHere  int // prompt tokens known to be cached at the instance
+	known       int // prompt tokens that the instance need not read
+	parts       place.Breakdown
+	unconfirmed float64 // cost of an instance that may be gone, in milliseconds
+	home        float64 // cost of the home instance, in milliseconds, which is a bonus
+}
+
+// cost returns the cost of sending the request to the instance, in milliseconds.
+func (v *evaluation) cost() float64 { return v.parts.Total + v.unconfirmed + v.home }
+
+// evaluate sets v to the result for instance i, the n-th of the list. The cost is set only if the instance may take the request.
+func (p *placement) evaluate(n int, i *upstream.Instance, v *evaluation) {
+	if v.rule = p.ruleOut(i, v); v.rule != "" {
+		return
+	}
+	p.view(n, i, v)
+	if v.rule = Rule(p.model.Refusal(v.candidate, p.request, v.held)); v.rule == "" {
+		p.weigh(i, v)
+	}
+}
+
+// ruleOut returns the rule by which instance i cannot take the request whatever the request weighs there, empty for none.
+func (p *placement) ruleOut(i *upstream.Instance, v *evaluation) Rule {
+	v.usable, v.isBrittle, v.status = false, false, i.Status(p.now, p.grace)
+	switch {
+	case !p.x.mayTake(i, v.status, p.lastResort, p.now):
+		return statusRule(v.status)
+	case p.e.hasFailedAt(i):
+		return RuleFailed
+	case !p.e.mayUse(i):
+		return RuleRegion
+	case !p.e.mayRunAt(i):
+		return RuleOrigin
+	}
+	v.usable = true
+	if p.s.isAwaited(i) {
+		return RuleAwaited
+	}
+	limits := p.e.limitsOf(i, p.now)
+	if i.PausedFor(p.now) > 0 {
+		return RulePaused
+	}
+	if !limits.maySend(p.fleetTime, p.fleet) {
+		return RuleLimit
+	}
+	v.isBrittle = p.mayBeBrittle && i.IsBrittle(p.now)
+	if v.isBrittle && p.s.currentLoad(i.ID()).Running >= i.BrittleShare(p.now, p.fleet) {
+		return RuleBrittle
+	}
+	return ""
+}
+
+// view sets what is known of instance i, the n-th of the list.
+func (p *placement) view(n int, i *upstream.Instance, v *evaluation) {
+	view(&v.candidate, p.s, i, p.now, p.peerLoads[i.ID()])
+	v.candidate.Brittle = v.isBrittle
+	v.candidate.MemoryCapacity, v.candidate.Reserved = cacheCapacity(p.e.service), p.reserved[i.ID()]
+	v.cachedHere = p.holders.cachedTokens[n]
+	v.held = p.holders.held(i, v.cachedHere)
+	// Shared parts that the home instance is only expected to hold affect the choice, but are not counted as
+	// cached in the load.
+	v.known = v.cachedHere + p.model.TokensToCopy(v.held)
+	if p.holders.large && p.holders.home == i {
+		v.held.Local = max(v.held.Local, p.holders.sharedTokens) // hosts of other availability zones sent the shared parts there
+	}
+}
+
+// weigh sets the cost of sending the request to instance i after view.
+func (p *placement) weigh(i *upstream.Instance, v *evaluation) {
+	v.parts = p.model.Breakdown(v.candidate, p.request, v.held)
+	v.unconfirmed, v.home = 0, 0
+	if v.status == upstream.Unconfirmed {
+		v.unconfirmed = unconfirmedCost
+	}
+	if p.holders.home == i {
+		v.home = -homeBonus
+	}
+}
+
+// choose returns the choice of instance i.
+func (p *placement) choose(i *upstream.Instance, v *evaluation) choice {
+	c := choice{instance: i, cachedTokens: v.known, tokensAhead: v.candidate.PendingPrefill}
+	if p.model.CopyPerMs > 0 {
+		c.copySource = p.holders.copySource(i, v.cachedHere)
+	}
+	return c
+}
+
 // setCold bounds the requests to an instance that is cold.
 func (x *Exchanger) setCold(s *config.Service, i *upstream.Instance, now time.Time) {
-	switch {
-	case s.ColdRate <= 0:
-	case i.IsCold(now):
-		i.SetCold(advisory.Cold{Rate: s.ColdRate, Burst: (x.opts.ColdOvershoot-1)*s.ColdRate + x.opts.ColdSlack})
-	default:
-		i.SetCold(advisory.Cold{})
+	if s.ColdRate > 0 {
+		i.SetCold(x.coldBound(s, i, now))
 	}
 }
 
+// coldBound returns the bound on the requests to an instance of a service with such a bound.
+func (x *Exchanger) coldBound(s *config.Service, i *upstream.Instance, now time.Time) advisory.Cold {
+	if !i.IsCold(now) {
+		return advisory.Cold{}
+	}
+	return advisory.Cold{Rate: s.ColdRate, Burst: (x.opts.ColdOvershoot-1)*s.ColdRate + x.opts.ColdSlack}
+}
+
+// limits answers what the limits of an instance allow. Those of a request that is only explained are answered from a copy.
+type limits struct {
+	instance *upstream.Instance
+	snapshot *advisory.State // nil for the limits in force
+}
+
+// limitsOf returns the limits of an instance with the bound for a cold one.
+func (e *exchange) limitsOf(i *upstream.Instance, now time.Time) limits {
+	if !e.explained {
+		e.x.setCold(e.service, i, now)
+		return limits{instance: i}
+	}
+	s := i.Advisory()
+	if e.service.ColdRate > 0 {
+		s.SetCold(e.x.coldBound(e.service, i, now))
+	}
+	return limits{snapshot: s}
+}
+
+// maySend reports whether the limits allow a request now. The time is that of the fleet.
+func (l limits) maySend(now time.Time, f *advisory.Fleet) bool {
+	if l.snapshot != nil {
+		return l.snapshot.MaySend(now, f)
+	}
+	return l.instance.MaySend(now, f)
+}
+
+// sendsWithin returns how many requests the limits allow within d from now, but at most most.
+func (l limits) sendsWithin(now time.Time, f *advisory.Fleet, d time.Duration, most int) int {
+	if l.snapshot != nil {
+		return l.snapshot.SendsWithin(now, f, d, most)
+	}
+	return l.instance.SendsWithin(now, f, d, most)
+}
+
 // mayTake reports whether an instance with a status accepts requests. Those that state that they leave accept them as the last
 // resort, and for the first half of the time for which they go on serving.
 func (x *Exchanger) mayTake(i *upstream.Instance, status upstream.Status, lastResort bool, now time.Time) bool {
@@ -169,18 +293,15 @@
 	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
 }
 
-// view returns what this host knows of an instance; peers is the load that other hosts have in flight there.
-func view(s *serviceState, i *upstream.Instance, now time.Time, peers place.Load) place.Candidate {
-	entry, reported := i.Entry(), i.Load()
-	v := place.Candidate{
-		Zone: entry.Zone, Slots: entry.Slots, Load: s.load(entry.ID).Add(peers),
-		Cold: i.IsCold(now), Slowdown: s.latencies.Slowdown(entry.ID),
-	}
+// view sets v to what this host knows of an instance; peers is the load that other hosts have in flight there.
+func view(v *place.Candidate, s *serviceState, i *upstream.Instance, now time.Time, peers place.Load) {
+	reported := i.Load()
+	*v = place.Candidate{Load: s.currentLoad(i.ID()).Add(peers), Cold: i.IsCold(now), Slowdown: s.latencies.Slowdown(i.ID())}
+	v.Zone, v.Slots = i.Capacity()
 	if age := now.Sub(reported.At); age < maxLoadAge {
 		v.Running = max(v.Running, reported.Running+reported.Waiting)
 		v.Report = place.Report{Slowdown: reported.Slowdown, Age: age}
 	}
-	return v
 }
 
 // model returns the performance model of a service's instances.
--- a/internal/gateway/exchange/prefixholders.go
+++ b/internal/gateway/exchange/prefixholders.go
@@ -94,7 +94,7 @@
 func homeInstances(list []*upstream.Instance, part uint64) (first, second *upstream.Instance) {
 	var firstRank, secondRank uint64
 	for _, i := range list {
-		if i.Entry().Draining || i.IsEvacuated() {
+		if i.IsDraining() || i.IsEvacuated() {
 			continue
 		}
 		switch rank := place.RendezvousRank(part, i.ID()); {
--- a/internal/gateway/exchange/relay.go
+++ b/internal/gateway/exchange/relay.go
@@ -58,21 +58,29 @@
 func (e *exchange) needsOtherHost() (needed, usable bool) {
 	x, now := e.x, e.x.opts.Now()
 	e.sawCut = x.opts.Table.IsCut(e.service.Name)
-	if !e.sawCut && (e.order != nil || !x.opts.Table.MayBeBrittle(now, e.service.Name)) {
+	if !e.mayNeedOtherHost(now) {
 		return false, false
 	}
 	x.mu.Lock()
 	c, usable := x.place(x.service(e.service.Name), e)
 	x.mu.Unlock()
-	switch {
-	case c.instance != nil, e.helpers().IsAlone(now):
-		return false, false
-	case !e.sawCut && e.helpers().Free(now, e.service.Name) == 0:
+	if c.instance != nil || !e.hasOtherHost(now) {
 		return false, false
 	}
 	return true, usable
 }
 
+// mayNeedOtherHost reports whether the request goes through another host if no instance takes it now.
+func (e *exchange) mayNeedOtherHost(now time.Time) bool {
+	return e.sawCut || e.order == nil && e.x.opts.Table.MayBeBrittle(now, e.service.Name)
+}
+
+// hasOtherHost reports whether another host is known that may take the request.
+func (e *exchange) hasOtherHost(now time.Time) bool {
+	helpers := e.helpers()
+	return !helpers.IsAlone(now) && (e.sawCut || helpers.Free(now, e.service.Name) > 0)
+}
+
 // errNoHelper means that no other host is known that could serve the request.
 var errNoHelper = errors.New("no other host can serve the request")
 
--- a/internal/gateway/upstream/advisory.go
+++ b/internal/gateway/upstream/advisory.go
@@ -71,6 +71,13 @@
 	return i.advisory.Limit()
 }
 
+// Advisory returns a copy of what the instance stated about itself, for questions that must not change the limits in force.
+func (i *Instance) Advisory() *advisory.State {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.advisory.Snapshot()
+}
+
 // SetCold bounds the requests of all hosts to the instance while it is cold. The zero value ends the bound.
 func (i *Instance) SetCold(c advisory.Cold) {
 	i.mu.Lock()
--- a/internal/gateway/upstream/instance.go
+++ b/internal/gateway/upstream/instance.go
@@ -56,6 +56,21 @@
 	return i.entry
 }
 
+// Capacity returns the availability zone and the slots of the instance's entry. Placing a request asks each instance, and a copy of the whole
+// entry would take longer.
+func (i *Instance) Capacity() (zone string, slots int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.entry.Zone, i.entry.Slots
+}
+
+// IsDraining reports whether the instance's entry states that it drains.
+func (i *Instance) IsDraining() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.entry.Draining
+}
+
 // IsOutOfReach reports whether the host is cut off from the instance.
 func (i *Instance) IsOutOfReach() bool { return i.outOfReach.Load() }
 
@@ -137,6 +152,15 @@
 	Leaving            // it is draining or its removal is confirmed
 )
 
+// String returns the name of the status in explanations.
+func (s Status) String() string {
+	names := [...]string{Usable: "usable", Unconfirmed: "unconfirmed", Departing: "departing", Down: "down", Evacuated: "evacuated", Leaving: "leaving"}
+	if s < 0 || int(s) >= len(names) {
+		return "unknown"
+	}
+	return names[s]
+}
+
 // Status returns whether the instance accepts new requests now. After the removal of its entry, an instance
 // counts as Unconfirmed for the time grace, and as Leaving afterwards.
 func (i *Instance) Status(now time.Time, grace time.Duration) Status {
--- a/internal/operator/client/state.go
+++ b/internal/operator/client/state.go
@@ -51,6 +51,16 @@
 	return out, err
 }
 
+// ExplainPath is the path at which a gateway host explains, at its address for metrics, where a request would go.
+const ExplainPath = "/explain"
+
+// Explain returns the JSON document in which a gateway host explains where a request would go.
+func (c *Client) Explain(ctx context.Context, query url.Values) (json.RawMessage, error) {
+	var out json.RawMessage
+	_, err := c.do(ctx, request{method: http.MethodGet, path: ExplainPath, query: query}, &out)
+	return out, err
+}
+
 // Usage returns the usage windows that q selects.
 func (c *Client) Usage(ctx context.Context, q api.UsageQuery) ([]api.Window, error) {
 	query := url.Values{}
--- a/internal/policy/advisory/advisory.go
+++ b/internal/policy/advisory/advisory.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -152,5 +153,12 @@
 	return s.RecordSend(), true
 }
 
+// Snapshot returns a copy of the state, for questions that must not change it.
+func (s *State) Snapshot() *State {
+	c := *s
+	c.pacer.unused = slices.Clone(s.pacer.unused)
+	return &c
+}
+
 // Limit returns the limit that is in force.
 func (s *State) Limit() Limit { return s.limit }
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -89,17 +89,36 @@
 	maxSlotOvercommit = 1.5
 )
 
+// Refusal names the bound for which an upstream cannot take a request now; empty if it can.
+type Refusal string
+
+// The refusals.
+const (
+	NoSlot      Refusal = "slots"   // it runs as many requests as it has slots
+	PrefillWait Refusal = "prefill" // the prefill of the earlier prompts takes too long
+	NoMemory    Refusal = "memory"  // its KV cache has no room for the request
+)
+
 // CanAccept reports whether the request may be sent to the candidate now. Prefix is what upstreams have cached of the
 // request's prompt.
 func (m CostModel) CanAccept(c Candidate, r Request, prefix CachedPrefix) bool {
+	return m.Refusal(c, r, prefix) == ""
+}
+
+// Refusal returns why the request may not be sent to the candidate now, empty if it may. Prefix is what upstreams have
+// cached of the request's prompt.
+func (m CostModel) Refusal(c Candidate, r Request, prefix CachedPrefix) Refusal {
 	if c.Running == 0 {
-		return true
+		return ""
 	}
 	if c.Brittle && c.Slots > 0 && c.Running >= c.Slots {
-		return false
+		return NoSlot
 	}
 	if m.PrefillPerMs <= 0 {
-		return c.Slots == 0 || float64(c.Running) < maxSlotOvercommit*float64(c.Slots)
+		if c.Slots == 0 || float64(c.Running) < maxSlotOvercommit*float64(c.Slots) {
+			return ""
+		}
+		return NoSlot
 	}
 	wait, share := maxPrefillWait, maxMemoryShare
 	if r.Urgent {
@@ -115,16 +134,19 @@
 		wait = max(wait, time.Duration(maxCachedWaitShare*float64(r.Objective)))
 	}
 	if c.Slots > 0 && c.Running >= c.Slots {
-		return false
+		return NoSlot
 	}
 	slowdown := 1.0
 	if m.WeighsRoom {
 		slowdown = c.Report.expected()
 	}
 	if float64(c.PendingPrefill)/m.PrefillPerMs*slowdown > float64(wait)/float64(time.Millisecond) {
-		return false
+		return PrefillWait
+	}
+	if c.MemoryCapacity == 0 || float64(c.MemoryTokens+r.MemoryTokens) <= share*float64(c.MemoryCapacity) {
+		return ""
 	}
-	return c.MemoryCapacity == 0 || float64(c.MemoryTokens+r.MemoryTokens) <= share*float64(c.MemoryCapacity)
+	return NoMemory
 }
 
 // Fixed costs, as opposed to those that follow from observed latencies.
@@ -144,9 +166,29 @@
 	coldStartCostMs = 50.0
 )
 
+// Breakdown is the cost of a request on a candidate by part, in milliseconds. The parts add up to Total, but for rounding.
+type Breakdown struct {
+	Wait     float64 `json:"wait"`     // prefill of the earlier prompts
+	Prefill  float64 `json:"prefill"`  // prefill of the request, which also delays later ones
+	Copy     float64 `json:"copy"`     // copy of a cached prefix from another upstream
+	Running  float64 `json:"running"`  // delay by the running requests
+	Slowdown float64 `json:"slowdown"` // what observed and reported slowness adds to the parts above; negative for an upstream faster than usual
+	Memory   float64 `json:"memory"`   // repeated prefill of requests that the upstream drops to make room
+	Slots    float64 `json:"slots"`    // requests beyond the slots
+	Reserved float64 `json:"reserved"` // long prompt on an upstream reserved for short ones, or a short one on another
+	Zone     float64 `json:"zone"`     // other availability zone
+	Cold     float64 `json:"cold"`     // recent start
+	Total    float64 `json:"total"`
+}
+
 // Cost returns the expected delay of the request on a candidate plus the delay that the request causes to the others
 // there, in milliseconds.
 func (m CostModel) Cost(c Candidate, r Request, prefix CachedPrefix) float64 {
+	return m.Breakdown(c, r, prefix).Total
+}
+
+// Breakdown returns the cost of the request on a candidate by part.
+func (m CostModel) Breakdown(c Candidate, r Request, prefix CachedPrefix) (b Breakdown) {
 	if m.WeighsRoom {
 		prefix.Local = c.keptTokens(r, prefix.Local)
 	}
@@ -154,32 +196,46 @@
 	cached := prefix.Local + copyTokens
 	if m.PrefillPerMs > 0 {
 		cost = (float64(c.PendingPrefill) + ownPrefillWeight*float64(max(r.PromptTokens-cached, 0))) / m.PrefillPerMs
+		b.Wait = float64(c.PendingPrefill) / m.PrefillPerMs
+		b.Prefill = cost - b.Wait
 	}
 	if copyTokens > 0 {
-		cost += copySetupMs + float64(copyTokens)*(1/m.CopyPerMs+copyTokenCostMs)
+		b.Copy = copySetupMs + float64(copyTokens)*(1/m.CopyPerMs+copyTokenCostMs)
+		cost += b.Copy
 	}
-	cost += float64(c.Running) * float64(m.DelayPerRunning) / float64(time.Millisecond)
+	b.Running = float64(c.Running) * float64(m.DelayPerRunning) / float64(time.Millisecond)
+	cost += b.Running
+	usual := cost
 	cost *= max(c.Slowdown, 1)
 	if m.WeighsRoom {
 		cost *= c.Report.expected()
-		cost += float64(c.overflowTokens(r)) / m.PrefillPerMs
+	}
+	b.Slowdown = cost - usual
+	if m.WeighsRoom {
+		b.Memory = float64(c.overflowTokens(r)) / m.PrefillPerMs
+		cost += b.Memory
 	}
 	if over := c.Running + 1 - c.Slots; over > 0 && c.Slots > 0 {
-		cost += overSlotsCostMs * float64(over)
+		b.Slots = overSlotsCostMs * float64(over)
+		cost += b.Slots
 	}
 	switch short := r.PromptTokens-cached <= maxShortPromptTokens; {
 	case c.Reserved && !short:
-		cost += longOnReservedCostMs
+		b.Reserved = longOnReservedCostMs
 	case r.HasReserved && !c.Reserved && short:
-		cost += shortOnSharedCostMs
+		b.Reserved = shortOnSharedCostMs
 	}
+	cost += b.Reserved
 	if c.Zone != r.Zone {
-		cost += float64(m.CrossZonePenalty) / float64(time.Millisecond)
+		b.Zone = float64(m.CrossZonePenalty) / float64(time.Millisecond)
+		cost += b.Zone
 	}
 	if c.Cold {
-		cost += coldStartCostMs
+		b.Cold = coldStartCostMs
+		cost += b.Cold
 	}
-	return cost
+	b.Total = cost
+	return b
 }
 
 const (
