Measure the progress of requests by the steady clock

Progress was kept as a time of day: after a jump of seconds all requests that are being read would count as slow, or as just received, when memory is short. It is now kept relative to the opening of the hold, with the steady reading that times carry. Found by reading.

TestEvictionFromAFullAccount failed once meanwhile: in one case two holds were alike in all that orders them, so either could go. The case now has a larger one, which must go first; 300 runs passed.

--- a/internal/policy/memory/account.go
+++ b/internal/policy/memory/account.go
@@ -68,7 +68,8 @@
 	account  *Account
 	client   string
 	evict    func()
-	progress atomic.Int64 // when the hold was opened or made progress last, Unix nanoseconds
+	opened   time.Time
+	progress atomic.Int64 // when the hold made progress last, in nanoseconds since opened: a jump of the time of day changes nothing
 
 	kind    Kind // account.mu guards the fields from here on
 	size    int64
@@ -79,8 +80,7 @@
 // Open returns a Hold of size 0 for a client. The holds of one client, which is named by its address, are weighed together. Evict is called
 // at most once, from another goroutine than the hold's own, when an unfinished request has to be given up; it must not block.
 func (a *Account) Open(now time.Time, k Kind, client string, evict func()) *Hold {
-	h := &Hold{account: a, client: client, evict: evict, kind: k}
-	h.Progress(now)
+	h := &Hold{account: a, client: client, evict: evict, kind: k, opened: now}
 	if k == Unfinished {
 		a.mu.Lock()
 		defer a.mu.Unlock()
@@ -90,14 +90,14 @@
 }
 
 // Progress records that a further ProgressBytes of the request have arrived.
-func (h *Hold) Progress(now time.Time) { h.progress.Store(now.UnixNano()) }
+func (h *Hold) Progress(now time.Time) { h.progress.Store(int64(now.Sub(h.opened))) }
 
 // LastProgress returns when the hold was opened or made progress last.
-func (h *Hold) LastProgress() time.Time { return time.Unix(0, h.progress.Load()) }
+func (h *Hold) LastProgress() time.Time { return h.opened.Add(time.Duration(h.progress.Load())) }
 
 // isSlow reports whether the request has made little progress lately.
 func (h *Hold) isSlow(now time.Time) bool {
-	return now.UnixNano()-h.progress.Load() >= int64(slowAfter)
+	return now.Sub(h.LastProgress()) >= slowAfter
 }
 
 // Grow changes the size of the hold. It returns ErrFull if the size is not granted, ErrEvicted if the hold was evicted, and ErrClosed after Close.
@@ -191,7 +191,7 @@
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(y.total, x.total), cmp.Compare(y.hold.size, x.hold.size), cmp.Compare(x.hold.progress.Load(), y.hold.progress.Load()))
+		return cmp.Or(cmp.Compare(y.total, x.total), cmp.Compare(y.hold.size, x.hold.size), x.hold.LastProgress().Compare(y.hold.LastProgress()))
 	})
 	var victims []*Hold
 	for _, c := range list {
--- a/internal/policy/memory/account_test.go
+++ b/internal/policy/memory/account_test.go
@@ -31,7 +31,7 @@
 		{"a slow one is evicted", []hold{{"a", 12 * mib, time.Minute, false}, {"b", 1 * mib, 0, false}}, 4 * mib, nil, []int{0}},
 		{"the client that holds most goes first", []hold{{"a", 5 * mib, time.Minute, false}, {"b", 4 * mib, time.Minute, false}, {"b", 4 * mib, time.Minute, false}}, 4 * mib, nil, []int{1, 2}},
 		{"a slow one of the same client", []hold{{"c", 12 * mib, time.Second, false}}, 4 * mib, nil, []int{0}},
-		{"one at a good pace of a client that holds more", []hold{{"a", 7 * mib, 0, false}, {"a", 7 * mib, 0, false}}, 2 * mib, nil, []int{0}},
+		{"one at a good pace of a client that holds more", []hold{{"a", 8 * mib, 0, false}, {"a", 6 * mib, 0, false}}, 2 * mib, nil, []int{0}},
 		{"none at a good pace of a client that holds less", []hold{{"a", 3 * mib, 0, false}, {"b", 3 * mib, 0, false}, {"d", 3 * mib, 0, false}}, 4 * mib, memory.ErrFull, nil},
 		{"none that was read whole", []hold{{"a", 12 * mib, time.Minute, true}}, 4 * mib, memory.ErrFull, nil},
 		{"none in vain", []hold{{"a", 12 * mib, time.Minute, true}, {"b", 1 * mib, time.Minute, false}}, 4 * mib, memory.ErrFull, nil},
