Count requests on HTTP/2 connections against the memory of a host

Each now draws 64 KiB on the account, and gets 503 (not run) where that is not granted. TestStreamsOfAConnectionDrawOnTheAccount fails without it: 60 requests are under way at an account that has room for less than 10, and none is refused.

--- a/cmd/hickorypath/host.go
+++ b/cmd/hickorypath/host.go
@@ -130,12 +130,13 @@
 			services.ServeHTTP(w, r)
 		}
 	})
-	return intake.Handler(h.account, handler, func(r *http.Request) int64 {
+	maxBuffered := func(r *http.Request) int64 {
 		if isChat(r) {
 			return openai.MaxBody
 		}
 		return callerservice.MaxRelayedBody
-	})
+	}
+	return intake.Handler(handler, intake.Options{Account: h.account, MaxBuffered: maxBuffered, Refuse: reply.WriteError})
 }
 
 func isChat(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/v1/") }
--- a/internal/caller/intake/conns_test.go
+++ b/internal/caller/intake/conns_test.go
@@ -19,6 +19,14 @@
 
 const testTimeout = 10 * time.Second
 
+// newHandler returns a handler with an account of 1 MiB that refuses with 503.
+func newHandler(next http.Handler) http.Handler {
+	return intake.Handler(next, intake.Options{
+		Account: memory.New(1 << 20), MaxBuffered: func(*http.Request) int64 { return 1 << 20 },
+		Refuse: func(w http.ResponseWriter, _ error) { w.WriteHeader(http.StatusServiceUnavailable) },
+	})
+}
+
 // TestUnfinishedBodyMakesRoomForANewConnection guards against connections with bodies that stall and keep new callers out.
 func TestUnfinishedBodyMakesRoomForANewConnection(t *testing.T) {
 	is := is.New(t)
@@ -30,7 +38,7 @@
 		read <- struct{}{}
 		_, _ = io.ReadAll(r.Body)
 	})
-	s := httptest.NewUnstartedServer(intake.Handler(memory.New(1<<20), handler, func(*http.Request) int64 { return 1 << 20 }))
+	s := httptest.NewUnstartedServer(newHandler(handler))
 	s.Config.ConnState, s.Config.ConnContext = conns.Track, conns.Context
 	s.Start()
 	defer s.Close()
@@ -62,7 +70,7 @@
 		started <- struct{}{}
 		<-finish
 	})
-	s := httptest.NewUnstartedServer(intake.Handler(memory.New(1<<20), handler, func(*http.Request) int64 { return 1 << 20 }))
+	s := httptest.NewUnstartedServer(newHandler(handler))
 	s.Config.ConnState, s.Config.ConnContext = conns.Track, conns.Context
 	s.EnableHTTP2 = true
 	s.StartTLS()
@@ -123,3 +131,46 @@
 	is.Equal(err, io.EOF) // it was closed
 	is.True(!first.alerted)
 }
+
+// TestStreamsOfAConnectionDrawOnTheAccount guards against HTTP/2 connections whose many requests, which have no bodies, take more memory than the host has.
+func TestStreamsOfAConnectionDrawOnTheAccount(t *testing.T) {
+	is := is.New(t)
+	const streams = 60 // of 64 KiB
+	arrived, finish := make(chan struct{}, streams), make(chan struct{})
+	s := httptest.NewUnstartedServer(newHandler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		arrived <- struct{}{}
+		<-finish
+	})))
+	s.EnableHTTP2 = true
+	s.StartTLS()
+	defer s.Close()
+	client := s.Client()
+	statuses := make(chan int, streams)
+	for range streams {
+		go func() {
+			res, err := client.Get(s.URL)
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			_ = res.Body.Close()
+			statuses <- res.StatusCode
+		}()
+	}
+	refused, served := 0, 0
+	for refused+len(arrived) < streams { // each is refused, or under way
+		select {
+		case status := <-statuses:
+			is.Equal(status, http.StatusServiceUnavailable)
+			refused++
+		case <-time.After(time.Millisecond):
+		}
+	}
+	is.True(refused > 0)
+	close(finish)
+	for range streams - refused {
+		is.Equal(<-statuses, http.StatusOK)
+		served++
+	}
+	is.True(served > 0)
+}
--- a/internal/caller/intake/intake.go
+++ b/internal/caller/intake/intake.go
@@ -22,6 +22,9 @@
 	copies = 3
 	// growthParts is the reciprocal of the share by which a hold grows beyond the bytes that were received. A doubled one would refuse bodies that fit.
 	growthParts = 8
+	// streamMemory is what a request on an HTTP/2 connection holds beside its body: its head and the stacks of the server. Other connections carry one
+	// request at a time, and the bound on connections covers it.
+	streamMemory = 64 << 10
 	// stallTimeout is how long a body may take for memory.ProgressBytes of it. There is no bound on the whole body.
 	stallTimeout = 30 * time.Second
 	// minRetryAfter and maxRetryAfter bound the delay after which a caller should come back whose request found no memory. It is drawn at
@@ -30,11 +33,26 @@
 	maxRetryAfter = time.Second
 )
 
-// Handler returns a handler that calls next with requests whose bodies draw their memory on an account. MaxBuffered returns how many bytes of the body
-// of a request next keeps at a time.
-func Handler(a *memory.Account, next http.Handler, maxBuffered func(*http.Request) int64) http.Handler {
+// Options configures a Handler.
+type Options struct {
+	Account     *memory.Account
+	MaxBuffered func(*http.Request) int64              // how many bytes of the body of a request are kept at a time
+	Refuse      func(w http.ResponseWriter, err error) // responds to a request for which there is no memory
+}
+
+// Handler returns a handler that calls next with requests that draw the memory of their bodies on an account.
+func Handler(next http.Handler, o Options) http.Handler {
+	a := o.Account
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn := connOf(r)
+		if r.ProtoMajor > 1 {
+			stream := a.Open(time.Now(), memory.Request, clientOf(r), nil)
+			defer stream.Close()
+			if err := stream.Grow(time.Now(), streamMemory); err != nil {
+				o.Refuse(w, overloadError(err))
+				return
+			}
+		}
 		if r.Body == nil || r.Body == http.NoBody {
 			if !conn.begin(nil) {
 				panic(http.ErrAbortHandler) // no response, not an empty one
@@ -43,9 +61,8 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		b := &body{ReadCloser: r.Body, rc: http.NewResponseController(w), conn: conn, length: r.ContentLength, most: copies * maxBuffered(r)}
-		client, _, _ := net.SplitHostPort(r.RemoteAddr)
-		b.hold = a.Open(time.Now(), memory.Unfinished, client, b.interrupt)
+		b := &body{ReadCloser: r.Body, rc: http.NewResponseController(w), conn: conn, length: r.ContentLength, most: copies * o.MaxBuffered(r)}
+		b.hold = a.Open(time.Now(), memory.Unfinished, clientOf(r), b.interrupt)
 		defer b.hold.Close()
 		defer b.release()
 		conn.beginRead(b.hold)
@@ -56,6 +73,12 @@
 	})
 }
 
+// clientOf returns the address from which a request came, without the port.
+func clientOf(r *http.Request) string {
+	client, _, _ := net.SplitHostPort(r.RemoteAddr)
+	return client
+}
+
 // body is the body of a request, which holds memory for the bytes that were read.
 type body struct {
 	io.ReadCloser
--- a/internal/caller/intake/intake_test.go
+++ b/internal/caller/intake/intake_test.go
@@ -25,12 +25,17 @@
 	return nil
 }
 
+// newOptions returns options for bodies of 8 MiB at most.
+func newOptions(a *memory.Account) Options {
+	return Options{Account: a, MaxBuffered: func(*http.Request) int64 { return 8 << 20 }}
+}
+
 // TestNoDeadlineAfterTheRequest guards against an eviction that comes late and interrupts the next request of the connection. Over HTTP/2 it
 // panicked.
 func TestNoDeadlineAfterTheRequest(t *testing.T) {
 	is := is.New(t)
 	var b *body
-	h := Handler(memory.New(1<<20), http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { b, _ = r.Body.(*body) }), func(*http.Request) int64 { return 1 << 20 })
+	h := Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { b, _ = r.Body.(*body) }), newOptions(memory.New(1<<20)))
 	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
 	h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/", bytes.NewReader([]byte("body"))))
 	before := len(w.deadlines)
@@ -46,12 +51,12 @@
 func TestBodyOfKnownLengthIsWholeAtItsLastByte(t *testing.T) {
 	is := is.New(t)
 	a := memory.New(1 << 20)
-	h := Handler(a, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	h := Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		_, err := io.ReadFull(r.Body, make([]byte, 4))
 		is.NoErr(err)
 		is.Equal(a.Used(memory.Unfinished), int64(0))
 		is.True(a.Used(memory.Request) > 0)
-	}), func(*http.Request) int64 { return 1 << 20 })
+	}), newOptions(a))
 	r := httptest.NewRequest(http.MethodPost, "/", lastByteReader{bytes.NewReader([]byte("body"))})
 	r.ContentLength = 4
 	h.ServeHTTP(httptest.NewRecorder(), r)
@@ -62,9 +67,9 @@
 func TestBodyIsGrantedHalfOfWhatIsFree(t *testing.T) {
 	is := is.New(t)
 	const size = 1 << 20
-	h := Handler(memory.New(2*(copies*size+size/2)), http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	h := Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		_, err := io.ReadAll(r.Body)
 		is.NoErr(err)
-	}), func(*http.Request) int64 { return 8 * size })
+	}), newOptions(memory.New(2*(copies*size+size/2))))
 	h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", bytes.NewReader(make([]byte, size))))
 }
