Log how old the configuration is by which a request is refused

A request refused for its route or key now logs where the configuration came from and how long ago the store last showed this host all changes; gauges show the newest version on any host that is heard of and the age of what this host knows. Before, a refusal named its version only, so that a late watch, a refused document and an answer of another host looked the same.

--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -174,7 +174,7 @@
 func (g *gateway) newExchanger() *exchange.Exchanger {
 	b := g.settings.Bounds
 	return exchange.New(exchange.Options{
-		Zone: g.settings.Zone, Regions: g.settings.Regions, Codec: platform.Codec(), Live: g.live, Table: g.table,
+		Zone: g.settings.Zone, Regions: g.settings.Regions, Codec: platform.Codec(), Live: g.live, ConfigOrigin: g.configOrigin, Table: g.table,
 		Budget:        budget.Config{Ratio: b.RetryRatio, Minimum: b.MinRetries, Window: b.RetryWindow},
 		DrainTime:     b.DrainTime,
 		ColdOvershoot: b.ColdOvershoot, ColdSlack: b.ColdSlack,
--- a/cmd/hickorypath/gatewaypeers.go
+++ b/cmd/hickorypath/gatewaypeers.go
@@ -251,6 +251,20 @@
 	return g.peers.Demand(g.clock.Now(), service).Add(g.exchange.Demand()[service])
 }
 
+// configOrigin returns where the configuration in force came from, and how long ago the store last showed this host all changes.
+func (g *gateway) configOrigin() (source string, age time.Duration) {
+	return g.watcher.ConfigSource(), g.clock.Boot() - g.store.LastWatchTime()
+}
+
+// newestConfig returns the newest version of the configuration that this host or another one that is alive has in force.
+func (g *gateway) newestConfig() int64 {
+	newest := g.configVersion()
+	for _, m := range g.peers.LiveMessages(g.clock.Now()) {
+		newest = max(newest, m.Version)
+	}
+	return newest
+}
+
 // configVersion returns the version of the configuration in force, or 0 before the first configuration.
 func (g *gateway) configVersion() int64 {
 	if c := g.live.Load(); c != nil {
--- a/cmd/hickorypath/gatewayprobes.go
+++ b/cmd/hickorypath/gatewayprobes.go
@@ -37,6 +37,8 @@
 		}
 		return 0
 	})
+	metrics.GetOrCreateGauge("hickorypath_config_newest_version", func() float64 { return float64(g.newestConfig()) })
+	metrics.GetOrCreateGauge("hickorypath_config_confirmed_seconds", func() float64 { return (g.clock.Boot() - g.store.LastWatchTime()).Seconds() })
 	metrics.GetOrCreateGauge("hickorypath_connections", func() float64 { return float64(g.server.Conns()) })
 	metrics.GetOrCreateGauge("hickorypath_requests_active", func() float64 { return float64(g.server.BusyConns()) })
 	metrics.GetOrCreateGauge("hickorypath_upstreams", func() float64 { return float64(len(g.table.All())) })
--- a/internal/gateway/exchange/accesslog.go
+++ b/internal/gateway/exchange/accesslog.go
@@ -94,12 +94,26 @@
 	if err != nil {
 		fields = append(fields, zap.String("kind", string(kind.Of(err))), zap.String("error", err.Error()))
 	}
+	if origin := e.x.opts.ConfigOrigin; origin != nil && dependsOnConfig(err) {
+		source, age := origin()
+		fields = append(fields, zap.String("source", source), zap.Float64("confirmed", ms(age)))
+	}
 	if n := l.takeDropped(); n > 0 {
 		fields = append(fields, zap.Int("omitted", n))
 	}
 	l.log.Info("request", fields...)
 }
 
+// dependsOnConfig reports whether a request was refused for what the configuration says of its route or key.
+func dependsOnConfig(err error) bool {
+	switch kind.Of(err) {
+	case kind.NoRoute, kind.NoKey, kind.BadKey:
+		return true
+	default:
+		return false
+	}
+}
+
 // lostUpstream reports whether the connection of an attempt broke while the upstream ran the request.
 func (e *exchange) lostUpstream() bool {
 	return slices.ContainsFunc(e.attempts, func(a attempt) bool { return a.result == kind.Lost })
--- a/internal/gateway/exchange/exchanger.go
+++ b/internal/gateway/exchange/exchanger.go
@@ -29,8 +29,11 @@
 	Regions map[string]string // region of each availability zone
 	Codec   Codec
 	Live    *config.Live
-	Table   *upstream.Table
-	Budget  budget.Config
+	// ConfigOrigin returns where the configuration in force came from, and how long ago the store last showed that it was the newest.
+	// It may be nil; it is only logged.
+	ConfigOrigin func() (source string, age time.Duration)
+	Table        *upstream.Table
+	Budget       budget.Config
 	// In one second, all hosts together may send a cold upstream ColdOvershoot times its rate and ColdSlack requests more.
 	ColdOvershoot, ColdSlack float64
 
--- a/internal/gateway/storewatch/watcher.go
+++ b/internal/gateway/storewatch/watcher.go
@@ -50,6 +50,7 @@
 	newerSince    time.Time // when this host heard of a configuration newer than the active one; zero if it has not
 	packed        []byte    // the newest configuration in compressed form, for other hosts
 	packedVersion int64
+	source        string // of the active configuration: the store, or the address of another host
 }
 
 // New returns a Watcher. Its Run method starts watching.
@@ -199,14 +200,22 @@
 	return w.packed, w.packedVersion
 }
 
-func (w *Watcher) setPacked(version int64, packed []byte) {
+func (w *Watcher) setPacked(version int64, packed []byte, source string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if version > w.packedVersion {
-		w.packedVersion, w.packed = version, packed
+		w.packedVersion, w.packed, w.source = version, packed, source
 	}
 }
 
+// ConfigSource returns where the newest configuration came from: "store", or the address of another host. It is empty before the
+// first configuration.
+func (w *Watcher) ConfigSource() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.source
+}
+
 // RecordNewerConfig records that another host has a configuration newer than the active one.
 func (w *Watcher) RecordNewerConfig() {
 	w.mu.Lock()
@@ -260,7 +269,7 @@
 	if packed == nil {
 		packed = config.Pack(data)
 	}
-	w.setPacked(c.Version(), packed)
+	w.setPacked(c.Version(), packed, source)
 	w.opts.OnChange()
 	w.opts.Log.Info("configuration in force", zap.Int64("version", c.Version()), zap.String("source", source),
 		zap.Int("routes", len(c.Routes())), zap.Int("bytes", len(data)),
--- a/internal/state/store/client.go
+++ b/internal/state/store/client.go
@@ -33,6 +33,7 @@
 	noncePrefix  string
 	nonceSeq     atomic.Uint64
 	lastResponse atomic.Int64 // boot time (see clock.Clock) of the last response of the service
+	lastWatch    atomic.Int64 // the same of the last response that shows that nothing was missed: to a watch call, or with all keys
 
 	mu           sync.Mutex
 	rand         *rand.Rand
@@ -77,6 +78,9 @@
 // LastResponseTime returns the boot time of the last response of the service, or zero before the first response.
 func (c *Client) LastResponseTime() time.Duration { return time.Duration(c.shared.lastResponse.Load()) }
 
+// LastWatchTime returns the boot time (see clock.Clock) up to which a watch has last delivered all changes; 0 if none has.
+func (c *Client) LastWatchTime() time.Duration { return time.Duration(c.shared.lastWatch.Load()) }
+
 // Get reads a key; the error has kind Missing when the key does not exist. After a restore of the service it waits for the
 // recovery, as AwaitRecovery does, so that nobody builds on a state that is about to be replaced.
 func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
--- a/internal/state/store/watch.go
+++ b/internal/state/store/watch.go
@@ -96,7 +96,9 @@
 	events, rev, err := shared.backend.Watch(callCtx, w.prefix, w.revision)
 	switch {
 	case err == nil:
-		shared.lastResponse.Store(int64(shared.opts.Clock.Boot()))
+		now := int64(shared.opts.Clock.Boot())
+		shared.lastResponse.Store(now)
+		shared.lastWatch.Store(now)
 	case kind.Of(err) != kind.Missing && ctx.Err() == nil: // a watch that was given up tells nothing about the service
 		shared.opts.OnError(err)
 	}
@@ -109,6 +111,7 @@
 	if err != nil {
 		return err
 	}
+	w.client.shared.lastWatch.Store(int64(w.client.shared.opts.Clock.Boot()))
 	w.handler.SyncStart()
 	removed := maps.Clone(w.revisions)
 	for _, e := range list {
