End watches of the store in time to follow it again after a disruption

Cause: a store that is silent for 20 ms or more, or compacts its history, never answers the watches that arrive or wait meanwhile, and leaves their connections open. A host noticed at the end of the watch call, 1.5 to 6 s after it began, whatever the bounds of the deployment; hosts watch again at the same moment after each change, so that all of them can lose their watches together, and then none can tell the others.

A watch call now ends a second before the time by which a host must be in touch again (contactMs of the deployment): whatever was forgotten before the end of a disruption is known by then.

TestLargeValueIsNeverReadOverASlowLink takes the shortest limit that a gateway uses in place of the removed constant.

--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -103,11 +103,13 @@
 	// storeMaxBackoff limits the delay between retries of store calls, so that a host reconnects soon after an outage.
 	storeMaxBackoff     = 250 * time.Millisecond
 	storeAttemptTimeout = 900 * time.Millisecond
-	// storeWatchTimeout and storeWatchJitter make the watches of the hosts end at different times. A watch can miss changes
-	// when the store compacts its history. With different ends, the watch of some host ends soon after that, and the other
-	// hosts learn of a newer configuration from that host.
-	storeWatchTimeout    = 6 * time.Second
-	storeWatchJitter     = 4500 * time.Millisecond
+	// storeResyncTime is the time that a host needs to learn what it has missed, after a watch that the store did not answer.
+	storeResyncTime = time.Second
+	// minStoreWatchTimeout bounds the price of watches that nothing happens in, as each is a call.
+	minStoreWatchTimeout = 1500 * time.Millisecond
+	// storeWatchJitter makes the watches of the hosts end at different times. A watch can miss changes when the store compacts its
+	// history or forgets the watches that wait. With different ends, some host notices first and tells the others.
+	storeWatchJitter     = 500 * time.Millisecond
 	storeWatchBatchDelay = 250 * time.Millisecond
 	// storeIdleConns and storeIdleTimeout are large enough to reuse the connections of a watch, a lease renewal and a write.
 	storeIdleConns    = 4
@@ -154,11 +156,17 @@
 		MaxIdleConnsPerHost: storeIdleConns, IdleConnTimeout: storeIdleTimeout, DisableCompression: true,
 	}}
 	return store.New(platform.NewStore(g.settings.Store.Address, calls), store.Options{
-		Clock: g.clock, Log: g.log, AttemptTimeout: storeAttemptTimeout, WatchTimeout: storeWatchTimeout, WatchJitter: storeWatchJitter, WatchBatchDelay: storeWatchBatchDelay,
+		Clock: g.clock, Log: g.log, AttemptTimeout: storeAttemptTimeout, WatchTimeout: g.storeWatchTimeout(), WatchJitter: storeWatchJitter, WatchBatchDelay: storeWatchBatchDelay,
 		MaxBackoff: storeMaxBackoff, OnError: g.handleStoreError, OnRestore: g.handleStoreRestore,
 	})
 }
 
+// storeWatchTimeout returns the time limit of a watch call. The store can forget a watch that waits, or that arrives during an outage, and leave its
+// connection open, so the limit alone shows it; what was missed must be known by the time by which the host must follow the store again.
+func (g *gateway) storeWatchTimeout() time.Duration {
+	return max(g.settings.Bounds.ContactTime-storeResyncTime, minStoreWatchTimeout)
+}
+
 // newStoreWatcher returns the watcher that applies the store's changes to this host.
 func (g *gateway) newStoreWatcher() *storewatch.Watcher {
 	return storewatch.New(storewatch.Options{
--- a/cmd/hickorypath/gatewayspread_test.go
+++ b/cmd/hickorypath/gatewayspread_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"slices"
 	"strconv"
 	"sync"
@@ -40,6 +41,7 @@
 	t        *testing.T
 	net      *memnet.Net
 	platform *platformapi.Platform
+	wrap     func(store http.Handler) http.Handler // changes what the hosts see of the store; nil for no change
 	hosts    []*gateway
 	stops    []context.CancelFunc // end a host without notice
 	version  int
@@ -62,7 +64,11 @@
 func (f *configFleet) run(hosts, zones, fast int) {
 	t := f.t
 	f.net.AddHost("10.200.1.7", storeLink*megabit, hostLatency)
-	stop := f.net.Serve("10.200.1.7:80", f.platform)
+	var handler http.Handler = f.platform
+	if f.wrap != nil {
+		handler = f.wrap(handler)
+	}
+	stop := f.net.Serve("10.200.1.7:80", handler)
 	t.Cleanup(func() {
 		stop()
 		time.Sleep(5 * time.Second) // until the goroutines of the hosts have ended
@@ -86,7 +92,7 @@
 	link := f.net.AddHost(ip, float64(mbps)*megabit, hostLatency)
 	s := settings.Settings{
 		Host: "host-" + strconv.Itoa(i), Zone: "zone-" + strconv.Itoa(zone), IP: ip, InternalPorts: [2]int{7000, 7015},
-		Resources: settings.Resources{LinkMbps: float64(mbps), MemoryBytes: 134 << 20, FileDescriptors: 4100}, Bounds: settings.Bounds{GracePeriod: 8 * time.Second, UsageWindow: 5 * time.Second, RetryRatio: 0.2, MinRetries: 50, RetryWindow: 10 * time.Second}, Store: settings.Store{Address: "10.200.1.7:80"},
+		Resources: settings.Resources{LinkMbps: float64(mbps), MemoryBytes: 134 << 20, FileDescriptors: 4100}, Bounds: settings.Bounds{GracePeriod: 8 * time.Second, ContactTime: 3 * time.Second, UsageWindow: 5 * time.Second, RetryRatio: 0.2, MinRetries: 50, RetryWindow: 10 * time.Second}, Store: settings.Store{Address: "10.200.1.7:80"},
 	}
 	g, err := newGateway(s, clock.NewWall(), machine{
 		dial: link.Dial, dialHost: withTimeout(link.Dial, hostDialTimeout), decodeConfig: f.decode, upstreams: upstream.NewDialerFunc(withTimeout(link.Dial, 1200*time.Millisecond)),
--- /dev/null
+++ b/cmd/hickorypath/gatewaywatch_test.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickorypath/internal/standin/memnet"
+	"hickorypath/internal/standin/platformapi"
+
+	"hickorypath/internal/core/clock"
+)
+
+// forgetfulStore is a store that falls silent: it never answers the calls that arrive meanwhile, nor the watches that wait then, and
+// leaves their connections open.
+type forgetfulStore struct {
+	store  http.Handler
+	silent atomic.Bool
+	times  atomic.Int64 // how often it has fallen silent
+}
+
+// ServeHTTP implements http.Handler.
+func (s *forgetfulStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	before := s.times.Load()
+	if !s.silent.Load() {
+		out := httptest.NewRecorder()
+		s.store.ServeHTTP(out, r)
+		if s.times.Load() == before || !strings.HasPrefix(r.URL.Path, "/kv-watch") {
+			for name, values := range out.Header() {
+				w.Header()[name] = values
+			}
+			w.WriteHeader(out.Code)
+			_, _ = w.Write(out.Body.Bytes())
+			return
+		}
+	}
+	<-r.Context().Done()
+}
+
+// silence makes the store silent for d.
+func (s *forgetfulStore) silence(d time.Duration) {
+	s.times.Add(1)
+	s.silent.Store(true)
+	time.Sleep(d)
+	s.silent.Store(false)
+}
+
+// TestConfigurationIsLateAfterTheStoreForgotItsWatches guards against hosts that wait for answers to watches that the store has
+// forgotten, and miss the changes that follow.
+func TestConfigurationIsLateAfterTheStoreForgotItsWatches(t *testing.T) {
+	const contactTime = 3 * time.Second
+	for _, hosts := range []int{1, 2, 6} {
+		for _, silent := range []time.Duration{20 * time.Millisecond, 300 * time.Millisecond, time.Second} {
+			t.Run(fmt.Sprintf("%d hosts, %s", hosts, silent), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					s := &forgetfulStore{}
+					f := &configFleet{t: t, net: memnet.New(), platform: platformapi.New(clock.NewWall()), rand: rand.New(rand.NewPCG(1, uint64(hosts)))}
+					f.wrap = func(store http.Handler) http.Handler { s.store = store; return s }
+					f.run(hosts, 1, hosts)
+					for range 30 {
+						f.put() // all hosts watch again at the same moment
+						time.Sleep(time.Duration(f.rand.IntN(500)) * time.Millisecond)
+						s.silence(silent)
+						f.put()
+						took := f.awaitVersion(2 * contactTime)
+						is.Equal(len(took), hosts)
+						if last := took[hosts-1]; last > contactTime {
+							t.Errorf("in force on the last host %s after the store answered again", last)
+						}
+					}
+				})
+			})
+		}
+	}
+}
--- a/cmd/hickorypath/slowlink_test.go
+++ b/cmd/hickorypath/slowlink_test.go
@@ -77,7 +77,7 @@
 					is.NoErr(err)
 					_, err = memory.Backend().Put(t.Context(), store.Write{Key: "k", Value: make([]byte, size)})
 					is.NoErr(err)
-					c := store.New(backend, store.Options{Clock: clock.NewWall(), AttemptTimeout: storeAttemptTimeout, WatchTimeout: storeWatchTimeout, WatchJitter: storeWatchJitter})
+					c := store.New(backend, store.Options{Clock: clock.NewWall(), AttemptTimeout: storeAttemptTimeout, WatchTimeout: minStoreWatchTimeout, WatchJitter: storeWatchJitter})
 					_, _ = c.Get(t.Context(), "j") // shows the era of the store, after which a client waits for others
 					time.Sleep(10 * time.Second)
 					value, err := r.read(t.Context(), c)
