Give up watches of serve that the store has forgotten after 10 s

A watch that the store has forgotten ended after 50 s, so a change could take as long to be in force on a host that no other one tells of it; the target is 14 s everywhere.

TestForgottenWatchHidesAChange failed before.

--- a/internal/host/capacity/role.go
+++ b/internal/host/capacity/role.go
@@ -15,7 +15,7 @@
 const (
 	hostTicksPerSecond    = 20   // periodic work of membership and records; node
 	poolTicksPerSecond    = 40   // periodic work of each pool; dispatch
-	watchSeconds          = 50   // duration of one waiting watch; store
+	watchSeconds          = 10   // duration of one waiting watch; store
 	watchHostsPerZone     = 2    // highest number of hosts in each zone that watch the store
 	watchesPerHost        = 2    // prefixes that such a host watches: documents and keys
 	pollersPerUpstream    = 2    // hosts that poll each upstream
--- a/internal/state/store/client_test.go
+++ b/internal/state/store/client_test.go
@@ -261,3 +261,40 @@
 		is.Equal(failures.Load(), int64(0))
 	})
 }
+
+// TestForgottenWatchHidesAChange guards against clients that wait for longer than a change may take for the answer to a watch that the
+// service has forgotten.
+func TestForgottenWatchHidesAChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const inForce = 14 * time.Second // in which a change is in force on every host
+		is := is.New(t)
+		clk := clock.NewWall()
+		m := store.NewMemory(clk)
+		backend, forgets := m.Backend(), true
+		watch := backend.Watch
+		backend.Watch = func(ctx context.Context, prefix string, after uint64) ([]store.Event, uint64, error) {
+			if !forgets {
+				return watch(ctx, prefix, after)
+			}
+			forgets = false
+			<-ctx.Done()
+			return nil, 0, kind.Wrap(ctx.Err(), kind.OutcomeUnknown, "no answer")
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var seen time.Time
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = store.New(backend, store.Options{Clock: clk}).Watch(ctx, "k", 0, func(store.Event) { seen = time.Now() })
+		}()
+		time.Sleep(time.Second)
+		changed := time.Now()
+		_, err := m.Backend().Put(ctx, store.Write{Key: "k"})
+		is.NoErr(err)
+		time.Sleep(time.Minute)
+		cancel()
+		<-done
+		is.True(!seen.IsZero())
+		is.True(seen.Sub(changed) < inForce)
+	})
+}
--- a/internal/state/store/options.go
+++ b/internal/state/store/options.go
@@ -49,7 +49,7 @@
 const (
 	defaultAttemptTimeout = 500 * time.Millisecond
 	defaultTotalTimeout   = 3 * time.Second
-	defaultWatchTimeout   = 50 * time.Second
+	defaultWatchTimeout   = 10 * time.Second
 	defaultRate           = 120
 	backoffBase           = 50 * time.Millisecond
 	defaultMaxBackoff     = 2 * time.Second
