Account for each arrival of a request, whichever host sends it

Causes, all of one class: what a host counts for itself bounds the sum only while all hosts count the same. - An attempt through another host that did not run counted as not sent, so the next one was free, and the bound of four sends began anew at each host. Both hosts counted the request. - The window followed the time of day: a step ahead emptied it. - A host that had just started took its share of the minimum at once, of a fleet that it did not know yet, and beside what its earlier process had spent. - A retry was booked when it was decided and could arrive, after its wait in the queue, beside those of the next window.

A request now has an account of its arrivals, which goes with it: the order to another host states the arrivals so far and who counts the request, the response those made for it. The window follows the time since boot. A process that replaces another one has no part of the minimum for a window, and none before it has read the other hosts from the store. A retry is set aside when it is decided, counts as spent while it waits, and is booked when it is sent. Hosts of an earlier version state no arrivals: one is assumed for each attempt that is not refused by the host itself.

--- a/cmd/hickorypath/explain_test.go
+++ b/cmd/hickorypath/explain_test.go
@@ -39,7 +39,7 @@
 	table.Get("u4").SetLoad(upstream.Load{Running: 8, At: now.Add(-40 * time.Millisecond)})
 	g := &gateway{exchange: exchange.New(exchange.Options{
 		Zone: "a", Table: table, Live: live, Budget: budget.Config{Window: time.Second}, Log: zap.NewNop(), Now: clock, FleetTime: clock,
-		HostCount: func() int { return 1 }, Fleet: func() *advisory.Fleet { return fleet }, PeerLoads: func(time.Time) map[string]place.Load { return nil },
+		HostCount: func() int { return 1 }, RetryHosts: func() int { return 1 }, Elapsed: func() time.Duration { return 0 }, Fleet: func() *advisory.Fleet { return fleet }, PeerLoads: func(time.Time) map[string]place.Load { return nil },
 		DrainingFor: func() time.Duration { return 0 }, Helpers: relay.NewHelpers(relay.Options{Hosts: func(time.Time) []relay.Host { return nil }}),
 	})}
 	mux := http.NewServeMux()
--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -72,6 +72,7 @@
 	synced           atomic.Bool   // the host has heard of the other hosts' configuration, or waited for them, since it started
 	unregistered     chan struct{} // signals that the store may not hold the address of this host any more
 	listed           chan struct{} // signals that all keys of the store were read
+	hostsListed      atomic.Bool   // all keys of the store were read, those of the other hosts among them
 	isRegistered     atomic.Bool   // the store shows the address of this host
 	storeDown        atomic.Bool   // the store has failed and not recovered yet
 	lastStoreFailure atomic.Int64  // boot time of the store's last failure, in nanoseconds
@@ -183,7 +184,9 @@
 	b := g.settings.Bounds
 	return exchange.New(exchange.Options{
 		Zone: g.settings.Zone, Regions: g.settings.Regions, Codec: platform.Codec(), Live: g.live, ConfigOrigin: g.configOrigin, Table: g.table,
-		Budget:        budget.Config{Ratio: b.RetryRatio, Minimum: b.MinRetries, Window: b.RetryWindow},
+		Budget:        g.retryBudget(),
+		RetryHosts:    g.retryHosts,
+		Elapsed:       g.clock.Boot,
 		DrainTime:     b.DrainTime,
 		ColdOvershoot: b.ColdOvershoot, ColdSlack: b.ColdSlack,
 		HostCount:  g.peers.MaxHosts,
@@ -207,6 +210,28 @@
 	})
 }
 
+// retryBudget returns the limit on retries. A process that replaces another one does not know what that one has spent.
+func (g *gateway) retryBudget() budget.Config {
+	b := g.settings.Bounds
+	c := budget.Config{Ratio: b.RetryRatio, Minimum: b.MinRetries, Window: b.RetryWindow}
+	if !g.settings.FirstStart {
+		c.KnownFrom = g.startBoot + b.RetryWindow
+	}
+	return c
+}
+
+// fleetKnownTime is the time after the start of a host from which it knows the other hosts, also if it could not read the store.
+const fleetKnownTime = time.Minute
+
+// retryHosts returns the number of hosts that share the retry budgets, 0 while this host cannot know: it has not read the hosts from the store, and may
+// have started cut off from some.
+func (g *gateway) retryHosts() int {
+	if !g.hostsListed.Load() && g.clock.Boot()-g.startBoot < fleetKnownTime {
+		return 0
+	}
+	return g.peers.MaxHosts()
+}
+
 // limits returns the limits of the configuration in force, or the platform's defaults before the first configuration.
 func (g *gateway) limits() config.Limits {
 	if c := g.live.Load(); c != nil {
--- a/cmd/hickorypath/gatewaypeers.go
+++ b/cmd/hickorypath/gatewaypeers.go
@@ -164,6 +164,7 @@
 // the leader lease and evacuations.
 func (g *gateway) handleStoreSync(revision uint64, exists func(key string) bool) {
 	g.syncEvacuations(revision, exists)
+	g.hostsListed.Store(true)
 	if !exists(g.hostKey()) {
 		g.isRegistered.Store(false)
 	}
--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -30,7 +30,8 @@
 	limit        advisory.Limit // request rate that the upstream had named when the request was sent
 	copySource   string         // instance from which the upstream was told to copy cached tokens; empty for none
 	connected    time.Duration  // time until a connection was there
-	sent         bool           // at least one byte was written
+	sent         bool           // at least one byte was written, to an upstream
+	arrivals     int            // at upstreams, as the host states through which it was sent; negative if it does not state it
 	pauseLeft    time.Duration  // what was left of a pause of the upstream when the first byte was written; 0 without a pause
 	leaving      bool           // the response states that the upstream leaves
 	pause        time.Duration  // for which the response asks the host to send nothing; 0 for none
@@ -95,7 +96,9 @@
 	a.connected, a.pauseLeft = sentAt.Sub(now), i.PausedFor(sentAt)
 	defer c.WatchSilence(time.Duration(r.expectedDelayMs * float64(time.Millisecond)))()
 	n, err := c.Send(head, body, e.deadline)
-	a.sent = n > 0
+	if a.sent = n > 0; a.sent {
+		e.arrive()
+	}
 	isWhole := n == len(head)+len(body)
 	if hasResponse := isWhole || a.sent && c.HasResponse(e.deadline); !hasResponse {
 		c.Close()
@@ -172,6 +175,7 @@
 	}
 	a.framing = resp.Framing()
 	if e.helper != nil {
+		a.arrivals = relay.ParseArrivals(&resp.Head)
 		if refusal := relay.ParseRefusal(&resp.Head, e.helper.Name()); refusal != nil {
 			return refusal
 		}
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -12,6 +12,7 @@
 	"hickorypath/internal/gateway/frontend"
 	"hickorypath/internal/gateway/relay"
 	"hickorypath/internal/gateway/upstream"
+	"hickorypath/internal/policy/budget"
 	"hickorypath/internal/policy/home"
 	"hickorypath/internal/policy/poison"
 )
@@ -39,11 +40,12 @@
 	isTrial        bool           // it is let through although requests like it have broken upstreams
 	begun          bool           // the response of the current attempt has been under way for a while; x.mu guards it
 	attempts       []attempt
-	waited         time.Duration // total time in the queue
-	possibleRuns   int           // number of attempts that may have run
-	mayHaveRun     bool          // whether any attempt ran or may have run
-	status         int           // of the response to the client; 0 before it starts
-	firstByteAfter time.Duration // time from the arrival to the first response byte sent to the client
+	account        *budget.Request // of its arrivals at upstreams; x.mu guards it; nil if it is only explained
+	waited         time.Duration   // total time in the queue
+	possibleRuns   int             // number of attempts that may have run
+	mayHaveRun     bool            // whether any attempt ran or may have run
+	status         int             // of the response to the client; 0 before it starts
+	firstByteAfter time.Duration   // time from the arrival to the first response byte sent to the client
 	progress       streamProgress
 	origin         *upstream.Origin // of the stream, once it has begun here or elsewhere
 	conn           *upstream.Conn   // on which the current attempt was sent to an upstream; x.mu guards it
@@ -125,7 +127,7 @@
 	if err := e.findOrigin(ctx); err != nil {
 		return err
 	}
-	e.x.countRequest(e.service.Name, e.x.opts.Now())
+	defer e.settle()
 	for {
 		if err := e.checkHome(); err != nil {
 			return err
@@ -165,24 +167,14 @@
 	maxAttempts = 12
 )
 
-// sends returns how many attempts sent at least one byte.
-func (e *exchange) sends() (n int) {
-	for _, a := range e.attempts {
-		if a.sent {
-			n++
-		}
-	}
-	return n
-}
-
-// mayRetry reports whether another attempt may follow a failed one, and takes it from the retry budget if it
+// mayRetry reports whether another attempt may follow a failed one, and sets it aside in the retry budget if it
 // needs to.
 func (e *exchange) mayRetry(err error) bool {
 	if errors.Is(err, errNoHelper) {
 		return false
 	}
 	if errors.Is(err, errSuperseded) {
-		return len(e.attempts) < maxAttempts && e.timeLeft() >= minAttemptTime
+		return len(e.attempts) < maxAttempts && e.timeLeft() >= minAttemptTime && e.holdRetry()
 	}
 	failure := kind.From(err)
 	if failure.Ran() != kind.RanNo {
@@ -200,14 +192,14 @@
 	if e.origin != nil && !e.originServes() {
 		return false
 	}
-	if e.sends() >= maxSends || len(e.attempts) >= maxAttempts || e.timeLeft() < minAttemptTime {
+	if e.arrivals() >= maxSends || len(e.attempts) >= maxAttempts || e.timeLeft() < minAttemptTime {
 		return false
 	}
 	switch failure.Kind() {
 	case kind.Failed:
 		return true // mayRetryFailed has allowed the retry
 	case kind.Rejected, kind.Unavailable, kind.Lost, kind.UpstreamStalled, kind.ResponseMismatch:
-		return !e.attempts[len(e.attempts)-1].sent || e.x.takeRetry(e.service.Name)
+		return e.holdRetry()
 	default:
 		return false
 	}
@@ -217,7 +209,7 @@
 // client gets the error response.
 func (e *exchange) mayRetryFailed() bool {
 	return e.helper == nil && e.route.IsRepeatable() && e.possibleRuns+1 < e.route.MaxAttempts && !e.writer.IsStarted() &&
-		e.sends()+1 < maxSends && e.timeLeft() > minRetryTime && e.x.takeRetry(e.service.Name)
+		e.arrivals() < maxSends && e.timeLeft() > minRetryTime && e.holdRetry()
 }
 
 // minRetryTime is the least time left until the deadline for a retry after a server error.
@@ -247,7 +239,7 @@
 		if e.mayHaveRun && ran == kind.RanNo {
 			ran = kind.RanMaybe
 		}
-		fields = append(fields, relay.RefusalFields(failure.Kind(), ran)...)
+		fields = append(append(fields, relay.RefusalFields(failure.Kind(), ran)...), relay.ArrivalsField(e.arrivals()-e.order.Arrivals))
 	}
 	e.writer.WriteError(status, fields, failure.Message())
 }
--- a/internal/gateway/exchange/exchanger.go
+++ b/internal/gateway/exchange/exchanger.go
@@ -34,11 +34,14 @@
 	ConfigOrigin func() (source string, age time.Duration)
 	Table        *upstream.Table
 	Budget       budget.Config
+	// RetryHosts returns the number of hosts that share the retry budgets, 0 while it is not known.
+	RetryHosts func() int
+	Elapsed    func() time.Duration // time since boot, which no step of the time of day changes
 	// In one second, all hosts together may send a cold upstream ColdOvershoot times its rate and ColdSlack requests more.
 	ColdOvershoot, ColdSlack float64
 
 	DrainTime time.Duration                             // time for which an upstream that leaves goes on serving requests
-	HostCount func() int                                // number of hosts that share the retry budgets
+	HostCount func() int                                // number of hosts that share the upstreams
 	PeerLoads func(now time.Time) map[string]place.Load // requests that the other hosts have in flight, by instance
 	Fleet     func() *advisory.Fleet                    // the hosts that share the limits of upstreams
 	FleetTime func() time.Time                          // the time on which the hosts of the fleet agree
@@ -72,6 +75,7 @@
 
 	mu        sync.Mutex
 	services  map[string]*serviceState
+	retries   *budget.Ledger
 	poison    *poison.Tracker
 	attempts  map[*exchange]context.CancelCauseFunc // those under way
 	accessLog *accessLog
@@ -80,7 +84,6 @@
 
 // serviceState is the state that an Exchanger keeps for one service.
 type serviceState struct {
-	budget       *budget.Budget
 	cache        *place.PrefixIndex
 	loads        map[string]*place.Load // in-flight load of this host, by instance
 	queue        *waitqueue.Queue[*exchange]
@@ -103,7 +106,7 @@
 
 // New returns an Exchanger without any service state.
 func New(o Options) *Exchanger {
-	x := &Exchanger{opts: o, services: map[string]*serviceState{}, poison: poison.New(), attempts: map[*exchange]context.CancelCauseFunc{}, accessLog: newAccessLog(o.Log, o.Now)}
+	x := &Exchanger{opts: o, services: map[string]*serviceState{}, retries: budget.NewLedger(o.Budget, o.RetryHosts), poison: poison.New(), attempts: map[*exchange]context.CancelCauseFunc{}, accessLog: newAccessLog(o.Log, o.Now)}
 	x.life, x.stop = context.WithCancelCause(context.Background())
 	o.Table.OnCutChange, o.Table.OnOutOfReach = x.handleCutChange, x.handleOutOfReach
 	return x
@@ -130,6 +133,7 @@
 	ctx, cancel := context.WithCancelCause(client)
 	defer cancel(nil)
 	defer context.AfterFunc(x.life, func() { cancel(context.Cause(x.life)) })()
+	e.account = x.newAccount(e.order)
 	err := e.prepare()
 	if err == nil {
 		err = e.run(ctx)
@@ -157,7 +161,7 @@
 }
 
 func (x *Exchanger) newServiceState() *serviceState {
-	return &serviceState{budget: budget.New(x.opts.Budget), cache: place.NewPrefixIndex(), loads: map[string]*place.Load{}, queue: waitqueue.New[*exchange](), latencies: place.NewLatencyTracker()}
+	return &serviceState{cache: place.NewPrefixIndex(), loads: map[string]*place.Load{}, queue: waitqueue.New[*exchange](), latencies: place.NewLatencyTracker()}
 }
 
 // currentLoad returns a copy of the in-flight load of this host at an instance.
--- a/internal/gateway/exchange/explain_test.go
+++ b/internal/gateway/exchange/explain_test.go
@@ -37,7 +37,7 @@
 	fleet, clock := advisory.NewMembers("h").Fleet(), func() time.Time { return *now }
 	return New(Options{
 		Zone: "a", Table: table, Live: live, Budget: budget.Config{Window: time.Second}, Log: zap.NewNop(), Now: clock, FleetTime: clock,
-		HostCount: func() int { return 1 }, Fleet: func() *advisory.Fleet { return fleet }, PeerLoads: func(time.Time) map[string]place.Load { return nil },
+		HostCount: func() int { return 1 }, RetryHosts: func() int { return 1 }, Elapsed: func() time.Duration { return 0 }, Fleet: func() *advisory.Fleet { return fleet }, PeerLoads: func(time.Time) map[string]place.Load { return nil },
 		NotifyPeers: func() {}, DrainingFor: func() time.Duration { return 0 }, ColdOvershoot: 1.5, ColdSlack: 5,
 		Helpers: relay.NewHelpers(relay.Options{Hosts: func(time.Time) []relay.Host { return nil }}),
 	})
--- a/internal/gateway/exchange/hang.go
+++ b/internal/gateway/exchange/hang.go
@@ -18,7 +18,7 @@
 
 // setMovable records whether another attempt may follow if the current one is given up. The caller holds x.mu.
 func (e *exchange) setMovable() {
-	e.canMove = e.route.IsRepeatable() && e.possibleRuns+1 < e.route.MaxAttempts && e.sends()+1 < maxSends && len(e.attempts)+1 < maxAttempts
+	e.canMove = e.route.IsRepeatable() && e.possibleRuns+1 < e.route.MaxAttempts && e.arrivals()+1 < maxSends && len(e.attempts)+1 < maxAttempts
 }
 
 // handleOutOfReach watches the attempts at instances that have come to be out of reach, as far as others may follow them.
--- a/internal/gateway/exchange/place.go
+++ b/internal/gateway/exchange/place.go
@@ -23,20 +23,6 @@
 	crossZoneCost = 12 * time.Millisecond
 )
 
-// countRequest counts a request for the retry budget of its service.
-func (x *Exchanger) countRequest(service string, now time.Time) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.service(service).budget.RecordRequest(now)
-}
-
-// takeRetry takes a retry from the budget of a service and reports whether the budget allowed it.
-func (x *Exchanger) takeRetry(service string) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.service(service).budget.TakeRetry(x.opts.Now(), x.opts.HostCount())
-}
-
 // choice is the instance chosen for a request.
 type choice struct {
 	instance     *upstream.Instance
--- a/internal/gateway/exchange/place_bench_test.go
+++ b/internal/gateway/exchange/place_bench_test.go
@@ -47,7 +47,7 @@
 	}
 	x := New(Options{
 		Zone: "a", Table: table, Live: config.NewLive(), Budget: budget.Config{Window: time.Second}, Log: zap.NewNop(), Now: func() time.Time { return now },
-		HostCount: peers.MaxHosts, Fleet: peers.Fleet, FleetTime: func() time.Time { return now }, PeerLoads: peers.Loads, NotifyPeers: func() {},
+		HostCount: peers.MaxHosts, RetryHosts: peers.MaxHosts, Elapsed: func() time.Duration { return 0 }, Fleet: peers.Fleet, FleetTime: func() time.Time { return now }, PeerLoads: peers.Loads, NotifyPeers: func() {},
 	})
 	s := x.service("s")
 	service := &config.Service{Name: "s", Engine: &config.Engine{Slots: 48, KVCapacityTokens: 576788, KVTokenBytes: 35136, LinkMbps: 180000}}
--- a/internal/gateway/exchange/relay.go
+++ b/internal/gateway/exchange/relay.go
@@ -97,7 +97,7 @@
 	}
 	defer helper.Done()
 	e.helpersTried = append(e.helpersTried, helper.Name())
-	a := attempt{helper: helper.Name(), reportAge: -1}
+	a := attempt{helper: helper.Name(), reportAge: -1, arrivals: -1}
 	attemptCtx, end := e.startAttempt(ctx)
 	e.helper = helper
 	err := e.sendThrough(attemptCtx, helper, &a)
@@ -110,10 +110,11 @@
 		a.failed, a.result = true, kind.Of(err)
 		if kind.From(err).Ran() != kind.RanNo {
 			e.possibleRuns++
-		} else {
-			a.sent = false // to an upstream
 		}
 		isFault := relay.IsFaultOfHost(kind.From(err))
+		if a.arrivals < 0 && isFault {
+			a.arrivals = 0
+		}
 		switch {
 		case ctx.Err() != nil, errors.Is(err, errForeignHost):
 		case isFault || a.result == kind.Lost && a.framing == "": // it has said so, or has not answered
@@ -125,6 +126,12 @@
 			err = kind.Wrap(err, kind.Unavailable, "%s cannot serve the request", helper.Name()).WithRetry(e.spreadRetryAfter())
 		}
 	}
+	if a.sent && a.arrivals < 0 { // nothing shows how often
+		a.arrivals = 1
+	}
+	if a.sent = a.arrivals > 0; a.sent {
+		e.arriveElsewhere(a.arrivals)
+	}
 	e.attempts = append(e.attempts, a)
 	return err
 }
@@ -157,7 +164,7 @@
 		c.Return(e.x.opts.Now())
 		return kind.Wrap(errForeignHost, kind.Unavailable, "%s may not get the request any more", helper.Name()).WithRetry(e.spreadRetryAfter())
 	}
-	order := relay.Order{Host: e.x.opts.Host, Service: e.service.Name, Runs: e.possibleRuns, Config: e.config.Version()}
+	order := relay.Order{Host: e.x.opts.Host, Service: e.service.Name, Runs: e.possibleRuns, Config: e.config.Version(), Arrivals: e.arrivals(), Counts: e.passOn()}
 	if e.origin != nil {
 		order.Origin = *e.origin
 	}
@@ -194,7 +201,7 @@
 	if e.order == nil || e.writer.IsStarted() {
 		return
 	}
-	source := relay.Source{Upstream: i.ID()}
+	source := relay.Source{Upstream: i.ID(), Arrivals: e.arrivals() - e.order.Arrivals}
 	if e.origin != nil {
 		source.Origin = *e.origin
 	}
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -28,6 +28,8 @@
 	fieldUpstream = fieldPrefix + "Upstream"
 	fieldKind     = fieldPrefix + "Kind"
 	fieldRan      = fieldPrefix + "Ran"
+	fieldArrivals = fieldPrefix + "Arrivals" // of an order: before it; of a response: for it
+	fieldCounts   = fieldPrefix + "Counts"
 )
 
 // IsField reports whether a header field is meant for the other host.
@@ -43,17 +45,37 @@
 	Runs    int             // attempts that may have run the request
 	Config  int64           // version of the configuration of the host that asks
 	Origin  upstream.Origin // of the stream that goes on; zero if the response has not begun
+	// Arrivals is how often the request has arrived at upstreams. If it is not 0, the host that asks has set one more aside in its retry
+	// budget. Hosts of an earlier version do not state it.
+	Arrivals int
+	Counts   bool // the host that is asked counts the request for its retry budget
 }
 
 // Fields returns the header fields of the order.
 func (o Order) Fields() [][2]string {
 	fields := [][2]string{{fieldHost, o.Host}, {fieldService, o.Service}, {fieldRuns, strconv.Itoa(o.Runs)}, {fieldConfig, strconv.FormatInt(o.Config, 10)}}
+	fields = append(fields, ArrivalsField(o.Arrivals), [2]string{fieldCounts, strconv.FormatBool(o.Counts)})
 	if o.Origin.Service != "" {
 		fields = append(fields, [2]string{fieldOrigin, o.Origin.Service + " " + o.Origin.Version})
 	}
 	return fields
 }
 
+// ArrivalsField returns the header field that states how often a request has arrived at upstreams.
+func ArrivalsField(n int) [2]string { return [2]string{fieldArrivals, strconv.Itoa(n)} }
+
+// maxArrivals bounds what another host states, so that a wrong value does not use up a budget.
+const maxArrivals = 100
+
+// ParseArrivals returns how often a request has arrived at upstreams, as another host states; -1 if it states nothing that can be read.
+func ParseArrivals(h *h1.Head) int {
+	n, err := strconv.Atoi(string(h.Get(fieldArrivals)))
+	if err != nil || n < 0 {
+		return -1
+	}
+	return min(n, maxArrivals)
+}
+
 // ParseOrder returns the order of a relayed request; ok is false if it has none, or one that cannot be read.
 func ParseOrder(h *h1.Head) (o Order, ok bool) {
 	o = Order{Host: string(h.Get(fieldHost)), Service: string(h.Get(fieldService))}
@@ -61,6 +83,7 @@
 	o.Runs, runsErr = strconv.Atoi(string(h.Get(fieldRuns)))
 	o.Config, configErr = strconv.ParseInt(string(h.Get(fieldConfig)), 10, 64)
 	o.Origin = parseOrigin(h)
+	o.Arrivals, o.Counts = max(ParseArrivals(h), 0), string(h.Get(fieldCounts)) == "true"
 	return o, o.Host != "" && o.Service != "" && runsErr == nil && o.Runs >= 0 && configErr == nil
 }
 
@@ -73,11 +96,12 @@
 type Source struct {
 	Upstream string
 	Origin   upstream.Origin // of the stream, zero for other responses
+	Arrivals int             // at upstreams, for the order
 }
 
 // Fields returns the header fields of the source.
 func (s Source) Fields() [][2]string {
-	fields := [][2]string{{fieldUpstream, s.Upstream}}
+	fields := [][2]string{{fieldUpstream, s.Upstream}, ArrivalsField(s.Arrivals)}
 	if s.Origin.Service != "" {
 		fields = append(fields, [2]string{fieldOrigin, s.Origin.Service + " " + s.Origin.Version})
 	}
@@ -86,7 +110,7 @@
 
 // ParseSource returns the source of a relayed response.
 func ParseSource(h *h1.Head) Source {
-	return Source{Upstream: string(h.Get(fieldUpstream)), Origin: parseOrigin(h)}
+	return Source{Upstream: string(h.Get(fieldUpstream)), Origin: parseOrigin(h), Arrivals: max(ParseArrivals(h), 0)}
 }
 
 // RefusalFields returns the header fields with which a host refuses a relayed request. The response has a Retry-After field as
--- /dev/null
+++ b/internal/policy/budget/ledger_test.go
@@ -0,0 +1,173 @@
+package budget_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"hickorypath/internal/policy/budget"
+)
+
+// arrival is one arrival of a request at an upstream of a service.
+type arrival struct {
+	at      time.Duration
+	isRetry bool
+}
+
+// fleet is a fleet of hosts that fail most requests, in virtual time.
+type fleet struct {
+	rng      *rand.Rand
+	now      time.Duration
+	hosts    []*host
+	total    int                        // of hosts that exist, running or not
+	arrivals map[string][]arrival       // by service
+	requests map[string][]time.Duration // by the service that the request is for
+}
+
+// host is one host; a host that starts again gets a new ledger.
+type host struct {
+	ledger      *budget.Ledger
+	known       int // hosts that it knows of, 0 if it has not read them
+	pausedUntil time.Duration
+	cutUntil    time.Duration // from the upstreams
+	weight      int           // its part of the traffic
+}
+
+func (f *fleet) start(known int, first bool) *host {
+	h := &host{known: known, weight: 1 + f.rng.IntN(5)}
+	c := conf
+	if !first {
+		c.KnownFrom = f.now + c.Window
+	}
+	h.ledger = budget.NewLedger(c, func() int { return h.known })
+	return h
+}
+
+// arrive records an arrival of a request for a service.
+func (f *fleet) arrive(r *budget.Request, service string) {
+	isRetry := r.Arrivals() > 0
+	r.Arrive(f.now, service)
+	f.arrivals[service] = append(f.arrivals[service], arrival{f.now, isRetry})
+}
+
+// send sends a request from a host until it is served or no retry is allowed, through other hosts while the host is cut off.
+func (f *fleet) send(h *host, service string) {
+	f.requests[service] = append(f.requests[service], f.now)
+	r := h.ledger.NewRequest()
+	defer func() {
+		r.Count(f.now, service)
+		r.Release()
+	}()
+	for tries := 0; tries < 8 && r.Arrivals() < 4 && r.MayRetry(f.now, service); tries++ {
+		if f.now < h.cutUntil {
+			helper := f.hosts[f.rng.IntN(len(f.hosts))]
+			if helper == h || f.now < helper.cutUntil {
+				continue
+			}
+			passed := helper.ledger.NewRelayed(r.Arrivals(), r.PassOn())
+			passed.Count(f.now, service)
+			for n := 0; n < 3 && passed.Arrivals() < 4 && passed.MayRetry(f.now, service); n++ {
+				f.arrive(passed, service)
+			}
+			passed.Release()
+			r.ArriveElsewhere(f.now, service, passed.Arrivals()-r.Arrivals())
+			continue
+		}
+		r.Count(f.now, service)
+		f.arrive(r, service)
+		if f.rng.IntN(10) == 0 {
+			return
+		}
+	}
+}
+
+// disturb changes the fleet at random. A host that knows of too few others does not know the fleet.
+func (f *fleet) disturb() {
+	h := f.hosts[f.rng.IntN(len(f.hosts))]
+	switch f.rng.IntN(6) {
+	case 0: // it starts again, and reads the hosts from the store or cannot
+		*h = *f.start(f.total*f.rng.IntN(2), false)
+	case 1:
+		h.pausedUntil = f.now + time.Duration(f.rng.IntN(4000))*time.Millisecond
+	case 2:
+		h.cutUntil = f.now + time.Duration(f.rng.IntN(8000))*time.Millisecond
+	case 3:
+		if len(f.hosts) < 10 {
+			f.total++
+			f.hosts = append(f.hosts, f.start(f.total, false))
+			for _, x := range f.hosts {
+				if x.known > 0 {
+					x.known = f.total
+				}
+			}
+		}
+	case 4: // a host that has gone is known of for a while
+		if len(f.hosts) > 3 {
+			f.hosts = slices.DeleteFunc(f.hosts, func(x *host) bool { return x == h })
+		}
+	case 5: // the fleet starts anew
+		for _, x := range f.hosts {
+			*x = *f.start(f.total, false)
+		}
+	}
+}
+
+// worst returns the largest share of what a window allows that a service gets.
+func (f *fleet) worst(service string) (share float64) {
+	count := func(from, to time.Duration) (n int) {
+		for _, at := range f.requests[service] {
+			if at >= from && at < to {
+				n++
+			}
+		}
+		return n
+	}
+	retries := slices.DeleteFunc(slices.Clone(f.arrivals[service]), func(a arrival) bool { return !a.isRetry })
+	for i, a := range retries {
+		n := 0
+		for _, b := range retries[i:] {
+			if b.at >= a.at+conf.Window {
+				break
+			}
+			n++
+		}
+		requests := max(count(a.at, a.at+conf.Window), count(a.at-conf.Window, a.at), count(a.at-conf.Window/2, a.at+conf.Window/2))
+		share = max(share, float64(n)/(conf.Ratio*float64(requests)+float64(conf.Minimum)))
+	}
+	return share
+}
+
+// TestServiceGetsMoreRetriesThanItsBudget guards against a service that gets more than its budget in some window, summed over the hosts.
+func TestServiceGetsMoreRetriesThanItsBudget(t *testing.T) {
+	seeds := uint64(200)
+	if testing.Short() {
+		seeds = 40
+	}
+	for seed := range seeds {
+		f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, total: 6, arrivals: map[string][]arrival{}, requests: map[string][]time.Duration{}}
+		for range f.total {
+			f.hosts = append(f.hosts, f.start(f.total, true))
+		}
+		weights := func() (all []*host) {
+			for _, h := range f.hosts {
+				all = append(all, slices.Repeat([]*host{h}, h.weight)...)
+			}
+			return all
+		}
+		for end := f.now + 60*time.Second; f.now < end; f.now += time.Duration(1+f.rng.IntN(40)) * time.Millisecond {
+			if f.rng.IntN(100) == 0 {
+				f.disturb()
+			}
+			hosts := weights()
+			if h := hosts[f.rng.IntN(len(hosts))]; f.now >= h.pausedUntil {
+				f.send(h, []string{"a", "a", "b"}[f.rng.IntN(3)])
+			}
+		}
+		for _, service := range []string{"a", "b"} {
+			if share := f.worst(service); share > 1 {
+				t.Errorf("seed %d: service %s gets %.2f of what is allowed", seed, service, share)
+			}
+		}
+	}
+}
