Send retries to no upstream whose address another one may have

An upstream that was seen to answer at the address of another one, or registers there and started later, now ends the use of the earlier one until that shows itself again. While that happens in a service, its retries go only to upstreams that have answered this host or written their entry within the time after which an address may be used again (addrReuseS): those surely have theirs. Others may get first attempts, which cost no budget. A retry that arrived elsewhere is moved to the account of the service that it reached, where that is known.

--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -184,11 +184,12 @@
 	b := g.settings.Bounds
 	return exchange.New(exchange.Options{
 		Zone: g.settings.Zone, Regions: g.settings.Regions, Codec: platform.Codec(), Live: g.live, ConfigOrigin: g.configOrigin, Table: g.table,
-		Budget:        g.retryBudget(),
-		RetryHosts:    g.retryHosts,
-		Elapsed:       g.clock.Boot,
-		DrainTime:     b.DrainTime,
-		ColdOvershoot: b.ColdOvershoot, ColdSlack: b.ColdSlack,
+		Budget:           g.retryBudget(),
+		RetryHosts:       g.retryHosts,
+		Elapsed:          g.clock.Boot,
+		AddressReuseTime: b.AddressReuseTime,
+		DrainTime:        b.DrainTime,
+		ColdOvershoot:    b.ColdOvershoot, ColdSlack: b.ColdSlack,
 		HostCount:  g.peers.MaxHosts,
 		Fleet:      g.peers.Fleet,
 		FleetTime:  g.fleetTime.Now,
--- a/internal/gateway/exchange/accesslog.go
+++ b/internal/gateway/exchange/accesslog.go
@@ -191,6 +191,9 @@
 	if a.silent > 0 {
 		enc.AddFloat64("silent", ms(a.silent))
 	}
+	if a.moved {
+		enc.AddBool("moved", true)
+	}
 	if a.helper != "" && a.arrivals > 0 {
 		enc.AddInt("arrivals", a.arrivals)
 	}
--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -32,6 +32,7 @@
 	connected    time.Duration  // time until a connection was there
 	sent         bool           // at least one byte was written, to an upstream
 	arrivals     int            // at upstreams, as the host states through which it was sent; negative if it does not state it
+	moved        bool           // another upstream answered, which has the address now
 	pauseLeft    time.Duration  // what was left of a pause of the upstream when the first byte was written; 0 without a pause
 	leaving      bool           // the response states that the upstream leaves
 	pause        time.Duration  // for which the response asks the host to send nothing; 0 for none
@@ -192,6 +193,13 @@
 		answer.Advisory.Pause = advisory.Pause{} // asked of the host in between
 		e.x.recordStatements(u, sentAt, answer)
 	}
+	if e.helper == nil {
+		if a.moved = answer.Misdirected; a.moved {
+			e.recordMoved(i)
+		} else {
+			i.RecordAlive(e.x.opts.Now())
+		}
+	}
 	if answer.NotExecuted {
 		return kind.New(kind.Rejected, "%s did not run the request: status %d", i.ID(), resp.Status()).WithRetry(e.retryAfter(rejectedRetryAfter))
 	}
--- a/internal/gateway/exchange/exchanger.go
+++ b/internal/gateway/exchange/exchanger.go
@@ -37,6 +37,8 @@
 	// RetryHosts returns the number of hosts that share the retry budgets, 0 while it is not known.
 	RetryHosts func() int
 	Elapsed    func() time.Duration // time since boot, which no step of the time of day changes
+	// AddressReuseTime is the time after the end of an upstream from which another one may have its address.
+	AddressReuseTime time.Duration
 	// In one second, all hosts together may send a cold upstream ColdOvershoot times its rate and ColdSlack requests more.
 	ColdOvershoot, ColdSlack float64
 
--- a/internal/gateway/exchange/explain.go
+++ b/internal/gateway/exchange/explain.go
@@ -23,6 +23,7 @@
 	RuleDeparting Rule = "departing" // its responses state that it leaves
 	RuleFailed    Rule = "failed"    // an earlier attempt of the request failed there
 	RuleRegion    Rule = "region"    // the route or the customer does not allow its region
+	RuleMoved     Rule = "moved"     // the request was sent before, and another upstream may have its address by now
 	RuleAwaited   Rule = "awaited"   // requests that go first and are restricted to regions wait for it
 	RuleOrigin    Rule = "origin"    // the request goes on with a stream that did not begin at this version
 	RulePaused    Rule = "paused"    // it asked this host for a pause
--- a/internal/gateway/exchange/metrics.go
+++ b/internal/gateway/exchange/metrics.go
@@ -44,6 +44,9 @@
 		if a.sent && a.pauseLeft > 0 {
 			metrics.GetOrCreateCounter(fmt.Sprintf(`hickorypath_paused_attempts_total{service=%q}`, service)).Inc()
 		}
+		if a.moved {
+			metrics.GetOrCreateCounter(fmt.Sprintf(`hickorypath_moved_attempts_total{service=%q}`, service)).Inc()
+		}
 		if a.silent > 0 {
 			metrics.GetOrCreateCounter(fmt.Sprintf(`hickorypath_silent_attempts_total{service=%q}`, service)).Inc()
 		}
--- a/internal/gateway/exchange/place.go
+++ b/internal/gateway/exchange/place.go
@@ -63,6 +63,7 @@
 	fleet          *advisory.Fleet
 	lastResort     bool
 	mayBeBrittle   bool
+	mustBeAlive    bool // the request has been sent before, and addresses of the service have moved
 }
 
 func (x *Exchanger) newPlacement(s *serviceState, e *exchange) placement {
@@ -81,6 +82,7 @@
 	p.fleet, p.fleetTime = x.opts.Fleet(), x.opts.FleetTime()
 	p.lastResort = x.needsLastResort(p.list, e, now, p.grace)
 	p.mayBeBrittle = x.opts.Table.MayBeBrittle(now, e.service.Name)
+	p.mustBeAlive = e.arrivals() > 0 && x.retries.HasMoved(x.opts.Elapsed(), e.service.Name)
 	return p
 }
 
@@ -128,6 +130,9 @@
 		return RuleOrigin
 	}
 	v.usable = true
+	if p.mustBeAlive && !i.WasAliveWithin(p.now, p.x.opts.AddressReuseTime) {
+		return RuleMoved
+	}
 	if p.s.isAwaited(i) {
 		return RuleAwaited
 	}
--- a/internal/gateway/exchange/retries.go
+++ b/internal/gateway/exchange/retries.go
@@ -6,6 +6,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"hickorypath/internal/gateway/relay"
+	"hickorypath/internal/gateway/upstream"
 	"hickorypath/internal/policy/budget"
 )
 
@@ -62,6 +63,17 @@
 	return e.account.PassOn()
 }
 
+// recordMoved records that another upstream answered at the address of instance i, to which an attempt was sent.
+func (e *exchange) recordMoved(i *upstream.Instance) {
+	reached := ""
+	if holder := e.x.opts.Table.RecordMoved(e.x.opts.Now(), i); holder != nil {
+		reached = holder.Entry().Service
+	}
+	e.x.mu.Lock()
+	defer e.x.mu.Unlock()
+	e.account.Move(e.x.opts.Elapsed(), e.service.Name, reached)
+}
+
 // settle counts a request that was never sent, and gives back what is set aside for it.
 func (e *exchange) settle() {
 	e.x.mu.Lock()
--- a/internal/gateway/settings/settings.go
+++ b/internal/gateway/settings/settings.go
@@ -37,7 +37,9 @@
 	RetryWindow time.Duration
 	MinRetries  int           // retries of the whole fleet that are allowed in RetryWindow in addition to the ratio
 	LeaseTTL    time.Duration // time to live of leases in the store
-	ContactTime time.Duration // time after the end of a disruption by which a host must follow the store again
+	// AddressReuseTime is the time after the end of an upstream from which another one may have its address.
+	AddressReuseTime time.Duration
+	ContactTime      time.Duration // time after the end of a disruption by which a host must follow the store again
 	// In one second, all hosts together may send a cold upstream ColdOvershoot times its rate and ColdSlack requests more.
 	ColdOvershoot, ColdSlack float64
 
--- a/internal/gateway/upstream/instance.go
+++ b/internal/gateway/upstream/instance.go
@@ -17,6 +17,8 @@
 	coldUntil time.Time // before which the instance is slow after its start, as it stated last
 	removedAt time.Time // when the entry was removed from the store, zero while the entry exists
 	heldUntil time.Time // an entry of an older copy of the store is not trusted before
+	aliveAt   time.Time // when it last answered this host, or wrote its entry
+	movedAt   time.Time // when another upstream was seen at its address, zero if it has shown itself since
 	idle      []*Conn   // idle connections, most recently used last
 	openConns int       // number of open connections, busy ones included
 	dials     dials     // connections that are being opened
@@ -173,7 +175,7 @@
 		return Leaving
 	case i.isEvacuated():
 		return Evacuated
-	case i.backoff.isActive(now), i.outOfReach.Load():
+	case i.backoff.isActive(now), i.outOfReach.Load(), i.hasMoved(now):
 		return Down
 	case i.isDeparting(now):
 		return Departing
--- a/internal/gateway/upstream/table.go
+++ b/internal/gateway/upstream/table.go
@@ -80,6 +80,7 @@
 		}
 		if !old.Entry().isSameWrite(e) {
 			old.RecordCold(now, e.Cold)
+			old.RecordAlive(now)
 		}
 		old.update(e)
 		if comesBack {
@@ -93,6 +94,8 @@
 	i := newInstance(e, t.dialer, t.reachOf(e.Service))
 	i.brittle, i.evacuated = t.brittleOf(e.Service), t.evacuated
 	i.RecordCold(now, e.Cold)
+	i.RecordAlive(now)
+	t.moveOthers(now, e)
 	i.outOfReach.Store(i.reach.isCut())
 	if l, ok := t.left[e.ID]; ok && l.entry.isSameIncarnation(e) {
 		i.advisory = l.advisory
--- a/internal/gateway/upstream/table_test.go
+++ b/internal/gateway/upstream/table_test.go
@@ -18,6 +18,13 @@
 	return upstream.Entry{ID: "u1", Service: "s", Address: "10.0.0.1:80", Zone: "z", Slots: 8, Born: 5}
 }
 
+// other returns the entry of an upstream of another service at the same address.
+func other(born int64) upstream.Entry {
+	e := entry()
+	e.ID, e.Service, e.Born = "u2", "other", born
+	return e
+}
+
 func TestStatus(t *testing.T) {
 	start := time.Unix(1_800_000_000, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
@@ -40,6 +47,17 @@
 				t.Get("u1").RecordFailure(at(1))
 			}
 		}, 1900, upstream.Down},
+		{"another one answered at its address", func(t *upstream.Table) { t.RecordMoved(at(1), t.Get("u1")) }, 9000, upstream.Down},
+		{"another one answered, and it did since", func(t *upstream.Table) { t.RecordMoved(at(1), t.Get("u1")); t.Get("u1").RecordAlive(at(2)) }, 10, upstream.Usable},
+		{"another one answered, and it wrote its entry since", func(t *upstream.Table) {
+			t.RecordMoved(at(1), t.Get("u1"))
+			e := entry()
+			e.Seq = 9
+			t.Put(at(2), e)
+		}, 10, upstream.Usable},
+		{"a later one has its address", func(t *upstream.Table) { t.Put(at(1), other(6)) }, 10, upstream.Down},
+		{"an earlier one has its address", func(t *upstream.Table) { t.Put(at(1), other(4)) }, 10, upstream.Usable},
+		{"one of unknown start has its address", func(t *upstream.Table) { t.Put(at(1), other(0)) }, 10, upstream.Usable},
 		{"restarted", func(t *upstream.Table) { t.Get("u1").RecordFailure(at(1)); e := entry(); e.Born = 6; t.Put(at(2), e) }, 10, upstream.Usable},
 	}
 	for _, c := range cases {
--- a/internal/policy/budget/budget.go
+++ b/internal/policy/budget/budget.go
@@ -76,6 +76,17 @@
 	b.retries[b.newest%buckets]++
 }
 
+// Forget takes back the record of a retry that arrived elsewhere, if it is as recent as a response.
+func (b *Budget) Forget(now time.Duration) {
+	b.advance(now)
+	for i := range int64(buckets) {
+		if n := &b.retries[(b.newest-i+buckets)%buckets]; *n > 0 {
+			*n--
+			return
+		}
+	}
+}
+
 // advance clears the buckets that have left the window.
 func (b *Budget) advance(now time.Duration) {
 	at := int64(now / (b.config.Window / buckets))
--- a/internal/policy/budget/ledger.go
+++ b/internal/policy/budget/ledger.go
@@ -7,11 +7,20 @@
 	config  Config
 	hosts   func() int // that share the limits; 0 if the number is not known
 	budgets map[string]*Budget
+	movedAt map[string]time.Duration // by service, when an arrival meant for it was last elsewhere
 }
 
 // NewLedger returns a Ledger that has counted nothing. Hosts returns the number of hosts that share the limits, 0 while it is not known.
 func NewLedger(c Config, hosts func() int) *Ledger {
-	return &Ledger{config: c, hosts: hosts, budgets: map[string]*Budget{}}
+	return &Ledger{config: c, hosts: hosts, budgets: map[string]*Budget{}, movedAt: map[string]time.Duration{}}
+}
+
+// HasMoved reports whether an arrival meant for a service was at an upstream of another one within the window, because the address has
+// moved. Then a retry goes only to an upstream that surely has its address still: the budget of the other service does not allow
+// it.
+func (l *Ledger) HasMoved(now time.Duration, service string) bool {
+	at, ok := l.movedAt[service]
+	return ok && now-at < l.config.Window
 }
 
 // of returns the budget of a service.
@@ -33,6 +42,7 @@
 	counted  bool   // some host has counted the request
 	holds    bool   // a retry is set aside
 	service  string // for which a retry is set aside
+	last     string // service that the last retry was recorded for; empty if the last arrival was none
 }
 
 // NewRequest returns the account of a request that no host has sent yet.
@@ -77,17 +87,31 @@
 
 // Arrive records an arrival at an upstream of a service, which MayRetry has allowed.
 func (r *Request) Arrive(now time.Duration, service string) {
+	r.last = ""
 	switch {
 	case r.holds:
 		r.ledger.of(r.service).Use(now)
-		r.holds = false
+		r.holds, r.last = false, r.service
 	case !r.prepaid:
 		r.ledger.of(service).Record(now)
+		r.last = service
 	}
 	r.prepaid = false
 	r.arrivals++
 }
 
+// Move records that the last arrival, meant for a service, was at an upstream that has the address now, of the service reached; empty if
+// that is not known.
+func (r *Request) Move(now time.Duration, service, reached string) {
+	r.ledger.movedAt[service] = now
+	if r.last == "" || r.last == reached || reached == "" {
+		return
+	}
+	r.ledger.of(r.last).Forget(now)
+	r.ledger.of(reached).Record(now)
+	r.last = reached
+}
+
 // ArriveElsewhere records that the request arrived n times at upstreams of a service through another host, which accounts for all arrivals
 // but the first.
 func (r *Request) ArriveElsewhere(now time.Duration, service string, n int) {
--- a/internal/policy/budget/ledger_test.go
+++ b/internal/policy/budget/ledger_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"hickorypath/internal/policy/budget"
 )
 
@@ -21,8 +23,9 @@
 	now      time.Duration
 	hosts    []*host
 	total    int                        // of hosts that exist, running or not
-	arrivals map[string][]arrival       // by service
+	arrivals map[string][]arrival       // by the service that is reached
 	requests map[string][]time.Duration // by the service that the request is for
+	moved    bool                       // addresses of service a belong to upstreams of service b
 }
 
 // host is one host; a host that starts again gets a new ledger.
@@ -45,10 +48,17 @@
 }
 
 // arrive records an arrival of a request for a service.
-func (f *fleet) arrive(r *budget.Request, service string) {
+func (f *fleet) arrive(l *budget.Ledger, r *budget.Request, service string) {
+	reached := service
 	isRetry := r.Arrivals() > 0
+	if f.moved && service == "a" && f.rng.IntN(3) > 0 && !(isRetry && l.HasMoved(f.now, service)) {
+		reached = "b"
+	}
 	r.Arrive(f.now, service)
-	f.arrivals[service] = append(f.arrivals[service], arrival{f.now, isRetry})
+	f.arrivals[reached] = append(f.arrivals[reached], arrival{f.now, isRetry})
+	if reached != service {
+		r.Move(f.now, service, reached)
+	}
 }
 
 // send sends a request from a host until it is served or no retry is allowed, through other hosts while the host is cut off.
@@ -68,14 +78,14 @@
 			passed := helper.ledger.NewRelayed(r.Arrivals(), r.PassOn())
 			passed.Count(f.now, service)
 			for n := 0; n < 3 && passed.Arrivals() < 4 && passed.MayRetry(f.now, service); n++ {
-				f.arrive(passed, service)
+				f.arrive(helper.ledger, passed, service)
 			}
 			passed.Release()
 			r.ArriveElsewhere(f.now, service, passed.Arrivals()-r.Arrivals())
 			continue
 		}
 		r.Count(f.now, service)
-		f.arrive(r, service)
+		f.arrive(h.ledger, r, service)
 		if f.rng.IntN(10) == 0 {
 			return
 		}
@@ -85,7 +95,7 @@
 // disturb changes the fleet at random. A host that knows of too few others does not know the fleet.
 func (f *fleet) disturb() {
 	h := f.hosts[f.rng.IntN(len(f.hosts))]
-	switch f.rng.IntN(6) {
+	switch f.rng.IntN(7) {
 	case 0: // it starts again, and reads the hosts from the store or cannot
 		*h = *f.start(f.total*f.rng.IntN(2), false)
 	case 1:
@@ -106,7 +116,9 @@
 		if len(f.hosts) > 3 {
 			f.hosts = slices.DeleteFunc(f.hosts, func(x *host) bool { return x == h })
 		}
-	case 5: // the fleet starts anew
+	case 5:
+		f.moved = !f.moved
+	case 6: // the fleet starts anew
 		for _, x := range f.hosts {
 			*x = *f.start(f.total, false)
 		}
@@ -138,7 +150,8 @@
 	return share
 }
 
-// TestServiceGetsMoreRetriesThanItsBudget guards against a service that gets more than its budget in some window, summed over the hosts.
+// TestServiceGetsMoreRetriesThanItsBudget guards against a service that gets more than its budget in some window, summed over the hosts
+// and over what is reached.
 func TestServiceGetsMoreRetriesThanItsBudget(t *testing.T) {
 	seeds := uint64(200)
 	if testing.Short() {
@@ -171,3 +184,32 @@
 		}
 	}
 }
+
+// TestMovedRetryIsTakenFromTheWrongService guards against retries that are taken from the budget of the service that they were meant
+// for, and not from that of the service that they reached.
+func TestMovedRetryIsTakenFromTheWrongService(t *testing.T) {
+	is := is.New(t)
+	count := func(l *budget.Ledger, service string) (n int) {
+		for {
+			r := l.NewRequest()
+			r.Arrive(time.Hour, service)
+			if !r.MayRetry(time.Hour, service) {
+				return n
+			}
+			n++
+		}
+	}
+	for _, moves := range []int{0, 1, 5} {
+		l := budget.NewLedger(conf, func() int { return 1 })
+		for range moves {
+			r := l.NewRequest()
+			r.Arrive(time.Hour, "a")
+			is.True(r.MayRetry(time.Hour, "a"))
+			r.Arrive(time.Hour, "a")
+			r.Move(time.Hour, "a", "b")
+		}
+		is.Equal(l.HasMoved(time.Hour, "a"), moves > 0)
+		is.Equal(count(l, "a"), 43)
+		is.Equal(count(l, "b"), 43-moves)
+	}
+}
