--- a/internal/policy/budget/budget.go
+++ b/internal/policy/budget/budget.go
@@ -76,7 +76,7 @@
 	b.retries[b.newest%buckets]++
 }
 
-// Forget takes back the record of a retry that arrived elsewhere, if it is as recent as a response.
+// Forget takes back the newest record of a retry, which has turned out to be one of another service.
 func (b *Budget) Forget(now time.Duration) {
 	b.advance(now)
 	for i := range int64(buckets) {
--- a/internal/policy/budget/ledger_test.go
+++ b/internal/policy/budget/ledger_test.go
@@ -51,7 +51,7 @@
 func (f *fleet) arrive(l *budget.Ledger, r *budget.Request, service string) {
 	reached := service
 	isRetry := r.Arrivals() > 0
-	if f.moved && service == "a" && f.rng.IntN(3) > 0 && !(isRetry && l.HasMoved(f.now, service)) {
+	if f.moved && service == "a" && f.rng.IntN(3) > 0 && (!isRetry || !l.HasMoved(f.now, service)) {
 		reached = "b"
 	}
 	r.Arrive(f.now, service)
