Count requests that another host has passed back

Requests that a host passed on, and that came back unsent because the other host was out of reach too or relayed too many, were counted by no host, so that retries were refused that the budget allows. The host that sends a request counts it now, and takes the count back from a host that reports no arrival.

--- a/internal/gateway/exchange/relay.go
+++ b/internal/gateway/exchange/relay.go
@@ -129,9 +129,8 @@
 	if a.sent && a.arrivals < 0 { // nothing shows how often
 		a.arrivals = 1
 	}
-	if a.sent = a.arrivals > 0; a.sent {
-		e.arriveElsewhere(a.arrivals)
-	}
+	a.sent = a.arrivals > 0
+	e.arriveElsewhere(max(a.arrivals, 0))
 	e.attempts = append(e.attempts, a)
 	return err
 }
--- a/internal/gateway/exchange/retries.go
+++ b/internal/gateway/exchange/retries.go
@@ -74,10 +74,12 @@
 	e.account.Move(e.x.opts.Elapsed(), e.service.Name, reached)
 }
 
-// settle counts a request that was never sent, and gives back what is set aside for it.
+// settle counts a request of this host's caller that was never sent, and gives back what is set aside for it.
 func (e *exchange) settle() {
 	e.x.mu.Lock()
 	defer e.x.mu.Unlock()
-	e.account.Count(e.x.opts.Elapsed(), e.service.Name)
+	if e.order == nil {
+		e.account.Count(e.x.opts.Elapsed(), e.service.Name)
+	}
 	e.account.Release()
 }
--- a/internal/policy/budget/ledger.go
+++ b/internal/policy/budget/ledger.go
@@ -39,7 +39,8 @@
 	ledger   *Ledger
 	arrivals int
 	prepaid  bool   // the next arrival is the first one, or the host that passed the request on has set it aside
-	counted  bool   // some host has counted the request
+	counted  bool   // some host has counted the request, or this one is not to count it
+	passed   bool   // the host through which it is sent counts it
 	holds    bool   // a retry is set aside
 	service  string // for which a retry is set aside
 	last     string // service that the last retry was recorded for; empty if the last arrival was none
@@ -65,10 +66,10 @@
 	}
 }
 
-// PassOn reports whether the host to which the request is passed on has to count it.
+// PassOn reports whether the host to which the request is passed on has to count it, once it sends it.
 func (r *Request) PassOn() (counts bool) {
-	counts, r.counted = !r.counted, true
-	return counts
+	r.passed, r.counted = !r.counted, true
+	return r.passed
 }
 
 // MayRetry reports whether the request may be sent to an upstream of a service, and sets a retry aside if it needs one.
@@ -112,9 +113,10 @@
 	r.last = reached
 }
 
-// ArriveElsewhere records that the request arrived n times at upstreams of a service through another host, which accounts for all arrivals
-// but the first.
+// ArriveElsewhere records that the request, which was passed on, arrived n times at upstreams of a service. The other host accounts for all arrivals
+// but the first; without any it has not counted the request.
 func (r *Request) ArriveElsewhere(now time.Duration, service string, n int) {
+	r.counted, r.passed = r.counted && (n > 0 || !r.passed), false
 	if n <= 0 {
 		return
 	}
--- a/internal/policy/budget/ledger_test.go
+++ b/internal/policy/budget/ledger_test.go
@@ -76,8 +76,8 @@
 				continue
 			}
 			passed := helper.ledger.NewRelayed(r.Arrivals(), r.PassOn())
-			passed.Count(f.now, service)
-			for n := 0; n < 3 && passed.Arrivals() < 4 && passed.MayRetry(f.now, service); n++ {
+			for n := f.rng.IntN(2); n < 3 && passed.Arrivals() < 4 && f.rng.IntN(4) > 0 && passed.MayRetry(f.now, service); n++ {
+				passed.Count(f.now, service)
 				f.arrive(helper.ledger, passed, service)
 			}
 			passed.Release()
@@ -185,6 +185,52 @@
 	}
 }
 
+// TestRequestThatComesBackEarnsNothing guards against requests that no host counts, since the one that they were passed on to has not
+// sent them.
+func TestRequestThatComesBackEarnsNothing(t *testing.T) {
+	cases := []struct {
+		name           string
+		before         int // arrivals before it is passed on
+		elsewhere      int // arrivals through the other host
+		counted, other bool
+	}{
+		{"not sent", 0, 0, true, false},
+		{"sent", 0, 1, false, true},
+		{"counted before, not sent", 1, 0, true, false},
+		{"counted before, sent", 1, 2, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			free := conf
+			free.Minimum = 0
+			free.Ratio = 10
+			l := budget.NewLedger(free, func() int { return 1 })
+			r := l.NewRequest()
+			for range c.before {
+				r.Count(time.Hour, "a")
+				r.Arrive(time.Hour, "a")
+			}
+			other := budget.NewLedger(free, func() int { return 1 })
+			passed := other.NewRelayed(r.Arrivals(), r.PassOn())
+			for range c.elsewhere {
+				passed.Count(time.Hour, "a")
+				is.True(passed.MayRetry(time.Hour, "a") || c.before > 0)
+				passed.Arrive(time.Hour, "a")
+			}
+			r.ArriveElsewhere(time.Hour, "a", passed.Arrivals()-r.Arrivals())
+			r.Count(time.Hour, "a")
+			has := func(l *budget.Ledger) bool {
+				probe := l.NewRequest()
+				probe.Arrive(time.Hour, "a")
+				return probe.MayRetry(time.Hour, "a")
+			}
+			is.Equal(has(l), c.counted)
+			is.Equal(has(other), c.other)
+		})
+	}
+}
+
 // TestMovedRetryIsTakenFromTheWrongService guards against retries that are taken from the budget of the service that they were meant
 // for, and not from that of the service that they reached.
 func TestMovedRetryIsTakenFromTheWrongService(t *testing.T) {
