Review: a crowd with large bodies takes a host over its memory

Cause: the bounds on connections, on the heap and on what the account holds are not taken out of one sum. Connections alone may take all of a host's memory in the kernel's receive buffers.

The stand-ins of cases 6 to 10 come with it.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases 6 to 10 into target/review-2/. The build of the deploy file comes before it.
+set -euo pipefail
+cd "$(dirname "$0")/standin-2"
+mkdir -p ../../target/review-2
+go build -o ../../target/review-2/standin2 .
