Review: take-ups that are repeated at once end a host

Cause: FindOrigin deletes from the map of a question that recordAnswer already sees, without the lock that guards it.

Change: case 9 lets clients take streams up at one host, 9 of 30 of them on three more connections at once.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -7,7 +7,7 @@
 )
 
 func main() {
-	cases := map[string]func(r *rig){"memory": playMemory, "order": playOrder, "duty": playDuty, "refused": playRefused}
+	cases := map[string]func(r *rig){"memory": playMemory, "order": playOrder, "duty": playDuty, "refused": playRefused, "takeup": playTakeUp}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		check(fmt.Errorf("usage: standin2 CASE RECORD"))
 	}
--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -217,6 +217,17 @@
 	_ = h.cmd.Process.Signal(s)
 }
 
+// lastError returns the line with which the process has ended, if it has written one.
+func (h *host) lastError() string {
+	data, _ := os.ReadFile(filepath.Join(h.rig.dir, fmt.Sprintf("%s.%d.log", h.name, h.starts)))
+	for line := range strings.Lines(string(data)) {
+		if strings.HasPrefix(line, "fatal error") || strings.HasPrefix(line, "panic") {
+			return strings.TrimSpace(line)
+		}
+	}
+	return "no message"
+}
+
 // alive reports whether the process runs.
 func (h *host) alive() bool {
 	select {
