Build the stand-ins of the second review as test files

The stand-ins of the cases 6 to 10 name the platform's formats, which only platform/, tests and the project's own stand-ins may do.

A run that takes longer than 115 s now ends with exit code 2. The check and the cases themselves are as they were.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/standin-2"
 mkdir -p ../../target/review-2
-go build -o ../../target/review-2/standin2 .
+export GOFLAGS=-buildvcs=false GOWORK=off GOPROXY=off
+go vet .
+go test -c -o ../../target/review-2/standin2 .
--- a/review/standin-2/config.go
+++ b/review/standin-2/config_test.go
@@ -1,4 +1,4 @@
-package main
+package standin2
 
 import "fmt"
 
--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig_test.go
@@ -1,4 +1,4 @@
-package main
+package standin2
 
 import (
 	"bufio"
@@ -16,6 +16,9 @@
 	"time"
 )
 
+// runLimit bounds the time of a run.
+const runLimit = 115 * time.Second
+
 // rig holds the stand-ins and the hosts of one run.
 type rig struct {
 	mu      sync.Mutex
@@ -56,8 +59,9 @@
 	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
 	go func() {
 		<-stop
-		r.finish(fmt.Errorf("stopped"))
+		check(fmt.Errorf("stopped"))
 	}()
+	time.AfterFunc(runLimit, func() { check(fmt.Errorf("it takes too long")) })
 	r.startCloud()
 	return r
 }
@@ -254,7 +258,7 @@
 	for _, h := range r.hosts {
 		for h.cmd != nil && !h.isReady() {
 			if time.Now().After(end) {
-				r.finish(fmt.Errorf("%s is not ready", h.name))
+				check(fmt.Errorf("%s is not ready", h.name))
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
@@ -272,20 +276,17 @@
 	_ = os.RemoveAll(r.dir)
 }
 
-// finish ends all processes and exits.
-func (r *rig) finish(err error) {
-	check(err)
+// finish ends all processes and returns how the rule was broken.
+func (r *rig) finish() []string {
 	r.endHosts()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.broken) > 0 {
 		fmt.Fprintf(r.record, "the rule was broken %d times\n", len(r.broken))
-		fmt.Printf("broken %d times: %s\n", len(r.broken), r.broken[0])
-		os.Exit(1)
+	} else {
+		fmt.Fprintln(r.record, "the rule held")
 	}
-	fmt.Fprintln(r.record, "the rule held")
-	fmt.Println("held")
-	os.Exit(0)
+	return r.broken
 }
 
 // startCloud starts the platform's API for duties.
