Refuse responses that a reset cuts while the request is being written

Callers got a part of a response as the whole one (MIXED): an upstream answered a long upload at once with a response that had neither a length nor chunks, sent part of the body and reset the connection, or closed it with unread bytes, while the upload was still being written.

Cause: the kernel reports a reset once. The write of the upload got ECONNRESET, and the next read saw an orderly end of the connection, which delimits such a body. In the gateway the write ends before the body is read, so this happened in each play in which the write was still under way; in serve, where net/http reads and writes at the same time, when the write was first.

Change: core/tcpconn.Conn keeps the error of a write that found the connection broken, and returns it at the end of the connection in place of io.EOF. The connections of the gateway to upstreams and to other hosts, and those of serve to engines and services, are such connections, so that every reader of a body gets it: whole responses, streams, resumed and relayed ones. A read at the end also ends a write under way: it may be the one that has got the error but has not returned yet, and nothing that is still sent can be answered. Responses with a length or in chunks, and rejections, pass as before. The attempt fails as "lost": 502, "may have run"; a request that may be repeated goes to another upstream, and a stream that may be resumed goes on there. The access log tells how many bytes of the request were not written (unsent).

An upstream that closes its connection for good before it has read the request is refused as well, also if the kernel has sent the end of the body before the reset (EPIPE): a process that ends closes in the same way. One that closes only its sending side is believed.

--- a/internal/gateway/exchange/accesslog.go
+++ b/internal/gateway/exchange/accesslog.go
@@ -188,6 +188,9 @@
 	if a.unfinished > 0 {
 		enc.AddInt("unfinished", a.unfinished)
 	}
+	if a.unsent > 0 {
+		enc.AddInt("unsent", a.unsent)
+	}
 	if a.silent > 0 {
 		enc.AddFloat64("silent", ms(a.silent))
 	}
--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -38,6 +38,7 @@
 	pause        time.Duration  // for which the response asks the host to send nothing; 0 for none
 	framing      string         // how the response is delimited; empty without a response
 	unfinished   int            // bytes of the event in which a stream ended
+	unsent       int            // bytes of the request that were not written when its response began
 	lateResponse bool           // the connection is kept open after the deadline, for a late response
 	silent       time.Duration  // for which nothing had arrived when errCutOff ended the attempt; 0 for other ends
 	superseded   bool           // given up before anything was sent, since the upstream or the configuration had changed
@@ -100,12 +101,14 @@
 	if a.sent = n > 0; a.sent {
 		e.arrive()
 	}
-	isWhole := n == len(head)+len(body)
+	unsent := len(head) + len(body) - n
+	isWhole := unsent == 0
 	if hasResponse := isWhole || a.sent && c.HasResponse(e.deadline); !hasResponse {
 		c.Close()
 		e.blame(ctx, i, err)
 		return kind.Wrap(err, kind.Unavailable, "request not sent to %s", i.ID())
 	}
+	a.unsent = unsent
 	err = e.receive(ctx, c, i, sentAt, a, r.firstEvent)
 	if errors.Is(err, errCutOff) {
 		a.silent = c.SilentFor(e.x.opts.Now(), false)
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"hickorypath/internal/core/tcpconn"
 	"hickorypath/internal/gateway/h1"
 )
 
@@ -33,7 +34,7 @@
 
 // Conn is a connection to an instance. It carries one request at a time.
 type Conn struct {
-	net.Conn
+	*tcpconn.Conn
 	instance    *Instance
 	reader      *bufio.Reader
 	lastUsed    time.Time
@@ -82,7 +83,7 @@
 	i.mu.Lock()
 	i.openConns++
 	i.mu.Unlock()
-	c := &Conn{Conn: raw, instance: i, idleTimeout: defaultIdleTimeout}
+	c := &Conn{Conn: tcpconn.New(raw), instance: i, idleTimeout: defaultIdleTimeout}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
 	return c
 }
@@ -124,7 +125,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sys, ok := c.Conn.(syscall.Conn)
+	sys, ok := c.NetConn().(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/standin/script/script.go
+++ b/internal/standin/script/script.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"strings"
 	"sync"
@@ -19,6 +20,9 @@
 	Reset bool   // resets the connection after writing Bytes
 	Hang  bool   // after writing Bytes, sends nothing and keeps the connection open until the client closes it
 
+	Early int           // if not 0, responds after so many bytes of the request's body, and reads no more of it
+	Delay time.Duration // between writing Bytes and the end of the connection
+
 	Endless string        // written again and again after Bytes, until the client closes the connection
 	Pause   time.Duration // between two writes of Endless
 }
@@ -130,7 +134,7 @@
 		if err := r.Read(br, maxHeadBytes, h1.Budget{}); err != nil {
 			return
 		}
-		body, err := r.ReadBody(br, maxBodyBytes)
+		body, err := s.readBody(&r, br)
 		if err != nil {
 			return
 		}
@@ -138,6 +142,7 @@
 		if _, err := c.Write([]byte(strings.ReplaceAll(a.Bytes, "{id}", string(r.Get(s.id))))); err != nil {
 			return
 		}
+		time.Sleep(a.Delay)
 		switch {
 		case a.Endless != "":
 			writeEndlessly(c, a)
@@ -157,6 +162,19 @@
 	}
 }
 
+// readBody reads the body of a request, or as much of it as the next action asks for.
+func (s *Server) readBody(r *h1.Request, br *bufio.Reader) ([]byte, error) {
+	s.mu.Lock()
+	early := s.actions[0].Early
+	s.mu.Unlock()
+	if early == 0 {
+		return r.ReadBody(br, maxBodyBytes)
+	}
+	body := make([]byte, early)
+	_, err := io.ReadFull(br, body)
+	return body, err
+}
+
 // writeEndlessly writes the endless bytes of an action until the client closes the connection.
 func writeEndlessly(c net.Conn, a Action) {
 	for {
--- a/internal/upstream/httpclient/conn.go
+++ b/internal/upstream/httpclient/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"hickorypath/internal/core/sockopt"
+	"hickorypath/internal/core/tcpconn"
 )
 
 // DialFunc opens a connection; it has the signature of net.Dialer.DialContext.
@@ -43,7 +44,7 @@
 		if err != nil {
 			return nil, err
 		}
-		counting := &CountingConn{Conn: c, closed: make(chan struct{})}
+		counting := &CountingConn{Conn: tcpconn.New(c), closed: make(chan struct{})}
 		counting.requestStart.Store(-1)
 		return counting, nil
 	}
