Refuse malformed heads of responses in serve that net/http accepts

Callers of serve got responses with the status 000, 001, 099 or 20 (sent as +20) as responses, and some with a blank in the name of a field ("X Field: 1", "X-Field : 1"). Beside a length, the line "Transfer-Encoding : chunked" was ignored, so that the body was not the one that the upstream had framed, and its rest stayed on a connection that was kept.

Cause: net/http takes any status of three characters that reads as a number of 0 or more, and any version of two numbers. It keeps names with blanks as they are, and so does not find the framing behind them. The clients of upstreams and that of other hosts believed what it returned.

Change: httpclient.Transport replaces the two equal transports of the clients of engines and services. It checks the version, the status and the fields of each response, those of interim responses as well (and bounds their number, which net/http leaves to whoever looks at them), and closes the connection of a malformed one, which net/http may have kept already. The attempt is "lost", it may have run. caller/relay checks the responses of other hosts in the same way, since a host of an earlier version passes such heads on. Names with control bytes or bytes above 0x7f, folded names and control bytes in values were refused before; they are in the tests too.

--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -21,6 +21,7 @@
 	"hickorypath/internal/caller/reply"
 	"hickorypath/internal/core/clock"
 	"hickorypath/internal/core/kind"
+	"hickorypath/internal/upstream/httpclient"
 )
 
 const (
@@ -219,7 +220,14 @@
 	if err := out.Write(conn); err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(bufio.NewReader(conn), out)
+	res, err := http.ReadResponse(bufio.NewReader(conn), out)
+	if err != nil {
+		return nil, err
+	}
+	if err := httpclient.CheckHead(res); err != nil { // a host of an earlier version passes malformed heads on
+		return nil, err
+	}
+	return res, nil
 }
 
 // body is the body of a response. Its Close ends the stream.
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -95,6 +95,8 @@
 		{"closes, may run once", script{}, false, 1, 0, kind.Lost, kind.RanMaybe, false},
 		{"closes", script{}, true, 2, 200, "", "", false},
 		{"breaks off", script{answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"}, true, 1, 200, "", "", true},
+		{"malformed head, may run once", script{answer: "HTTP/1.1 000 x\r\nContent-Length: 2\r\n\r\nno"}, false, 1, 0, kind.Lost, kind.RanMaybe, false},
+		{"malformed head", script{answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"}, true, 2, 200, "", "", false},
 		{"failure of the service", script{answer: "HTTP/1.1 500 Error\r\nContent-Length: 3\r\n\r\nbad"}, true, 1, 500, "", "", false},
 	}
 	for _, c := range cases {
--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -35,10 +35,7 @@
 	MaxBody            int64         // maximum size of an answer that is not streamed, in bytes
 }
 
-const (
-	idleTimeout = 30 * time.Second
-	maxIdle     = 64 // idle connections per engine
-)
+const idleTimeout = 30 * time.Second
 
 func (o Options) withDefaults() Options {
 	if o.Dial == nil {
@@ -59,9 +56,9 @@
 // Client calls engines by address. It is safe for concurrent use.
 type Client struct {
 	options  Options
-	pooled   *http.Transport // reuses connections
-	unpooled *http.Transport // opens a connection for each call
-	control  *http.Transport // opens a connection for each probe or cancellation
+	pooled   *httpclient.Transport // reuses connections
+	unpooled *httpclient.Transport // opens a connection for each call
+	control  *httpclient.Transport // opens a connection for each probe or cancellation
 	history  *history
 	counters counters
 }
@@ -71,23 +68,13 @@
 	o = o.withDefaults()
 	return &Client{
 		options:  o,
-		pooled:   newTransport(o.Dial, false),
-		unpooled: newTransport(o.Dial, true),
-		control:  newTransport(o.ControlDial, true),
+		pooled:   httpclient.NewTransport(o.Dial, idleTimeout, false),
+		unpooled: httpclient.NewTransport(o.Dial, idleTimeout, true),
+		control:  httpclient.NewTransport(o.ControlDial, idleTimeout, true),
 		history:  newHistory(),
 	}
 }
 
-func newTransport(dial httpclient.DialFunc, disableKeepAlives bool) *http.Transport {
-	return &http.Transport{
-		DialContext:         httpclient.CountingDial(dial),
-		DisableKeepAlives:   disableKeepAlives,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdle,
-		IdleConnTimeout:     idleTimeout,
-	}
-}
-
 // Close closes the idle connections.
 func (c *Client) Close() {
 	c.pooled.CloseIdleConnections()
@@ -142,7 +129,7 @@
 	return s, nil
 }
 
-func (c *Client) transport(newConnection bool) *http.Transport {
+func (c *Client) transport(newConnection bool) *httpclient.Transport {
 	if newConnection {
 		return c.unpooled
 	}
--- a/internal/upstream/engine/control.go
+++ b/internal/upstream/engine/control.go
@@ -11,6 +11,7 @@
 
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/policy/route"
+	"hickorypath/internal/upstream/httpclient"
 )
 
 // loadReport is the JSON body of the response to GET /load.
@@ -77,7 +78,7 @@
 	return *r.Offset, true, nil
 }
 
-func (c *Client) getJSON(ctx context.Context, t *http.Transport, addr, path string, into any) error {
+func (c *Client) getJSON(ctx context.Context, t *httpclient.Transport, addr, path string, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.options.ControlTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
@@ -87,7 +88,7 @@
 	return c.doControl(req, t, addr, into)
 }
 
-func (c *Client) doControl(req *http.Request, t *http.Transport, addr string, into any) error {
+func (c *Client) doControl(req *http.Request, t *httpclient.Transport, addr string, into any) error {
 	req.Header.Set("User-Agent", userAgent)
 	res, err := t.RoundTrip(req)
 	if err != nil {
--- a/internal/upstream/httpclient/conn.go
+++ b/internal/upstream/httpclient/conn.go
@@ -164,11 +164,16 @@
 // CloseConn closes the connection of the request, which net/http keeps after a response without a body. Nothing more is sent on it.
 func (t *SendTracker) CloseConn() {
 	if c := t.conn.Load(); c != nil {
-		c.failed.CompareAndSwap(nil, &errCrossed)
-		_ = c.Close()
+		c.abandon(errCrossed)
 	}
 }
 
+// abandon closes a connection that net/http may have kept for another request, whose writes then fail with err before anything is sent.
+func (c *CountingConn) abandon(err error) {
+	c.failed.CompareAndSwap(nil, &err)
+	_ = c.Close()
+}
+
 // asCountingConn returns the CountingConn that c is or, as a TLS connection, wraps.
 func asCountingConn(c net.Conn) (*CountingConn, bool) {
 	if inner, ok := c.(interface{ NetConn() net.Conn }); ok {
--- a/internal/upstream/httpclient/late.go
+++ b/internal/upstream/httpclient/late.go
@@ -17,7 +17,7 @@
 // RoundTrip sends a request with a transport, in place of the request's own context under ctx. When ctx ends it returns at once. If that is
 // the deadline and the request was sent, its response is awaited a little longer in the background and passed to onLate; nothing more is
 // sent for the request, and the connection is closed.
-func (t *SendTracker) RoundTrip(ctx context.Context, transport *http.Transport, req *http.Request, onLate func(*http.Response)) (*http.Response, error) {
+func (t *SendTracker) RoundTrip(ctx context.Context, transport *Transport, req *http.Request, onLate func(*http.Response)) (*http.Response, error) {
 	ownCtx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	type result struct {
 		res *http.Response
--- a/internal/upstream/httpclient/late_test.go
+++ b/internal/upstream/httpclient/late_test.go
@@ -54,14 +54,14 @@
 					case <-r.Context().Done():
 					}
 				}))
-				transport := &http.Transport{DialContext: httpclient.CountingDial(func(ctx context.Context, tcp, addr string) (net.Conn, error) {
+				transport := httpclient.NewTransport(func(ctx context.Context, tcp, addr string) (net.Conn, error) {
 					select {
 					case <-time.After(c.dial):
 					case <-ctx.Done():
 						return nil, ctx.Err()
 					}
 					return network.Dial(ctx, tcp, addr)
-				})}
+				}, time.Minute, false)
 				ctx, leave := context.WithTimeout(t.Context(), deadline)
 				defer leave()
 				if c.cancel > 0 {
--- a/internal/upstream/service/client.go
+++ b/internal/upstream/service/client.go
@@ -26,14 +26,13 @@
 const (
 	defaultIdleTimeout       = 5 * time.Second
 	nonRepeatableIdleTimeout = 1 * time.Second // how long a connection may be idle before a call that may not be repeated
-	maxIdle                  = 64              // idle connections per service
 )
 
 // Client calls services by address. It is safe for concurrent use.
 type Client struct {
-	repeatable    *http.Transport
-	nonRepeatable *http.Transport // reuses only connections that have been idle for less than a second
-	unpooled      *http.Transport // opens a connection for each call
+	repeatable    *httpclient.Transport
+	nonRepeatable *httpclient.Transport // reuses only connections that have been idle for less than a second
+	unpooled      *httpclient.Transport // opens a connection for each call
 	crossed       atomic.Int64
 }
 
@@ -46,19 +45,9 @@
 		o.IdleTimeout = defaultIdleTimeout
 	}
 	return &Client{
-		repeatable:    newTransport(o.Dial, o.IdleTimeout, false),
-		nonRepeatable: newTransport(o.Dial, nonRepeatableIdleTimeout, false),
-		unpooled:      newTransport(o.Dial, nonRepeatableIdleTimeout, true),
-	}
-}
-
-func newTransport(dial httpclient.DialFunc, idleTimeout time.Duration, disableKeepAlives bool) *http.Transport {
-	return &http.Transport{
-		DialContext:         httpclient.CountingDial(dial),
-		DisableKeepAlives:   disableKeepAlives,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdle,
-		IdleConnTimeout:     idleTimeout,
+		repeatable:    httpclient.NewTransport(o.Dial, o.IdleTimeout, false),
+		nonRepeatable: httpclient.NewTransport(o.Dial, nonRepeatableIdleTimeout, false),
+		unpooled:      httpclient.NewTransport(o.Dial, nonRepeatableIdleTimeout, true),
 	}
 }
 
@@ -118,7 +107,7 @@
 	return res, nil
 }
 
-func (c *Client) transport(call Call) *http.Transport {
+func (c *Client) transport(call Call) *httpclient.Transport {
 	switch {
 	case call.NewConnection:
 		return c.unpooled
