Refuse responses with a malformed version in the gateway

Callers of the gateway got responses whose status line has the version "HTTP/1.", "HTTP/1.1x" or "HTTP/1.10" as those of HTTP/1.1.

Cause: h1.Response checked only that the version begins with "HTTP/1.".

Change: the minor version is one digit, as the syntax of HTTP says.

Result: TestResponseWithAMalformedHeadIsPassedOn in platform plays 19 heads on two routes; the 3 versions failed on the route that may run once before. The other heads, among them the status 000, signs and letters in a status, names with blanks, control bytes or bytes above 0x7f and folded lines, were refused before and are kept as a test. All pass now.

--- a/internal/gateway/h1/response.go
+++ b/internal/gateway/h1/response.go
@@ -42,7 +42,7 @@
 }
 
 func (r *Response) validate(method []byte) error {
-	if !bytes.HasPrefix(r.first, []byte("HTTP/1.")) || len(r.second) != 3 {
+	if !isVersion(r.first) || len(r.second) != 3 {
 		return errors.Wrap(ErrMalformed, "status line")
 	}
 	n, err := parseLength(r.second)
@@ -57,6 +57,12 @@
 	return err
 }
 
+// isVersion reports whether b is a version of HTTP/1.
+func isVersion(b []byte) bool {
+	minor, ok := bytes.CutPrefix(b, []byte("HTTP/1."))
+	return ok && len(minor) == 1 && minor[0] >= '0' && minor[0] <= '9'
+}
+
 // Framing returns how the body is delimited: "none", "length", "chunked", or "close" if it ends with the connection.
 func (r *Response) Framing() string { return r.framing.String() }
 
