Take a request that was written in part for one that may have run

A request that may run once was sent to a second upstream, or refused with 503, after its upstream had got a part of it and reset the connection without a response that arrived.

Cause: exchange.send took a request that was not written whole, and has no response, for one that has not run. That holds only if nothing of it was written, and between hosts, which start with a whole request only.

Change: after the first byte such an attempt is "lost", it may have run: 502, or another upstream if the request may be repeated. It counts for the health of the upstream as before, and not as a crash. serve did so already.

--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -105,6 +105,9 @@
 	isWhole := unsent == 0
 	if hasResponse := isWhole || a.sent && c.HasResponse(e.deadline); !hasResponse {
 		c.Close()
+		if a.sent { // an upstream may begin before it has read the whole request
+			return e.broken(ctx, i, err, false)
+		}
 		e.blame(ctx, i, err)
 		return kind.Wrap(err, kind.Unavailable, "request not sent to %s", i.ID())
 	}
