--- a/cmd/hickorypath/gatewaywatch_test.go
+++ b/cmd/hickorypath/gatewaywatch_test.go
@@ -97,8 +97,7 @@
 	}
 }
 
-// TestConfigurationIsLateAfterConnectionsToTheStoreFellSilent guards against hosts that wait for answers on connections which have fallen
-// silent without a reset, and miss the changes that follow.
+// TestConfigurationIsLateAfterConnectionsToTheStoreFellSilent guards against hosts that wait for answers on silent connections.
 func TestConfigurationIsLateAfterConnectionsToTheStoreFellSilent(t *testing.T) {
 	const contactTime = 3 * time.Second
 	for _, hosts := range []int{1, 2, 6} {
--- a/internal/core/tcpconn/tcpconn_test.go
+++ b/internal/core/tcpconn/tcpconn_test.go
@@ -26,8 +26,7 @@
 	return tcpconn.New(near), far.(*net.TCPConn)
 }
 
-// TestCloseBeforeAWriteLooksOrderly guards against a connection whose other end was closed, with all bytes read, before the rest of a message
-// was written: the kernel answers that rest with a reset.
+// TestCloseBeforeAWriteLooksOrderly plays a connection that is closed, with all bytes read, before the rest of a message is written.
 func TestCloseBeforeAWriteLooksOrderly(t *testing.T) {
 	is := is.New(t)
 	conn, other := dial(t)
@@ -42,8 +41,7 @@
 	is.True(err != nil)
 }
 
-// TestEndDuringAWrite guards against a reset that a Read takes for an orderly end since a Write has got its error, and against an orderly
-// end that is not reported while a Write waits for the other end.
+// TestEndDuringAWrite guards against a reset that a Read takes for an orderly end, and an orderly end that waits for the Write.
 func TestEndDuringAWrite(t *testing.T) {
 	const plays, writeBytes = 50, 6 << 20 // more than the buffers of the kernel hold
 	cases := []struct {
--- a/internal/upstream/engine/earlyanswer_test.go
+++ b/internal/upstream/engine/earlyanswer_test.go
@@ -12,8 +12,7 @@
 	"hickorypath/internal/upstream/engine"
 )
 
-// TestAnswerCutByAResetDuringTheUploadIsNotComplete guards against an answer that ends with its connection and counts as complete although
-// the connection was reset while the request was still being written.
+// TestAnswerCutByAResetDuringTheUploadIsNotComplete plays bodies that end with their connections.
 func TestAnswerCutByAResetDuringTheUploadIsNotComplete(t *testing.T) {
 	const plays, bodyBytes = 20, 6 << 20
 	is := is.New(t)
--- a/internal/upstream/engine/malformedhead_test.go
+++ b/internal/upstream/engine/malformedhead_test.go
@@ -8,8 +8,7 @@
 	"hickorypath/internal/upstream/engine"
 )
 
-// TestAnswerWithAMalformedHeadIsPassedOn guards against an answer whose head net/http accepts although another parser may read it, and so
-// frame the body, differently; package service plays more of them.
+// TestAnswerWithAMalformedHeadIsPassedOn plays heads that net/http accepts; the test of package service has more of them.
 func TestAnswerWithAMalformedHeadIsPassedOn(t *testing.T) {
 	const end = "X-Request-Id: t1\r\nContent-Length: 2\r\n\r\n{}"
 	calls := []engine.Call{{AttemptID: "t1", Body: []byte(plainBody)}, {AttemptID: "t1", Body: []byte(streamedBody), Stream: true}}
--- a/internal/upstream/service/earlyanswer_test.go
+++ b/internal/upstream/service/earlyanswer_test.go
@@ -14,8 +14,7 @@
 	"hickorypath/internal/upstream/service"
 )
 
-// TestResponseCutByAResetDuringTheUploadIsNotComplete guards against a response that ends with its connection and counts as complete
-// although the connection was reset while the request was still being written.
+// TestResponseCutByAResetDuringTheUploadIsNotComplete plays bodies that end with their connections, and some that do not.
 func TestResponseCutByAResetDuringTheUploadIsNotComplete(t *testing.T) {
 	const plays, bodyBytes = 5, 6 << 20
 	cases := []struct {
--- a/internal/upstream/service/malformedhead_test.go
+++ b/internal/upstream/service/malformedhead_test.go
@@ -9,8 +9,7 @@
 	"hickorypath/internal/upstream/service"
 )
 
-// TestResponseWithAMalformedHeadIsPassedOn guards against a response whose head net/http accepts although another parser may read it, and so
-// frame the body, differently. The connection must not be used again.
+// TestResponseWithAMalformedHeadIsPassedOn plays heads that parsers read differently. Their connections must not be used again.
 func TestResponseWithAMalformedHeadIsPassedOn(t *testing.T) {
 	const id, end = "X-Request-Id: t1\r\n", "Content-Length: 0\r\n\r\n"
 	cases := []struct{ name, response string }{
