Wait for the transport to drop a closed connection in the test of malformed heads

Cause: net/http returns the connection of a response without a body to its pool before it hands the response over. A call in the moment after the connection was closed can still get it. The test took it for a call that was sent.

Change: the test waits until the transport has dropped the connection, as the test of crossed responses does, and then requires as before that the next call opens a new one and is lost itself. No check is gone: that both calls are lost, may have run, and use two connections.

--- a/internal/upstream/service/malformedhead_test.go
+++ b/internal/upstream/service/malformedhead_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"testing/synctest"
 
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/standin/script"
@@ -44,6 +45,7 @@
 						_, err := h.client.Do(h.ctx, "odd:80", service.Call{AttemptID: "t1", Method: method, Path: "/", Repeatable: true}) //nolint:bodyclose // the call returns no response
 						h.Equal(kind.Of(err), kind.Lost)
 						h.Equal(kind.From(err).Ran(), kind.RanMaybe)
+						synctest.Wait() // until the transport no longer has the closed connection
 					}
 					h.Equal(s.Conns(), 2)
 				})
