--- a/cmd/hickorypath/gatewaywatch_test.go
+++ b/cmd/hickorypath/gatewaywatch_test.go
@@ -56,7 +56,7 @@
 	s.silent.Store(false)
 }
 
-// hushedStore is a store of whose connections some fall silent for good, while others and new ones work.
+// hushedStore is a store that stops answering on some of its connections, and goes on answering on others and on new ones.
 type hushedStore struct {
 	store http.Handler
 	rand  *rand.Rand
--- a/internal/upstream/service/malformedhead_test.go
+++ b/internal/upstream/service/malformedhead_test.go
@@ -10,7 +10,7 @@
 	"hickorypath/internal/upstream/service"
 )
 
-// TestResponseWithAMalformedHeadIsPassedOn plays heads that parsers read differently. Their connections must not be used again.
+// TestResponseWithAMalformedHeadIsPassedOn plays heads for which parsers differ on the fields and the body.
 func TestResponseWithAMalformedHeadIsPassedOn(t *testing.T) {
 	const id, end = "X-Request-Id: t1\r\n", "Content-Length: 0\r\n\r\n"
 	cases := []struct{ name, response string }{
