Replace statuses that promise "not run" unless the upstream states it (gateway)

Callers saw a 503, 429 or 408 for a request that may run once and had run.

Cause: a response without Not-Executed counts as "may have run" everywhere but in its status, which was passed on as it came. Only 429 and 503 were known as promises, and only where the host wrote a Retry-After of its own. The same status came through another host, whose response was taken as that of the upstream, and a refusal of another host that said "may have run" was answered with the status of its kind.

Change: kind.PromisesNotRun is the one list of these statuses (408, 421, 429, 503). A whole response with one of them and without Not-Executed ends the attempt as lost with "may have run": the caller gets 502 without the upstream's signature and Retry-After, a request that may be repeated, or a stream before its first event, goes to another upstream within its attempts and the retry budget. kind.Error.Status does the same for errors. Runs at upstreams that another host states count towards the attempts of the request, so a host does not exceed them on top of the other one. The pause that a 503 with Retry-After asks for is heeded as before: it is a statement of the upstream about itself.

--- a/internal/core/kind/kind.go
+++ b/internal/core/kind/kind.go
@@ -66,6 +66,16 @@
 // Ran states whether an upstream executed the request.
 func (e *Error) Ran() Ran { return e.ran }
 
+// Status returns the HTTP status of the response for e: that of its kind, or that of Lost if it would promise that a request has not run
+// which may have run.
+func (e *Error) Status() int {
+	status := e.kind.Response().status
+	if e.ran != RanNo && PromisesNotRun(status) {
+		return Lost.Response().status
+	}
+	return status
+}
+
 // RetryAfter returns the delay before a retry, or zero when a retry does not help. Without a delay of its own, e has the
 // default delay of its kind.
 func (e *Error) RetryAfter() time.Duration {
--- a/internal/core/kind/table.go
+++ b/internal/core/kind/table.go
@@ -148,6 +148,17 @@
 	return responses[Internal]
 }
 
+// PromisesNotRun reports whether an HTTP status tells a caller that its request has not run and never will, so that the caller may send
+// it once more whatever it does.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // All returns all kinds, in no particular order.
 func All() []Kind {
 	all := make([]Kind, 0, len(responses))
--- a/internal/gateway/exchange/attempt.go
+++ b/internal/gateway/exchange/attempt.go
@@ -277,6 +277,9 @@
 		return kind.New(kind.Lost, "%s answered without a signature", i.ID())
 	}
 	e.countStarted()
+	if kind.PromisesNotRun(resp.Status()) {
+		return kind.New(kind.Lost, "%s did not state that it has not run the request: status %d", i.ID(), resp.Status())
+	}
 	if resp.Status() >= 500 && e.mayRetryFailed() {
 		return kind.New(kind.Failed, "%s failed the request: status %d", i.ID(), resp.Status())
 	}
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -221,16 +221,16 @@
 // timeLeft returns the time until the deadline.
 func (e *exchange) timeLeft() time.Duration { return e.deadline.Sub(e.x.opts.Now()) }
 
-// writeError responds with the status of an error. If the request may have run, a status that says that it did
-// not run is replaced by that of kind.Lost.
+// writeError responds with the status of an error. If an earlier attempt may have run, the status of an error that says that the request
+// did not run is replaced by that of kind.Lost.
 func (e *exchange) writeError(err error) {
 	failure := kind.From(err)
-	status := failure.Kind().Response().Status()
+	status := failure.Status()
 	if e.mayHaveRun && failure.Ran() == kind.RanNo {
 		status = kind.Lost.Response().Status()
 	}
 	var fields [][2]string
-	if after := failure.RetryAfter(); after > 0 && meansNotRun(status) {
+	if after := failure.RetryAfter(); after > 0 && kind.PromisesNotRun(status) {
 		fields = append(fields, [2]string{"Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64)})
 	}
 	e.status = status
@@ -244,9 +244,6 @@
 	e.writer.WriteError(status, fields, failure.Message())
 }
 
-// meansNotRun reports whether a status promises that the request has not run.
-func meansNotRun(status int) bool { return status == 429 || status == 503 }
-
 // timeoutError returns the error for a request whose time ran out before it could be sent.
 func (e *exchange) timeoutError(text string) error {
 	if e.mayHaveRun {
--- a/internal/gateway/exchange/relay.go
+++ b/internal/gateway/exchange/relay.go
@@ -109,7 +109,7 @@
 	} else {
 		a.failed, a.result = true, kind.Of(err)
 		if kind.From(err).Ran() != kind.RanNo {
-			e.possibleRuns++
+			e.possibleRuns += max(a.arrivals, 1)
 		}
 		isFault := relay.IsFaultOfHost(kind.From(err))
 		if a.arrivals < 0 && isFault {
