Reset the connection of a call under a lease that is given up

Cause: a call that gets no response in its time was abandoned by closing its connection in the ordinary way. The kernel goes on sending what was written, so a call that a partition held up arrived when it healed, seconds after the lease had passed on. TCP_USER_TIMEOUT drops the bytes only if nothing on the way has acknowledged them, and the validity counted on it. A process that ends closes its connections in the same way.

Change: tcpconn.ClientConn sets SO_LINGER to 0 when a connection is opened, and lease.Send uses it. The end of the call, a canceled context and the end of the process by any signal reset the connection, and what was written and has not arrived is dropped. A reset by the code that gives up would leave out a process that is killed.

What a reset does: the connection is closed after the response was read or is not wanted any more, so it cuts none. A request that the API has read and not answered takes effect or not, as before; the caller gets "lost" and repeats it unchanged. With TLS the closing alert may be lost; the responses have a length or chunks. A reset that is lost is not repeated, and the API then finds out when it sends.

The stand-in of the network gets a mode that holds requests back, and drops what it holds if their sender has reset the connection.

The case "process stopped" of the test fails still: nothing can close the connection then.

--- a/internal/core/tcpconn/tcpconn.go
+++ b/internal/core/tcpconn/tcpconn.go
@@ -1,4 +1,4 @@
-// Package tcpconn reports a reset that a write has seen to the reader of the same connection as well.
+// Package tcpconn has connections that report a reset to all who use them, and that are reset when a request is given up.
 //
 // The kernel reports a reset once. If a write gets the error, the next read sees an orderly end of the connection, and a
 // message that is delimited by that end looks complete although its sender has not finished it.
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"hickorypath/internal/standin/gate"
 )
 
@@ -18,11 +20,12 @@
 	Pass          Mode = iota // data is forwarded unchanged
 	Delay                     // data is forwarded after readDelay
 	Blackhole                 // data is held back in both directions and no connection is closed
+	HoldRequests              // data from the client is held back; data from the server is forwarded
 	HoldResponses             // data from the server is held back; data from the client is forwarded
 	Reset                     // open and new connections are reset
 )
 
-// FaultModes lists the modes other than Pass.
+// FaultModes lists the modes that disturb all clients of a proxy alike.
 var FaultModes = []Mode{Delay, Blackhole, HoldResponses, Reset}
 
 // readDelay is the delay of each read in mode Delay.
@@ -36,9 +39,11 @@
 
 	mu          sync.Mutex
 	mode        Mode
-	modeChanged *sync.Cond // signaled when mode or closed changes
+	modeChanged *sync.Cond // signaled when mode, held or closed changes
+	held        int        // reads whose data is held back, or not yet forwarded or dropped after that
 	conns       map[net.Conn]bool
 	closed      bool
+	serving     sync.WaitGroup
 }
 
 // New returns a running proxy that forwards to target.
@@ -142,12 +147,24 @@
 		if err != nil {
 			return
 		}
-		go p.serve(c)
+		p.serving.Go(func() { p.serve(c) })
 	}
 }
 
+// AwaitHeld waits until data is held back, or none that was read, or the proxy is closed.
+func (p *Proxy) AwaitHeld(held bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.held > 0 != held && !p.closed {
+		p.modeChanged.Wait()
+	}
+}
+
+// Wait waits until all connections have ended.
+func (p *Proxy) Wait() { p.serving.Wait() }
+
 func (p *Proxy) serve(near net.Conn) {
-	if p.waitWhileBlocked(true) == Reset {
+	if p.waitWhileBlocked(opening) == Reset {
 		reset(near)
 		return
 	}
@@ -160,8 +177,8 @@
 	p.conns[near], p.conns[far] = true, true
 	p.mu.Unlock()
 	var wait sync.WaitGroup
-	wait.Go(func() { p.copy(far, near, true) })
-	wait.Go(func() { p.copy(near, far, false) })
+	wait.Go(func() { p.copy(far, near, requests) })
+	wait.Go(func() { p.copy(near, far, responses) })
 	wait.Wait()
 	p.mu.Lock()
 	delete(p.conns, near)
@@ -170,19 +187,22 @@
 	_, _ = near.Close(), far.Close() // both directions have ended
 }
 
-// copy forwards data in one direction as the mode allows; request is true for the direction from client to server.
-func (p *Proxy) copy(to, from net.Conn, request bool) {
+// step is a part of a connection that a mode can hold back.
+type step int
+
+const (
+	opening step = iota
+	requests
+	responses
+)
+
+// copy forwards the data of a step as the mode allows.
+func (p *Proxy) copy(to, from net.Conn, s step) {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
-		if n > 0 {
-			if p.waitWhileBlocked(request) == Reset {
-				return
-			}
-			if _, werr := to.Write(buf[:n]); werr != nil {
-				reset(from)
-				return
-			}
+		if n > 0 && !p.forward(to, from, buf[:n], s) {
+			return
 		}
 		if err != nil {
 			if t, ok := to.(*net.TCPConn); ok && err == io.EOF {
@@ -195,9 +215,58 @@
 	}
 }
 
-// waitWhileBlocked blocks while the mode holds data back, and returns the mode in effect afterwards. It returns Reset
+// forward forwards data that was read, once the mode allows it, and reports whether more can follow.
+func (p *Proxy) forward(to, from net.Conn, data []byte, s step) bool {
+	p.mu.Lock()
+	wasHeld := p.isBlocked(s)
+	p.mu.Unlock()
+	if wasHeld {
+		p.addHeld(1)
+		defer p.addHeld(-1)
+	}
+	if p.waitWhileBlocked(s) == Reset {
+		return false
+	}
+	if wasHeld && isBroken(from) { // the data is lost with its sender's buffer
+		reset(to)
+		return false
+	}
+	if _, err := to.Write(data); err != nil {
+		reset(from)
+		return false
+	}
+	return true
+}
+
+func (p *Proxy) addHeld(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held += n
+	p.modeChanged.Broadcast()
+}
+
+// isBroken reports whether the other end of a connection has reset it.
+func isBroken(c net.Conn) bool {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	broken := false
+	err = raw.Control(func(fd uintptr) {
+		code, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
+		broken = err != nil || code != 0
+	})
+	return err != nil || broken
+}
+
+// isBlocked reports whether the mode holds a step back. The caller holds p.mu.
+func (p *Proxy) isBlocked(s step) bool {
+	return p.mode == Blackhole || p.mode == HoldRequests && s == requests || p.mode == HoldResponses && s == responses
+}
+
+// waitWhileBlocked blocks while the mode holds a step back, and returns the mode in effect afterwards. It returns Reset
 // once the proxy is closed.
-func (p *Proxy) waitWhileBlocked(request bool) Mode {
+func (p *Proxy) waitWhileBlocked(s step) Mode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.mode == Delay {
@@ -205,7 +274,7 @@
 		time.Sleep(readDelay)
 		p.mu.Lock()
 	}
-	for !p.closed && (p.mode == Blackhole || p.mode == HoldResponses && !request) {
+	for !p.closed && p.isBlocked(s) {
 		p.modeChanged.Wait()
 	}
 	if p.closed {
--- a/internal/state/lease/send.go
+++ b/internal/state/lease/send.go
@@ -9,11 +9,13 @@
 	"time"
 
 	"hickorypath/internal/core/sockopt"
+	"hickorypath/internal/core/tcpconn"
 )
 
 // Send sends a request on a connection of its own and checks the lease directly before each write to the
-// socket. The kernel drops data that the other end does not acknowledge within timeout, so that nothing
-// arrives after the end of the validity that was checked.
+// socket. The connection is reset when the request ends, by its timeout or with the process, so that nothing
+// arrives after the end of the validity that was checked. While the process is stopped it cannot reset the connection;
+// the kernel drops data then that the other end does not acknowledge within timeout.
 //
 // The error has kind LeaseNotHeld if the check refused a write, so that the request was not sent completely,
 // Unavailable if nothing was sent, and Lost if the request may have arrived.
@@ -27,7 +29,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &guardedConn{Conn: c, guard: g}, nil
+			return &guardedConn{Conn: tcpconn.NewClient(c), guard: g}, nil
 		},
 	}}
 	resp, err := client.Do(req.WithContext(ctx))
