Reset connections to upstreams whose request is given up (gateway)

Cause: a request that is given up, since its caller leaves, its time is over, another attempt has answered it or the process ends, closed its connection in the ordinary way, after which the kernel goes on sending what was written. The same holds for requests that are relayed through another host, on connections of the same type.

Change: tcpconn.Conn is a ClientConn, and upstream.Conn tells it when a request begins and ends. A connection is reset by whatever closes it, unless its request has ended: with a complete response, or before anything was written. Idle connections are closed in order, so an upstream sees no reset that it may take for a failure. The cost is one system call when a connection is opened and one when an idle one is closed.

What a reset does: the response of a request that is given up is not read any further, as before. A request that the upstream has read may have run, as before. After an early response the rest of a request that was written in part is dropped. tcpconn.Conn's errors do not change, since nothing is read after the close. A reset that is lost on the way is not repeated; an upstream that works on the request then finds out with the next bytes that it sends.

--- a/internal/core/tcpconn/tcpconn.go
+++ b/internal/core/tcpconn/tcpconn.go
@@ -21,22 +21,19 @@
 // Conn is a connection whose Read does not report an orderly end if a Write has found the connection broken. Like any net.Conn it is
 // safe for concurrent use.
 type Conn struct {
-	net.Conn
+	*ClientConn
 	ended   atomic.Bool // a read has seen the end of the connection
 	writing sync.Mutex  // held during a write; guards broken
 	broken  error       // of the first write that found the connection broken
 }
 
 // New returns a Conn that uses c.
-func New(c net.Conn) *Conn { return &Conn{Conn: c} }
-
-// NetConn returns the connection that was passed to New.
-func (c *Conn) NetConn() net.Conn { return c.Conn }
+func New(c net.Conn) *Conn { return &Conn{ClientConn: NewClient(c)} }
 
 // Read implements net.Conn. At the end of the connection it returns the error of the Write that found the connection broken, io.EOF if
 // there is none.
 func (c *Conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.ClientConn.Read(p)
 	if errors.Is(err, io.EOF) {
 		err = c.end()
 	}
@@ -63,7 +60,7 @@
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	n, err := c.Conn.Write(p)
+	n, err := c.ClientConn.Write(p)
 	switch {
 	case err == nil:
 	case !errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -43,10 +43,11 @@
 	active      activity
 	closed      atomic.Bool
 	unbind      func() bool // ends the binding to the context of the request
+	endRequest  func()      // records that none is under way
 	response    h1.Response
 }
 
-// Close closes the connection; further calls do nothing.
+// Close closes the connection, and resets it if a request is under way; further calls do nothing.
 func (c *Conn) Close() {
 	if c.closed.Swap(true) {
 		return
@@ -64,7 +65,7 @@
 	for c := i.takeIdle(); c != nil; c = i.takeIdle() {
 		age := now.Sub(c.lastUsed)
 		if age < c.idleTimeout && (repeatable || age < recentUse) && c.hasNoInput() {
-			c.unbind = context.AfterFunc(ctx, c.Close)
+			c.bind(ctx)
 			return c, nil
 		}
 		c.Close()
@@ -74,16 +75,23 @@
 		return nil, err
 	}
 	c := i.newConn(raw)
-	c.unbind = context.AfterFunc(ctx, c.Close)
+	c.bind(ctx)
 	return c, nil
 }
 
+// bind makes the connection that of a request, and closes it when ctx ends.
+func (c *Conn) bind(ctx context.Context) {
+	c.endRequest = c.Begin()
+	c.unbind = context.AfterFunc(ctx, c.Close)
+}
+
 // newConn returns a connection that was opened to the instance.
 func (i *Instance) newConn(raw net.Conn) *Conn {
 	i.mu.Lock()
 	i.openConns++
 	i.mu.Unlock()
 	c := &Conn{Conn: tcpconn.New(raw), instance: i, idleTimeout: defaultIdleTimeout}
+	c.endRequest = c.Begin()
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
 	return c
 }
@@ -205,6 +213,7 @@
 // Release returns the connection to the idle connections after a complete response, or closes it if it cannot
 // carry another request.
 func (c *Conn) Release(now time.Time) {
+	c.endRequest()
 	c.idleTimeout, c.hasServed = parseKeepAliveTimeout(&c.response), true
 	if !c.unbind() || !c.response.IsPersistent() || c.reader.Buffered() > 0 || c.closed.Load() {
 		c.Close()
@@ -215,6 +224,7 @@
 
 // park adds the connection to the idle connections, or closes it if the instance leaves.
 func (c *Conn) park(now time.Time) {
+	c.endRequest()
 	c.lastUsed = now
 	i := c.instance
 	i.mu.Lock()
