Reset connections whose request is given up (serve, and the store in both programs)

A request of serve that was given up could arrive seconds later: at an engine or a service that leaves (rule DRAIN), and a call to the store or to another service of the platform when a later one had taken effect.

Cause: the one of the gateway. net/http closes the connection of a request that ends early in the ordinary way, and the kernel goes on sending what was written. By reading, writes to the store under a condition are refused if they are late, but the creation of a lease key is not (nobody leads until it expires), nor are writes without a condition (origins of streams, burn counts, addresses of hosts), which undo a later write of the same host.

Change: tcpconn.WithTrace learns from net/http when a connection gets a request and when it is idle again, so that tcpconn.ClientConn resets it in between. httpclient.Transport uses it for upstreams, tcpconn.Transport for the store of both programs, for the platform's services of serve and for operators' commands. It speaks HTTP/1.1 only: on a connection of HTTP/2 a call that is given up is canceled by a frame behind it, not by a reset. Connections that are not kept ("Connection: close") are reset after their response, since net/http closes them without saying that they are idle.

Result: TestAbandonedRequestArrivesAfterAPartition (httpclient) failed in its 5 cases without the reset and passes.

--- a/cmd/hickorypath/gateway.go
+++ b/cmd/hickorypath/gateway.go
@@ -17,6 +17,7 @@
 	"hickorypath/internal/core/clock"
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/core/logwriter"
+	"hickorypath/internal/core/tcpconn"
 	"hickorypath/internal/gateway/config"
 	"hickorypath/internal/gateway/exchange"
 	"hickorypath/internal/gateway/frontend"
@@ -152,10 +153,10 @@
 
 // newStore returns the client of the key-value service.
 func (g *gateway) newStore() *store.Client {
-	calls := &http.Client{Transport: &http.Transport{
+	calls := &http.Client{Transport: tcpconn.NewTransport(&http.Transport{
 		DialContext:         func(ctx context.Context, _, addr string) (net.Conn, error) { return g.machine.dial(ctx, addr) },
 		MaxIdleConnsPerHost: storeIdleConns, IdleConnTimeout: storeIdleTimeout, DisableCompression: true,
-	}}
+	})}
 	return store.New(platform.NewStore(g.settings.Store.Address, calls), store.Options{
 		Clock: g.clock, Log: g.log, AttemptTimeout: storeAttemptTimeout, WatchTimeout: g.storeWatchTimeout(), WatchJitter: storeWatchJitter, WatchBatchDelay: storeWatchBatchDelay,
 		MaxBackoff: storeMaxBackoff, OnError: g.handleStoreError, OnRestore: g.handleStoreRestore,
--- a/cmd/hickorypath/injector.go
+++ b/cmd/hickorypath/injector.go
@@ -16,6 +16,7 @@
 	"hickorypath/internal/caller/relay"
 	"hickorypath/internal/core/clock"
 	"hickorypath/internal/core/settings"
+	"hickorypath/internal/core/tcpconn"
 	"hickorypath/internal/host/node"
 	"hickorypath/internal/host/peer"
 	"hickorypath/internal/operator/configsync"
@@ -51,6 +52,7 @@
 	do.ProvideValue(i, identity{host: s.Host(), incarnation: exchange.NewID()})
 	do.ProvideValue(i, configsync.NewReadiness())
 	do.Provide(i, provideDiscovery)
+	do.Provide(i, providePlatformClient)
 	do.Provide(i, provideStore)
 	do.Provide(i, provideRepository)
 	do.Provide(i, provideNode)
@@ -74,9 +76,14 @@
 
 func get[T any](i do.Injector) T { return do.MustInvoke[T](i) }
 
+// providePlatformClient returns the HTTP client for the platform's services. A call that is given up does not arrive later.
+func providePlatformClient(do.Injector) (*http.Client, error) {
+	return &http.Client{Transport: tcpconn.NewDefaultTransport()}, nil
+}
+
 func provideStore(i do.Injector) (*store.Client, error) {
 	s := get[*settings.Settings](i)
-	backend := store.NewHTTP(s.Platform().Store, &http.Client{})
+	backend := store.NewHTTP(s.Platform().Store, get[*http.Client](i))
 	return store.New(backend, store.Options{
 		Clock:          get[clock.Clock](i),
 		Log:            get[*zap.Logger](i),
@@ -103,7 +110,7 @@
 		Zone:        s.Zone(),
 		Addr:        s.Peer().Listen,
 		TLS:         conf,
-		FetchRoster: newRoster(s).List,
+		FetchRoster: newRoster(s, get[*http.Client](i)).List,
 		Clock:       get[clock.Clock](i),
 		Log:         get[*zap.Logger](i),
 		Merge:       mergeLoads,
@@ -120,11 +127,11 @@
 
 // newRoster returns the client for the platform's list of hosts. Until that list has been read once, the hosts of the
 // settings are used.
-func newRoster(s *settings.Settings) *roster.Roster {
+func newRoster(s *settings.Settings, client *http.Client) *roster.Roster {
 	seeds := lo.Map(s.Peer().Hosts, func(h settings.Host, _ int) roster.Host {
 		return roster.NewHost(h.Host, h.Zone, h.Addr, roster.Live)
 	})
-	return roster.NewHTTP(s.Platform().Roster, &http.Client{Timeout: s.StoreTimeout()}).WithFallback(seeds...)
+	return roster.NewHTTP(s.Platform().Roster, &http.Client{Transport: client.Transport, Timeout: s.StoreTimeout()}).WithFallback(seeds...)
 }
 
 // mergeLoads combines values that hosts of a zone replicate into one value for the other zones.
--- a/cmd/hickorypath/platformtasks.go
+++ b/cmd/hickorypath/platformtasks.go
@@ -58,7 +58,7 @@
 		Clock:         k,
 		Log:           get[*zap.Logger](i),
 		Store:         get[*store.Client](i),
-		Backend:       provision.NewHTTP(s.Platform().Provision, &http.Client{}),
+		Backend:       provision.NewHTTP(s.Platform().Provision, get[*http.Client](i)),
 		OrderTimeout:  s.OrderTimeout(),
 		LeaseTTL:      s.Lease(),
 		Fleet:         get[*fleet.Fleet](i),
@@ -149,7 +149,7 @@
 	n := get[*node.Node](i)
 	f, r := get[*fleet.Fleet](i), get[*httpclient.Reach](i)
 	log := get[*zap.Logger](i)
-	backend := provision.NewHTTP(s.Platform().Provision, &http.Client{})
+	backend := provision.NewHTTP(s.Platform().Provision, get[*http.Client](i))
 	return discovery.New(discovery.Options{
 		Clock:      get[clock.Clock](i),
 		Log:        log,
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -22,6 +22,7 @@
 
 	"hickorypath/internal/core/clock"
 	"hickorypath/internal/core/kind"
+	"hickorypath/internal/core/tcpconn"
 	"hickorypath/internal/operator/api"
 )
 
@@ -48,7 +49,7 @@
 func New(o Options) *Client {
 	c := &Client{url: strings.TrimSuffix(o.URL, "/"), token: o.Token, http: o.HTTP, pause: o.Pause}
 	if c.http == nil {
-		c.http = &http.Client{Timeout: 60 * time.Second}
+		c.http = &http.Client{Transport: tcpconn.NewDefaultTransport(), Timeout: 60 * time.Second}
 	}
 	if c.pause == nil {
 		c.pause = clock.Pause
--- a/internal/upstream/httpclient/conn.go
+++ b/internal/upstream/httpclient/conn.go
@@ -28,7 +28,7 @@
 
 // CountingConn is a connection that counts the bytes written to it, and asks before the first byte of a request.
 type CountingConn struct {
-	net.Conn
+	*tcpconn.Conn
 	written      atomic.Int64
 	guard        atomic.Pointer[func() error] // called before the next write; nil for none
 	requestStart atomic.Int64                 // bytes written before the current request; negative if requests are not tracked
@@ -176,10 +176,10 @@
 
 // asCountingConn returns the CountingConn that c is or, as a TLS connection, wraps.
 func asCountingConn(c net.Conn) (*CountingConn, bool) {
-	if inner, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = inner.NetConn()
-	}
 	own, ok := c.(*CountingConn)
+	if inner, isWrapper := c.(interface{ NetConn() net.Conn }); !ok && isWrapper {
+		own, ok = inner.NetConn().(*CountingConn)
+	}
 	return own, ok
 }
 
--- a/internal/upstream/httpclient/reach.go
+++ b/internal/upstream/httpclient/reach.go
@@ -375,6 +375,9 @@
 	watched atomic.Bool // whether something is received after a write is being watched
 }
 
+// NetConn returns the connection that c uses.
+func (c *reachConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *reachConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/upstream/httpclient/transport.go
+++ b/internal/upstream/httpclient/transport.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
+
+	"hickorypath/internal/core/tcpconn"
 )
 
 const (
@@ -19,7 +21,7 @@
 )
 
 // Transport sends requests to upstreams over HTTP/1.1, on connections of type *CountingConn. It refuses the malformed heads of responses that
-// net/http accepts.
+// net/http accepts. A request that is given up resets its connection.
 type Transport struct{ transport *http.Transport }
 
 // NewTransport returns a Transport that opens connections with dial and closes them after they have been idle for idleTimeout. With
@@ -42,7 +44,7 @@
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var conn net.Conn
 	interim := 0
-	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+	ctx := httptrace.WithClientTrace(tcpconn.WithTrace(req.Context()), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
 		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
 			if interim++; interim > maxInterim { // net/http sets no bound if there is such a function
