Cancel streams to other hosts whose request is given up

A request that serve relayed through another host and then gave up could arrive at that host, and so at an upstream, seconds later.

Cause: closing a QUIC stream finishes its sending side. What was written stays in the process, which sends it again until the other host has it, also after a partition has healed.

Change: the end that has opened a stream cancels both directions when it closes it. Its response is complete then, or nobody waits for it. The frame that cancels is repeated until it arrives, so the other host stops its work as before. The end that writes the response still finishes what it has written. A process that ends takes its buffers with it.

--- a/internal/host/peer/stream.go
+++ b/internal/host/peer/stream.go
@@ -39,10 +39,21 @@
 		if err != nil {
 			return nil, kind.Wrap(err, kind.Peer, "%s takes no further stream", id)
 		}
-		return &streamConn{Stream: s, conn: r.conn}, nil
+		return &clientStream{streamConn{Stream: s, conn: r.conn}}, nil
 	}
 }
 
+// clientStream is the end of a stream that has opened it and sends a request on it.
+type clientStream struct{ streamConn }
+
+// Close ends both directions of the stream. What was written and has not arrived is not sent again: the response is complete, or the
+// request is given up.
+func (c *clientStream) Close() error {
+	c.CancelWrite(0)
+	c.CancelRead(0)
+	return nil
+}
+
 // Streams returns a listener of the streams that other hosts open.
 func (e *Endpoint) Streams() net.Listener {
 	return &streamListener{endpoint: e, closed: make(chan struct{})}
