Name the attempt in the rejection of the test of early rejections

TestRejectionBeforeTheBodyIsReadIsLost failed once beside other work, "crossed != rejected" in the case "keeps the connection". The service of the test rejects a call before it has read the body, without naming the attempt, and reads on after 100 ms. net/http keeps a connection whose request is written within 50 ms of the response, so on a busy machine the next call gets that connection, and a rejection without an id on a connection that has carried another one is not believed, by intent. That rule has its own cases in TestRefusalOfAnotherRequestIsBelieved. Now the rejection names the attempt, and must be read on new and kept connections alike, which is as strict.

--- a/internal/upstream/service/early_test.go
+++ b/internal/upstream/service/early_test.go
@@ -69,7 +69,7 @@
 				return
 			}
 		}
-		_, _ = io.WriteString(conn, "HTTP/1.1 503 Full\r\nX-Ran: no\r\nRetry-After: 4\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Full\r\nX-Request-Id: a\r\nX-Ran: no\r\nRetry-After: 4\r\nContent-Length: 0\r\n\r\n")
 		if closes {
 			return
 		}
