Test that refusals to other hosts are marked

A host that relays a request tells a refusal of the other host from a response that it passes on by the mark. The test covers the mark, its absence without a token, and the status of a refusal that may have run.

--- a/internal/caller/reply/relayed_test.go
+++ b/internal/caller/reply/relayed_test.go
@@ -10,6 +10,7 @@
 
 	"hickorypath/internal/caller/exchange"
 	"hickorypath/internal/caller/reply"
+	"hickorypath/internal/core/kind"
 )
 
 // TestRelayHeaders checks what is read of a request from the headers for relayed ones.
@@ -56,3 +57,36 @@
 		})
 	}
 }
+
+// TestRefusalOfThisHostIsNotMarked guards against a refusal that the host which has sent the request takes for an upstream's, and a status that
+// promises that a request did not run which may have run.
+func TestRefusalOfThisHostIsNotMarked(t *testing.T) {
+	cases := []struct {
+		name   string
+		token  string // of the request; empty for that of a caller, or of a host of an earlier version
+		err    error
+		status int
+		ran    kind.Ran // empty if the refusal is not marked
+	}{
+		{"not run", "t1", kind.New(kind.Draining, "the host is shutting down"), 503, kind.RanNo},
+		{"may have run", "t1", kind.New(kind.Unavailable, "no upstream").WithRan(kind.RanMaybe), 502, kind.RanMaybe},
+		{"without a token", "", kind.New(kind.Draining, "the host is shutting down"), 503, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w, r := httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/dues", http.NoBody)
+			if c.token != "" {
+				r.Header.Set("Hickorypath-Relay-Token", c.token)
+			}
+			reply.MarkRelayed(w, r)
+			reply.WriteError(w, c.err)
+			is.Equal(w.Code, c.status)
+			ran, ok := reply.RefusalRan(w.Header(), c.token)
+			is.Equal(ok, c.ran != "")
+			is.Equal(ran, c.ran)
+			_, ok = reply.RefusalRan(w.Header(), "t2")
+			is.True(!ok)
+		})
+	}
+}
