Mark the refusal of a host that relays too many requests

A host that relays as many requests as it may refuses the next one before it has run. The refusal was not marked, so the host that had sent a request which may run once would have told its caller "may have run". Found by reading again; the mark is now set before the request is admitted. Beside it: the trace of tcpconn needs no interface type, comments, and two findings of the linter in tests.

Result: the linter has no findings; the tests of internal/core, internal/upstream, internal/gateway/upstream and internal/caller pass.

--- a/cmd/hickorypath/host.go
+++ b/cmd/hickorypath/host.go
@@ -149,10 +149,11 @@
 func (h *host) relayedHandler() http.Handler {
 	callers, slots := h.callerHandler(), make(chan struct{}, maxRelayed)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r = reply.MarkRelayed(w, r)
 		select {
 		case slots <- struct{}{}:
 			defer func() { <-slots }()
-			callers.ServeHTTP(w, reply.MarkRelayed(w, r))
+			callers.ServeHTTP(w, r)
 		default:
 			reply.WriteError(w, kind.New(kind.Unavailable, "the host relays too many requests"))
 		}
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -201,7 +201,8 @@
 	return cancel
 }
 
-// send sends a request on a stream and reads the head of the response. It returns the token by which the host marks its own refusal. A host may begin before it has read the whole request.
+// send sends a request on a stream and reads the head of the response. A host may begin before it has read the whole request. The token is
+// the one by which the host marks its own refusal.
 func send(conn net.Conn, r Request) (res *http.Response, token string, err error) {
 	out := r.Clone(r.Context())
 	out.RequestURI, out.TransferEncoding, out.Close = "", nil, true
--- a/internal/caller/reply/relayed.go
+++ b/internal/caller/reply/relayed.go
@@ -26,7 +26,7 @@
 // relayedKey is the context key of requests that another host sent.
 type relayedKey struct{}
 
-// MarkRelayed returns a request that another host sent, and prepares its response.
+// MarkRelayed returns a request that another host sent, and sets the token of the request in the header of its response.
 func MarkRelayed(w http.ResponseWriter, r *http.Request) *http.Request {
 	if token := r.Header.Get(headerToken); token != "" {
 		w.Header().Set(headerToken, token)
--- a/internal/core/tcpconn/transport.go
+++ b/internal/core/tcpconn/transport.go
@@ -50,30 +50,26 @@
 	var end atomic.Pointer[func()]
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			if c := findBeginner(info.Conn); c != nil {
-				e := c.Begin()
-				end.Store(&e)
-			}
+			endRequest := begin(info.Conn)
+			end.Store(&endRequest)
 		},
 		PutIdleConn: func(err error) {
-			if e := end.Load(); err == nil && e != nil {
-				(*e)()
+			if endRequest := end.Load(); err == nil && endRequest != nil {
+				(*endRequest)()
 			}
 		},
 	})
 }
 
-type beginner interface{ Begin() (end func()) }
-
-// findBeginner returns the ClientConn that c uses, nil for none.
-func findBeginner(c net.Conn) beginner {
+// begin calls Begin of the ClientConn that c uses, if there is one.
+func begin(c net.Conn) (end func()) {
 	for {
-		if b, ok := c.(beginner); ok {
-			return b
+		if client, ok := c.(interface{ Begin() (end func()) }); ok {
+			return client.Begin()
 		}
 		inner, ok := c.(interface{ NetConn() net.Conn })
 		if !ok {
-			return nil
+			return func() {}
 		}
 		c = inner.NetConn()
 	}
--- a/internal/gateway/upstream/abandon_test.go
+++ b/internal/gateway/upstream/abandon_test.go
@@ -82,7 +82,7 @@
 			is := is.New(t)
 			l, err := net.Listen("tcp4", "127.0.0.1:0")
 			is.NoErr(err)
-			defer l.Close()
+			t.Cleanup(func() { _ = l.Close() })
 			ended := make(chan error)
 			go func() {
 				far, err := l.Accept()
--- a/internal/upstream/httpclient/abandon_test.go
+++ b/internal/upstream/httpclient/abandon_test.go
@@ -61,6 +61,7 @@
 				if err != nil {
 					return err
 				}
+				defer res.Body.Close()
 				_, err = io.Copy(io.Discard, res.Body)
 				return err
 			}
