Replace the status of another host's refusal that may have run (serve)

A marked refusal that says "may have run" and has a status that promises the opposite was still passed on. Hosts of this version write none, since WriteError uses kind.Error.Status, so no caller has seen it.

Change: the status is believed only if the mark says "not run".

--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -252,8 +252,8 @@
 		return nil
 	}
 	ran, isOwn := reply.RefusalRan(res.Header, token)
-	if !isOwn && !r.Repeatable && kind.PromisesNotRun(res.StatusCode) {
-		return kind.New(kind.Failed, "another host passed on status %d and did not state that the request did not run", res.StatusCode).WithRan(kind.RanMaybe)
+	if (!isOwn || ran != kind.RanNo) && !r.Repeatable && kind.PromisesNotRun(res.StatusCode) {
+		return kind.New(kind.Failed, "another host answered %d and did not state that the request did not run", res.StatusCode).WithRan(kind.RanMaybe)
 	}
 	data, err := io.ReadAll(io.LimitReader(res.Body, maxRefusal))
 	var refusal struct {
--- a/internal/caller/relay/relay_test.go
+++ b/internal/caller/relay/relay_test.go
@@ -99,6 +99,7 @@
 		{"shuts down", script{answer: refusal(503, kind.Draining, kind.RanNo)}, false, 2, 200, "", "", false},
 		{"overload", script{answer: refusal(503, kind.Overload, kind.RanNo)}, false, 1, 503, "", "", false},
 		{"may have run", script{answer: refusal(502, kind.Lost, kind.RanMaybe)}, true, 1, 502, "", "", false},
+		{"may have run, may run once", script{answer: refusal(503, kind.Overload, kind.RanMaybe)}, false, 1, 0, kind.Failed, kind.RanMaybe, false},
 		{"passes a refusal on, may run once", script{answer: unmarked(503, kind.Unavailable, kind.RanNo)}, false, 1, 0, kind.Failed, kind.RanMaybe, false},
 		{"passes a limit on, may run once", script{answer: unmarked(429, kind.RateLimit, kind.RanNo)}, false, 1, 0, kind.Failed, kind.RanMaybe, false},
 		{"passes an error on, may run once", script{answer: unmarked(500, kind.Unavailable, kind.RanNo)}, false, 1, 500, "", "", false},
@@ -227,6 +228,7 @@
 		{"too many are full", [3]script{full, full, {answer: ok}}, 2, 0, kind.RanNo},
 		{"one is lost", [3]script{{}, {answer: ok}, {answer: ok}}, 1, 0, kind.RanMaybe},
 		{"may have run", [3]script{{answer: refusal(502, kind.Overload, kind.RanMaybe)}, {answer: ok}, {answer: ok}}, 1, 502, ""},
+		{"may have run, the status promises the opposite", [3]script{{answer: refusal(503, kind.Overload, kind.RanMaybe)}, {answer: ok}, {answer: ok}}, 1, 0, kind.RanMaybe},
 		{"passes a refusal on", [3]script{{answer: unmarked(503, kind.Overload, kind.RanNo)}, {answer: ok}, {answer: ok}}, 1, 0, kind.RanMaybe},
 	}
 	for _, c := range cases {
