Replace statuses that promise "not run" in stored responses (serve)

A resend under an idempotency key could get a 503, 429, 408 or 421 that an earlier version had stored for a call that has run (rule REFUSED).

Change: such a stored response fails the resend with "may have run". Others are passed on as before.

--- a/internal/caller/exchange/exchange_test.go
+++ b/internal/caller/exchange/exchange_test.go
@@ -74,6 +74,7 @@
 	key       string
 	keyRecord key.Record
 	starting  bool // the host has not received all keys yet
+	claims    *claim.Registry
 	storeGate *standinstore.FaultInjector
 	client    *engine.Client
 	runner    *exchange.Runner
@@ -177,6 +178,7 @@
 	c := clock.NewWall()
 	w.suspectTracker = exchange.NewSuspectTracker(suspect.Config{Host: "h1"}, func(suspect.Turn) {})
 	backend := store.New(w.storeGate.Backend(store.NewMemory(c).Backend()), store.Options{Clock: c, Rand: rand.New(rand.NewPCG(1, 2))})
+	w.claims = claim.New(backend, c, claim.Options{})
 	w.runner = exchange.New(exchange.Deps{
 		Clock: c, Log: zap.NewNop(), Document: live, Keys: w.keys, Engines: w.client, Services: services,
 		Suspects: w.suspectTracker, RetryBudgets: exchange.NewRetryBudgets(retry.Config{}),
@@ -191,7 +193,7 @@
 		Admit: func(string, string, int) (func(int), error) {
 			return func(tokens int) { w.admitted = append(w.admitted, tokens) }, nil
 		},
-		Claim: newClaimFunc(claim.New(backend, c, claim.Options{})),
+		Claim: newClaimFunc(w.claims),
 		IsAlive: func(ctx context.Context, _, addr string) bool {
 			time.Sleep(w.probeLatency)
 			_, err := w.client.Load(ctx, addr)
--- a/internal/caller/exchange/fault_test.go
+++ b/internal/caller/exchange/fault_test.go
@@ -12,6 +12,7 @@
 	"hickorypath/internal/caller/exchange"
 	"hickorypath/internal/core/kind"
 	"hickorypath/internal/standin/upstream"
+	"hickorypath/internal/state/claim"
 	"hickorypath/internal/upstream/dispatch"
 )
 
@@ -245,6 +246,29 @@
 	}
 }
 
+// TestStoredStatusPromisesThatACallDidNotRun guards against a stored response, written by an earlier version, whose status promises that the
+// call did not run.
+func TestStoredStatusPromisesThatACallDidNotRun(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusInternalServerError, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			withHarness(t, func(w *harness) {
+				c, _, err := w.claims.Begin(w.ctx, "laredo", "dues", "k1", time.Hour)
+				w.NoErr(err)
+				w.NoErr(c.Finish(w.ctx, claim.Outcome{Status: status, Body: []byte("stored")}))
+				got, err := w.forward("k1")
+				w.Equal(w.ledger.Executed("/dues", "{}"), 0)
+				if kind.PromisesNotRun(status) {
+					w.Equal(kind.Of(err), kind.Failed)
+					w.Equal(kind.From(err).Ran(), kind.RanMaybe)
+					return
+				}
+				w.NoErr(err)
+				w.Equal(got, "stored")
+			})
+		})
+	}
+}
+
 // forward calls the plain service and returns its response.
 func (w *harness) forward(idempotency string) (string, error) {
 	who, err := w.runner.Authenticate(w.key)
--- a/internal/caller/exchange/forward.go
+++ b/internal/caller/exchange/forward.go
@@ -247,6 +247,9 @@
 
 // sendStored answers with the stored response of an earlier run.
 func (f *forward) sendStored(o *Outcome) error {
+	if kind.PromisesNotRun(o.Status) { // an earlier version stored responses that did not state it
+		return kind.New(kind.Failed, "the service answered %d in the earlier run and did not state that it has not run the call", o.Status).WithRan(kind.RanMaybe)
+	}
 	return f.respond(o.Status, o.Header, bytes.NewReader(o.Body))
 }
 
