--- a/cmd/hickorypath/host.go
+++ b/cmd/hickorypath/host.go
@@ -146,14 +146,17 @@
 const maxRelayed = 128
 
 // relayedHandler returns the HTTP handler of requests that hosts send which are cut off from upstreams.
-func (h *host) relayedHandler() http.Handler {
-	callers, slots := h.callerHandler(), make(chan struct{}, maxRelayed)
+func (h *host) relayedHandler() http.Handler { return limitRelayed(h.callerHandler(), maxRelayed) }
+
+// limitRelayed returns a handler that passes up to n requests of other hosts at a time on to next, and refuses the others.
+func limitRelayed(next http.Handler, n int) http.Handler {
+	slots := make(chan struct{}, n)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		r = reply.MarkRelayed(w, r)
 		select {
 		case slots <- struct{}{}:
 			defer func() { <-slots }()
-			callers.ServeHTTP(w, r)
+			next.ServeHTTP(w, r)
 		default:
 			reply.WriteError(w, kind.New(kind.Unavailable, "the host relays too many requests"))
 		}
--- a/internal/upstream/httpclient/abandon_test.go
+++ b/internal/upstream/httpclient/abandon_test.go
@@ -1,6 +1,7 @@
 package httpclient_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -80,3 +81,50 @@
 		})
 	}
 }
+
+// TestIdleConnectionIsReset guards against a reset of connections that carry no request, which an upstream may take for a failure.
+func TestIdleConnectionIsReset(t *testing.T) {
+	upstreams := httpclient.NewTransport(httpclient.NewDialFunc(), time.Minute, false)
+	platform := tcpconn.NewTransport(&http.Transport{DialContext: httpclient.NewDialFunc()})
+	cases := []struct {
+		name      string
+		roundTrip func(*http.Request) (*http.Response, error)
+		closeIdle func()
+	}{
+		{"upstream", upstreams.RoundTrip, upstreams.CloseIdleConnections},
+		{"platform", platform.RoundTrip, platform.CloseIdleConnections},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			is.NoErr(err)
+			t.Cleanup(func() { _ = l.Close() })
+			ended := make(chan error)
+			go func() {
+				far, err := l.Accept()
+				for range 2 {
+					if err == nil {
+						_, err = http.ReadRequest(bufio.NewReader(far))
+						_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+					}
+				}
+				if err == nil {
+					_, err = far.Read(make([]byte, 1))
+				}
+				ended <- err
+			}()
+			for range 2 {
+				req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+l.Addr().String(), http.NoBody)
+				is.NoErr(err)
+				res, err := c.roundTrip(req)
+				is.NoErr(err)
+				_, err = io.Copy(io.Discard, res.Body)
+				is.NoErr(err)
+				is.NoErr(res.Body.Close())
+			}
+			c.closeIdle()
+			is.Equal(<-ended, io.EOF)
+		})
+	}
+}
