--- a/internal/upstream/service/early_test.go
+++ b/internal/upstream/service/early_test.go
@@ -58,7 +58,8 @@
 	}
 }
 
-// reject reads the heads of requests and rejects them. It then closes the connection, or reads on later.
+// reject reads the heads of requests and rejects them. It then closes the connection, or names the attempt, as the next request may come on the
+// same connection, and reads on later.
 func reject(conn net.Conn, closes bool, bodyBytes int64) {
 	defer conn.Close()
 	r := bufio.NewReader(conn)
@@ -69,7 +70,11 @@
 				return
 			}
 		}
-		_, _ = io.WriteString(conn, "HTTP/1.1 503 Full\r\nX-Request-Id: a\r\nX-Ran: no\r\nRetry-After: 4\r\nContent-Length: 0\r\n\r\n")
+		id := "X-Request-Id: a\r\n"
+		if closes {
+			id = ""
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Full\r\n"+id+"X-Ran: no\r\nRetry-After: 4\r\nContent-Length: 0\r\n\r\n")
 		if closes {
 			return
 		}
